Serve real sockets: the sidecar arrowstand around the unchanged module

Read in awc 3.11 before building on it: its pool checks an idle connection before use and never resends; it reports an answerless end of a connection as ConnectError::Disconnected, which looks like a failed connect. So what ran is decided by a socket wrapper that counts the bytes written for the request of the current task, not by awc's error.

--- /dev/null
+++ b/sidecar/src/core/mod.rs
@@ -0,0 +1,253 @@
+//! The one balancer, its clock and timers, the interning of job servers, and the routing of its actions
+//! to whoever waits for them. Nothing here knows of HTTP.
+
+mod owed;
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use heronlock::{Action, Balancer, ClassId, Condition, Event, ListKind, Member, Micros, RequestId, ServerId};
+use tokio::sync::{Notify, mpsc};
+
+pub use owed::{Owed, Step};
+
+use crate::config::Names;
+use crate::counters::Counters;
+use crate::limits::Limits;
+use crate::service_table::Table;
+
+/// A job server as the service table names it.
+pub struct JobServer {
+    pub id: ServerId,
+    address: Cell<SocketAddr>,
+    /// When it was first told to be draining or gone, since its last start.
+    told_out: Cell<Option<Instant>>,
+}
+
+impl JobServer {
+    pub fn new(id: ServerId, address: SocketAddr) -> Self {
+        Self { id, address: Cell::new(address), told_out: Cell::new(None) }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// Guards against a send that was decided before a drain was told and whose connection came up late:
+    /// its first byte must not be written once the drain has been known for this long.
+    pub fn closed_for(&self, grace: Duration) -> bool {
+        self.told_out.get().is_some_and(|at| at.elapsed() >= grace)
+    }
+
+    pub fn told(&self, out: bool) {
+        match (out, self.told_out.get()) {
+            (true, None) => self.told_out.set(Some(Instant::now())),
+            (false, Some(_)) => self.told_out.set(None),
+            _ => {}
+        }
+    }
+}
+
+#[derive(Default)]
+struct Directory {
+    ids: HashMap<String, Rc<JobServer>>,
+    by_id: Vec<Rc<JobServer>>,
+    zones: Vec<String>,
+    listed: bool,
+}
+
+/// Everything that decides. One of them runs on one thread.
+pub struct Core {
+    balancer: RefCell<Balancer>,
+    directory: RefCell<Directory>,
+    waiting: RefCell<BTreeMap<RequestId, mpsc::Sender<Step>>>,
+    timers: RefCell<BinaryHeap<Reverse<(Micros, u64)>>>,
+    timer_set: Notify,
+    list_wanted: Notify,
+    probes: mpsc::Sender<ServerId>,
+    next_request: Cell<u64>,
+    start: Instant,
+    epoch: Micros,
+    classes: Vec<String>,
+    pub limits: Rc<Limits>,
+    pub counters: Rc<Counters>,
+}
+
+/// FNV-1a of the uid, which is the same at every sidecar.
+fn fingerprint(text: &str) -> u64 {
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+impl Core {
+    /// The core, and the job servers to probe as the module asks for them.
+    pub fn new(
+        balancer: Balancer,
+        names: Names,
+        limits: Rc<Limits>,
+        counters: Rc<Counters>,
+    ) -> (Rc<Self>, mpsc::Receiver<ServerId>) {
+        // The module has at most one probe out for each job server.
+        let (probes, wanted) = mpsc::channel(limits.upstream);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let core = Self {
+            balancer: RefCell::new(balancer),
+            directory: RefCell::new(Directory { zones: names.zones, ..Directory::default() }),
+            waiting: RefCell::default(),
+            timers: RefCell::default(),
+            timer_set: Notify::new(),
+            list_wanted: Notify::new(),
+            probes,
+            next_request: Cell::new(0),
+            start: Instant::now(),
+            epoch: unix.as_micros() as Micros,
+            classes: names.classes,
+            limits,
+            counters,
+        };
+        (Rc::new(core), wanted)
+    }
+
+    /// The module's clock: Unix time at the start, and steady from there, so that start times in the
+    /// service table stand on it and no step of the wall clock moves a timer.
+    pub fn now(&self) -> Micros {
+        self.epoch + self.start.elapsed().as_micros() as Micros
+    }
+
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.iter().position(|c| c == name).map(|i| ClassId(i as u16))
+    }
+
+    /// True once transactions can be served: the service table has named a job server.
+    pub fn ready(&self) -> bool {
+        self.directory.borrow().listed
+    }
+
+    pub fn job_server(&self, id: ServerId) -> Option<Rc<JobServer>> {
+        self.directory.borrow().by_id.get(id.0 as usize).cloned()
+    }
+
+    /// Waits until the module asks for the list.
+    pub async fn asked(&self) {
+        self.list_wanted.notified().await;
+    }
+
+    /// Hands an event to the module and carries out what it asks for.
+    pub fn tell(&self, event: Event) {
+        let mut actions = Vec::new();
+        self.balancer.borrow_mut().handle(self.now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => self.step(request, Step::Send { server, timeout }),
+            Action::Cancel { request, attempt } => self.step(request, Step::Cancel { attempt }),
+            Action::Refuse { request, retry_after } => self.step(request, Step::Refuse { retry_after }),
+            Action::Fail { request } => self.step(request, Step::Fail),
+            Action::Timer { token, after } => {
+                self.timers.borrow_mut().push(Reverse((self.now() + after, token)));
+                self.timer_set.notify_one();
+            }
+            Action::Probe { server } => {
+                if self.probes.try_send(server).is_err() {
+                    tracing::warn!("a probe was dropped: too many are waiting");
+                }
+            }
+            Action::Subscribe => self.list_wanted.notify_one(),
+            // Sidecars do not talk to each other, and the settings say so to the module.
+            Action::Tell { .. } => {}
+            Action::Log { text, server } => {
+                let server = server.and_then(|id| self.job_server(id));
+                let address = server.map(|s| s.address().to_string()).unwrap_or_default();
+                tracing::info!("module: {text} {address}");
+            }
+        }
+    }
+
+    /// A transaction that has ended has no use for further steps; what was out of it is reported when it
+    /// is dropped.
+    fn step(&self, request: RequestId, step: Step) {
+        let waiting = self.waiting.borrow();
+        let Some(mailbox) = waiting.get(&request) else { return };
+        if mailbox.try_send(step).is_err() {
+            tracing::warn!("a step was dropped: too many are waiting");
+        }
+    }
+
+    /// Calls the module's timers as they come due, for as long as the program runs.
+    pub async fn run_timers(&self) {
+        loop {
+            let first = self.timers.borrow().peek().map(|Reverse((at, _))| *at);
+            let now = self.now();
+            match first {
+                Some(at) if at <= now => {
+                    let due = self.timers.borrow_mut().pop();
+                    if let Some(Reverse((_, token))) = due {
+                        self.tell(Event::Timer { token });
+                    }
+                }
+                Some(at) => {
+                    let sleep = tokio::time::sleep(Duration::from_micros(at - now));
+                    tokio::select! { () = sleep => {}, () = self.timer_set.notified() => {} }
+                }
+                None => self.timer_set.notified().await,
+            }
+        }
+    }
+
+    /// Hands a service table, or a change to it, to the module.
+    pub fn list(&self, kind: ListKind, table: &Table) {
+        self.counters.table_events.add();
+        for message in &table.skipped {
+            self.counters.table_lines_skipped.add();
+            tracing::warn!("service table: a line was skipped: {message}");
+        }
+        let entries = self.directory.borrow_mut().take(kind, table);
+        self.tell(Event::Members { kind, version: table.rev, entries });
+    }
+}
+
+impl Directory {
+    fn take(&mut self, kind: ListKind, table: &Table) -> Vec<Member> {
+        if kind != ListKind::Changes {
+            let named = |uid: &str| table.lines.iter().any(|l| l.uid == uid);
+            self.ids.iter().filter(|(uid, _)| !named(uid)).for_each(|(_, server)| server.told(true));
+        }
+        self.listed |= table.lines.iter().any(|l| l.condition == Condition::Ready);
+        let mut entries = Vec::with_capacity(table.lines.len());
+        for line in &table.lines {
+            let server = match self.ids.get(&line.uid) {
+                Some(known) => Rc::clone(known),
+                None => {
+                    let id = ServerId(self.by_id.len() as u32);
+                    let new = Rc::new(JobServer::new(id, line.address));
+                    self.by_id.push(Rc::clone(&new));
+                    self.ids.insert(line.uid.clone(), Rc::clone(&new));
+                    new
+                }
+            };
+            server.address.set(line.address);
+            server.told(line.condition != Condition::Ready);
+            let zone = self.zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
+                self.zones.push(line.zone.clone());
+                self.zones.len() - 1
+            });
+            entries.push(Member {
+                server: server.id,
+                fingerprint: fingerprint(&line.uid),
+                condition: line.condition,
+                launched: (line.boot_ms > 0.0).then_some((line.boot_ms * 1_000.0) as Micros),
+                zone: zone as u32,
+                cell: line.cell,
+            });
+        }
+        entries
+    }
+}
--- /dev/null
+++ b/sidecar/src/counters.rs
@@ -0,0 +1,75 @@
+//! What the sidecar took in, sent and answered, by kind.
+
+use std::cell::Cell;
+use std::fmt;
+
+use heronlock::Outcome;
+
+macro_rules! counters {
+    ($($name:ident: $text:literal,)*) => {
+        /// One cell a kind; printed on request and at exit.
+        #[derive(Default)]
+        pub struct Counters { $(#[doc = $text] pub $name: Count,)* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(writeln!(f, "{} {}", stringify!($name), self.$name.get())?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+/// A count that only rises.
+#[derive(Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+counters! {
+    transactions_taken: "Transactions handed to the module.",
+    transactions_malformed: "Requests answered with a 4xx.",
+    transactions_over_bound: "Requests turned away because too many terminals were connected.",
+    answered_served: "Answers of a job server passed on.",
+    answered_short_on_capacity: "Short-on-capacity replies that the module decided on.",
+    answered_failed: "Transactions that failed.",
+    answered_overdue: "Failures that the module had not decided in time.",
+    terminals_gone: "Transactions whose terminal left first.",
+    routed_tasks_sent: "Routed tasks begun.",
+    routed_served: "Routed tasks that were served.",
+    routed_error: "Routed tasks that ended in an error.",
+    routed_rejected: "Routed tasks that a job server turned away.",
+    routed_timed_out: "Routed tasks without an answer in time.",
+    routed_connect_failed: "Routed tasks that were never written whole.",
+    routed_reset: "Routed tasks whose connection broke.",
+    routed_cancelled: "Routed tasks that were called off.",
+    probes_sent: "Probes begun.",
+    probes_failed: "Probes that failed.",
+    connections_opened: "Connections to job servers opened.",
+    table_events: "Service tables and changes read.",
+    table_lines_skipped: "Lines of them that could not be read.",
+    reports_skipped: "Load reports that could not be read.",
+}
+
+impl Counters {
+    pub fn routed(&self, outcome: Outcome) {
+        let cell = match outcome {
+            Outcome::Served => &self.routed_served,
+            Outcome::ServerError => &self.routed_error,
+            Outcome::Rejected => &self.routed_rejected,
+            Outcome::TimedOut => &self.routed_timed_out,
+            Outcome::ConnectFailed => &self.routed_connect_failed,
+            Outcome::Reset => &self.routed_reset,
+            Outcome::Cancelled | Outcome::NotSent => &self.routed_cancelled,
+        };
+        cell.add();
+    }
+}
--- /dev/null
+++ b/sidecar/src/front/http.rs
@@ -0,0 +1,237 @@
+//! The platform's protocol to the terminal, over actix-http.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::error::DispatchError;
+use actix_http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, RETRY_AFTER};
+use actix_http::{HttpMessage as _, HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout};
+
+use crate::core::Core;
+use crate::transaction::{self, Answer, Ask};
+use crate::upstream::Upstream;
+
+/// The listening side.
+pub struct Front {
+    core: Rc<Core>,
+    upstream: Rc<Upstream>,
+    /// Terminal connections that are open.
+    open: Cell<usize>,
+    changed: Notify,
+    closing: watch::Sender<bool>,
+}
+
+type Reply = Response<BoxBody>;
+
+/// Why a request is answered with a 4xx and goes no further.
+struct Bad(StatusCode, &'static str);
+
+impl Front {
+    pub fn new(core: Rc<Core>, upstream: Rc<Upstream>) -> Rc<Self> {
+        let (open, changed, closing) = (Cell::new(0), Notify::new(), watch::Sender::new(false));
+        Rc::new(Self { core, upstream, open, changed, closing })
+    }
+
+    /// Accepts terminals until the listener is dropped with this future.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let Ok(service) = self.service().new_service(()).await else { return };
+        let service = Rc::new(service);
+        let Ok(crowded) = self.turn_away().new_service(()).await else { return };
+        let crowded = Rc::new(crowded);
+        let limits = Rc::clone(&self.core.limits);
+        loop {
+            while self.open.get() >= limits.terminals_most {
+                self.changed.notified().await;
+            }
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
+                }
+            };
+            let full = self.open.get() >= limits.terminals;
+            let (this, service, crowded) = (Rc::clone(&self), Rc::clone(&service), Rc::clone(&crowded));
+            let place = self.take_place();
+            actix_rt::spawn(async move {
+                let _place = place;
+                let end = if full { crowded.call(stream).await } else { service.call(stream).await };
+                if let Err(DispatchError::Parse(_)) = end {
+                    this.core.counters.transactions_malformed.add();
+                }
+            });
+        }
+    }
+
+    fn take_place(self: &Rc<Self>) -> Place {
+        self.open.set(self.open.get() + 1);
+        Place(Rc::clone(self))
+    }
+
+    /// Closes idle connections and waits until what is owed is answered.
+    pub async fn close(&self) {
+        self.closing.send_replace(true);
+        while self.open.get() > 0 {
+            self.changed.notified().await;
+        }
+    }
+
+    fn service(
+        self: &Rc<Self>,
+    ) -> impl ServiceFactory<TcpStream, Config = (), Response = (), Error = DispatchError, InitError = ()> + use<>
+    {
+        let limits = Rc::clone(&self.core.limits);
+        let (this, closing) = (Rc::clone(self), self.closing.subscribe());
+        HttpService::build()
+            .keep_alive(KeepAlive::Timeout(limits.terminal_idle))
+            .client_request_timeout(limits.terminal_read)
+            .tcp_nodelay(true)
+            // Guards against transactions that run on for a terminal that has left.
+            .h1_allow_half_closed(false)
+            .graceful_shutdown_signal(move || {
+                let mut closing = closing.clone();
+                async move {
+                    let _ = closing.wait_for(|closing| *closing).await;
+                }
+            })
+            .h1(fn_service(move |request: Request| {
+                let this = Rc::clone(&this);
+                async move { Ok::<_, Infallible>(this.answer(request).await) }
+            }))
+            .tcp()
+    }
+
+    /// Guards against a full descriptor table: terminals past the bound are told so at once.
+    fn turn_away(
+        self: &Rc<Self>,
+    ) -> impl ServiceFactory<TcpStream, Config = (), Response = (), Error = DispatchError, InitError = ()> + use<>
+    {
+        let core = Rc::clone(&self.core);
+        let turn_away = move |_: Request| {
+            core.counters.transactions_over_bound.add();
+            let mut reply = pause(StatusCode::SERVICE_UNAVAILABLE, core.limits.retry_after);
+            reply.headers_mut().insert(CONNECTION, actix_http::header::HeaderValue::from_static("close"));
+            async move { Ok::<_, Infallible>(reply) }
+        };
+        HttpService::build().tcp_nodelay(true).h1(fn_service(turn_away)).tcp()
+    }
+
+    async fn answer(&self, request: Request) -> Reply {
+        match request.path() {
+            "/ready" if self.core.ready() => return plain(StatusCode::OK, "ready\n"),
+            "/ready" => return plain(StatusCode::SERVICE_UNAVAILABLE, "no job server is known yet\n"),
+            "/counters" => return plain(StatusCode::OK, self.core.counters.to_string()),
+            _ => {}
+        }
+        match self.read(request).await {
+            Ok(ask) => {
+                let answer = transaction::run(Rc::clone(&self.core), Rc::clone(&self.upstream), ask).await;
+                write(answer)
+            }
+            Err(Bad(status, why)) => {
+                self.core.counters.transactions_malformed.add();
+                let mut reply = plain(status, why);
+                // What is left of its body is of no use.
+                reply.headers_mut().insert(CONNECTION, actix_http::header::HeaderValue::from_static("close"));
+                reply
+            }
+        }
+    }
+
+    /// Reads a request to its last byte and checks it.
+    async fn read(&self, mut request: Request) -> Result<Ask, Bad> {
+        let limits = &self.core.limits;
+        let bad = |why| Bad(StatusCode::BAD_REQUEST, why);
+        let headers = request.headers();
+        let id = token(headers, "x-request-id", limits.token)?;
+        let id = id.ok_or_else(|| bad("X-Request-ID is missing\n"))?;
+        let key = token(headers, "idempotency-key", limits.token)?;
+        let class = token(headers, "x-priority-class", limits.token)?;
+        let class = class.and_then(|name| self.core.class(&name));
+        let class = class.ok_or_else(|| bad("X-Priority-Class is not a known class\n"))?;
+        let patience = token(headers, "x-timeout", limits.token)?;
+        let patience = patience.and_then(|text| span(&text)).filter(|span| *span <= limits.patience);
+        let patience = patience.ok_or_else(|| bad("X-Timeout is not a time\n"))?;
+        let method = request.method().as_str().to_owned();
+        let target = request.uri().path_and_query().map_or("/", |t| t.as_str()).to_owned();
+        let mut payload = request.take_payload();
+        let body = async {
+            let mut body = BytesMut::new();
+            while let Some(chunk) = payload.next().await {
+                let chunk = chunk.map_err(|_| bad("the body cannot be read\n"))?;
+                if body.len() + chunk.len() > limits.body {
+                    return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
+                }
+                body.extend_from_slice(&chunk);
+            }
+            Ok(body.freeze())
+        };
+        let late = |_| Bad(StatusCode::REQUEST_TIMEOUT, "the body did not arrive\n");
+        let body: Bytes = timeout(limits.terminal_read, body).await.map_err(late)??;
+        Ok(Ask { method, target, id, key, class, body, arrived: Instant::now(), patience })
+    }
+}
+
+/// One open terminal connection.
+struct Place(Rc<Front>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.changed.notify_waiters();
+    }
+}
+
+fn token(headers: &HeaderMap, name: &str, most: usize) -> Result<Option<String>, Bad> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= most => Ok(Some(text.to_owned())),
+        _ => Err(Bad(StatusCode::BAD_REQUEST, "a header cannot be read\n")),
+    }
+}
+
+/// A number and a unit: `480m` are milliseconds, `480000u` microseconds.
+fn span(text: &str) -> Option<Duration> {
+    let micros = match text.strip_suffix('u') {
+        Some(number) => number.parse::<f64>().ok()?,
+        None => text.strip_suffix('m')?.parse::<f64>().ok()? * 1_000.0,
+    };
+    (micros.is_finite() && micros >= 0.0).then(|| Duration::from_micros(micros as u64))
+}
+
+fn plain(status: StatusCode, text: impl Into<String>) -> Reply {
+    Response::build(status)
+        .insert_header((CONTENT_TYPE, "text/plain"))
+        .body(text.into())
+        .map_into_boxed_body()
+}
+
+/// An answer that names the time to come back at. The status alone tells whether a repeat is harmless.
+fn pause(status: StatusCode, retry_after: Duration) -> Reply {
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    Response::build(status).insert_header((RETRY_AFTER, seconds)).finish().map_into_boxed_body()
+}
+
+fn write(answer: Answer) -> Reply {
+    match answer {
+        Answer::Served { body, media } => {
+            let mut reply = Response::build(StatusCode::OK);
+            if let Some(media) = media {
+                reply.insert_header((CONTENT_TYPE, media));
+            }
+            reply.body(body).map_into_boxed_body()
+        }
+        Answer::ShortOnCapacity { retry_after } => pause(StatusCode::SERVICE_UNAVAILABLE, retry_after),
+        Answer::Failed { retry_after } => pause(StatusCode::GATEWAY_TIMEOUT, retry_after),
+    }
+}
--- /dev/null
+++ b/sidecar/src/limits.rs
@@ -0,0 +1,106 @@
+//! Every size, count and time that the network code keeps to, filled once at start.
+
+use std::time::Duration;
+
+/// Filled by [`Limits::derive`] from the configuration and handed down from there.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Terminal connections that are served; further ones get a short-on-capacity reply.
+    pub terminals: usize,
+    /// Terminal connections that are accepted at all: those above the first bound only to be turned away.
+    pub terminals_most: usize,
+    /// Connections to job servers, busy and idle.
+    pub upstream: usize,
+    /// Bytes of a request's or an answer's body.
+    pub body: usize,
+    /// Bytes of one line from discovery.
+    pub list_line: usize,
+    /// Nesting of JSON that is read; guards the stack.
+    pub json_depth: usize,
+    /// Characters of a request id or an idempotency key.
+    pub token: usize,
+    /// Steps of one transaction that may wait to be carried out.
+    pub steps: usize,
+    /// A connection to a job server must be up within this.
+    pub connect: Duration,
+    /// An idle connection to a job server is used again within this.
+    pub idle_reuse: Duration,
+    /// A probe must be answered within this.
+    pub probe: Duration,
+    /// Nothing new starts to a job server this long after its drain was told.
+    pub drain: Duration,
+    /// An answer is sent this long before its terminal gives up, whatever happens.
+    pub answer_margin: Duration,
+    /// The longest time left that is believed.
+    pub patience: Duration,
+    /// Pause advised to a client where the module names none.
+    pub retry_after: Duration,
+    /// The head of discovery's answer must come within this.
+    pub list_call: Duration,
+    /// A watch that is silent for this long is lost.
+    pub list_silence: Duration,
+    /// A terminal may take this long over a request's head, and over its body.
+    pub terminal_read: Duration,
+    /// An idle terminal connection is kept for this long.
+    pub terminal_idle: Duration,
+    /// After SIGTERM, connections are accepted for this long.
+    pub stop_accepting: Duration,
+    /// After SIGTERM, the longest time until the program ends.
+    pub stop_most: Duration,
+}
+
+/// The parts of the configuration that limits follow from.
+#[derive(Clone, Copy, Debug)]
+pub struct Basis {
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// Memory that it may use, in MiB.
+    pub memory_mb: usize,
+    /// `permissions.connect-timeout-ms`.
+    pub connect: Duration,
+    /// `permissions.idle-close-ms`.
+    pub idle_close: Duration,
+    /// `safety.drain-grace-ms`.
+    pub drain_grace: Duration,
+    /// `permissions.max-retry-after-ms`.
+    pub retry_after: Duration,
+    /// `permissions.max-attempts`.
+    pub attempts: usize,
+    /// The longest deadline of a class.
+    pub deadline: Duration,
+    /// `step-ms`.
+    pub step: Duration,
+}
+
+impl Limits {
+    /// Guards against the operator's limits: well under a full table of descriptors, and a memory limit
+    /// that holds a whole body for each terminal and each connection to a job server.
+    pub fn derive(basis: &Basis) -> Self {
+        let body = 64 * 1024;
+        let by_memory = (basis.memory_mb * 1024 * 1024 / 2 / (3 * body)).max(8);
+        let terminals = (basis.sockets * 3 / 8).min(by_memory).max(4);
+        Self {
+            terminals,
+            terminals_most: terminals + terminals / 8 + 1,
+            upstream: (basis.sockets * 7 / 16).max(8),
+            body,
+            list_line: 512 * 1024,
+            json_depth: 32,
+            token: 256,
+            steps: 2 * basis.attempts + 4,
+            connect: basis.connect,
+            idle_reuse: basis.idle_close * 3 / 4,
+            probe: basis.connect * 5 / 4,
+            drain: basis.drain_grace / 2,
+            answer_margin: basis.step,
+            patience: Duration::from_secs(600),
+            retry_after: basis.retry_after,
+            list_call: Duration::from_secs(5),
+            list_silence: Duration::from_secs(3),
+            terminal_read: Duration::from_secs(30),
+            terminal_idle: Duration::from_secs(300),
+            stop_accepting: Duration::from_millis(700),
+            stop_most: basis.deadline.max(Duration::from_secs(3)) + Duration::from_millis(600),
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main.rs
@@ -0,0 +1,83 @@
+//! arrowstand: the sidecar. Starts the parts, minds the signals and gives the exit code.
+#![forbid(unsafe_code)]
+
+mod config;
+mod core;
+mod counters;
+mod front;
+mod json;
+mod limits;
+mod service_table;
+mod transaction;
+mod upstream;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use heronlock::{Balancer, ListKind};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::config::Config;
+use crate::core::Core;
+use crate::counters::Counters;
+use crate::front::http::Front;
+use crate::upstream::Upstream;
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let config = match Config::from_environment() {
+        Ok(config) => config,
+        Err(message) => {
+            eprintln!("arrowstand: {message}");
+            return ExitCode::from(2);
+        }
+    };
+    let ended = match actix_rt::Runtime::new() {
+        Ok(runtime) => runtime.block_on(serve(config)),
+        Err(e) => Err(format!("the runtime did not start: {e}")),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("arrowstand: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves until SIGTERM or SIGINT.
+async fn serve(config: Config) -> Result<(), String> {
+    let limits = Rc::new(config.limits);
+    let counters = Rc::new(Counters::default());
+    let balancer = Balancer::new(config.settings, config.seed).map_err(|e| e.to_string())?;
+    let (core, probes) = Core::new(balancer, config.names, Rc::clone(&limits), Rc::clone(&counters));
+    let upstream = Upstream::new(&core);
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let listener = tokio::net::TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("NODE_LISTEN: {}: {e}", config.listen))?;
+
+    let known = config.known.unwrap_or_default();
+    core.list(ListKind::WarmCopy, &known);
+    actix_rt::spawn({
+        let core = Rc::clone(&core);
+        async move { core.run_timers().await }
+    });
+    actix_rt::spawn(Rc::clone(&upstream).run_probes(probes));
+    actix_rt::spawn(Rc::clone(&upstream).run_sweeps());
+    let follow = service_table::follow(Rc::clone(&core), config.discovery, known.rev, Rc::clone(&limits));
+    actix_rt::spawn(follow);
+    let front = Front::new(Rc::clone(&core), upstream);
+    let accept = actix_rt::spawn(Rc::clone(&front).accept(listener));
+    tracing::info!("{} listens on {}", config.name, config.listen);
+
+    tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+    // Guards against transactions lost at a planned restart: terminals go on for a while, and what has
+    // been taken is answered before the end.
+    let stopping = tokio::time::Instant::now();
+    tokio::time::sleep(limits.stop_accepting).await;
+    accept.abort();
+    let _ = tokio::time::timeout_at(stopping + limits.stop_most, front.close()).await;
+    tracing::info!("stopped\n{counters}");
+    Ok(())
+}
--- /dev/null
+++ b/sidecar/src/service_table.rs
@@ -0,0 +1,170 @@
+//! Discovery's list: its form, and the watch that turns it into list events.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use futures_util::StreamExt as _;
+use heronlock::{Condition, Event, ListKind};
+use tinyjson::JsonValue;
+use tokio::time::timeout;
+
+use crate::core::Core;
+use crate::json::{self, Node};
+use crate::limits::Limits;
+
+/// One line of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    pub uid: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub cell: u32,
+    pub condition: Condition,
+    /// Unix time of the last start in milliseconds; 0 if long ago.
+    pub boot_ms: f64,
+}
+
+/// The whole table or a change to it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Table {
+    pub rev: u64,
+    pub all: bool,
+    pub lines: Vec<Line>,
+    /// Messages on lines that could not be read and were skipped.
+    pub skipped: Vec<String>,
+}
+
+fn line(node: &Node) -> Result<Line, String> {
+    let endpoint = node.at("endpoint");
+    let text = endpoint.text()?;
+    Ok(Line {
+        uid: node.at("uid").text()?,
+        address: text.parse().or_else(|_| endpoint.fault("is not an address and port"))?,
+        zone: node.at("az").text_opt()?.unwrap_or_default(),
+        cell: node.at("pod_group").number_opt()?.unwrap_or(0.0) as u32,
+        condition: match node.at("state").text()?.as_str() {
+            "ready" => Condition::Ready,
+            "draining" => Condition::Draining,
+            "gone" => Condition::Gone,
+            other => return node.at("state").fault(&format!("unknown value {other:?}")),
+        },
+        boot_ms: node.at("boot_ms").number_opt()?.unwrap_or(0.0),
+    })
+}
+
+impl Table {
+    /// Reads a table. Guards against one bad line hiding the good ones: it alone is skipped.
+    pub fn read(node: &Node) -> Result<Self, String> {
+        let rev = node.at("rev").number()? as u64;
+        let all = node.at("all").flag_opt()?.unwrap_or(false);
+        let mut table = Self { rev, all, ..Self::default() };
+        for item in node.at("targets").items()? {
+            match line(&item) {
+                Ok(line) => table.lines.push(line),
+                Err(message) => table.skipped.push(message),
+            }
+        }
+        Ok(table)
+    }
+
+    pub fn parse(text: &str, limits: &Limits) -> Result<Self, String> {
+        let value: JsonValue = json::parse(text, limits.json_depth)?;
+        Self::read(&Node::root(&value))
+    }
+}
+
+/// Cuts a watch's bytes into lines, however they were split over chunks.
+struct Lines {
+    held: BytesMut,
+    most: usize,
+}
+
+impl Lines {
+    fn take(&mut self) -> Option<BytesMut> {
+        let end = self.held.iter().position(|&b| b == b'\n')?;
+        let mut line = self.held.split_to(end + 1);
+        line.truncate(end);
+        Some(line)
+    }
+
+    fn add(&mut self, chunk: &[u8]) -> Result<(), String> {
+        if self.held.len() + chunk.len() > self.most {
+            return Err(format!("a line is longer than {} bytes", self.most));
+        }
+        self.held.extend_from_slice(chunk);
+        Ok(())
+    }
+}
+
+/// Follows discovery for as long as the program runs: one call for each time the module asks.
+pub async fn follow(core: Rc<Core>, discovery: SocketAddr, rev: u64, limits: Rc<Limits>) {
+    let client = awc::Client::builder()
+        .connector(awc::Connector::new().timeout(limits.list_call).conn_lifetime(limits.patience))
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish();
+    let rev = Cell::new(rev);
+    core.asked().await;
+    loop {
+        let again = tokio::select! {
+            fault = watch(&core, &client, discovery, &rev, &limits) => {
+                tracing::warn!("discovery: {fault}");
+                core.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: Vec::new() });
+                false
+            }
+            // The module asks anew while a call or a watch is on: that one is ended.
+            () = core.asked() => true,
+        };
+        if !again {
+            core.asked().await;
+        }
+    }
+}
+
+/// One watch, from the call to its end; tells why it ended.
+async fn watch(
+    core: &Rc<Core>,
+    client: &awc::Client,
+    discovery: SocketAddr,
+    rev: &Cell<u64>,
+    limits: &Limits,
+) -> String {
+    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", rev.get());
+    let call = client.get(uri).force_close().no_decompress().send();
+    let mut answer = match timeout(limits.list_call, call).await {
+        Ok(Ok(answer)) if answer.status().is_success() => answer,
+        Ok(Ok(answer)) => return format!("the call ended with {}", answer.status()),
+        Ok(Err(e)) => return format!("the call failed: {e}"),
+        Err(_) => return "the call was not answered".to_owned(),
+    };
+    let mut lines = Lines { held: BytesMut::new(), most: limits.list_line };
+    loop {
+        // Guards against a watch whose other end has vanished: it says nothing, not even the heartbeat.
+        let chunk = match timeout(limits.list_silence, answer.next()).await {
+            Ok(Some(Ok(chunk))) => chunk,
+            Ok(Some(Err(e))) => return format!("the watch broke: {e}"),
+            Ok(None) => return "the watch ended".to_owned(),
+            Err(_) => return "the watch fell silent".to_owned(),
+        };
+        if let Err(fault) = lines.add(&chunk) {
+            return fault;
+        }
+        while let Some(line) = lines.take() {
+            let text = String::from_utf8_lossy(&line);
+            if text.trim().is_empty() {
+                continue;
+            }
+            match Table::parse(&text, limits) {
+                Ok(table) => {
+                    rev.set(table.rev);
+                    let kind = if table.all { ListKind::Full } else { ListKind::Changes };
+                    core.list(kind, &table);
+                }
+                Err(fault) => tracing::warn!("discovery: a line was skipped: {fault}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/upstream/mod.rs
@@ -0,0 +1,208 @@
+//! Calls to job servers: routed tasks and probes, the connections they use, and what their ends mean.
+
+mod socket;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::http::StatusCode;
+use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
+use awc::{Client, ClientRequest};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use heronlock::{Event, LoadReport, Outcome, ServerId};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+use crate::core::{Core, JobServer};
+use crate::counters::Counters;
+use crate::limits::Limits;
+use crate::transaction::Ask;
+use socket::{Sending, Sockets};
+
+/// How a routed task ended; the answer is there if it was served.
+pub struct End {
+    pub outcome: Outcome,
+    pub report: Option<LoadReport>,
+    pub answer: Option<(Bytes, Option<String>)>,
+}
+
+impl End {
+    fn bare(outcome: Outcome) -> Self {
+        Self { outcome, report: None, answer: None }
+    }
+}
+
+/// One job server's client, whose pool holds that server's connections only.
+struct Lane {
+    client: Client,
+    used: Instant,
+}
+
+/// What is needed to call job servers.
+pub struct Upstream {
+    core: Rc<Core>,
+    lanes: RefCell<BTreeMap<ServerId, Lane>>,
+    sockets: Rc<Sockets>,
+    limits: Rc<Limits>,
+    counters: Rc<Counters>,
+}
+
+/// An answer read to its end.
+struct Whole {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Upstream {
+    pub fn new(core: &Rc<Core>) -> Rc<Self> {
+        let (limits, counters) = (Rc::clone(&core.limits), Rc::clone(&core.counters));
+        let sockets = Sockets::new(Rc::clone(&limits), Rc::clone(&counters));
+        Rc::new(Self { core: Rc::clone(core), lanes: RefCell::default(), sockets, limits, counters })
+    }
+
+    /// Sends a transaction's request to a job server once, and waits for the answer.
+    pub async fn route(&self, server: ServerId, ask: &Ask, wait: Duration) -> End {
+        let Some(server) = self.core.job_server(server) else { return End::bare(Outcome::NotSent) };
+        self.counters.routed_tasks_sent.add();
+        let uri = format!("http://{}{}", server.address(), ask.target);
+        let Ok(method) = ask.method.parse() else { return End::bare(Outcome::NotSent) };
+        let mut request = self.client(&server).request(method, uri);
+        put(&mut request, "x-request-id", &ask.id);
+        put(&mut request, "x-timeout", &format!("{}u", wait.as_micros()));
+        if let Some(key) = &ask.key {
+            put(&mut request, "idempotency-key", key);
+        }
+        let sending = Sending::new(Some(Rc::clone(&server)), ask.body.len());
+        let whole = self.call(request, ask.body.clone(), &sending);
+        let Ok(whole) = timeout(wait, whole).await else {
+            // A request that was never written whole cannot have been started.
+            let outcome = if sending.whole() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            return End::bare(outcome);
+        };
+        let Some(whole) = whole else {
+            // awc reports a connection that ended before an answer as one that never came up, and reads
+            // a break before and after the last byte alike. Only what the socket took counts here.
+            let outcome = if sending.whole() { Outcome::Reset } else { Outcome::ConnectFailed };
+            return End::bare(outcome);
+        };
+        let text = |name: &str| whole.headers.get(name).and_then(|v| v.to_str().ok());
+        let report = text("x-server-load").and_then(read_report);
+        let unprocessed = text("x-not-processed") == Some("1");
+        match whole.status {
+            StatusCode::OK => {
+                let media = text("content-type").map(str::to_owned);
+                End { outcome: Outcome::Served, report, answer: Some((whole.body, media)) }
+            }
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
+                End { report, ..End::bare(Outcome::Rejected) }
+            }
+            // An answer that does not prove the contrary may have run.
+            _ => End { report, ..End::bare(Outcome::ServerError) },
+        }
+    }
+
+    /// Asks a job server for its load.
+    async fn probe(&self, server: &Rc<JobServer>) -> (Outcome, Option<LoadReport>) {
+        let uri = format!("http://{}/status/load", server.address());
+        let request = self.client(server).get(uri);
+        // A probe is no work: it may go to a job server that drains.
+        let sending = Sending::new(None, 0);
+        let call = self.call(request, Bytes::new(), &sending);
+        match timeout(self.limits.probe, call).await {
+            Ok(Some(whole)) => {
+                let text = std::str::from_utf8(&whole.body).unwrap_or_default();
+                let report = read_report(text);
+                if report.is_none() && !text.trim().is_empty() {
+                    self.counters.reports_skipped.add();
+                }
+                let good = whole.status == StatusCode::OK;
+                (if good { Outcome::Served } else { Outcome::Rejected }, report)
+            }
+            Ok(None) if sending.whole() => (Outcome::Reset, None),
+            Ok(None) => (Outcome::ConnectFailed, None),
+            Err(_) => (Outcome::TimedOut, None),
+        }
+    }
+
+    /// Carries out the probes that the module asks for.
+    pub async fn run_probes(self: Rc<Self>, mut wanted: mpsc::Receiver<ServerId>) {
+        while let Some(id) = wanted.recv().await {
+            let Some(server) = self.core.job_server(id) else { continue };
+            let this = Rc::clone(&self);
+            self.counters.probes_sent.add();
+            actix_rt::spawn(async move {
+                let (outcome, report) = this.probe(&server).await;
+                if outcome != Outcome::Served {
+                    this.counters.probes_failed.add();
+                }
+                this.core.tell(Event::Probed { server: id, outcome, report });
+            });
+        }
+    }
+
+    /// Sends and reads to the end; nothing where the connection failed on the way.
+    async fn call(&self, request: ClientRequest, body: Bytes, sending: &Rc<Sending>) -> Option<Whole> {
+        let bare = body.is_empty() && request.get_method() == awc::http::Method::GET;
+        let send = async {
+            let request = request.no_decompress();
+            let answer = if bare { request.send().await } else { request.send_body(body).await };
+            let mut answer = answer.ok()?;
+            let mut body = BytesMut::new();
+            while let Some(chunk) = answer.next().await {
+                let chunk = chunk.ok()?;
+                // Guards against memory taken by an answer that is larger than the protocol allows.
+                if body.len() + chunk.len() > self.limits.body {
+                    return None;
+                }
+                body.extend_from_slice(&chunk);
+            }
+            Some(Whole { status: answer.status(), headers: answer.headers().clone(), body: body.freeze() })
+        };
+        socket::SENDING.scope(Rc::clone(sending), send).await
+    }
+
+    fn client(&self, server: &JobServer) -> Client {
+        let now = Instant::now();
+        let mut lanes = self.lanes.borrow_mut();
+        let lane =
+            lanes.entry(server.id).or_insert_with(|| Lane { client: self.sockets.client(), used: now });
+        lane.used = now;
+        lane.client.clone()
+    }
+
+    /// Guards against descriptors held for job servers that are called no more: awc looks at an idle
+    /// connection only when it wants one, so what is idle for good goes with its lane.
+    pub async fn run_sweeps(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(self.limits.idle_reuse).await;
+            let keep = self.limits.idle_reuse;
+            self.lanes.borrow_mut().retain(|_, lane| lane.used.elapsed() < keep);
+        }
+    }
+}
+
+/// Guards against a panic: what came in as a header goes out as one, or not at all.
+fn put(request: &mut ClientRequest, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        request.headers_mut().insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Reads `inflight=7,queue=2,eps=0.5`; a report with a part that cannot be read is none.
+fn read_report(text: &str) -> Option<LoadReport> {
+    let (mut held, mut waiting) = (None, 0.0);
+    for part in text.trim().split(',') {
+        let (name, value) = part.split_once('=')?;
+        let value: f64 = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
+        match name.trim() {
+            "inflight" | "active" => held = Some(value),
+            "queue" | "waiting" => waiting = value,
+            _ => {}
+        }
+    }
+    Some(LoadReport { held: held?, waiting })
+}
--- /dev/null
+++ b/sidecar/src/upstream/socket.rs
@@ -0,0 +1,179 @@
+//! Sockets to job servers that know what of a request has been written.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use awc::{Client, Connector};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::core::JobServer;
+use crate::counters::Counters;
+use crate::limits::Limits;
+
+tokio::task_local! {
+    /// The request that the current task is sending, whichever connection it got from the pool.
+    pub static SENDING: Rc<Sending>;
+}
+
+/// How much of one request the socket has taken.
+pub struct Sending {
+    server: Option<Rc<JobServer>>,
+    /// Bytes of the end-of-head mark seen in a row.
+    mark: Cell<usize>,
+    body_left: Cell<usize>,
+    begun: Cell<bool>,
+}
+
+const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+
+impl Sending {
+    /// For a request with so long a body; with a job server, its drain forbids the first byte.
+    pub fn new(server: Option<Rc<JobServer>>, body: usize) -> Rc<Self> {
+        let (mark, begun) = (Cell::new(0), Cell::new(false));
+        Rc::new(Self { server, mark, body_left: Cell::new(body), begun })
+    }
+
+    /// True once the socket has taken the last byte: from then on the job server may run it.
+    pub fn whole(&self) -> bool {
+        self.mark.get() == HEAD_END.len() && self.body_left.get() == 0
+    }
+
+    fn may_begin(&self, limits: &Limits) -> bool {
+        let closed = || self.server.as_ref().is_some_and(|s| s.closed_for(limits.drain));
+        self.begun.get() || !closed()
+    }
+
+    fn wrote(&self, bytes: &[u8]) {
+        self.begun.set(self.begun.get() || !bytes.is_empty());
+        let mut rest = bytes;
+        while self.mark.get() < HEAD_END.len() {
+            let Some((&byte, after)) = rest.split_first() else { return };
+            rest = after;
+            let mark = self.mark.get();
+            self.mark.set(if byte == HEAD_END[mark] { mark + 1 } else { usize::from(byte == b'\r') });
+        }
+        self.body_left.set(self.body_left.get().saturating_sub(rest.len()));
+    }
+}
+
+/// Opens connections and keeps their number within bounds.
+pub struct Sockets {
+    open: Cell<usize>,
+    limits: Rc<Limits>,
+    counters: Rc<Counters>,
+}
+
+impl Sockets {
+    pub fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Rc<Self> {
+        Rc::new(Self { open: Cell::new(0), limits, counters })
+    }
+
+    /// A client with a pool of its own and none of awc's own time-outs, redirects or headers.
+    pub fn client(self: &Rc<Self>) -> Client {
+        let this = Rc::clone(self);
+        let connect = fn_service(move |info: ConnectInfo<Uri>| {
+            let this = Rc::clone(&this);
+            async move {
+                let uri = info.request().clone();
+                let socket = this.open(&uri).await.map_err(ConnectError::Io)?;
+                Ok(Connection::new(uri, socket))
+            }
+        });
+        let connector = Connector::new()
+            .timeout(self.limits.connect)
+            .limit(self.limits.upstream)
+            .conn_keep_alive(self.limits.idle_reuse)
+            .conn_lifetime(self.limits.patience)
+            .connector(connect);
+        let client = Client::builder().connector(connector);
+        client.disable_timeout().disable_redirects().no_default_headers().finish()
+    }
+
+    async fn open(self: Rc<Self>, uri: &Uri) -> io::Result<Socket> {
+        let address: SocketAddr = uri
+            .authority()
+            .and_then(|a| a.as_str().parse().ok())
+            .ok_or_else(|| io::Error::from(io::ErrorKind::InvalidInput))?;
+        // Guards against running out of descriptors: a connection too many fails before it is opened.
+        if self.open.get() >= self.limits.upstream {
+            return Err(io::Error::other("too many connections"));
+        }
+        self.open.set(self.open.get() + 1);
+        self.counters.connections_opened.add();
+        let place = Place(self);
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Socket { stream, place })
+    }
+}
+
+/// One of the connections that may be open.
+struct Place(Rc<Sockets>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// A connection that tells the current task's request what was written of it.
+pub struct Socket {
+    stream: TcpStream,
+    place: Place,
+}
+
+impl std::fmt::Debug for Socket {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.stream.fmt(f)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let sending = SENDING.try_with(Rc::clone).ok();
+        if sending.as_ref().is_some_and(|s| !s.may_begin(&self.place.0.limits)) {
+            return Poll::Ready(Err(io::Error::other("the job server drains")));
+        }
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let (Poll::Ready(Ok(n)), Some(sending)) = (&wrote, sending) {
+            sending.wrote(buf.get(..*n).unwrap_or(buf));
+        }
+        wrote
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for Socket {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
