--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     pub classes: Vec<String>,
+    /// Whether the class of that place carries a key.
+    pub keyed: Vec<bool>,
     pub zones: Vec<String>,
 }
 
@@ -144,6 +146,7 @@
     for node in conf.at("request-classes").items()? {
         classes.push(class(&node)?);
         names.classes.push(node.at("name").text()?);
+        names.keyed.push(classes.last().is_some_and(|c| c.semantics == Semantics::Keyed));
     }
     for zone in conf.at("zones").items()? {
         names.zones.push(zone.text()?);
@@ -182,7 +185,8 @@
         connection_fee: number(fees.at("connection"), 0.0)?,
         cross_zone_fee: number(fees.at("cross-zone"), 0.0)?,
         reports,
-        list_on_request: conf.at("membership-mode").text_opt()?.as_deref() != Some("pushed"),
+        // On sockets discovery answers only when asked, whatever the simulator does for this deployment.
+        list_on_request: true,
         ask_every: time(safety.at("ask-every-ms"), base.ask_every)?,
         only_draining_binds: flag(safety.at("only-draining-binds"))?,
         cold_share: number(safety.at("cold-from"), base.cold_share)?,
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -10,7 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use heronlock::{Action, Balancer, ClassId, Condition, Event, ListKind, Member, Micros, RequestId, ServerId};
+use heronlock::{
+    Action, Balancer, ClassId, Condition, Event, ListKind, Member, Micros, Outcome, RequestId, ServerId,
+};
 use tokio::sync::{Notify, mpsc};
 
 pub use owed::{Owed, Step};
@@ -72,7 +74,7 @@
     next_request: Cell<u64>,
     start: Instant,
     epoch: Micros,
-    classes: Vec<String>,
+    names: Names,
     pub limits: Rc<Limits>,
     pub counters: Rc<Counters>,
 }
@@ -96,7 +98,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let core = Self {
             balancer: RefCell::new(balancer),
-            directory: RefCell::new(Directory { zones: names.zones, ..Directory::default() }),
+            directory: RefCell::new(Directory { zones: names.zones.clone(), ..Directory::default() }),
             waiting: RefCell::default(),
             timers: RefCell::default(),
             timer_set: Notify::new(),
@@ -105,7 +107,7 @@
             next_request: Cell::new(0),
             start: Instant::now(),
             epoch: unix.as_micros() as Micros,
-            classes: names.classes,
+            names,
             limits,
             counters,
         };
@@ -119,7 +121,12 @@
     }
 
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|c| c == name).map(|i| ClassId(i as u16))
+        self.names.classes.iter().position(|c| c == name).map(|i| ClassId(i as u16))
+    }
+
+    /// True for a class whose repeats are told by a key.
+    pub fn keyed(&self, class: ClassId) -> bool {
+        self.names.keyed.get(usize::from(class.0)).is_some_and(|&keyed| keyed)
     }
 
     /// True once transactions can be served: the service table has named a job server.
@@ -140,12 +147,15 @@
     pub fn tell(&self, event: Event) {
         let mut actions = Vec::new();
         self.balancer.borrow_mut().handle(self.now(), event, &mut actions);
-        for action in actions {
-            self.carry_out(action);
+        let unsent: Vec<ServerId> = actions.into_iter().filter_map(|action| self.carry_out(action)).collect();
+        // Guards against a job server that is never probed again because the module waits for this one.
+        for server in unsent {
+            self.tell(Event::Probed { server, outcome: Outcome::NotSent, report: None });
         }
     }
 
-    fn carry_out(&self, action: Action) {
+    /// Hands an action on; gives back the job server of a probe that could not be.
+    fn carry_out(&self, action: Action) -> Option<ServerId> {
         match action {
             Action::Send { request, server, timeout } => self.step(request, Step::Send { server, timeout }),
             Action::Cancel { request, attempt } => self.step(request, Step::Cancel { attempt }),
@@ -156,9 +166,7 @@
                 self.timer_set.notify_one();
             }
             Action::Probe { server } => {
-                if self.probes.try_send(server).is_err() {
-                    tracing::warn!("a probe was dropped: too many are waiting");
-                }
+                return self.probes.try_send(server).is_err().then_some(server);
             }
             Action::Subscribe => self.list_wanted.notify_one(),
             // Sidecars do not talk to each other, and the settings say so to the module.
@@ -169,6 +177,7 @@
                 tracing::info!("module: {text} {address}");
             }
         }
+        None
     }
 
     /// A transaction that has ended has no use for further steps; what was out of it is reported when it
--- a/sidecar/src/front/http.rs
+++ b/sidecar/src/front/http.rs
@@ -7,8 +7,8 @@
 
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
-use actix_http::header::{CONNECTION, CONTENT_TYPE, HeaderMap, RETRY_AFTER};
-use actix_http::{HttpMessage as _, HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
+use actix_http::{ConnectionType, HttpMessage as _, HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::core::Core;
-use crate::transaction::{self, Answer, Ask};
+use crate::transaction::{self, Answer, Ask, Content, LABELS};
 use crate::upstream::Upstream;
 
 /// The listening side.
@@ -94,7 +94,8 @@
         let (this, closing) = (Rc::clone(self), self.closing.subscribe());
         HttpService::build()
             .keep_alive(KeepAlive::Timeout(limits.terminal_idle))
-            .client_request_timeout(limits.terminal_read)
+            // Counts from the connect on: a legal terminal may connect early and send late.
+            .client_request_timeout(limits.terminal_idle)
             .tcp_nodelay(true)
             // Guards against transactions that run on for a terminal that has left.
             .h1_allow_half_closed(false)
@@ -120,7 +121,7 @@
         let turn_away = move |_: Request| {
             core.counters.transactions_over_bound.add();
             let mut reply = pause(StatusCode::SERVICE_UNAVAILABLE, core.limits.retry_after);
-            reply.headers_mut().insert(CONNECTION, actix_http::header::HeaderValue::from_static("close"));
+            reply.head_mut().set_connection_type(ConnectionType::Close);
             async move { Ok::<_, Infallible>(reply) }
         };
         HttpService::build().tcp_nodelay(true).h1(fn_service(turn_away)).tcp()
@@ -142,7 +143,7 @@
                 self.core.counters.transactions_malformed.add();
                 let mut reply = plain(status, why);
                 // What is left of its body is of no use.
-                reply.headers_mut().insert(CONNECTION, actix_http::header::HeaderValue::from_static("close"));
+                reply.head_mut().set_connection_type(ConnectionType::Close);
                 reply
             }
         }
@@ -150,20 +151,34 @@
 
     /// Reads a request to its last byte and checks it.
     async fn read(&self, mut request: Request) -> Result<Ask, Bad> {
-        let limits = &self.core.limits;
+        let (core, limits) = (&self.core, &self.core.limits);
         let bad = |why| Bad(StatusCode::BAD_REQUEST, why);
         let headers = request.headers();
         let id = token(headers, "x-request-id", limits.token)?;
         let id = id.ok_or_else(|| bad("X-Request-ID is missing\n"))?;
         let key = token(headers, "idempotency-key", limits.token)?;
         let class = token(headers, "x-priority-class", limits.token)?;
-        let class = class.and_then(|name| self.core.class(&name));
+        let class = class.and_then(|name| core.class(&name));
         let class = class.ok_or_else(|| bad("X-Priority-Class is not a known class\n"))?;
         let patience = token(headers, "x-timeout", limits.token)?;
         let patience = patience.and_then(|text| span(&text)).filter(|span| *span <= limits.patience);
         let patience = patience.ok_or_else(|| bad("X-Timeout is not a time\n"))?;
+        if core.keyed(class) && key.is_none() {
+            // Without its key no job server could drop a repeat.
+            return Err(bad("Idempotency-Key is missing\n"));
+        }
         let method = request.method().as_str().to_owned();
-        let target = request.uri().path_and_query().map_or("/", |t| t.as_str()).to_owned();
+        if !["GET", "POST"].contains(&method.as_str()) {
+            return Err(Bad(StatusCode::METHOD_NOT_ALLOWED, "the method is not GET or POST\n"));
+        }
+        // Guards against a target that cannot be written to a job server: each attempt would fail unsent.
+        let target = request.uri().path_and_query().map(|t| t.as_str()).filter(|t| t.starts_with('/'));
+        let target = target.ok_or_else(|| bad("the target is not a path\n"))?.to_owned();
+        if target.len() > limits.target {
+            return Err(Bad(StatusCode::URI_TOO_LONG, "the target is too long\n"));
+        }
+        let label = |name: &'static str| Some((name, headers.get(name)?.to_str().ok()?.to_owned()));
+        let labels = LABELS.into_iter().filter_map(label).collect();
         let mut payload = request.take_payload();
         let body = async {
             let mut body = BytesMut::new();
@@ -178,7 +193,8 @@
         };
         let late = |_| Bad(StatusCode::REQUEST_TIMEOUT, "the body did not arrive\n");
         let body: Bytes = timeout(limits.terminal_read, body).await.map_err(late)??;
-        Ok(Ask { method, target, id, key, class, body, arrived: Instant::now(), patience })
+        let content = Content { body, labels };
+        Ok(Ask { method, target, id, key, class, content, arrived: Instant::now(), patience })
     }
 }
 
@@ -224,10 +240,10 @@
 
 fn write(answer: Answer) -> Reply {
     match answer {
-        Answer::Served { body, media } => {
+        Answer::Served(Content { body, labels }) => {
             let mut reply = Response::build(StatusCode::OK);
-            if let Some(media) = media {
-                reply.insert_header((CONTENT_TYPE, media));
+            for label in labels {
+                reply.insert_header(label);
             }
             reply.body(body).map_into_boxed_body()
         }
--- a/sidecar/src/limits.rs
+++ b/sidecar/src/limits.rs
@@ -19,6 +19,8 @@
     pub json_depth: usize,
     /// Characters of a request id or an idempotency key.
     pub token: usize,
+    /// Characters of a request's path and query.
+    pub target: usize,
     /// Steps of one transaction that may wait to be carried out.
     pub steps: usize,
     /// A connection to a job server must be up within this.
@@ -39,9 +41,9 @@
     pub list_call: Duration,
     /// A watch that is silent for this long is lost.
     pub list_silence: Duration,
-    /// A terminal may take this long over a request's head, and over its body.
+    /// A terminal may take this long over a request's body.
     pub terminal_read: Duration,
-    /// An idle terminal connection is kept for this long.
+    /// A terminal connection is kept for this long before the first request and between two.
     pub terminal_idle: Duration,
     /// After SIGTERM, connections are accepted for this long.
     pub stop_accepting: Duration,
@@ -87,6 +89,7 @@
             list_line: 512 * 1024,
             json_depth: 32,
             token: 256,
+            target: 8 * 1024,
             steps: 2 * basis.attempts + 4,
             connect: basis.connect,
             idle_reuse: basis.idle_close * 3 / 4,
--- a/sidecar/src/transaction.rs
+++ b/sidecar/src/transaction.rs
@@ -13,6 +13,15 @@
 use crate::core::{Core, Owed, Step};
 use crate::upstream::Upstream;
 
+/// What a body's labels are called: they go with it unchanged, both ways.
+pub const LABELS: [&str; 3] = ["content-type", "content-encoding", "content-language"];
+
+/// A body and its labels.
+pub struct Content {
+    pub body: Bytes,
+    pub labels: Vec<(&'static str, String)>,
+}
+
 /// A request, as any front hands it over.
 pub struct Ask {
     pub method: String,
@@ -21,7 +30,7 @@
     pub id: String,
     pub key: Option<String>,
     pub class: ClassId,
-    pub body: Bytes,
+    pub content: Content,
     /// When its last byte came.
     pub arrived: Instant,
     /// How long the terminal waits from then.
@@ -31,7 +40,7 @@
 /// The one final answer.
 pub enum Answer {
     /// A job server's body, whole and unchanged.
-    Served { body: Bytes, media: Option<String> },
+    Served(Content),
     /// Trying again is harmless, after a pause.
     ShortOnCapacity { retry_after: Duration },
     /// It may have taken effect.
@@ -79,9 +88,9 @@
             Some((attempt, end)) = routed.next() => match end {
                 Ok(end) => {
                     owed.ended(attempt, end.outcome, end.report);
-                    if let Some((body, media)) = end.answer {
+                    if let Some(content) = end.answer {
                         counters.answered_served.add();
-                        return Answer::Served { body, media };
+                        return Answer::Served(content);
                     }
                 }
                 Err(_) => owed.ended(attempt, Outcome::Cancelled, None),
--- a/sidecar/src/upstream/mod.rs
+++ b/sidecar/src/upstream/mod.rs
@@ -7,8 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::HttpMessage as _;
 use awc::http::StatusCode;
-use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
+use awc::http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
 use awc::{Client, ClientRequest};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -19,14 +20,14 @@
 use crate::core::{Core, JobServer};
 use crate::counters::Counters;
 use crate::limits::Limits;
-use crate::transaction::Ask;
+use crate::transaction::{Ask, Content, LABELS};
 use socket::{Sending, Sockets};
 
 /// How a routed task ended; the answer is there if it was served.
 pub struct End {
     pub outcome: Outcome,
     pub report: Option<LoadReport>,
-    pub answer: Option<(Bytes, Option<String>)>,
+    pub answer: Option<Content>,
 }
 
 impl End {
@@ -76,26 +77,28 @@
         if let Some(key) = &ask.key {
             put(&mut request, "idempotency-key", key);
         }
-        let sending = Sending::new(Some(Rc::clone(&server)), ask.body.len());
-        let whole = self.call(request, ask.body.clone(), &sending);
+        for (name, value) in &ask.content.labels {
+            put(&mut request, name, value);
+        }
+        let sending = Sending::new(Some(Rc::clone(&server)), ask.content.body.len());
+        let whole = self.call(request, ask.content.body.clone(), &sending);
         let Ok(whole) = timeout(wait, whole).await else {
             // A request that was never written whole cannot have been started.
-            let outcome = if sending.whole() { Outcome::TimedOut } else { Outcome::ConnectFailed };
-            return End::bare(outcome);
+            return End::bare(unanswered(&sending, Outcome::TimedOut));
         };
         let Some(whole) = whole else {
             // awc reports a connection that ended before an answer as one that never came up, and reads
             // a break before and after the last byte alike. Only what the socket took counts here.
-            let outcome = if sending.whole() { Outcome::Reset } else { Outcome::ConnectFailed };
-            return End::bare(outcome);
+            return End::bare(unanswered(&sending, Outcome::Reset));
         };
         let text = |name: &str| whole.headers.get(name).and_then(|v| v.to_str().ok());
         let report = text("x-server-load").and_then(read_report);
         let unprocessed = text("x-not-processed") == Some("1");
         match whole.status {
             StatusCode::OK => {
-                let media = text("content-type").map(str::to_owned);
-                End { outcome: Outcome::Served, report, answer: Some((whole.body, media)) }
+                let labels =
+                    LABELS.into_iter().filter_map(|name| Some((name, text(name)?.to_owned()))).collect();
+                End { outcome: Outcome::Served, report, answer: Some(Content { body: whole.body, labels }) }
             }
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
                 End { report, ..End::bare(Outcome::Rejected) }
@@ -122,8 +125,7 @@
                 let good = whole.status == StatusCode::OK;
                 (if good { Outcome::Served } else { Outcome::Rejected }, report)
             }
-            Ok(None) if sending.whole() => (Outcome::Reset, None),
-            Ok(None) => (Outcome::ConnectFailed, None),
+            Ok(None) => (unanswered(&sending, Outcome::Reset), None),
             Err(_) => (Outcome::TimedOut, None),
         }
     }
@@ -160,6 +162,12 @@
                 }
                 body.extend_from_slice(&chunk);
             }
+            // Guards against half an answer passed on as a whole one: awc ends a body at the end of its
+            // connection without an error, however much of it was announced.
+            let announced = answer.headers().contains_key(CONTENT_LENGTH) || answer.chunked().unwrap_or(true);
+            if announced && sending.cut() {
+                return None;
+            }
             Some(Whole { status: answer.status(), headers: answer.headers().clone(), body: body.freeze() })
         };
         socket::SENDING.scope(Rc::clone(sending), send).await
@@ -185,6 +193,15 @@
     }
 }
 
+/// What an unanswered request is known to have done. Never-ran is claimed only where it is proven.
+fn unanswered(sending: &Sending, may_have_run: Outcome) -> Outcome {
+    match (sending.held_back(), sending.whole()) {
+        (true, _) => Outcome::NotSent,
+        (false, true) => may_have_run,
+        (false, false) => Outcome::ConnectFailed,
+    }
+}
+
 /// Guards against a panic: what came in as a header goes out as one, or not at all.
 fn put(request: &mut ClientRequest, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/sidecar/src/upstream/socket.rs
+++ b/sidecar/src/upstream/socket.rs
@@ -30,6 +30,8 @@
     mark: Cell<usize>,
     body_left: Cell<usize>,
     begun: Cell<bool>,
+    held_back: Cell<bool>,
+    cut: Cell<bool>,
 }
 
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
@@ -37,8 +39,19 @@
 impl Sending {
     /// For a request with so long a body; with a job server, its drain forbids the first byte.
     pub fn new(server: Option<Rc<JobServer>>, body: usize) -> Rc<Self> {
-        let (mark, begun) = (Cell::new(0), Cell::new(false));
-        Rc::new(Self { server, mark, body_left: Cell::new(body), begun })
+        let (mark, body_left) = (Cell::new(0), Cell::new(body));
+        let (begun, held_back, cut) = (Cell::new(false), Cell::new(false), Cell::new(false));
+        Rc::new(Self { server, mark, body_left, begun, held_back, cut })
+    }
+
+    /// True where this sidecar itself did not let the request out: no fault of the job server's.
+    pub fn held_back(&self) -> bool {
+        self.held_back.get()
+    }
+
+    /// True where the connection ended while the answer was read.
+    pub fn cut(&self) -> bool {
+        self.cut.get()
     }
 
     /// True once the socket has taken the last byte: from then on the job server may run it.
@@ -47,8 +60,9 @@
     }
 
     fn may_begin(&self, limits: &Limits) -> bool {
-        let closed = || self.server.as_ref().is_some_and(|s| s.closed_for(limits.drain));
-        self.begun.get() || !closed()
+        let closed = !self.begun.get() && self.server.as_ref().is_some_and(|s| s.closed_for(limits.drain));
+        self.held_back.set(self.held_back.get() || closed);
+        !closed
     }
 
     fn wrote(&self, bytes: &[u8]) {
@@ -104,6 +118,7 @@
             .ok_or_else(|| io::Error::from(io::ErrorKind::InvalidInput))?;
         // Guards against running out of descriptors: a connection too many fails before it is opened.
         if self.open.get() >= self.limits.upstream {
+            let _ = SENDING.try_with(|sending| sending.held_back.set(true));
             return Err(io::Error::other("too many connections"));
         }
         self.open.set(self.open.get() + 1);
@@ -142,7 +157,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let more = matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() > before;
+        if read.is_ready() && !more {
+            let _ = SENDING.try_with(|sending| sending.cut.set(sending.whole()));
+        }
+        read
     }
 }
 
