--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -96,6 +96,7 @@
     fn step(&mut self, party: &str, verb: &str, text: &str) {
         match verb {
             "send" => {
+                let text = &text.replace("{long}", &"x".repeat(9_000));
                 let (head, body) = text.split_once("\n\n").unwrap_or((text, ""));
                 let whole = format!("{}\r\n\r\n{body}", head.trim_end().replace('\n', "\r\n"));
                 self.link(party).write_all(whole.as_bytes()).expect("sent");
