Close idle terminals after 2 s; reload on SIGHUP and move the watch at once

Checked and ruled out: not the job servers' connections (83 of 112 at once), not the module's refusals (the log has a handful of suspicions, the refusals come without an attempt). The places were full: limits.rs kept silent terminals for 300 s and a body for 30 s, actix-http's head timer covers a connection's first request only, and accept() turned new ones away or stopped. main.rs had no handler for SIGHUP.

Changed: front/line.rs keeps what each terminal is doing and ends it after 2 s without an open transaction, or when its request does not end in time; buffers come with the first byte; where places are short the idlest gives way; requests piled up behind an open one get a 400. An over-long declared length is refused from the head. actix-http's hidden shutdown signal is no longer used. SIGHUP reads the file anew, its discovery counts, a bad file is logged and changes nothing; the watch is dropped and called at the new address at once.

Tests: four new recordings; the one for a crowd now needs owed answers; the one for idle reuse asked for a pause of 1 ms, which a quick machine can beat, and now asks for 1 us.

--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -47,10 +47,23 @@
     text.parse().or_else(|_| node.fault(&format!("{text:?} is not an address and port")))
 }
 
+fn set(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
 impl Config {
     /// Reads `NODE_CONFIG` and the variables, which win over the file.
     pub fn from_environment() -> Result<Self, String> {
-        let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Self::from(set)
+    }
+
+    /// Reads the file anew. The service that started this program set the variables once and cannot change
+    /// them, so the new file's own `discovery` counts.
+    pub fn reload() -> Result<Self, String> {
+        Self::from(|name| if name == "NODE_DISCOVERY" { None } else { set(name) })
+    }
+
+    fn from(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let path = variable("NODE_CONFIG").ok_or("NODE_CONFIG: is not set; it names the JSON file")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
         Self::read(&text, variable)
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -211,15 +211,15 @@
         }
     }
 
-    /// Hands a service table, or a change to it, to the module.
-    pub fn list(&self, kind: ListKind, table: &Table) {
+    /// Hands a service table, or a change to it, to the module, as of a version that only rises.
+    pub fn list(&self, kind: ListKind, version: u64, table: &Table) {
         self.counters.table_events.add();
         for message in &table.skipped {
             self.counters.table_lines_skipped.add();
             tracing::warn!("service table: a line was skipped: {message}");
         }
         let entries = self.directory.borrow_mut().take(kind, table);
-        self.tell(Event::Members { kind, version: table.rev, entries });
+        self.tell(Event::Members { kind, version, entries });
     }
 }
 
--- a/sidecar/src/counters.rs
+++ b/sidecar/src/counters.rs
@@ -38,6 +38,7 @@
     transactions_taken: "Transactions handed to the module.",
     transactions_malformed: "Requests answered with a 4xx.",
     transactions_over_bound: "Requests turned away because too many terminals were connected.",
+    terminals_dismissed: "Terminals closed for saying nothing, or never ending what they say.",
     answered_served: "Answers of a job server passed on.",
     answered_short_on_capacity: "Short-on-capacity replies that the module decided on.",
     answered_failed: "Transactions that failed.",
--- a/sidecar/src/front/http.rs
+++ b/sidecar/src/front/http.rs
@@ -1,21 +1,24 @@
 //! The platform's protocol to the terminal, over actix-http.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
-use actix_http::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
+use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, RETRY_AFTER};
 use actix_http::{ConnectionType, HttpMessage as _, HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures_util::StreamExt as _;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, timeout};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
+use super::line::{Line, Terminal};
 use crate::core::Core;
 use crate::transaction::{self, Answer, Ask, Content, LABELS};
 use crate::upstream::Upstream;
@@ -24,10 +27,13 @@
 pub struct Front {
     core: Rc<Core>,
     upstream: Rc<Upstream>,
-    /// Terminal connections that are open.
+    /// Terminal connections that hold a descriptor.
     open: Cell<usize>,
+    /// Those that hold a place, which the ones dismissed or turned away do not.
+    terminals: RefCell<BTreeMap<u64, Rc<Terminal>>>,
+    next: Cell<u64>,
     changed: Notify,
-    closing: watch::Sender<bool>,
+    closing: Cell<bool>,
 }
 
 type Reply = Response<BoxBody>;
@@ -37,8 +43,9 @@
 
 impl Front {
     pub fn new(core: Rc<Core>, upstream: Rc<Upstream>) -> Rc<Self> {
-        let (open, changed, closing) = (Cell::new(0), Notify::new(), watch::Sender::new(false));
-        Rc::new(Self { core, upstream, open, changed, closing })
+        let (open, terminals, next) = (Cell::new(0), RefCell::default(), Cell::new(0));
+        let (changed, closing) = (Notify::new(), Cell::new(false));
+        Rc::new(Self { core, upstream, open, terminals, next, changed, closing })
     }
 
     /// Accepts terminals until the listener is dropped with this future.
@@ -60,27 +67,56 @@
                     continue;
                 }
             };
-            let full = self.open.get() >= limits.terminals;
+            let terminal = Terminal::new();
+            let full = !self.has_room();
+            let place = self.take_place(&terminal, full);
             let (this, service, crowded) = (Rc::clone(&self), Rc::clone(&service), Rc::clone(&crowded));
-            let place = self.take_place();
             actix_rt::spawn(async move {
                 let _place = place;
-                let end = if full { crowded.call(stream).await } else { service.call(stream).await };
-                if let Err(DispatchError::Parse(_)) = end {
-                    this.core.counters.transactions_malformed.add();
+                let served = async {
+                    // Guards against memory taken for terminals that say nothing: buffers come with a byte.
+                    let _ = stream.readable().await;
+                    let _ = stream.set_nodelay(true);
+                    let line = Line { stream, terminal: Rc::clone(&terminal) };
+                    if full { crowded.call((line, None)).await } else { service.call((line, None)).await }
+                };
+                // What has come already is served: a place is only taken from a terminal that is silent.
+                tokio::select! {
+                    biased;
+                    end = served => if let Err(DispatchError::Parse(_)) = end {
+                        this.core.counters.transactions_malformed.add();
+                    },
+                    () = terminal.overstayed(&this.core.limits) => this.core.counters.terminals_dismissed.add(),
                 }
             });
         }
     }
 
-    fn take_place(self: &Rc<Self>) -> Place {
+    /// Guards against silent terminals that fill all places: a new one gets that of the idlest.
+    fn has_room(&self) -> bool {
+        let mut terminals = self.terminals.borrow_mut();
+        if terminals.len() < self.core.limits.terminals {
+            return true;
+        }
+        let idle = terminals.iter().filter_map(|(&number, t)| Some((t.idle()?, number)));
+        let idlest = idle.min().map(|(_, number)| number);
+        idlest.and_then(|number| terminals.remove(&number)).inspect(|t| t.dismiss()).is_some()
+    }
+
+    fn take_place(self: &Rc<Self>, terminal: &Rc<Terminal>, full: bool) -> Place {
+        let number = self.next.get();
+        self.next.set(number + 1);
         self.open.set(self.open.get() + 1);
-        Place(Rc::clone(self))
+        if !full {
+            self.terminals.borrow_mut().insert(number, Rc::clone(terminal));
+        }
+        Place { front: Rc::clone(self), number }
     }
 
     /// Closes idle connections and waits until what is owed is answered.
     pub async fn close(&self) {
-        self.closing.send_replace(true);
+        self.closing.set(true);
+        self.terminals.borrow().values().filter(|t| t.idle().is_some()).for_each(|t| t.dismiss());
         while self.open.get() > 0 {
             self.changed.notified().await;
         }
@@ -88,35 +124,46 @@
 
     fn service(
         self: &Rc<Self>,
-    ) -> impl ServiceFactory<TcpStream, Config = (), Response = (), Error = DispatchError, InitError = ()> + use<>
-    {
-        let limits = Rc::clone(&self.core.limits);
-        let (this, closing) = (Rc::clone(self), self.closing.subscribe());
+    ) -> impl ServiceFactory<
+        (Line, Option<SocketAddr>),
+        Config = (),
+        Response = (),
+        Error = DispatchError,
+        InitError = (),
+    > + use<> {
+        let this = Rc::clone(self);
         HttpService::build()
-            .keep_alive(KeepAlive::Timeout(limits.terminal_idle))
-            // Counts from the connect on: a legal terminal may connect early and send late.
-            .client_request_timeout(limits.terminal_idle)
-            .tcp_nodelay(true)
+            // The terminal's own bounds, kept by `Terminal::overstayed`, cover each request, not just the first.
+            .keep_alive(KeepAlive::Os)
+            .client_request_timeout(Duration::ZERO)
             // Guards against transactions that run on for a terminal that has left.
             .h1_allow_half_closed(false)
-            .graceful_shutdown_signal(move || {
-                let mut closing = closing.clone();
-                async move {
-                    let _ = closing.wait_for(|closing| *closing).await;
-                }
-            })
+            .on_connect_ext(|line: &Line, data| drop(data.insert(Rc::clone(&line.terminal))))
             .h1(fn_service(move |request: Request| {
                 let this = Rc::clone(&this);
-                async move { Ok::<_, Infallible>(this.answer(request).await) }
+                async move {
+                    let terminal = request.conn_data::<Rc<Terminal>>().cloned();
+                    let terminal = terminal.unwrap_or_else(Terminal::new);
+                    let mut reply = this.answer(request, &terminal).await;
+                    terminal.answered();
+                    if this.closing.get() {
+                        reply.head_mut().set_connection_type(ConnectionType::Close);
+                    }
+                    Ok::<_, Infallible>(reply)
+                }
             }))
-            .tcp()
     }
 
     /// Guards against a full descriptor table: terminals past the bound are told so at once.
     fn turn_away(
         self: &Rc<Self>,
-    ) -> impl ServiceFactory<TcpStream, Config = (), Response = (), Error = DispatchError, InitError = ()> + use<>
-    {
+    ) -> impl ServiceFactory<
+        (Line, Option<SocketAddr>),
+        Config = (),
+        Response = (),
+        Error = DispatchError,
+        InitError = (),
+    > + use<> {
         let core = Rc::clone(&self.core);
         let turn_away = move |_: Request| {
             core.counters.transactions_over_bound.add();
@@ -124,18 +171,19 @@
             reply.head_mut().set_connection_type(ConnectionType::Close);
             async move { Ok::<_, Infallible>(reply) }
         };
-        HttpService::build().tcp_nodelay(true).h1(fn_service(turn_away)).tcp()
+        HttpService::build().client_request_timeout(Duration::ZERO).h1(fn_service(turn_away))
     }
 
-    async fn answer(&self, request: Request) -> Reply {
+    async fn answer(&self, request: Request, terminal: &Terminal) -> Reply {
         match request.path() {
             "/ready" if self.core.ready() => return plain(StatusCode::OK, "ready\n"),
             "/ready" => return plain(StatusCode::SERVICE_UNAVAILABLE, "no job server is known yet\n"),
             "/counters" => return plain(StatusCode::OK, self.core.counters.to_string()),
             _ => {}
         }
-        match self.read(request).await {
+        match self.read(request, terminal).await {
             Ok(ask) => {
+                terminal.opened();
                 let answer = transaction::run(Rc::clone(&self.core), Rc::clone(&self.upstream), ask).await;
                 write(answer)
             }
@@ -150,9 +198,13 @@
     }
 
     /// Reads a request to its last byte and checks it.
-    async fn read(&self, mut request: Request) -> Result<Ask, Bad> {
+    async fn read(&self, mut request: Request, terminal: &Terminal) -> Result<Ask, Bad> {
         let (core, limits) = (&self.core, &self.core.limits);
         let bad = |why| Bad(StatusCode::BAD_REQUEST, why);
+        // Guards against requests that pile up behind an open one.
+        if !terminal.one_at_a_time() {
+            return Err(bad("one request at a time\n"));
+        }
         let headers = request.headers();
         let id = token(headers, "x-request-id", limits.token)?;
         let id = id.ok_or_else(|| bad("X-Request-ID is missing\n"))?;
@@ -177,34 +229,39 @@
         if target.len() > limits.target {
             return Err(Bad(StatusCode::URI_TOO_LONG, "the target is too long\n"));
         }
+        // Guards against reading what is to be refused.
+        let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+        if length.is_some_and(|length| length > limits.body as u64) {
+            return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
+        }
         let label = |name: &'static str| Some((name, headers.get(name)?.to_str().ok()?.to_owned()));
         let labels = LABELS.into_iter().filter_map(label).collect();
         let mut payload = request.take_payload();
-        let body = async {
-            let mut body = BytesMut::new();
-            while let Some(chunk) = payload.next().await {
-                let chunk = chunk.map_err(|_| bad("the body cannot be read\n"))?;
-                if body.len() + chunk.len() > limits.body {
-                    return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
-                }
-                body.extend_from_slice(&chunk);
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| bad("the body cannot be read\n"))?;
+            if body.len() + chunk.len() > limits.body {
+                return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
             }
-            Ok(body.freeze())
-        };
-        let late = |_| Bad(StatusCode::REQUEST_TIMEOUT, "the body did not arrive\n");
-        let body: Bytes = timeout(limits.terminal_read, body).await.map_err(late)??;
+            body.extend_from_slice(&chunk);
+        }
+        let body = body.freeze();
         let content = Content { body, labels };
         Ok(Ask { method, target, id, key, class, content, arrived: Instant::now(), patience })
     }
 }
 
 /// One open terminal connection.
-struct Place(Rc<Front>);
+struct Place {
+    front: Rc<Front>,
+    number: u64,
+}
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.changed.notify_waiters();
+        self.front.terminals.borrow_mut().remove(&self.number);
+        self.front.open.set(self.front.open.get() - 1);
+        self.front.changed.notify_waiters();
     }
 }
 
--- a/sidecar/src/front/mod.rs
+++ b/sidecar/src/front/mod.rs
@@ -2,3 +2,4 @@
 //! [`Answer`](crate::transaction::Answer) back into its protocol; none of them decides anything.
 
 pub mod http;
+mod line;
--- a/sidecar/src/limits.rs
+++ b/sidecar/src/limits.rs
@@ -41,10 +41,12 @@
     pub list_call: Duration,
     /// A watch that is silent for this long is lost.
     pub list_silence: Duration,
-    /// A terminal may take this long over a request's body.
-    pub terminal_read: Duration,
-    /// A terminal connection is kept for this long before the first request and between two.
+    /// A terminal connection without an open transaction is kept for this long.
     pub terminal_idle: Duration,
+    /// From a request's first byte to its last a terminal may take this long, and at its first request that
+    /// long: with the idle time, it is closed within 3 s of connecting.
+    pub terminal_read: Duration,
+    pub terminal_first: Duration,
     /// After SIGTERM, connections are accepted for this long.
     pub stop_accepting: Duration,
     /// After SIGTERM, the longest time until the program ends.
@@ -83,7 +85,7 @@
         let terminals = (basis.sockets * 3 / 8).min(by_memory).max(4);
         Self {
             terminals,
-            terminals_most: terminals + terminals / 8 + 1,
+            terminals_most: terminals + basis.sockets / 8,
             upstream: (basis.sockets * 7 / 16).max(8),
             body,
             list_line: 512 * 1024,
@@ -100,8 +102,9 @@
             retry_after: basis.retry_after,
             list_call: Duration::from_secs(5),
             list_silence: Duration::from_secs(3),
-            terminal_read: Duration::from_secs(30),
-            terminal_idle: Duration::from_secs(300),
+            terminal_idle: Duration::from_millis(2_050),
+            terminal_read: Duration::from_secs(2),
+            terminal_first: Duration::from_millis(800),
             stop_accepting: Duration::from_millis(700),
             stop_most: basis.deadline.max(Duration::from_secs(3)) + Duration::from_millis(600),
         }
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -16,6 +16,7 @@
 
 use heronlock::{Balancer, ListKind};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 use crate::config::Config;
 use crate::core::Core;
@@ -45,7 +46,7 @@
     }
 }
 
-/// Serves until SIGTERM or SIGINT.
+/// Serves until SIGTERM or SIGINT; SIGHUP brings a new configuration.
 async fn serve(config: Config) -> Result<(), String> {
     let limits = Rc::new(config.limits);
     let counters = Rc::new(Counters::default());
@@ -53,25 +54,41 @@
     let (core, probes) = Core::new(balancer, config.names, Rc::clone(&limits), Rc::clone(&counters));
     let upstream = Upstream::new(&core);
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let listener = tokio::net::TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("NODE_LISTEN: {}: {e}", config.listen))?;
 
     let known = config.known.unwrap_or_default();
-    core.list(ListKind::WarmCopy, &known);
+    core.list(ListKind::WarmCopy, known.rev, &known);
     actix_rt::spawn({
         let core = Rc::clone(&core);
         async move { core.run_timers().await }
     });
     actix_rt::spawn(Rc::clone(&upstream).run_probes(probes));
     actix_rt::spawn(Rc::clone(&upstream).run_sweeps());
-    let follow = service_table::follow(Rc::clone(&core), config.discovery, known.rev, Rc::clone(&limits));
+    let (moved, discovery) = watch::channel(config.discovery);
+    let follow = service_table::follow(Rc::clone(&core), discovery, known.rev, Rc::clone(&limits));
     actix_rt::spawn(follow);
     let front = Front::new(Rc::clone(&core), upstream);
     let accept = actix_rt::spawn(Rc::clone(&front).accept(listener));
     tracing::info!("{} listens on {}", config.name, config.listen);
 
-    tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => match Config::reload() {
+                // The rest of a new file is for the next start: what is open now rests on the old settings.
+                Ok(new) => {
+                    tracing::info!("reloaded: discovery is at {}", new.discovery);
+                    moved.send_replace(new.discovery);
+                }
+                // Guards against a bad file that ends a program in service: the old settings stay.
+                Err(message) => tracing::error!("not reloaded: {message}"),
+            },
+        }
+    }
     // Guards against transactions lost at a planned restart: terminals go on for a while, and what has
     // been taken is answered before the end.
     let stopping = tokio::time::Instant::now();
--- a/sidecar/src/service_table.rs
+++ b/sidecar/src/service_table.rs
@@ -8,6 +8,7 @@
 use futures_util::StreamExt as _;
 use heronlock::{Condition, Event, ListKind};
 use tinyjson::JsonValue;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::core::Core;
@@ -106,41 +107,66 @@
     }
 }
 
-/// Follows discovery for as long as the program runs: one call for each time the module asks.
-pub async fn follow(core: Rc<Core>, discovery: SocketAddr, rev: u64, limits: Rc<Limits>) {
+/// Where this sidecar stands in discovery's numbering of its changes.
+struct Position {
+    rev: Cell<u64>,
+    /// What the module is told is this much higher, so that its count only rises.
+    raised: Cell<u64>,
+    /// Discovery has moved, and nothing has come from the new address yet.
+    moved: Cell<bool>,
+}
+
+/// Follows discovery for as long as the program runs: one call for each time the module asks, and one at
+/// once where discovery has moved.
+pub async fn follow(
+    core: Rc<Core>,
+    mut discovery: watch::Receiver<SocketAddr>,
+    rev: u64,
+    limits: Rc<Limits>,
+) {
     let client = awc::Client::builder()
         .connector(awc::Connector::new().timeout(limits.list_call).conn_lifetime(limits.patience))
         .disable_timeout()
         .disable_redirects()
         .no_default_headers()
         .finish();
-    let rev = Cell::new(rev);
+    let at = Position { rev: Cell::new(rev), raised: Cell::new(0), moved: Cell::new(false) };
     core.asked().await;
     loop {
+        let address = *discovery.borrow_and_update();
         let again = tokio::select! {
-            fault = watch(&core, &client, discovery, &rev, &limits) => {
+            fault = watch(&core, &client, address, &at, &limits) => {
                 tracing::warn!("discovery: {fault}");
                 core.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: Vec::new() });
                 false
             }
             // The module asks anew while a call or a watch is on: that one is ended.
             () = core.asked() => true,
+            // Guards against changes missed while the old address goes on or fails: the watch moves at once.
+            () = relocated(&mut discovery) => { at.moved.set(true); true }
         };
         if !again {
-            core.asked().await;
+            tokio::select! { () = core.asked() => {}, () = relocated(&mut discovery) => at.moved.set(true) }
         }
     }
 }
 
+/// Waits until discovery is somewhere else.
+async fn relocated(discovery: &mut watch::Receiver<SocketAddr>) {
+    if discovery.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// One watch, from the call to its end; tells why it ended.
 async fn watch(
     core: &Rc<Core>,
     client: &awc::Client,
     discovery: SocketAddr,
-    rev: &Cell<u64>,
+    at: &Position,
     limits: &Limits,
 ) -> String {
-    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", rev.get());
+    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", at.rev.get());
     let call = client.get(uri).force_close().no_decompress().send();
     let mut answer = match timeout(limits.list_call, call).await {
         Ok(Ok(answer)) if answer.status().is_success() => answer,
@@ -167,9 +193,13 @@
             }
             match Table::parse(&text, limits) {
                 Ok(table) => {
-                    rev.set(table.rev);
+                    // Guards against a new discovery that counts from lower down: its list is no old one.
+                    if at.moved.replace(false) && table.all && table.rev < at.rev.get() {
+                        at.raised.set(at.raised.get() + at.rev.get());
+                    }
+                    at.rev.set(table.rev);
                     let kind = if table.all { ListKind::Full } else { ListKind::Changes };
-                    core.list(kind, &table);
+                    core.list(kind, at.raised.get() + table.rev, &table);
                 }
                 Err(fault) => tracing::warn!("discovery: a line was skipped: {fault}"),
             }
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -1,11 +1,12 @@
 //! Plays the recorded exchanges of `tests/exchanges/*.txt` against the program and compares what it said.
 //!
 //! A recording names its parties: terminals (T1, T2 ...), connections that the program opens to job servers
-//! (S1, S2 ... in the order they come) and to discovery (D1 ...), and the program itself (P). Nothing is
+//! (S1, S2 ... in the order they come), to discovery (D1 ...) and to where it moves (E1 ...), and the program (P). Nothing is
 //! measured: every wait ends with what is awaited, or fails the test.
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use std::{collections::HashMap, fmt::Write as _, fs, thread};
@@ -18,6 +19,9 @@
     listen: String,
     servers: Vec<TcpListener>,
     discovery: TcpListener,
+    moved: TcpListener,
+    /// Where the configuration is, and how it was at the start.
+    config: (PathBuf, String),
     links: HashMap<String, TcpStream>,
     transcript: String,
 }
@@ -57,13 +61,13 @@
             format!(r#"{{"uid":"s{i}","endpoint":"{a}","az":"z{}","state":"ready"}}"#, i % count("zones", 1))
         };
         let targets: Vec<String> = addresses.iter().enumerate().map(target).collect();
-        let (discovery, listen) = (free_port(), address(&free_port()));
+        let (discovery, moved, listen) = (free_port(), free_port(), address(&free_port()));
         let config = include_str!("exchanges/config.json")
             .replace("{targets}", &targets.join(","))
-            .replace("\"{idle}\"", &count("idle", 60_000).to_string())
+            .replace("\"{idle}\"", &format!("{}e-3", count("idle", 60_000_000)))
             .replace("\"{memory}\"", &count("memory", 192).to_string());
         let path = std::env::temp_dir().join(format!("arrowstand-{name}-{}.json", std::process::id()));
-        fs::write(&path, config).expect("configuration written");
+        fs::write(&path, &config).expect("configuration written");
         let child = Command::new(env!("CARGO_BIN_EXE_arrowstand"))
             .env("NODE_CONFIG", &path)
             .env("NODE_LISTEN", &listen)
@@ -73,8 +77,8 @@
             .spawn()
             .expect("the program starts");
         until("the listener", || TcpStream::connect(&listen).ok());
-        fs::remove_file(path).expect("configuration removed");
-        Self { child, listen, servers, discovery, links: HashMap::new(), transcript: String::new() }
+        let (links, transcript) = (HashMap::new(), String::new());
+        Self { child, listen, servers, discovery, moved, config: (path, config), links, transcript }
     }
 
     fn link(&mut self, party: &str) -> &mut TcpStream {
@@ -83,6 +87,7 @@
             let link = match &party[..1] {
                 "T" => TcpStream::connect(&self.listen).expect("the program accepts"),
                 "S" => until(party, || self.servers.iter().find_map(accept)),
+                "E" => until(party, || accept(&self.moved)),
                 _ => until(party, || accept(&self.discovery)),
             };
             link.set_nonblocking(false).expect("blocking");
@@ -92,6 +97,11 @@
         self.links.get_mut(party).expect("there")
     }
 
+    fn signal(&self, which: &str) {
+        let kill = Command::new("kill").args([which, &self.child.id().to_string()]).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
     /// Carries out one step of the recording.
     fn step(&mut self, party: &str, verb: &str, text: &str) {
         match verb {
@@ -101,6 +111,8 @@
                 let whole = format!("{}\r\n\r\n{body}", head.trim_end().replace('\n', "\r\n"));
                 self.link(party).write_all(whole.as_bytes()).expect("sent");
             }
+            "connect" => drop(self.link(party)),
+            "part" => self.link(party).write_all(text.trim_end().as_bytes()).expect("sent"),
             "fill" => {
                 let many = text.trim_end().repeat(70_000);
                 // A terminal's link may be closed by now: that is the program's right.
@@ -137,9 +149,13 @@
                 let none = self.servers.iter().all(|l| l.accept().is_err());
                 writeln!(self.transcript, "{party} no further connection: {none}").expect("written");
             }
-            "stop" => {
-                let kill = Command::new("kill").arg(self.child.id().to_string()).status();
-                assert!(kill.expect("kill runs").success());
+            "stop" => self.signal("-TERM"),
+            "reload" => {
+                let (path, old) = &self.config;
+                let named = format!(r#""discovery":"{}""#, address(&self.moved));
+                let new = old.replace(r#""discovery":"127.0.0.1:1""#, &named);
+                fs::write(path, if text.trim().is_empty() { &new } else { text }).expect("written");
+                self.signal("-HUP");
             }
             "exit" => {
                 let status = until("the exit", || self.child.try_wait().expect("a child"));
@@ -155,6 +171,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = fs::remove_file(&self.config.0);
     }
 }
 
@@ -210,6 +227,7 @@
     unsafe_error_fails keyed_stays_in_its_zone terminal_leaves cut_length_is_no_answer cut_chunks_are_no_answer
     bad_requests idle_connection_is_not_reused too_many_terminals watch_names_servers drained_gets_nothing
     stop_answers_what_is_owed redirect_is_not_followed silent_watch_is_lost
+    silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
 }
 
 #[test]
