Give suspects their turn to be probed and learn how often attempts fail

Each outcome, logged by server, shows resets on 10 % of all attempts at the two sound servers and errors on 30 % at six others.

Lines at fault in logic.rs: next_to_probe took servers whose attempt failed before any suspect, so suspects were never probed while attempts failed; learn() knew a usual rate for errors only, so two resets in a row raised a suspicion; a server that fails part of its work looked as good as a sound one; a retry cost the same after 1 ms as after a whole service, so 5 % of resets used up the budget.

Changed: suspects and failures take turns; every kind of failure counts towards the usual rate; a server that fails a share of its work is taken for so much slower; what failed at once is cheap to try again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,9 @@
 /// other servers fail as often as they do: two of them where failures are rare.
 const FAILURES: f64 = 9.0;
 const FAILURE_RATE: f64 = 0.01;
+const FAILURE_WEIGHT: f64 = 0.02;
+/// A server that fails part of its work is taken for so much slower, and no more than if it failed this part.
+const FAILING_MOST: f64 = 0.8;
 /// Outstanding work raises a suspicion once its silence is as surprising as this, as the negative
 /// logarithm of its probability on a sound server: one in a million, as answers of one server hang together.
 const SURPRISE: f64 = 14.0;
@@ -171,18 +174,19 @@
         if suspected { period / PROBE_HASTE } else { period }
     }
 
-    /// One whose attempt failed, by turns the suspect that waits longest, else a random ready one.
+    /// By turns the suspect that waits longest and one whose attempt failed, else a random ready one.
     fn next_to_probe(&mut self) -> Option<usize> {
-        if let Some(i) = self.probe_next.pop().and_then(|id| self.find(id)) {
-            return Some(i);
-        }
         let due = |s: &Server| s.suspicion.is_some() && self.now >= s.probed + SUSPECT_PROBE;
         let suspects = (0..self.servers.len()).filter(|&i| due(&self.servers[i]));
         let suspect = suspects.min_by_key(|&i| self.servers[i].probed);
+        // Guards against suspects that wait for ever where attempts fail all the time.
         self.suspects_turn = !self.suspects_turn;
         if suspect.is_some() && self.suspects_turn {
             return suspect;
         }
+        if let Some(i) = self.probe_next.pop().and_then(|id| self.find(id)) {
+            return Some(i);
+        }
         let pool = self.pool(Reach::Anywhere, &[], true);
         self.rng.choice(pool)
     }
@@ -228,7 +232,7 @@
                 // longer than the fleet's latencies explain. General slowness raises no suspicion.
                 let silent = |o: &Outstanding| now.saturating_sub(o.sent.max(server.served)).max(1) as f64;
                 let z = |o: &Outstanding| (silent(o).ln() - self.log_mean) / self.log_var.sqrt();
-                let sum: f64 = server.own.iter().map(|o| Self::surprise(z(o))).sum();
+                let sum: f64 = server.own.iter().map(|o| surprise(z(o))).sum();
                 if sum > SURPRISE {
                     self.suspect(i, Cause::Work, acts);
                 }
@@ -236,11 +240,6 @@
         }
     }
 
-    /// Negative logarithm of the chance that a normal variable exceeds z, to within a few per cent.
-    fn surprise(z: f64) -> f64 {
-        if z < 0.0 { 0.69 * (1.3 * z).exp() } else { 0.69 + z * (0.8 + 0.39 * z) }
-    }
-
     fn probe(&mut self, i: usize, acts: &mut Actions) {
         let server = &mut self.servers[i];
         if self.settings.probes && server.probing.is_none() {
@@ -475,18 +474,13 @@
     /// cold one, it is spared by how seldom it is drawn, and not twice over.
     fn slowness(&self, server: &Server) -> f64 {
         let warmth = if self.reports() { self.warmth(server) } else { 1.0 };
-        self.pace(server) / warmth
+        self.pace(server) / warmth / (1.0 - server.failing)
     }
 
     fn pace(&self, server: &Server) -> f64 {
         1.0 + (server.pace - 1.0) * self.fade(server.pace_at, PACE_HALF)
     }
 
-    /// What is left of something learnt at a time, where half is forgotten in a given span.
-    fn fade(&self, since: Micros, half: f64) -> f64 {
-        0.5_f64.powf(self.now.saturating_sub(since) as f64 / half)
-    }
-
     /// Two random servers of the open ones; the one with less in flight wins. Where servers were asked for
     /// their load, the draw is among those that said least since; one that said nothing is passed over.
     fn pick(&mut self, reach: Reach, avoid: &[ServerId], asked: &[ServerId], since: Micros) -> Option<usize> {
@@ -661,8 +655,9 @@
         match end.outcome {
             Outcome::Served => {
                 (server.served, server.failures) = (now, 0);
+                server.failing -= PACE_WEIGHT * server.failing;
                 self.learn_latency(i, elapsed, &own);
-                self.errors -= MEAN_WEIGHT * self.errors;
+                self.errors -= FAILURE_WEIGHT * self.errors;
                 self.clear(i, acts);
             }
             Outcome::TimedOut if server.suspicion.is_none() && server.served > own.sent => {
@@ -676,14 +671,15 @@
                 self.feel(1.0);
             }
             _ => {
-                // Guards against fast failures that look idle, and dead processes; yet errors spread over the
-                // servers are bad requests. A run at one server counts once there.
+                // Guards against fast failures that look idle, and dead processes; yet failures that are spread
+                // over the servers are bad requests, or the network's. A run at one server counts once there.
                 server.failures += 1;
-                let (count, error) = (server.failures, end.outcome == Outcome::ServerError);
-                if count == 1 && error {
-                    self.errors += MEAN_WEIGHT * (1.0 - self.errors);
+                server.failing += PACE_WEIGHT * (FAILING_MOST - server.failing);
+                let count = server.failures;
+                if count == 1 && end.outcome != Outcome::TimedOut {
+                    self.errors += FAILURE_WEIGHT * (1.0 - self.errors);
                 }
-                let usual = if error { self.errors.max(FAILURE_RATE) } else { FAILURE_RATE };
+                let usual = self.errors.max(FAILURE_RATE);
                 self.probe_soon(end.server);
                 if f64::from(count) * -usual.ln() >= FAILURES && end.outcome != Outcome::TimedOut {
                     self.suspect(i, Cause::Work, acts);
@@ -744,7 +740,9 @@
         let Some(reach) = self.legal(request) else { return false };
         let out = request.attempts.iter().filter(|a| a.fate == Fate::Out).count();
         let ran = request.attempts.iter().any(|a| a.fate != Fate::NeverRan);
-        let cost = if ran { 1.0 } else { RETRY_UNRUN };
+        // What failed at once has cost the fleet little.
+        let spent = request.attempts.last().map_or(0.0, |a| (self.now - a.sent) as f64 / self.unit);
+        let cost = if ran { spent.clamp(RETRY_UNRUN, 1.0) } else { RETRY_UNRUN };
         if out > 1 || self.budget < cost {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,16 @@
             reask: 0,
         }
     }
+
+    /// What is left of something learnt at a time, where half is forgotten in a given span.
+    pub(crate) fn fade(&self, since: Micros, half: f64) -> f64 {
+        0.5_f64.powf(self.now.saturating_sub(since) as f64 / half)
+    }
+}
+
+/// Negative logarithm of the chance that a normal variable exceeds z, to within a few per cent.
+pub(crate) fn surprise(z: f64) -> f64 {
+    if z < 0.0 { 0.69 * (1.3 * z).exp() } else { 0.69 + z * (0.8 + 0.39 * z) }
 }
 
 impl Settings {
@@ -170,6 +180,8 @@
     pub(crate) own: Vec<Outstanding>,
     pub(crate) foreign: f64,
     pub(crate) foreign_at: Micros,
+    /// Share of its attempts that fail.
+    pub(crate) failing: f64,
     pub(crate) pace: f64,
     pub(crate) pace_at: Micros,
     pub(crate) cold_since: Option<Micros>,
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -287,6 +287,53 @@
     assert!(suspected <= 2, "{suspected}");
 }
 
+#[test]
+fn resets_spread_over_all_servers_are_no_servers_fault() {
+    let (mut driver, mut dice, mut suspected) = (Driver::new(settings(), 10), fastrand::Rng::with_seed(1), 0);
+    for _ in 0..2_000 {
+        let (id, actions) = driver.request(2);
+        let server = sent(&actions).expect("sent");
+        driver.now += 5 * MS;
+        let outcome = if dice.u8(0..100) < 10 { Outcome::Reset } else { Outcome::Served };
+        suspected += usize::from(logged(&driver.end(id, 0, server, outcome), "suspected"));
+    }
+    assert!(suspected <= 5, "{suspected}");
+}
+
+#[test]
+fn suspects_get_their_turn_while_attempts_fail_all_the_time() {
+    let mut driver = Driver::new(settings(), 6);
+    driver.fail_probes(ServerId(5));
+    let mut probed = Vec::new();
+    for n in 0..400 {
+        let (id, actions) = driver.request(2);
+        let server = sent(&actions).expect("sent");
+        driver.end(id, 0, server, if n % 4 == 0 { Outcome::Reset } else { Outcome::Served });
+        let asked = probes(&driver.pass(25 * MS));
+        for &server in &asked {
+            let outcome = if server.0 == 5 { Outcome::TimedOut } else { Outcome::Served };
+            driver.probed(server, outcome);
+        }
+        probed.extend(asked);
+    }
+    let suspect = probed.iter().filter(|s| s.0 == 5).count();
+    assert!(3 * suspect >= probed.len(), "{probed:?}");
+}
+
+#[test]
+fn a_server_that_fails_part_of_its_work_gets_less_of_it() {
+    let (mut driver, mut sent_to) = (Driver::new(settings(), 2), [0, 0]);
+    for n in 0..400 {
+        let (id, actions) = driver.request(2);
+        let server = sent(&actions).expect("sent");
+        sent_to[server.0 as usize] += 1;
+        driver.now += 5 * MS;
+        let outcome = if server.0 == 0 && n % 3 == 0 { Outcome::ServerError } else { Outcome::Served };
+        driver.end(id, 0, server, outcome);
+    }
+    assert!(2 * sent_to[0] < sent_to[1], "{sent_to:?}");
+}
+
 #[test]
 fn looks_that_fail_do_not_each_ask_intermediates() {
     let settings = Settings { reports: true, probe_fee: 0.002, balancers: 900, ..with_peers() };
