--- a/src/logic.rs
+++ b/src/logic.rs
@@ -671,8 +671,8 @@
                 self.feel(1.0);
             }
             _ => {
-                // Guards against fast failures that look idle, and dead processes; yet failures that are spread
-                // over the servers are bad requests, or the network's. A run at one server counts once there.
+                // Guards against fast failures that look idle, and dead processes; yet failures that are
+                // spread over the servers are bad requests, or the network's. A run at one counts once there.
                 server.failures += 1;
                 server.failing += PACE_WEIGHT * (FAILING_MOST - server.failing);
                 let count = server.failures;
@@ -740,9 +740,7 @@
         let Some(reach) = self.legal(request) else { return false };
         let out = request.attempts.iter().filter(|a| a.fate == Fate::Out).count();
         let ran = request.attempts.iter().any(|a| a.fate != Fate::NeverRan);
-        // What failed at once has cost the fleet little.
-        let spent = request.attempts.last().map_or(0.0, |a| (self.now - a.sent) as f64 / self.unit);
-        let cost = if ran { spent.clamp(RETRY_UNRUN, 1.0) } else { RETRY_UNRUN };
+        let cost = if ran { 1.0 } else { RETRY_UNRUN };
         if out > 1 || self.budget < cost {
             return false;
         }
