Forget job servers that have gone, and connections to an address that was left

A probe of an unknown job server was dropped without its end. Checked: each job server has its own lane, so a new one never gets the connections of the one before at its address.

Changed: the directory forgets what has been gone for longer than any routed task; numbers are never used again; a lane is made anew when the address changes. A unit test (a hundred replacements) and a recording.

--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -28,11 +28,13 @@
     address: Cell<SocketAddr>,
     /// When it was first told to be draining or gone, since its last start.
     told_out: Cell<Option<Instant>>,
+    /// Told to be gone, or left out of a whole table.
+    gone: Cell<bool>,
 }
 
 impl JobServer {
     pub fn new(id: ServerId, address: SocketAddr) -> Self {
-        Self { id, address: Cell::new(address), told_out: Cell::new(None) }
+        Self { id, address: Cell::new(address), told_out: Cell::new(None), gone: Cell::new(false) }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -57,7 +59,9 @@
 #[derive(Default)]
 struct Directory {
     ids: HashMap<String, Rc<JobServer>>,
-    by_id: Vec<Rc<JobServer>>,
+    by_id: BTreeMap<ServerId, Rc<JobServer>>,
+    /// Numbers are never used twice: a new job server must not pass for one that has gone.
+    next: u32,
     zones: Vec<String>,
     listed: bool,
 }
@@ -138,7 +142,7 @@
     }
 
     pub fn job_server(&self, id: ServerId) -> Option<Rc<JobServer>> {
-        self.directory.borrow().by_id.get(id.0 as usize).cloned()
+        self.directory.borrow().by_id.get(&id).cloned()
     }
 
     /// Takes a terminal's id for as long as its transaction is open. Guards against two transactions that job
@@ -229,7 +233,7 @@
             self.counters.table_lines_skipped.add();
             tracing::warn!("service table: a line was skipped: {message}");
         }
-        let entries = self.directory.borrow_mut().take(kind, table);
+        let entries = self.directory.borrow_mut().take(kind, table, self.limits.forget);
         self.tell(Event::Members { kind, version, entries });
     }
 }
@@ -247,10 +251,16 @@
 }
 
 impl Directory {
-    fn take(&mut self, kind: ListKind, table: &Table) -> Vec<Member> {
+    fn take(&mut self, kind: ListKind, table: &Table, forget: Duration) -> Vec<Member> {
+        // Guards against names and numbers that grow without end where job servers are replaced all the time.
+        self.ids.retain(|_, server| !(server.gone.get() && server.closed_for(forget)));
+        self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
         if kind != ListKind::Changes {
             let named = |uid: &str| table.lines.iter().any(|l| l.uid == uid);
-            self.ids.iter().filter(|(uid, _)| !named(uid)).for_each(|(_, server)| server.told(true));
+            for (_, server) in self.ids.iter().filter(|(uid, _)| !named(uid)) {
+                server.told(true);
+                server.gone.set(true);
+            }
         }
         self.listed |= table.lines.iter().any(|l| l.condition == Condition::Ready);
         let mut entries = Vec::with_capacity(table.lines.len());
@@ -258,15 +268,17 @@
             let server = match self.ids.get(&line.uid) {
                 Some(known) => Rc::clone(known),
                 None => {
-                    let id = ServerId(self.by_id.len() as u32);
+                    let id = ServerId(self.next);
+                    self.next += 1;
                     let new = Rc::new(JobServer::new(id, line.address));
-                    self.by_id.push(Rc::clone(&new));
+                    self.by_id.insert(id, Rc::clone(&new));
                     self.ids.insert(line.uid.clone(), Rc::clone(&new));
                     new
                 }
             };
             server.address.set(line.address);
             server.told(line.condition != Condition::Ready);
+            server.gone.set(line.condition == Condition::Gone);
             let zone = self.zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
                 self.zones.push(line.zone.clone());
                 self.zones.len() - 1
@@ -283,3 +295,31 @@
         entries
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::service_table::Line;
+
+    /// A day of replaced job servers, each at the address of the one before: too long to record.
+    #[test]
+    fn what_has_gone_is_forgotten_and_its_number_is_not_used_again() {
+        let (mut directory, mut numbers) = (Directory::default(), Vec::new());
+        let line = |n: u32, condition| Line {
+            uid: format!("s{n}"),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            zone: "z".to_owned(),
+            cell: 0,
+            condition,
+            boot_ms: 0.0,
+        };
+        for n in 1..100 {
+            let lines = vec![line(n - 1, Condition::Gone), line(n, Condition::Ready)];
+            let table = Table { lines, ..Table::default() };
+            let members = directory.take(ListKind::Changes, &table, Duration::ZERO);
+            numbers.push(members[1].server);
+        }
+        assert!(directory.ids.len() <= 3 && directory.by_id.len() <= 3);
+        assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
+    }
+}
--- a/sidecar/src/limits.rs
+++ b/sidecar/src/limits.rs
@@ -37,6 +37,8 @@
     pub probe: Duration,
     /// Nothing new starts to a job server this long after its drain was told.
     pub drain: Duration,
+    /// A job server that has been gone for this long is forgotten: longer than any routed task to it runs.
+    pub forget: Duration,
     /// An answer is sent this long before its terminal gives up, whatever happens.
     pub answer_margin: Duration,
     /// The longest time left that is believed.
@@ -106,6 +108,7 @@
             idle_reuse: basis.idle_close * 3 / 4,
             probe: basis.connect * 5 / 4,
             drain: basis.drain_grace / 2,
+            forget: basis.deadline.max(basis.drain_grace) + Duration::from_secs(5),
             answer_margin: basis.step,
             patience: Duration::from_secs(600),
             retry_after: basis.retry_after,
--- a/sidecar/src/upstream/mod.rs
+++ b/sidecar/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,6 +40,7 @@
 
 /// One job server's client, whose pool holds that server's connections only.
 struct Lane {
+    address: SocketAddr,
     client: Client,
     used: Instant,
 }
@@ -134,7 +136,11 @@
     /// Carries out the probes that the module asks for.
     pub async fn run_probes(self: Rc<Self>, mut wanted: mpsc::Receiver<ServerId>) {
         while let Some(id) = wanted.recv().await {
-            let Some(server) = self.core.job_server(id) else { continue };
+            let Some(server) = self.core.job_server(id) else {
+                // Each probe that is asked for is owed its end.
+                self.core.tell(Event::Probed { server: id, outcome: Outcome::NotSent, report: None });
+                continue;
+            };
             let this = Rc::clone(&self);
             self.counters.probes_sent.add();
             actix_rt::spawn(async move {
@@ -177,8 +183,13 @@
     fn client(&self, server: &JobServer) -> Client {
         let now = Instant::now();
         let mut lanes = self.lanes.borrow_mut();
-        let lane =
-            lanes.entry(server.id).or_insert_with(|| Lane { client: self.sockets.client(), used: now });
+        let address = server.address();
+        let new = || Lane { address, client: self.sockets.client(), used: now };
+        let lane = lanes.entry(server.id).or_insert_with(new);
+        // Guards against connections kept for an address that the job server has left.
+        if lane.address != address {
+            *lane = new();
+        }
         lane.used = now;
         lane.client.clone()
     }
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -54,8 +54,9 @@
 impl Stage {
     fn start(name: &str, line: &str) -> Self {
         let count = |key: &str, usual: usize| option(line, key).unwrap_or(usual);
-        let servers: Vec<_> = (0..count("servers", 1)).map(|_| free_port()).collect();
+        let mut servers: Vec<_> = (0..count("servers", 1)).map(|_| free_port()).collect();
         let mut addresses: Vec<String> = servers.iter().map(address).collect();
+        servers.extend((0..count("spare", 0)).map(|_| free_port()));
         addresses.extend((0..count("dead", 0)).map(|_| address(&free_port())));
         let target = |(i, a): (usize, &String)| {
             format!(r#"{{"uid":"s{i}","endpoint":"{a}","az":"z{}","state":"ready"}}"#, i % count("zones", 1))
@@ -126,7 +127,8 @@
             }
             "chunk" => {
                 let server = self.servers.first().map(address).unwrap_or_default();
-                let text = text.replace("{S}", &server).replace("\\n", "\n");
+                let spare = self.servers.last().map(address).unwrap_or_default();
+                let text = text.replace("{S}", &server).replace("{spare}", &spare).replace("\\n", "\n");
                 let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                 self.link(party).write_all(chunk.as_bytes()).expect("sent");
             }
@@ -232,6 +234,7 @@
     stop_answers_what_is_owed redirect_is_not_followed silent_watch_is_lost
     silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
     interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
+    moved_server_leaves_no_connection
 }
 
 #[test]
