Let answered terminals give way first, so that a crowd costs no first requests

Checked: places did not run out (none turned away), and more places, a last look and more time changed nothing. At fault: Terminal::idle in front/line.rs put those that never asked first, which takes the place of a terminal that has connected ahead; its first request is then lost to it, while one that was answered before asks again on a new connection. The order is now the other way round.

A recording that fails with the old order.

--- a/sidecar/src/front/line.rs
+++ b/sidecar/src/front/line.rs
@@ -58,9 +58,11 @@
         self.known.set(true);
     }
 
-    /// Who goes first where places are short: those that never asked, then those that are idle for longest.
+    /// Who goes first where places are short: those that were answered, which ask again on a new connection,
+    /// then those that are idle for longest. Guards first requests against a crowd that says nothing: one that
+    /// has connected ahead loses its request with its place.
     pub fn idle(&self) -> Option<(bool, Instant)> {
-        self.idle_since.get().filter(|_| self.begun.get().is_none()).map(|since| (self.known.get(), since))
+        self.idle_since.get().filter(|_| self.begun.get().is_none()).map(|since| (!self.known.get(), since))
     }
 
     pub fn dismiss(&self) {
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -234,7 +234,7 @@
     stop_answers_what_is_owed redirect_is_not_followed silent_watch_is_lost
     silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
     interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
-    moved_server_leaves_no_connection
+    moved_server_leaves_no_connection first_requests_keep_their_places
 }
 
 #[test]
