--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -3,11 +3,13 @@
 //! It judges by what job servers and terminals saw, never by what a sidecar believes.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, VecDeque};
 use std::fmt;
 
 use serde::Serialize;
 
+use rustc_hash::FxHashMap;
+
 use crate::ledger::{Entry, Fate, How, Ledger, Life, Line, Listing};
 use crate::machine::budget;
 use crate::scenario::{Class, Day, Effect, Group, Micros, from_ms};
@@ -107,14 +109,14 @@
     drain: Micros,
     grace: Micros,
     fall: (f64, Micros),
-    open: HashMap<u64, Open>,
+    open: FxHashMap<u64, Open>,
     due: BinaryHeap<Reverse<(Micros, u64)>>,
     forget: VecDeque<(Micros, u64)>,
-    sites: HashMap<u32, Site>,
+    sites: FxHashMap<u32, Site>,
     /// By sidecar and job server.
-    told: HashMap<u32, HashMap<u32, Told>>,
+    told: FxHashMap<u32, FxHashMap<u32, Told>>,
     /// When a sidecar was last killed.
-    killed: HashMap<u32, Micros>,
+    killed: FxHashMap<u32, Micros>,
     /// The first ones, in the order found.
     pub breaches: Vec<Breach>,
     /// All of them.
@@ -131,12 +133,12 @@
             drain: from_ms(day.rules.drain_grace_ms) + extra,
             grace: from_ms(day.rules.answer_grace_ms) + extra,
             fall: (day.rules.fall_multiple, from_ms(day.rules.fall_ms)),
-            open: HashMap::new(),
+            open: FxHashMap::default(),
             due: BinaryHeap::new(),
             forget: VecDeque::new(),
-            sites: HashMap::new(),
-            told: HashMap::new(),
-            killed: HashMap::new(),
+            sites: FxHashMap::default(),
+            told: FxHashMap::default(),
+            killed: FxHashMap::default(),
             breaches: Vec::new(),
             count: 0,
             transactions: 0,
@@ -176,7 +178,7 @@
     }
 
     fn arrived(&mut self, at: Micros, tx: u64, server: u32) {
-        let zone = |sites: &HashMap<u32, Site>, id: u32| sites.get(&id).map_or(0, |s| s.zone);
+        let zone = |sites: &FxHashMap<u32, Site>, id: u32| sites.get(&id).map_or(0, |s| s.zone);
         let here = zone(&self.sites, server);
         let Some(open) = self.open.get_mut(&tx) else { return };
         let Some(class) = self.classes.get(usize::from(open.class)) else { return };
--- a/lab/src/model/mod.rs
+++ b/lab/src/model/mod.rs
@@ -5,14 +5,12 @@
 //! day and seed give the same record to the last entry.
 
 mod discovery;
+mod queue;
 mod server;
 mod sidecar;
 mod terminal;
 pub mod troubles;
 
-use std::cmp::Ordering;
-use std::collections::BinaryHeap;
-
 use slotmap::{SlotMap, new_key_type};
 
 use crate::audit::Auditor;
@@ -25,6 +23,7 @@
 use crate::wishes::{Quota, Wish, Wishes, parts, quotas};
 
 use discovery::Discovery;
+use queue::Queue;
 use server::Server;
 use sidecar::Sidecar;
 use terminal::Ask;
@@ -109,40 +108,12 @@
     Second,
 }
 
-struct Queued {
-    at: Micros,
-    turn: u64,
-    what: Happening,
-}
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Queued {}
-
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Queued {
-    /// The earliest first; among equals the one that was queued first.
-    fn cmp(&self, other: &Self) -> Ordering {
-        (other.at, other.turn).cmp(&(self.at, self.turn))
-    }
-}
-
 /// A day being played.
 pub struct Model<'a> {
     day: &'a Day,
     now: Micros,
     end: Micros,
-    queue: BinaryHeap<Queued>,
-    turn: u64,
+    queue: Queue<Happening>,
     ledger: &'a mut dyn Ledger,
     sidecars: Vec<Sidecar>,
     servers: Vec<Server>,
@@ -173,8 +144,7 @@
             day,
             now: 0,
             end: from_s(day.seconds),
-            queue: BinaryHeap::new(),
-            turn: 0,
+            queue: Queue::new(),
             ledger,
             sidecars: Vec::new(),
             servers: Vec::new(),
@@ -201,14 +171,14 @@
 
     /// Plays it to its end.
     pub fn play(&mut self) {
-        while let Some(next) = self.queue.pop() {
-            let over = next.at > self.end && self.asks.is_empty();
-            if over || next.at > self.end + REST_MOST {
+        while let Some((at, what)) = self.queue.pop() {
+            let over = at > self.end && self.asks.is_empty();
+            if over || at > self.end + REST_MOST {
                 return;
             }
-            self.now = next.at;
+            self.now = at;
             self.played += 1;
-            self.happen(next.what);
+            self.happen(what);
         }
     }
 
@@ -246,8 +216,7 @@
     }
 
     fn at(&mut self, at: Micros, what: Happening) {
-        self.turn += 1;
-        self.queue.push(Queued { at: at.max(self.now), turn: self.turn, what });
+        self.queue.push(at.max(self.now), what);
     }
 
     fn after(&mut self, span: Micros, what: Happening) {
--- a/lab/src/model/sidecar.rs
+++ b/lab/src/model/sidecar.rs
@@ -1,12 +1,14 @@
 //! The model's sidecars: each hosts one balancer as the real program does, and carries out what it asks for.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use heronlock::{
     Action, AttemptEnd, Balancer, Call, Class as ModuleClass, ClassId, Event, LoadReport, RequestId, Scope,
     Semantics, ServerId, Settings,
 };
 
+use rustc_hash::FxHashMap;
+
 use super::*;
 use crate::ledger::{Life, Listing};
 use crate::scenario::{Class, Effect, Group};
@@ -25,7 +27,7 @@
     pub subscribed: bool,
     pub calls: u32,
     /// Idle connections by job server: since when, and the start of the server that they belong to.
-    pub pools: HashMap<u32, VecDeque<(Micros, u32)>>,
+    pub pools: FxHashMap<u32, VecDeque<(Micros, u32)>>,
     open: BTreeMap<u64, TryKey>,
     pub wishes: Wishes,
     pub terminals: Stream,
@@ -91,7 +93,7 @@
                 version: self.discovery.version,
                 subscribed: false,
                 calls: 0,
-                pools: HashMap::new(),
+                pools: FxHashMap::default(),
                 open: BTreeMap::new(),
                 wishes: Wishes::new(self.day, number, part),
                 // Tries draw from a stream of their own, so that wishes stay as they are.
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -1,10 +1,10 @@
 //! Reads the record of either engine for the figures: service as the brief weighs it, answers by class over
 //! time, latencies, work wasted, crossings, probes and connections.
 
-use std::collections::HashMap;
-
 use hdrhistogram::Histogram;
 
+use rustc_hash::FxHashMap;
+
 use crate::ledger::{Entry, Fate, How, Ledger, Life, Line};
 use crate::report::{ClassFigures, Fleet, Report, Second, ShopFigures};
 use crate::scenario::{Day, Micros, from_ms};
@@ -45,14 +45,14 @@
 /// Reads the record; [`Tally::report`] sums it up.
 pub struct Tally {
     day: Day,
-    asks: HashMap<u64, Ask>,
-    runs: HashMap<u64, f64>,
+    asks: FxHashMap<u64, Ask>,
+    runs: FxHashMap<u64, f64>,
     whole: Worth,
     by_class: Vec<Worth>,
     by_shop: Vec<Worth>,
     seconds: Vec<Second>,
     worths: Vec<Worth>,
-    class_counts: Vec<HashMap<How, u64>>,
+    class_counts: Vec<FxHashMap<How, u64>>,
     class_latency: Vec<Histogram<u64>>,
     latency: Histogram<u64>,
     fleet: Vec<Fleet>,
@@ -61,7 +61,7 @@
     asked: u64,
     tries: u64,
     transactions: u64,
-    answered: HashMap<How, u64>,
+    answered: FxHashMap<How, u64>,
     routed: u64,
     crossing: u64,
     probes: u64,
@@ -81,14 +81,14 @@
         let classes = day.class.len();
         Self {
             day: day.clone(),
-            asks: HashMap::new(),
-            runs: HashMap::new(),
+            asks: FxHashMap::default(),
+            runs: FxHashMap::default(),
             whole: Worth::default(),
             by_class: vec![Worth::default(); classes],
             by_shop: vec![Worth::default(); day.shop.len()],
             seconds: (0..seconds).map(|_| Second::new(classes)).collect(),
             worths: vec![Worth::default(); seconds],
-            class_counts: vec![HashMap::new(); classes],
+            class_counts: vec![FxHashMap::default(); classes],
             class_latency: vec![histogram(); classes],
             latency: histogram(),
             fleet: Vec::new(),
@@ -97,7 +97,7 @@
             asked: 0,
             tries: 0,
             transactions: 0,
-            answered: HashMap::new(),
+            answered: FxHashMap::default(),
             routed: 0,
             crossing: 0,
             probes: 0,
@@ -193,7 +193,7 @@
             + prices.probe * self.probes as f64 / asked
             + prices.waste * waste / offered.max(1.0)
             + prices.late_fail * self.late_worth / self.whole.asked.max(f64::MIN_POSITIVE);
-        let names = |how: &HashMap<How, u64>| {
+        let names = |how: &FxHashMap<How, u64>| {
             let mut list: Vec<(How, u64)> = how.iter().map(|(&h, &n)| (h, n)).collect();
             list.sort();
             list
--- a/lab/tests/scenario.rs
+++ b/lab/tests/scenario.rs
@@ -106,7 +106,7 @@
 
 #[test]
 fn an_overload_that_would_eat_all_memory_is_refused() {
-    let text = GOOD.replace("seconds = 10.0", "seconds = 1e7").replace("at_s", "at_s");
+    let text = GOOD.replace("seconds = 10.0", "seconds = 1e7");
     let found = faults(&format!("{text}\n[load]\nrate = 1000.0\n"));
     assert!(found.iter().any(|(key, _)| key == "load"), "{found:?}");
 }
