Test that a stage that stood still says so

A stage on a busy machine must not report figures as if they were good. Two dozen busy loops on the same core did not make it late, so the test stops the lab itself for a second of four: exit code 1 and NOT TO BE RELIED ON.

--- a/lab/tests/stage.rs
+++ b/lab/tests/stage.rs
@@ -142,3 +142,30 @@
     let report = stage("killed", trouble);
     assert!(report.remarks.iter().any(|r| r.contains("were killed")), "{report}");
 }
+
+#[test]
+fn a_stage_that_stood_still_says_that_its_figures_are_not_to_be_relied_on() {
+    use nix::sys::signal::{Signal, kill};
+    use std::process::{Command, Stdio};
+    use std::time::Duration;
+    let folder = std::env::temp_dir().join(format!("arrowstand-lab-late-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("late.toml");
+    std::fs::write(&path, SMALL).expect("written");
+    let child = Command::new(env!("CARGO_BIN_EXE_arrowstand-lab"))
+        .args(["stage".as_ref(), path.as_os_str(), "--folder".as_ref(), folder.as_os_str()])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("starts");
+    let pid = nix::unistd::Pid::from_raw(child.id() as i32);
+    // The day begins within two seconds and lasts four.
+    std::thread::sleep(Duration::from_millis(3_000));
+    kill(pid, Signal::SIGSTOP).expect("stopped");
+    std::thread::sleep(Duration::from_millis(1_000));
+    kill(pid, Signal::SIGCONT).expect("goes on");
+    let said = child.wait_with_output().expect("ends");
+    let text = String::from_utf8_lossy(&said.stdout).into_owned();
+    let _ = std::fs::remove_dir_all(folder);
+    assert_eq!(said.status.code(), Some(1), "{text}");
+    assert!(text.contains("NOT TO BE RELIED ON: the machine ran late"), "{text}");
+}
