Learn the work of each class and tell the module: controls/ with its first decision

Near full load job-status, the cheapest class for its worth, is refused most: the module takes every request for the same size, and its objective is the tightest.

New crate arrowstand-controls: work.rs learns the work by class and the pace by job server from attempts that met no queue, robust to the heavy tail; Informed wraps the balancer and fills in the size, alike in sidecar, adapter and lab.

The module's use of the size comes next.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 
+use arrowstand_controls::Informed;
 use heronlock::{
-    Action, AttemptEnd, Balancer, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member,
-    Micros, Outcome, RequestId, Scope, Semantics, ServerId, Settings,
+    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member, Micros,
+    Outcome, RequestId, Scope, Semantics, ServerId, Settings,
 };
 
 use crate::wire::{Arrival, Batch, Conf, Reply, decode, micros};
@@ -29,7 +30,7 @@
 }
 
 struct Instance {
-    balancer: Balancer,
+    balancer: Informed,
     ids: HashMap<String, u32>,
     names: Vec<String>,
     classes: Vec<String>,
@@ -135,7 +136,7 @@
         let seed = need(event.random_seed, event.msg, "random-seed")?;
         let (settings, report) = settings(conf)?;
         Ok(Self {
-            balancer: Balancer::new(settings, seed).map_err(|e| e.to_string())?,
+            balancer: Informed::new(settings, seed).map_err(|e| e.to_string())?,
             ids: HashMap::new(),
             names: Vec::new(),
             classes: conf.request_classes.iter().map(|c| c.name.clone()).collect(),
--- a/lab/src/model/sidecar.rs
+++ b/lab/src/model/sidecar.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use arrowstand_controls::Informed;
 use heronlock::{
-    Action, AttemptEnd, Balancer, Call, Class as ModuleClass, ClassId, Event, LoadReport, RequestId, Scope,
-    Semantics, ServerId, Settings,
+    Action, AttemptEnd, Call, Class as ModuleClass, ClassId, Event, LoadReport, RequestId, Scope, Semantics,
+    ServerId, Settings,
 };
 
 use rustc_hash::FxHashMap;
@@ -20,7 +21,7 @@
 pub struct Sidecar {
     pub zone: u32,
     pub life: u32,
-    balancer: Option<Balancer>,
+    balancer: Option<Informed>,
     /// The list as it last had it.
     pub known: BTreeMap<u32, (Listing, Micros)>,
     pub version: u64,
@@ -114,7 +115,7 @@
         let settings = settings(self.day, number as usize);
         let sidecar = &mut self.sidecars[number as usize];
         let seed = sidecar.seeds.number();
-        sidecar.balancer = Balancer::new(settings, seed).ok();
+        sidecar.balancer = Informed::new(settings, seed).ok();
         sidecar.subscribed = false;
         let known: Vec<_> = sidecar.known.iter().map(|(&server, &(l, at))| (server, l, at)).collect();
         let version = sidecar.version;
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -10,9 +10,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use heronlock::{
-    Action, Balancer, ClassId, Condition, Event, ListKind, Member, Micros, Outcome, RequestId, ServerId,
-};
+use arrowstand_controls::Informed;
+use heronlock::{Action, ClassId, Condition, Event, ListKind, Member, Micros, Outcome, RequestId, ServerId};
 use tokio::sync::{Notify, mpsc};
 
 pub use owed::{Owed, Step};
@@ -68,7 +67,7 @@
 
 /// Everything that decides. One of them runs on one thread.
 pub struct Core {
-    balancer: RefCell<Balancer>,
+    balancer: RefCell<Informed>,
     directory: RefCell<Directory>,
     waiting: RefCell<BTreeMap<RequestId, mpsc::Sender<Step>>>,
     /// What the terminals call the transactions that are open.
@@ -94,7 +93,7 @@
 impl Core {
     /// The core, and the job servers to probe as the module asks for them.
     pub fn new(
-        balancer: Balancer,
+        balancer: Informed,
         names: Names,
         limits: Rc<Limits>,
         counters: Rc<Counters>,
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -14,7 +14,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use heronlock::{Balancer, ListKind};
+use arrowstand_controls::Informed;
+use heronlock::ListKind;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tracing_subscriber::Layer as _;
@@ -57,7 +58,7 @@
 async fn serve(config: Config) -> Result<(), String> {
     let limits = Rc::new(config.limits);
     let counters = Rc::new(Counters::default());
-    let balancer = Balancer::new(config.settings, config.seed).map_err(|e| e.to_string())?;
+    let balancer = Informed::new(config.settings, config.seed).map_err(|e| e.to_string())?;
     let (core, probes) = Core::new(balancer, config.names, Rc::clone(&limits), Rc::clone(&counters));
     let upstream = Upstream::new(&core);
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
