--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,9 +76,11 @@
 /// Work that carries no hint is not started with less time than this share of a usual service.
 const LEAST_WORK: f64 = 0.5;
 /// A fleet of which more than this share is busy serves more by taking only sure work: in the end, what is
-/// expected within this share of the time left.
+/// expected within this share of the time left, times what it earns for its work against a usual request; the
+/// share falls by the last figure as all is turned away. It was chosen over loads from 0.7 to 1.2 of capacity.
 const BUSY: f64 = 0.8;
 const IN_TIME_BUSY: f64 = 0.6;
+const IN_TIME_FULL: f64 = 0.25;
 /// Where servers report no load, strain stands in: the mean share of the objective that answers take, a
 /// failure counting as all of it. Above the first figure a part is refused, all of it this much higher; the
 /// least worth goes first. Forgotten by half in this time, so that some work always finds out.
@@ -519,6 +521,8 @@
             let first = if self.mean_size > 0.0 { self.mean_size } else { hint };
             self.mean_size = first + MEAN_WEIGHT * (hint.min(4.0 * first) - first);
         }
+        let first = if self.mean_worth > 0.0 { self.mean_worth } else { class.worth };
+        self.mean_worth = first + MEAN_WEIGHT * (class.worth - first);
         self.traffic.count(now, TRAFFIC_HALF);
         let size = if hint > 0.0 { hint / self.mean_size } else { 1.0 };
         let objective = class.objective + (class.stretch * hint) as Micros;
@@ -601,8 +605,11 @@
         let Some(request) = self.requests.get(&id) else { return };
         let (arrived, give_up, asked) = (request.arrived, request.give_up, request.asked.clone());
         let patience = ((request.aim - arrived) as f64 * HOLD) as Micros;
-        match self.pick(Reach::Anywhere, &[], &asked, arrived) {
-            Some(i) if !self.too_late(i, id) && !self.sheds(id) => self.send(id, i, acts),
+        let picked = self.pick(Reach::Anywhere, &[], &asked, arrived);
+        let late = picked.is_some_and(|i| self.too_late(i, id));
+        self.turned += MEAN_WEIGHT * (f64::from(u8::from(late)) - self.turned);
+        match picked {
+            Some(i) if !late && !self.sheds(id) => self.send(id, i, acts),
             None if self.now + 2 * TICK < give_up.min(arrived + patience) => self.alarm(id, TICK, acts),
             _ => self.end(id, acts),
         }
@@ -777,10 +784,20 @@
         let server = &self.servers[i];
         let ahead = self.load(server) - self.slowness(server);
         let expected = (ahead + request.size * self.slowness(server)) * self.unit;
-        let share = 1.0 - self.strictness() * (1.0 - IN_TIME_BUSY);
+        let in_time = IN_TIME_BUSY - IN_TIME_FULL * self.turned;
+        let share = 1.0 - self.strictness() * (1.0 - in_time * self.gain(request)).max(0.0);
         ahead >= 0.5 && expected > share * request.aim.saturating_sub(self.now) as f64
     }
 
+    /// Worth for the work of a request, against that of a usual one: in a full fleet what earns little for the
+    /// work it takes must not fill the queues that what earns more would still have passed in time.
+    fn gain(&self, request: &Request) -> f64 {
+        if self.mean_size == 0.0 {
+            return 1.0;
+        }
+        self.class(request).worth / request.size / self.mean_worth.max(f64::MIN_POSITIVE)
+    }
+
     /// Guards against queues that all balancers fill together, which none of them sees, nor counts in its own
     /// few requests: refuses at random as much as the strain asks for.
     fn sheds(&mut self, id: RequestId) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,9 @@
     pub(crate) mute: usize,
     pub(crate) errors: f64,
     pub(crate) mean_size: f64,
+    pub(crate) mean_worth: f64,
+    /// Share of the requests that the fleet has no time for.
+    pub(crate) turned: f64,
     pub(crate) budget: f64,
     pub(crate) version: u64,
     pub(crate) subscribed: bool,
@@ -73,6 +76,8 @@
             mute: 0,
             errors: 0.0,
             mean_size: 0.0,
+            mean_worth: 0.0,
+            turned: 0.0,
             budget: 0.0,
             version: 0,
             subscribed: false,
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -403,3 +403,43 @@
         assert_eq!(chosen > 60, preferred, "{held} {chosen}");
     }
 }
+
+/// Requests of a size come to a fleet that holds so many each, all of it busy for a while; tells whether the last
+/// one was sent. Every second one is of the other class, of the same worth and small.
+fn taken_by_a_full_fleet(hint: Micros, held: f64) -> bool {
+    let pure = || Class::new(Semantics::Pure, 400 * MS, 1_500 * MS);
+    let classes = vec![pure(), pure()];
+    let settings = Settings { classes, reports: true, probe_fee: 0.001, ..settings() };
+    let mut driver = Driver::new(settings, 6);
+    let mut last = false;
+    for n in 0..400u64 {
+        driver.now += 10 * MS;
+        let (class, size) = if n % 2 == 0 { (0, 40 * MS) } else { (1, hint) };
+        let id = RequestId(10_000 + n);
+        let call = Call { id, class: ClassId(class), time_left: 1_500 * MS, size_hint: Some(size) };
+        let mut actions = driver.tell(Event::Request(call));
+        for server in probes(&actions) {
+            let report = Some(LoadReport { held, waiting: held - 1.0 });
+            actions.extend(driver.tell(Event::Probed { server, outcome: Outcome::Served, report }));
+        }
+        last = sent(&actions).is_some();
+        if let Some(server) = sent(&actions) {
+            let elapsed = size * held as u64 / 2;
+            driver.now += 10 * MS;
+            let (outcome, report) = (Outcome::Served, None);
+            let end = AttemptEnd { request: id, attempt: 0, server, outcome, finished: true, elapsed, report };
+            driver.tell(Event::Outcome(end));
+        }
+    }
+    last
+}
+
+#[test]
+fn a_full_fleet_turns_away_first_what_earns_least_for_its_work() {
+    // The same worth: at some load the small one still gets through and the large one does not.
+    let small: Vec<bool> = (1..40).map(|held| taken_by_a_full_fleet(40 * MS, f64::from(held))).collect();
+    let large: Vec<bool> = (1..40).map(|held| taken_by_a_full_fleet(160 * MS, f64::from(held))).collect();
+    assert!(small[0] && large[0], "an idle fleet takes both");
+    let until = |taken: &[bool]| taken.iter().take_while(|t| **t).count();
+    assert!(until(&large) < until(&small), "{large:?} {small:?}");
+}
