Try hurried requests; keep the learnt work from drifting

Ruled out: places for terminals (none over bound), suspicion, cold servers, lists, the drain gate, too_late (nothing counted).

Informed now tells a quarter of the mean (ratios stay, as sizes count against each other), and paces are held against their own mean, so that a class's work cannot rise while paces fall. Tests: a costly request in fifty moves a mean by under 10 % over 20,000 samples (21 % before), and a hurried request goes out.

--- a/controls/src/informed.rs
+++ b/controls/src/informed.rs
@@ -8,6 +8,12 @@
 
 use crate::work::{Sent, Work};
 
+/// Part of a class's mean work that is told as a request's size. Sizes count against each other, so the part
+/// changes no decision but one: the module turns a request away at once whose size is more than its time left.
+/// Guards against turning away hurried requests of which many would have been served, as most works lie far
+/// below the mean: of exponential ones a fifth lie below a quarter of it.
+const LEAST: f64 = 0.25;
+
 /// A request that is open: its class, and its attempts in the order of the sends.
 struct Open {
     class: ClassId,
@@ -36,7 +42,8 @@
         match &mut event {
             Event::Request(call) => {
                 // What the host was told by the client wins over what was learnt.
-                call.size_hint = call.size_hint.or(self.work.expected(call.class));
+                let learnt = self.work.expected(call.class);
+                call.size_hint = call.size_hint.or(learnt.map(|w| ((w as f64 * LEAST) as Micros).max(1)));
                 self.open.insert(call.id, Open { class: call.class, sent: Vec::new() });
             }
             Event::Outcome(end) => {
@@ -78,3 +85,50 @@
         &self.work
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use heronlock::{AttemptEnd, Call, Class, ListKind, LoadReport, Member, Semantics, ServerId};
+
+    /// A balancer that has learnt that its requests take 30 ms.
+    fn informed() -> (Informed, Micros) {
+        let mut settings = Settings { reports: true, probe_fee: 0.001, ..Settings::default() };
+        settings.classes.push(Class::new(Semantics::Pure, 150_000, 600_000));
+        let mut informed = Informed::new(settings, 7).expect("valid");
+        let member = Member::ready(ServerId(0), 1);
+        let list = Event::Members { kind: ListKind::Full, version: 1, entries: vec![member] };
+        informed.handle(0, list, &mut Vec::new());
+        let mut now = 0;
+        for id in 0..60 {
+            now += 100_000;
+            assert!(ask(&mut informed, now, id, 600_000), "request {id} goes out");
+            now += 30_000;
+            let (request, server, report) = (RequestId(id), ServerId(0), None);
+            let (attempt, outcome, finished, elapsed) = (0, Outcome::Served, true, 30_000);
+            let end = AttemptEnd { request, attempt, server, outcome, finished, elapsed, report };
+            informed.handle(now, Event::Outcome(end), &mut Vec::new());
+        }
+        (informed, now + 100_000)
+    }
+
+    /// Asks, answers the look for load, and tells whether the request was sent.
+    fn ask(informed: &mut Informed, now: Micros, id: u64, time_left: Micros) -> bool {
+        let mut acts = Vec::new();
+        let call = Call { id: RequestId(id), class: ClassId(0), time_left, size_hint: None };
+        informed.handle(now, Event::Request(call), &mut acts);
+        let report = Some(LoadReport { held: 0.0, waiting: 0.0 });
+        let probed = Event::Probed { server: ServerId(0), outcome: Outcome::Served, report };
+        informed.handle(now, probed, &mut acts);
+        acts.iter().any(|a| matches!(a, Action::Send { .. }))
+    }
+
+    #[test]
+    fn a_hurried_request_is_tried_unless_there_is_next_to_no_time() {
+        let (mut informed, now) = informed();
+        assert!(informed.work().expected(ClassId(0)).is_some_and(|w| (29_000..31_000).contains(&w)));
+        assert!(ask(&mut informed, now, 1_000, 20_000));
+        assert!(!ask(&mut informed, now + 1_000_000, 1_001, 5_000));
+        assert!(informed.open.len() <= 1, "what was turned away is forgotten");
+    }
+}
--- a/controls/src/work.rs
+++ b/controls/src/work.rs
@@ -60,12 +60,15 @@
 pub struct Work {
     classes: Vec<Mean>,
     sites: BTreeMap<ServerId, Site>,
+    /// Mean pace of the job servers that served what was counted. Guards against drift: a class's work that
+    /// rises while all paces fall would say the same of every sample.
+    usual: Mean,
 }
 
 impl Work {
     /// Nothing known of so many classes.
     pub fn new(classes: usize) -> Self {
-        Self { classes: vec![Mean::default(); classes], sites: BTreeMap::new() }
+        Self { classes: vec![Mean::default(); classes], ..Self::default() }
     }
 
     /// A job server has told its load.
@@ -96,7 +99,8 @@
     pub fn served(&mut self, class: ClassId, sent: &Sent, elapsed: Micros) {
         let (Some(known), true) = (self.classes.get_mut(usize::from(class.0)), sent.free) else { return };
         let pace = self.sites.get(&sent.server).map_or(1.0, |s| s.pace.value).max(0.05);
-        known.take(elapsed as f64 / pace, WEIGHT);
+        self.usual.take(pace, WEIGHT);
+        known.take(elapsed as f64 / (pace / self.usual.value.max(0.05)), WEIGHT);
         let expected = known.value;
         if known.samples >= ENOUGH
             && expected > 0.0
@@ -116,7 +120,8 @@
 
     /// How much longer than a usual job server this one takes.
     pub fn pace(&self, server: ServerId) -> Option<f64> {
-        self.sites.get(&server).filter(|s| s.pace.samples >= ENOUGH).map(|s| s.pace.value)
+        let site = self.sites.get(&server).filter(|s| s.pace.samples >= ENOUGH)?;
+        Some(site.pace.value / self.usual.value.max(0.05))
     }
 }
 
@@ -164,9 +169,9 @@
     #[test]
     fn a_costly_request_in_fifty_does_not_move_it_far() {
         let mut work = Work::new(1);
-        (0..2_000).for_each(|n| serve(&mut work, n, 0, 0, if n % 50 == 7 { 26 * 40_000 } else { 40_000 }));
+        (0..20_000).for_each(|n| serve(&mut work, n, 0, 0, if n % 50 == 7 { 26 * 40_000 } else { 40_000 }));
         let known = work.expected(ClassId(0)).expect("known");
-        assert!((38_000..48_000).contains(&known), "{known}");
+        assert!((38_000..44_000).contains(&known), "{known}");
     }
 
     #[test]
--- a/lab/tests/model.rs
+++ b/lab/tests/model.rs
@@ -96,7 +96,7 @@
     let changes = [
         ("load.rate", toml::Value::Float(5_000.0)),
         ("seconds", toml::Value::Float(4.0)),
-        ("load.open_most", toml::Value::Integer(300)),
+        ("load.open_most", toml::Value::Integer(60)),
     ];
     let (report, _) = play(&day("calm", &changes));
     assert!(report.remarks.iter().any(|r| r.contains("choked off")), "{:?}", report.remarks);
--- a/lab/tests/scenario.rs
+++ b/lab/tests/scenario.rs
@@ -115,11 +115,13 @@
 fn what_is_shipped_can_be_read() {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("scenarios");
     let mut read = 0;
-    for entry in std::fs::read_dir(folder).expect("scenarios") {
-        let path = entry.expect("entry").path();
-        if path.extension().is_some_and(|e| e == "toml") {
-            Scenario::open(&path).unwrap_or_else(|f| panic!("{f}"));
-            read += 1;
+    for folder in [folder.clone(), folder.join("losses")] {
+        for entry in std::fs::read_dir(folder).expect("scenarios") {
+            let path = entry.expect("entry").path();
+            if path.extension().is_some_and(|e| e == "toml") {
+                Scenario::open(&path).unwrap_or_else(|f| panic!("{f}"));
+                read += 1;
+            }
         }
     }
     assert!(read >= 8, "{read}");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,8 +76,8 @@
 /// Work that carries no hint is not started with less time than this share of a usual service.
 const LEAST_WORK: f64 = 0.5;
 /// A fleet of which more than this share is busy serves more by taking only sure work: in the end, what is
-/// expected within this share of the time left, times what it earns for its work against a usual request; the
-/// share falls by the last figure as all is turned away. It was chosen over loads from 0.7 to 1.2 of capacity.
+/// expected within this share of the time left, times what it earns for its work against a usual request;
+/// the share falls by the last figure as all is turned away. Chosen over loads from 0.7 to 1.2 of capacity.
 const BUSY: f64 = 0.8;
 const IN_TIME_BUSY: f64 = 0.6;
 const IN_TIME_FULL: f64 = 0.25;
@@ -789,8 +789,8 @@
         ahead >= 0.5 && expected > share * request.aim.saturating_sub(self.now) as f64
     }
 
-    /// Worth for the work of a request, against that of a usual one: in a full fleet what earns little for the
-    /// work it takes must not fill the queues that what earns more would still have passed in time.
+    /// Worth for the work of a request, against that of a usual one: in a full fleet what earns little for
+    /// its work must not fill the queues that what earns more would still have passed in time.
     fn gain(&self, request: &Request) -> f64 {
         if self.mean_size == 0.0 {
             return 1.0;
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -404,42 +404,39 @@
     }
 }
 
-/// Requests of a size come to a fleet that holds so many each, all of it busy for a while; tells whether the last
-/// one was sent. Every second one is of the other class, of the same worth and small.
-fn taken_by_a_full_fleet(hint: Micros, held: f64) -> bool {
-    let pure = || Class::new(Semantics::Pure, 400 * MS, 1_500 * MS);
-    let classes = vec![pure(), pure()];
-    let settings = Settings { classes, reports: true, probe_fee: 0.001, ..settings() };
-    let mut driver = Driver::new(settings, 6);
-    let mut last = false;
-    for n in 0..400u64 {
+/// Small and large requests of the same worth come by turns to a fleet of which each server holds so many; tells
+/// whether the last small one and the last large one, which may take longer, were sent.
+fn taken_by_a_full_fleet(held: u64) -> (bool, bool) {
+    let pure = |objective| Class::new(Semantics::Pure, objective, 1_500 * MS);
+    let classes = vec![pure(400 * MS), pure(600 * MS)];
+    let mut driver = Driver::new(Settings { classes, reports: true, probe_fee: 0.001, ..settings() }, 6);
+    let mut taken = [false; 2];
+    for n in 0..400 {
         driver.now += 10 * MS;
-        let (class, size) = if n % 2 == 0 { (0, 40 * MS) } else { (1, hint) };
-        let id = RequestId(10_000 + n);
+        let (id, class) = (RequestId(10_000 + n), (n % 2) as u16);
+        let size = if class == 0 { 40 * MS } else { 110 * MS };
         let call = Call { id, class: ClassId(class), time_left: 1_500 * MS, size_hint: Some(size) };
         let mut actions = driver.tell(Event::Request(call));
         for server in probes(&actions) {
-            let report = Some(LoadReport { held, waiting: held - 1.0 });
+            let report = Some(LoadReport { held: held as f64, waiting: held as f64 - 1.0 });
             actions.extend(driver.tell(Event::Probed { server, outcome: Outcome::Served, report }));
         }
-        last = sent(&actions).is_some();
+        taken[usize::from(class)] = sent(&actions).is_some();
         if let Some(server) = sent(&actions) {
-            let elapsed = size * held as u64 / 2;
-            driver.now += 10 * MS;
-            let (outcome, report) = (Outcome::Served, None);
-            let end = AttemptEnd { request: id, attempt: 0, server, outcome, finished: true, elapsed, report };
+            let elapsed = size + held * 75 * MS;
+            driver.now += elapsed;
+            let (request, outcome, finished, report) = (id, Outcome::Served, true, None);
+            let end = AttemptEnd { request, attempt: 0, server, outcome, finished, elapsed, report };
             driver.tell(Event::Outcome(end));
         }
     }
-    last
+    (taken[0], taken[1])
 }
 
 #[test]
 fn a_full_fleet_turns_away_first_what_earns_least_for_its_work() {
-    // The same worth: at some load the small one still gets through and the large one does not.
-    let small: Vec<bool> = (1..40).map(|held| taken_by_a_full_fleet(40 * MS, f64::from(held))).collect();
-    let large: Vec<bool> = (1..40).map(|held| taken_by_a_full_fleet(160 * MS, f64::from(held))).collect();
-    assert!(small[0] && large[0], "an idle fleet takes both");
-    let until = |taken: &[bool]| taken.iter().take_while(|t| **t).count();
-    assert!(until(&large) < until(&small), "{large:?} {small:?}");
+    let taken: Vec<(bool, bool)> = (1..30).map(taken_by_a_full_fleet).collect();
+    assert_eq!(taken[0], (true, true), "a free fleet takes both");
+    assert!(taken.contains(&(true, false)), "{taken:?}");
+    assert!(!taken.contains(&(false, true)), "{taken:?}");
 }
