Name job servers and draw machines in one place each

The same hash of a job server's name stood in sidecar, adapter and lab, and both engines of the lab drew a machine's speed and zone by themselves: two copies that had to stay alike for their figures to be comparable.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use arrowstand_controls::Informed;
+use arrowstand_controls::{Informed, fingerprint};
 use heronlock::{
     Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member, Micros,
     Outcome, RequestId, Scope, Semantics, ServerId, Settings,
@@ -49,12 +49,6 @@
     value.ok_or_else(|| format!("{msg}: field {field} is missing"))
 }
 
-/// FNV-1a of the address: the name of a server in gossip.
-fn fingerprint(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
-
 fn outcome(code: &str) -> Result<Outcome> {
     Ok(match code {
         "served" => Outcome::Served,
--- a/controls/src/lib.rs
+++ b/controls/src/lib.rs
@@ -7,3 +7,9 @@
 pub mod work;
 
 pub use informed::Informed;
+
+/// A job server's name as a number that every instance computes alike: FNV-1a of its text.
+pub fn fingerprint(text: &str) -> u64 {
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
--- a/lab/src/machine.rs
+++ b/lab/src/machine.rs
@@ -7,8 +7,8 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use crate::chance::Stream;
-use crate::scenario::{Cancel, Kind, Micros, from_s};
+use crate::chance::{Cause, Stream};
+use crate::scenario::{Cancel, Day, Kind, Micros, from_ms, from_s};
 
 /// How finely a speed that changes by itself is followed.
 const STEP: Micros = 50_000;
@@ -145,6 +145,14 @@
         }
     }
 
+    /// The day's machine of that number, its speed drawn: the same in both engines.
+    pub fn drawn(day: &Day, kind: &Kind, number: usize, now: Micros, cold: bool) -> Self {
+        let mut chance = Stream::new(day.seed, Cause::Machines, number + 1);
+        let speed = kind.speed * chance.between(1.0 - kind.speed_spread, 1.0 + kind.speed_spread);
+        let fall = (day.rules.fall_multiple, from_ms(day.rules.fall_ms));
+        Self::new(kind.clone(), speed, fall, chance, now, cold)
+    }
+
     pub fn kind(&self) -> &Kind {
         &self.kind
     }
@@ -456,7 +464,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::chance::Cause;
     use crate::scenario::Choke;
 
     fn machine(kind: Kind) -> Machine {
--- a/lab/src/model/discovery.rs
+++ b/lab/src/model/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use arrowstand_controls::fingerprint;
 use heronlock::{Condition, Event, ListKind, Member, ServerId};
 
 use super::*;
@@ -179,7 +180,7 @@
             let zone = self.servers[server as usize].zone;
             members.push(Member {
                 server: ServerId(server),
-                fingerprint: fingerprint(server),
+                fingerprint: fingerprint(&format!("s{server}")),
                 condition: match listing {
                     Listing::Ready => Condition::Ready,
                     Listing::Draining => Condition::Draining,
@@ -211,10 +212,3 @@
         }
     }
 }
-
-/// A name that every sidecar computes alike: FNV-1a of the number's text, as the real program's of a uid.
-fn fingerprint(server: u32) -> u64 {
-    format!("s{server}")
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
--- a/lab/src/model/server.rs
+++ b/lab/src/model/server.rs
@@ -49,13 +49,10 @@
         now: Micros,
         cold: bool,
     ) -> Self {
-        let mut stream = Stream::new(day.seed, Cause::Machines, number + 1);
-        let speed = kind.speed * stream.between(1.0 - kind.speed_spread, 1.0 + kind.speed_spread);
-        let fall = (day.rules.fall_multiple, from_ms(day.rules.fall_ms));
         // 0 stands for long ago.
         let launched = if cold { now.max(1) } else { 0 };
         Self {
-            machine: Machine::new(kind.clone(), speed, fall, stream, now, cold),
+            machine: Machine::drawn(day, kind, number, now, cold),
             zone,
             net: Net::Open,
             start: 0,
@@ -75,8 +72,7 @@
     pub(super) fn build_servers(&mut self) {
         let day = self.day;
         for (number, (kind, group)) in day.fleet().into_iter().enumerate() {
-            let named = group.zone.as_ref().and_then(|z| day.network.zones.iter().position(|n| n == z));
-            let zone = named.map_or(day.spread_zone(number), |z| z as u32);
+            let zone = day.server_zone(group, number);
             self.servers.push(Server::new(day, kind, number, zone, 0, group.cold));
             self.fate(number as u32, if group.cold { Fate::Cold } else { Fate::Up });
             self.discovery.list(number as u32, self.servers[number].launched);
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -454,6 +454,12 @@
         }
     }
 
+    /// Zone of the job server of that number, which belongs to a group.
+    pub fn server_zone(&self, group: &Servers, number: usize) -> u32 {
+        let named = group.zone.as_ref().and_then(|z| self.network.zones.iter().position(|n| n == z));
+        named.map_or(self.spread_zone(number), |z| z as u32)
+    }
+
     /// Zone of the job server or sidecar of that number where it is not named: spread in turn.
     pub fn spread_zone(&self, number: usize) -> u32 {
         (number % self.network.zones.len().max(1)) as u32
--- a/lab/src/stage/stand_in.rs
+++ b/lab/src/stage/stand_in.rs
@@ -16,7 +16,7 @@
 use crate::chance::{Cause, Stream};
 use crate::ledger::{Entry, Fate};
 use crate::machine::{Event, Job, Machine, State};
-use crate::scenario::{Kind, Micros, Servers, from_ms};
+use crate::scenario::{Kind, Micros, Servers};
 
 /// How the network answers for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,13 +66,9 @@
         group: &Servers,
     ) -> Result<Arc<Self>, String> {
         let day = &shared.day;
-        let mut stream = Stream::new(day.seed, Cause::Machines, number + 1);
-        let speed = kind.speed * stream.between(1.0 - kind.speed_spread, 1.0 + kind.speed_spread);
-        let fall = (day.rules.fall_multiple, from_ms(day.rules.fall_ms));
-        let named = group.zone.as_ref().and_then(|z| day.network.zones.iter().position(|n| n == z));
-        let zone = named.map_or(day.spread_zone(number), |z| z as u32);
+        let zone = day.server_zone(group, number);
         let chance = Stream::new(day.seed, Cause::Machines, (1 << 20) + number);
-        let machine = Machine::new(kind.clone(), speed, fall, stream, 0, group.cold);
+        let machine = Machine::drawn(day, kind, number, 0, group.cold);
         let addresses = (0..day.sidecars.count).map(|_| free_address()).collect::<Result<_, _>>()?;
         let this = Arc::new(Self {
             shared: Arc::clone(shared),
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use arrowstand_controls::Informed;
+use arrowstand_controls::{Informed, fingerprint};
 use heronlock::{Action, ClassId, Condition, Event, ListKind, Member, Micros, Outcome, RequestId, ServerId};
 use tokio::sync::{Notify, mpsc};
 
@@ -84,12 +84,6 @@
     pub counters: Rc<Counters>,
 }
 
-/// FNV-1a of the uid, which is the same at every sidecar.
-fn fingerprint(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
-
 impl Core {
     /// The core, and the job servers to probe as the module asks for them.
     pub fn new(
