--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -4,8 +4,8 @@
 
 use arrowstand_controls::{Informed, fingerprint};
 use heronlock::{
-    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member, Micros,
-    Outcome, RequestId, Scope, Semantics, ServerId, Settings,
+    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Machine, Member,
+    Micros, Outcome, RequestId, Scope, Semantics, ServerId, Settings,
 };
 
 use crate::wire::{Arrival, Batch, Conf, Reply, decode, micros};
@@ -112,6 +112,8 @@
         max_retry_after: micros(permissions.max_retry_after_ms),
         max_attempts: permissions.max_attempts.unwrap_or(base.max_attempts),
         probe_fee: conf.fees.probe,
+        handshake_fee: conf.fees.handshake,
+        idle_close: permissions.idle_close_ms.map_or(base.idle_close, micros),
         connection_fee: conf.fees.connection,
         cross_zone_fee: conf.fees.cross_zone,
         reports: shape.held.is_some() && conf.report.source != "none",
@@ -164,6 +166,8 @@
             launched: line.launched,
             zone: zone as u32,
             cell: line.cell,
+            // Told of no kinds here: all machines count alike until they have served.
+            machine: Machine::default(),
         }
     }
 
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -102,6 +102,7 @@
     pub retry_after: bool,
     pub max_retry_after_ms: f64,
     pub max_attempts: Option<u32>,
+    pub idle_close_ms: Option<f64>,
 }
 
 #[derive(Deserialize, Default)]
@@ -109,6 +110,7 @@
 pub struct Fees {
     pub probe: f64,
     pub connection: f64,
+    pub handshake: f64,
     pub cross_zone: f64,
 }
 
--- a/lab/src/model/discovery.rs
+++ b/lab/src/model/discovery.rs
@@ -189,6 +189,7 @@
                 launched: (launched > 0).then_some(EPOCH + launched),
                 zone,
                 cell: zone,
+                machine: heronlock::Machine::default(),
             });
         }
         self.sidecars[number as usize].version = version;
--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -7,6 +7,7 @@
 
 use crate::json::{self, Node};
 use crate::limits::{Basis, Limits};
+use crate::machines::Machines;
 use crate::service_table::Table;
 
 /// What this sidecar was told at start.
@@ -29,6 +30,8 @@
     /// Whether the class of that place carries a key.
     pub keyed: Vec<bool>,
     pub zones: Vec<String>,
+    /// What the kinds of machine can do.
+    pub machines: Machines,
 }
 
 fn micros(ms: f64) -> Micros {
@@ -84,7 +87,10 @@
         if !conf.present() {
             return conf.fault("is missing");
         }
-        let (settings, names) = settings(&conf)?;
+        let (settings, mut names) = settings(&conf)?;
+        if let Some(path) = variable("ARROWSTAND_MACHINES") {
+            names.machines = Machines::load(&path)?;
+        }
         let own = root.at("limits");
         let permissions = conf.at("permissions");
         let ms = |node: Node, default: f64| node.number_opt().map(|n| span(n.unwrap_or(default)));
@@ -195,6 +201,8 @@
         max_retry_after: time(permissions.at("max-retry-after-ms"), base.max_retry_after)?,
         max_attempts: number(permissions.at("max-attempts"), f64::from(base.max_attempts))? as u32,
         probe_fee: number(fees.at("probe"), 0.0)?,
+        handshake_fee: number(fees.at("handshake"), 0.0)?,
+        idle_close: time(permissions.at("idle-close-ms"), base.idle_close)?,
         connection_fee: number(fees.at("connection"), 0.0)?,
         cross_zone_fee: number(fees.at("cross-zone"), 0.0)?,
         reports,
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -19,6 +19,7 @@
 use crate::config::Names;
 use crate::counters::Counters;
 use crate::limits::Limits;
+use crate::machines::Machines;
 use crate::service_table::Table;
 
 /// A job server as the service table names it.
@@ -62,6 +63,7 @@
     /// Numbers are never used twice: a new job server must not pass for one that has gone.
     next: u32,
     zones: Vec<String>,
+    machines: Machines,
     listed: bool,
 }
 
@@ -97,7 +99,11 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let core = Self {
             balancer: RefCell::new(balancer),
-            directory: RefCell::new(Directory { zones: names.zones.clone(), ..Directory::default() }),
+            directory: RefCell::new(Directory {
+                zones: names.zones.clone(),
+                machines: names.machines.clone(),
+                ..Directory::default()
+            }),
             waiting: RefCell::default(),
             open: RefCell::default(),
             timers: RefCell::default(),
@@ -283,6 +289,7 @@
                 launched: (line.boot_ms > 0.0).then_some((line.boot_ms * 1_000.0) as Micros),
                 zone: zone as u32,
                 cell: line.cell,
+                machine: self.machines.of(&line.model),
             });
         }
         entries
@@ -303,6 +310,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             zone: "z".to_owned(),
             cell: 0,
+            model: String::new(),
             condition,
             boot_ms: 0.0,
         };
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -7,6 +7,7 @@
 mod front;
 mod json;
 mod limits;
+mod machines;
 mod service_table;
 mod transaction;
 mod upstream;
--- a/sidecar/src/service_table.rs
+++ b/sidecar/src/service_table.rs
@@ -22,6 +22,8 @@
     pub address: SocketAddr,
     pub zone: String,
     pub cell: u32,
+    /// What kind of machine it is, as the platform calls it.
+    pub model: String,
     pub condition: Condition,
     /// Unix time of the last start in milliseconds; 0 if long ago.
     pub boot_ms: f64,
@@ -52,6 +54,7 @@
         uid: node.at("uid").text()?,
         address: text.parse().or_else(|_| endpoint.fault("is not an address and port"))?,
         zone: node.at("az").text_opt()?.unwrap_or_default(),
+        model: node.at("model").text_opt()?.unwrap_or_default(),
         cell: node.at("pod_group").number_opt()?.unwrap_or(0.0) as u32,
         condition: match node.at("state").text()?.as_str() {
             "ready" => Condition::Ready,
--- a/src/api.rs
+++ b/src/api.rs
@@ -111,6 +111,10 @@
     pub max_attempts: u32,
     /// Price of one probe per request, as a fraction of the result.
     pub probe_fee: f64,
+    /// Price of one new connection per request, as a fraction of the result.
+    pub handshake_fee: f64,
+    /// A connection that stands idle for this long is closed.
+    pub idle_close: Micros,
     /// Price of a mean of 100 open connections for each server.
     pub connection_fee: f64,
     /// Price of one attempt per request crossing zones.
@@ -145,6 +149,8 @@
             max_retry_after: 1_000_000,
             max_attempts: 3,
             probe_fee: 0.01,
+            handshake_fee: 0.0,
+            idle_close: 5_000_000,
             connection_fee: 0.0,
             cross_zone_fee: 0.0,
             reports: false,
@@ -200,7 +206,9 @@
         check(self.max_attempts > 0, "max_attempts", "at least one attempt is needed")?;
         let share = self.cold_share > 0.0 && self.cold_share <= 1.0;
         check(share, "cold_share", "must be above 0 and at most 1")?;
-        let fees = [self.probe_fee, self.connection_fee, self.cross_zone_fee].iter().all(|f| f.is_finite());
+        let fees = [self.probe_fee, self.handshake_fee, self.connection_fee, self.cross_zone_fee]
+            .iter()
+            .all(|f| f.is_finite());
         check(fees, "probe_fee, connection_fee or cross_zone_fee", "must be finite")?;
         check(self.ask_every > 0, "ask_every", "must be above zero")
     }
@@ -287,6 +295,23 @@
     Gone,
 }
 
+/// What a machine of some kind can do, as far as the deployment tells.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Machine {
+    /// The kind's number: what is learnt of one server tells of the others of its kind.
+    pub kind: u32,
+    /// Requests that it runs at a time; above zero.
+    pub cores: f64,
+    /// Work per time of one core, against a usual one; above zero.
+    pub speed: f64,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self { kind: 0, cores: 1.0, speed: 1.0 }
+    }
+}
+
 /// One line of the server list.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Member {
@@ -302,13 +327,15 @@
     pub zone: u32,
     /// Its cell.
     pub cell: u32,
+    /// What kind of machine it is.
+    pub machine: Machine,
 }
 
 impl Member {
     /// A ready server, started long ago, in zone 0 and cell 0.
     pub fn ready(server: ServerId, fingerprint: u64) -> Self {
         let condition = Condition::Ready;
-        Self { server, fingerprint, condition, launched: None, zone: 0, cell: 0 }
+        Self { server, fingerprint, condition, ..Self::default() }
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,7 @@
 const PROBE_PERIOD: Micros = 1_000_000;
 const PROBE_PERIOD_MOST: Micros = 5_000_000;
 const PROBE_HASTE: Micros = 4;
-const PROBE_COST: f64 = 0.002;
+const PROBE_COST: f64 = 0.001;
 /// Own traffic is forgotten by half in this time.
 const TRAFFIC_HALF: f64 = 5_000_000.0;
 /// Suspicions told in one message: as many as fit.
@@ -50,6 +50,11 @@
 const SUBSET_LEAST: f64 = 3.0;
 const SUBSET_MOST: f64 = 24.0;
 const SUBSET_TRAFFIC: f64 = 0.25;
+/// Where new connections are dear, the part is so small that each of its servers gets so many own requests in
+/// the time after which an idle connection closes, and no smaller than this.
+const SUBSET_KEEP: f64 = 12.0;
+const SUBSET_DEAR: f64 = 4.0;
+const HANDSHAKE_FEE: f64 = 0.005;
 /// A served request within this time outweighs a suspicion heard from a peer.
 const GOSSIP_DOUBT: Micros = 500_000;
 /// Most servers asked for their load before a send; fewer while the chance to miss an idle one is low.
@@ -84,8 +89,8 @@
 /// Where servers report no load, strain stands in: the mean share of the objective that answers take, a
 /// failure counting as all of it. Above the first figure a part is refused, all of it this much higher; the
 /// least worth goes first. Forgotten by half in this time, so that some work always finds out.
-const STRAIN: f64 = 0.25;
-const STRAIN_SPAN: f64 = 0.5;
+const STRAIN: f64 = 0.32;
+const STRAIN_SPAN: f64 = 0.35;
 const STRAIN_WEIGHT: f64 = 0.1;
 const STRAIN_HALF: f64 = 3_000_000.0;
 /// First pause before the list is asked for again, doubled up to a share of the time allowed.
@@ -425,6 +430,12 @@
     /// of its own, and goes further down where these are suspected.
     fn subset(&self) -> usize {
         let (fleet, balancers) = (self.servers.len() as f64, f64::from(self.settings.balancers));
+        // Guards against handshakes: connections that rarely serve are closed before they serve again,
+        // and what all balancers open for rare use is what servers run out of.
+        if self.settings.handshake_fee > HANDSHAKE_FEE {
+            let kept = self.rate() * self.settings.idle_close as f64 / SUBSET_KEEP;
+            return kept.max(SUBSET_DEAR).min(fleet).ceil() as usize;
+        }
         let fee = (self.settings.connection_fee * balancers).max(f64::MIN_POSITIVE);
         let affordable = (SUBSET_COST * 100.0 * fleet / fee).clamp(SUBSET_LEAST, SUBSET_MOST);
         let own = self.rate() * 1e6 * SUBSET_TRAFFIC;
@@ -486,7 +497,38 @@
     }
 
     fn pace(&self, server: &Server) -> f64 {
-        1.0 + (server.pace - 1.0) * self.fade(server.pace_at, PACE_HALF)
+        let usual = self.usual(server);
+        usual + (server.pace - usual) * self.fade(server.pace_at, PACE_HALF)
+    }
+
+    /// The pace of a server's kind. Guards against learning that comes too late where a balancer sends each
+    /// server next to nothing: what one server shows tells of all machines like it.
+    fn usual(&self, server: &Server) -> f64 {
+        let machine = server.member.machine;
+        self.kinds.get(&machine.kind).copied().unwrap_or(1.0 / machine.speed)
+    }
+
+    /// One of the servers, each as often as its machine can do more than the others.
+    fn draw(&mut self, open: &[usize]) -> Option<usize> {
+        let part = |&i: &usize| {
+            let server = &self.servers[i];
+            // A failure costs the whole request, so a server that fails gets less than what is left of it.
+            server.member.machine.cores * (1.0 - server.failing).powi(3) / self.pace(server)
+        };
+        let parts: Vec<f64> = open.iter().map(part).collect();
+        let mut at = self.rng.f64() * parts.iter().sum::<f64>();
+        let place = parts.iter().position(|part| {
+            at -= part;
+            at < 0.0
+        });
+        place.map_or_else(|| open.last(), |place| open.get(place)).copied()
+    }
+
+    /// What two drawn servers are compared by: where none was asked, what is known to be in flight, against
+    /// what the machine can do, as its share of the draws stands for the rest already.
+    fn fill(&self, server: &Server, asked: bool) -> f64 {
+        let load = self.load(server);
+        if asked { load } else { (load - self.slowness(server)) / server.member.machine.cores }
     }
 
     /// Two random servers of the open ones; the one with less in flight wins. Where servers were asked for
@@ -507,10 +549,11 @@
         if open.is_empty() {
             open = self.pool(reach, avoid, false);
         }
-        let (a, b) = (*self.rng.choice(&open)?, *self.rng.choice(&open)?);
+        let (a, b) = (self.draw(&open)?, self.draw(&open)?);
         // A cold server looks idle to all at once: it is taken where drawn first, never for its low load.
         let cold = [a, b].iter().any(|&i| self.servers[i].cold_since.is_some());
-        let less = !(cold && asked.is_empty()) && self.load(&self.servers[b]) < self.load(&self.servers[a]);
+        let fill = |i: usize| self.fill(&self.servers[i], !asked.is_empty());
+        let less = !(cold && asked.is_empty()) && fill(b) < fill(a);
         Some(if less { b } else { a })
     }
 
@@ -711,6 +754,8 @@
         let old = self.pace(&self.servers[i]);
         let server = &mut self.servers[i];
         (server.pace, server.pace_at) = (old + PACE_WEIGHT * (pace - old), self.now);
+        let (machine, usual) = (self.servers[i].member.machine, self.usual(&self.servers[i]));
+        self.kinds.insert(machine.kind, usual + MEAN_WEIGHT * (pace - usual));
         self.unit += MEAN_WEIGHT * (unit.min(4.0 * self.unit) - self.unit);
         let off = elapsed.max(1.0).ln() - self.log_mean;
         self.log_mean += MEAN_WEIGHT * off;
@@ -754,7 +799,7 @@
         let out = request.attempts.iter().filter(|a| a.fate == Fate::Out).count();
         let ran = request.attempts.iter().any(|a| a.fate != Fate::NeverRan);
         let cost = if ran { 1.0 } else { RETRY_UNRUN };
-        // Guards against attempts that end as they begin: a late answer that is worth nothing is not waited for.
+        // Guards against attempts that end as they begin: a late answer worth nothing is not waited for.
         let class = self.class(request);
         let over = class.late_value == 0.0 && self.now + 2 * self.settings.step >= request.aim;
         if out > 1 || over || self.budget < cost {
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,8 @@
     pub(crate) servers: Vec<Server>,
     pub(crate) places: BTreeMap<ServerId, usize>,
     pub(crate) order: Vec<usize>,
+    /// Pace of each kind of machine of which one has served.
+    pub(crate) kinds: BTreeMap<u32, f64>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) alarms: BTreeSet<(Micros, RequestId)>,
     pub(crate) probe_next: Vec<ServerId>,
@@ -59,6 +61,7 @@
             servers: Vec::new(),
             places: BTreeMap::new(),
             order: Vec::new(),
+            kinds: BTreeMap::new(),
             requests: BTreeMap::new(),
             alarms: BTreeSet::new(),
             probe_next: Vec::new(),
@@ -195,7 +198,7 @@
 impl Server {
     pub(crate) fn new(member: Member) -> Self {
         let drained = member.condition == Condition::Draining;
-        Self { member, drained, reached: true, pace: 1.0, ..Self::default() }
+        Self { member, drained, reached: true, pace: 1.0 / member.machine.speed, ..Self::default() }
     }
 
     pub(crate) fn incarnation(&self) -> Micros {
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -399,3 +399,73 @@
     driver.now += 8_000 * MS;
     assert!(logged(&driver.probed(ServerId(3), Outcome::Served), "cleared"));
 }
+
+/// Servers in use by a balancer with a request at each pause, before 60 servers.
+fn part_of_sixty(fee: f64, pause: Micros, seed: u64) -> std::collections::BTreeSet<u32> {
+    let fees = Settings { handshake_fee: fee, index: seed as u32, balancers: 100, ..settings() };
+    let mut driver = Driver::seeded(fees, 60, seed);
+    let mut serve = || {
+        driver.now += pause;
+        driver.serve(0).0
+    };
+    for _ in 0..300 {
+        serve();
+    }
+    (0..300).map(|_| serve()).collect()
+}
+
+#[test]
+fn where_handshakes_are_dear_a_quiet_balancer_keeps_to_few_servers_and_a_busy_one_spreads() {
+    let quiet = part_of_sixty(0.08, 50 * MS, 1).len();
+    let busy = part_of_sixty(0.08, 0, 1).len();
+    assert!((4..=10).contains(&quiet) && busy > 2 * quiet, "{quiet} {busy}");
+    assert!(part_of_sixty(0.0, 50 * MS, 1).len() >= 24);
+}
+
+/// The figure for the fleet: connections held open for use, by all sidecars together, at one job server. It follows
+/// the requests that the job server gets, not the number of sidecars, but for the least that each keeps.
+#[test]
+fn a_hundred_quiet_balancers_spread_their_few_servers_over_all() {
+    let mut users = [0; 60];
+    for seed in 0..100 {
+        part_of_sixty(0.08, 80 * MS, seed).into_iter().for_each(|n| users[n as usize] += 1);
+    }
+    let (least, most) = (users.iter().min().expect("60"), users.iter().max().expect("60"));
+    assert!(*least >= 1 && *most <= 20, "{users:?}");
+}
+
+#[test]
+fn a_machine_that_can_do_more_is_drawn_more_often_from_the_first_request_on() {
+    let big = Machine { kind: 1, cores: 3.0, speed: 1.0 };
+    let small = Machine { kind: 2, cores: 2.0, speed: 0.5 };
+    let mut driver = Driver::new(settings(), 8);
+    for n in 0..8 {
+        driver.tell(changed(Member { machine: if n < 4 { big } else { small }, ..member(n) }));
+    }
+    let on_big = (0..800).filter(|_| driver.serve(0).0 < 4).count();
+    // At first three to one; as all take alike long, the speeds that were told give way to what was learnt.
+    assert!((480..640).contains(&on_big), "{on_big}");
+}
+
+#[test]
+fn what_one_server_shows_tells_of_all_of_its_kind() {
+    let kind = |n: u32| Machine { kind: n / 4, ..Machine::default() };
+    let mut driver = Driver::new(settings(), 8);
+    (0..8).for_each(|n| drop(driver.tell(changed(Member { machine: kind(n), ..member(n) }))));
+    let mut served = |count: u32, of: std::ops::Range<u32>| {
+        let mut seen = 0;
+        for _ in 0..count {
+            let (id, actions) = driver.request(0);
+            let Some(server) = sent(&actions) else { continue };
+            // The first three of the second kind take four times as long; of its last nothing is ever learnt.
+            driver.now += if server.0 < 4 { 20 * MS } else { 80 * MS };
+            let outcome = if server.0 == 7 { Outcome::Cancelled } else { Outcome::Served };
+            driver.end(id, 0, server, outcome);
+            seen += u32::from(of.contains(&server.0));
+        }
+        seen
+    };
+    served(600, 0..8);
+    let last = served(2_000, 7..8);
+    assert!(last < 150, "{last} of 2000 went to a server of a slow kind; 250 were its equal part");
+}
