--- a/src/logic.rs
+++ b/src/logic.rs
@@ -93,8 +93,10 @@
 const STRAIN_SPAN: f64 = 0.35;
 const STRAIN_WEIGHT: f64 = 0.1;
 const STRAIN_HALF: f64 = 3_000_000.0;
-/// First pause before the list is asked for again, doubled up to a share of the time allowed.
+/// First pause before the list is asked for again, and its growth, up to half the time allowed. Guards
+/// against many balancers that keep a full discovery full: it handles a few calls a second, whoever asks.
 const REASK: Micros = 200_000;
+const REASK_GROWTH: Micros = 3;
 
 impl Balancer {
     /// A balancer that knows nothing yet.
@@ -936,7 +938,7 @@
             }
             self.subscribed = false;
             self.ask_at = Some(self.now + self.reask / 2 + self.rng.u64(0..=self.reask));
-            self.reask = (2 * self.reask).min(self.settings.ask_every / 4);
+            self.reask = (REASK_GROWTH * self.reask).min(self.settings.ask_every / 2);
             return;
         }
         if kind != ListKind::WarmCopy {
