--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 
-use arrowstand_controls::{Informed, fingerprint};
+use arrowstand_controls::{Informed, Machines, fingerprint};
 use heronlock::{
-    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Machine, Member,
-    Micros, Outcome, RequestId, Scope, Semantics, ServerId, Settings,
+    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member, Micros,
+    Outcome, RequestId, Scope, Semantics, ServerId, Settings,
 };
 
 use crate::wire::{Arrival, Batch, Conf, Reply, decode, micros};
@@ -27,6 +27,7 @@
     launched: Option<Micros>,
     cell: u32,
     area: String,
+    model: String,
 }
 
 struct Instance {
@@ -35,6 +36,7 @@
     names: Vec<String>,
     classes: Vec<String>,
     zones: Vec<String>,
+    machines: Machines,
     report: ReportShape,
 }
 
@@ -137,6 +139,8 @@
             names: Vec::new(),
             classes: conf.request_classes.iter().map(|c| c.name.clone()).collect(),
             zones: conf.zones.clone(),
+            // Told nothing of them: they have numbers, and what they can do is learnt.
+            machines: Machines::default(),
             report,
         })
     }
@@ -166,8 +170,7 @@
             launched: line.launched,
             zone: zone as u32,
             cell: line.cell,
-            // Told of no kinds here: all machines count alike until they have served.
-            machine: Machine::default(),
+            machine: self.machines.of(&line.model),
         }
     }
 
@@ -329,6 +332,7 @@
                 launched: entry.launched_ms.map(micros).filter(|&at| at > 0),
                 cell: entry.pod.unwrap_or(0),
                 area: entry.area.unwrap_or("").to_owned(),
+                model: entry.model.unwrap_or("").to_owned(),
             });
         }
         self.tables.insert(number, lines);
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -53,6 +53,7 @@
     pub server: &'a str,
     pub pod: Option<u32>,
     pub area: Option<&'a str>,
+    pub model: Option<&'a str>,
 }
 
 /// The settings that the balancer reads; the rest is skipped.
--- a/controls/src/lib.rs
+++ b/controls/src/lib.rs
@@ -4,9 +4,11 @@
 #![warn(missing_docs)]
 
 mod informed;
+mod machines;
 pub mod work;
 
 pub use informed::Informed;
+pub use machines::Machines;
 
 /// A job server's name as a number that every instance computes alike: FNV-1a of its text.
 pub fn fingerprint(text: &str) -> u64 {
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -147,6 +147,10 @@
         sidecar: u32,
         server: u32,
     },
+    /// A new connection has cost a job server its handshake.
+    Opened {
+        server: u32,
+    },
     /// A call at discovery.
     Called {
         sidecar: u32,
--- a/lab/src/model/discovery.rs
+++ b/lab/src/model/discovery.rs
@@ -178,6 +178,7 @@
                 known.insert(server, (listing, launched));
             }
             let zone = self.servers[server as usize].zone;
+            let machine = self.day.told_machine(self.servers[server as usize].machine.kind());
             members.push(Member {
                 server: ServerId(server),
                 fingerprint: fingerprint(&format!("s{server}")),
@@ -189,7 +190,7 @@
                 launched: (launched > 0).then_some(EPOCH + launched),
                 zone,
                 cell: zone,
-                machine: heronlock::Machine::default(),
+                machine,
             });
         }
         self.sidecars[number as usize].version = version;
--- a/lab/src/model/server.rs
+++ b/lab/src/model/server.rs
@@ -266,7 +266,8 @@
         }
         let (capacity, cold) = (server.machine.capacity(self.now), server.machine.is_cold(self.now));
         task.doomed = server.resets > 0.0 && self.machines.chance(server.resets);
-        if task.fresh {
+        let fresh = task.fresh;
+        if fresh {
             server.machine.handshake(self.now, &mut self.events);
         }
         let taken = !server.draining
@@ -274,6 +275,9 @@
         if taken {
             server.jobs.insert(job, key);
         }
+        if fresh {
+            self.note(Entry::Opened { server: number });
+        }
         self.note(Entry::Arrived { tx, server: number, work, capacity, cold });
         if !taken {
             self.note(Entry::TurnedAway { tx, server: number });
@@ -435,6 +439,9 @@
         let load = server.machine.probe(self.now, &mut self.events).map(load);
         let outcome = if load.is_some() { Outcome::Served } else { Outcome::Rejected };
         self.after(delay, back(outcome, load));
+        if fresh {
+            self.note(Entry::Opened { server: number });
+        }
         if self.sidecars[sidecar as usize].life == life {
             self.keep(sidecar, number, self.now + delay, start);
         } else {
--- a/lab/src/model/sidecar.rs
+++ b/lab/src/model/sidecar.rs
@@ -69,7 +69,7 @@
         max_retry_after: from_ms(day.allow.max_retry_after_ms),
         max_attempts: day.allow.max_attempts,
         probe_fee: day.prices.probe,
-        handshake_fee: 0.0,
+        handshake_fee: day.prices.handshake,
         idle_close: from_s(day.allow.idle_s),
         connection_fee: 0.0,
         cross_zone_fee: day.prices.cross_zone,
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -55,6 +55,7 @@
     pub arrived: u64,
     pub turned_away: u64,
     pub probes: u64,
+    pub handshakes: u64,
     /// Work done, in seconds of a standard core.
     pub work_s: f64,
     pub fell: bool,
@@ -91,6 +92,7 @@
     pub routed: u64,
     pub crossing: u64,
     pub probes: u64,
+    pub handshakes: u64,
     pub list_calls: u64,
     /// Most calls at discovery in one second.
     pub list_calls_peak: u32,
@@ -164,6 +166,7 @@
             let means = self.fleet.iter().filter(|s| s.gauges > 0).map(|s| f(s) as f64 / s.gauges as f64);
             means.sum::<f64>() / self.servers.max(1) as f64
         };
+        let most = |f: fn(&Fleet) -> u64| self.fleet.iter().map(f).max().unwrap_or(0) as f64;
         let share = |how: How| self.count(how) as f64 / self.transactions.max(1) as f64;
         Some(match name {
             "service" => self.service,
@@ -178,6 +181,10 @@
             "wasted" => self.wasted,
             "goodput" => self.whole * self.asked as f64 / self.seconds,
             "probes_per_server" => per_server(self.probes as f64),
+            "probes_most" => most(|s| s.probes) / self.seconds,
+            "handshakes_per_server" => per_server(self.handshakes as f64),
+            "handshakes_most" => most(|s| s.handshakes) / self.seconds,
+            "connections_most" => most(|s| u64::from(s.connections_most)),
             "connections_per_server" => gauged(|s| s.connections_sum),
             "held_per_server" => gauged(|s| s.held_sum),
             "list_calls" => self.list_calls as f64 / self.seconds,
@@ -194,7 +201,7 @@
 }
 
 /// The names that [`Report::figure`] knows.
-pub const FIGURES: [&str; 22] = [
+pub const FIGURES: [&str; 26] = [
     "service",
     "service_after_prices",
     "whole",
@@ -207,6 +214,10 @@
     "wasted",
     "goodput",
     "probes_per_server",
+    "probes_most",
+    "handshakes_per_server",
+    "handshakes_most",
+    "connections_most",
     "connections_per_server",
     "held_per_server",
     "list_calls",
@@ -249,10 +260,11 @@
         writeln!(f, "answers: {}", ends(&self.answered))?;
         writeln!(
             f,
-            "routed tasks {} ({} crossing zones), probes {}, list calls {} (peak {} a second), work wasted {:.1} %",
+            "routed tasks {} ({} crossing zones), probes {}, handshakes {}, list calls {} (peak {} a second), work wasted {:.1} %",
             self.routed,
             self.crossing,
             self.probes,
+            self.handshakes,
             self.list_calls,
             self.list_calls_peak,
             100.0 * self.wasted
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -158,6 +158,8 @@
         count: usize = 3,
         /// How unevenly traffic falls on them: coefficient of variation of their parts.
         skew: f64 = 0.0,
+        /// They are told what each kind of job server can do, as by an operator's table.
+        knows_kinds: bool = false,
         memory_mb: u64 = 192,
         sockets: u64 = 1_024,
     }
@@ -327,6 +329,7 @@
         cross_zone: f64 = 0.015,
         waste: f64 = 0.022,
         probe: f64 = 0.0021,
+        handshake: f64 = 0.0,
         late_fail: f64 = 0.05,
     }
 }
@@ -416,6 +419,15 @@
             .collect()
     }
 
+    /// What a sidecar is told of a kind of job server: its number, and its size where the day says so.
+    pub fn told_machine(&self, kind: &Kind) -> heronlock::Machine {
+        let number = self.kind.iter().position(|k| k.name == kind.name).map_or(0, |n| n as u32 + 1);
+        match self.sidecars.knows_kinds {
+            true => heronlock::Machine { kind: number, cores: f64::from(kind.cores), speed: kind.speed },
+            false => heronlock::Machine::default(),
+        }
+    }
+
     /// Work the warm fleet does in a second, in seconds of a standard core.
     pub fn capacity(&self) -> f64 {
         self.fleet().iter().map(|(kind, _)| f64::from(kind.cores) * kind.speed).sum()
--- a/lab/src/stage/discovery.rs
+++ b/lab/src/stage/discovery.rs
@@ -122,7 +122,7 @@
                 "uid": format!("s{server}"),
                 "endpoint": stand_in.addresses.get(sidecar as usize).map(ToString::to_string),
                 "az": zones.get(stand_in.zone as usize),
-                "model": "stand-in",
+                "model": stand_in.told_kind(),
                 "pod_group": stand_in.zone,
                 "state": match line.listing {
                     Listing::Ready => "ready",
--- a/lab/src/stage/process.rs
+++ b/lab/src/stage/process.rs
@@ -93,7 +93,7 @@
             "max-attempts": allow.max_attempts, "connect-timeout-ms": allow.connect_timeout_ms,
             "idle-close-ms": allow.idle_s * 1_000.0,
         },
-        "fees": {"probe": day.prices.probe, "cross-zone": day.prices.cross_zone},
+        "fees": {"probe": day.prices.probe, "handshake": day.prices.handshake, "cross-zone": day.prices.cross_zone},
         "report": {"source": "probe", "fields": ["active", "err_rps", "waiting"]},
         "safety": {
             "ask-every-ms": allow.ask_every_ms, "drain-grace-ms": day.rules.drain_grace_ms,
@@ -155,6 +155,18 @@
         Ok(path)
     }
 
+    /// The operator's table of kinds, empty where sidecars are told of none.
+    fn write_machines(&self) -> Result<PathBuf, String> {
+        let day = &self.shared.day;
+        let told = day.kind.iter().filter(|_| day.sidecars.knows_kinds);
+        let told: Vec<Value> =
+            told.map(|k| json!({"model": k.name, "cores": k.cores, "speed": k.speed})).collect();
+        let path = self.folder.join("machines.json");
+        let text = json!({"machines": told}).to_string();
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(path)
+    }
+
     fn log(&self, number: usize) -> PathBuf {
         let life = self.list[number].life.load(Ordering::SeqCst);
         self.folder.join(format!("n{number}-{life}.log"))
@@ -164,11 +176,13 @@
         self.shared.note(Entry::Sidecar { sidecar: number as u32, life: Life::Up });
         let config = self.write_config(number)?;
         let log = File::create(self.log(number)).map_err(|e| format!("the log of n{number}: {e}"))?;
+        let machines = self.write_machines()?;
         let child = Command::new(&self.program)
             .env_remove("NODE_NAME")
             .env_remove("NODE_LISTEN")
             .env_remove("NODE_DISCOVERY")
             .env("NODE_CONFIG", config)
+            .env("ARROWSTAND_MACHINES", machines)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
--- a/lab/src/stage/stand_in.rs
+++ b/lab/src/stage/stand_in.rs
@@ -302,6 +302,12 @@
         inner.machine.next()
     }
 
+    /// What the table calls its kind; nothing where sidecars are told of none, as in the model.
+    pub fn told_kind(&self) -> String {
+        let told = self.shared.day.sidecars.knows_kinds;
+        if told { lock(&self.inner).machine.kind().name.clone() } else { String::new() }
+    }
+
     // Connections.
 
     async fn serve(self: Arc<Self>, stream: TcpStream, sidecar: u32) {
@@ -312,6 +318,7 @@
         if !room {
             return;
         }
+        self.shared.note(Entry::Opened { server: self.number() });
         let mut wire = Wire::new(stream);
         // A new start, or the end of the process, resets what is open.
         let over = async {
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -65,6 +65,7 @@
     routed: u64,
     crossing: u64,
     probes: u64,
+    handshakes: u64,
     calls: Vec<u32>,
     late_worth: f64,
     restarts: Vec<Micros>,
@@ -101,6 +102,7 @@
             routed: 0,
             crossing: 0,
             probes: 0,
+            handshakes: 0,
             calls: vec![0; seconds],
             late_worth: 0.0,
             restarts: Vec::new(),
@@ -191,6 +193,7 @@
         let offered = asked * self.day.mean_work() * 1e6;
         let spent = prices.cross_zone * self.crossing as f64 / asked
             + prices.probe * self.probes as f64 / asked
+            + prices.handshake * self.handshakes as f64 / asked
             + prices.waste * waste / offered.max(1.0)
             + prices.late_fail * self.late_worth / self.whole.asked.max(f64::MIN_POSITIVE);
         let names = |how: &FxHashMap<How, u64>| {
@@ -231,6 +234,7 @@
             routed: self.routed,
             crossing: self.crossing,
             probes: self.probes,
+            handshakes: self.handshakes,
             list_calls: self.calls.iter().map(|&c| u64::from(c)).sum(),
             list_calls_peak: self.calls.iter().copied().max().unwrap_or(0),
             wasted: waste / self.work_done.max(1.0),
@@ -287,6 +291,10 @@
                 self.probes += 1;
                 self.server(server).probes += 1;
             }
+            Entry::Opened { server } => {
+                self.handshakes += 1;
+                self.server(server).handshakes += 1;
+            }
             Entry::Called { .. } => {
                 if let Some(calls) = self.calls.get_mut(second) {
                     *calls += 1;
--- a/lab/tests/model.rs
+++ b/lab/tests/model.rs
@@ -119,3 +119,21 @@
     let slow = play(&Scenario::read("slow", &format!("{text}{trouble}")).expect("good")).0;
     assert!(slow.service < calm.service - 0.02, "{} {}", slow.service, calm.service);
 }
+
+/// What the fleet costs, at the size of `docs/fleet.md`: a bound on each job server's handshakes and probes a second.
+#[test]
+fn days_of_a_large_fleet_keep_the_rules_and_spare_each_job_server() {
+    for name in ["fleet-herd", "fleet-zone", "fleet-join"] {
+        for seed in [1, 2] {
+            let (report, _) = model::run(&day(name, &[("seed", seed.into())]).day, None).expect("played");
+            assert_eq!(report.broken, Vec::<String>::new(), "{name}, seed {seed}");
+            assert_eq!(report.fleet.iter().filter(|s| s.fell).count(), 0, "{name}: none is pushed over");
+            for (figure, most) in
+                [("handshakes_most", 15.0), ("probes_most", 8.0), ("connections_most", 65.0)]
+            {
+                let seen = report.figure(figure).expect("known");
+                assert!(seen <= most, "{name}, seed {seed}: {figure} {seen}");
+            }
+        }
+    }
+}
--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use arrowstand_controls::Machines;
 use heronlock::{Class, Micros, Scope, Semantics, Settings};
 
 use crate::json::{self, Node};
 use crate::limits::{Basis, Limits};
-use crate::machines::Machines;
+use crate::machines;
 use crate::service_table::Table;
 
 /// What this sidecar was told at start.
@@ -89,7 +90,7 @@
         }
         let (settings, mut names) = settings(&conf)?;
         if let Some(path) = variable("ARROWSTAND_MACHINES") {
-            names.machines = Machines::load(&path)?;
+            names.machines = machines::load(&path)?;
         }
         let own = root.at("limits");
         let permissions = conf.at("permissions");
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use arrowstand_controls::{Informed, fingerprint};
+use arrowstand_controls::{Informed, Machines, fingerprint};
 use heronlock::{Action, ClassId, Condition, Event, ListKind, Member, Micros, Outcome, RequestId, ServerId};
 use tokio::sync::{Notify, mpsc};
 
@@ -19,7 +19,6 @@
 use crate::config::Names;
 use crate::counters::Counters;
 use crate::limits::Limits;
-use crate::machines::Machines;
 use crate::service_table::Table;
 
 /// A job server as the service table names it.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -504,14 +504,21 @@
     }
 
     /// The pace of a server's kind. Guards against learning that comes too late where a balancer sends each
-    /// server next to nothing: what one server shows tells of all machines like it.
+    /// server next to nothing: what one server shows tells of all machines like it. Servers that are asked
+    /// before a send speak for themselves.
     fn usual(&self, server: &Server) -> f64 {
         let machine = server.member.machine;
+        if self.looks() {
+            return 1.0;
+        }
         self.kinds.get(&machine.kind).copied().unwrap_or(1.0 / machine.speed)
     }
 
-    /// One of the servers, each as often as its machine can do more than the others.
+    /// One of the servers; where they are not asked, each as often as its machine can do more than others.
     fn draw(&mut self, open: &[usize]) -> Option<usize> {
+        if self.looks() {
+            return self.rng.choice(open).copied();
+        }
         let part = |&i: &usize| {
             let server = &self.servers[i];
             // A failure costs the whole request, so a server that fails gets less than what is left of it.
@@ -526,11 +533,11 @@
         place.map_or_else(|| open.last(), |place| open.get(place)).copied()
     }
 
-    /// What two drawn servers are compared by: where none was asked, what is known to be in flight, against
+    /// What two drawn servers are compared by: where they are not asked, what is known to be out, against
     /// what the machine can do, as its share of the draws stands for the rest already.
-    fn fill(&self, server: &Server, asked: bool) -> f64 {
+    fn fill(&self, server: &Server) -> f64 {
         let load = self.load(server);
-        if asked { load } else { (load - self.slowness(server)) / server.member.machine.cores }
+        if self.looks() { load } else { (load - self.slowness(server)) / server.member.machine.cores }
     }
 
     /// Two random servers of the open ones; the one with less in flight wins. Where servers were asked for
@@ -554,7 +561,7 @@
         let (a, b) = (self.draw(&open)?, self.draw(&open)?);
         // A cold server looks idle to all at once: it is taken where drawn first, never for its low load.
         let cold = [a, b].iter().any(|&i| self.servers[i].cold_since.is_some());
-        let fill = |i: usize| self.fill(&self.servers[i], !asked.is_empty());
+        let fill = |i: usize| self.fill(&self.servers[i]);
         let less = !(cold && asked.is_empty()) && fill(b) < fill(a);
         Some(if less { b } else { a })
     }
