--- a/sidecar/src/front/http.rs
+++ b/sidecar/src/front/http.rs
@@ -146,7 +146,7 @@
                     let terminal = terminal.unwrap_or_else(Terminal::new);
                     let mut reply = this.answer(request, &terminal).await;
                     terminal.answered();
-                    if this.closing.get() {
+                    if this.closing.get() || terminal.leaving() {
                         reply.head_mut().set_connection_type(ConnectionType::Close);
                     }
                     Ok::<_, Infallible>(reply)
--- a/sidecar/src/front/line.rs
+++ b/sidecar/src/front/line.rs
@@ -23,6 +23,10 @@
     fresh: Cell<bool>,
     /// It has been answered before.
     known: Cell<bool>,
+    /// Bytes of an answer are still to be written.
+    owing: Cell<bool>,
+    /// It is to close as soon as nothing is owed.
+    leaving: Cell<bool>,
     leave: Notify,
 }
 
@@ -30,7 +34,8 @@
     pub fn new() -> Rc<Self> {
         let (idle_since, begun) = (Cell::new(Some(Instant::now())), Cell::new(None));
         let (fresh, known, leave) = (Cell::new(false), Cell::new(false), Notify::new());
-        Rc::new(Self { idle_since, begun, fresh, known, leave })
+        let (owing, leaving) = (Cell::new(false), Cell::new(false));
+        Rc::new(Self { idle_since, begun, fresh, known, owing, leaving, leave })
     }
 
     fn heard(&self) {
@@ -56,19 +61,35 @@
         self.begun.set(None);
         self.fresh.set(false);
         self.known.set(true);
+        self.owing.set(true);
+    }
+
+    /// All that was to be written is with the machine.
+    fn written(&self) {
+        if self.owing.replace(false) && self.leaving.get() {
+            self.leave.notify_one();
+        }
     }
 
     /// Who goes first where places are short: those that were answered, which ask again on a new connection,
     /// then those that are idle for longest. Guards first requests against a crowd that says nothing: one that
     /// has connected ahead loses its request with its place.
     pub fn idle(&self) -> Option<(bool, Instant)> {
-        self.idle_since.get().filter(|_| self.begun.get().is_none()).map(|since| (!self.known.get(), since))
+        let free = self.begun.get().is_none() && !self.owing.get();
+        self.idle_since.get().filter(|_| free).map(|since| (!self.known.get(), since))
     }
 
+    /// Asks it to close once nothing is owed.
     pub fn dismiss(&self) {
+        self.leaving.set(true);
         self.leave.notify_one();
     }
 
+    /// True where its next answer is its last.
+    pub fn leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     fn deadline(&self, limits: &Limits) -> Option<Instant> {
         let idle = self.idle_since.get()? + limits.terminal_idle;
         let Some(begun) = self.begun.get() else { return Some(idle) };
@@ -81,7 +102,17 @@
     pub async fn overstayed(&self, limits: &Limits) {
         loop {
             let due = self.deadline(limits).unwrap_or_else(|| Instant::now() + limits.terminal_idle / 4);
-            tokio::select! { () = sleep_until(due) => {}, () = self.leave.notified() => return }
+            tokio::select! {
+                () = sleep_until(due) => {}
+                () = self.leave.notified() => {
+                    // Guards against a request that the machine has and this program has not read yet: the
+                    // sockets are looked at once more before "idle" counts, and a request that is read is answered.
+                    tokio::task::yield_now().await;
+                    if self.idle().is_some() {
+                        return;
+                    }
+                }
+            }
             if self.deadline(limits).is_some_and(|due| due <= Instant::now()) {
                 return;
             }
@@ -116,10 +147,42 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if flushed.is_ready() {
+            self.terminal.written();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    async fn leaves(terminal: &Terminal, limits: &Limits) -> bool {
+        tokio::time::timeout(std::time::Duration::from_millis(50), terminal.overstayed(limits)).await.is_ok()
+    }
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_dismissed_terminal_stays_until_it_is_owed_nothing() {
+        let limits = Limits::derive(&crate::limits::Basis { sockets: 64, ..Default::default() });
+        let terminal = Terminal::new();
+        terminal.dismiss();
+        assert!(leaves(&terminal, &limits).await, "silent");
+        terminal.dismiss();
+        terminal.heard();
+        assert!(!leaves(&terminal, &limits).await, "a request has begun");
+        terminal.opened();
+        terminal.dismiss();
+        assert!(!leaves(&terminal, &limits).await, "a transaction is open");
+        terminal.answered();
+        terminal.dismiss();
+        assert!(!leaves(&terminal, &limits).await, "its answer is not written");
+        terminal.written();
+        assert!(leaves(&terminal, &limits).await, "its answer is written");
+    }
+}
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -2,7 +2,7 @@
 //!
 //! A recording names its parties: terminals (T1, T2 ...), connections that the program opens to job servers
 //! (S1, S2 ... in the order they come), to discovery (D1 ...) and to where it moves (E1 ...), and the program (P). Nothing is
-//! measured: every wait ends with what is awaited, or fails the test.
+//! measured: every wait ends with what is awaited, or fails the test. A pause only lets a time-out of the program pass.
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -155,6 +155,12 @@
                 writeln!(self.transcript, "{party} no further connection: {none}").expect("written");
             }
             "stop" => self.signal("-TERM"),
+            "halt" => self.signal("-STOP"),
+            "resume" => self.signal("-CONT"),
+            "pause" => {
+                let span = text.trim().strip_suffix("ms").and_then(|t| t.parse().ok()).expect("a time in ms");
+                thread::sleep(Duration::from_millis(span));
+            }
             "reload" => {
                 let (path, old) = &self.config;
                 let named = format!(r#""discovery":"{}""#, address(&self.moved));
@@ -234,7 +240,7 @@
     stop_answers_what_is_owed redirect_is_not_followed silent_watch_is_lost
     silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
     interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
-    moved_server_leaves_no_connection first_requests_keep_their_places
+    moved_server_leaves_no_connection first_requests_keep_their_places stop_answers_what_is_unread
 }
 
 #[test]
