Take what the machine has accepted before the listener goes at SIGTERM

Now Front::close tells the accepting task, which takes what is there (one more look at the sockets) past the bound of places too, and ends; a full descriptor table ends it with one line in the log. Test: stop_answers_what_is_not_accepted (halted from 0.1 s to 1 s after SIGTERM); without the change the job server never gets the request.

--- a/sidecar/src/front/http.rs
+++ b/sidecar/src/front/http.rs
@@ -16,6 +16,7 @@
 use futures_util::StreamExt as _;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::line::{Line, Terminal};
@@ -33,6 +34,7 @@
     terminals: RefCell<BTreeMap<u64, Rc<Terminal>>>,
     next: Cell<u64>,
     changed: Notify,
+    stopping: Notify,
     closing: Cell<bool>,
 }
 
@@ -44,11 +46,11 @@
 impl Front {
     pub fn new(core: Rc<Core>, upstream: Rc<Upstream>) -> Rc<Self> {
         let (open, terminals, next) = (Cell::new(0), RefCell::default(), Cell::new(0));
-        let (changed, closing) = (Notify::new(), Cell::new(false));
-        Rc::new(Self { core, upstream, open, terminals, next, changed, closing })
+        let (changed, stopping, closing) = (Notify::new(), Notify::new(), Cell::new(false));
+        Rc::new(Self { core, upstream, open, terminals, next, changed, stopping, closing })
     }
 
-    /// Accepts terminals until the listener is dropped with this future.
+    /// Accepts terminals until [`Front::close`], and then those whom the machine has accepted.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let Ok(service) = self.service().new_service(()).await else { return };
         let service = Rc::new(service);
@@ -56,11 +58,23 @@
         let crowded = Rc::new(crowded);
         let limits = Rc::clone(&self.core.limits);
         loop {
-            while self.open.get() >= limits.terminals_most {
-                self.changed.notified().await;
+            while self.open.get() >= limits.terminals_most && !self.closing.get() {
+                tokio::select! { () = self.changed.notified() => {}, () = self.stopping.notified() => {} }
             }
-            let stream = match listener.accept().await {
+            // Guards against requests on connections that the machine has accepted and this program has not:
+            // the last of them are taken before the listener goes.
+            let next = tokio::select! {
+                biased;
+                next = listener.accept() => next,
+                () = self.stopping.notified(), if !self.closing.get() => continue,
+                () = tokio::task::yield_now(), if self.closing.get() => return,
+            };
+            let stream = match next {
                 Ok((stream, _)) => stream,
+                Err(e) if self.closing.get() => {
+                    tracing::warn!("accept: {e}");
+                    return;
+                }
                 Err(e) => {
                     tracing::warn!("accept: {e}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
@@ -113,9 +127,11 @@
         Place { front: Rc::clone(self), number }
     }
 
-    /// Closes idle connections and waits until what is owed is answered.
-    pub async fn close(&self) {
+    /// Ends the accepting, closes idle connections and waits until what is owed is answered.
+    pub async fn close(&self, accept: JoinHandle<()>) {
         self.closing.set(true);
+        self.stopping.notify_one();
+        let _ = accept.await;
         self.terminals.borrow().values().filter(|t| t.idle().is_some()).for_each(|t| t.dismiss());
         while self.open.get() > 0 {
             self.changed.notified().await;
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -102,8 +102,7 @@
     // been taken is answered before the end.
     let stopping = tokio::time::Instant::now();
     tokio::time::sleep(limits.stop_accepting).await;
-    accept.abort();
-    let _ = tokio::time::timeout_at(stopping + limits.stop_most, front.close()).await;
+    let _ = tokio::time::timeout_at(stopping + limits.stop_most, front.close(accept)).await;
     tracing::info!("stopped\n{counters}");
     Ok(())
 }
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -241,6 +241,7 @@
     silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
     interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
     moved_server_leaves_no_connection first_requests_keep_their_places stop_answers_what_is_unread
+    stop_answers_what_is_not_accepted
 }
 
 #[test]
