Keep the bound on terminals while the last connections are taken at the stop

Now the bound holds there too, and the accepting ends at it; beyond it connections are reset, as all were before. Two arms for a failed accept are one.

--- a/sidecar/src/front/http.rs
+++ b/sidecar/src/front/http.rs
@@ -58,7 +58,11 @@
         let crowded = Rc::new(crowded);
         let limits = Rc::clone(&self.core.limits);
         loop {
-            while self.open.get() >= limits.terminals_most && !self.closing.get() {
+            while self.open.get() >= limits.terminals_most {
+                // Guards against a crowd at the stop that takes the descriptors of what is still owed.
+                if self.closing.get() {
+                    return;
+                }
                 tokio::select! { () = self.changed.notified() => {}, () = self.stopping.notified() => {} }
             }
             // Guards against requests on connections that the machine has accepted and this program has not:
@@ -71,12 +75,11 @@
             };
             let stream = match next {
                 Ok((stream, _)) => stream,
-                Err(e) if self.closing.get() => {
-                    tracing::warn!("accept: {e}");
-                    return;
-                }
                 Err(e) => {
                     tracing::warn!("accept: {e}");
+                    if self.closing.get() {
+                        return;
+                    }
                     tokio::time::sleep(Duration::from_millis(10)).await;
                     continue;
                 }
