Write the stage's table of kinds once, not under the sidecars that read it as they start

Seen: the project's checks failed once in lab/tests/stage.rs, "n0 was not ready in 20s". Not a fault of the sidecar: the log of such a start reads "ARROWSTAND_MACHINES: .../machines.json: Parse error at line:1, col:0: Unexpected EOF". `start` (lab/src/stage/process.rs) wrote the one table of kinds again for each sidecar, and a sidecar started just before read the file between its truncation and its writing.

Ruled out: two stages that choose the same ports (offsets of process numbers up to 60 apart give no common port), and ports taken by outgoing connections (the range begins above the stage's).

A sidecar that ends at its start is now told at once with the last line of its log, where the stage waited for 20 s and named only the file.

--- a/lab/src/stage/process.rs
+++ b/lab/src/stage/process.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -36,6 +36,8 @@
     /// Counters of lives that ended by themselves.
     ended: Mutex<Counters>,
     killed: AtomicU32,
+    /// Killed, and not yet known to be gone.
+    dying: AtomicBool,
     seeds: Mutex<Stream>,
 }
 
@@ -45,6 +47,8 @@
     discovery: Arc<Discovery>,
     program: PathBuf,
     folder: PathBuf,
+    /// The operator's table of kinds, read by each sidecar that starts.
+    machines: PathBuf,
     list: Vec<Sidecar>,
 }
 
@@ -103,6 +107,17 @@
     })
 }
 
+/// The operator's table of kinds, empty where sidecars are told of none.
+fn write_machines(day: &Day, folder: &Path) -> Result<PathBuf, String> {
+    let told = day.kind.iter().filter(|_| day.sidecars.knows_kinds);
+    let told: Vec<Value> =
+        told.map(|k| json!({"model": k.name, "cores": k.cores, "speed": k.speed})).collect();
+    let path = folder.join("machines.json");
+    let text = json!({"machines": told}).to_string();
+    std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(path)
+}
+
 impl Sidecars {
     pub fn new(
         shared: &Arc<Shared>,
@@ -119,12 +134,15 @@
                 child: Mutex::new(None),
                 ended: Mutex::default(),
                 killed: AtomicU32::new(0),
+                dying: AtomicBool::new(false),
                 seeds: Mutex::new(Stream::new(shared.day.seed, Cause::Seeds, number)),
             })
         };
         let list = (0..shared.day.sidecars.count).map(one).collect::<Result<_, String>>()?;
         let (shared, discovery) = (Arc::clone(shared), Arc::clone(discovery));
-        Ok(Arc::new(Self { shared, discovery, program: options.program.clone(), folder, list }))
+        // Written once: guards against a sidecar that reads it, as it starts, while it is written for the next.
+        let machines = write_machines(&shared.day, &folder)?;
+        Ok(Arc::new(Self { shared, discovery, program: options.program.clone(), folder, machines, list }))
     }
 
     pub fn address(&self, number: usize) -> SocketAddr {
@@ -136,6 +154,13 @@
         self.list[number as usize].life.load(Ordering::SeqCst)
     }
 
+    /// Waits until a sidecar that is being killed is recorded as gone: what it closed on was lost by the kill.
+    pub async fn settled(&self, number: u32) {
+        while self.list[number as usize].dying.load(Ordering::SeqCst) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     fn write_config(&self, number: usize) -> Result<PathBuf, String> {
         let sidecar = &self.list[number];
         let (known, told) = self.discovery.whole(number as u32);
@@ -155,18 +180,6 @@
         Ok(path)
     }
 
-    /// The operator's table of kinds, empty where sidecars are told of none.
-    fn write_machines(&self) -> Result<PathBuf, String> {
-        let day = &self.shared.day;
-        let told = day.kind.iter().filter(|_| day.sidecars.knows_kinds);
-        let told: Vec<Value> =
-            told.map(|k| json!({"model": k.name, "cores": k.cores, "speed": k.speed})).collect();
-        let path = self.folder.join("machines.json");
-        let text = json!({"machines": told}).to_string();
-        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
-        Ok(path)
-    }
-
     fn log(&self, number: usize) -> PathBuf {
         let life = self.list[number].life.load(Ordering::SeqCst);
         self.folder.join(format!("n{number}-{life}.log"))
@@ -176,13 +189,12 @@
         self.shared.note(Entry::Sidecar { sidecar: number as u32, life: Life::Up });
         let config = self.write_config(number)?;
         let log = File::create(self.log(number)).map_err(|e| format!("the log of n{number}: {e}"))?;
-        let machines = self.write_machines()?;
         let child = Command::new(&self.program)
             .env_remove("NODE_NAME")
             .env_remove("NODE_LISTEN")
             .env_remove("NODE_DISCOVERY")
             .env("NODE_CONFIG", config)
-            .env("ARROWSTAND_MACHINES", machines)
+            .env("ARROWSTAND_MACHINES", &self.machines)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -204,17 +216,19 @@
                     if let Ok(answer) = get(sidecar.address, "/ready").await
                         && answer.status == 200
                     {
-                        return;
+                        return Ok(());
+                    }
+                    if let Some(ended) = lock(&sidecar.child).as_mut().and_then(|c| c.try_wait().ok()?) {
+                        let said = std::fs::read_to_string(self.log(number)).unwrap_or_default();
+                        let last = said.lines().last().unwrap_or("nothing in its log");
+                        return Err(format!("n{number} ended at its start ({ended}): {last}"));
                     }
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             };
-            if tokio::time::timeout(READY, ready).await.is_err() {
-                return Err(format!(
-                    "n{number} was not ready in {READY:?}: see {}",
-                    self.log(number).display()
-                ));
-            }
+            let late =
+                |_| Err(format!("n{number} was not ready in {READY:?}: {}", self.log(number).display()));
+            tokio::time::timeout(READY, ready).await.unwrap_or_else(late)?;
         }
         Ok(())
     }
@@ -243,10 +257,12 @@
             sidecar.life.fetch_add(1, Ordering::SeqCst);
             sidecar.killed.fetch_add(1, Ordering::SeqCst);
             self.shared.note(Entry::Sidecar { sidecar: name, life: Life::Killed });
+            sidecar.dying.store(true, Ordering::SeqCst);
             self.signal(number, Signal::SIGKILL);
             self.wait(number, READY).await;
             // What came between the signal and its effect was lost by the same kill.
             self.shared.note(Entry::Sidecar { sidecar: name, life: Life::Killed });
+            sidecar.dying.store(false, Ordering::SeqCst);
         } else {
             self.shared.note(Entry::Sidecar { sidecar: name, life: Life::Ending });
             let log = self.log(number);
@@ -264,7 +280,7 @@
     }
 
     /// Reads the counters that a sidecar printed as it ended; false if it did not.
-    fn told(&self, number: usize, log: &std::path::Path) -> bool {
+    fn told(&self, number: usize, log: &Path) -> bool {
         let said = std::fs::read_to_string(log).unwrap_or_default();
         let last = said.rsplit_once("stopped\n").map(|(_, last)| read(last));
         last.as_ref().inspect(|last| add(&mut lock(&self.list[number].ended), last)).is_some()
--- a/lab/src/stage/terminal.rs
+++ b/lab/src/stage/terminal.rs
@@ -186,6 +186,7 @@
                     // A connection that was closed as the request crossed is tried once more on a new one,
                     // unless its sidecar was ended in between: then what it did is not known.
                     Err(fault) => {
+                        self.sidecars.settled(self.sidecar).await;
                         let crossed = reused && is_close(&fault) && self.sidecars.life(self.sidecar) == life;
                         if !crossed {
                             return (if taken { How::Cut } else { How::Unreached }, None);
--- a/lab/tests/stage.rs
+++ b/lab/tests/stage.rs
@@ -143,6 +143,30 @@
     assert!(report.remarks.iter().any(|r| r.contains("were killed")), "{report}");
 }
 
+/// Guards against a file that one sidecar reads at its start while it is written for the next.
+#[test]
+fn many_sidecars_start_at_once() {
+    let day = SMALL.replace("seconds = 4.0", "seconds = 1.0").replace("count = 2", "count = 60");
+    let scenario =
+        Scenario::read("many", &format!("name = \"many\"\n{day}")).unwrap_or_else(|f| panic!("{f}"));
+    let folder = std::env::temp_dir().join(format!("arrowstand-lab-many-{}", std::process::id()));
+    let played = run(&scenario.day, &Options { program: program(), folder: Some(folder.clone()) }, None);
+    let report = played.expect("all start");
+    let _ = std::fs::remove_dir_all(folder);
+    assert_eq!(report.broken, Vec::<String>::new(), "{report}");
+}
+
+#[test]
+fn a_sidecar_that_ends_at_its_start_is_told_at_once() {
+    let scenario =
+        Scenario::read("ends", &format!("name = \"ends\"\n{SMALL}")).unwrap_or_else(|f| panic!("{f}"));
+    let folder = std::env::temp_dir().join(format!("arrowstand-lab-ends-{}", std::process::id()));
+    let options = Options { program: "/bin/false".into(), folder: Some(folder.clone()) };
+    let fault = run(&scenario.day, &options, None).err();
+    let _ = std::fs::remove_dir_all(folder);
+    assert_eq!(fault.as_deref(), Some("n0 ended at its start (exit status: 1): nothing in its log"),);
+}
+
 #[test]
 fn a_stage_that_stood_still_says_that_its_figures_are_not_to_be_relied_on() {
     use nix::sys::signal::{Signal, kill};
