Hold the ports of recorded exchanges until the program listens: no two tests share one

Seen: two of 30 recordings failed at once in one run of the checks, "S1 did not come" in one and "a whole head ... after []" in the other. `Stage::start` (sidecar/tests/exchanges.rs) took a free port for the program, closed it, and the program bound it later; in between the machine gave the same port to another test's stand-in. The one test's program then ended at its start (address in use), and its wait for the listener counted as a connection at the other one's job server.

The port is now held, bound and not listening, by a socket that lets the program share it; so are the ports of job servers that shall refuse.

--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -11,6 +11,8 @@
 use std::time::{Duration, Instant};
 use std::{collections::HashMap, fmt::Write as _, fs, thread};
 
+use tokio::net::TcpSocket;
+
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// The program and all that it talks to; what it says goes into the transcript.
@@ -24,6 +26,8 @@
     config: (PathBuf, String),
     links: HashMap<String, TcpStream>,
     transcript: String,
+    /// The program's own address and those where nobody listens.
+    _held: Vec<TcpSocket>,
 }
 
 fn option(line: &str, name: &str) -> Option<usize> {
@@ -36,6 +40,16 @@
     listener
 }
 
+/// A free address that the program may listen on, but which nobody else is given while it is held. Guards against
+/// a test that plays against another one's program, or against none, since it took its port before it listened.
+fn hold() -> (TcpSocket, String) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    socket.set_reuseaddr(true).expect("shared with a listener");
+    let address = socket.local_addr().expect("bound").to_string();
+    (socket, address)
+}
+
 fn address(listener: &TcpListener) -> String {
     listener.local_addr().expect("bound").to_string()
 }
@@ -57,12 +71,14 @@
         let mut servers: Vec<_> = (0..count("servers", 1)).map(|_| free_port()).collect();
         let mut addresses: Vec<String> = servers.iter().map(address).collect();
         servers.extend((0..count("spare", 0)).map(|_| free_port()));
-        addresses.extend((0..count("dead", 0)).map(|_| address(&free_port())));
+        let (mut held, dead): (Vec<_>, Vec<_>) = (0..count("dead", 0)).map(|_| hold()).unzip();
+        addresses.extend(dead);
         let target = |(i, a): (usize, &String)| {
             format!(r#"{{"uid":"s{i}","endpoint":"{a}","az":"z{}","state":"ready"}}"#, i % count("zones", 1))
         };
         let targets: Vec<String> = addresses.iter().enumerate().map(target).collect();
-        let (discovery, moved, listen) = (free_port(), free_port(), address(&free_port()));
+        let (discovery, moved, (own, listen)) = (free_port(), free_port(), hold());
+        held.push(own);
         let config = include_str!("exchanges/config.json")
             .replace("{targets}", &targets.join(","))
             .replace("\"{idle}\"", &format!("{}e-3", count("idle", 60_000_000)))
@@ -79,7 +95,17 @@
             .expect("the program starts");
         until("the listener", || TcpStream::connect(&listen).ok());
         let (links, transcript) = (HashMap::new(), String::new());
-        Self { child, listen, servers, discovery, moved, config: (path, config), links, transcript }
+        Self {
+            child,
+            listen,
+            servers,
+            discovery,
+            moved,
+            config: (path, config),
+            links,
+            transcript,
+            _held: held,
+        }
     }
 
     fn link(&mut self, party: &str) -> &mut TcpStream {
