Keep the watch through a SIGHUP that moves nothing

Seen: reload_moves_the_watch failed in 3 of 60 runs on a full machine. It sends SIGHUP with a bad file, then writes a good one and sends it again; where the first was handled late, both read the good file, and the second ended the watch that had just been opened at the new address and asked for the same list again.

`send_replace` (sidecar/src/main.rs) told the watch of every reload that could be read. Now only an address that differs ends it: 300 sidecars that are told to reload for another key no longer put 300 calls on discovery.

--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -91,7 +91,8 @@
                 // The rest of a new file is for the next start: what is open now rests on the old settings.
                 Ok(new) => {
                     tracing::info!("reloaded: discovery is at {}", new.discovery);
-                    moved.send_replace(new.discovery);
+                    // Guards against a watch that is given up, and asked for again, though nothing has moved.
+                    moved.send_if_modified(|at| std::mem::replace(at, new.discovery) != new.discovery);
                 }
                 // Guards against a bad file that ends a program in service: the old settings stay.
                 Err(message) => tracing::error!("not reloaded: {message}"),
