Hold the time without news under told plus grace; spare what turns work away meanwhile

- `list_call` (sidecar/src/limits.rs) is derived: told (6 s) + grace of a drain - silence - the longest first pause (0.5 s with what a busy machine adds), 4.5 s with a grace of 2 s.
A test adds the parts up for graces from 0.5 to 10 s; another holds the module's first pause over 400 seeds.
- Where that is exceeded (the further call fails too), an answer that says "not processed" counts as a sign of a drain: `learn` marks the job server as doubted, `pool` and `further` pass it over, and the next word of the list clears it.
Where all are doubted, all are used.
One send at most over 60 cases of seed, load and number of servers; the test fails without it.

What stays: a sidecar without news that has sent a job server nothing since its drain may send it one request.

--- a/sidecar/src/limits.rs
+++ b/sidecar/src/limits.rs
@@ -45,7 +45,9 @@
     pub patience: Duration,
     /// Pause advised to a client where the module names none.
     pub retry_after: Duration,
-    /// The head of discovery's answer must come within this.
+    /// The head of discovery's answer must come within this. Guards against a drain that is learnt too late to
+    /// be kept: from the last word of a watch that dies to the end of the call that replaces it, no more passes
+    /// than the time after which news counts as told and the grace of a drain.
     pub list_call: Duration,
     /// A watch that is silent for this long is lost.
     pub list_silence: Duration,
@@ -61,6 +63,14 @@
     pub stop_most: Duration,
 }
 
+/// Whatever discovery has to tell counts as told after this long, whether it came or not (the protocol page).
+const LIST_TOLD: Duration = Duration::from_secs(6);
+/// One and a half of the heartbeat's 2 s: a watch that says less is lost.
+const LIST_SILENCE: Duration = Duration::from_secs(3);
+/// The module's longest first pause before it asks again (one and a half of its `REASK`), and what a busy
+/// machine adds to it.
+const LIST_PAUSE: Duration = Duration::from_millis(500);
+
 /// The parts of the configuration that limits follow from.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Basis {
@@ -112,8 +122,10 @@
             answer_margin: basis.step,
             patience: Duration::from_secs(600),
             retry_after: basis.retry_after,
-            list_call: Duration::from_secs(5),
-            list_silence: Duration::from_secs(3),
+            list_call: (LIST_TOLD + basis.drain_grace)
+                .saturating_sub(LIST_SILENCE + LIST_PAUSE)
+                .max(LIST_SILENCE),
+            list_silence: LIST_SILENCE,
             terminal_idle: Duration::from_millis(2_050),
             terminal_read: Duration::from_secs(2),
             terminal_first: Duration::from_millis(800),
@@ -122,3 +134,19 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn from_the_last_word_of_a_watch_to_the_end_of_the_next_call_no_drain_is_missed() {
+        for ms in (500..10_000).step_by(100) {
+            let grace = Duration::from_millis(ms);
+            let limits = Limits::derive(&Basis { sockets: 256, drain_grace: grace, ..Default::default() });
+            let longest = limits.list_silence + LIST_PAUSE + limits.list_call;
+            assert!(longest <= LIST_TOLD + grace, "{ms} ms: {longest:?}");
+            assert!(limits.list_call >= Duration::from_secs(3), "a call waits its turn: {ms} ms");
+        }
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -465,7 +465,7 @@
     fn pool(&mut self, reach: Reach, avoid: &[ServerId], open: bool) -> Vec<usize> {
         let fits = |&i: &usize| {
             let server = &self.servers[i];
-            let open = !open || server.suspicion.is_none();
+            let open = !open || (server.suspicion.is_none() && !server.doubted);
             let tried = avoid.contains(&server.member.server);
             open && !tried && reach.holds(&server.member) && self.is_ready(server)
         };
@@ -733,6 +733,8 @@
                 // A full server is no broken one, but it holds more than we knew.
                 server.foreign = server.foreign.max(own.load + 1.0);
                 server.foreign_at = now;
+                // Guards against a drain that the list cannot tell, which binds all the same after a time.
+                server.doubted = self.settings.list_on_request && !self.subscribed;
                 self.feel(1.0);
             }
             _ => {
@@ -817,7 +819,8 @@
         let tried: Vec<ServerId> = request.attempts.iter().map(|a| a.server).collect();
         let Some(i) = self.pick(reach, &tried, &[], self.now) else { return false };
         let server = &self.servers[i];
-        if server.suspicion.is_some() || server.cold_since.is_some() || self.too_late(i, id) {
+        let unsure = server.suspicion.is_some() || server.doubted || server.cold_since.is_some();
+        if unsure || self.too_late(i, id) {
             return false;
         }
         self.budget -= cost;
@@ -950,6 +953,7 @@
         }
         if kind != ListKind::WarmCopy {
             (self.subscribed, self.reask, self.ask_at) = (true, REASK, None);
+            self.servers.iter_mut().for_each(|s| s.doubted = false);
         }
         if version < self.version {
             return;
--- a/src/state.rs
+++ b/src/state.rs
@@ -169,6 +169,8 @@
     pub(crate) member: Member,
     /// Listed as draining since its last start.
     pub(crate) drained: bool,
+    /// Turned work away while nothing was heard of the list: it may drain.
+    pub(crate) doubted: bool,
     pub(crate) suspicion: Option<Suspicion>,
     pub(crate) dead: bool,
     pub(crate) strikes: u32,
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -218,6 +218,43 @@
     }
 }
 
+/// `sidecar/src/limits.rs` counts on this pause (`LIST_PAUSE`).
+#[test]
+fn a_list_that_is_lost_is_first_asked_for_again_within_the_third_of_a_second() {
+    for seed in 0..400 {
+        let mut driver = Driver::seeded(Settings { list_on_request: true, ..settings() }, 4, seed);
+        driver.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: vec![] });
+        assert!(driver.pass(325 * MS).contains(&Action::Subscribe), "seed {seed}");
+    }
+}
+
+/// Over loads and numbers of servers: one send at most learns of a drain that the list cannot tell, and what is
+/// told to be ready is used again.
+#[test]
+fn what_turns_work_away_while_the_list_is_lost_gets_no_more_until_news() {
+    for (seed, servers, gap) in (0..60).map(|n| (n, 3 + n as u32 % 5, [20, 200, 1_500][n as usize % 3])) {
+        let list = Settings { list_on_request: true, ..settings() };
+        let mut driver = Driver::seeded(list, servers, seed);
+        driver.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: vec![] });
+        let mut sends = 0;
+        for _ in 0..200 {
+            driver.now += gap * MS;
+            let (id, actions) = driver.request(0);
+            let (mut next, mut attempt) = (sent(&actions), 0);
+            while let Some(server) = next {
+                let drains = server == ServerId(0);
+                sends += u32::from(drains);
+                let outcome = if drains { Outcome::Rejected } else { Outcome::Served };
+                next = sent(&driver.end(id, attempt, server, outcome));
+                attempt += 1;
+            }
+        }
+        assert!(sends <= 1, "seed {seed}: {sends} sends");
+        driver.tell(changed(Member { condition: Condition::Draining, ..member(1) }));
+        assert!(driver.in_use().contains(&0), "seed {seed}: told to be ready");
+    }
+}
+
 #[test]
 fn a_stale_list_never_restores_a_drain() {
     let mut driver = Driver::new(settings(), 4);
