--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -26,8 +26,10 @@
     config: (PathBuf, String),
     links: HashMap<String, TcpStream>,
     transcript: String,
-    /// The program's own address and those where nobody listens.
+    /// The program's own address and those of job servers that refuse.
     _held: Vec<TcpSocket>,
+    /// Where discovery moves to without being there.
+    refusing: (TcpSocket, String),
 }
 
 fn option(line: &str, name: &str) -> Option<usize> {
@@ -94,7 +96,7 @@
             .spawn()
             .expect("the program starts");
         until("the listener", || TcpStream::connect(&listen).ok());
-        let (links, transcript) = (HashMap::new(), String::new());
+        let (links, transcript, refusing) = (HashMap::new(), String::new(), hold());
         Self {
             child,
             listen,
@@ -105,6 +107,7 @@
             links,
             transcript,
             _held: held,
+            refusing,
         }
     }
 
@@ -189,9 +192,12 @@
             }
             "reload" => {
                 let (path, old) = &self.config;
-                let named = format!(r#""discovery":"{}""#, address(&self.moved));
-                let new = old.replace(r#""discovery":"127.0.0.1:1""#, &named);
-                fs::write(path, if text.trim().is_empty() { &new } else { text }).expect("written");
+                // "refused": to where nobody listens. Other text is the file itself.
+                let refused = text.trim() == "refused";
+                let to = if refused { self.refusing.1.clone() } else { address(&self.moved) };
+                let new = old.replace(r#""discovery":"127.0.0.1:1""#, &format!(r#""discovery":"{to}""#));
+                fs::write(path, if refused || text.trim().is_empty() { &new } else { text })
+                    .expect("written");
                 self.signal("-HUP");
             }
             "exit" => {
@@ -267,7 +273,7 @@
     silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
     interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
     moved_server_leaves_no_connection first_requests_keep_their_places stop_answers_what_is_unread
-    stop_answers_what_is_not_accepted
+    stop_answers_what_is_not_accepted stop_answers_what_is_half_read reload_to_where_nobody_listens
 }
 
 #[test]
