Try the stage's addresses without listening, and give each stage its own block of ports

Seen: one run of the checks failed in lab/tests/stage.rs, "127.0.0.1:16128: Address already in use"; six copies of those tests at once failed in two. `free_address` (lab/src/stage/mod.rs) listened on an address to try it and closed it; a sidecar that another thread starts in that moment holds a copy of the listener up to its exec, so that the stand-in whose address it was could not listen. The test of sixty sidecars made it frequent. Ruled out first: two processes that try the same address; blocks marked by a listener, now in place, left it at two of six. Now the address is bound and not listened on: none of 12 copies, six at a time, fails.

--- a/lab/src/stage/mod.rs
+++ b/lab/src/stage/mod.rs
@@ -15,11 +15,12 @@
 use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hdrhistogram::Histogram;
+use tokio::net::TcpSocket;
 
 use crate::audit::Auditor;
 use crate::ledger::{Entry, Ledger, Line, Readers};
@@ -126,16 +127,52 @@
     }
 }
 
-/// A free loopback address below the range from which the system takes its own: a port that is given up for a
-/// while must not be taken by somebody's outgoing connection.
+/// Ports of the stages lie from here on, below the range from which the system takes its own: a port that is
+/// given up for a while must not be taken by somebody's outgoing connection.
+const PORT_FIRST: u16 = 12_000;
+const PORT_BLOCK: u16 = 1_000;
+const PORT_BLOCKS: u16 = 20;
+
+/// Blocks of ports that are this process's, each marked by a listener on its first port, and whose turn it is.
+struct Ports {
+    marks: Vec<(TcpListener, u16)>,
+    turn: usize,
+}
+
+static PORTS: Mutex<Ports> = Mutex::new(Ports { marks: Vec::new(), turn: 0 });
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+fn mark() -> Option<(TcpListener, u16)> {
+    let starts = (0..PORT_BLOCKS).map(|block| PORT_FIRST + block * PORT_BLOCK);
+    starts.filter_map(|start| Some((TcpListener::bind(loopback(start)).ok()?, start))).next()
+}
+
+/// Tries an address without listening there. Guards against a sidecar that is started in that very moment: up to its
+/// exec it holds a copy of every socket, and a copy that listens would keep the address from whom it is for.
+fn is_free(address: SocketAddr) -> bool {
+    let tried = TcpSocket::new_v4().and_then(|s| s.set_reuseaddr(true).and_then(|()| s.bind(address)));
+    tried.is_ok()
+}
+
+/// A free loopback address. Guards against another stage on this machine that is given the same one before
+/// somebody listens there: it is of a block that no other process takes from.
 fn free_address() -> Result<SocketAddr, String> {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    for _ in 0..20_000 {
-        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
-        let offset = (std::process::id().wrapping_mul(2_654_435_761) >> 16) as u16;
-        let port = 12_000 + (turn.wrapping_add(offset)) % 20_000;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if TcpListener::bind(address).is_ok() {
+    let (mut ports, each) = (lock(&PORTS), usize::from(PORT_BLOCK) - 1);
+    for _ in 0..each * usize::from(PORT_BLOCKS) {
+        if ports.turn / each >= ports.marks.len() {
+            match mark() {
+                Some(block) => ports.marks.push(block),
+                None => ports.turn = 0,
+            }
+        }
+        let turn = ports.turn;
+        let Some((_, start)) = ports.marks.get(turn / each) else { break };
+        let address = loopback(start + 1 + (turn % each) as u16);
+        ports.turn += 1;
+        if is_free(address) {
             return Ok(address);
         }
     }
@@ -274,6 +311,16 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn addresses_differ_and_lie_in_blocks_that_nobody_else_can_mark() {
+        let taken: Vec<u16> = (0..1_200).map(|_| free_address().expect("free").port()).collect();
+        assert_eq!(taken.iter().collect::<HashSet<_>>().len(), taken.len());
+        for port in taken {
+            let start = port - port % PORT_BLOCK;
+            assert!(port != start && TcpListener::bind(loopback(start)).is_err(), "{port}");
+        }
+    }
+
     #[test]
     fn a_machine_that_runs_late_is_noticed_and_one_that_just_does_not_is_believed() {
         let lag = |late: u64| {
