--- a/lab/tests/model.rs
+++ b/lab/tests/model.rs
@@ -163,7 +163,7 @@
 }
 
 #[test]
-#[ignore = "a minute where it is optimised: cargo test --release -p arrowstand-lab --test model -- --ignored"]
+#[ignore = "too long unoptimised: cargo test --release -p arrowstand-lab --test model -- --ignored"]
 fn whole_days_of_the_full_fleet_keep_the_rules_over_seeds() {
     for seed in 1..=4 {
         std::thread::scope(|scope| {
