Split the decision code by concern into src/logic and src/estimates

Change: functions and constants moved as they were into 13 files of one concern each; what is learnt from answers (pace, load, strain) stands in src/estimates, as src/state.rs already did, and decides nothing. Ruled out: a change of behaviour; no line of a function was edited, the module's 57 tests and its example pass unchanged.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 #![warn(missing_docs)]
 
 mod api;
+mod estimates;
 mod logic;
 mod state;
 
--- /dev/null
+++ b/src/logic/refusals.rs
@@ -0,0 +1,82 @@
+//! What is turned away.
+
+use super::*;
+
+/// A fleet of which more than this share is busy serves more by taking only sure work: in the end, what is
+/// expected within this share of the time left, times what it earns for its work against a usual request;
+/// the share falls by the last figure as all is turned away. Chosen over loads from 0.7 to 1.2 of capacity.
+const BUSY: f64 = 0.8;
+const IN_TIME_BUSY: f64 = 0.6;
+const IN_TIME_FULL: f64 = 0.25;
+/// Where servers report no load, strain stands in: the mean share of the objective that answers take, a
+/// failure counting as all of it. Above the first figure a part is refused, all of it this much higher; the
+/// least worth goes first.
+const STRAIN: f64 = 0.32;
+const STRAIN_SPAN: f64 = 0.35;
+
+impl Balancer {
+    /// True where a server would answer too late for the answer to be worth anything.
+    pub(super) fn too_late(&self, i: usize, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return true };
+        let class = self.class(request);
+        if class.late_value > 0.0 || !self.reports() {
+            return false;
+        }
+        let server = &self.servers[i];
+        let ahead = self.load(server) - self.slowness(server);
+        let expected = (ahead + request.size * self.slowness(server)) * self.unit;
+        let in_time = IN_TIME_BUSY - IN_TIME_FULL * self.turned;
+        let share = 1.0 - self.strictness() * (1.0 - in_time * self.gain(request)).max(0.0);
+        ahead >= 0.5 && expected > share * request.aim.saturating_sub(self.now) as f64
+    }
+
+    /// Worth for the work of a request, against that of a usual one: in a full fleet what earns little for
+    /// its work must not fill the queues that what earns more would still have passed in time.
+    fn gain(&self, request: &Request) -> f64 {
+        if self.mean_size == 0.0 {
+            return 1.0;
+        }
+        self.class(request).worth / request.size / self.mean_worth.max(f64::MIN_POSITIVE)
+    }
+
+    /// Guards against queues that all balancers fill together, which none of them sees, nor counts in its own
+    /// few requests: refuses at random as much as the strain asks for.
+    pub(super) fn sheds(&mut self, id: RequestId) -> bool {
+        let Some(class) = self.requests.get(&id).map(|r| self.class(r)) else { return true };
+        if self.reports() || class.late_value > 0.0 {
+            return false;
+        }
+        let worths = || self.settings.classes.iter().map(|c| c.worth);
+        let (least, most) = (worths().fold(f64::MAX, f64::min), worths().fold(0.0, f64::max));
+        let rank = (class.worth - least) / (most - least).max(f64::MIN_POSITIVE);
+        self.rng.f64() < 2.0 * (self.strain() - STRAIN) / STRAIN_SPAN - rank
+    }
+
+    fn strictness(&self) -> f64 {
+        ((self.busy - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0)
+    }
+
+    /// May the client be told that trying again is harmless? The one judge of it.
+    fn may_refuse(&self, request: &Request) -> bool {
+        let class = self.class(request);
+        let keyed_everywhere = class.semantics == Semantics::Keyed && class.scope == Scope::All;
+        class.semantics == Semantics::Pure
+            || keyed_everywhere
+            || request.attempts.iter().all(|a| a.fate == Fate::NeverRan)
+    }
+
+    /// Gives up on a request, at once: a refusal where that is true, else a failure.
+    pub(super) fn end(&mut self, id: RequestId, acts: &mut Actions) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if self.may_refuse(request) {
+            // A fleet that is busy throughout has no use for clients that are back at once.
+            let most = self.settings.max_retry_after;
+            let wait = (self.unit + self.strictness() * most as f64) * (0.75 + 0.5 * self.rng.f64());
+            let retry_after = self.settings.retry_after.then(|| (wait as Micros).min(most));
+            acts.push(Action::Refuse { request: id, retry_after });
+        } else {
+            acts.push(Action::Fail { request: id });
+        }
+        self.finish(id, acts);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What a balancer remembers, and how it writes to its peers. Decisions are in `logic.rs`.
+//! What a balancer remembers, and how it writes to its peers. Decisions are in `logic/`, what answers tell in `estimates/`.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::f64::consts::LN_2;
