--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -119,11 +119,14 @@
         connection_fee: conf.fees.connection,
         cross_zone_fee: conf.fees.cross_zone,
         reports: shape.held.is_some() && conf.report.source != "none",
+        answers_report: conf.report.source == "answers",
         list_on_request: conf.membership_mode.as_deref() == Some("on_request"),
         ask_every: safety.ask_every_ms.map_or(base.ask_every, micros),
         only_draining_binds: safety.only_draining_binds,
         cold_share: safety.cold_from.unwrap_or(base.cold_share),
         cold_time: safety.cold_ms.map_or(base.cold_time, micros),
+        cold_multiple: safety.overload_factor.unwrap_or(base.cold_multiple),
+        cold_span: safety.fall_ms.map_or(base.cold_span, micros),
     };
     Ok((settings, shape))
 }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -128,6 +128,8 @@
     pub ask_every_ms: Option<f64>,
     pub cold_from: Option<f64>,
     pub cold_ms: Option<f64>,
+    pub overload_factor: Option<f64>,
+    pub fall_ms: Option<f64>,
     pub only_draining_binds: bool,
 }
 
--- a/lab/src/model/sidecar.rs
+++ b/lab/src/model/sidecar.rs
@@ -12,7 +12,7 @@
 
 use super::*;
 use crate::ledger::{Life, Listing};
-use crate::scenario::{Class, Effect, Group};
+use crate::scenario::{Class, Effect, Group, Source};
 
 /// The sidecar answers this long before the terminal gives up: `step-ms`.
 const MARGIN: Micros = 5_000;
@@ -49,6 +49,7 @@
         worth: class.worth,
         scope,
         window: from_ms(class.window_ms),
+        late_value: class.late_worth,
         ..ModuleClass::new(semantics, aim, deadline)
     }
 }
@@ -74,11 +75,14 @@
         connection_fee: 0.0,
         cross_zone_fee: day.prices.cross_zone,
         reports: true,
+        answers_report: day.reports.source == Source::Answers,
         list_on_request: true,
         ask_every: from_ms(day.allow.ask_every_ms),
         only_draining_binds: false,
         cold_share: day.kind.iter().map(|k| k.cold_from).fold(1.0, f64::min),
         cold_time: from_s(day.kind.iter().map(|k| k.cold_s).fold(0.0, f64::max)),
+        cold_multiple: day.rules.fall_multiple,
+        cold_span: from_ms(day.rules.fall_ms),
     }
 }
 
@@ -231,7 +235,7 @@
     /// A transaction's last byte is at its sidecar.
     pub(super) fn reached(&mut self, key: TryKey) {
         let Some(of) = self.tries.get(key) else { return };
-        let (number, sidecar, class, due) = (of.number, of.sidecar, of.class, of.due);
+        let (number, sidecar, class, due, size_hint) = (of.number, of.sidecar, of.class, of.due, of.hint);
         if !self.is_up(sidecar) || self.sidecars[sidecar as usize].life != of.life {
             self.told(key, How::Unreached, 0);
             return;
@@ -241,7 +245,7 @@
         self.sidecars[sidecar as usize].open.insert(number, key);
         let left = due.saturating_sub(self.now);
         self.at(due.saturating_sub(MARGIN), Happening::Last(key));
-        let call = Call { id: RequestId(number), class: ClassId(class), time_left: left, size_hint: None };
+        let call = Call { id: RequestId(number), class: ClassId(class), time_left: left, size_hint };
         self.tell(sidecar, Event::Request(call));
     }
 
@@ -295,6 +299,7 @@
             return;
         }
         let (of, tx, server, attempt) = (task.of, task.tx, task.server, task.attempt);
+        let report = task.report.map(|held| LoadReport { held: held as f64, waiting: 0.0 });
         let elapsed = self.now - task.sent;
         let answered = self.tries.get(of).is_none_or(|t| t.answered);
         let finished = answered || outcome == Outcome::Served;
@@ -305,7 +310,7 @@
             outcome,
             finished,
             elapsed,
-            report: None,
+            report,
         }));
         if outcome == Outcome::Served && !answered {
             self.answer(of, How::Served, 0, events);
--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -30,6 +30,8 @@
     pub classes: Vec<String>,
     /// Whether the class of that place carries a key.
     pub keyed: Vec<bool>,
+    /// How long a terminal of that class waits that does not say so.
+    pub deadlines: Vec<Duration>,
     pub zones: Vec<String>,
     /// What the kinds of machine can do.
     pub machines: Machines,
@@ -166,6 +168,7 @@
     for node in conf.at("request-classes").items()? {
         classes.push(class(&node)?);
         names.classes.push(node.at("name").text()?);
+        names.deadlines.push(classes.last().map_or(Duration::ZERO, |c| Duration::from_micros(c.deadline)));
         names.keyed.push(classes.last().is_some_and(|c| c.semantics == Semantics::Keyed));
     }
     for zone in conf.at("zones").items()? {
@@ -179,7 +182,8 @@
     for field in report.at("fields").items()? {
         held |= field.text()? == "active";
     }
-    let reports = held && report.at("source").text_opt()?.as_deref() != Some("none");
+    let source = report.at("source").text_opt()?;
+    let reports = held && source.as_deref() != Some("none");
     let base = Settings::default();
     let flag = |node: Node| node.flag_opt().map(|f| f.unwrap_or(false));
     let number = |node: Node, default: f64| node.number_opt().map(|n| n.unwrap_or(default));
@@ -207,12 +211,15 @@
         connection_fee: number(fees.at("connection"), 0.0)?,
         cross_zone_fee: number(fees.at("cross-zone"), 0.0)?,
         reports,
+        answers_report: source.as_deref() == Some("answers"),
         // On sockets discovery answers only when asked, whatever the simulator does for this deployment.
         list_on_request: true,
         ask_every: time(safety.at("ask-every-ms"), base.ask_every)?,
         only_draining_binds: flag(safety.at("only-draining-binds"))?,
         cold_share: number(safety.at("cold-from"), base.cold_share)?,
         cold_time: time(safety.at("cold-ms"), base.cold_time)?,
+        cold_multiple: number(safety.at("overload-factor"), base.cold_multiple)?,
+        cold_span: time(safety.at("fall-ms"), base.cold_span)?,
     };
     settings.validate().map_err(|e| format!("settings: {e}"))?;
     Ok((settings, names))
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -134,6 +134,11 @@
         self.names.keyed.get(usize::from(class.0)).is_some_and(|&keyed| keyed)
     }
 
+    /// How long a terminal waits that does not say so.
+    pub fn deadline(&self, class: ClassId) -> Duration {
+        self.names.deadlines.get(usize::from(class.0)).copied().unwrap_or_default()
+    }
+
     /// True once transactions can be served: the service table has named a job server.
     pub fn ready(&self) -> bool {
         self.directory.borrow().listed
--- a/sidecar/src/core/owed.rs
+++ b/sidecar/src/core/owed.rs
@@ -35,7 +35,7 @@
 
 impl Owed {
     /// Tells the module of a new transaction.
-    pub fn admit(core: &Rc<Core>, class: ClassId, time_left: Duration) -> Self {
+    pub fn admit(core: &Rc<Core>, class: ClassId, time_left: Duration, cost: Option<Duration>) -> Self {
         // The module asks for ids that are never used twice, which a terminal's word does not ensure.
         let id = RequestId(core.next_request.get());
         core.next_request.set(id.0 + 1);
@@ -44,7 +44,8 @@
         let owed = Self { core: Rc::clone(core), id, steps, out: Vec::new(), sends: 0, answered: false };
         core.counters.transactions_taken.add();
         let time_left = time_left.as_micros() as Micros;
-        core.tell(Event::Request(Call { id, class, time_left, size_hint: None }));
+        let size_hint = cost.map(|cost| cost.as_micros() as Micros);
+        core.tell(Event::Request(Call { id, class, time_left, size_hint }));
         owed
     }
 
--- a/sidecar/src/counters.rs
+++ b/sidecar/src/counters.rs
@@ -57,6 +57,8 @@
     connections_opened: "Connections to job servers opened.",
     table_events: "Service tables and changes read.",
     table_lines_skipped: "Lines of them that could not be read.",
+    costs_skipped: "Estimates of a request's work that could not be read.",
+    times_skipped: "Times that a terminal waits that could not be read, or were not told.",
     reports_skipped: "Load reports that could not be read.",
 }
 
--- a/sidecar/src/front/http.rs
+++ b/sidecar/src/front/http.rs
@@ -233,9 +233,17 @@
         let class = token(headers, "x-priority-class", limits.token)?;
         let class = class.and_then(|name| core.class(&name));
         let class = class.ok_or_else(|| bad("X-Priority-Class is not a known class\n"))?;
-        let patience = token(headers, "x-timeout", limits.token)?;
-        let patience = patience.and_then(|text| span(&text)).map(|span| span.min(limits.patience));
-        let patience = patience.ok_or_else(|| bad("X-Timeout is not a time\n"))?;
+        // Guards against a refusal for a word about the request: what cannot be read counts as not said.
+        let said = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let patience = said("x-timeout").and_then(span).map(|span| span.min(limits.patience));
+        if patience.is_none() {
+            core.counters.times_skipped.add();
+        }
+        let patience = patience.unwrap_or_else(|| core.deadline(class));
+        let cost = said("x-cost").and_then(cost_of);
+        if cost.is_none() && headers.contains_key("x-cost") {
+            core.counters.costs_skipped.add();
+        }
         if core.keyed(class) && key.is_none() {
             // Without its key no job server could drop a repeat.
             return Err(bad("Idempotency-Key is missing\n"));
@@ -268,7 +276,7 @@
         }
         let body = body.freeze();
         let content = Content { body, labels };
-        Ok(Ask { method, target, id, key, class, content, arrived: Instant::now(), patience })
+        Ok(Ask { method, target, id, key, class, content, arrived: Instant::now(), patience, cost })
     }
 }
 
@@ -303,6 +311,13 @@
     (micros.is_finite() && micros >= 0.0).then(|| Duration::from_micros(micros as u64))
 }
 
+/// Whole or broken microseconds, more than none and no more than a minute: what is beyond that is no estimate of a
+/// request that is answered in seconds, and counts as absent.
+fn cost_of(text: &str) -> Option<Duration> {
+    let micros = text.trim().parse::<f64>().ok()?;
+    (1.0..=6e7).contains(&micros).then(|| Duration::from_micros(micros as u64))
+}
+
 fn plain(status: StatusCode, text: impl Into<String>) -> Reply {
     Response::build(status)
         .insert_header((CONTENT_TYPE, "text/plain"))
--- a/sidecar/src/transaction.rs
+++ b/sidecar/src/transaction.rs
@@ -35,6 +35,8 @@
     pub arrived: Instant,
     /// How long the terminal waits from then.
     pub patience: Duration,
+    /// Its work on a usual job server, where the terminal can tell.
+    pub cost: Option<Duration>,
 }
 
 /// The one final answer.
@@ -57,7 +59,8 @@
     let Some(_claim) = core.claim(&ask.id) else { return Answer::InUse };
     // Guards against a final answer that comes after the terminal has given up, should the module be late.
     let last = ask.arrived + ask.patience.saturating_sub(limits.answer_margin);
-    let mut owed = Owed::admit(&core, ask.class, ask.patience.saturating_sub(ask.arrived.elapsed()));
+    let left = ask.patience.saturating_sub(ask.arrived.elapsed());
+    let mut owed = Owed::admit(&core, ask.class, left, ask.cost);
     let mut routed = FuturesUnordered::new();
     let mut calls: Vec<AbortHandle> = Vec::new();
     loop {
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -268,7 +268,7 @@
 exchanges! {
     served_unchanged rejected_goes_elsewhere unsafe_reset_fails unsafe_refused_goes_elsewhere
     unsafe_error_fails keyed_stays_in_its_zone terminal_leaves cut_length_is_no_answer cut_chunks_are_no_answer
-    bad_requests idle_connection_is_not_reused too_many_terminals watch_names_servers drained_gets_nothing
+    bad_requests unread_words_count_as_not_said idle_connection_is_not_reused too_many_terminals watch_names_servers drained_gets_nothing
     stop_answers_what_is_owed redirect_is_not_followed silent_watch_is_lost
     silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
     interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
--- a/src/api.rs
+++ b/src/api.rs
@@ -121,6 +121,8 @@
     pub cross_zone_fee: f64,
     /// Load reports carry the requests held and waiting, with probes.
     pub reports: bool,
+    /// Load reports come with answers too, each as of some time before.
+    pub answers_report: bool,
     /// The list of servers must be asked for.
     pub list_on_request: bool,
     /// Longest time to go without asking for the list.
@@ -131,6 +133,10 @@
     pub cold_share: f64,
     /// And is warm after this time.
     pub cold_time: Micros,
+    /// A cold server falls over that is sent more than this many times what it can do,
+    pub cold_multiple: f64,
+    /// for this long, by all balancers together.
+    pub cold_span: Micros,
 }
 
 impl Default for Settings {
@@ -154,11 +160,14 @@
             connection_fee: 0.0,
             cross_zone_fee: 0.0,
             reports: false,
+            answers_report: false,
             list_on_request: false,
             ask_every: 10_000_000,
             only_draining_binds: false,
             cold_share: 0.3,
             cold_time: 10_000_000,
+            cold_multiple: 2.5,
+            cold_span: 1_500_000,
         }
     }
 }
@@ -206,6 +215,8 @@
         check(self.max_attempts > 0, "max_attempts", "at least one attempt is needed")?;
         let share = self.cold_share > 0.0 && self.cold_share <= 1.0;
         check(share, "cold_share", "must be above 0 and at most 1")?;
+        let multiple = self.cold_multiple > 0.0 && self.cold_multiple.is_finite();
+        check(multiple, "cold_multiple", "must be finite and above 0")?;
         let fees = [self.probe_fee, self.handshake_fee, self.connection_fee, self.cross_zone_fee]
             .iter()
             .all(|f| f.is_finite());
--- a/src/estimates/mod.rs
+++ b/src/estimates/mod.rs
@@ -3,6 +3,7 @@
 mod load;
 mod pace;
 mod strain;
+mod warmth;
 
 use crate::api::*;
 use crate::state::*;
--- a/src/estimates/pace.rs
+++ b/src/estimates/pace.rs
@@ -30,7 +30,13 @@
         if let Some(request) = self.requests.get(&own.request) {
             self.feel((elapsed / (request.aim - request.arrived) as f64).min(1.0));
         }
-        let unit = elapsed / (own.load - 1.0 + own.size).max(0.2);
+        let unit = if self.by_answers() {
+            // What it held on the way stands between what it held at both ends, and a cold one is not slow.
+            let held = (own.load + self.crowd(&self.servers[i])) / 2.0;
+            elapsed * self.warmth(&self.servers[i]) / (held * own.size).max(0.05)
+        } else {
+            elapsed / (own.load - 1.0 + own.size).max(0.2)
+        };
         let pace = (unit / self.unit).clamp(0.25, 4.0);
         let old = self.pace(&self.servers[i]);
         let server = &mut self.servers[i];
@@ -42,4 +48,13 @@
         self.log_mean += MEAN_WEIGHT * off;
         self.log_var = (self.log_var + MEAN_WEIGHT * (off * off - self.log_var)).max(0.1);
     }
+
+    /// Worth for the work of a request, against that of a usual one: in a full fleet what earns little for
+    /// its work must not fill the queues that what earns more would still have passed in time.
+    pub(crate) fn gain(&self, request: &Request) -> f64 {
+        if self.mean_size == 0.0 {
+            return 1.0;
+        }
+        self.class(request).worth / request.size / self.mean_worth.max(f64::MIN_POSITIVE)
+    }
 }
--- a/src/logic/again.rs
+++ b/src/logic/again.rs
@@ -46,7 +46,7 @@
             return false;
         }
         let tried: Vec<ServerId> = request.attempts.iter().map(|a| a.server).collect();
-        let Some(i) = self.pick(reach, &tried, &[], self.now) else { return false };
+        let Some(i) = self.pick(reach, &tried, &[], self.now, id) else { return false };
         let server = &self.servers[i];
         let unsure = server.suspicion.is_some() || server.doubted || server.cold_since.is_some();
         if unsure || self.too_late(i, id) {
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -71,9 +71,10 @@
         let Some(request) = self.requests.get(&id) else { return };
         let (arrived, give_up, asked) = (request.arrived, request.give_up, request.asked.clone());
         let patience = ((request.aim - arrived) as f64 * HOLD) as Micros;
-        let picked = self.pick(Reach::Anywhere, &[], &asked, arrived);
+        let picked = self.pick(Reach::Anywhere, &[], &asked, arrived, id);
         let late = picked.is_some_and(|i| self.too_late(i, id));
-        self.turned += MEAN_WEIGHT * (f64::from(u8::from(late)) - self.turned);
+        let missed = late || self.by_answers() && picked.is_some_and(|i| self.misses(i, id));
+        self.turned += MEAN_WEIGHT * (f64::from(u8::from(missed)) - self.turned);
         match picked {
             Some(i) if !late && !self.sheds(id) => self.send(id, i, acts),
             None if self.now + 2 * TICK < give_up.min(arrived + patience) => self.alarm(id, TICK, acts),
@@ -83,7 +84,7 @@
 
     pub(super) fn send(&mut self, id: RequestId, i: usize, acts: &mut Actions) {
         let now = self.now;
-        let load = self.load(&self.servers[i]) / self.slowness(&self.servers[i]);
+        let load = self.crowd(&self.servers[i]);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let class = &self.settings.classes[usize::from(request.class.0)];
         let server = &mut self.servers[i];
@@ -96,6 +97,10 @@
         let (zone, cell, fate) = (server.member.zone, server.member.cell, Fate::Out);
         request.attempts.push(Attempt { server: server.member.server, sent: now, zone, cell, fate });
         let size = request.size;
+        self.work.add(size, now, TRAFFIC_HALF);
+        if server.cold_since.is_some() {
+            server.cold_sent.push_back((now, size));
+        }
         server.own.push(Outstanding { request: id, attempt, sent: now, size, load });
     }
 
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -1,6 +1,5 @@
 //! Every decision of the balancer. Its interface, the settings, events and actions, is `api.rs`; what it has
-//! learnt of job servers is `estimates.rs`. The ordinary path is that of `docs/design.md`; each departure says
-//! what it guards.
+//! learnt is `estimates/`. The ordinary path is that of `docs/design.md`; each departure says what it guards.
 
 mod again;
 mod attempts;
@@ -29,8 +28,6 @@
 const PROBE_PERIOD_MOST: Micros = 5_000_000;
 const PROBE_HASTE: Micros = 4;
 const PROBE_COST: f64 = 0.001;
-/// Own traffic is forgotten by half in this time.
-const TRAFFIC_HALF: f64 = 5_000_000.0;
 /// Further attempts earned by each request, what one costs where none has run, and the most saved up: a
 /// fleet that turns work away must not get each request several times, and cold servers get none of these.
 const RETRY_EARN: f64 = 0.05;
@@ -94,7 +91,7 @@
         self.places.get(&id).copied()
     }
 
-    fn class(&self, request: &Request) -> &Class {
+    pub(crate) fn class(&self, request: &Request) -> &Class {
         &self.settings.classes[usize::from(request.class.0)]
     }
 }
--- a/src/logic/part.rs
+++ b/src/logic/part.rs
@@ -15,14 +15,14 @@
 const HANDSHAKE_FEE: f64 = 0.005;
 
 impl Balancer {
-    pub(super) fn is_ready(&self, server: &Server) -> bool {
+    pub(crate) fn is_ready(&self, server: &Server) -> bool {
         let listed = server.member.condition == Condition::Ready || self.settings.only_draining_binds;
         listed && !server.drained
     }
 
     /// Guards against more connections than servers accept: each balancer uses the first so many of an order
     /// of its own, and goes further down where these are suspected.
-    pub(super) fn subset(&self) -> usize {
+    pub(crate) fn subset(&self) -> usize {
         let (fleet, balancers) = (self.servers.len() as f64, f64::from(self.settings.balancers));
         // Guards against handshakes: connections that rarely serve are closed before they serve again,
         // and what all balancers open for rare use is what servers run out of.
--- a/src/logic/peers.rs
+++ b/src/logic/peers.rs
@@ -10,11 +10,6 @@
 const GOSSIP_DOUBT: Micros = 500_000;
 
 impl Balancer {
-    fn random_peer(&mut self) -> Option<u32> {
-        let peer = self.settings.has_peers().then(|| self.rng.u32(0..self.settings.balancers - 1))?;
-        Some(if peer >= self.settings.index { peer + 1 } else { peer })
-    }
-
     pub(super) fn ask_peers(&mut self, i: usize, acts: &mut Actions) {
         for _ in 0..INTERMEDIATES {
             let to = self.random_peer();
@@ -24,12 +19,6 @@
         }
     }
 
-    /// Gossips the suspicion of a server about log N times.
-    pub(super) fn spread(&mut self, i: usize) {
-        let times = u32::BITS - self.settings.balancers.leading_zeros() + 1;
-        self.gossip.add(say(SAY_SUSPECT, &self.servers[i]), times);
-    }
-
     /// One message to a random peer with each own probe, however much is suspected.
     pub(super) fn send_gossip(&mut self, acts: &mut Actions) {
         let to = self.random_peer();
--- a/src/logic/pick.rs
+++ b/src/logic/pick.rs
@@ -26,7 +26,11 @@
     /// what the machine can do, as its share of the draws stands for the rest already.
     fn fill(&self, server: &Server) -> f64 {
         let load = self.load(server);
-        if self.looks() { load } else { (load - self.slowness(server)) / server.member.machine.cores }
+        if self.looks() || self.by_answers() {
+            load
+        } else {
+            (load - self.slowness(server)) / server.member.machine.cores
+        }
     }
 
     /// Two random servers of the open ones; the one with less in flight wins. Where servers were asked for
@@ -37,6 +41,7 @@
         avoid: &[ServerId],
         asked: &[ServerId],
         since: Micros,
+        id: RequestId,
     ) -> Option<usize> {
         let fresh = |&i: &usize| {
             let server = &self.servers[i];
@@ -53,6 +58,12 @@
         if open.is_empty() {
             open = self.pool(reach, avoid, false);
         }
+        if self.by_answers() {
+            // Guards against a refusal by two full servers while others have room.
+            let soon = |&&i: &&usize| !self.misses(i, id);
+            let fits: Vec<usize> = open.iter().filter(soon).copied().collect();
+            open = if fits.is_empty() { open } else { fits };
+        }
         let (a, b) = (self.draw(&open)?, self.draw(&open)?);
         // A cold server looks idle to all at once: it is taken where drawn first, never for its low load.
         let cold = [a, b].iter().any(|&i| self.servers[i].cold_since.is_some());
--- a/src/logic/probing.rs
+++ b/src/logic/probing.rs
@@ -11,6 +11,7 @@
     pub(super) fn on_tick(&mut self, acts: &mut Actions) {
         let now = self.now;
         acts.push(Action::Timer { token: TOKEN_TICK, after: TICK });
+        self.measure_part();
         for i in 0..self.servers.len() {
             self.watch(i, acts);
         }
--- a/src/logic/refusals.rs
+++ b/src/logic/refusals.rs
@@ -2,12 +2,15 @@
 
 use super::*;
 
-/// A fleet of which more than this share is busy serves more by taking only sure work: in the end, what is
-/// expected within this share of the time left, times what it earns for its work against a usual request;
-/// the share falls by the last figure as all is turned away. Chosen over loads from 0.7 to 1.2 of capacity.
-const BUSY: f64 = 0.8;
+/// A fleet that is busy serves more by taking only sure work: in the end, what is expected within this share of
+/// the time left, times what it earns for its work against a usual request; the share falls by the last figure
+/// as all is turned away. Chosen over loads from 0.7 to 1.2 of capacity.
 const IN_TIME_BUSY: f64 = 0.6;
 const IN_TIME_FULL: f64 = 0.25;
+/// Where answers tell of load, an answer must be expected within this share of the time left. Answers that come
+/// late all the same are taken while less than the second share of requests finds no server in time.
+const IN_TIME: f64 = 0.7;
+const LATE_MOST: f64 = 0.1;
 /// Where servers report no load, strain stands in: the mean share of the objective that answers take, a
 /// failure counting as all of it. Above the first figure a part is refused, all of it this much higher; the
 /// least worth goes first.
@@ -15,35 +18,38 @@
 const STRAIN_SPAN: f64 = 0.35;
 
 impl Balancer {
-    /// True where a server would answer too late for the answer to be worth anything.
+    /// True where a server would answer so late that its work is better spent on another request.
     pub(super) fn too_late(&self, i: usize, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return true };
         let class = self.class(request);
+        let server = &self.servers[i];
+        let expected = self.expected(server, request.size);
+        if self.by_answers() {
+            let late = class.late_value > 0.0 && self.turned < LATE_MOST;
+            let until = if late { request.give_up } else { request.aim };
+            return self.crowded(server) && expected > IN_TIME * until.saturating_sub(self.now) as f64;
+        }
         if class.late_value > 0.0 || !self.reports() {
             return false;
         }
-        let server = &self.servers[i];
         let ahead = self.load(server) - self.slowness(server);
-        let expected = (ahead + request.size * self.slowness(server)) * self.unit;
         let in_time = IN_TIME_BUSY - IN_TIME_FULL * self.turned;
         let share = 1.0 - self.strictness() * (1.0 - in_time * self.gain(request)).max(0.0);
         ahead >= 0.5 && expected > share * request.aim.saturating_sub(self.now) as f64
     }
 
-    /// Worth for the work of a request, against that of a usual one: in a full fleet what earns little for
-    /// its work must not fill the queues that what earns more would still have passed in time.
-    fn gain(&self, request: &Request) -> f64 {
-        if self.mean_size == 0.0 {
-            return 1.0;
-        }
-        self.class(request).worth / request.size / self.mean_worth.max(f64::MIN_POSITIVE)
+    /// True where a server would answer after the time that is wanted.
+    pub(super) fn misses(&self, i: usize, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return true };
+        let (server, left) = (&self.servers[i], request.aim.saturating_sub(self.now) as f64);
+        self.crowded(server) && self.expected(server, request.size) > IN_TIME * left
     }
 
     /// Guards against queues that all balancers fill together, which none of them sees, nor counts in its own
     /// few requests: refuses at random as much as the strain asks for.
     pub(super) fn sheds(&mut self, id: RequestId) -> bool {
         let Some(class) = self.requests.get(&id).map(|r| self.class(r)) else { return true };
-        if self.reports() || class.late_value > 0.0 {
+        if self.reports() || self.by_answers() || class.late_value > 0.0 {
             return false;
         }
         let worths = || self.settings.classes.iter().map(|c| c.worth);
@@ -52,10 +58,6 @@
         self.rng.f64() < 2.0 * (self.strain() - STRAIN) / STRAIN_SPAN - rank
     }
 
-    fn strictness(&self) -> f64 {
-        ((self.busy - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0)
-    }
-
     /// May the client be told that trying again is harmless? The one judge of it.
     fn may_refuse(&self, request: &Request) -> bool {
         let class = self.class(request);
--- a/src/logic/suspicion.rs
+++ b/src/logic/suspicion.rs
@@ -92,7 +92,7 @@
         let server = &mut self.servers[i];
         let launched = server.member.launched.unwrap_or(0);
         let flapping = server.strikes > 0 && now < server.struck + FORGET;
-        (server.drained, server.foreign) = (false, 0.0);
+        (server.drained, server.foreign, server.held, server.held_own) = (false, 0.0, 0.0, 0.0);
         if now < launched + self.settings.cold_time {
             server.cold_since = Some(launched.min(now));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a balancer remembers, and how it writes to its peers. Decisions are in `logic/`, what answers tell in `estimates/`.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::f64::consts::LN_2;
 
 use crate::api::*;
@@ -29,6 +29,9 @@
     pub(crate) last_probe: Micros,
     pub(crate) suspects_turn: bool,
     pub(crate) traffic: Rate,
+    /// Sizes of what was sent, and a warm server's part of it a microsecond.
+    pub(crate) work: Rate,
+    pub(crate) part: f64,
     pub(crate) gossip: Gossip,
     pub(crate) log_mean: f64,
     pub(crate) log_var: f64,
@@ -69,6 +72,8 @@
             last_probe: 0,
             suspects_turn: false,
             traffic: Rate::default(),
+            work: Rate::default(),
+            part: 0.0,
             gossip: Gossip::default(),
             log_mean: 0.0,
             log_var: 0.0,
@@ -89,6 +94,17 @@
         }
     }
 
+    pub(crate) fn random_peer(&mut self) -> Option<u32> {
+        let peer = self.settings.has_peers().then(|| self.rng.u32(0..self.settings.balancers - 1))?;
+        Some(if peer >= self.settings.index { peer + 1 } else { peer })
+    }
+
+    /// Gossips the suspicion of a server about log N times.
+    pub(crate) fn spread(&mut self, i: usize) {
+        let times = u32::BITS - self.settings.balancers.leading_zeros() + 1;
+        self.gossip.add(say(SAY_SUSPECT, &self.servers[i]), times);
+    }
+
     /// What is left of something learnt at a time, where half is forgotten in a given span.
     pub(crate) fn fade(&self, since: Micros, half: f64) -> f64 {
         0.5_f64.powf(self.now.saturating_sub(since) as f64 / half)
@@ -107,6 +123,9 @@
     }
 }
 
+/// Own traffic is forgotten by half in this time.
+pub(crate) const TRAFFIC_HALF: f64 = 5_000_000.0;
+
 /// Events per microsecond, of which half is forgotten in a given time.
 #[derive(Default)]
 pub(crate) struct Rate {
@@ -120,7 +139,11 @@
     }
 
     pub(crate) fn count(&mut self, now: Micros, half: f64) {
-        self.count = 1.0 + self.left(now, half);
+        self.add(1.0, now, half);
+    }
+
+    pub(crate) fn add(&mut self, size: f64, now: Micros, half: f64) {
+        self.count = size + self.left(now, half);
         self.at = now;
     }
 
@@ -190,11 +213,16 @@
     pub(crate) own: Vec<Outstanding>,
     pub(crate) foreign: f64,
     pub(crate) foreign_at: Micros,
+    /// Moving means of what reports said it holds, and of own requests at it at the time.
+    pub(crate) held: f64,
+    pub(crate) held_own: f64,
     /// Share of its attempts that fail.
     pub(crate) failing: f64,
     pub(crate) pace: f64,
     pub(crate) pace_at: Micros,
     pub(crate) cold_since: Option<Micros>,
+    /// What was sent to it while it is cold: when, and sizes.
+    pub(crate) cold_sent: VecDeque<(Micros, f64)>,
 }
 
 impl Server {
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,138 @@
+//! Deployments where answers tell of load, requests tell of their work and late answers keep some worth.
+
+mod common;
+
+use common::*;
+use heronlock::*;
+
+/// Nothing is asked before a send; a late answer keeps a fifth of its worth.
+fn by_answers() -> Settings {
+    let mut base = settings();
+    base.classes.iter_mut().for_each(|c| c.late_value = 0.2);
+    Settings { reports: true, answers_report: true, probe_fee: 0.01, ..base }
+}
+
+/// A job server of the platform's kind: it works on all that it holds at once, on two cores.
+struct Machine {
+    left: Vec<(RequestId, f64)>,
+    speed: f64,
+}
+
+impl Machine {
+    /// Works for a time in milliseconds, and gives what is done.
+    fn work(&mut self, ms: f64) -> Vec<RequestId> {
+        let each = self.speed * ms * (2.0 / self.left.len().max(1) as f64).min(1.0);
+        self.left.iter_mut().for_each(|(_, left)| *left -= each);
+        let done = self.left.iter().filter(|(_, left)| *left <= 0.0).map(|(id, _)| *id).collect();
+        self.left.retain(|(_, left)| *left > 0.0);
+        done
+    }
+}
+
+/// A balancer before such machines, and what became of the requests.
+struct Fleet {
+    driver: Driver,
+    machines: Vec<Machine>,
+    started: std::collections::BTreeMap<RequestId, (Micros, ServerId)>,
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+impl Fleet {
+    fn new(settings: Settings, machines: u32, seed: u64) -> Self {
+        let driver = Driver::seeded(settings, machines, seed);
+        let machines = (0..machines).map(|_| Machine { left: Vec::new(), speed: 1.0 }).collect();
+        Self { driver, machines, started: Default::default(), in_time: 0, late: 0, refused: 0 }
+    }
+
+    /// A request of so much work arrives.
+    fn arrives(&mut self, work_ms: f64) {
+        let hint = Some((work_ms * 1_000.0) as Micros);
+        let (id, actions) = self.driver.hinted(0, hint);
+        self.refused += u32::from(refused(&actions));
+        if let Some(server) = sent(&actions) {
+            self.started.insert(id, (self.driver.now, server));
+            self.machines[server.0 as usize].left.push((id, work_ms));
+        }
+    }
+
+    /// Five milliseconds pass.
+    fn step(&mut self) {
+        self.driver.now += 5 * MS;
+        let now = self.driver.now;
+        if now % (25 * MS) == 0 {
+            self.driver.tick();
+        }
+        for (n, machine) in self.machines.iter_mut().enumerate() {
+            let held = machine.left.len() as f64;
+            for request in machine.work(5.0) {
+                let (since, server) = self.started.remove(&request).expect("started");
+                let (finished, outcome) = (true, Outcome::Served);
+                let report = Some(LoadReport { held, waiting: 0.0 });
+                let elapsed = now - since;
+                let end = AttemptEnd { request, attempt: 0, server, outcome, finished, elapsed, report };
+                assert_eq!(n as u32, server.0);
+                self.driver.tell(Event::Outcome(end));
+                if elapsed <= 250 * MS { self.in_time += 1 } else { self.late += 1 }
+            }
+        }
+        // The client gives up.
+        let over = |since: Micros| since + 600 * MS <= now;
+        let gone: Vec<_> = self.started.iter().filter(|(_, s)| over(s.0)).map(|(id, s)| (*id, *s)).collect();
+        for (request, (_, server)) in gone {
+            self.started.remove(&request);
+            self.machines[server.0 as usize].left.retain(|(id, _)| *id != request);
+            self.late += 1;
+            self.driver.end(request, 0, server, Outcome::TimedOut);
+        }
+    }
+
+    /// Requests of 10 to 70 ms of work come at a share of what the machines can do, for some seconds.
+    fn load(&mut self, share: f64, seconds: u32) {
+        let step_work = share * 2.0 * 5.0 * self.machines.len() as f64;
+        let (mut owed, mut rng) = (0.0, fastrand::Rng::with_seed(5));
+        for _ in 0..seconds * 200 {
+            owed += step_work;
+            while owed > 0.0 {
+                let work = 10.0 + 60.0 * rng.f64();
+                owed -= work;
+                self.arrives(work);
+            }
+            self.step();
+        }
+    }
+
+    fn counts(&mut self) -> (u32, u32, u32) {
+        let counts = (self.in_time, self.late, self.refused);
+        (self.in_time, self.late, self.refused) = (0, 0, 0);
+        counts
+    }
+}
+
+#[test]
+fn a_burst_does_not_leave_a_jam_that_feeds_on_itself() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(by_answers(), 6, seed);
+        fleet.load(0.6, 10);
+        fleet.counts();
+        fleet.load(2.4, 6);
+        let (in_time, late, refused) = fleet.counts();
+        assert!(refused > 0 && in_time > 2 * late, "the burst: {in_time} {late} {refused}");
+        fleet.load(0.6, 2);
+        fleet.counts();
+        fleet.load(0.6, 5);
+        let (in_time, late, refused) = fleet.counts();
+        assert!(in_time > 20 * (late + refused), "after it: {in_time} {late} {refused}");
+    }
+}
+
+#[test]
+fn a_fleet_with_room_turns_nothing_away() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(by_answers(), 6, seed);
+        fleet.load(0.7, 15);
+        let (in_time, late, refused) = fleet.counts();
+        assert!(refused * 100 < in_time && late * 50 < in_time, "{in_time} {late} {refused}");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -65,9 +65,13 @@
     }
 
     pub fn request(&mut self, class: u16) -> (RequestId, Vec<Action>) {
+        self.hinted(class, None)
+    }
+
+    pub fn hinted(&mut self, class: u16, size_hint: Option<Micros>) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next);
         self.next += 1;
-        let call = Call { id, class: ClassId(class), time_left: 600 * MS, size_hint: None };
+        let call = Call { id, class: ClassId(class), time_left: 600 * MS, size_hint };
         (id, self.tell(Event::Request(call)))
     }
 
