--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -120,6 +120,7 @@
         cross_zone_fee: conf.fees.cross_zone,
         reports: shape.held.is_some() && conf.report.source != "none",
         answers_report: conf.report.source == "answers",
+        worth_by_work: conf.worth_by.as_deref() == Some("work"),
         list_on_request: conf.membership_mode.as_deref() == Some("on_request"),
         ask_every: safety.ask_every_ms.map_or(base.ask_every, micros),
         only_draining_binds: safety.only_draining_binds,
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -64,6 +64,7 @@
     pub balancers: Option<u32>,
     pub my_number: Option<u32>,
     pub membership_mode: Option<String>,
+    pub worth_by: Option<String>,
     pub request_classes: Vec<ClassConf>,
     #[serde(default)]
     pub permissions: Permissions,
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -77,6 +77,9 @@
         class: u16,
         shop: u16,
         within: bool,
+        /// Absent in records of before it was noted.
+        #[serde(default)]
+        work: f64,
     },
     /// The sidecar has a transaction's last byte, and owes its answer by `due`.
     Taken {
--- a/lab/src/model/sidecar.rs
+++ b/lab/src/model/sidecar.rs
@@ -76,6 +76,7 @@
         cross_zone_fee: day.prices.cross_zone,
         reports: true,
         answers_report: day.reports.source == Source::Answers,
+        worth_by_work: day.load.worth_by_work,
         list_on_request: true,
         ask_every: from_ms(day.allow.ask_every_ms),
         only_draining_binds: false,
--- a/lab/src/model/terminal.rs
+++ b/lab/src/model/terminal.rs
@@ -26,7 +26,7 @@
         let (ask_number, now) = (self.number(), self.now);
         let Wish { class, shop, work, hint, honours, .. } = wish;
         let within = self.quotas.get_mut(usize::from(shop)).is_none_or(|quota| quota.take(now));
-        self.note(Entry::Asked { ask: ask_number, sidecar: number, class, shop, within });
+        self.note(Entry::Asked { ask: ask_number, sidecar: number, class, shop, within, work });
         let deadline = now + from_ms(self.day.class[usize::from(class)].deadline_ms);
         let ask = Ask { number: ask_number, sidecar: number, class, work, hint, deadline, tries: 0, honours };
         let full = self.tries.len() >= self.day.load.open_most;
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -263,6 +263,8 @@
         high: f64 = 1.05,
         /// Terminals tell the work of a request, off by a factor whose logarithm has this standard deviation.
         hints: Option<f64> = None,
+        /// Worth is counted for each unit of work: a class's worth is that of its mean work.
+        worth_by_work: bool = false,
         /// Open transactions at which further arrivals are not played but counted as choked off.
         open_most: usize = 200_000,
     }
--- a/lab/src/stage/process.rs
+++ b/lab/src/stage/process.rs
@@ -94,7 +94,7 @@
     json!({
         "az": day.network.zones.get(day.spread_zone(number) as usize),
         "zones": day.network.zones, "balancers": day.sidecars.count, "my-number": number,
-        "membership-mode": "on_request", "step-ms": 5.0, "request-classes": classes,
+        "membership-mode": "on_request", "worth-by": if day.load.worth_by_work { "work" } else { "request" }, "step-ms": 5.0, "request-classes": classes,
         "permissions": {
             "cancel": allow.cancel, "probes": allow.probes, "may-duplicate": allow.second_copies,
             "retry-after": false, "max-retry-after-ms": allow.max_retry_after_ms, "peers": false,
--- a/lab/src/stage/terminal.rs
+++ b/lab/src/stage/terminal.rs
@@ -75,7 +75,10 @@
         let (ask, Wish { class, shop, .. }) = (shared.number(), wish);
         let within =
             lock(&self.quotas).get_mut(usize::from(shop)).is_none_or(|quota| quota.take(shared.clock.now()));
-        shared.note_at(wish.at, Entry::Asked { ask, sidecar: self.sidecar, class, shop, within });
+        shared.note_at(
+            wish.at,
+            Entry::Asked { ask, sidecar: self.sidecar, class, shop, within, work: wish.work },
+        );
         if self.open.load(Relaxed) >= day.load.open_most {
             shared.note(Entry::Closed { ask, how: How::ChokedOff, tries: 0 });
             return;
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -256,9 +256,12 @@
     fn note(&mut self, line: &Line) {
         let second = (line.at / 1_000_000) as usize;
         match line.entry {
-            Entry::Asked { ask, class, shop, within, .. } => {
+            Entry::Asked { ask, class, shop, within, work, .. } => {
                 self.asked += 1;
-                let full = self.day.class.get(usize::from(class)).map_or(0.0, |c| c.worth);
+                let by_work =
+                    |mean: f64| if self.day.load.worth_by_work { work / mean / 1_000.0 } else { 1.0 };
+                let class_of = self.day.class.get(usize::from(class));
+                let full = class_of.map_or(0.0, |c| c.worth * by_work(c.work_ms));
                 let worth = if within { full } else { full * self.day.rules.over_share_worth };
                 self.asks.insert(ask, Ask { at: line.at, class, shop, worth, within });
             }
--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -212,6 +212,7 @@
         cross_zone_fee: number(fees.at("cross-zone"), 0.0)?,
         reports,
         answers_report: source.as_deref() == Some("answers"),
+        worth_by_work: conf.at("worth-by").text_opt()?.as_deref() == Some("work"),
         // On sockets discovery answers only when asked, whatever the simulator does for this deployment.
         list_on_request: true,
         ask_every: time(safety.at("ask-every-ms"), base.ask_every)?,
--- a/src/api.rs
+++ b/src/api.rs
@@ -123,6 +123,8 @@
     pub reports: bool,
     /// Load reports come with answers too, each as of some time before.
     pub answers_report: bool,
+    /// A request's worth counts for each unit of its work.
+    pub worth_by_work: bool,
     /// The list of servers must be asked for.
     pub list_on_request: bool,
     /// Longest time to go without asking for the list.
@@ -161,6 +163,7 @@
             cross_zone_fee: 0.0,
             reports: false,
             answers_report: false,
+            worth_by_work: false,
             list_on_request: false,
             ask_every: 10_000_000,
             only_draining_binds: false,
--- a/src/estimates/load.rs
+++ b/src/estimates/load.rs
@@ -2,12 +2,11 @@
 
 use super::*;
 
-/// Reports that come with answers are as old as they please, up to half a second and more: a mean over this time
-/// tells what others have at a server, and the last one does not.
-const HELD_HALF: f64 = 300_000.0;
+/// Reports that come with answers were taken some hundred milliseconds before, and what came and went since is
+/// unknown: only a mean over many of them tells what others have at a server.
+const HELD_HALF: f64 = 3_000_000.0;
 /// What others have at a server is forgotten by half in this time.
-const FOREIGN_HALF: f64 = 2_000_000.0;
-
+const FOREIGN_HALF: f64 = 4_000_000.0;
 /// A fleet of which more than this share is busy is full.
 const BUSY: f64 = 0.8;
 
@@ -77,8 +76,9 @@
         ((self.busy - BUSY) / (1.0 - BUSY)).clamp(0.0, 1.0)
     }
 
-    /// Guards against an estimate that refuses all and so is never corrected: what is idle takes a request.
+    /// Guards against an estimate that refuses all and so is never corrected: what is idle takes a request. A cold
+    /// one does not, as one large request may be all that it bears; those like it correct its estimate.
     pub(crate) fn crowded(&self, server: &Server) -> bool {
-        self.crowd(server) >= 1.5
+        server.cold_since.is_some() || self.crowd(server) >= 1.5
     }
 }
--- a/src/estimates/pace.rs
+++ b/src/estimates/pace.rs
@@ -55,6 +55,7 @@
         if self.mean_size == 0.0 {
             return 1.0;
         }
-        self.class(request).worth / request.size / self.mean_worth.max(f64::MIN_POSITIVE)
+        let work = if self.settings.worth_by_work { 1.0 } else { request.size };
+        self.class(request).worth / work / self.mean_worth.max(f64::MIN_POSITIVE)
     }
 }
--- a/src/logic/pick.rs
+++ b/src/logic/pick.rs
@@ -60,8 +60,7 @@
         }
         if self.by_answers() {
             // Guards against a refusal by two full servers while others have room.
-            let soon = |&&i: &&usize| !self.misses(i, id);
-            let fits: Vec<usize> = open.iter().filter(soon).copied().collect();
+            let fits: Vec<usize> = open.iter().copied().filter(|&i| !self.misses(i, id)).collect();
             open = if fits.is_empty() { open } else { fits };
         }
         let (a, b) = (self.draw(&open)?, self.draw(&open)?);
--- a/src/logic/refusals.rs
+++ b/src/logic/refusals.rs
@@ -7,10 +7,13 @@
 /// figure as all is turned away. Chosen over loads from 0.7 to 1.2 of capacity.
 const IN_TIME_BUSY: f64 = 0.6;
 const IN_TIME_FULL: f64 = 0.25;
-/// Where answers tell of load, an answer must be expected within this share of the time left. Answers that
-/// come late all the same are taken while less than the second share of requests finds no server in time.
-const IN_TIME: f64 = 0.7;
-const LATE_MOST: f64 = 0.1;
+/// Where answers tell of load, an answer must be expected within this share of the time left, scaled by a
+/// power of what it earns for its work, up to the third figure. Late answers are bought while less than the
+/// last share of requests finds no server in time.
+const IN_TIME: f64 = 0.6;
+const IN_TIME_WORTH: f64 = 0.4;
+const IN_TIME_MOST: f64 = 0.78;
+const LATE_MOST: f64 = 0.05;
 /// Where servers report no load, strain stands in: the mean share of the objective that answers take, a
 /// failure counting as all of it. Above the first figure a part is refused, all of it this much higher; the
 /// least worth goes first.
@@ -21,13 +24,11 @@
     /// True where a server would answer so late that its work is better spent on another request.
     pub(super) fn too_late(&self, i: usize, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return true };
-        let class = self.class(request);
-        let server = &self.servers[i];
-        let expected = self.expected(server, request.size);
+        let (class, server) = (self.class(request), &self.servers[i]);
         if self.by_answers() {
-            let late = class.late_value > 0.0 && self.turned < LATE_MOST;
-            let until = if late { request.give_up } else { request.aim };
-            return self.crowded(server) && expected > IN_TIME * until.saturating_sub(self.now) as f64;
+            let room = server.cold_since.is_none() && self.turned < LATE_MOST;
+            let late = class.late_value > 0.0 && room && !self.misses_by(i, request, request.give_up);
+            return !late && self.misses_by(i, request, request.aim);
         }
         if class.late_value > 0.0 || !self.reports() {
             return false;
@@ -35,14 +36,19 @@
         let ahead = self.load(server) - self.slowness(server);
         let in_time = IN_TIME_BUSY - IN_TIME_FULL * self.turned;
         let share = 1.0 - self.strictness() * (1.0 - in_time * self.gain(request)).max(0.0);
+        let expected = self.expected(server, request.size);
         ahead >= 0.5 && expected > share * request.aim.saturating_sub(self.now) as f64
     }
 
     /// True where a server would answer after the time that is wanted.
     pub(super) fn misses(&self, i: usize, id: RequestId) -> bool {
-        let Some(request) = self.requests.get(&id) else { return true };
-        let (server, left) = (&self.servers[i], request.aim.saturating_sub(self.now) as f64);
-        self.crowded(server) && self.expected(server, request.size) > IN_TIME * left
+        self.requests.get(&id).is_none_or(|request| self.misses_by(i, request, request.aim))
+    }
+
+    fn misses_by(&self, i: usize, request: &Request, until: Micros) -> bool {
+        let (server, left) = (&self.servers[i], until.saturating_sub(self.now) as f64);
+        let share = (IN_TIME * self.gain(request).powf(IN_TIME_WORTH)).min(IN_TIME_MOST);
+        self.crowded(server) && self.expected(server, request.size) > share * left
     }
 
     /// Guards against queues that all balancers fill together, which none of them sees, nor counts in its own
