--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -34,6 +34,8 @@
     driver: Driver,
     machines: Vec<Machine>,
     started: std::collections::BTreeMap<RequestId, (Micros, ServerId)>,
+    /// When, to whom and how much was sent.
+    sends: Vec<(Micros, ServerId, f64)>,
     in_time: u32,
     late: u32,
     refused: u32,
@@ -43,16 +45,28 @@
     fn new(settings: Settings, machines: u32, seed: u64) -> Self {
         let driver = Driver::seeded(settings, machines, seed);
         let machines = (0..machines).map(|_| Machine { left: Vec::new(), speed: 1.0 }).collect();
-        Self { driver, machines, started: Default::default(), in_time: 0, late: 0, refused: 0 }
+        Self {
+            driver,
+            machines,
+            started: Default::default(),
+            sends: Vec::new(),
+            in_time: 0,
+            late: 0,
+            refused: 0,
+        }
     }
 
-    /// A request of so much work arrives.
+    /// A request of so much work arrives, and says so.
     fn arrives(&mut self, work_ms: f64) {
-        let hint = Some((work_ms * 1_000.0) as Micros);
+        self.arrives_hinted(work_ms, Some((work_ms * 1_000.0) as Micros));
+    }
+
+    fn arrives_hinted(&mut self, work_ms: f64, hint: Option<Micros>) {
         let (id, actions) = self.driver.hinted(0, hint);
         self.refused += u32::from(refused(&actions));
         if let Some(server) = sent(&actions) {
             self.started.insert(id, (self.driver.now, server));
+            self.sends.push((self.driver.now, server, work_ms));
             self.machines[server.0 as usize].left.push((id, work_ms));
         }
     }
@@ -136,3 +150,56 @@
         assert!(refused * 100 < in_time && late * 50 < in_time, "{in_time} {late} {refused}");
     }
 }
+
+/// All servers start anew at once, cold, in the middle of full load, and now and then a request is as large as all
+/// that one of them bears in the span of the rule.
+#[test]
+fn a_fleet_that_is_wholly_cold_is_not_pushed_over() {
+    for seed in 0..6 {
+        let settings = Settings { cold_share: 0.2, cold_time: 16_000 * MS, ..by_answers() };
+        let (multiple, span) = (settings.cold_multiple, settings.cold_span);
+        let mut fleet = Fleet::new(settings, 6, seed);
+        fleet.load(0.8, 10);
+        let born = fleet.driver.now;
+        for n in 0..fleet.machines.len() as u32 {
+            fleet.driver.tell(changed(Member { launched: Some(born), ..member(n) }));
+        }
+        let warmth = |at: Micros| 0.2 + 0.8 * (at - born) as f64 / (16_000 * MS) as f64;
+        fleet.sends.clear();
+        for _ in 0..8 {
+            let speed = warmth(fleet.driver.now);
+            fleet.machines.iter_mut().for_each(|machine| machine.speed = speed);
+            fleet.arrives(1_450.0);
+            fleet.load(0.3, 1);
+        }
+        for (at, server, _) in &fleet.sends {
+            let within = |s: &&(Micros, ServerId, f64)| s.1 == *server && (*at..at + span).contains(&s.0);
+            let sent: f64 = fleet.sends.iter().filter(within).map(|s| s.2).sum();
+            let bears = multiple * 2.0 * warmth(*at) * span as f64 / 1_000.0;
+            assert!(
+                sent <= bears,
+                "seed {seed}, {} ms after the start: {sent} of {bears} ms",
+                (at - born) / MS
+            );
+        }
+    }
+}
+
+/// A quarter of the requests is hinted far too low and a quarter far too high, or not at all.
+#[test]
+fn hints_that_are_wrong_or_missing_jam_nothing() {
+    for wrong in [Some(1), Some(60_000_000), None] {
+        let mut fleet = Fleet::new(by_answers(), 6, 3);
+        let mut rng = fastrand::Rng::with_seed(9);
+        for _ in 0..15 * 200 {
+            // Six machines of two cores do 60 ms of work in 5 ms; a request takes 40.
+            if rng.f64() < 0.6 * 60.0 / 40.0 {
+                let hint = if rng.f64() < 0.25 { wrong } else { Some(40_000) };
+                fleet.arrives_hinted(40.0, hint);
+            }
+            fleet.step();
+        }
+        let (in_time, late, refused) = fleet.counts();
+        assert!(in_time > 2 * (late + refused), "{wrong:?}: {in_time} {late} {refused}");
+    }
+}
