Read an answer without a length to the end of its connection; a reset is no end

Cause: awc's decoder (actix-http h1/decoder.rs, MessageType for ResponseHead) takes an HTTP/1.1 answer that names neither length nor chunks for one without a body, and only HTTP/1.0 for one that ends with its connection; what was served had no body at all, reset or not. Ruled out: a reset read as an end of file; Framed hands an error of the read on, and call() drops the answer then. Change: such a head is handed to awc as HTTP/1.0 (upstream/answer.rs); codings other than chunks, and chunks in HTTP/1.0, are spoilt, since the two readers would see different ends.

--- a/sidecar/src/upstream/answer.rs
+++ b/sidecar/src/upstream/answer.rs
@@ -86,7 +86,14 @@
                 self.held.advance(end);
                 continue;
             }
-            self.at = body(&response, limits)?;
+            let (at, framed) = body(&response, limits)?;
+            self.at = at;
+            if !framed {
+                // Guards against an answer that ends with its connection: awc takes one that says neither length
+                // nor chunks for one without a body, except in HTTP/1.0, where it reads to the end of file.
+                let version = self.held.iter().position(|&b| b == b'/').unwrap_or_default();
+                self.held[version..version + 4].copy_from_slice(b"/1.0");
+            }
             if let At::Body(length) = self.at {
                 let here = self.held.len() - end;
                 let whole = here <= length;
@@ -110,20 +117,31 @@
     }
 }
 
-/// How the body of a final answer ends, where its head leaves no doubt of it.
-fn body(response: &httparse::Response<'_, '_>, limits: &Limits) -> io::Result<At> {
+/// How the body of a final answer ends, where its head leaves no doubt of it; false if with the connection.
+fn body(response: &httparse::Response<'_, '_>, limits: &Limits) -> io::Result<(At, bool)> {
     let named =
         |name: &'static str| response.headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
     let mut lengths = named("content-length");
-    let chunked = named("transfer-encoding").next().is_some();
-    match (lengths.next(), lengths.next(), chunked) {
-        (Some(length), None, false) => {
+    let mut codings = named("transfer-encoding");
+    let (coding, further) = (codings.next(), codings.next());
+    match (lengths.next(), lengths.next(), coding) {
+        (Some(length), None, None) => {
             let digits = length.value.iter().all(u8::is_ascii_digit);
             let length = std::str::from_utf8(length.value).ok().filter(|_| digits);
             let length = length.and_then(|text| text.parse().ok()).filter(|&n: &usize| n <= limits.body);
-            length.map(At::Body).ok_or_else(|| spoilt("an answer's length is none, or too long"))
+            let length = length.ok_or_else(|| spoilt("an answer's length is none, or too long"))?;
+            Ok((At::Body(length), true))
+        }
+        (None, None, None) if matches!(response.code, Some(204 | 304)) => Ok((At::Body(0), true)),
+        (None, None, None) => Ok((At::Open(limits.answer_open), false)),
+        (None, None, Some(coding)) => {
+            // Guards against an end that only one side sees: HTTP/1.0 knows no chunks, and nothing else is undone.
+            let known = coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked");
+            if !known || further.is_some() || response.version != Some(1) {
+                return Err(spoilt("an answer's transfer coding is not chunked"));
+            }
+            Ok((At::Open(limits.answer_open), true))
         }
-        (None, None, _) => Ok(At::Open(limits.answer_open)),
         _ => Err(spoilt("an answer's length is given twice")),
     }
 }
