End every client connection one way, and judge an attempt again before its first byte

Need: events cross at the close of a connection, between a decision and a late dial, and between a lost watch and its next call. Read in the code: overstayed dropped the socket, over unread bytes a reset; may_begin knew the drain alone; legal judged the window for repeats at the decision, a dial may take long; after failed calls the module's pause grows to half of ask-every, longer than a drain's grace where lists are pushed; a line that could not be read was passed over, and the next moved the place past its changes; stop_accepting and stop_most left a request taken last 0.1 s less than its deadline. Change: the protocol borrows the socket (front/client.rs) and front/linger.rs ends it, whatever the reason; bytes that lie unread at an idle close are served; a flood behind an open request is thrown away, so that the client's end is still seen. upstream/gate.rs is the one look before a first byte. service_table.rs asks again within list_retry where lists are pushed, silent or moved, and tells since when drains may be hidden: what no served answer speaks for then waits. Stop: accept 0.5 s, answer all by the longest deadline and 0.55 s. watch_names_servers had its two unreadable lines moved into a recording of their own.

--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -32,6 +32,8 @@
     pub keyed: Vec<bool>,
     /// How long a terminal of that class waits that does not say so.
     pub deadlines: Vec<Duration>,
+    /// How long repeats of that class are dropped.
+    pub windows: Vec<Duration>,
     pub zones: Vec<String>,
     /// What the kinds of machine can do.
     pub machines: Machines,
@@ -107,6 +109,7 @@
             attempts: settings.max_attempts as usize,
             deadline: Duration::from_micros(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)),
             step: Duration::from_micros(settings.step),
+            pushed: conf.at("membership-mode").text_opt()?.as_deref() == Some("pushed"),
         };
         if basis.sockets < 64 {
             return own.at("sockets").fault("must be 64 or more");
@@ -169,6 +172,7 @@
         classes.push(class(&node)?);
         names.classes.push(node.at("name").text()?);
         names.deadlines.push(classes.last().map_or(Duration::ZERO, |c| Duration::from_micros(c.deadline)));
+        names.windows.push(classes.last().map_or(Duration::ZERO, |c| Duration::from_micros(c.window)));
         names.keyed.push(classes.last().is_some_and(|c| c.semantics == Semantics::Keyed));
     }
     for zone in conf.at("zones").items()? {
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -8,11 +8,12 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arrowstand_controls::{Informed, Machines, fingerprint};
 use heronlock::{Action, ClassId, Condition, Event, ListKind, Member, Micros, Outcome, RequestId, ServerId};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::Instant;
 
 pub use owed::{Owed, Step};
 
@@ -29,21 +30,38 @@
     told_out: Cell<Option<Instant>>,
     /// Told to be gone, or left out of a whole table.
     gone: Cell<bool>,
+    /// When the last request was begun that it served.
+    served: Cell<Option<Instant>>,
 }
 
 impl JobServer {
     pub fn new(id: ServerId, address: SocketAddr) -> Self {
-        Self { id, address: Cell::new(address), told_out: Cell::new(None), gone: Cell::new(false) }
+        Self {
+            id,
+            address: Cell::new(address),
+            told_out: Cell::new(None),
+            gone: Cell::new(false),
+            served: Cell::new(None),
+        }
     }
 
     pub fn address(&self) -> SocketAddr {
         self.address.get()
     }
 
-    /// Guards against a send that was decided before a drain was told and whose connection came up late:
-    /// its first byte must not be written once the drain has been known for this long.
-    pub fn closed_for(&self, grace: Duration) -> bool {
-        self.told_out.get().is_some_and(|at| at.elapsed() >= grace)
+    /// For how long its drain has been known.
+    pub fn drained(&self) -> Option<Duration> {
+        self.told_out.get().map(|at| at.elapsed())
+    }
+
+    /// It has served a request that was begun then, so it took work then.
+    pub fn has_served(&self, begun: Instant) {
+        self.served.set(self.served.get().max(Some(begun)));
+    }
+
+    /// True where it took work that was begun after that.
+    pub fn served_since(&self, at: Instant) -> bool {
+        self.served.get().is_some_and(|served| served > at)
     }
 
     pub fn told(&self, out: bool) {
@@ -66,6 +84,13 @@
     listed: bool,
 }
 
+/// Drains that a list does not show may have been made until `since`, and bind from `from` on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Unsure {
+    pub since: Instant,
+    pub from: Instant,
+}
+
 /// Everything that decides. One of them runs on one thread.
 pub struct Core {
     balancer: RefCell<Informed>,
@@ -78,6 +103,9 @@
     list_wanted: Notify,
     probes: mpsc::Sender<ServerId>,
     next_request: Cell<u64>,
+    /// From when on, and since when, the list may hide drains that count as told.
+    unsure: Cell<Option<Unsure>>,
+    ending: watch::Sender<bool>,
     start: Instant,
     epoch: Micros,
     names: Names,
@@ -110,6 +138,8 @@
             list_wanted: Notify::new(),
             probes,
             next_request: Cell::new(0),
+            unsure: Cell::new(None),
+            ending: watch::Sender::new(false),
             start: Instant::now(),
             epoch: unix.as_micros() as Micros,
             names,
@@ -139,6 +169,29 @@
         self.names.deadlines.get(usize::from(class.0)).copied().unwrap_or_default()
     }
 
+    /// How long repeats of a class that tells them by a key are dropped.
+    pub fn window(&self, class: ClassId) -> Option<Duration> {
+        self.names.windows.get(usize::from(class.0)).copied().filter(|_| self.keyed(class))
+    }
+
+    /// Whether the program ends now: what is open is to be answered at once.
+    pub fn ending(&self) -> watch::Receiver<bool> {
+        self.ending.subscribe()
+    }
+
+    pub fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Says what the list may hide, until a list comes.
+    pub fn set_unsure(&self, unsure: Option<Unsure>) {
+        self.unsure.set(unsure);
+    }
+
+    pub fn unsure(&self) -> Option<Unsure> {
+        self.unsure.get()
+    }
+
     /// True once transactions can be served: the service table has named a job server.
     pub fn ready(&self) -> bool {
         self.directory.borrow().listed
@@ -256,7 +309,9 @@
 impl Directory {
     fn take(&mut self, kind: ListKind, table: &Table, forget: Duration) -> Vec<Member> {
         // Guards against names and numbers that grow without end where job servers are replaced all the time.
-        self.ids.retain(|_, server| !(server.gone.get() && server.closed_for(forget)));
+        self.ids.retain(|_, server| {
+            !(server.gone.get() && server.drained().is_some_and(|known| known >= forget))
+        });
         self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
         if kind != ListKind::Changes {
             let named = |uid: &str| table.lines.iter().any(|l| l.uid == uid);
@@ -301,30 +356,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::service_table::Line;
-
-    /// A day of replaced job servers, each at the address of the one before: too long to record.
-    #[test]
-    fn what_has_gone_is_forgotten_and_its_number_is_not_used_again() {
-        let (mut directory, mut numbers) = (Directory::default(), Vec::new());
-        let line = |n: u32, condition| Line {
-            uid: format!("s{n}"),
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            zone: "z".to_owned(),
-            cell: 0,
-            model: String::new(),
-            condition,
-            boot_ms: 0.0,
-        };
-        for n in 1..100 {
-            let lines = vec![line(n - 1, Condition::Gone), line(n, Condition::Ready)];
-            let table = Table { lines, ..Table::default() };
-            let members = directory.take(ListKind::Changes, &table, Duration::ZERO);
-            numbers.push(members[1].server);
-        }
-        assert!(directory.ids.len() <= 3 && directory.by_id.len() <= 3);
-        assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
-    }
-}
+mod tests;
--- /dev/null
+++ b/sidecar/src/core/tests.rs
@@ -0,0 +1,25 @@
+use super::*;
+use crate::service_table::Line;
+
+/// A day of replaced job servers, each at the address of the one before: too long to record.
+#[test]
+fn what_has_gone_is_forgotten_and_its_number_is_not_used_again() {
+    let (mut directory, mut numbers) = (Directory::default(), Vec::new());
+    let line = |n: u32, condition| Line {
+        uid: format!("s{n}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "z".to_owned(),
+        cell: 0,
+        model: String::new(),
+        condition,
+        boot_ms: 0.0,
+    };
+    for n in 1..100 {
+        let lines = vec![line(n - 1, Condition::Gone), line(n, Condition::Ready)];
+        let table = Table { lines, ..Table::default() };
+        let members = directory.take(ListKind::Changes, &table, Duration::ZERO);
+        numbers.push(members[1].server);
+    }
+    assert!(directory.ids.len() <= 3 && directory.by_id.len() <= 3);
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
+}
--- a/sidecar/src/counters.rs
+++ b/sidecar/src/counters.rs
@@ -5,6 +5,8 @@
 
 use heronlock::Outcome;
 
+use crate::upstream::gate::Stop;
+
 macro_rules! counters {
     ($($name:ident: $text:literal,)*) => {
         /// One cell a kind; printed on request and at exit.
@@ -52,6 +54,11 @@
     routed_connect_failed: "Routed tasks that were never written whole.",
     routed_reset: "Routed tasks whose connection broke.",
     routed_cancelled: "Routed tasks that were called off.",
+    stopped_client_left: "Routed tasks not begun, since the client had left.",
+    stopped_no_time: "Routed tasks not begun for want of time.",
+    stopped_window_over: "Repeats not begun, since the window for them was over.",
+    stopped_server_drains: "Routed tasks not begun, since the job server drains or has moved.",
+    stopped_list_too_old: "Routed tasks not begun, since the list was too old to show a drain.",
     probes_sent: "Probes begun.",
     probes_failed: "Probes that failed.",
     connections_opened: "Connections to job servers opened.",
@@ -63,6 +70,17 @@
 }
 
 impl Counters {
+    pub fn stopped(&self, stop: Stop) {
+        let cell = match stop {
+            Stop::ClientLeft => &self.stopped_client_left,
+            Stop::NoTime => &self.stopped_no_time,
+            Stop::WindowOver => &self.stopped_window_over,
+            Stop::ServerDrains | Stop::ServerMoved => &self.stopped_server_drains,
+            Stop::ListTooOld => &self.stopped_list_too_old,
+        };
+        cell.add();
+    }
+
     pub fn routed(&self, outcome: Outcome) {
         let cell = match outcome {
             Outcome::Served => &self.routed_served,
--- /dev/null
+++ b/sidecar/src/front/listener.rs
@@ -0,0 +1,189 @@
+//! Accepts clients within the bounds, lends their sockets to the protocol, and brings each connection to its end.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::error::DispatchError;
+use actix_service::Service;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use super::client::{Client, Lent};
+use super::http::{service, turn_away};
+use super::linger::linger;
+use crate::core::Core;
+use crate::upstream::Upstream;
+
+/// The listening side.
+pub struct Front {
+    pub(super) core: Rc<Core>,
+    pub(super) upstream: Rc<Upstream>,
+    /// Client connections that hold a descriptor.
+    open: Cell<usize>,
+    /// Those that hold a permit, which the ones dismissed or turned away do not.
+    clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    next: Cell<u64>,
+    changed: Notify,
+    /// Descriptors of connections that linger are wanted.
+    wanted: Notify,
+    stopping: Notify,
+    closing: Cell<bool>,
+}
+
+impl Front {
+    pub fn new(core: Rc<Core>, upstream: Rc<Upstream>) -> Rc<Self> {
+        let (open, clients, next) = (Cell::new(0), RefCell::default(), Cell::new(0));
+        let (changed, wanted, stopping, closing) =
+            (Notify::new(), Notify::new(), Notify::new(), Cell::new(false));
+        Rc::new(Self { core, upstream, open, clients, next, changed, wanted, stopping, closing })
+    }
+
+    /// True once no answer leaves its connection open.
+    pub(super) fn closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Accepts clients until [`Front::close`], and then those whom the machine has accepted.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        use actix_service::ServiceFactory as _;
+        let Ok(protocol) = service(&self).new_service(()).await else { return };
+        let Ok(crowded) = turn_away(&self).new_service(()).await else { return };
+        let (protocol, crowded) = (Rc::new(protocol), Rc::new(crowded));
+        let limits = Rc::clone(&self.core.limits);
+        loop {
+            while self.open.get() >= limits.terminals_most {
+                // Guards against a crowd at the stop that takes the descriptors of what is still owed.
+                if self.closing.get() {
+                    return;
+                }
+                self.wanted.notify_one();
+                tokio::select! { () = self.changed.notified() => {}, () = self.stopping.notified() => {} }
+            }
+            // Guards against requests on connections that the machine has accepted and this program has not:
+            // the last of them are taken before the listener goes.
+            let next = tokio::select! {
+                biased;
+                next = listener.accept() => next,
+                () = self.stopping.notified(), if !self.closing.get() => continue,
+                () = tokio::task::yield_now(), if self.closing.get() => return,
+            };
+            let stream = match next {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    if self.closing.get() {
+                        return;
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
+                }
+            };
+            let client = Client::new(Some(stream));
+            let full = !self.has_room();
+            let permit = self.permit(&client, full);
+            let (this, protocol, crowded) = (Rc::clone(&self), Rc::clone(&protocol), Rc::clone(&crowded));
+            actix_rt::spawn(async move {
+                if full {
+                    this.serve(&*crowded, &client).await;
+                } else {
+                    this.serve(&*protocol, &client).await;
+                }
+                permit.give_back();
+                if let Some(socket) = client.take() {
+                    linger(socket, &this.core.limits, &this.wanted).await;
+                }
+            });
+        }
+    }
+
+    /// Serves one client until its connection is to end, and leaves its socket open for that.
+    async fn serve<S>(&self, protocol: &S, client: &Rc<Client>)
+    where
+        S: Service<(Lent, Option<SocketAddr>), Response = (), Error = DispatchError>,
+    {
+        while let Some(lent) = client.lend(&self.core.limits) {
+            let served = async {
+                lent.first_byte().await;
+                protocol.call((lent, None)).await
+            };
+            // What has come already is served: a permit is only taken from a client that is silent.
+            tokio::select! {
+                biased;
+                end = served => {
+                    if let Err(DispatchError::Parse(_)) = end {
+                        self.core.counters.transactions_malformed.add();
+                    }
+                    return;
+                }
+                () = client.overstayed(&self.core.limits) => {}
+            }
+            // Guards against a request that came as its connection was chosen for closing: nothing of it was read.
+            if !client.has_unread() {
+                self.core.counters.terminals_dismissed.add();
+                return;
+            }
+        }
+    }
+
+    /// Guards against silent clients that fill all permits: a new one gets that of the idlest.
+    fn has_room(&self) -> bool {
+        let mut clients = self.clients.borrow_mut();
+        if clients.len() < self.core.limits.terminals {
+            return true;
+        }
+        let idle = clients.iter().filter_map(|(&number, t)| Some((t.idle()?, number)));
+        let idlest = idle.min().map(|(_, number)| number);
+        idlest.and_then(|number| clients.remove(&number)).inspect(|t| t.dismiss()).is_some()
+    }
+
+    fn permit(self: &Rc<Self>, client: &Rc<Client>, full: bool) -> Permit {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.open.set(self.open.get() + 1);
+        if !full {
+            self.clients.borrow_mut().insert(number, Rc::clone(client));
+        }
+        Permit { front: Rc::clone(self), number }
+    }
+
+    /// Ends the accepting, closes idle connections and waits until what is owed is answered.
+    pub async fn close(&self, accept: JoinHandle<()>) {
+        self.closing.set(true);
+        self.stopping.notify_one();
+        let _ = accept.await;
+        self.clients.borrow().values().filter(|t| t.idle().is_some()).for_each(|t| t.dismiss());
+        self.closed().await;
+    }
+
+    /// Waits until no connection is open.
+    pub async fn closed(&self) {
+        while self.open.get() > 0 {
+            self.changed.notified().await;
+        }
+    }
+}
+
+/// One client connection within the bounds; its descriptor counts until this is dropped.
+struct Permit {
+    front: Rc<Front>,
+    number: u64,
+}
+
+impl Permit {
+    /// It takes no more requests: another client may.
+    fn give_back(&self) {
+        self.front.clients.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.give_back();
+        self.front.open.set(self.front.open.get() - 1);
+        self.front.changed.notify_waiters();
+    }
+}
--- a/sidecar/src/front/mod.rs
+++ b/sidecar/src/front/mod.rs
@@ -1,5 +1,9 @@
-//! What terminals speak. Each front turns its protocol into an [`Ask`](crate::transaction::Ask) and an
-//! [`Answer`](crate::transaction::Answer) back into its protocol; none of them decides anything.
+//! The side of the clients: connections, their bounds and their ends, and the protocol on them.
 
+mod client;
 pub mod http;
-mod line;
+mod linger;
+pub mod listener;
+mod request;
+#[cfg(test)]
+mod tests;
--- a/sidecar/src/limits.rs
+++ b/sidecar/src/limits.rs
@@ -57,14 +57,35 @@
     /// long: with the idle time, it is closed within 3 s of connecting.
     pub terminal_read: Duration,
     pub terminal_first: Duration,
-    /// After SIGTERM, connections are accepted for this long.
+    /// Bytes that come from a client behind its open request and are still read: enough to tell that it does not wait.
+    pub behind: usize,
+    /// More bytes than any request has, head and body: a client that sends so many at once does not wait either.
+    pub at_once: usize,
+    /// What a client sends after its last answer is read and thrown away for this long, and up to so many bytes.
+    pub linger: Duration,
+    pub linger_bytes: usize,
+    /// A keyed request's repeat is begun this long before its window ends, so that it is there when it does.
+    pub window_margin: Duration,
+    /// What discovery has counts as told, whether or not a watch is open.
+    pub pushed: bool,
+    /// A list that is late is asked for again after about this long, until it is there.
+    pub list_retry: Duration,
+    /// News from before a watch fell silent, or of a new configuration, bind this long after that: half of the grace
+    /// is left for what is on its way.
+    pub list_silent_binds: Duration,
+    pub list_moved_binds: Duration,
+    /// After SIGTERM, connections are accepted for this long: new ones come for 0.4 s (the protocol page).
     pub stop_accepting: Duration,
+    /// After SIGTERM, what is still open is answered at once after this long.
+    pub stop_answer: Duration,
     /// After SIGTERM, the longest time until the program ends.
     pub stop_most: Duration,
 }
 
 /// Whatever discovery has to tell counts as told after this long, whether it came or not (the protocol page).
 const LIST_TOLD: Duration = Duration::from_secs(6);
+/// After a new configuration it counts this much later.
+const LIST_MOVED: Duration = Duration::from_secs(4);
 /// One and a half of the heartbeat's 2 s: a watch that says less is lost.
 const LIST_SILENCE: Duration = Duration::from_secs(3);
 /// The module's longest first pause before it asks again (one and a half of its `REASK`), and what a busy
@@ -92,6 +113,8 @@
     pub deadline: Duration,
     /// `step-ms`.
     pub step: Duration,
+    /// `membership-mode` is `pushed`: what discovery has counts as told, whether or not a watch is open.
+    pub pushed: bool,
 }
 
 impl Limits {
@@ -100,6 +123,8 @@
     pub fn derive(basis: &Basis) -> Self {
         let body = 64 * 1024;
         let by_memory = (basis.memory_mb * 1024 * 1024 / 2 / (3 * body)).max(8);
+        // What the platform leaves a program after SIGTERM at least, less 0.7 s.
+        let longest = basis.deadline.max(Duration::from_secs(3));
         let terminals = (basis.sockets * 3 / 8).min(by_memory).max(4);
         Self {
             terminals,
@@ -129,24 +154,21 @@
             terminal_idle: Duration::from_millis(2_050),
             terminal_read: Duration::from_secs(2),
             terminal_first: Duration::from_millis(800),
-            stop_accepting: Duration::from_millis(700),
-            stop_most: basis.deadline.max(Duration::from_secs(3)) + Duration::from_millis(600),
+            pushed: basis.pushed,
+            behind: 8 * 1024,
+            at_once: body + 32 * 1024,
+            linger: Duration::from_secs(1),
+            linger_bytes: 4 * body,
+            window_margin: Duration::from_millis(50),
+            list_retry: (basis.drain_grace / 4).clamp(Duration::from_millis(50), Duration::from_millis(300)),
+            list_silent_binds: LIST_TOLD + basis.drain_grace / 2,
+            list_moved_binds: LIST_MOVED + basis.drain_grace / 2,
+            stop_accepting: Duration::from_millis(500),
+            stop_answer: longest + Duration::from_millis(550),
+            stop_most: longest + Duration::from_millis(650),
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn from_the_last_word_of_a_watch_to_the_end_of_the_next_call_no_drain_is_missed() {
-        for ms in (500..10_000).step_by(100) {
-            let grace = Duration::from_millis(ms);
-            let limits = Limits::derive(&Basis { sockets: 256, drain_grace: grace, ..Default::default() });
-            let longest = limits.list_silence + LIST_PAUSE + limits.list_call;
-            assert!(longest <= LIST_TOLD + grace, "{ms} ms: {longest:?}");
-            assert!(limits.list_call >= Duration::from_secs(3), "a call waits its turn: {ms} ms");
-        }
-    }
-}
+mod tests;
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -27,7 +27,7 @@
 use crate::config::Config;
 use crate::core::Core;
 use crate::counters::Counters;
-use crate::front::http::Front;
+use crate::front::listener::Front;
 use crate::upstream::Upstream;
 
 fn main() -> ExitCode {
@@ -77,7 +77,8 @@
     actix_rt::spawn(Rc::clone(&upstream).run_probes(probes));
     actix_rt::spawn(Rc::clone(&upstream).run_sweeps());
     let (moved, discovery) = watch::channel(config.discovery);
-    let follow = service_table::follow(Rc::clone(&core), discovery, known.rev, Rc::clone(&limits));
+    let follow =
+        service_table::follow(Rc::clone(&core), discovery, known.rev, Rc::clone(&limits), config.seed);
     actix_rt::spawn(follow);
     let front = Front::new(Rc::clone(&core), upstream);
     let accept = actix_rt::spawn(Rc::clone(&front).accept(listener));
@@ -103,7 +104,14 @@
     // been taken is answered before the end.
     let stopping = tokio::time::Instant::now();
     tokio::time::sleep(limits.stop_accepting).await;
-    let _ = tokio::time::timeout_at(stopping + limits.stop_most, front.close(accept)).await;
+    let answered = async {
+        tokio::select! {
+            () = front.close(accept) => return,
+            () = tokio::time::sleep_until(stopping + limits.stop_answer) => core.end(),
+        }
+        front.closed().await;
+    };
+    let _ = tokio::time::timeout_at(stopping + limits.stop_most, answered).await;
     tracing::info!("stopped\n{counters}");
     Ok(())
 }
--- a/sidecar/src/service_table.rs
+++ b/sidecar/src/service_table.rs
@@ -1,17 +1,19 @@
 //! Discovery's list: its form, and the watch that turns it into list events.
 
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use awc::error::{ConnectError, SendRequestError};
 use bytes::BytesMut;
 use futures_util::StreamExt as _;
 use heronlock::{Condition, Event, ListKind};
 use tinyjson::JsonValue;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::core::Core;
+use crate::core::{Core, Unsure};
 use crate::json::{self, Node};
 use crate::limits::Limits;
 
@@ -119,13 +121,29 @@
     moved: Cell<bool>,
 }
 
-/// Follows discovery for as long as the program runs: one call for each time the module asks, and one at
-/// once where discovery has moved.
+/// Why a watch ended.
+struct Fault {
+    text: String,
+    /// It was open and said nothing more: what it missed counts as told after a time.
+    silent: bool,
+    /// Nobody listens there: who is not there tells nothing.
+    refused: bool,
+}
+
+impl From<String> for Fault {
+    fn from(text: String) -> Self {
+        Self { text, silent: false, refused: false }
+    }
+}
+
+/// Follows discovery for as long as the program runs: one call for each time the module asks, and one at once where
+/// discovery has moved. Where news count as told though none came, calls do not wait for the module.
 pub async fn follow(
     core: Rc<Core>,
     mut discovery: watch::Receiver<SocketAddr>,
     rev: u64,
     limits: Rc<Limits>,
+    seed: u64,
 ) {
     let client = awc::Client::builder()
         .connector(awc::Connector::new().timeout(limits.list_call).conn_lifetime(limits.patience))
@@ -134,26 +152,53 @@
         .no_default_headers()
         .finish();
     let at = Position { rev: Cell::new(rev), raised: Cell::new(0), moved: Cell::new(false) };
+    let mut chance = fastrand::Rng::with_seed(seed);
     core.asked().await;
     loop {
         let address = *discovery.borrow_and_update();
         let again = tokio::select! {
             fault = watch(&core, &client, address, &at, &limits) => {
-                tracing::warn!("discovery: {fault}");
+                tracing::warn!("discovery: {}", fault.text);
+                let now = Instant::now();
+                if fault.silent && core.unsure().is_none() {
+                    let heard = now - limits.list_silence;
+                    core.set_unsure(Some(Unsure { since: now, from: heard + limits.list_silent_binds }));
+                }
+                if fault.refused && at.moved.get() {
+                    core.set_unsure(None);
+                }
                 core.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: Vec::new() });
                 false
             }
             // The module asks anew while a call or a watch is on: that one is ended.
             () = core.asked() => true,
             // Guards against changes missed while the old address goes on or fails: the watch moves at once.
-            () = relocated(&mut discovery) => { at.moved.set(true); true }
+            () = relocated(&mut discovery) => { moved(&core, &at, &limits); true }
         };
         if !again {
-            tokio::select! { () = core.asked() => {}, () = relocated(&mut discovery) => at.moved.set(true) }
+            // Guards against a pause of the module's that outlasts the grace of what counts as told meanwhile; drawn, so
+            // that many sidecars do not call in step.
+            let hurry = limits.pushed || core.unsure().is_some();
+            let pause = limits.list_retry.mul_f64(0.25 + 0.75 * chance.f64());
+            tokio::select! {
+                () = core.asked() => {}
+                () = relocated(&mut discovery) => moved(&core, &at, &limits),
+                () = sleep(pause), if hurry => {}
+            }
         }
     }
 }
 
+/// What a new discovery has counts as told after a time, whether or not a call got through by then.
+fn moved(core: &Core, at: &Position, limits: &Limits) {
+    at.moved.set(true);
+    let now = Instant::now();
+    core.set_unsure(Some(Unsure {
+        since: now + limits.list_moved_binds.saturating_sub(limits.drain),
+        from: now + limits.list_moved_binds,
+    }));
+}
+
 /// Waits until discovery is somewhere else.
 async fn relocated(discovery: &mut watch::Receiver<SocketAddr>) {
     if discovery.changed().await.is_err() {
@@ -161,6 +206,11 @@
     }
 }
 
+/// True where the address refused the call.
+fn refused(e: &SendRequestError) -> bool {
+    matches!(e, SendRequestError::Connect(ConnectError::Io(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// One watch, from the call to its end; tells why it ended.
 async fn watch(
     core: &Rc<Core>,
@@ -168,26 +218,28 @@
     discovery: SocketAddr,
     at: &Position,
     limits: &Limits,
-) -> String {
+) -> Fault {
     let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", at.rev.get());
     let call = client.get(uri).force_close().no_decompress().send();
     let mut answer = match timeout(limits.list_call, call).await {
         Ok(Ok(answer)) if answer.status().is_success() => answer,
-        Ok(Ok(answer)) => return format!("the call ended with {}", answer.status()),
-        Ok(Err(e)) => return format!("the call failed: {e}"),
-        Err(_) => return "the call was not answered".to_owned(),
+        Ok(Ok(answer)) => return format!("the call ended with {}", answer.status()).into(),
+        Ok(Err(e)) => {
+            return Fault { refused: refused(&e), ..format!("the call failed: {e}").into() };
+        }
+        Err(_) => return "the call was not answered".to_owned().into(),
     };
     let mut lines = Lines { held: BytesMut::new(), most: limits.list_line };
     loop {
         // Guards against a watch whose other end has vanished: it says nothing, not even the heartbeat.
         let chunk = match timeout(limits.list_silence, answer.next()).await {
             Ok(Some(Ok(chunk))) => chunk,
-            Ok(Some(Err(e))) => return format!("the watch broke: {e}"),
-            Ok(None) => return "the watch ended".to_owned(),
-            Err(_) => return "the watch fell silent".to_owned(),
+            Ok(Some(Err(e))) => return format!("the watch broke: {e}").into(),
+            Ok(None) => return "the watch ended".to_owned().into(),
+            Err(_) => return Fault { silent: true, ..String::from("the watch fell silent").into() },
         };
         if let Err(fault) = lines.add(&chunk) {
-            return fault;
+            return fault.into();
         }
         while let Some(line) = lines.take() {
             let text = String::from_utf8_lossy(&line);
@@ -195,17 +247,25 @@
                 continue;
             }
             match Table::parse(&text, limits) {
-                Ok(table) => {
-                    // Guards against a new discovery that counts from lower down: its list is no old one.
-                    if at.moved.replace(false) && table.all && table.rev < at.rev.get() {
-                        at.raised.set(at.raised.get() + at.rev.get());
-                    }
-                    at.rev.set(table.rev);
-                    let kind = if table.all { ListKind::Full } else { ListKind::Changes };
-                    core.list(kind, at.raised.get() + table.rev, &table);
+                Ok(table) => take(core, at, &table),
+                Err(fault) => {
+                    core.counters.table_lines_skipped.add();
+                    // Guards against changes lost with a line: the next one would move the position past them.
+                    at.rev.set(0);
+                    return format!("a line cannot be read, the whole list is asked for: {fault}").into();
                 }
-                Err(fault) => tracing::warn!("discovery: a line was skipped: {fault}"),
             }
         }
     }
 }
+
+fn take(core: &Core, at: &Position, table: &Table) {
+    // Guards against a new discovery that counts from lower down: its list is no old one.
+    if at.moved.replace(false) && table.all && table.rev < at.rev.get() {
+        at.raised.set(at.raised.get() + at.rev.get());
+    }
+    at.rev.set(table.rev);
+    let kind = if table.all { ListKind::Full } else { ListKind::Changes };
+    core.set_unsure(None);
+    core.list(kind, at.raised.get() + table.rev, table);
+}
--- a/sidecar/src/transaction.rs
+++ b/sidecar/src/transaction.rs
@@ -1,5 +1,6 @@
 //! The life of one transaction, from its last byte to its final answer, whatever front it came by.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +38,21 @@
     pub patience: Duration,
     /// Its work on a usual job server, where the terminal can tell.
     pub cost: Option<Duration>,
+    pub presence: Presence,
+}
+
+/// Whether the client of a request is still there: its front says so, and what would send the request on asks.
+#[derive(Clone, Default)]
+pub struct Presence(Rc<Cell<bool>>);
+
+impl Presence {
+    pub fn leave(&self) {
+        self.0.set(true);
+    }
+
+    pub fn left(&self) -> bool {
+        self.0.get()
+    }
 }
 
 /// The one final answer.
@@ -59,10 +75,16 @@
     let Some(_claim) = core.claim(&ask.id) else { return Answer::InUse };
     // Guards against a final answer that comes after the terminal has given up, should the module be late.
     let last = ask.arrived + ask.patience.saturating_sub(limits.answer_margin);
+    let mut ending = core.ending();
+    // Guards against work begun for a client that has left, or that the end of the program would cut short.
+    if ask.presence.left() || *ending.borrow() {
+        return Answer::ShortOnCapacity { retry_after: limits.retry_after };
+    }
     let left = ask.patience.saturating_sub(ask.arrived.elapsed());
     let mut owed = Owed::admit(&core, ask.class, left, ask.cost);
     let mut routed = FuturesUnordered::new();
     let mut calls: Vec<AbortHandle> = Vec::new();
+    let mut repeats = Repeats::new(core.window(ask.class), limits.window_margin);
     loop {
         // Steps come first: a final one among them must not lose against an outcome that is as ready.
         tokio::select! {
@@ -70,12 +92,13 @@
             step = owed.step() => match step {
                 Step::Send { server, timeout } => {
                     let attempt = owed.sent(server);
+                    let begins = repeats.begins_by(Instant::now());
                     let left = (ask.arrived + ask.patience).saturating_duration_since(Instant::now());
                     let wait = timeout.map_or(left, |t| Duration::from_micros(t).min(left));
                     let (call, registration) = AbortHandle::new_pair();
                     calls.push(call);
                     let (upstream, ask) = (Rc::clone(&upstream), Rc::clone(&ask));
-                    let task = async move { upstream.route(server, &ask, wait).await };
+                    let task = async move { upstream.route(server, &ask, wait, begins).await };
                     routed.push(async move { (attempt, Abortable::new(task, registration).await) });
                 }
                 Step::Cancel { attempt } => {
@@ -93,6 +116,7 @@
             },
             Some((attempt, end)) = routed.next() => match end {
                 Ok(end) => {
+                    repeats.ended(attempt, end.outcome);
                     owed.ended(attempt, end.outcome, end.report);
                     if let Some(content) = end.answer {
                         counters.answered_served.add();
@@ -105,6 +129,38 @@
                 owed.overdue();
                 return Answer::Failed { retry_after: limits.retry_after };
             }
+            // Guards against an answer that the end of the program would cut off: it is given while there is time.
+            _ = ending.wait_for(|ending| *ending) => {
+                owed.overdue();
+                return Answer::Failed { retry_after: limits.retry_after };
+            }
+        }
+    }
+}
+
+/// Until when repeats of a keyed request are dropped by job servers: from the first attempt that may have run.
+struct Repeats {
+    window: Option<Duration>,
+    margin: Duration,
+    /// When each attempt was sent; nothing once it is known never to have run.
+    sent: Vec<Option<Instant>>,
+}
+
+impl Repeats {
+    fn new(window: Option<Duration>, margin: Duration) -> Self {
+        Self { window, margin, sent: Vec::new() }
+    }
+
+    /// Counts an attempt that is sent now; tells until when its first byte may go out, where that is bounded.
+    fn begins_by(&mut self, now: Instant) -> Option<Instant> {
+        let first = self.sent.iter().flatten().next().copied();
+        self.sent.push(Some(now));
+        Some(first? + self.window?.saturating_sub(self.margin))
+    }
+
+    fn ended(&mut self, attempt: u32, outcome: Outcome) {
+        if let Some(sent) = self.sent.get_mut(attempt as usize).filter(|_| outcome.never_ran()) {
+            *sent = None;
         }
     }
 }
--- /dev/null
+++ b/sidecar/src/upstream/gate.rs
@@ -0,0 +1,67 @@
+//! The last look before an attempt's first byte. The module decides early; a slow dial may lie between, or a turn of the
+//! runtime. Pure: times and flags are handed in. What it stops was never sent.
+
+use std::time::Duration;
+
+/// What is known at the moment in which the first byte would go out.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct View {
+    /// Its client has left.
+    pub left: bool,
+    /// Until the attempt is given up.
+    pub time_left: Duration,
+    /// Until a repeat of it may be begun, where that is bounded: none once that is past.
+    pub window_left: Option<Duration>,
+    /// For how long the server's drain has been known.
+    pub drained: Option<Duration>,
+    /// The server is at another address by now, and this one may be a successor's.
+    pub moved: bool,
+    /// A drain of the server's that no list has told may bind by now.
+    pub unsure: bool,
+}
+
+/// Why an attempt does not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    ClientLeft,
+    NoTime,
+    WindowOver,
+    ServerDrains,
+    ServerMoved,
+    ListTooOld,
+}
+
+impl Stop {
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::ClientLeft => "the client has left",
+            Self::NoTime => "no time is left",
+            Self::WindowOver => "the window for repeats is over",
+            Self::ServerDrains => "the server drains",
+            Self::ServerMoved => "the server has moved",
+            Self::ListTooOld => "the list is too old to show a drain",
+        }
+    }
+}
+
+/// Guards every rule that time can break between a decision and the wire; `grace` is how long a known drain is borne.
+pub fn judge(view: &View, grace: Duration) -> Result<(), Stop> {
+    if view.left {
+        Err(Stop::ClientLeft)
+    } else if view.time_left.is_zero() {
+        Err(Stop::NoTime)
+    } else if view.window_left.is_some_and(|left| left.is_zero()) {
+        Err(Stop::WindowOver)
+    } else if view.drained.is_some_and(|known| known >= grace) {
+        Err(Stop::ServerDrains)
+    } else if view.moved {
+        Err(Stop::ServerMoved)
+    } else if view.unsure {
+        Err(Stop::ListTooOld)
+    } else {
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/sidecar/src/upstream/gate/tests.rs
@@ -0,0 +1,44 @@
+use proptest::prelude::*;
+
+use super::*;
+
+proptest! {
+    /// Whatever else holds, each reason alone stops an attempt, and nothing else does.
+    #[test]
+    fn each_reason_stops_alone(
+        left: bool,
+        time in 0_u64..3,
+        window in prop::option::of(0_u64..3),
+        drained in prop::option::of(0_u64..6),
+        moved: bool,
+        unsure: bool,
+        grace in 1_u64..6,
+    ) {
+        let ms = Duration::from_millis;
+        let view = View {
+            left,
+            time_left: ms(time),
+            window_left: window.map(ms),
+            drained: drained.map(ms),
+            moved,
+            unsure,
+        };
+        let free = !left && time > 0 && window != Some(0) && drained.is_none_or(|d| d < grace) && !moved && !unsure;
+        prop_assert_eq!(judge(&view, ms(grace)).is_ok(), free);
+    }
+
+    /// What is stopped stays stopped as time goes on: a later look never lets through what an earlier one refused.
+    #[test]
+    fn time_opens_nothing(time in 0_u64..100, window in 0_u64..100, drained in 0_u64..100, later in 0_u64..100) {
+        let ms = Duration::from_millis;
+        let at = |passed: u64| View {
+            left: false,
+            time_left: ms(time.saturating_sub(passed)),
+            window_left: Some(ms(window.saturating_sub(passed))),
+            drained: Some(ms(drained + passed)),
+            moved: false,
+            unsure: false,
+        };
+        prop_assert!(judge(&at(0), ms(50)).is_ok() || judge(&at(later), ms(50)).is_err());
+    }
+}
--- a/sidecar/src/upstream/mod.rs
+++ b/sidecar/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Calls to job servers: routed tasks and probes, the connections they use, and what their ends mean.
 
 mod answer;
+pub mod gate;
 mod socket;
 
 use std::cell::RefCell;
@@ -23,7 +24,7 @@
 use crate::counters::Counters;
 use crate::limits::Limits;
 use crate::transaction::{Ask, Content, LABELS};
-use socket::{Sending, Sockets};
+use socket::{Gate, Sending, Sockets};
 
 /// How a routed task ended; the answer is there if it was served.
 pub struct End {
@@ -69,7 +70,13 @@
     }
 
     /// Sends a transaction's request to a job server once, and waits for the answer.
-    pub async fn route(&self, server: ServerId, ask: &Ask, wait: Duration) -> End {
+    pub async fn route(
+        &self,
+        server: ServerId,
+        ask: &Ask,
+        wait: Duration,
+        begins_by: Option<Instant>,
+    ) -> End {
         let Some(server) = self.core.job_server(server) else { return End::bare(Outcome::NotSent) };
         self.counters.routed_tasks_sent.add();
         let uri = format!("http://{}{}", server.address(), ask.target);
@@ -83,7 +90,15 @@
         for (name, value) in &ask.content.labels {
             put(&mut request, name, value);
         }
-        let sending = Sending::new(Some(Rc::clone(&server)), ask.content.body.len());
+        let gate = Gate {
+            core: Rc::clone(&self.core),
+            server: Rc::clone(&server),
+            address: server.address(),
+            presence: ask.presence.clone(),
+            until: Instant::now() + wait,
+            begins_by,
+        };
+        let sending = Sending::new(Some(gate), ask.content.body.len());
         let whole = self.call(request, ask.content.body.clone(), &sending);
         let Ok(whole) = timeout(wait, whole).await else {
             // A request that was never written whole cannot have been started.
@@ -99,6 +114,7 @@
         let unprocessed = text("x-not-processed") == Some("1");
         match whole.status {
             StatusCode::OK => {
+                sending.begun().inspect(|&begun| server.has_served(begun));
                 let labels =
                     LABELS.into_iter().filter_map(|name| Some((name, text(name)?.to_owned()))).collect();
                 End { outcome: Outcome::Served, report, answer: Some(Content { body: whole.body, labels }) }
--- a/sidecar/src/upstream/socket.rs
+++ b/sidecar/src/upstream/socket.rs
@@ -13,39 +13,77 @@
 use awc::http::Uri;
 use awc::{Client, Connector};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
 
 use super::answer::Answer;
-use crate::core::JobServer;
+use super::gate::{Stop, View, judge};
+use crate::core::{Core, JobServer};
 use crate::counters::Counters;
 use crate::limits::Limits;
+use crate::transaction::Presence;
 
 tokio::task_local! {
     /// The request that the current task is sending, whichever connection it got from the pool.
     pub static SENDING: Rc<Sending>;
 }
 
-/// How much of one request the socket has taken.
+/// How much of one request the socket has taken, and what its first byte waits for.
 pub struct Sending {
-    server: Option<Rc<JobServer>>,
+    gate: Option<Gate>,
     /// Bytes of the end-of-head mark seen in a row.
     mark: Cell<usize>,
     body_left: Cell<usize>,
-    begun: Cell<bool>,
+    begun: Cell<Option<Instant>>,
     held_back: Cell<bool>,
     cut: Cell<bool>,
 }
 
+/// What [`judge`] is to look at; probes have none.
+pub struct Gate {
+    pub core: Rc<Core>,
+    pub server: Rc<JobServer>,
+    /// Where it was when the attempt was made.
+    pub address: SocketAddr,
+    pub presence: Presence,
+    /// When the attempt is given up.
+    pub until: Instant,
+    /// Until when a repeat may begin.
+    pub begins_by: Option<Instant>,
+}
+
+impl Gate {
+    fn judge(&self, limits: &Limits) -> Result<(), Stop> {
+        let now = Instant::now();
+        let left = |at: Instant| at.saturating_duration_since(now);
+        let unsure = self.core.unsure().is_some_and(|u| now >= u.from && !self.server.served_since(u.since));
+        let view = View {
+            left: self.presence.left(),
+            time_left: left(self.until),
+            window_left: self.begins_by.map(left),
+            drained: self.server.drained(),
+            moved: self.server.address() != self.address,
+            unsure,
+        };
+        judge(&view, limits.drain)
+    }
+}
+
 /// Bytes read at a time while the head of an answer is awaited.
 const READ: usize = 4 * 1024;
 
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
 impl Sending {
-    /// For a request with so long a body; with a job server, its drain forbids the first byte.
-    pub fn new(server: Option<Rc<JobServer>>, body: usize) -> Rc<Self> {
+    /// For a request with so long a body; a gate may forbid the first byte.
+    pub fn new(gate: Option<Gate>, body: usize) -> Rc<Self> {
         let (mark, body_left) = (Cell::new(0), Cell::new(body));
-        let (begun, held_back, cut) = (Cell::new(false), Cell::new(false), Cell::new(false));
-        Rc::new(Self { server, mark, body_left, begun, held_back, cut })
+        let (begun, held_back, cut) = (Cell::new(None), Cell::new(false), Cell::new(false));
+        Rc::new(Self { gate, mark, body_left, begun, held_back, cut })
+    }
+
+    /// When the socket took the first byte.
+    pub fn begun(&self) -> Option<Instant> {
+        self.begun.get()
     }
 
     /// True where this sidecar itself did not let the request out: no fault of the job server's.
@@ -63,14 +101,17 @@
         self.mark.get() == HEAD_END.len() && self.body_left.get() == 0
     }
 
-    fn may_begin(&self, limits: &Limits) -> bool {
-        let closed = !self.begun.get() && self.server.as_ref().is_some_and(|s| s.closed_for(limits.drain));
-        self.held_back.set(self.held_back.get() || closed);
-        !closed
+    fn may_begin(&self, limits: &Limits) -> Result<(), Stop> {
+        let gate = self.gate.as_ref().filter(|_| self.begun.get().is_none());
+        let judged = gate.map_or(Ok(()), |gate| gate.judge(limits));
+        self.held_back.set(self.held_back.get() || judged.is_err());
+        judged
     }
 
     fn wrote(&self, bytes: &[u8]) {
-        self.begun.set(self.begun.get() || !bytes.is_empty());
+        if self.begun.get().is_none() && !bytes.is_empty() {
+            self.begun.set(Some(Instant::now()));
+        }
         let mut rest = bytes;
         while self.mark.get() < HEAD_END.len() {
             let Some((&byte, after)) = rest.split_first() else { return };
@@ -160,7 +201,7 @@
 impl Socket {
     /// Reads on until there is something of the answer to hand on.
     fn poll_answer(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let next = SENDING.try_with(|sending| !sending.begun.get()).unwrap_or(false);
+        let next = SENDING.try_with(|sending| sending.begun.get().is_none()).unwrap_or(false);
         if next && self.answer.is_open() {
             // Whether more came behind such an answer is not known here: the next request gets another one.
             self.stream = None;
@@ -213,10 +254,11 @@
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let sending = SENDING.try_with(Rc::clone).ok();
-        if sending.as_ref().is_some_and(|s| !s.may_begin(&self.place.0.limits)) {
-            return Poll::Ready(Err(io::Error::other("the job server drains")));
+        if let Some(Err(stop)) = sending.as_ref().map(|s| s.may_begin(&self.place.0.limits)) {
+            self.place.0.counters.stopped(stop);
+            return Poll::Ready(Err(io::Error::other(stop.text())));
         }
-        if sending.as_ref().is_some_and(|s| !s.begun.get()) {
+        if sending.as_ref().is_some_and(|s| s.begun.get().is_none()) {
             self.answer = Answer::awaited();
         }
         let Some(stream) = &mut self.stream else {
@@ -251,25 +293,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use heronlock::ServerId;
-
-    /// A drain told between the decision and a slow connect: loopback connects too fast to record it.
-    #[test]
-    fn a_drain_stops_the_first_byte_but_no_later_one() {
-        let basis = crate::limits::Basis { sockets: 64, ..Default::default() };
-        let limits = Limits::derive(&basis);
-        let address = SocketAddr::from(([127, 0, 0, 1], 9));
-        let server = Rc::new(JobServer::new(ServerId(0), address));
-        let (late, begun) = (Sending::new(Some(server.clone()), 2), Sending::new(Some(server.clone()), 2));
-        begun.wrote(b"POST / HTTP/1.1\r\n\r");
-        server.told(true);
-        assert!(!late.may_begin(&limits) && late.held_back());
-        assert!(begun.may_begin(&limits) && !begun.whole());
-        begun.wrote(b"\nab");
-        assert!(begun.whole() && !begun.held_back());
-        server.told(false);
-        assert!(Sending::new(Some(server), 0).may_begin(&limits));
-    }
-}
+mod tests;
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -277,6 +277,7 @@
     silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
     interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
     moved_server_leaves_no_connection first_requests_keep_their_places stop_answers_what_is_unread
+    lost_line_asks_for_the_whole_list
     open_answer_ends_with_its_connection reset_is_no_end
     stop_answers_what_is_not_accepted stop_answers_what_is_half_read reload_to_where_nobody_listens
 }
