--- a/sidecar/src/limits.rs
+++ b/sidecar/src/limits.rs
@@ -92,6 +92,10 @@
 /// machine adds to it.
 const LIST_PAUSE: Duration = Duration::from_millis(500);
 
+/// SIGKILL comes no earlier than the longest deadline, taken as this where it is longer, and 0.7 s after SIGTERM (the
+/// protocol page).
+const STOP_DEADLINE: Duration = Duration::from_secs(3);
+
 /// The parts of the configuration that limits follow from.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Basis {
@@ -123,8 +127,7 @@
     pub fn derive(basis: &Basis) -> Self {
         let body = 64 * 1024;
         let by_memory = (basis.memory_mb * 1024 * 1024 / 2 / (3 * body)).max(8);
-        // What the platform leaves a program after SIGTERM at least, less 0.7 s.
-        let longest = basis.deadline.max(Duration::from_secs(3));
+        let longest = basis.deadline.min(STOP_DEADLINE);
         let terminals = (basis.sockets * 3 / 8).min(by_memory).max(4);
         Self {
             terminals,
--- a/sidecar/src/limits/tests.rs
+++ b/sidecar/src/limits/tests.rs
@@ -10,3 +10,17 @@
         assert!(limits.list_call >= Duration::from_secs(3), "a call waits its turn: {ms} ms");
     }
 }
+
+#[test]
+fn a_stop_is_over_before_the_platform_kills_and_after_the_last_deadline_that_fits() {
+    for ms in (50..30_000).step_by(50) {
+        let deadline = Duration::from_millis(ms);
+        let limits = Limits::derive(&Basis { sockets: 256, deadline, ..Default::default() });
+        let kill = deadline.min(Duration::from_secs(3)) + Duration::from_millis(700);
+        assert!(limits.stop_most + Duration::from_millis(50) <= kill, "{ms} ms: killed while it answers");
+        assert!(limits.stop_answer < limits.stop_most, "{ms} ms: no time to write what is answered last");
+        let last = limits.stop_accepting + deadline;
+        let whole = deadline <= Duration::from_secs(3);
+        assert!(!whole || last < limits.stop_answer, "{ms} ms: the last request taken is cut short");
+    }
+}
