End a drain with a new start only, and follow a discovery that counts anew

Cause, read line by line: JobServer::told forgot a drain at any line that said ready, so an old list let a slow dial through that the module had given up on; on_list passes over a list of a lower revision, so a discovery that had started anew was not heard until it had caught up, except after a move. Ruled out: a lagging list that takes a drain back in the module (on_entry keeps it). Change: a drain ends with a later boot_ms, or once the server had gone; a whole list that answers the call for what came after the position counts on from it.

--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -29,6 +29,9 @@
     address: Cell<SocketAddr>,
     /// When it was first told to be draining or gone, since its last start.
     told_out: Cell<Option<Instant>>,
+    /// Told to be draining, and the start that was named then: only a later start ends a drain.
+    drains: Cell<bool>,
+    boot_ms: Cell<f64>,
     /// Told to be gone, or left out of a whole table.
     gone: Cell<bool>,
     /// When the last request was begun that it served.
@@ -41,6 +44,8 @@
             id,
             address: Cell::new(address),
             told_out: Cell::new(None),
+            drains: Cell::new(false),
+            boot_ms: Cell::new(0.0),
             gone: Cell::new(false),
             served: Cell::new(None),
         }
@@ -64,12 +69,22 @@
         self.served.get()
     }
 
-    pub fn told(&self, out: bool) {
-        match (out, self.told_out.get()) {
-            (true, None) => self.told_out.set(Some(Instant::now())),
-            (false, Some(_)) => self.told_out.set(None),
-            _ => {}
+    /// Takes in what a list says of it.
+    pub fn told(&self, condition: Condition, boot_ms: f64) {
+        // Guards against an old list that takes a drain back while a connection comes up: a drain ends with a new start,
+        // or once the server has gone.
+        let newer = boot_ms > self.boot_ms.get();
+        self.boot_ms.set(boot_ms.max(self.boot_ms.get()));
+        if condition == Condition::Ready {
+            if newer || self.gone.get() || !self.drains.get() {
+                self.drains.set(false);
+                self.told_out.set(None);
+            }
+        } else {
+            self.drains.set(self.drains.get() || condition == Condition::Draining);
+            self.told_out.set(self.told_out.get().or(Some(Instant::now())));
         }
+        self.gone.set(condition == Condition::Gone);
     }
 }
 
@@ -316,8 +331,7 @@
         if kind != ListKind::Changes {
             let named = |uid: &str| table.lines.iter().any(|l| l.uid == uid);
             for (_, server) in self.ids.iter().filter(|(uid, _)| !named(uid)) {
-                server.told(true);
-                server.gone.set(true);
+                server.told(Condition::Gone, 0.0);
             }
         }
         self.listed |= table.lines.iter().any(|l| l.condition == Condition::Ready);
@@ -335,8 +349,7 @@
                 }
             };
             server.address.set(line.address);
-            server.told(line.condition != Condition::Ready);
-            server.gone.set(line.condition == Condition::Gone);
+            server.told(line.condition, line.boot_ms);
             let zone = self.zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
                 self.zones.push(line.zone.clone());
                 self.zones.len() - 1
--- a/sidecar/src/service_table.rs
+++ b/sidecar/src/service_table.rs
@@ -118,8 +118,8 @@
     rev: Cell<u64>,
     /// What the module is told is this much higher, so that its count only rises.
     raised: Cell<u64>,
-    /// Discovery has moved, and nothing has come from the new address yet.
-    moved: Cell<bool>,
+    /// Nothing has come on this watch yet.
+    first: Cell<bool>,
 }
 
 /// Why a watch ended.
@@ -162,7 +162,7 @@
         .disable_redirects()
         .no_default_headers()
         .finish();
-    let at = Position { rev: Cell::new(rev), raised: Cell::new(0), moved: Cell::new(false) };
+    let at = Position { rev: Cell::new(rev), raised: Cell::new(0), first: Cell::new(true) };
     let mut chance = fastrand::Rng::with_seed(seed);
     core.asked().await;
     // A call that the module has not asked for yet is on.
@@ -189,7 +189,7 @@
             // The module asks anew while a call or a watch is on: that one is ended.
             () = core.asked(), if !ahead => { core.watched(|list, _| list.unanswered()); break true }
             // Guards against changes missed while the old address goes on or fails: the watch moves at once.
-            () = relocated(&mut discovery) => { moved(&core, &at); break true }
+            () = relocated(&mut discovery) => { moved(&core); break true }
             }
         };
         ahead = false;
@@ -200,7 +200,7 @@
             let pause = limits.list_retry.mul_f64(0.25 + 0.75 * chance.f64());
             tokio::select! {
                 () = core.asked() => {}
-                () = relocated(&mut discovery) => { moved(&core, &at); ahead = true }
+                () = relocated(&mut discovery) => { moved(&core); ahead = true }
                 () = sleep(pause), if hurry => ahead = true,
             }
         }
@@ -208,8 +208,7 @@
 }
 
 /// What a new discovery has counts as told after a time, whether or not a call got through by then.
-fn moved(core: &Core, at: &Position) {
-    at.moved.set(true);
+fn moved(core: &Core) {
     core.watched(|list, now| list.moved(now));
 }
 
@@ -235,6 +234,7 @@
 ) -> Fault {
     let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", at.rev.get());
     core.watched(Freshness::calling);
+    at.first.set(true);
     let call = client.get(uri).force_close().no_decompress().send();
     let mut answer = match timeout(limits.list_call, call).await {
         Ok(Ok(answer)) if answer.status().is_success() => answer,
@@ -279,8 +279,9 @@
 }
 
 fn take(core: &Core, at: &Position, table: &Table) {
-    // Guards against a new discovery that counts from lower down: its list is no old one.
-    if at.moved.replace(false) && table.all && table.rev < at.rev.get() {
+    // Guards against a discovery that counts from lower down, a new one or one that has started anew: it was asked for
+    // what came after the position and gave the whole list instead, so that list is no old one.
+    if at.first.replace(false) && table.all && table.rev < at.rev.get() {
         at.raised.set(at.raised.get() + at.rev.get());
     }
     at.rev.set(table.rev);
--- a/sidecar/src/upstream/socket/tests.rs
+++ b/sidecar/src/upstream/socket/tests.rs
@@ -1,5 +1,5 @@
 use arrowstand_controls::Informed;
-use heronlock::ServerId;
+use heronlock::{Condition, ServerId};
 
 use super::*;
 use crate::config::Names;
@@ -34,12 +34,14 @@
     let server = Rc::new(JobServer::new(ServerId(0), SocketAddr::from(([127, 0, 0, 1], 9))));
     let (late, begun) = (sending(&core, &server), sending(&core, &server));
     begun.wrote(b"POST / HTTP/1.1\r\n\r");
-    server.told(true);
+    server.told(Condition::Draining, 0.0);
     assert_eq!(late.may_begin(&core.limits), Err(Stop::ServerDrains));
     assert!(late.held_back() && begun.may_begin(&core.limits).is_ok() && !begun.whole());
     begun.wrote(b"\nab");
     assert!(begun.whole() && !begun.held_back());
-    server.told(false);
+    server.told(Condition::Ready, 0.0);
+    assert_eq!(late.may_begin(&core.limits), Err(Stop::ServerDrains), "an old list ends no drain");
+    server.told(Condition::Ready, 1.0);
     assert_eq!(sending(&core, &server).may_begin(&core.limits), Ok(()));
 }
 
