Let a connection rest after its answer: a second answer may come some milliseconds late

Cause: the pool took a connection again at once. A second answer to the request before, on its way in that moment, was then read as the answer to the next one: answered as served with what no server made for it. Nothing in an answer says whose it is. Ruled out: the pool's own look, which sees what has come before the request is written and no more (second_answer_is_nobodys); an id in answers, which the protocol does not have. Change: a connection whose answer ended less than 20 ms ago takes no request (upstream/socket.rs); the pool gets it back after that, so that it is used again and none is opened for want of it. Recorded: second_answer_comes_late, rested_connection_is_used_again.

--- a/sidecar/src/limits.rs
+++ b/sidecar/src/limits.rs
@@ -36,6 +36,8 @@
     pub connect: Duration,
     /// An idle connection to a job server is used again within this.
     pub idle_reuse: Duration,
+    /// After an answer a connection is left alone for this long: a second answer may come some milliseconds late.
+    pub rest: Duration,
     /// A probe must be answered within this.
     pub probe: Duration,
     /// Nothing new starts to a job server this long after its drain was told.
@@ -149,6 +151,7 @@
             steps: 2 * basis.attempts + 4,
             connect: basis.connect,
             idle_reuse: basis.idle_close * 3 / 4,
+            rest: Duration::from_millis(20),
             probe: basis.connect * 5 / 4,
             drain: basis.drain_grace / 2,
             forget: basis.deadline.max(basis.drain_grace) + Duration::from_secs(5),
--- a/sidecar/src/upstream/mod.rs
+++ b/sidecar/src/upstream/mod.rs
@@ -177,7 +177,10 @@
             let answer = if bare { request.send().await } else { request.send_body(body).await };
             let mut answer = answer.ok()?;
             let mut body = BytesMut::new();
-            while let Some(chunk) = answer.next().await {
+            let length = answer.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+            let length = length.filter(|&n: &usize| n > 0);
+            while length.is_none_or(|length| body.len() < length) {
+                let Some(chunk) = answer.next().await else { break };
                 let chunk = chunk.ok()?;
                 // Guards against memory taken by an answer that is larger than the protocol allows.
                 if body.len() + chunk.len() > self.limits.body {
@@ -191,7 +194,18 @@
             if announced && sending.cut() {
                 return None;
             }
-            Some(Whole { status: answer.status(), headers: answer.headers().clone(), body: body.freeze() })
+            let whole =
+                Whole { status: answer.status(), headers: answer.headers().clone(), body: body.freeze() };
+            if length.is_some() {
+                let rest = self.limits.rest;
+                actix_rt::spawn(async move {
+                    // Guards against connections opened for want of those that rest: the pool gets this one once its
+                    // rest is over, and finds what came meanwhile.
+                    tokio::time::sleep(rest).await;
+                    let _ = answer.next().await;
+                });
+            }
+            Some(whole)
         };
         socket::SENDING.scope(Rc::clone(sending), send).await
     }
--- a/sidecar/src/upstream/socket.rs
+++ b/sidecar/src/upstream/socket.rs
@@ -171,7 +171,7 @@
         let place = Place(self);
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(Socket { stream: Some(stream), answer: Answer::default(), place })
+        Ok(Socket { stream: Some(stream), answer: Answer::default(), ended: None, place })
     }
 }
 
@@ -189,6 +189,8 @@
     /// Gone once it has brought bytes that belong to no answer.
     stream: Option<TcpStream>,
     answer: Answer,
+    /// When its last answer was whole.
+    ended: Option<Instant>,
     place: Place,
 }
 
@@ -199,11 +201,19 @@
 }
 
 impl Socket {
+    fn note_end(&mut self) {
+        if !self.answer.in_head() && self.answer.wanted().is_none() {
+            self.ended = Some(Instant::now());
+        }
+    }
+
     /// Reads on until there is something of the answer to hand on.
     fn poll_answer(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let next = SENDING.try_with(|sending| sending.begun.get().is_none()).unwrap_or(false);
-        if next && self.answer.is_open() {
-            // Whether more came behind such an answer is not known here: the next request gets another one.
+        let rests = self.ended.is_some_and(|ended| ended.elapsed() < self.place.0.limits.rest);
+        if next && (self.answer.is_open() || rests) {
+            // Guards against another request's answer: whether more came behind an open one is not known here, and a
+            // second answer may still be on its way. The next request gets another connection.
             self.stream = None;
         }
         loop {
@@ -218,6 +228,7 @@
                 if head.filled().is_empty() || !self.answer.head(head.filled(), &self.place.0.limits)? {
                     self.stream = None;
                 }
+                self.note_end();
                 continue;
             }
             let Some(most) = self.answer.wanted() else {
@@ -230,6 +241,7 @@
             let read = body.filled().len();
             buf.advance(read);
             self.answer.body(read)?;
+            self.note_end();
             return Poll::Ready(Ok(()));
         }
     }
