Flood with whole requests in the recording of a client that leaves behind a flood

Cause: with the bound on bytes behind an open request taken out the recording passed, since what it sent was no request and ended the connection by itself. Whole requests fill the protocol's queue and buffer, so that it stops reading.

--- a/sidecar/tests/stage/steps.rs
+++ b/sidecar/tests/stage/steps.rs
@@ -52,7 +52,8 @@
                 self.link(party).write_all(text.as_bytes()).expect("sent");
             }
             "fill" => {
-                let many = text.trim_end().repeat(70_000);
+                let text = text.trim_end().replace("\\r", "\r").replace("\\n", "\n");
+                let many = text.repeat(70_000 / text.len());
                 // A terminal's link may be closed by now: that is the program's right.
                 let _ = match party.starts_with('D') {
                     true => write!(self.link(party), "{:x}\r\n{many}\r\n", many.len()),
