--- a/sidecar/src/front/client.rs
+++ b/sidecar/src/front/client.rs
@@ -1,17 +1,17 @@
 //! One client's connection: what it is doing, until when it may go on without an open request, and who holds its
-//! socket. How it ends is `linger.rs`.
+//! socket. What is read from it is `lent.rs`, how it ends is `linger.rs`.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::Poll;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
+use super::lent::Lent;
 use crate::limits::Limits;
 use crate::transaction::Presence;
 
@@ -35,8 +35,10 @@
     behind: Cell<usize>,
     /// Some of those were thrown away, so what follows them cannot be read.
     torn: Cell<bool>,
-    /// More has come at once than any request takes.
-    flooding: Cell<bool>,
+    /// Bytes that have come since there was last nothing to read; nothing once there is.
+    at_once: Cell<usize>,
+    /// Bytes of a body that are announced and have not come.
+    announced: Cell<usize>,
     presence: Presence,
     leave: Notify,
     /// The socket, while the protocol does not have it.
@@ -56,7 +58,8 @@
             last: off(),
             behind: Cell::new(0),
             torn: off(),
-            flooding: off(),
+            at_once: Cell::new(0),
+            announced: Cell::new(0),
             presence: Presence::default(),
             leave: Notify::new(),
             socket: RefCell::new(socket),
@@ -66,12 +69,12 @@
     /// Lends the socket to the protocol, which gives it back whenever and however it ends.
     pub fn lend(self: &Rc<Self>, limits: &Rc<Limits>) -> Option<Lent> {
         let socket = self.socket.borrow_mut().take();
-        socket.map(|s| Lent {
-            socket: Some(s),
-            client: Rc::clone(self),
-            limits: Rc::clone(limits),
-            at_once: 0,
-        })
+        socket.map(|s| Lent::new(s, Rc::clone(self), Rc::clone(limits)))
+    }
+
+    /// Takes the socket back from the protocol.
+    pub(super) fn give_back(&self, socket: Option<TcpStream>) {
+        *self.socket.borrow_mut() = socket;
     }
 
     /// Takes the socket for its end, once the protocol has given it back.
@@ -93,6 +96,8 @@
 
     pub(super) fn heard(&self, bytes: usize) {
         self.fresh.set(true);
+        self.at_once.set(self.at_once.get() + bytes);
+        self.announced.set(self.announced.get().saturating_sub(bytes));
         if self.idle_since.get().is_none() {
             self.behind.set(self.behind.get() + bytes);
         }
@@ -106,16 +111,48 @@
         self.fresh.get()
     }
 
-    /// True where more came with its request than a request takes, and how much more is not known: whether it has left
-    /// by now cannot be seen either.
-    pub fn flooding(&self) -> bool {
-        self.flooding.get()
+    /// There is nothing more to read for now.
+    pub(super) fn dry(&self) {
+        self.at_once.set(0);
+    }
+
+    /// So many bytes of a body are to come.
+    pub fn announce(&self, bytes: usize) {
+        self.announced.set(bytes);
+    }
+
+    /// Bytes that the protocol gets before it looks at what it has. Guards against memory: it reads all requests that
+    /// it holds at once, and keeps each, so it holds little more than one.
+    pub(super) fn portion(&self, limits: &Limits) -> usize {
+        limits.portion + self.announced.get().min(limits.portion_body)
+    }
+
+    /// True where the protocol is to get no more for now.
+    pub(super) fn is_full(&self, limits: &Limits) -> bool {
+        let full = self.idle_since.get().is_none() && self.behind.get() >= limits.behind;
+        self.torn.set(self.torn.get() || full);
+        full
     }
 
-    /// Its request is read whole.
-    pub fn opened(&self) {
+    /// Its request is read whole; waits until nothing more is to be read, and tells whether that came to be. Guards
+    /// against a start for a client that has left: its end lies behind all that it sent.
+    pub async fn opened(&self, limits: &Limits) -> bool {
         self.idle_since.set(None);
         self.behind.set(0);
+        self.announced.set(0);
+        // Whoever reads is woken as long as there is more, and this with it.
+        poll_fn(|_| match self.at_once.get() {
+            0 => Poll::Ready(true),
+            bytes if bytes >= limits.at_once => Poll::Ready(false),
+            _ if self.presence.left() => Poll::Ready(false),
+            _ => Poll::Pending,
+        })
+        .await
+    }
+
+    /// True once its last answer is made.
+    pub(super) fn had_last(&self) -> bool {
+        self.last.get()
     }
 
     /// Its request is answered; the last time where the answer says so.
@@ -131,6 +168,10 @@
         }
     }
 
+    pub(super) fn left(&self) {
+        self.presence.leave();
+    }
+
     /// All that was to be written is with the machine.
     pub(super) fn written(&self) {
         if self.owing.replace(false) && self.leaving.get() {
@@ -191,116 +232,3 @@
 fn peek(socket: &TcpStream) -> io::Result<usize> {
     socket2::SockRef::from(socket).peek(&mut [std::mem::MaybeUninit::uninit()])
 }
-
-/// The socket in the hands of the protocol: it tells the client's state what comes in, and goes back when dropped, so
-/// that no library closes it over unread bytes.
-pub struct Lent {
-    socket: Option<TcpStream>,
-    client: Rc<Client>,
-    limits: Rc<Limits>,
-    /// Bytes since it last had nothing to give.
-    at_once: usize,
-}
-
-impl Lent {
-    pub fn client(&self) -> &Rc<Client> {
-        &self.client
-    }
-
-    /// Waits for the first byte, or the end. Guards against memory taken for clients that say nothing.
-    pub async fn first_byte(&self) {
-        if let Some(socket) = &self.socket {
-            let _ = socket.readable().await;
-            let _ = socket.set_nodelay(true);
-        }
-    }
-
-    fn socket(&mut self) -> io::Result<Pin<&mut TcpStream>> {
-        self.socket.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
-    }
-
-    fn read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(self.socket()?.poll_read(cx, buf))?;
-        let bytes = buf.filled().len() - before;
-        if bytes == 0 {
-            self.client.presence.leave();
-        } else {
-            self.client.heard(bytes);
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Drop for Lent {
-    fn drop(&mut self) {
-        *self.client.socket.borrow_mut() = self.socket.take();
-    }
-}
-
-impl AsyncRead for Lent {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        // Guards against a request that is taken after the last answer: to the protocol it is the end of file.
-        if self.client.last.get() {
-            return Poll::Ready(Ok(()));
-        }
-        let open = self.client.idle_since.get().is_none();
-        let full = open && self.client.behind.get() >= self.limits.behind;
-        // Guards against a buffer of the protocol's that is full of requests: it would ask for more without end.
-        let flooding = self.at_once >= self.limits.at_once;
-        self.client.flooding.set(flooding);
-        if flooding && !full {
-            self.at_once = 0;
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        if !full {
-            let before = buf.filled().len();
-            let read = self.read(cx, buf);
-            let more = if read.is_ready() { self.at_once + buf.filled().len() - before } else { 0 };
-            self.at_once = more;
-            if matches!(read, Poll::Ready(Err(_))) {
-                self.client.presence.leave();
-            }
-            return read;
-        }
-        // Guards against a flood behind an open request: the protocol would stop reading, and not see the client leave.
-        // What is over the bound is of no request that can be served, and is thrown away.
-        self.client.torn.set(true);
-        let mut bytes = [0; 2048];
-        for _ in 0..8 {
-            let mut waste = ReadBuf::new(&mut bytes);
-            let read = ready!(self.read(cx, &mut waste));
-            if read.is_err() || waste.filled().is_empty() {
-                self.client.presence.leave();
-                return Poll::Ready(read);
-            }
-        }
-        // Guards against a client that sends without end and gets all the time there is.
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    }
-}
-
-impl AsyncWrite for Lent {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.socket()?.poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = self.socket()?.poll_flush(cx);
-        if flushed.is_ready() {
-            self.client.written();
-        }
-        flushed
-    }
-
-    /// Nothing: the write side is shut in one place, by `linger.rs`, whatever ended the protocol.
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
--- a/sidecar/src/front/http.rs
+++ b/sidecar/src/front/http.rs
@@ -11,7 +11,8 @@
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{ServiceFactory, fn_service};
 
-use super::client::{Client, Lent};
+use super::client::Client;
+use super::lent::Lent;
 use super::listener::Front;
 use super::request::{Bad, read};
 use crate::transaction::{self, Answer, Content};
@@ -86,7 +87,6 @@
     }
     match read(core, request, client).await {
         Ok(ask) => {
-            client.opened();
             let answer = transaction::run(Rc::clone(core), Rc::clone(&front.upstream), ask).await;
             write(answer).unwrap_or_else(|bad| reject(front, bad))
         }
--- a/sidecar/src/front/listener.rs
+++ b/sidecar/src/front/listener.rs
@@ -12,8 +12,9 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use super::client::{Client, Lent};
+use super::client::Client;
 use super::http::{service, turn_away};
+use super::lent::Lent;
 use super::linger::linger;
 use crate::core::Core;
 use crate::upstream::Upstream;
--- a/sidecar/src/front/mod.rs
+++ b/sidecar/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 pub mod http;
+mod lent;
 mod linger;
 pub mod listener;
 mod request;
--- a/sidecar/src/front/request.rs
+++ b/sidecar/src/front/request.rs
@@ -62,6 +62,7 @@
     }
     let label = |name: &'static str| Some((name, headers.get(name)?.to_str().ok()?.to_owned()));
     let labels = LABELS.into_iter().filter_map(label).collect();
+    client.announce(length.unwrap_or_default() as usize);
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
@@ -71,8 +72,7 @@
         }
         body.extend_from_slice(&chunk);
     }
-    // Guards against a start for a client of which it is not known whether it is still there.
-    if client.flooding() {
+    if !client.opened(limits).await {
         return Err(bad("one request at a time\n"));
     }
     let content = Content { body: body.freeze(), labels };
--- a/sidecar/src/front/tests.rs
+++ b/sidecar/src/front/tests.rs
@@ -14,7 +14,8 @@
     client.dismiss();
     client.heard(1);
     assert!(!leaves(&client, &limits).await, "a request has begun");
-    client.opened();
+    client.dry();
+    assert!(client.opened(&limits).await, "nothing more is to be read");
     client.dismiss();
     assert!(!leaves(&client, &limits).await, "a request is open");
     client.answered(false);
--- a/sidecar/tests/stage/mod.rs
+++ b/sidecar/tests/stage/mod.rs
@@ -1,4 +1,5 @@
-//! The program and all that it talks to, for recordings.
+//! The program and all that it talks to, for recordings and for floods.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 mod message;
 mod servers;
@@ -70,7 +71,7 @@
     listener.local_addr().expect("bound").to_string()
 }
 
-fn until<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+pub fn until<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
     let start = Instant::now();
     loop {
         if let Some(found) = check() {
@@ -135,6 +136,21 @@
         }
     }
 
+    /// Where the program listens.
+    pub fn listen(&self) -> &str {
+        &self.listen
+    }
+
+    /// What the machine says of the program's process.
+    pub fn process(&self, file: &str) -> PathBuf {
+        PathBuf::from(format!("/proc/{}/{file}", self.child.id()))
+    }
+
+    /// The listening sides of the servers.
+    pub fn servers(&self) -> Vec<TcpListener> {
+        self.servers.iter().map(|l| l.try_clone().expect("a second handle")).collect()
+    }
+
     pub fn transcript(&mut self) -> String {
         std::mem::take(&mut self.transcript)
     }
