--- a/sidecar/tests/floods.rs
+++ b/sidecar/tests/floods.rs
@@ -55,7 +55,7 @@
                 Ok(0) => return false,
                 Ok(_) if !*endless => {
                     count += 1;
-                    *endless = count.is_multiple_of(2);
+                    *endless = count % 2 == 0;
                     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n";
                     let _ = link.write(if *endless { head } else { GOOD }.as_bytes());
                 }
