Name discovery's endpoints, connection pools and permits as the field does, a file each

A rename and moves, nothing else: service_table.rs is discovery/ (endpoint, lines, watch, follow); Table is EndpointList, Line is Endpoint, Lane is Pool, Place is Permit; the counters table_events and table_lines_skipped are list_events and list_lines_skipped. socket.rs, core/mod.rs and upstream/mod.rs gave up what has a concern of its own: sending, sockets, report, directory. Tests moved with what they test.

--- a/sidecar/src/config.rs
+++ b/sidecar/src/config.rs
@@ -6,10 +6,10 @@
 use arrowstand_controls::Machines;
 use heronlock::{Class, Micros, Scope, Semantics, Settings};
 
+use crate::discovery::EndpointList;
 use crate::json::{self, Node};
 use crate::limits::{Basis, Limits};
 use crate::machines;
-use crate::service_table::Table;
 
 /// What this sidecar was told at start.
 pub struct Config {
@@ -20,8 +20,8 @@
     pub settings: Settings,
     pub limits: Limits,
     pub names: Names,
-    /// The service table as this sidecar last had it.
-    pub known: Option<Table>,
+    /// The list of endpoints as this sidecar last had it.
+    pub known: Option<EndpointList>,
 }
 
 /// Names that the module knows by number, and where in a load report its values stand.
@@ -122,7 +122,7 @@
             return permissions.at("idle-close-ms").fault("must be above zero");
         }
         let known = root.at("known");
-        let known = if known.present() { Some(Table::read(&known)?) } else { None };
+        let known = if known.present() { Some(EndpointList::read(&known)?) } else { None };
         Ok(Self {
             name,
             listen: address(&root.at("listen"), variable("NODE_LISTEN"), "NODE_LISTEN")?,
--- a/sidecar/src/core/tests.rs
+++ b/sidecar/src/core/directory/tests.rs
@@ -1,11 +1,11 @@
 use super::*;
-use crate::service_table::Line;
+use crate::discovery::Endpoint;
 
 /// A day of replaced job servers, each at the address of the one before: too long to record.
 #[test]
 fn what_has_gone_is_forgotten_and_its_number_is_not_used_again() {
     let (mut directory, mut numbers) = (Directory::default(), Vec::new());
-    let line = |n: u32, condition| Line {
+    let line = |n: u32, condition| Endpoint {
         uid: format!("s{n}"),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: "z".to_owned(),
@@ -15,8 +15,8 @@
         boot_ms: 0.0,
     };
     for n in 1..100 {
-        let lines = vec![line(n - 1, Condition::Gone), line(n, Condition::Ready)];
-        let table = Table { lines, ..Table::default() };
+        let endpoints = vec![line(n - 1, Condition::Gone), line(n, Condition::Ready)];
+        let table = EndpointList { endpoints, ..EndpointList::default() };
         let members = directory.take(ListKind::Changes, &table, Duration::ZERO);
         numbers.push(members[1].server);
     }
--- a/sidecar/src/core/mod.rs
+++ b/sidecar/src/core/mod.rs
@@ -1,103 +1,29 @@
 //! The one balancer, its clock and timers, the interning of job servers, and the routing of its actions
 //! to whoever waits for them. Nothing here knows of HTTP.
 
+mod directory;
 mod owed;
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use arrowstand_controls::Informed;
 use arrowstand_controls::freshness::Freshness;
-use arrowstand_controls::{Informed, Machines, fingerprint};
-use heronlock::{Action, ClassId, Condition, Event, ListKind, Member, Micros, Outcome, RequestId, ServerId};
+use heronlock::{Action, ClassId, Event, ListKind, Micros, Outcome, RequestId, ServerId};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
+use directory::Directory;
+pub use directory::JobServer;
 pub use owed::{Owed, Step};
 
 use crate::config::Names;
 use crate::counters::Counters;
+use crate::discovery::EndpointList;
 use crate::limits::Limits;
-use crate::service_table::Table;
-
-/// A job server as the service table names it.
-pub struct JobServer {
-    pub id: ServerId,
-    address: Cell<SocketAddr>,
-    /// When it was first told to be draining or gone, since its last start.
-    told_out: Cell<Option<Instant>>,
-    /// Told to be draining, and the start that was named then: only a later start ends a drain.
-    drains: Cell<bool>,
-    boot_ms: Cell<f64>,
-    /// Told to be gone, or left out of a whole table.
-    gone: Cell<bool>,
-    /// When the last request was begun that it served.
-    served: Cell<Option<Micros>>,
-}
-
-impl JobServer {
-    pub fn new(id: ServerId, address: SocketAddr) -> Self {
-        Self {
-            id,
-            address: Cell::new(address),
-            told_out: Cell::new(None),
-            drains: Cell::new(false),
-            boot_ms: Cell::new(0.0),
-            gone: Cell::new(false),
-            served: Cell::new(None),
-        }
-    }
-
-    pub fn address(&self) -> SocketAddr {
-        self.address.get()
-    }
-
-    /// For how long its drain has been known.
-    pub fn drained(&self) -> Option<Duration> {
-        self.told_out.get().map(|at| at.elapsed())
-    }
-
-    /// It has served a request that was begun then, so it took work then.
-    pub fn has_served(&self, begun: Micros) {
-        self.served.set(self.served.get().max(Some(begun)));
-    }
-
-    pub fn served(&self) -> Option<Micros> {
-        self.served.get()
-    }
-
-    /// Takes in what a list says of it.
-    pub fn told(&self, condition: Condition, boot_ms: f64) {
-        // Guards against an old list that takes a drain back while a connection comes up: a drain ends with a new start,
-        // or once the server has gone.
-        let newer = boot_ms > self.boot_ms.get();
-        self.boot_ms.set(boot_ms.max(self.boot_ms.get()));
-        if condition == Condition::Ready {
-            if newer || self.gone.get() || !self.drains.get() {
-                self.drains.set(false);
-                self.told_out.set(None);
-            }
-        } else {
-            self.drains.set(self.drains.get() || condition == Condition::Draining);
-            self.told_out.set(self.told_out.get().or(Some(Instant::now())));
-        }
-        self.gone.set(condition == Condition::Gone);
-    }
-}
-
-#[derive(Default)]
-struct Directory {
-    ids: HashMap<String, Rc<JobServer>>,
-    by_id: BTreeMap<ServerId, Rc<JobServer>>,
-    /// Numbers are never used twice: a new job server must not pass for one that has gone.
-    next: u32,
-    zones: Vec<String>,
-    machines: Machines,
-    listed: bool,
-}
 
 /// Everything that decides. One of them runs on one thread.
 pub struct Core {
@@ -134,11 +60,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let core = Self {
             balancer: RefCell::new(balancer),
-            directory: RefCell::new(Directory {
-                zones: names.zones.clone(),
-                machines: names.machines.clone(),
-                ..Directory::default()
-            }),
+            directory: RefCell::new(Directory::new(names.zones.clone(), names.machines.clone())),
             waiting: RefCell::default(),
             open: RefCell::default(),
             timers: RefCell::default(),
@@ -158,7 +80,7 @@
     }
 
     /// The module's clock: Unix time at the start, and steady from there, so that start times in the
-    /// service table stand on it and no step of the wall clock moves a timer.
+    /// list stand on it and no step of the wall clock moves a timer.
     pub fn now(&self) -> Micros {
         self.epoch + self.start.elapsed().as_micros() as Micros
     }
@@ -207,13 +129,13 @@
         self.freshness.get()
     }
 
-    /// True once transactions can be served: the service table has named a job server.
+    /// True once transactions can be served: the list has named a job server.
     pub fn ready(&self) -> bool {
-        self.directory.borrow().listed
+        self.directory.borrow().listed()
     }
 
     pub fn job_server(&self, id: ServerId) -> Option<Rc<JobServer>> {
-        self.directory.borrow().by_id.get(&id).cloned()
+        self.directory.borrow().server(id)
     }
 
     /// Takes a terminal's id for as long as its transaction is open. Guards against two transactions that job
@@ -297,14 +219,14 @@
         }
     }
 
-    /// Hands a service table, or a change to it, to the module, as of a version that only rises.
-    pub fn list(&self, kind: ListKind, version: u64, table: &Table) {
-        self.counters.table_events.add();
-        for message in &table.skipped {
-            self.counters.table_lines_skipped.add();
-            tracing::warn!("service table: a line was skipped: {message}");
+    /// Hands a list of endpoints, or a change to it, to the module, as of a version that only rises.
+    pub fn list(&self, kind: ListKind, version: u64, list: &EndpointList) {
+        self.counters.list_events.add();
+        for message in &list.skipped {
+            self.counters.list_lines_skipped.add();
+            tracing::warn!("discovery: an entry was skipped: {message}");
         }
-        let entries = self.directory.borrow_mut().take(kind, table, self.limits.forget);
+        let entries = self.directory.borrow_mut().take(kind, list, self.limits.forget);
         self.tell(Event::Members { kind, version, entries });
     }
 }
@@ -320,53 +242,3 @@
         self.core.open.borrow_mut().remove(&self.id);
     }
 }
-
-impl Directory {
-    fn take(&mut self, kind: ListKind, table: &Table, forget: Duration) -> Vec<Member> {
-        // Guards against names and numbers that grow without end where job servers are replaced all the time.
-        self.ids.retain(|_, server| {
-            !(server.gone.get() && server.drained().is_some_and(|known| known >= forget))
-        });
-        self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
-        if kind != ListKind::Changes {
-            let named = |uid: &str| table.lines.iter().any(|l| l.uid == uid);
-            for (_, server) in self.ids.iter().filter(|(uid, _)| !named(uid)) {
-                server.told(Condition::Gone, 0.0);
-            }
-        }
-        self.listed |= table.lines.iter().any(|l| l.condition == Condition::Ready);
-        let mut entries = Vec::with_capacity(table.lines.len());
-        for line in &table.lines {
-            let server = match self.ids.get(&line.uid) {
-                Some(known) => Rc::clone(known),
-                None => {
-                    let id = ServerId(self.next);
-                    self.next += 1;
-                    let new = Rc::new(JobServer::new(id, line.address));
-                    self.by_id.insert(id, Rc::clone(&new));
-                    self.ids.insert(line.uid.clone(), Rc::clone(&new));
-                    new
-                }
-            };
-            server.address.set(line.address);
-            server.told(line.condition, line.boot_ms);
-            let zone = self.zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
-                self.zones.push(line.zone.clone());
-                self.zones.len() - 1
-            });
-            entries.push(Member {
-                server: server.id,
-                fingerprint: fingerprint(&line.uid),
-                condition: line.condition,
-                launched: (line.boot_ms > 0.0).then_some((line.boot_ms * 1_000.0) as Micros),
-                zone: zone as u32,
-                cell: line.cell,
-                machine: self.machines.of(&line.model),
-            });
-        }
-        entries
-    }
-}
-
-#[cfg(test)]
-mod tests;
--- /dev/null
+++ b/sidecar/src/discovery/watch.rs
@@ -0,0 +1,128 @@
+//! One watch on discovery, from the call to its end.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use arrowstand_controls::freshness::Freshness;
+use awc::error::{ConnectError, SendRequestError};
+use futures_util::StreamExt as _;
+use heronlock::ListKind;
+use tokio::time::{Instant, timeout};
+
+use super::endpoint::EndpointList;
+use super::lines::Lines;
+use crate::core::Core;
+use crate::limits::Limits;
+
+/// Where this sidecar stands in discovery's numbering of its changes.
+pub struct Position {
+    rev: Cell<u64>,
+    /// What the module is told is this much higher, so that its count only rises.
+    raised: Cell<u64>,
+    /// Nothing has come on this watch yet.
+    first: Cell<bool>,
+}
+
+/// Why a watch ended.
+pub struct Fault {
+    pub text: String,
+    pub end: End,
+}
+
+/// How a call or a watch ended, as far as it tells what the list may hide.
+pub enum End {
+    Broken,
+    /// The call was given up.
+    Unanswered,
+    /// It was open and said nothing more.
+    Silent {
+        heard: Instant,
+    },
+    /// Nobody listens there.
+    Refused,
+}
+
+impl Position {
+    pub fn new(rev: u64) -> Self {
+        Self { rev: Cell::new(rev), raised: Cell::new(0), first: Cell::new(true) }
+    }
+}
+
+impl From<String> for Fault {
+    fn from(text: String) -> Self {
+        Self { text, end: End::Broken }
+    }
+}
+
+/// True where the address refused the call.
+fn refused(e: &SendRequestError) -> bool {
+    matches!(e, SendRequestError::Connect(ConnectError::Io(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// One watch, from the call to its end; tells why it ended.
+pub async fn watch(
+    core: &Rc<Core>,
+    client: &awc::Client,
+    discovery: SocketAddr,
+    at: &Position,
+    limits: &Limits,
+) -> Fault {
+    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", at.rev.get());
+    core.watched(Freshness::calling);
+    at.first.set(true);
+    let call = client.get(uri).force_close().no_decompress().send();
+    let mut answer = match timeout(limits.list_call, call).await {
+        Ok(Ok(answer)) if answer.status().is_success() => answer,
+        Ok(Ok(answer)) => return format!("the call ended with {}", answer.status()).into(),
+        Ok(Err(e)) => {
+            let end = if refused(&e) { End::Refused } else { End::Broken };
+            return Fault { text: format!("the call failed: {e}"), end };
+        }
+        Err(_) => return Fault { text: "the call was not answered".to_owned(), end: End::Unanswered },
+    };
+    let mut heard = Instant::now();
+    let mut lines = Lines::new(limits.list_line);
+    loop {
+        // Guards against a watch whose other end has vanished: it says nothing, not even the heartbeat.
+        let chunk = match timeout(limits.list_silence, answer.next()).await {
+            Ok(Some(Ok(chunk))) => chunk,
+            Ok(Some(Err(e))) => return format!("the watch broke: {e}").into(),
+            Ok(None) => return "the watch ended".to_owned().into(),
+            Err(_) => return Fault { text: "the watch fell silent".to_owned(), end: End::Silent { heard } },
+        };
+        heard = Instant::now();
+        if let Err(fault) = lines.add(&chunk) {
+            return fault.into();
+        }
+        while let Some(line) = lines.take() {
+            let text = String::from_utf8_lossy(&line);
+            if text.trim().is_empty() {
+                core.watched(|freshness, _| freshness.heard());
+                continue;
+            }
+            match EndpointList::parse(&text, limits) {
+                Ok(list) => take(core, at, &list),
+                Err(fault) => {
+                    core.counters.list_lines_skipped.add();
+                    // Guards against changes lost with a line: the next one would move the position past them.
+                    at.rev.set(0);
+                    return format!("a line cannot be read, the whole list is asked for: {fault}").into();
+                }
+            }
+        }
+    }
+}
+
+fn take(core: &Core, at: &Position, list: &EndpointList) {
+    // Guards against a discovery that counts from lower down, a new one or one that has started anew: it was asked for
+    // what came after the position and gave the whole list instead, so that list is no old one.
+    if at.first.replace(false) && list.all && list.rev < at.rev.get() {
+        at.raised.set(at.raised.get() + at.rev.get());
+    }
+    at.rev.set(list.rev);
+    let kind = if list.all { ListKind::Full } else { ListKind::Changes };
+    core.watched(|freshness, _| freshness.heard());
+    core.list(kind, at.raised.get() + list.rev, list);
+}
--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -4,11 +4,11 @@
 mod config;
 mod core;
 mod counters;
+mod discovery;
 mod front;
 mod json;
 mod limits;
 mod machines;
-mod service_table;
 mod transaction;
 mod upstream;
 
@@ -76,9 +76,8 @@
     });
     actix_rt::spawn(Rc::clone(&upstream).run_probes(probes));
     actix_rt::spawn(Rc::clone(&upstream).run_sweeps());
-    let (moved, discovery) = watch::channel(config.discovery);
-    let follow =
-        service_table::follow(Rc::clone(&core), discovery, known.rev, Rc::clone(&limits), config.seed);
+    let (moved, at) = watch::channel(config.discovery);
+    let follow = discovery::follow(Rc::clone(&core), at, known.rev, Rc::clone(&limits), config.seed);
     actix_rt::spawn(follow);
     let front = Front::new(Rc::clone(&core), upstream);
     let accept = actix_rt::spawn(Rc::clone(&front).accept(listener));
--- a/sidecar/src/upstream/mod.rs
+++ b/sidecar/src/upstream/mod.rs
@@ -2,7 +2,10 @@
 
 mod answer;
 pub mod gate;
+mod report;
+mod sending;
 mod socket;
+mod sockets;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -24,7 +27,9 @@
 use crate::counters::Counters;
 use crate::limits::Limits;
 use crate::transaction::{Ask, Content, LABELS};
-use socket::{Gate, Sending, Sockets};
+use report::read_report;
+use sending::{Gate, Sending};
+use sockets::Sockets;
 
 /// How a routed task ended; the answer is there if it was served.
 pub struct End {
@@ -39,8 +44,8 @@
     }
 }
 
-/// One job server's client, whose pool holds that server's connections only.
-struct Lane {
+/// One server's connection pool: a client that holds that server's connections only.
+struct Pool {
     address: SocketAddr,
     client: Client,
     used: Instant,
@@ -49,7 +54,7 @@
 /// What is needed to call job servers.
 pub struct Upstream {
     core: Rc<Core>,
-    lanes: RefCell<BTreeMap<ServerId, Lane>>,
+    pools: RefCell<BTreeMap<ServerId, Pool>>,
     sockets: Rc<Sockets>,
     limits: Rc<Limits>,
     counters: Rc<Counters>,
@@ -66,7 +71,7 @@
     pub fn new(core: &Rc<Core>) -> Rc<Self> {
         let (limits, counters) = (Rc::clone(&core.limits), Rc::clone(&core.counters));
         let sockets = Sockets::new(Rc::clone(&limits), Rc::clone(&counters));
-        Rc::new(Self { core: Rc::clone(core), lanes: RefCell::default(), sockets, limits, counters })
+        Rc::new(Self { core: Rc::clone(core), pools: RefCell::default(), sockets, limits, counters })
     }
 
     /// Sends a transaction's request to a job server once, and waits for the answer.
@@ -207,30 +212,30 @@
             }
             Some(whole)
         };
-        socket::SENDING.scope(Rc::clone(sending), send).await
+        sending::SENDING.scope(Rc::clone(sending), send).await
     }
 
     fn client(&self, server: &JobServer) -> Client {
         let now = Instant::now();
-        let mut lanes = self.lanes.borrow_mut();
+        let mut pools = self.pools.borrow_mut();
         let address = server.address();
-        let new = || Lane { address, client: self.sockets.client(), used: now };
-        let lane = lanes.entry(server.id).or_insert_with(new);
+        let new = || Pool { address, client: self.sockets.client(), used: now };
+        let pool = pools.entry(server.id).or_insert_with(new);
         // Guards against connections kept for an address that the job server has left.
-        if lane.address != address {
-            *lane = new();
+        if pool.address != address {
+            *pool = new();
         }
-        lane.used = now;
-        lane.client.clone()
+        pool.used = now;
+        pool.client.clone()
     }
 
     /// Guards against descriptors held for job servers that are called no more: awc looks at an idle
-    /// connection only when it wants one, so what is idle for good goes with its lane.
+    /// connection only when it wants one, so what is idle for good goes with its pool.
     pub async fn run_sweeps(self: Rc<Self>) {
         loop {
             tokio::time::sleep(self.limits.idle_reuse).await;
             let keep = self.limits.idle_reuse;
-            self.lanes.borrow_mut().retain(|_, lane| lane.used.elapsed() < keep);
+            self.pools.borrow_mut().retain(|_, pool| pool.used.elapsed() < keep);
         }
     }
 }
@@ -250,18 +255,3 @@
         request.headers_mut().insert(HeaderName::from_static(name), value);
     }
 }
-
-/// Reads `inflight=7,queue=2,eps=0.5`; a report with a part that cannot be read is none.
-fn read_report(text: &str) -> Option<LoadReport> {
-    let (mut held, mut waiting) = (None, 0.0);
-    for part in text.trim().split(',') {
-        let (name, value) = part.split_once('=')?;
-        let value: f64 = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
-        match name.trim() {
-            "inflight" | "active" => held = Some(value),
-            "queue" | "waiting" => waiting = value,
-            _ => {}
-        }
-    }
-    Some(LoadReport { held: held?, waiting })
-}
