--- a/sidecar/src/discovery/watch.rs
+++ b/sidecar/src/discovery/watch.rs
@@ -83,7 +83,7 @@
         Err(_) => return Fault { text: "the call was not answered".to_owned(), end: End::Unanswered },
     };
     let mut heard = Instant::now();
-    let mut lines = Lines::new(limits.list_line);
+    let mut lines = Lines::new(limits.list_line, limits.json_depth);
     loop {
         // Guards against a watch whose other end has vanished: it says nothing, not even the heartbeat.
         let chunk = match timeout(limits.list_silence, answer.next()).await {
--- a/sidecar/src/json.rs
+++ b/sidecar/src/json.rs
@@ -11,10 +11,10 @@
     value: Option<&'a JsonValue>,
 }
 
-/// Guards against input that is nested so deep that tinyjson, which recurses, would end the process.
-pub fn parse(text: &str, depth_most: usize) -> Result<JsonValue, String> {
+/// How deep brackets and braces are open after each byte.
+fn depths(text: &[u8]) -> impl Iterator<Item = usize> {
     let (mut depth, mut quoted, mut escaped) = (0usize, false, false);
-    for byte in text.bytes() {
+    text.iter().map(move |byte| {
         match byte {
             _ if escaped => escaped = false,
             b'\\' if quoted => escaped = true,
@@ -23,9 +23,19 @@
             b']' | b'}' if !quoted => depth = depth.saturating_sub(1),
             _ => {}
         }
-        if depth > depth_most {
-            return Err(format!("nested deeper than {depth_most}"));
-        }
+        depth
+    })
+}
+
+/// How deep brackets and braces are open at the end.
+pub fn depth(text: &[u8]) -> usize {
+    depths(text).last().unwrap_or_default()
+}
+
+/// Guards against input that is nested so deep that tinyjson, which recurses, would end the process.
+pub fn parse(text: &str, depth_most: usize) -> Result<JsonValue, String> {
+    if depths(text.as_bytes()).any(|depth| depth > depth_most) {
+        return Err(format!("nested deeper than {depth_most}"));
     }
     text.parse::<JsonValue>().map_err(|e| e.to_string())
 }
