Mind the signals before the configuration is read

Cause, read line by line: SIGHUP and SIGTERM were minded only after the file was read and checked, so a new configuration for all sidecars ended one that was just starting. Change: the handlers come first, and are carried out once the program serves.

--- a/sidecar/src/main.rs
+++ b/sidecar/src/main.rs
@@ -17,7 +17,7 @@
 
 use arrowstand_controls::Informed;
 use heronlock::ListKind;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tracing_subscriber::Layer as _;
 use tracing_subscriber::filter::{LevelFilter, Targets};
@@ -35,36 +35,52 @@
     let told = Targets::new().with_default(LevelFilter::INFO).with_target("actix_http", LevelFilter::OFF);
     let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
     tracing_subscriber::registry().with(lines.with_target(false).with_filter(told)).init();
-    let config = match Config::from_environment() {
-        Ok(config) => config,
-        Err(message) => {
-            eprintln!("arrowstand: {message}");
-            return ExitCode::from(2);
-        }
-    };
     let ended = match actix_rt::Runtime::new() {
-        Ok(runtime) => runtime.block_on(serve(config)),
-        Err(e) => Err(format!("the runtime did not start: {e}")),
+        Ok(runtime) => runtime.block_on(start()),
+        Err(e) => Err((ExitCode::FAILURE, format!("the runtime did not start: {e}"))),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
+        Err((code, message)) => {
             eprintln!("arrowstand: {message}");
-            ExitCode::FAILURE
+            code
         }
     }
 }
 
+/// What the platform tells a running program by signal.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, String> {
+        let listen = |kind, name| signal(kind).map_err(|e| format!("{name}: {e}"));
+        Ok(Self {
+            terminate: listen(SignalKind::terminate(), "SIGTERM")?,
+            interrupt: listen(SignalKind::interrupt(), "SIGINT")?,
+            hangup: listen(SignalKind::hangup(), "SIGHUP")?,
+        })
+    }
+}
+
+/// Guards against a start that a new configuration ends: the signals are minded before anything is read, and are carried
+/// out once the program serves.
+async fn start() -> Result<(), (ExitCode, String)> {
+    let signals = Signals::new().map_err(|e| (ExitCode::FAILURE, e))?;
+    let config = Config::from_environment().map_err(|e| (ExitCode::from(2), e))?;
+    serve(config, signals).await.map_err(|e| (ExitCode::FAILURE, e))
+}
+
 /// Serves until SIGTERM or SIGINT; SIGHUP brings a new configuration.
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, mut signals: Signals) -> Result<(), String> {
     let limits = Rc::new(config.limits);
     let counters = Rc::new(Counters::default());
     let balancer = Informed::new(config.settings, config.seed).map_err(|e| e.to_string())?;
     let (core, probes) = Core::new(balancer, config.names, Rc::clone(&limits), Rc::clone(&counters));
     let upstream = Upstream::new(&core);
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let listener = tokio::net::TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("NODE_LISTEN: {}: {e}", config.listen))?;
 
@@ -85,9 +101,9 @@
 
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => match Config::reload() {
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => match Config::reload() {
                 // The rest of a new file is for the next start: what is open now rests on the old settings.
                 Ok(new) => {
                     tracing::info!("reloaded: discovery is at {}", new.discovery);
--- a/sidecar/tests/exchanges.rs
+++ b/sidecar/tests/exchanges.rs
@@ -44,6 +44,7 @@
     old_list_ends_no_drain discovery_counts_anew
     second_answer_comes_late second_answer_behind_an_empty_one client_leaves_with_all_it_sent rested_connection_is_used_again
     indented_list_is_read
+    stop_ends_with_a_client_that_sends_on
     stop_answers_what_is_not_accepted stop_answers_what_is_half_read reload_to_where_nobody_listens
 }
 
