Give rested connections back with the next request, and read announced bodies in one go

Cause: a timer for each answer's rest woke the program 1,100 times a second at that rate, and a body was read in halves, as its remainder counted as the bound. Change: upstream/resting.rs holds what rests, without a timer; a connection that has been idle too long is known by its own age.

--- a/sidecar/src/front/client.rs
+++ b/sidecar/src/front/client.rs
@@ -121,10 +121,9 @@
         self.announced.set(bytes);
     }
 
-    /// Bytes that the protocol gets before it looks at what it has. Guards against memory: it reads all requests that
-    /// it holds at once, and keeps each, so it holds little more than one.
-    pub(super) fn portion(&self, limits: &Limits) -> usize {
-        limits.portion + self.announced.get().min(limits.portion_body)
+    /// Bytes of a body that are announced and have not come.
+    pub(super) fn announced(&self) -> usize {
+        self.announced.get()
     }
 
     /// True where the protocol is to get no more for now.
--- a/sidecar/src/front/lent.rs
+++ b/sidecar/src/front/lent.rs
@@ -16,7 +16,8 @@
     socket: Option<TcpStream>,
     client: Rc<Client>,
     limits: Rc<Limits>,
-    /// Bytes given out since the protocol last looked at what it has.
+    /// Bytes given out since the protocol last looked at what it has, besides what was announced of a body. Guards against
+    /// memory: it reads all requests that it holds at once, and keeps each, so it holds little more than one.
     given: usize,
 }
 
@@ -78,11 +79,12 @@
             return Poll::Ready(Ok(()));
         }
         if !self.client.is_full(&self.limits) {
-            let portion = self.client.portion(&self.limits);
-            if self.given < portion {
-                let most = portion - self.given;
-                let read = self.read(cx, buf, most);
-                self.given = if let Poll::Ready(Ok(bytes)) = read { self.given + bytes } else { 0 };
+            let announced = self.client.announced();
+            let room = self.limits.portion.saturating_sub(self.given);
+            if room > 0 {
+                let read = self.read(cx, buf, room + announced);
+                let more = if let Poll::Ready(Ok(bytes)) = read { bytes } else { 0 };
+                self.given = if more > 0 { self.given + more.saturating_sub(announced) } else { 0 };
                 return read.map_ok(drop);
             }
         } else {
--- a/sidecar/src/upstream/mod.rs
+++ b/sidecar/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 pub mod gate;
 mod report;
+mod resting;
 mod sending;
 mod socket;
 mod sockets;
@@ -28,6 +29,7 @@
 use crate::limits::Limits;
 use crate::transaction::{Ask, Content, LABELS};
 use report::read_report;
+use resting::Resting;
 use sending::{Gate, Sending};
 use sockets::Sockets;
 
@@ -56,6 +58,7 @@
     core: Rc<Core>,
     pools: RefCell<BTreeMap<ServerId, Pool>>,
     sockets: Rc<Sockets>,
+    resting: Resting,
     limits: Rc<Limits>,
     counters: Rc<Counters>,
 }
@@ -71,7 +74,8 @@
     pub fn new(core: &Rc<Core>) -> Rc<Self> {
         let (limits, counters) = (Rc::clone(&core.limits), Rc::clone(&core.counters));
         let sockets = Sockets::new(Rc::clone(&limits), Rc::clone(&counters));
-        Rc::new(Self { core: Rc::clone(core), pools: RefCell::default(), sockets, limits, counters })
+        let resting = Resting::new(limits.rest);
+        Rc::new(Self { core: Rc::clone(core), pools: RefCell::default(), sockets, resting, limits, counters })
     }
 
     /// Sends a transaction's request to a job server once, and waits for the answer.
@@ -202,13 +206,7 @@
             let whole =
                 Whole { status: answer.status(), headers: answer.headers().clone(), body: body.freeze() };
             if length.is_some() {
-                let rest = self.limits.rest;
-                actix_rt::spawn(async move {
-                    // Guards against connections opened for want of those that rest: the pool gets this one once its
-                    // rest is over, and finds what came meanwhile.
-                    tokio::time::sleep(rest).await;
-                    let _ = answer.next().await;
-                });
+                self.resting.hold(answer);
             }
             Some(whole)
         };
@@ -217,6 +215,7 @@
 
     fn client(&self, server: &JobServer) -> Client {
         let now = Instant::now();
+        self.resting.release(now);
         let mut pools = self.pools.borrow_mut();
         let address = server.address();
         let new = || Pool { address, client: self.sockets.client(), used: now };
@@ -234,6 +233,7 @@
     pub async fn run_sweeps(self: Rc<Self>) {
         loop {
             tokio::time::sleep(self.limits.idle_reuse).await;
+            self.resting.release(Instant::now());
             let keep = self.limits.idle_reuse;
             self.pools.borrow_mut().retain(|_, pool| pool.used.elapsed() < keep);
         }
--- a/sidecar/src/upstream/socket.rs
+++ b/sidecar/src/upstream/socket.rs
@@ -46,10 +46,13 @@
     /// Reads on until there is something of the answer to hand on.
     fn poll_answer(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let next = SENDING.try_with(|sending| sending.begun().is_none()).unwrap_or(false);
-        let rests = self.ended.is_some_and(|ended| ended.elapsed() < self.permit.0.limits.rest);
-        if next && (self.answer.is_open() || rests) {
+        let limits = &self.permit.0.limits;
+        let rests = self.ended.is_some_and(|ended| ended.elapsed() < limits.rest);
+        let old = self.ended.is_some_and(|ended| ended.elapsed() > limits.rest + limits.idle_reuse);
+        if next && (self.answer.is_open() || rests || old) {
             // Guards against another request's answer: whether more came behind an open one is not known here, and a
-            // second answer may still be on its way. The next request gets another connection.
+            // second answer may still be on its way. And against a server that closes it as idle: the pool counts from
+            // when it got the connection back. The next request gets another one.
             self.stream = None;
         }
         loop {
