--- a/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 
-use arrowstand_controls::{Informed, Machines, fingerprint};
-use heronlock::{
+use arrowstand_balancer::{
     Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member, Micros,
     Outcome, RequestId, Scope, Semantics, ServerId, Settings,
 };
+use arrowstand_control::{Informed, Machines, fingerprint};
 
 use crate::wire::{Arrival, Batch, Conf, Reply, decode, micros};
 
--- a/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs heronlock balancers on the simulator's line protocol: one batch in, one reply out.
+//! Runs arrowstand_balancer balancers on the simulator's line protocol: one batch in, one reply out.
 
 mod host;
 mod wire;
@@ -30,7 +30,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("heronlock-adapter: {problem}");
+            eprintln!("arrowstand-adapter: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -2,9 +2,9 @@
 
 use std::fmt::Write as _;
 
+use arrowstand_balancer::Micros;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use heronlock::Micros;
 use serde::Deserialize;
 
 /// One line of input.
--- a/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -12,7 +12,7 @@
 }
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_heronlock-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_arrowstand-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,10 +1,10 @@
-//! heronlock makes the decisions of a sidecar balancer for service-to-service calls.
+//! arrowstand_balancer makes the decisions of a sidecar balancer for service-to-service calls.
 //!
 //! The library does no I/O and reads no clock. The host passes each [`Event`] with the current
 //! time to [`Balancer::handle`] and carries out the [`Action`]s that it pushes.
 //!
 //! ```
-//! use heronlock::*;
+//! use arrowstand_balancer::*;
 //!
 //! let mut settings = Settings::default();
 //! settings.classes.push(Class::new(Semantics::Pure, 250_000, 600_000));
--- a/tests/answers.rs
+++ b/crates/balancer/tests/answers.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use arrowstand_balancer::*;
 use common::*;
-use heronlock::*;
 
 /// Nothing is asked before a send; a late answer keeps a fifth of its worth.
 fn by_answers() -> Settings {
--- a/tests/attempts.rs
+++ b/crates/balancer/tests/attempts.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 
+use arrowstand_balancer::*;
 use common::*;
-use heronlock::*;
 
 #[test]
 fn of_two_draws_the_one_with_fewer_own_in_flight_wins() {
--- a/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Drives one balancer by hand-written events. It is no simulator: nothing answers by itself.
 #![allow(dead_code)]
 
-use heronlock::*;
+use arrowstand_balancer::*;
 
 pub const MS: Micros = 1_000;
 pub const TICK_TOKEN: u64 = 0;
--- a/tests/members.rs
+++ b/crates/balancer/tests/members.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use arrowstand_balancer::*;
 use common::*;
-use heronlock::*;
 
 fn with_peers() -> Settings {
     Settings { peers: true, balancers: 4, ..settings() }
@@ -218,7 +218,7 @@
     }
 }
 
-/// `sidecar/src/limits.rs` counts on this pause (`LIST_PAUSE`).
+/// `crates/sidecar/src/limits.rs` counts on this pause (`LIST_PAUSE`).
 #[test]
 fn a_list_that_is_lost_is_first_asked_for_again_within_the_third_of_a_second() {
     for seed in 0..400 {
--- a/controls/src/freshness/mod.rs
+++ b/crates/control/src/freshness/mod.rs
@@ -1,7 +1,7 @@
 //! How long a list may be trusted: from when on a first byte to a server could break its drain's grace, because the
 //! drain counts as told though no list has shown it. Owns that one instant; what is listed is the module's.
 
-use heronlock::Micros;
+use arrowstand_balancer::Micros;
 
 /// What follows from the settings, derived in one place by whoever reads them. `slack` is what of a drain's grace may
 /// pass before a first byte; the rest is for what is on its way.
--- a/controls/src/informed.rs
+++ b/crates/control/src/informed.rs
@@ -4,7 +4,9 @@
 
 use std::collections::BTreeMap;
 
-use heronlock::{Action, Balancer, ClassId, Event, Micros, Outcome, RequestId, Settings, SettingsError};
+use arrowstand_balancer::{
+    Action, Balancer, ClassId, Event, Micros, Outcome, RequestId, Settings, SettingsError,
+};
 
 use crate::work::{Sent, Work};
 
@@ -89,7 +91,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use heronlock::{AttemptEnd, Call, Class, ListKind, LoadReport, Member, Semantics, ServerId};
+    use arrowstand_balancer::{AttemptEnd, Call, Class, ListKind, LoadReport, Member, Semantics, ServerId};
 
     /// A balancer that has learnt that its requests take 30 ms.
     fn informed() -> (Informed, Micros) {
--- a/controls/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -1,7 +1,7 @@
 //! What kinds of machine there are and what they can do: told by the operator for the kinds that he names, and
 //! unknown for the others, which only get a number, so that what is learnt of one machine counts for its like.
 
-use heronlock::Machine;
+use arrowstand_balancer::Machine;
 
 /// Kinds that get a number of their own. Guards against memory that grows with whatever a list says.
 const KINDS_MOST: usize = 256;
--- a/controls/src/work.rs
+++ b/crates/control/src/work.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use heronlock::{ClassId, LoadReport, Micros, ServerId};
+use arrowstand_balancer::{ClassId, LoadReport, Micros, ServerId};
 
 /// A report counts for a send within this time.
 const FRESH: Micros = 20_000;
--- a/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use arrowstand_controls::Machines;
-use heronlock::{Class, Micros, Scope, Semantics, Settings};
+use arrowstand_balancer::{Class, Micros, Scope, Semantics, Settings};
+use arrowstand_control::Machines;
 
 use crate::discovery::EndpointList;
 use crate::json::{self, Node};
--- a/sidecar/src/core/directory.rs
+++ b/crates/sidecar/src/core/directory.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use arrowstand_controls::{Machines, fingerprint};
-use heronlock::{Condition, ListKind, Member, Micros, ServerId};
+use arrowstand_balancer::{Condition, ListKind, Member, Micros, ServerId};
+use arrowstand_control::{Machines, fingerprint};
 use tokio::time::Instant;
 
 use crate::discovery::EndpointList;
--- a/sidecar/src/core/mod.rs
+++ b/crates/sidecar/src/core/mod.rs
@@ -10,9 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use arrowstand_controls::Informed;
-use arrowstand_controls::freshness::Freshness;
-use heronlock::{Action, ClassId, Event, ListKind, Micros, Outcome, RequestId, ServerId};
+use arrowstand_balancer::{Action, ClassId, Event, ListKind, Micros, Outcome, RequestId, ServerId};
+use arrowstand_control::Informed;
+use arrowstand_control::freshness::Freshness;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
 
--- a/sidecar/src/core/owed.rs
+++ b/crates/sidecar/src/core/owed.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use heronlock::{AttemptEnd, Call, ClassId, Event, LoadReport, Micros, Outcome, RequestId, ServerId};
+use arrowstand_balancer::{
+    AttemptEnd, Call, ClassId, Event, LoadReport, Micros, Outcome, RequestId, ServerId,
+};
 use tokio::sync::mpsc;
 
 use super::Core;
--- a/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::fmt;
 
-use heronlock::Outcome;
+use arrowstand_balancer::Outcome;
 
 use crate::upstream::gate::Stop;
 
--- a/sidecar/src/discovery/endpoint.rs
+++ b/crates/sidecar/src/discovery/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use heronlock::Condition;
+use arrowstand_balancer::Condition;
 use tinyjson::JsonValue;
 
 use crate::json::{self, Node};
--- a/sidecar/src/discovery/follow.rs
+++ b/crates/sidecar/src/discovery/follow.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use heronlock::{Event, ListKind};
+use arrowstand_balancer::{Event, ListKind};
 use tokio::sync::watch as channel;
 use tokio::time::sleep;
 
--- a/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use arrowstand_controls::freshness::Freshness;
+use arrowstand_balancer::ListKind;
+use arrowstand_control::freshness::Freshness;
 use awc::error::{ConnectError, SendRequestError};
 use futures_util::StreamExt as _;
-use heronlock::ListKind;
 use tokio::time::{Instant, timeout};
 
 use super::endpoint::EndpointList;
--- a/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use arrowstand_controls::freshness::Terms;
-use heronlock::Micros;
+use arrowstand_balancer::Micros;
+use arrowstand_control::freshness::Terms;
 
 /// Filled by [`Limits::derive`] from the configuration and handed down from there.
 #[derive(Clone, Debug)]
--- a/sidecar/src/machines.rs
+++ b/crates/sidecar/src/machines.rs
@@ -1,6 +1,6 @@
 //! Reads the operator's table of the kinds of machine: the platform names kinds and tells no sizes.
 
-use arrowstand_controls::Machines;
+use arrowstand_control::Machines;
 use tinyjson::JsonValue;
 
 use crate::json::{self, Node};
@@ -47,7 +47,7 @@
 
     #[test]
     fn the_example_table_can_be_read() {
-        let mut machines = read(include_str!("../../examples/machines.json")).expect("good");
+        let mut machines = read(include_str!("../../../examples/machines.json")).expect("good");
         assert!(machines.of("std-3").cores > machines.of("slow-2").cores);
     }
 
--- a/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -15,8 +15,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use arrowstand_controls::Informed;
-use heronlock::ListKind;
+use arrowstand_balancer::ListKind;
+use arrowstand_control::Informed;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tracing_subscriber::Layer as _;
--- a/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use arrowstand_balancer::{ClassId, Outcome};
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 use futures_util::future::{AbortHandle, Abortable};
 use futures_util::stream::FuturesUnordered;
-use heronlock::{ClassId, Outcome};
 use tokio::time::Instant;
 
 use crate::core::{Core, Owed, Step};
--- a/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -15,12 +15,12 @@
 use std::time::Duration;
 
 use actix_http::HttpMessage as _;
+use arrowstand_balancer::{Event, LoadReport, Outcome, ServerId};
 use awc::http::StatusCode;
 use awc::http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
 use awc::{Client, ClientRequest};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
-use heronlock::{Event, LoadReport, Outcome, ServerId};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
--- a/sidecar/src/upstream/report.rs
+++ b/crates/sidecar/src/upstream/report.rs
@@ -1,6 +1,6 @@
 //! The load that servers tell of.
 
-use heronlock::LoadReport;
+use arrowstand_balancer::LoadReport;
 
 /// Reads `inflight=7,queue=2,eps=0.5`; a report with a part that cannot be read is none.
 pub fn read_report(text: &str) -> Option<LoadReport> {
--- a/sidecar/src/upstream/sending/tests.rs
+++ b/crates/sidecar/src/upstream/sending/tests.rs
@@ -1,5 +1,5 @@
-use arrowstand_controls::Informed;
-use heronlock::{Condition, ServerId};
+use arrowstand_balancer::{Condition, ServerId};
+use arrowstand_control::Informed;
 
 use super::*;
 use crate::config::Names;
@@ -7,8 +7,8 @@
 fn core(drain_grace: std::time::Duration) -> Rc<Core> {
     let basis = crate::limits::Basis { sockets: 64, drain_grace, ..Default::default() };
     let limits = Rc::new(Limits::derive(&basis));
-    let settings = heronlock::Settings {
-        classes: vec![heronlock::Class::new(heronlock::Semantics::Pure, 1, 1)],
+    let settings = arrowstand_balancer::Settings {
+        classes: vec![arrowstand_balancer::Class::new(arrowstand_balancer::Semantics::Pure, 1, 1)],
         ..Default::default()
     };
     let balancer = Informed::new(settings, 1).expect("settings");
--- a/lab/benches/model.rs
+++ b/crates/testbed/benches/model.rs
@@ -1,7 +1,7 @@
 //! How fast the model plays: a second of the site's day, and a second of a thousand sidecars.
 
-use arrowstand_lab::model;
-use arrowstand_lab::scenario::Scenario;
+use arrowstand_testbed::model;
+use arrowstand_testbed::scenario::Scenario;
 use criterion::{Criterion, criterion_group, criterion_main};
 
 fn day(name: &str, changes: &[(&str, f64)]) -> Scenario {
--- a/lab/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -16,7 +16,7 @@
 
 /// Plays scenarios against arrowstand: in a model, or on loopback sockets.
 #[derive(Parser)]
-#[command(name = "arrowstand-lab", version)]
+#[command(name = "arrowstand-testbed", version)]
 struct Cli {
     /// How log lines are written, on standard error.
     #[arg(long, global = true, value_enum, default_value = "lines")]
@@ -267,7 +267,7 @@
             ExitCode::from(2)
         }
         Err(Failure::Trouble(fault)) => {
-            eprintln!("arrowstand-lab: {fault}");
+            eprintln!("arrowstand-testbed: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/lab/src/model/discovery.rs
+++ b/crates/testbed/src/model/discovery.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use arrowstand_controls::fingerprint;
-use heronlock::{Condition, Event, ListKind, Member, ServerId};
+use arrowstand_balancer::{Condition, Event, ListKind, Member, ServerId};
+use arrowstand_control::fingerprint;
 
 use super::*;
 use crate::ledger::Listing;
--- a/lab/src/model/mod.rs
+++ b/crates/testbed/src/model/mod.rs
@@ -1,4 +1,4 @@
-//! The model: virtual time, one thread, no sockets. Real `heronlock` balancers, one for each sidecar, against
+//! The model: virtual time, one thread, no sockets. Real `arrowstand_balancer` balancers, one for each sidecar, against
 //! machines, network, discovery and terminals as the scenario draws them up.
 //!
 //! Everything happens in the order of the queue, and chance comes from one stream for each cause, so the same
@@ -82,7 +82,7 @@
 }
 
 /// How a routed task ended, as its sidecar sees it.
-type Outcome = heronlock::Outcome;
+type Outcome = arrowstand_balancer::Outcome;
 
 enum Happening {
     Arrival(u32, Wish),
@@ -130,7 +130,7 @@
     quotas: Vec<Quota>,
     targets: Vec<Vec<u32>>,
     events: Vec<crate::machine::Event>,
-    actions: Vec<heronlock::Action>,
+    actions: Vec<arrowstand_balancer::Action>,
     /// Happenings played.
     pub played: u64,
     /// Wishes that were not played, as too much was open.
--- a/lab/src/model/server.rs
+++ b/crates/testbed/src/model/server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use heronlock::Event as Told;
+use arrowstand_balancer::Event as Told;
 
 use super::*;
 use crate::ledger::Fate;
--- a/lab/src/model/sidecar.rs
+++ b/crates/testbed/src/model/sidecar.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use arrowstand_controls::Informed;
-use heronlock::{
+use arrowstand_balancer::{
     Action, AttemptEnd, Call, Class as ModuleClass, ClassId, Event, LoadReport, RequestId, Scope, Semantics,
     ServerId, Settings,
 };
+use arrowstand_control::Informed;
 
 use rustc_hash::FxHashMap;
 
@@ -127,7 +127,7 @@
         let known: Vec<_> = sidecar.known.iter().map(|(&server, &(l, at))| (server, l, at)).collect();
         let version = sidecar.version;
         self.note(Entry::Sidecar { sidecar: number, life: Life::Up });
-        self.list_told(number, heronlock::ListKind::WarmCopy, version, known);
+        self.list_told(number, arrowstand_balancer::ListKind::WarmCopy, version, known);
     }
 
     pub(super) fn is_up(&self, number: u32) -> bool {
--- a/lab/tests/auditor.rs
+++ b/crates/testbed/tests/auditor.rs
@@ -1,9 +1,9 @@
 //! The auditor itself: for each rule a forged record that breaks it is caught, and one that only just keeps it
 //! passes.
 
-use arrowstand_lab::audit::{Auditor, Rule};
-use arrowstand_lab::ledger::{Entry, Fate, How, Ledger, Life, Line, Listing, read};
-use arrowstand_lab::scenario::{Class, Day, Effect, Group, Micros};
+use arrowstand_testbed::audit::{Auditor, Rule};
+use arrowstand_testbed::ledger::{Entry, Fate, How, Ledger, Life, Line, Listing, read};
+use arrowstand_testbed::scenario::{Class, Day, Effect, Group, Micros};
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
--- a/lab/tests/cli.rs
+++ b/crates/testbed/tests/cli.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output};
 
 fn lab(words: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_arrowstand-lab")).args(words).output().expect("runs")
+    Command::new(env!("CARGO_BIN_EXE_arrowstand-testbed")).args(words).output().expect("runs")
 }
 
 fn scenario(name: &str) -> String {
@@ -12,7 +12,7 @@
 }
 
 fn temporary(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("arrowstand-lab-{}-{name}", std::process::id()));
+    let path = std::env::temp_dir().join(format!("arrowstand-testbed-{}-{name}", std::process::id()));
     std::fs::write(&path, text).expect("written");
     path
 }
@@ -25,7 +25,7 @@
     assert_eq!(run.status.code(), Some(0), "{}", String::from_utf8_lossy(&run.stdout));
     assert!(std::fs::read_to_string(&svg).expect("drawn").contains("<svg"));
     let record =
-        arrowstand_lab::ledger::read(&std::fs::read_to_string(&ledger).expect("there")).expect("read");
+        arrowstand_testbed::ledger::read(&std::fs::read_to_string(&ledger).expect("there")).expect("read");
     assert!(record.len() > 1_000 && record.windows(2).all(|w| w[0].at <= w[1].at));
     let compared = lab(&["compare", j, j]);
     let text = String::from_utf8_lossy(&compared.stdout).into_owned();
--- a/lab/tests/model.rs
+++ b/crates/testbed/tests/model.rs
@@ -1,9 +1,9 @@
 //! The model: the same bytes for a seed, the rules kept, and its hard cases.
 
-use arrowstand_lab::ledger::{Entry, How, Line};
-use arrowstand_lab::model;
-use arrowstand_lab::report::Report;
-use arrowstand_lab::scenario::Scenario;
+use arrowstand_testbed::ledger::{Entry, How, Line};
+use arrowstand_testbed::model;
+use arrowstand_testbed::report::Report;
+use arrowstand_testbed::scenario::Scenario;
 
 fn day(name: &str, changes: &[(&str, toml::Value)]) -> Scenario {
     let path = format!("{}/scenarios/{name}.toml", env!("CARGO_MANIFEST_DIR"));
@@ -176,7 +176,7 @@
 }
 
 #[test]
-#[ignore = "too long unoptimised: cargo test --release -p arrowstand-lab --test model -- --ignored"]
+#[ignore = "too long unoptimised: cargo test --release -p arrowstand-testbed --test model -- --ignored"]
 fn whole_days_of_the_full_fleet_keep_the_rules_over_seeds() {
     for seed in 1..=4 {
         std::thread::scope(|scope| {
--- a/lab/tests/scenario.rs
+++ b/crates/testbed/tests/scenario.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use arrowstand_lab::scenario::Scenario;
+use arrowstand_testbed::scenario::Scenario;
 
 const GOOD: &str = r#"
 name = "small"
--- a/lab/tests/stage.rs
+++ b/crates/testbed/tests/stage.rs
@@ -2,14 +2,14 @@
 
 use std::path::{Path, PathBuf};
 
-use arrowstand_lab::ledger::How;
-use arrowstand_lab::report::Report;
-use arrowstand_lab::scenario::Scenario;
-use arrowstand_lab::stage::{Options, run};
+use arrowstand_testbed::ledger::How;
+use arrowstand_testbed::report::Report;
+use arrowstand_testbed::scenario::Scenario;
+use arrowstand_testbed::stage::{Options, run};
 
 /// The sidecar's program, which a test of the whole workspace builds beside the lab's.
 fn program() -> PathBuf {
-    let path = Path::new(env!("CARGO_BIN_EXE_arrowstand-lab")).with_file_name("arrowstand");
+    let path = Path::new(env!("CARGO_BIN_EXE_arrowstand-testbed")).with_file_name("arrowstand");
     assert!(path.is_file(), "{} is missing: test the whole workspace", path.display());
     path
 }
@@ -49,7 +49,7 @@
 fn stage(name: &str, more: &str) -> Report {
     let scenario =
         Scenario::read(name, &format!("name = \"{name}\"\n{SMALL}{more}")).unwrap_or_else(|f| panic!("{f}"));
-    let folder = std::env::temp_dir().join(format!("arrowstand-lab-{name}-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-{name}-{}", std::process::id()));
     let options = Options { program: program(), folder: Some(folder.clone()) };
     let report = run(&scenario.day, &options, None).expect("played");
     let _ = std::fs::remove_dir_all(folder);
@@ -149,7 +149,7 @@
     let day = SMALL.replace("seconds = 4.0", "seconds = 1.0").replace("count = 2", "count = 60");
     let scenario =
         Scenario::read("many", &format!("name = \"many\"\n{day}")).unwrap_or_else(|f| panic!("{f}"));
-    let folder = std::env::temp_dir().join(format!("arrowstand-lab-many-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-many-{}", std::process::id()));
     let played = run(&scenario.day, &Options { program: program(), folder: Some(folder.clone()) }, None);
     let report = played.expect("all start");
     let _ = std::fs::remove_dir_all(folder);
@@ -160,7 +160,7 @@
 fn a_sidecar_that_ends_at_its_start_is_told_at_once() {
     let scenario =
         Scenario::read("ends", &format!("name = \"ends\"\n{SMALL}")).unwrap_or_else(|f| panic!("{f}"));
-    let folder = std::env::temp_dir().join(format!("arrowstand-lab-ends-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-ends-{}", std::process::id()));
     let options = Options { program: "/bin/false".into(), folder: Some(folder.clone()) };
     let fault = run(&scenario.day, &options, None).err();
     let _ = std::fs::remove_dir_all(folder);
@@ -172,11 +172,11 @@
     use nix::sys::signal::{Signal, kill};
     use std::process::{Command, Stdio};
     use std::time::Duration;
-    let folder = std::env::temp_dir().join(format!("arrowstand-lab-late-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-late-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let path = folder.join("late.toml");
     std::fs::write(&path, SMALL).expect("written");
-    let child = Command::new(env!("CARGO_BIN_EXE_arrowstand-lab"))
+    let child = Command::new(env!("CARGO_BIN_EXE_arrowstand-testbed"))
         .args(["stage".as_ref(), path.as_os_str(), "--folder".as_ref(), folder.as_os_str()])
         .stdout(Stdio::piped())
         .spawn()
--- a/lab/src/main.rs
+++ /dev/null
@@ -1,8 +0,0 @@
-//! arrowstand-lab: plays scenarios in the model and on the stage.
-#![forbid(unsafe_code)]
-
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    arrowstand_lab::cli::main()
-}
