--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use arrowstand_balancer::{
-    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member, Micros,
-    Outcome, RequestId, Scope, Semantics, ServerId, Settings,
+    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member,
+    Micros, Outcome, RequestId, Scope, Semantics, ServerId, Settings,
 };
 use arrowstand_control::{Informed, Machines, fingerprint};
 
@@ -68,7 +68,8 @@
 fn request_id(event: &Arrival) -> Result<RequestId> {
     let text = need(event.txn, event.msg, "txn")?;
     let id = u64::from_str_radix(text, 16);
-    id.map(RequestId).map_err(|_| format!("{}: txn {text:?} is not a request id", event.msg))
+    id.map(RequestId)
+        .map_err(|_| format!("{}: txn {text:?} is not a request id", event.msg))
 }
 
 fn settings(conf: &Conf) -> Result<(Settings, ReportShape)> {
@@ -97,7 +98,10 @@
         });
     }
     let position = |name: &str| conf.report.fields.iter().position(|f| f == name);
-    let shape = ReportShape { held: position("active"), waiting: position("waiting") };
+    let shape = ReportShape {
+        held: position("active"),
+        waiting: position("waiting"),
+    };
     let zone = conf.zones.iter().position(|z| Some(z) == conf.az.as_ref());
     let (permissions, safety, base) = (&conf.permissions, &conf.safety, Settings::default());
     let settings = Settings {
@@ -141,7 +145,11 @@
             balancer: Informed::new(settings, seed).map_err(|e| e.to_string())?,
             ids: HashMap::new(),
             names: Vec::new(),
-            classes: conf.request_classes.iter().map(|c| c.name.clone()).collect(),
+            classes: conf
+                .request_classes
+                .iter()
+                .map(|c| c.name.clone())
+                .collect(),
             zones: conf.zones.clone(),
             // Told nothing of them: they have numbers, and what they can do is learnt.
             machines: Machines::default(),
@@ -182,14 +190,18 @@
         let stats = stats?;
         let at = |place: Option<usize>| stats.get(place?).copied().flatten();
         let held = at(self.report.held)?;
-        Some(LoadReport { held, waiting: at(self.report.waiting).unwrap_or(0.0) })
+        Some(LoadReport {
+            held,
+            waiting: at(self.report.waiting).unwrap_or(0.0),
+        })
     }
 
     /// The library event for a wire event; `None` where the wire event asks for nothing.
     fn event(&mut self, event: &Arrival, tables: &HashMap<usize, Vec<Line>>) -> Result<Event> {
         let msg = event.msg;
-        let server =
-            |this: &mut Self| -> Result<ServerId> { Ok(this.intern(need(event.server, msg, "server")?)) };
+        let server = |this: &mut Self| -> Result<ServerId> {
+            Ok(this.intern(need(event.server, msg, "server")?))
+        };
         Ok(match msg {
             "roster-change" => {
                 let kind = match need(event.kind, msg, "kind")? {
@@ -206,7 +218,11 @@
                     let lines = lines.ok_or_else(|| format!("{msg}: no roster {number}"))?;
                     entries.extend(lines.iter().map(|line| self.member(line)));
                 }
-                Event::Members { kind, version: event.r#gen.unwrap_or(0), entries }
+                Event::Members {
+                    kind,
+                    version: event.r#gen.unwrap_or(0),
+                    entries,
+                }
             }
             "request" => {
                 let name = need(event.grade, msg, "grade")?;
@@ -219,7 +235,9 @@
                     size_hint: event.size_hint_ms.map(micros),
                 })
             }
-            "ack-first" => Event::Started { request: request_id(event)? },
+            "ack-first" => Event::Started {
+                request: request_id(event)?,
+            },
             "response" => Event::Outcome(AttemptEnd {
                 request: request_id(event)?,
                 attempt: need(event.n, msg, "n")?,
@@ -229,8 +247,12 @@
                 elapsed: micros(event.time_taken_ms.unwrap_or(0.0)),
                 report: self.load(event.stats.as_deref()),
             }),
-            "dropped" => Event::Dropped { request: request_id(event)? },
-            "wakeup" => Event::Timer { token: need(event.cookie, msg, "cookie")? },
+            "dropped" => Event::Dropped {
+                request: request_id(event)?,
+            },
+            "wakeup" => Event::Timer {
+                token: need(event.cookie, msg, "cookie")?,
+            },
             "health" => Event::Probed {
                 server: server(self)?,
                 outcome: outcome(need(event.rc, msg, "rc")?)?,
@@ -247,7 +269,11 @@
     fn write(&self, instance: &str, action: &Action, reply: &mut Reply) {
         let name = |id: &ServerId| self.names.get(id.0 as usize).map_or("", String::as_str);
         match action {
-            Action::Send { request, server, timeout } => {
+            Action::Send {
+                request,
+                server,
+                timeout,
+            } => {
                 let out = reply.begin("transmit", instance).id(request.0);
                 out.text("server", name(server));
                 if let Some(timeout) = timeout {
@@ -255,9 +281,15 @@
                 }
             }
             Action::Cancel { request, attempt } => {
-                reply.begin("revoke", instance).id(request.0).number("n", attempt);
+                reply
+                    .begin("revoke", instance)
+                    .id(request.0)
+                    .number("n", attempt);
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 reply.begin("turn-away", instance).id(request.0);
                 if let Some(pause) = retry_after {
                     reply.millis("pause-ms", *pause);
@@ -271,18 +303,25 @@
                 reply.millis("from-now-ms", *after);
             }
             Action::Probe { server } => {
-                reply.begin("sound-out", instance).text("server", name(server));
+                reply
+                    .begin("sound-out", instance)
+                    .text("server", name(server));
             }
             Action::Tell { to, message } => {
                 let to = to.map_or(-1, i64::from);
-                reply.begin("share", instance).number("to", to).payload(message);
+                reply
+                    .begin("share", instance)
+                    .number("to", to)
+                    .payload(message);
             }
             Action::Subscribe => {
                 reply.begin("observe", instance).number("want", true);
             }
             Action::Log { text, server } => {
                 let about = server.as_ref().map_or("", name);
-                reply.begin("journal-line", instance).text("what", format!("{text} {about}").trim_end());
+                reply
+                    .begin("journal-line", instance)
+                    .text("what", format!("{text} {about}").trim_end());
             }
         }
         reply.end();
@@ -301,7 +340,8 @@
             let name = need(event.i, event.msg, "i")?;
             match event.msg {
                 "attach" => {
-                    self.instances.insert(name.to_owned(), Instance::attach(event)?);
+                    self.instances
+                        .insert(name.to_owned(), Instance::attach(event)?);
                 }
                 "exit" => {
                     self.instances.remove(name);
@@ -312,7 +352,9 @@
                     let event = instance.event(event, &self.tables)?;
                     self.actions.clear();
                     instance.balancer.handle(now, event, &mut self.actions);
-                    self.actions.iter().for_each(|action| instance.write(name, action, reply));
+                    self.actions
+                        .iter()
+                        .for_each(|action| instance.write(name, action, reply));
                 }
             }
         }
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -21,7 +21,9 @@
         let batch: Batch = serde_json::from_slice(&line).map_err(|e| format!("bad batch: {e}"))?;
         reply.clear();
         host.run(&batch, &mut reply)?;
-        let written = output.write_all(reply.line().as_bytes()).and_then(|()| output.flush());
+        let written = output
+            .write_all(reply.line().as_bytes())
+            .and_then(|()| output.flush());
         written.map_err(|e| format!("cannot write: {e}"))?;
     }
 }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -141,7 +141,9 @@
 
 /// A payload from its text.
 pub fn decode(text: &str) -> Result<Vec<u8>, String> {
-    STANDARD.decode(text).map_err(|e| format!("contents is not base64: {e}"))
+    STANDARD
+        .decode(text)
+        .map_err(|e| format!("contents is not base64: {e}"))
 }
 
 /// Collects the actions of one reply.
@@ -151,7 +153,9 @@
 
 impl Reply {
     pub fn new() -> Self {
-        Self { text: String::from("{\"out\":[") }
+        Self {
+            text: String::from("{\"out\":["),
+        }
     }
 
     pub fn clear(&mut self) {
@@ -190,7 +194,12 @@
     }
 
     pub fn millis(&mut self, name: &str, value: Micros) -> &mut Self {
-        let _ = write!(self.text, ",\"{name}\":{}.{:03}", value / 1000, value % 1000);
+        let _ = write!(
+            self.text,
+            ",\"{name}\":{}.{:03}",
+            value / 1000,
+            value % 1000
+        );
         self
     }
 
--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -8,7 +8,10 @@
 const REQUEST: &str = r#"{"msg":"request","i":"sidecar/0","txn":"445f20855d3a91c4","grade":"get","billing":null,"name-key":null,"left-ms":400.0,"size-hint-ms":null,"again-by-client":false,"is-write":false}"#;
 
 fn batch(clock: f64, events: &[&str]) -> String {
-    format!("{{\"clock-ms\":{clock},\"arrivals\":[{}]}}\n", events.join(","))
+    format!(
+        "{{\"clock-ms\":{clock},\"arrivals\":[{}]}}\n",
+        events.join(",")
+    )
 }
 
 fn run(input: &str) -> Output {
@@ -34,25 +37,55 @@
         + &batch(3.5, &[REQUEST])
         + &batch(22.0, &[served, exit]);
     let output = run(&input);
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
     let text = String::from_utf8(output.stdout).expect("text");
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 4);
     assert_eq!(lines[0], r#"{"out":[]}"#);
-    let sent = r#""msg":"transmit","i":"sidecar/0","txn":"445f20855d3a91c4","server":"10.0.0.1:80""#;
+    let sent =
+        r#""msg":"transmit","i":"sidecar/0","txn":"445f20855d3a91c4","server":"10.0.0.1:80""#;
     assert!(lines[2].contains(sent), "{}", lines[2]);
-    assert!(lines.iter().all(|line| serde_json::from_str::<serde_json::Value>(line).is_ok()));
+    assert!(
+        lines
+            .iter()
+            .all(|line| serde_json::from_str::<serde_json::Value>(line).is_ok())
+    );
 }
 
 #[test]
 fn bad_input_gets_one_plain_line_and_a_failure() {
     let cases = [
         ("not json\n".to_owned(), "bad batch"),
-        (batch(1.0, &[r#"{"msg":"sing","i":"sidecar/0"}"#]), "unknown instance"),
-        (batch(1.0, &[ATTACH, r#"{"msg":"sing","i":"sidecar/0"}"#]), "unknown message"),
-        (batch(1.0, &[r#"{"msg":"attach","i":"sidecar/0","random-seed":1}"#]), "conf is missing"),
-        (batch(1.0, &[ATTACH, r#"{"msg":"wakeup","i":"sidecar/0"}"#]), "cookie is missing"),
-        (batch(1.0, &[ATTACH, r#"{"msg":"dropped","i":"sidecar/0","txn":"xyz"}"#]), "not a request id"),
+        (
+            batch(1.0, &[r#"{"msg":"sing","i":"sidecar/0"}"#]),
+            "unknown instance",
+        ),
+        (
+            batch(1.0, &[ATTACH, r#"{"msg":"sing","i":"sidecar/0"}"#]),
+            "unknown message",
+        ),
+        (
+            batch(
+                1.0,
+                &[r#"{"msg":"attach","i":"sidecar/0","random-seed":1}"#],
+            ),
+            "conf is missing",
+        ),
+        (
+            batch(1.0, &[ATTACH, r#"{"msg":"wakeup","i":"sidecar/0"}"#]),
+            "cookie is missing",
+        ),
+        (
+            batch(
+                1.0,
+                &[ATTACH, r#"{"msg":"dropped","i":"sidecar/0","txn":"xyz"}"#],
+            ),
+            "not a request id",
+        ),
     ];
     for (input, expected) in cases {
         let output = run(&input);
@@ -65,7 +98,8 @@
 
 #[test]
 fn invalid_settings_are_named() {
-    let attach = r#"{"msg":"attach","i":"sidecar/0","random-seed":3,"conf":{"request-classes":[]}}"#;
+    let attach =
+        r#"{"msg":"attach","i":"sidecar/0","random-seed":3,"conf":{"request-classes":[]}}"#;
     let output = run(&batch(1.0, &[attach]));
     assert!(!output.status.success());
     assert!(String::from_utf8_lossy(&output.stderr).contains("setting classes"));
--- a/crates/control/src/freshness/mod.rs
+++ b/crates/control/src/freshness/mod.rs
@@ -36,7 +36,13 @@
 impl Freshness {
     /// A program that starts at `now`, with a list of which the age is not known.
     pub fn new(terms: Terms, now: Micros) -> Self {
-        Self { terms, told: now, silent: None, pending: None, moved: false }
+        Self {
+            terms,
+            told: now,
+            silent: None,
+            pending: None,
+            moved: false,
+        }
     }
 
     /// A line has come on a watch: from here the list is what discovery has.
@@ -47,7 +53,11 @@
     /// A call for a watch begins.
     pub fn calling(&mut self, now: Micros) {
         let terms = &self.terms;
-        let good = if terms.pushed { self.told } else { now + terms.ask_every };
+        let good = if terms.pushed {
+            self.told
+        } else {
+            now + terms.ask_every
+        };
         self.pending.get_or_insert(good + terms.slack);
     }
 
--- a/crates/control/src/freshness/tests.rs
+++ b/crates/control/src/freshness/tests.rs
@@ -52,7 +52,13 @@
 
 fn steps() -> impl Strategy<Value = Vec<(Step, Micros)>> {
     use Step::{GiveUp, Line, Move, Reset, Silence};
-    let step = prop_oneof![Just(Line), Just(Reset), Just(Silence), Just(GiveUp), Just(Move)];
+    let step = prop_oneof![
+        Just(Line),
+        Just(Reset),
+        Just(Silence),
+        Just(GiveUp),
+        Just(Move)
+    ];
     prop::collection::vec((step, 1..9_000_000_u64), 0..8)
 }
 
@@ -124,8 +130,13 @@
 
 #[test]
 fn an_outage_stops_no_service_and_a_crowded_discovery_does() {
-    let terms =
-        Terms { pushed: true, ask_every: 10_000_000, silent: 6_000_000, moved: 4_000_000, slack: 250_000 };
+    let terms = Terms {
+        pushed: true,
+        ask_every: 10_000_000,
+        silent: 6_000_000,
+        moved: 4_000_000,
+        slack: 250_000,
+    };
     let mut list = Freshness::new(terms, 0);
     for call in (0..8_000_000).step_by(200_000) {
         list.calling(call);
@@ -134,22 +145,38 @@
     }
     list.calling(8_000_000);
     let from = list.until(None);
-    assert!(from.is_some_and(|from| from < 8_250_000), "waiting: {from:?}");
+    assert!(
+        from.is_some_and(|from| from < 8_250_000),
+        "waiting: {from:?}"
+    );
     list.lost(9_000_000);
-    assert_eq!(list.until(None), from, "it waited and failed: discovery is there");
+    assert_eq!(
+        list.until(None),
+        from,
+        "it waited and failed: discovery is there"
+    );
     list.heard();
     assert_eq!(list.until(None), None);
 }
 
 #[test]
 fn only_a_recent_answer_speaks_for_a_server() {
-    let terms =
-        Terms { pushed: false, ask_every: 10_000_000, silent: 6_000_000, moved: 4_000_000, slack: 500_000 };
+    let terms = Terms {
+        pushed: false,
+        ask_every: 10_000_000,
+        silent: 6_000_000,
+        moved: 4_000_000,
+        slack: 500_000,
+    };
     let mut list = Freshness::new(terms, 0);
     list.fell_silent(1_000_000, 4_000_000);
     assert!(list.urgent());
     assert_eq!(list.until(None), Some(7_500_000));
-    assert_eq!(list.until(Some(4_500_000)), Some(7_500_000), "an answer before the drain counts is no news");
+    assert_eq!(
+        list.until(Some(4_500_000)),
+        Some(7_500_000),
+        "an answer before the drain counts is no news"
+    );
     assert_eq!(list.until(Some(9_000_000)), Some(9_500_000));
     list.moved(4_100_000);
     list.refused(4_200_000);
--- a/crates/control/src/informed.rs
+++ b/crates/control/src/informed.rs
@@ -36,7 +36,11 @@
     /// Names the first setting that is out of range.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let work = Work::new(settings.classes.len());
-        Ok(Self { balancer: Balancer::new(settings, seed)?, work, open: BTreeMap::new() })
+        Ok(Self {
+            balancer: Balancer::new(settings, seed)?,
+            work,
+            open: BTreeMap::new(),
+        })
     }
 
     /// Takes in one event and pushes what is to be done about it.
@@ -45,8 +49,16 @@
             Event::Request(call) => {
                 // What the host was told by the client wins over what was learnt.
                 let learnt = self.work.expected(call.class);
-                call.size_hint = call.size_hint.or(learnt.map(|w| ((w as f64 * LEAST) as Micros).max(1)));
-                self.open.insert(call.id, Open { class: call.class, sent: Vec::new() });
+                call.size_hint = call
+                    .size_hint
+                    .or(learnt.map(|w| ((w as f64 * LEAST) as Micros).max(1)));
+                self.open.insert(
+                    call.id,
+                    Open {
+                        class: call.class,
+                        sent: Vec::new(),
+                    },
+                );
             }
             Event::Outcome(end) => {
                 if end.outcome == Outcome::Served
@@ -62,14 +74,20 @@
             Event::Dropped { request } => {
                 self.open.remove(request);
             }
-            Event::Probed { server, report: Some(report), .. } => self.work.reported(now, *server, *report),
+            Event::Probed {
+                server,
+                report: Some(report),
+                ..
+            } => self.work.reported(now, *server, *report),
             _ => {}
         }
         let before = acts.len();
         self.balancer.handle(now, event, acts);
         for action in acts.iter().skip(before) {
             match action {
-                Action::Send { request, server, .. } => {
+                Action::Send {
+                    request, server, ..
+                } => {
                     if let Some(open) = self.open.get_mut(request) {
                         open.sent.push(self.work.sent(now, *server));
                     }
@@ -91,24 +109,47 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use arrowstand_balancer::{AttemptEnd, Call, Class, ListKind, LoadReport, Member, Semantics, ServerId};
+    use arrowstand_balancer::{
+        AttemptEnd, Call, Class, ListKind, LoadReport, Member, Semantics, ServerId,
+    };
 
     /// A balancer that has learnt that its requests take 30 ms.
     fn informed() -> (Informed, Micros) {
-        let mut settings = Settings { reports: true, probe_fee: 0.001, ..Settings::default() };
-        settings.classes.push(Class::new(Semantics::Pure, 150_000, 600_000));
+        let mut settings = Settings {
+            reports: true,
+            probe_fee: 0.001,
+            ..Settings::default()
+        };
+        settings
+            .classes
+            .push(Class::new(Semantics::Pure, 150_000, 600_000));
         let mut informed = Informed::new(settings, 7).expect("valid");
         let member = Member::ready(ServerId(0), 1);
-        let list = Event::Members { kind: ListKind::Full, version: 1, entries: vec![member] };
+        let list = Event::Members {
+            kind: ListKind::Full,
+            version: 1,
+            entries: vec![member],
+        };
         informed.handle(0, list, &mut Vec::new());
         let mut now = 0;
         for id in 0..60 {
             now += 100_000;
-            assert!(ask(&mut informed, now, id, 600_000), "request {id} goes out");
+            assert!(
+                ask(&mut informed, now, id, 600_000),
+                "request {id} goes out"
+            );
             now += 30_000;
             let (request, server, report) = (RequestId(id), ServerId(0), None);
             let (attempt, outcome, finished, elapsed) = (0, Outcome::Served, true, 30_000);
-            let end = AttemptEnd { request, attempt, server, outcome, finished, elapsed, report };
+            let end = AttemptEnd {
+                request,
+                attempt,
+                server,
+                outcome,
+                finished,
+                elapsed,
+                report,
+            };
             informed.handle(now, Event::Outcome(end), &mut Vec::new());
         }
         (informed, now + 100_000)
@@ -117,10 +158,22 @@
     /// Asks, answers the look for load, and tells whether the request was sent.
     fn ask(informed: &mut Informed, now: Micros, id: u64, time_left: Micros) -> bool {
         let mut acts = Vec::new();
-        let call = Call { id: RequestId(id), class: ClassId(0), time_left, size_hint: None };
+        let call = Call {
+            id: RequestId(id),
+            class: ClassId(0),
+            time_left,
+            size_hint: None,
+        };
         informed.handle(now, Event::Request(call), &mut acts);
-        let report = Some(LoadReport { held: 0.0, waiting: 0.0 });
-        let probed = Event::Probed { server: ServerId(0), outcome: Outcome::Served, report };
+        let report = Some(LoadReport {
+            held: 0.0,
+            waiting: 0.0,
+        });
+        let probed = Event::Probed {
+            server: ServerId(0),
+            outcome: Outcome::Served,
+            report,
+        };
         informed.handle(now, probed, &mut acts);
         acts.iter().any(|a| matches!(a, Action::Send { .. }))
     }
@@ -128,9 +181,17 @@
     #[test]
     fn a_hurried_request_is_tried_unless_there_is_next_to_no_time() {
         let (mut informed, now) = informed();
-        assert!(informed.work().expected(ClassId(0)).is_some_and(|w| (29_000..31_000).contains(&w)));
+        assert!(
+            informed
+                .work()
+                .expected(ClassId(0))
+                .is_some_and(|w| (29_000..31_000).contains(&w))
+        );
         assert!(ask(&mut informed, now, 1_000, 20_000));
         assert!(!ask(&mut informed, now + 1_000_000, 1_001, 5_000));
-        assert!(informed.open.len() <= 1, "what was turned away is forgotten");
+        assert!(
+            informed.open.len() <= 1,
+            "what was turned away is forgotten"
+        );
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 
 /// A job server's name as a number that every instance computes alike: FNV-1a of its text.
 pub fn fingerprint(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
 }
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -20,20 +20,35 @@
     pub fn told(table: impl IntoIterator<Item = (String, f64, f64)>) -> Self {
         let mut machines = Self::default();
         for (model, cores, speed) in table {
-            machines.add(model, Machine { cores, speed, ..Machine::default() });
+            machines.add(
+                model,
+                Machine {
+                    cores,
+                    speed,
+                    ..Machine::default()
+                },
+            );
         }
         let count = machines.kinds.len() as f64;
         if count > 0.0 {
-            let mean =
-                |of: fn(&Machine) -> f64| machines.kinds.iter().map(|(_, m)| of(m)).sum::<f64>() / count;
-            machines.usual = Machine { kind: 0, cores: mean(|m| m.cores), speed: mean(|m| m.speed) };
+            let mean = |of: fn(&Machine) -> f64| {
+                machines.kinds.iter().map(|(_, m)| of(m)).sum::<f64>() / count
+            };
+            machines.usual = Machine {
+                kind: 0,
+                cores: mean(|m| m.cores),
+                speed: mean(|m| m.speed),
+            };
         }
         machines
     }
 
     fn add(&mut self, model: String, machine: Machine) -> Machine {
         // Number 0 is left to what has no kind of its own.
-        let machine = Machine { kind: self.kinds.len() as u32 + 1, ..machine };
+        let machine = Machine {
+            kind: self.kinds.len() as u32 + 1,
+            ..machine
+        };
         self.kinds.push((model, machine));
         machine
     }
@@ -56,11 +71,31 @@
     #[test]
     fn a_kind_that_was_not_told_counts_as_the_mean_and_as_one_of_its_own() {
         let mut machines = Machines::told([("a".to_owned(), 2.0, 1.5), ("b".to_owned(), 4.0, 0.5)]);
-        assert_eq!(machines.of("b"), Machine { kind: 2, cores: 4.0, speed: 0.5 });
-        assert_eq!(machines.of("c"), Machine { kind: 3, cores: 3.0, speed: 1.0 });
+        assert_eq!(
+            machines.of("b"),
+            Machine {
+                kind: 2,
+                cores: 4.0,
+                speed: 0.5
+            }
+        );
+        assert_eq!(
+            machines.of("c"),
+            Machine {
+                kind: 3,
+                cores: 3.0,
+                speed: 1.0
+            }
+        );
         assert_eq!(machines.of("d").kind, 4);
         assert_eq!((machines.of("c").kind, machines.of("").kind), (3, 0));
-        assert_eq!(Machines::default().of("a"), Machine { kind: 1, ..Machine::default() });
+        assert_eq!(
+            Machines::default().of("a"),
+            Machine {
+                kind: 1,
+                ..Machine::default()
+            }
+        );
     }
 
     proptest! {
--- a/crates/control/src/work.rs
+++ b/crates/control/src/work.rs
@@ -43,7 +43,11 @@
     fn take(&mut self, sample: f64, weight: f64) {
         self.samples = self.samples.saturating_add(1);
         let weight = weight.max(1.0 / f64::from(self.samples));
-        let bounded = if self.samples > 5 { sample.min(MOST * self.value) } else { sample };
+        let bounded = if self.samples > 5 {
+            sample.min(MOST * self.value)
+        } else {
+            sample
+        };
         self.value += weight * (bounded - self.value);
     }
 }
@@ -68,7 +72,10 @@
 impl Work {
     /// Nothing known of so many classes.
     pub fn new(classes: usize) -> Self {
-        Self { classes: vec![Mean::default(); classes], ..Self::default() }
+        Self {
+            classes: vec![Mean::default(); classes],
+            ..Self::default()
+        }
     }
 
     /// A job server has told its load.
@@ -76,11 +83,22 @@
         if !report.waiting.is_finite() {
             return;
         }
-        let new = Site { waiting: 0.0, at: 0, pace: Mean { samples: 0, value: 1.0 } };
+        let new = Site {
+            waiting: 0.0,
+            at: 0,
+            pace: Mean {
+                samples: 0,
+                value: 1.0,
+            },
+        };
         let site = self.sites.entry(server).or_insert(new);
         (site.waiting, site.at) = (report.waiting, now);
         if self.sites.len() > SERVERS_MOST
-            && let Some(&oldest) = self.sites.iter().min_by_key(|(_, s)| s.at).map(|(id, _)| id)
+            && let Some(&oldest) = self
+                .sites
+                .iter()
+                .min_by_key(|(_, s)| s.at)
+                .map(|(id, _)| id)
         {
             self.sites.remove(&oldest);
         }
@@ -88,7 +106,12 @@
 
     /// An attempt goes out to a job server; to be kept with it.
     pub fn sent(&mut self, now: Micros, server: ServerId) -> Sent {
-        let Some(site) = self.sites.get_mut(&server) else { return Sent { server, free: false } };
+        let Some(site) = self.sites.get_mut(&server) else {
+            return Sent {
+                server,
+                free: false,
+            };
+        };
         let free = now.saturating_sub(site.at) <= FRESH && site.waiting < FREE;
         // What goes out now may be what the next one waits for.
         site.waiting += FREE;
@@ -97,8 +120,14 @@
 
     /// An attempt was served after a time in microseconds.
     pub fn served(&mut self, class: ClassId, sent: &Sent, elapsed: Micros) {
-        let (Some(known), true) = (self.classes.get_mut(usize::from(class.0)), sent.free) else { return };
-        let pace = self.sites.get(&sent.server).map_or(1.0, |s| s.pace.value).max(0.05);
+        let (Some(known), true) = (self.classes.get_mut(usize::from(class.0)), sent.free) else {
+            return;
+        };
+        let pace = self
+            .sites
+            .get(&sent.server)
+            .map_or(1.0, |s| s.pace.value)
+            .max(0.05);
         self.usual.take(pace, WEIGHT);
         known.take(elapsed as f64 / (pace / self.usual.value.max(0.05)), WEIGHT);
         let expected = known.value;
@@ -106,7 +135,8 @@
             && expected > 0.0
             && let Some(site) = self.sites.get_mut(&sent.server)
         {
-            site.pace.take((elapsed as f64 / expected).min(MOST), PACE_WEIGHT);
+            site.pace
+                .take((elapsed as f64 / expected).min(MOST), PACE_WEIGHT);
         }
     }
 
@@ -120,7 +150,10 @@
 
     /// How much longer than a usual job server this one takes.
     pub fn pace(&self, server: ServerId) -> Option<f64> {
-        let site = self.sites.get(&server).filter(|s| s.pace.samples >= ENOUGH)?;
+        let site = self
+            .sites
+            .get(&server)
+            .filter(|s| s.pace.samples >= ENOUGH)?;
         Some(site.pace.value / self.usual.value.max(0.05))
     }
 }
@@ -130,7 +163,10 @@
     use super::*;
     use proptest::prelude::*;
 
-    const FREE_REPORT: LoadReport = LoadReport { held: 1.0, waiting: 0.0 };
+    const FREE_REPORT: LoadReport = LoadReport {
+        held: 1.0,
+        waiting: 0.0,
+    };
 
     fn serve(work: &mut Work, now: Micros, class: u16, server: u32, elapsed: Micros) {
         let server = ServerId(server);
@@ -145,8 +181,14 @@
         (0..30).for_each(|n| serve(&mut work, n * 1_000, 0, 0, 40_000));
         assert_eq!(work.expected(ClassId(0)), None);
         (30..60).for_each(|n| serve(&mut work, n * 1_000, 1, 0, 110_000));
-        assert!(work.expected(ClassId(0)).is_some_and(|w| (39_000..41_000).contains(&w)));
-        assert!(work.expected(ClassId(1)).is_some_and(|w| (100_000..120_000).contains(&w)));
+        assert!(
+            work.expected(ClassId(0))
+                .is_some_and(|w| (39_000..41_000).contains(&w))
+        );
+        assert!(
+            work.expected(ClassId(1))
+                .is_some_and(|w| (100_000..120_000).contains(&w))
+        );
     }
 
     #[test]
@@ -154,7 +196,14 @@
         let mut work = Work::new(1);
         (0..30).for_each(|n| serve(&mut work, n * 1_000, 0, 0, 40_000));
         let before = work.expected(ClassId(0));
-        work.reported(40_000, ServerId(0), LoadReport { held: 9.0, waiting: 6.0 });
+        work.reported(
+            40_000,
+            ServerId(0),
+            LoadReport {
+                held: 9.0,
+                waiting: 6.0,
+            },
+        );
         for _ in 0..200 {
             let sent = work.sent(40_000, ServerId(0));
             work.served(ClassId(0), &sent, 900_000);
@@ -169,7 +218,15 @@
     #[test]
     fn a_costly_request_in_fifty_does_not_move_it_far() {
         let mut work = Work::new(1);
-        (0..20_000).for_each(|n| serve(&mut work, n, 0, 0, if n % 50 == 7 { 26 * 40_000 } else { 40_000 }));
+        (0..20_000).for_each(|n| {
+            serve(
+                &mut work,
+                n,
+                0,
+                0,
+                if n % 50 == 7 { 26 * 40_000 } else { 40_000 },
+            )
+        });
         let known = work.expected(ClassId(0)).expect("known");
         assert!((38_000..44_000).contains(&known), "{known}");
     }
@@ -179,9 +236,18 @@
         let mut work = Work::new(1);
         for n in 0..3_000u64 {
             let server = (n % 4) as u32;
-            serve(&mut work, n, 0, server, if server == 3 { 80_000 } else { 40_000 });
+            serve(
+                &mut work,
+                n,
+                0,
+                server,
+                if server == 3 { 80_000 } else { 40_000 },
+            );
         }
-        let (slow, usual) = (work.pace(ServerId(3)).expect("known"), work.pace(ServerId(0)).expect("known"));
+        let (slow, usual) = (
+            work.pace(ServerId(3)).expect("known"),
+            work.pace(ServerId(0)).expect("known"),
+        );
         assert!((1.8..2.2).contains(&(slow / usual)), "{slow} {usual}");
     }
 
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -49,10 +49,13 @@
 
 fn address(node: &Node, variable: Option<String>, name: &str) -> Result<SocketAddr, String> {
     if let Some(text) = variable {
-        return text.parse().map_err(|_| format!("{name}: {text:?} is not an address and port"));
+        return text
+            .parse()
+            .map_err(|_| format!("{name}: {text:?} is not an address and port"));
     }
     let text = node.text()?;
-    text.parse().or_else(|_| node.fault(&format!("{text:?} is not an address and port")))
+    text.parse()
+        .or_else(|_| node.fault(&format!("{text:?} is not an address and port")))
 }
 
 fn set(name: &str) -> Option<String> {
@@ -68,12 +71,20 @@
     /// Reads the file anew. The service that started this program set the variables once and cannot change
     /// them, so the new file's own `discovery` counts.
     pub fn reload() -> Result<Self, String> {
-        Self::from(|name| if name == "NODE_DISCOVERY" { None } else { set(name) })
+        Self::from(|name| {
+            if name == "NODE_DISCOVERY" {
+                None
+            } else {
+                set(name)
+            }
+        })
     }
 
     fn from(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let path = variable("NODE_CONFIG").ok_or("NODE_CONFIG: is not set; it names the JSON file")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+        let path =
+            variable("NODE_CONFIG").ok_or("NODE_CONFIG: is not set; it names the JSON file")?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
         Self::read(&text, variable)
     }
 
@@ -87,7 +98,8 @@
         };
         let seed_node = root.at("seed");
         let seed_text = seed_node.text()?;
-        let seed = u64::from_str_radix(&seed_text, 16).or_else(|_| seed_node.fault("must be hex digits"))?;
+        let seed = u64::from_str_radix(&seed_text, 16)
+            .or_else(|_| seed_node.fault("must be hex digits"))?;
         let conf = root.at("settings");
         if !conf.present() {
             return conf.fault("is missing");
@@ -107,7 +119,14 @@
             drain_grace: ms(conf.at("safety").at("drain-grace-ms"), 2_000.0)?,
             retry_after: Duration::from_micros(settings.max_retry_after),
             attempts: settings.max_attempts as usize,
-            deadline: Duration::from_micros(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)),
+            deadline: Duration::from_micros(
+                settings
+                    .classes
+                    .iter()
+                    .map(|c| c.deadline)
+                    .max()
+                    .unwrap_or(0),
+            ),
             step: Duration::from_micros(settings.step),
             ask_every: Duration::from_micros(settings.ask_every),
             pushed: conf.at("membership-mode").text_opt()?.as_deref() == Some("pushed"),
@@ -116,17 +135,27 @@
             return own.at("sockets").fault("must be 64 or more");
         }
         if basis.connect.is_zero() {
-            return permissions.at("connect-timeout-ms").fault("must be above zero");
+            return permissions
+                .at("connect-timeout-ms")
+                .fault("must be above zero");
         }
         if basis.idle_close.is_zero() {
             return permissions.at("idle-close-ms").fault("must be above zero");
         }
         let known = root.at("known");
-        let known = if known.present() { Some(EndpointList::read(&known)?) } else { None };
+        let known = if known.present() {
+            Some(EndpointList::read(&known)?)
+        } else {
+            None
+        };
         Ok(Self {
             name,
             listen: address(&root.at("listen"), variable("NODE_LISTEN"), "NODE_LISTEN")?,
-            discovery: address(&root.at("discovery"), variable("NODE_DISCOVERY"), "NODE_DISCOVERY")?,
+            discovery: address(
+                &root.at("discovery"),
+                variable("NODE_DISCOVERY"),
+                "NODE_DISCOVERY",
+            )?,
             seed,
             settings,
             limits: Limits::derive(&basis),
@@ -141,13 +170,21 @@
         "pure" => Semantics::Pure,
         "token" => Semantics::Keyed,
         "side_effect" => Semantics::SideEffect,
-        other => return node.at("semantics").fault(&format!("unknown value {other:?}")),
+        other => {
+            return node
+                .at("semantics")
+                .fault(&format!("unknown value {other:?}"));
+        }
     };
     let scope = match node.at("dedup-scope").text_opt()?.as_deref() {
         None | Some("all") => Scope::All,
         Some("zone") => Scope::Zone,
         Some("cell") => Scope::Cell,
-        Some(other) => return node.at("dedup-scope").fault(&format!("unknown value {other:?}")),
+        Some(other) => {
+            return node
+                .at("dedup-scope")
+                .fault(&format!("unknown value {other:?}"));
+        }
     };
     let or = |key: &str, default: f64| node.at(key).number_opt().map(|n| n.unwrap_or(default));
     Ok(Class {
@@ -172,9 +209,21 @@
     for node in conf.at("request-classes").items()? {
         classes.push(class(&node)?);
         names.classes.push(node.at("name").text()?);
-        names.deadlines.push(classes.last().map_or(Duration::ZERO, |c| Duration::from_micros(c.deadline)));
-        names.windows.push(classes.last().map_or(Duration::ZERO, |c| Duration::from_micros(c.window)));
-        names.keyed.push(classes.last().is_some_and(|c| c.semantics == Semantics::Keyed));
+        names.deadlines.push(
+            classes
+                .last()
+                .map_or(Duration::ZERO, |c| Duration::from_micros(c.deadline)),
+        );
+        names.windows.push(
+            classes
+                .last()
+                .map_or(Duration::ZERO, |c| Duration::from_micros(c.window)),
+        );
+        names.keyed.push(
+            classes
+                .last()
+                .is_some_and(|c| c.semantics == Semantics::Keyed),
+        );
     }
     for zone in conf.at("zones").items()? {
         names.zones.push(zone.text()?);
--- a/crates/sidecar/src/core/directory.rs
+++ b/crates/sidecar/src/core/directory.rs
@@ -70,8 +70,10 @@
                 self.told_out.set(None);
             }
         } else {
-            self.drains.set(self.drains.get() || condition == Condition::Draining);
-            self.told_out.set(self.told_out.get().or(Some(Instant::now())));
+            self.drains
+                .set(self.drains.get() || condition == Condition::Draining);
+            self.told_out
+                .set(self.told_out.get().or(Some(Instant::now())));
         }
         self.gone.set(condition == Condition::Gone);
     }
@@ -91,7 +93,11 @@
 
 impl Directory {
     pub fn new(zones: Vec<String>, machines: Machines) -> Self {
-        Self { zones, machines, ..Self::default() }
+        Self {
+            zones,
+            machines,
+            ..Self::default()
+        }
     }
 
     /// True once a list has named a server that is ready.
@@ -104,7 +110,12 @@
     }
 
     /// Takes in a list; tells what the module is to know of each entry.
-    pub(super) fn take(&mut self, kind: ListKind, list: &EndpointList, forget: Duration) -> Vec<Member> {
+    pub(super) fn take(
+        &mut self,
+        kind: ListKind,
+        list: &EndpointList,
+        forget: Duration,
+    ) -> Vec<Member> {
         // Guards against names and numbers that grow without end where job servers are replaced all the time.
         self.ids.retain(|_, server| {
             !(server.gone.get() && server.drained().is_some_and(|known| known >= forget))
@@ -116,7 +127,10 @@
                 server.told(Condition::Gone, 0.0);
             }
         }
-        self.listed |= list.endpoints.iter().any(|l| l.condition == Condition::Ready);
+        self.listed |= list
+            .endpoints
+            .iter()
+            .any(|l| l.condition == Condition::Ready);
         let mut entries = Vec::with_capacity(list.endpoints.len());
         for line in &list.endpoints {
             let server = match self.ids.get(&line.uid) {
@@ -132,10 +146,14 @@
             };
             server.address.set(line.address);
             server.told(line.condition, line.boot_ms);
-            let zone = self.zones.iter().position(|z| *z == line.zone).unwrap_or_else(|| {
-                self.zones.push(line.zone.clone());
-                self.zones.len() - 1
-            });
+            let zone = self
+                .zones
+                .iter()
+                .position(|z| *z == line.zone)
+                .unwrap_or_else(|| {
+                    self.zones.push(line.zone.clone());
+                    self.zones.len() - 1
+                });
             entries.push(Member {
                 server: server.id,
                 fingerprint: fingerprint(&line.uid),
--- a/crates/sidecar/src/core/directory/tests.rs
+++ b/crates/sidecar/src/core/directory/tests.rs
@@ -16,7 +16,10 @@
     };
     for n in 1..100 {
         let endpoints = vec![line(n - 1, Condition::Gone), line(n, Condition::Ready)];
-        let table = EndpointList { endpoints, ..EndpointList::default() };
+        let table = EndpointList {
+            endpoints,
+            ..EndpointList::default()
+        };
         let members = directory.take(ListKind::Changes, &table, Duration::ZERO);
         numbers.push(members[1].server);
     }
--- a/crates/sidecar/src/core/mod.rs
+++ b/crates/sidecar/src/core/mod.rs
@@ -57,7 +57,9 @@
     ) -> (Rc<Self>, mpsc::Receiver<ServerId>) {
         // The module has at most one probe out for each job server.
         let (probes, wanted) = mpsc::channel(limits.upstream);
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let core = Self {
             balancer: RefCell::new(balancer),
             directory: RefCell::new(Directory::new(names.zones.clone(), names.machines.clone())),
@@ -87,26 +89,42 @@
 
     /// What the module's clock showed then.
     pub fn at(&self, instant: Instant) -> Micros {
-        self.now().saturating_sub(instant.elapsed().as_micros() as Micros)
+        self.now()
+            .saturating_sub(instant.elapsed().as_micros() as Micros)
     }
 
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.names.classes.iter().position(|c| c == name).map(|i| ClassId(i as u16))
+        self.names
+            .classes
+            .iter()
+            .position(|c| c == name)
+            .map(|i| ClassId(i as u16))
     }
 
     /// True for a class whose repeats are told by a key.
     pub fn keyed(&self, class: ClassId) -> bool {
-        self.names.keyed.get(usize::from(class.0)).is_some_and(|&keyed| keyed)
+        self.names
+            .keyed
+            .get(usize::from(class.0))
+            .is_some_and(|&keyed| keyed)
     }
 
     /// How long a terminal waits that does not say so.
     pub fn deadline(&self, class: ClassId) -> Duration {
-        self.names.deadlines.get(usize::from(class.0)).copied().unwrap_or_default()
+        self.names
+            .deadlines
+            .get(usize::from(class.0))
+            .copied()
+            .unwrap_or_default()
     }
 
     /// How long repeats of a class that tells them by a key are dropped.
     pub fn window(&self, class: ClassId) -> Option<Duration> {
-        self.names.windows.get(usize::from(class.0)).copied().filter(|_| self.keyed(class))
+        self.names
+            .windows
+            .get(usize::from(class.0))
+            .copied()
+            .filter(|_| self.keyed(class))
     }
 
     /// Whether the program ends now: what is open is to be answered at once.
@@ -143,7 +161,10 @@
     pub fn claim(self: &Rc<Self>, id: &str) -> Option<Claim> {
         let id: Rc<str> = id.into();
         let new = self.open.borrow_mut().insert(Rc::clone(&id));
-        new.then(|| Claim { core: Rc::clone(self), id })
+        new.then(|| Claim {
+            core: Rc::clone(self),
+            id,
+        })
     }
 
     /// Waits until the module asks for the list.
@@ -154,23 +175,41 @@
     /// Hands an event to the module and carries out what it asks for.
     pub fn tell(&self, event: Event) {
         let mut actions = Vec::new();
-        self.balancer.borrow_mut().handle(self.now(), event, &mut actions);
-        let unsent: Vec<ServerId> = actions.into_iter().filter_map(|action| self.carry_out(action)).collect();
+        self.balancer
+            .borrow_mut()
+            .handle(self.now(), event, &mut actions);
+        let unsent: Vec<ServerId> = actions
+            .into_iter()
+            .filter_map(|action| self.carry_out(action))
+            .collect();
         // Guards against a job server that is never probed again because the module waits for this one.
         for server in unsent {
-            self.tell(Event::Probed { server, outcome: Outcome::NotSent, report: None });
+            self.tell(Event::Probed {
+                server,
+                outcome: Outcome::NotSent,
+                report: None,
+            });
         }
     }
 
     /// Hands an action on; gives back the job server of a probe that could not be.
     fn carry_out(&self, action: Action) -> Option<ServerId> {
         match action {
-            Action::Send { request, server, timeout } => self.step(request, Step::Send { server, timeout }),
+            Action::Send {
+                request,
+                server,
+                timeout,
+            } => self.step(request, Step::Send { server, timeout }),
             Action::Cancel { request, attempt } => self.step(request, Step::Cancel { attempt }),
-            Action::Refuse { request, retry_after } => self.step(request, Step::Refuse { retry_after }),
+            Action::Refuse {
+                request,
+                retry_after,
+            } => self.step(request, Step::Refuse { retry_after }),
             Action::Fail { request } => self.step(request, Step::Fail),
             Action::Timer { token, after } => {
-                self.timers.borrow_mut().push(Reverse((self.now() + after, token)));
+                self.timers
+                    .borrow_mut()
+                    .push(Reverse((self.now() + after, token)));
                 self.timer_set.notify_one();
             }
             Action::Probe { server } => {
@@ -192,7 +231,9 @@
     /// is dropped.
     fn step(&self, request: RequestId, step: Step) {
         let waiting = self.waiting.borrow();
-        let Some(mailbox) = waiting.get(&request) else { return };
+        let Some(mailbox) = waiting.get(&request) else {
+            return;
+        };
         if mailbox.try_send(step).is_err() {
             tracing::warn!("a step was dropped: too many are waiting");
         }
@@ -226,8 +267,15 @@
             self.counters.list_lines_skipped.add();
             tracing::warn!("discovery: an entry was skipped: {message}");
         }
-        let entries = self.directory.borrow_mut().take(kind, list, self.limits.forget);
-        self.tell(Event::Members { kind, version, entries });
+        let entries = self
+            .directory
+            .borrow_mut()
+            .take(kind, list, self.limits.forget);
+        self.tell(Event::Members {
+            kind,
+            version,
+            entries,
+        });
     }
 }
 
--- a/crates/sidecar/src/core/owed.rs
+++ b/crates/sidecar/src/core/owed.rs
@@ -13,9 +13,16 @@
 /// What the module wants done next for a transaction.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
-    Send { server: ServerId, timeout: Option<Micros> },
-    Cancel { attempt: u32 },
-    Refuse { retry_after: Option<Micros> },
+    Send {
+        server: ServerId,
+        timeout: Option<Micros>,
+    },
+    Cancel {
+        attempt: u32,
+    },
+    Refuse {
+        retry_after: Option<Micros>,
+    },
     Fail,
 }
 
@@ -37,17 +44,34 @@
 
 impl Owed {
     /// Tells the module of a new transaction.
-    pub fn admit(core: &Rc<Core>, class: ClassId, time_left: Duration, cost: Option<Duration>) -> Self {
+    pub fn admit(
+        core: &Rc<Core>,
+        class: ClassId,
+        time_left: Duration,
+        cost: Option<Duration>,
+    ) -> Self {
         // The module asks for ids that are never used twice, which a terminal's word does not ensure.
         let id = RequestId(core.next_request.get());
         core.next_request.set(id.0 + 1);
         let (mailbox, steps) = mpsc::channel(core.limits.steps);
         core.waiting.borrow_mut().insert(id, mailbox);
-        let owed = Self { core: Rc::clone(core), id, steps, out: Vec::new(), sends: 0, answered: false };
+        let owed = Self {
+            core: Rc::clone(core),
+            id,
+            steps,
+            out: Vec::new(),
+            sends: 0,
+            answered: false,
+        };
         core.counters.transactions_taken.add();
         let time_left = time_left.as_micros() as Micros;
         let size_hint = cost.map(|cost| cost.as_micros() as Micros);
-        core.tell(Event::Request(Call { id, class, time_left, size_hint }));
+        core.tell(Event::Request(Call {
+            id,
+            class,
+            time_left,
+            size_hint,
+        }));
         owed
     }
 
@@ -63,13 +87,19 @@
     pub fn sent(&mut self, server: ServerId) -> u32 {
         let attempt = self.sends;
         self.sends += 1;
-        self.out.push(Out { attempt, server, sent: self.core.now() });
+        self.out.push(Out {
+            attempt,
+            server,
+            sent: self.core.now(),
+        });
         attempt
     }
 
     /// Tells the module how a routed task ended. Being served finishes the transaction.
     pub fn ended(&mut self, attempt: u32, outcome: Outcome, report: Option<LoadReport>) {
-        let Some(at) = self.out.iter().position(|o| o.attempt == attempt) else { return };
+        let Some(at) = self.out.iter().position(|o| o.attempt == attempt) else {
+            return;
+        };
         let out = self.out.swap_remove(at);
         self.answered |= outcome == Outcome::Served;
         self.report(&out, outcome, report);
@@ -113,7 +143,11 @@
             if let Step::Send { server, .. } = step {
                 let attempt = self.sends;
                 self.sends += 1;
-                let unsent = Out { attempt, server, sent: self.core.now() };
+                let unsent = Out {
+                    attempt,
+                    server,
+                    sent: self.core.now(),
+                };
                 self.report(&unsent, Outcome::NotSent, None);
             }
         }
--- a/crates/sidecar/src/discovery/endpoint.rs
+++ b/crates/sidecar/src/discovery/endpoint.rs
@@ -45,7 +45,9 @@
     }
     Ok(Endpoint {
         uid: node.at("uid").text()?,
-        address: text.parse().or_else(|_| address.fault("is not an address and port"))?,
+        address: text
+            .parse()
+            .or_else(|_| address.fault("is not an address and port"))?,
         zone: node.at("az").text_opt()?.unwrap_or_default(),
         model: node.at("model").text_opt()?.unwrap_or_default(),
         cell: node.at("pod_group").number_opt()?.unwrap_or(0.0) as u32,
@@ -64,7 +66,11 @@
     pub fn read(node: &Node) -> Result<Self, String> {
         let rev = node.at("rev").number()? as u64;
         let all = node.at("all").flag_opt()?.unwrap_or(false);
-        let mut list = Self { rev, all, ..Self::default() };
+        let mut list = Self {
+            rev,
+            all,
+            ..Self::default()
+        };
         for item in node.at("targets").items()? {
             match endpoint(&item) {
                 Ok(endpoint) => list.endpoints.push(endpoint),
--- a/crates/sidecar/src/discovery/follow.rs
+++ b/crates/sidecar/src/discovery/follow.rs
@@ -21,7 +21,11 @@
     seed: u64,
 ) {
     let client = awc::Client::builder()
-        .connector(awc::Connector::new().timeout(limits.list_call).conn_lifetime(limits.patience))
+        .connector(
+            awc::Connector::new()
+                .timeout(limits.list_call)
+                .conn_lifetime(limits.patience),
+        )
         .disable_timeout()
         .disable_redirects()
         .no_default_headers()
--- a/crates/sidecar/src/discovery/lines.rs
+++ b/crates/sidecar/src/discovery/lines.rs
@@ -16,7 +16,12 @@
 impl Lines {
     /// Objects of so many bytes and so deep at most.
     pub fn new(most: usize, depth_most: usize) -> Self {
-        Self { held: BytesMut::new(), open: Vec::new(), most, depth_most }
+        Self {
+            held: BytesMut::new(),
+            open: Vec::new(),
+            most,
+            depth_most,
+        }
     }
 
     /// The next object, readable or not, or an empty line.
--- a/crates/sidecar/src/discovery/lines/tests.rs
+++ b/crates/sidecar/src/discovery/lines/tests.rs
@@ -17,12 +17,16 @@
 }
 
 const PLAIN: &str = "{\"rev\":1,\"targets\":[{\"uid\":\"a}{\"}]}\n";
-const INDENTED: &str = "{\n  \"rev\": 2,\n  \"targets\": [\n    {\n      \"uid\": \"b\"\n    }\n  ]\n}\n";
+const INDENTED: &str =
+    "{\n  \"rev\": 2,\n  \"targets\": [\n    {\n      \"uid\": \"b\"\n    }\n  ]\n}\n";
 
 #[test]
 fn half_an_object_takes_nothing_with_it() {
     let half = "{\"rev\":3,\n";
-    let found = all(format!("{half}{PLAIN}{half}\n{INDENTED}no object\n").as_bytes(), &[7]);
+    let found = all(
+        format!("{half}{PLAIN}{half}\n{INDENTED}no object\n").as_bytes(),
+        &[7],
+    );
     assert_eq!(found, [half, PLAIN, half, "\n", INDENTED, "no object\n"]);
 }
 
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -46,13 +46,20 @@
 
 impl Position {
     pub fn new(rev: u64) -> Self {
-        Self { rev: Cell::new(rev), raised: Cell::new(0), first: Cell::new(true) }
+        Self {
+            rev: Cell::new(rev),
+            raised: Cell::new(0),
+            first: Cell::new(true),
+        }
     }
 }
 
 impl From<String> for Fault {
     fn from(text: String) -> Self {
-        Self { text, end: End::Broken }
+        Self {
+            text,
+            end: End::Broken,
+        }
     }
 }
 
@@ -69,7 +76,10 @@
     at: &Position,
     limits: &Limits,
 ) -> Fault {
-    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", at.rev.get());
+    let uri = format!(
+        "http://{discovery}/v1/endpoints?stream=1&index={}",
+        at.rev.get()
+    );
     core.watched(Freshness::calling);
     at.first.set(true);
     let call = client.get(uri).force_close().no_decompress().send();
@@ -77,10 +87,22 @@
         Ok(Ok(answer)) if answer.status().is_success() => answer,
         Ok(Ok(answer)) => return format!("the call ended with {}", answer.status()).into(),
         Ok(Err(e)) => {
-            let end = if refused(&e) { End::Refused } else { End::Broken };
-            return Fault { text: format!("the call failed: {e}"), end };
+            let end = if refused(&e) {
+                End::Refused
+            } else {
+                End::Broken
+            };
+            return Fault {
+                text: format!("the call failed: {e}"),
+                end,
+            };
+        }
+        Err(_) => {
+            return Fault {
+                text: "the call was not answered".to_owned(),
+                end: End::Unanswered,
+            };
         }
-        Err(_) => return Fault { text: "the call was not answered".to_owned(), end: End::Unanswered },
     };
     let mut heard = Instant::now();
     let mut lines = Lines::new(limits.list_line, limits.json_depth);
@@ -90,7 +112,12 @@
             Ok(Some(Ok(chunk))) => chunk,
             Ok(Some(Err(e))) => return format!("the watch broke: {e}").into(),
             Ok(None) => return "the watch ended".to_owned().into(),
-            Err(_) => return Fault { text: "the watch fell silent".to_owned(), end: End::Silent { heard } },
+            Err(_) => {
+                return Fault {
+                    text: "the watch fell silent".to_owned(),
+                    end: End::Silent { heard },
+                };
+            }
         };
         heard = Instant::now();
         if let Err(fault) = lines.add(&chunk) {
@@ -108,7 +135,8 @@
                     core.counters.list_lines_skipped.add();
                     // Guards against changes lost with a line: the next one would move the position past them.
                     at.rev.set(0);
-                    return format!("a line cannot be read, the whole list is asked for: {fault}").into();
+                    return format!("a line cannot be read, the whole list is asked for: {fault}")
+                        .into();
                 }
             }
         }
@@ -122,7 +150,11 @@
         at.raised.set(at.raised.get() + at.rev.get());
     }
     at.rev.set(list.rev);
-    let kind = if list.all { ListKind::Full } else { ListKind::Changes };
+    let kind = if list.all {
+        ListKind::Full
+    } else {
+        ListKind::Changes
+    };
     core.watched(|freshness, _| freshness.heard());
     core.list(kind, at.raised.get() + list.rev, list);
 }
--- a/crates/sidecar/src/front/client.rs
+++ b/crates/sidecar/src/front/client.rs
@@ -86,7 +86,10 @@
     pub fn has_unread(&self) -> bool {
         let socket = self.socket.borrow();
         let quiet = self.idle().is_some() && !self.last.get() && !self.presence.left();
-        quiet && socket.as_ref().is_some_and(|s| peek(s).is_ok_and(|bytes| bytes > 0))
+        quiet
+            && socket
+                .as_ref()
+                .is_some_and(|s| peek(s).is_ok_and(|bytes| bytes > 0))
     }
 
     /// Whether it is still there, for the requests on it.
@@ -97,7 +100,8 @@
     pub(super) fn heard(&self, bytes: usize) {
         self.fresh.set(true);
         self.at_once.set(self.at_once.get() + bytes);
-        self.announced.set(self.announced.get().saturating_sub(bytes));
+        self.announced
+            .set(self.announced.get().saturating_sub(bytes));
         if self.idle_since.get().is_none() {
             self.behind.set(self.behind.get() + bytes);
         }
@@ -183,7 +187,10 @@
     /// has connected ahead loses its request with its permit.
     pub fn idle(&self) -> Option<(bool, Instant)> {
         let free = self.begun.get().is_none() && !self.owing.get();
-        self.idle_since.get().filter(|_| free).map(|since| (!self.known.get(), since))
+        self.idle_since
+            .get()
+            .filter(|_| free)
+            .map(|since| (!self.known.get(), since))
     }
 
     /// Asks it to close once nothing is owed.
@@ -199,16 +206,24 @@
 
     fn deadline(&self, limits: &Limits) -> Option<Instant> {
         let idle = self.idle_since.get()? + limits.terminal_idle;
-        let Some(begun) = self.begun.get() else { return Some(idle) };
+        let Some(begun) = self.begun.get() else {
+            return Some(idle);
+        };
         // A first request is owed its end within a time from the connect.
-        let read = if self.known.get() { limits.terminal_read } else { limits.terminal_first };
+        let read = if self.known.get() {
+            limits.terminal_read
+        } else {
+            limits.terminal_first
+        };
         Some(idle.max(begun + read))
     }
 
     /// Guards against permits held by clients that say nothing, or never end what they say.
     pub async fn overstayed(&self, limits: &Limits) {
         loop {
-            let due = self.deadline(limits).unwrap_or_else(|| Instant::now() + limits.terminal_idle / 4);
+            let due = self
+                .deadline(limits)
+                .unwrap_or_else(|| Instant::now() + limits.terminal_idle / 4);
             tokio::select! {
                 () = sleep_until(due) => {}
                 () = self.leave.notified() => {
@@ -220,7 +235,10 @@
                     }
                 }
             }
-            if self.deadline(limits).is_some_and(|due| due <= Instant::now()) {
+            if self
+                .deadline(limits)
+                .is_some_and(|due| due <= Instant::now())
+            {
                 return;
             }
         }
--- a/crates/sidecar/src/front/http.rs
+++ b/crates/sidecar/src/front/http.rs
@@ -21,7 +21,13 @@
 
 /// What serves one connection to its end.
 pub trait Protocol:
-    ServiceFactory<(Lent, Option<SocketAddr>), Config = (), Response = (), Error = DispatchError, InitError = ()>
+    ServiceFactory<
+        (Lent, Option<SocketAddr>),
+        Config = (),
+        Response = (),
+        Error = DispatchError,
+        InitError = (),
+    >
 {
 }
 
@@ -66,9 +72,14 @@
     let front = Rc::clone(front);
     let turn_away = move |request: Request| {
         front.core.counters.transactions_over_bound.add();
-        let mut reply = pause(StatusCode::SERVICE_UNAVAILABLE, front.core.limits.retry_after);
+        let mut reply = pause(
+            StatusCode::SERVICE_UNAVAILABLE,
+            front.core.limits.retry_after,
+        );
         reply.head_mut().set_connection_type(ConnectionType::Close);
-        request.conn_data::<Rc<Client>>().inspect(|client| client.answered(true));
+        request
+            .conn_data::<Rc<Client>>()
+            .inspect(|client| client.answered(true));
         async move { Ok::<_, Infallible>(reply) }
     };
     HttpService::build()
@@ -81,7 +92,12 @@
     let core = &front.core;
     match request.path() {
         "/ready" if core.ready() => return plain(StatusCode::OK, "ready\n"),
-        "/ready" => return plain(StatusCode::SERVICE_UNAVAILABLE, "no job server is known yet\n"),
+        "/ready" => {
+            return plain(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no job server is known yet\n",
+            );
+        }
         "/counters" => return plain(StatusCode::OK, core.counters.to_string()),
         _ => {}
     }
@@ -112,7 +128,10 @@
 /// An answer that names the time to come back at. The status alone tells whether a repeat is harmless.
 fn pause(status: StatusCode, retry_after: Duration) -> Reply {
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    Response::build(status).insert_header((RETRY_AFTER, seconds)).finish().map_into_boxed_body()
+    Response::build(status)
+        .insert_header((RETRY_AFTER, seconds))
+        .finish()
+        .map_into_boxed_body()
 }
 
 fn write(answer: Answer) -> Result<Reply, Bad> {
@@ -124,8 +143,13 @@
             }
             Ok(reply.body(body).map_into_boxed_body())
         }
-        Answer::ShortOnCapacity { retry_after } => Ok(pause(StatusCode::SERVICE_UNAVAILABLE, retry_after)),
+        Answer::ShortOnCapacity { retry_after } => {
+            Ok(pause(StatusCode::SERVICE_UNAVAILABLE, retry_after))
+        }
         Answer::Failed { retry_after } => Ok(pause(StatusCode::GATEWAY_TIMEOUT, retry_after)),
-        Answer::InUse => Err(Bad(StatusCode::CONFLICT, "a transaction of that id is open\n")),
+        Answer::InUse => Err(Bad(
+            StatusCode::CONFLICT,
+            "a transaction of that id is open\n",
+        )),
     }
 }
--- a/crates/sidecar/src/front/lent.rs
+++ b/crates/sidecar/src/front/lent.rs
@@ -24,7 +24,13 @@
 
 impl Lent {
     pub fn new(socket: TcpStream, client: Rc<Client>, limits: Rc<Limits>) -> Self {
-        Self { socket: Some(socket), client, limits, given: 0, most: 0 }
+        Self {
+            socket: Some(socket),
+            client,
+            limits,
+            given: 0,
+            most: 0,
+        }
     }
 
     pub fn client(&self) -> &Rc<Client> {
@@ -40,11 +46,19 @@
     }
 
     fn socket(&mut self) -> io::Result<Pin<&mut TcpStream>> {
-        self.socket.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
+        self.socket
+            .as_mut()
+            .map(Pin::new)
+            .ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
 
     /// Reads up to so many bytes; none are the end.
-    fn read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>, most: usize) -> Poll<io::Result<usize>> {
+    fn read(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        most: usize,
+    ) -> Poll<io::Result<usize>> {
         let before = buf.filled().len();
         // Room is cleared before it is lent in part, so a body, which may take all of it, is read without that.
         let read = if buf.remaining() <= most {
@@ -88,12 +102,17 @@
         }
         if !self.client.is_full(&self.limits) {
             if self.given == 0 {
-                self.most = self.limits.portion + self.client.announced().min(self.limits.portion_body);
+                self.most =
+                    self.limits.portion + self.client.announced().min(self.limits.portion_body);
             }
             let room = self.most.saturating_sub(self.given);
             if room > 0 {
                 let read = self.read(cx, buf, room);
-                self.given = if let Poll::Ready(Ok(bytes)) = read { self.given + bytes } else { 0 };
+                self.given = if let Poll::Ready(Ok(bytes)) = read {
+                    self.given + bytes
+                } else {
+                    0
+                };
                 return read.map_ok(drop);
             }
         } else {
@@ -114,7 +133,11 @@
 }
 
 impl AsyncWrite for Lent {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
         self.socket()?.poll_write(cx, buf)
     }
 
--- a/crates/sidecar/src/front/linger.rs
+++ b/crates/sidecar/src/front/linger.rs
@@ -18,7 +18,9 @@
         let mut bytes = vec![0; 4096];
         while let Ok(read @ 1..) = socket.read(&mut bytes).await {
             // Guards against a flood that is read for nothing until the time is over.
-            let Some(rest) = left.checked_sub(read) else { return };
+            let Some(rest) = left.checked_sub(read) else {
+                return;
+            };
             left = rest;
         }
     };
--- a/crates/sidecar/src/front/listener.rs
+++ b/crates/sidecar/src/front/listener.rs
@@ -38,9 +38,23 @@
 impl Front {
     pub fn new(core: Rc<Core>, upstream: Rc<Upstream>) -> Rc<Self> {
         let (open, clients, next) = (Cell::new(0), RefCell::default(), Cell::new(0));
-        let (changed, wanted, stopping, closing) =
-            (Notify::new(), Notify::new(), Notify::new(), Cell::new(false));
-        Rc::new(Self { core, upstream, open, clients, next, changed, wanted, stopping, closing })
+        let (changed, wanted, stopping, closing) = (
+            Notify::new(),
+            Notify::new(),
+            Notify::new(),
+            Cell::new(false),
+        );
+        Rc::new(Self {
+            core,
+            upstream,
+            open,
+            clients,
+            next,
+            changed,
+            wanted,
+            stopping,
+            closing,
+        })
     }
 
     /// True once no answer leaves its connection open.
@@ -51,8 +65,12 @@
     /// Accepts clients until [`Front::close`], and then those whom the machine has accepted.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         use actix_service::ServiceFactory as _;
-        let Ok(protocol) = service(&self).new_service(()).await else { return };
-        let Ok(crowded) = turn_away(&self).new_service(()).await else { return };
+        let Ok(protocol) = service(&self).new_service(()).await else {
+            return;
+        };
+        let Ok(crowded) = turn_away(&self).new_service(()).await else {
+            return;
+        };
         let (protocol, crowded) = (Rc::new(protocol), Rc::new(crowded));
         let limits = Rc::clone(&self.core.limits);
         loop {
@@ -86,7 +104,8 @@
             let client = Client::new(Some(stream));
             let full = !self.has_room();
             let permit = self.permit(&client, full);
-            let (this, protocol, crowded) = (Rc::clone(&self), Rc::clone(&protocol), Rc::clone(&crowded));
+            let (this, protocol, crowded) =
+                (Rc::clone(&self), Rc::clone(&protocol), Rc::clone(&crowded));
             actix_rt::spawn(async move {
                 if full {
                     this.serve(&*crowded, &client).await;
@@ -136,9 +155,14 @@
         if clients.len() < self.core.limits.terminals {
             return true;
         }
-        let idle = clients.iter().filter_map(|(&number, t)| Some((t.idle()?, number)));
+        let idle = clients
+            .iter()
+            .filter_map(|(&number, t)| Some((t.idle()?, number)));
         let idlest = idle.min().map(|(_, number)| number);
-        idlest.and_then(|number| clients.remove(&number)).inspect(|t| t.dismiss()).is_some()
+        idlest
+            .and_then(|number| clients.remove(&number))
+            .inspect(|t| t.dismiss())
+            .is_some()
     }
 
     fn permit(self: &Rc<Self>, client: &Rc<Client>, full: bool) -> Permit {
@@ -148,7 +172,10 @@
         if !full {
             self.clients.borrow_mut().insert(number, Rc::clone(client));
         }
-        Permit { front: Rc::clone(self), number }
+        Permit {
+            front: Rc::clone(self),
+            number,
+        }
     }
 
     /// Ends the accepting, closes idle connections and waits until what is owed is answered.
@@ -156,7 +183,11 @@
         self.closing.set(true);
         self.stopping.notify_one();
         let _ = accept.await;
-        self.clients.borrow().values().filter(|t| t.idle().is_some()).for_each(|t| t.dismiss());
+        self.clients
+            .borrow()
+            .values()
+            .filter(|t| t.idle().is_some())
+            .for_each(|t| t.dismiss());
         self.closed().await;
     }
 
--- a/crates/sidecar/src/front/request.rs
+++ b/crates/sidecar/src/front/request.rs
@@ -32,7 +32,9 @@
     let class = class.ok_or_else(|| bad("X-Priority-Class is not a known class\n"))?;
     // Guards against a refusal for a word about the request: what cannot be read counts as not said.
     let said = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let patience = said("x-timeout").and_then(span).map(|span| span.min(limits.patience));
+    let patience = said("x-timeout")
+        .and_then(span)
+        .map(|span| span.min(limits.patience));
     if patience.is_none() {
         core.counters.times_skipped.add();
     }
@@ -47,18 +49,32 @@
     }
     let method = request.method().as_str().to_owned();
     if !["GET", "POST"].contains(&method.as_str()) {
-        return Err(Bad(StatusCode::METHOD_NOT_ALLOWED, "the method is not GET or POST\n"));
+        return Err(Bad(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "the method is not GET or POST\n",
+        ));
     }
     // Guards against a target that cannot be written to a job server: each attempt would fail unsent.
-    let target = request.uri().path_and_query().map(|t| t.as_str()).filter(|t| t.starts_with('/'));
-    let target = target.ok_or_else(|| bad("the target is not a path\n"))?.to_owned();
+    let target = request
+        .uri()
+        .path_and_query()
+        .map(|t| t.as_str())
+        .filter(|t| t.starts_with('/'));
+    let target = target
+        .ok_or_else(|| bad("the target is not a path\n"))?
+        .to_owned();
     if target.len() > limits.target {
         return Err(Bad(StatusCode::URI_TOO_LONG, "the target is too long\n"));
     }
     // Guards against reading what is to be refused.
-    let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    let length = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
     if length.is_some_and(|length| length > limits.body as u64) {
-        return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
+        return Err(Bad(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large\n",
+        ));
     }
     let label = |name: &'static str| Some((name, headers.get(name)?.to_str().ok()?.to_owned()));
     let labels = LABELS.into_iter().filter_map(label).collect();
@@ -68,20 +84,39 @@
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| bad("the body cannot be read\n"))?;
         if body.len() + chunk.len() > limits.body {
-            return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
+            return Err(Bad(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large\n",
+            ));
         }
         body.extend_from_slice(&chunk);
     }
     if !client.opened(limits).await {
         return Err(bad("one request at a time\n"));
     }
-    let content = Content { body: body.freeze(), labels };
+    let content = Content {
+        body: body.freeze(),
+        labels,
+    };
     let (arrived, presence) = (Instant::now(), client.presence());
-    Ok(Ask { method, target, id, key, class, content, arrived, patience, cost, presence })
+    Ok(Ask {
+        method,
+        target,
+        id,
+        key,
+        class,
+        content,
+        arrived,
+        patience,
+        cost,
+        presence,
+    })
 }
 
 fn token(headers: &HeaderMap, name: &str, most: usize) -> Result<Option<String>, Bad> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
     match value.to_str() {
         Ok(text) if !text.is_empty() && text.len() <= most => Ok(Some(text.to_owned())),
         _ => Err(Bad(StatusCode::BAD_REQUEST, "a header cannot be read\n")),
@@ -101,5 +136,7 @@
 /// request that is answered in seconds, and counts as absent.
 fn cost_of(text: &str) -> Option<Duration> {
     let micros = text.trim().parse::<f64>().ok()?;
-    (1.0..=6e7).contains(&micros).then(|| Duration::from_micros(micros as u64))
+    (1.0..=6e7)
+        .contains(&micros)
+        .then(|| Duration::from_micros(micros as u64))
 }
--- a/crates/sidecar/src/json.rs
+++ b/crates/sidecar/src/json.rs
@@ -42,15 +42,23 @@
 
 impl<'a> Node<'a> {
     pub fn root(value: &'a JsonValue) -> Self {
-        Self { path: String::new(), value: Some(value) }
+        Self {
+            path: String::new(),
+            value: Some(value),
+        }
     }
 
     /// The member of that name, present or not.
     pub fn at(&self, key: &str) -> Self {
-        let object = self.value.and_then(|v| v.get::<HashMap<String, JsonValue>>());
+        let object = self
+            .value
+            .and_then(|v| v.get::<HashMap<String, JsonValue>>());
         let value = object.and_then(|o| o.get(key)).filter(|v| !v.is_null());
         let dot = if self.path.is_empty() { "" } else { "." };
-        Self { path: format!("{}{dot}{key}", self.path), value }
+        Self {
+            path: format!("{}{dot}{key}", self.path),
+            value,
+        }
     }
 
     pub fn present(&self) -> bool {
@@ -94,13 +102,23 @@
     }
 
     pub fn flag_opt(&self) -> Result<Option<bool>, String> {
-        self.opt(self.value.and_then(|v| v.get::<bool>()), "must be true or false")
+        self.opt(
+            self.value.and_then(|v| v.get::<bool>()),
+            "must be true or false",
+        )
     }
 
     pub fn items(&self) -> Result<Vec<Node<'a>>, String> {
-        let Some(value) = self.value else { return Ok(Vec::new()) };
-        let Some(list) = value.get::<Vec<JsonValue>>() else { return self.fault("must be an array") };
-        let item = |(i, v)| Node { path: format!("{}[{i}]", self.path), value: Some(v) };
+        let Some(value) = self.value else {
+            return Ok(Vec::new());
+        };
+        let Some(list) = value.get::<Vec<JsonValue>>() else {
+            return self.fault("must be an array");
+        };
+        let item = |(i, v)| Node {
+            path: format!("{}[{i}]", self.path),
+            value: Some(v),
+        };
         Ok(list.iter().enumerate().map(item).collect())
     }
 }
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -156,7 +156,9 @@
             target: 8 * 1024,
             steps: 2 * basis.attempts + 4,
             connect: basis.connect,
-            idle_reuse: (basis.idle_close * 3 / 4).saturating_sub(REST).max(Duration::from_millis(1)),
+            idle_reuse: (basis.idle_close * 3 / 4)
+                .saturating_sub(REST)
+                .max(Duration::from_millis(1)),
             rest: REST,
             probe: basis.connect * 5 / 4,
             drain: basis.drain_grace / 2,
@@ -178,7 +180,8 @@
             linger: Duration::from_secs(1),
             linger_bytes: 4 * body,
             window_margin: Duration::from_millis(50),
-            list_retry: (basis.drain_grace / 4).clamp(Duration::from_millis(50), Duration::from_millis(300)),
+            list_retry: (basis.drain_grace / 4)
+                .clamp(Duration::from_millis(50), Duration::from_millis(300)),
             list: Terms {
                 pushed: basis.pushed,
                 ask_every: micros(basis.ask_every),
--- a/crates/sidecar/src/machines.rs
+++ b/crates/sidecar/src/machines.rs
@@ -29,7 +29,11 @@
             let node = item.at(key);
             let number = node.number()?;
             let fits = number > 0.0 && number < MOST;
-            if fits { Ok(number) } else { node.fault(&format!("must be above zero and below {MOST}")) }
+            if fits {
+                Ok(number)
+            } else {
+                node.fault(&format!("must be above zero and below {MOST}"))
+            }
         };
         let model = item.at("model");
         let line = (model.text()?, number("cores")?, number("speed")?);
@@ -59,8 +63,14 @@
                 r#"{"machines": [{"model": "a", "cores": 0, "speed": 1}]}"#.to_owned(),
                 "machines[0].cores: must",
             ),
-            (r#"{"machines": [{"model": "a", "cores": 2}]}"#.to_owned(), "machines[0].speed: is missing"),
-            (format!(r#"{{"machines": [{line}, {line}]}}"#), "machines[1].model: \"a\""),
+            (
+                r#"{"machines": [{"model": "a", "cores": 2}]}"#.to_owned(),
+                "machines[0].speed: is missing",
+            ),
+            (
+                format!(r#"{{"machines": [{line}, {line}]}}"#),
+                "machines[1].model: \"a\"",
+            ),
             (r#"{"machine": []}"#.to_owned(), "machines: is missing"),
         ] {
             let fault = read(&text).expect_err(told);
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -32,9 +32,15 @@
 
 fn main() -> ExitCode {
     // Guards against bad terminals that fill the log: actix-http tells each of them as an error.
-    let told = Targets::new().with_default(LevelFilter::INFO).with_target("actix_http", LevelFilter::OFF);
-    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
-    tracing_subscriber::registry().with(lines.with_target(false).with_filter(told)).init();
+    let told = Targets::new()
+        .with_default(LevelFilter::INFO)
+        .with_target("actix_http", LevelFilter::OFF);
+    let lines = tracing_subscriber::fmt::layer()
+        .with_writer(std::io::stderr)
+        .with_ansi(false);
+    tracing_subscriber::registry()
+        .with(lines.with_target(false).with_filter(told))
+        .init();
     let ended = match actix_rt::Runtime::new() {
         Ok(runtime) => runtime.block_on(start()),
         Err(e) => Err((ExitCode::FAILURE, format!("the runtime did not start: {e}"))),
@@ -71,7 +77,9 @@
 async fn start() -> Result<(), (ExitCode, String)> {
     let signals = Signals::new().map_err(|e| (ExitCode::FAILURE, e))?;
     let config = Config::from_environment().map_err(|e| (ExitCode::from(2), e))?;
-    serve(config, signals).await.map_err(|e| (ExitCode::FAILURE, e))
+    serve(config, signals)
+        .await
+        .map_err(|e| (ExitCode::FAILURE, e))
 }
 
 /// Serves until SIGTERM or SIGINT; SIGHUP brings a new configuration.
@@ -79,7 +87,12 @@
     let limits = Rc::new(config.limits);
     let counters = Rc::new(Counters::default());
     let balancer = Informed::new(config.settings, config.seed).map_err(|e| e.to_string())?;
-    let (core, probes) = Core::new(balancer, config.names, Rc::clone(&limits), Rc::clone(&counters));
+    let (core, probes) = Core::new(
+        balancer,
+        config.names,
+        Rc::clone(&limits),
+        Rc::clone(&counters),
+    );
     let upstream = Upstream::new(&core);
     let listener = tokio::net::TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("NODE_LISTEN: {}: {e}", config.listen))?;
@@ -93,7 +106,13 @@
     actix_rt::spawn(Rc::clone(&upstream).run_probes(probes));
     actix_rt::spawn(Rc::clone(&upstream).run_sweeps());
     let (moved, at) = watch::channel(config.discovery);
-    let follow = discovery::follow(Rc::clone(&core), at, known.rev, Rc::clone(&limits), config.seed);
+    let follow = discovery::follow(
+        Rc::clone(&core),
+        at,
+        known.rev,
+        Rc::clone(&limits),
+        config.seed,
+    );
     actix_rt::spawn(follow);
     let front = Front::new(Rc::clone(&core), upstream);
     let accept = actix_rt::spawn(Rc::clone(&front).accept(listener));
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -72,13 +72,17 @@
     let limits = Rc::clone(&core.limits);
     let counters = Rc::clone(&core.counters);
     let ask = Rc::new(ask);
-    let Some(_claim) = core.claim(&ask.id) else { return Answer::InUse };
+    let Some(_claim) = core.claim(&ask.id) else {
+        return Answer::InUse;
+    };
     // Guards against a final answer that comes after the terminal has given up, should the module be late.
     let last = ask.arrived + ask.patience.saturating_sub(limits.answer_margin);
     let mut ending = core.ending();
     // Guards against work begun for a client that has left, or that the end of the program would cut short.
     if ask.presence.left() || *ending.borrow() {
-        return Answer::ShortOnCapacity { retry_after: limits.retry_after };
+        return Answer::ShortOnCapacity {
+            retry_after: limits.retry_after,
+        };
     }
     let left = ask.patience.saturating_sub(ask.arrived.elapsed());
     let mut owed = Owed::admit(&core, ask.class, left, ask.cost);
@@ -148,7 +152,11 @@
 
 impl Repeats {
     fn new(window: Option<Duration>, margin: Duration) -> Self {
-        Self { window, margin, sent: Vec::new() }
+        Self {
+            window,
+            margin,
+            sent: Vec::new(),
+        }
     }
 
     /// Counts an attempt that is sent now; tells until when its first byte may go out, where that is bounded.
@@ -159,7 +167,11 @@
     }
 
     fn ended(&mut self, attempt: u32, outcome: Outcome) {
-        if let Some(sent) = self.sent.get_mut(attempt as usize).filter(|_| outcome.never_ran()) {
+        if let Some(sent) = self
+            .sent
+            .get_mut(attempt as usize)
+            .filter(|_| outcome.never_ran())
+        {
             *sent = None;
         }
     }
--- a/crates/sidecar/src/upstream/answer.rs
+++ b/crates/sidecar/src/upstream/answer.rs
@@ -36,7 +36,10 @@
 
 impl Answer {
     pub fn awaited() -> Self {
-        Self { at: At::Head, ..Self::default() }
+        Self {
+            at: At::Head,
+            ..Self::default()
+        }
     }
 
     pub fn in_head(&self) -> bool {
@@ -74,7 +77,9 @@
             let mut response = httparse::Response::new(&mut headers);
             let end = match response.parse(&self.held) {
                 Ok(httparse::Status::Complete(end)) => end,
-                Ok(httparse::Status::Partial) if self.held.len() < limits.answer_head => return Ok(true),
+                Ok(httparse::Status::Partial) if self.held.len() < limits.answer_head => {
+                    return Ok(true);
+                }
                 _ => return Err(spoilt("the head of an answer cannot be read")),
             };
             let status = response.code.unwrap_or_default();
@@ -91,14 +96,22 @@
             if !framed {
                 // Guards against an answer that ends with its connection: awc takes one that says neither length
                 // nor chunks for one without a body, except in HTTP/1.0, where it reads to the end of file.
-                let version = self.held.iter().position(|&b| b == b'/').unwrap_or_default();
+                let version = self
+                    .held
+                    .iter()
+                    .position(|&b| b == b'/')
+                    .unwrap_or_default();
                 self.held[version..version + 4].copy_from_slice(b"/1.0");
             }
             if let At::Body(length) = self.at {
                 let here = self.held.len() - end;
                 let whole = here <= length;
                 self.held.truncate(end + length);
-                self.at = if here >= length { At::Nothing } else { At::Body(length - here) };
+                self.at = if here >= length {
+                    At::Nothing
+                } else {
+                    At::Body(length - here)
+                };
                 return Ok(whole);
             }
             return Ok(true);
@@ -119,8 +132,12 @@
 
 /// How the body of a final answer ends, where its head leaves no doubt of it; false if with the connection.
 fn body(response: &httparse::Response<'_, '_>, limits: &Limits) -> io::Result<(At, bool)> {
-    let named =
-        |name: &'static str| response.headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
+    let named = |name: &'static str| {
+        response
+            .headers
+            .iter()
+            .filter(move |h| h.name.eq_ignore_ascii_case(name))
+    };
     let mut lengths = named("content-length");
     let mut codings = named("transfer-encoding");
     let (coding, further) = (codings.next(), codings.next());
@@ -128,7 +145,9 @@
         (Some(length), None, None) => {
             let digits = length.value.iter().all(u8::is_ascii_digit);
             let length = std::str::from_utf8(length.value).ok().filter(|_| digits);
-            let length = length.and_then(|text| text.parse().ok()).filter(|&n: &usize| n <= limits.body);
+            let length = length
+                .and_then(|text| text.parse().ok())
+                .filter(|&n: &usize| n <= limits.body);
             let length = length.ok_or_else(|| spoilt("an answer's length is none, or too long"))?;
             Ok((At::Body(length), true))
         }
--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -42,7 +42,11 @@
 
 impl End {
     fn bare(outcome: Outcome) -> Self {
-        Self { outcome, report: None, answer: None }
+        Self {
+            outcome,
+            report: None,
+            answer: None,
+        }
     }
 }
 
@@ -75,7 +79,14 @@
         let (limits, counters) = (Rc::clone(&core.limits), Rc::clone(&core.counters));
         let sockets = Sockets::new(Rc::clone(&limits), Rc::clone(&counters));
         let resting = Resting::new(limits.rest);
-        Rc::new(Self { core: Rc::clone(core), pools: RefCell::default(), sockets, resting, limits, counters })
+        Rc::new(Self {
+            core: Rc::clone(core),
+            pools: RefCell::default(),
+            sockets,
+            resting,
+            limits,
+            counters,
+        })
     }
 
     /// Sends a transaction's request to a job server once, and waits for the answer.
@@ -86,10 +97,14 @@
         wait: Duration,
         begins_by: Option<Instant>,
     ) -> End {
-        let Some(server) = self.core.job_server(server) else { return End::bare(Outcome::NotSent) };
+        let Some(server) = self.core.job_server(server) else {
+            return End::bare(Outcome::NotSent);
+        };
         self.counters.routed_tasks_sent.add();
         let uri = format!("http://{}{}", server.address(), ask.target);
-        let Ok(method) = ask.method.parse() else { return End::bare(Outcome::NotSent) };
+        let Ok(method) = ask.method.parse() else {
+            return End::bare(Outcome::NotSent);
+        };
         let mut request = self.client(&server).request(method, uri);
         put(&mut request, "x-request-id", &ask.id);
         put(&mut request, "x-timeout", &format!("{}u", wait.as_micros()));
@@ -123,16 +138,31 @@
         let unprocessed = text("x-not-processed") == Some("1");
         match whole.status {
             StatusCode::OK => {
-                sending.begun().inspect(|&begun| server.has_served(self.core.at(begun)));
-                let labels =
-                    LABELS.into_iter().filter_map(|name| Some((name, text(name)?.to_owned()))).collect();
-                End { outcome: Outcome::Served, report, answer: Some(Content { body: whole.body, labels }) }
-            }
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
-                End { report, ..End::bare(Outcome::Rejected) }
+                sending
+                    .begun()
+                    .inspect(|&begun| server.has_served(self.core.at(begun)));
+                let labels = LABELS
+                    .into_iter()
+                    .filter_map(|name| Some((name, text(name)?.to_owned())))
+                    .collect();
+                End {
+                    outcome: Outcome::Served,
+                    report,
+                    answer: Some(Content {
+                        body: whole.body,
+                        labels,
+                    }),
+                }
             }
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => End {
+                report,
+                ..End::bare(Outcome::Rejected)
+            },
             // An answer that does not prove the contrary may have run.
-            _ => End { report, ..End::bare(Outcome::ServerError) },
+            _ => End {
+                report,
+                ..End::bare(Outcome::ServerError)
+            },
         }
     }
 
@@ -151,7 +181,14 @@
                     self.counters.reports_skipped.add();
                 }
                 let good = whole.status == StatusCode::OK;
-                (if good { Outcome::Served } else { Outcome::Rejected }, report)
+                (
+                    if good {
+                        Outcome::Served
+                    } else {
+                        Outcome::Rejected
+                    },
+                    report,
+                )
             }
             Ok(None) => (unanswered(&sending, Outcome::Reset), None),
             Err(_) => (Outcome::TimedOut, None),
@@ -163,7 +200,11 @@
         while let Some(id) = wanted.recv().await {
             let Some(server) = self.core.job_server(id) else {
                 // Each probe that is asked for is owed its end.
-                self.core.tell(Event::Probed { server: id, outcome: Outcome::NotSent, report: None });
+                self.core.tell(Event::Probed {
+                    server: id,
+                    outcome: Outcome::NotSent,
+                    report: None,
+                });
                 continue;
             };
             let this = Rc::clone(&self);
@@ -173,23 +214,41 @@
                 if outcome != Outcome::Served {
                     this.counters.probes_failed.add();
                 }
-                this.core.tell(Event::Probed { server: id, outcome, report });
+                this.core.tell(Event::Probed {
+                    server: id,
+                    outcome,
+                    report,
+                });
             });
         }
     }
 
     /// Sends and reads to the end; nothing where the connection failed on the way.
-    async fn call(&self, request: ClientRequest, body: Bytes, sending: &Rc<Sending>) -> Option<Whole> {
+    async fn call(
+        &self,
+        request: ClientRequest,
+        body: Bytes,
+        sending: &Rc<Sending>,
+    ) -> Option<Whole> {
         let bare = body.is_empty() && request.get_method() == awc::http::Method::GET;
         let send = async {
             let request = request.no_decompress();
-            let answer = if bare { request.send().await } else { request.send_body(body).await };
+            let answer = if bare {
+                request.send().await
+            } else {
+                request.send_body(body).await
+            };
             let mut answer = answer.ok()?;
             let mut body = BytesMut::new();
-            let length = answer.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+            let length = answer
+                .headers()
+                .get(CONTENT_LENGTH)
+                .and_then(|v| v.to_str().ok()?.parse().ok());
             let length = length.filter(|&n: &usize| n > 0);
             while length.is_none_or(|length| body.len() < length) {
-                let Some(chunk) = answer.next().await else { break };
+                let Some(chunk) = answer.next().await else {
+                    break;
+                };
                 let chunk = chunk.ok()?;
                 // Guards against memory taken by an answer that is larger than the protocol allows.
                 if body.len() + chunk.len() > self.limits.body {
@@ -199,12 +258,16 @@
             }
             // Guards against half an answer passed on as a whole one: awc ends a body at the end of its
             // connection without an error, however much of it was announced.
-            let announced = answer.headers().contains_key(CONTENT_LENGTH) || answer.chunked().unwrap_or(true);
+            let announced =
+                answer.headers().contains_key(CONTENT_LENGTH) || answer.chunked().unwrap_or(true);
             if announced && sending.cut() {
                 return None;
             }
-            let whole =
-                Whole { status: answer.status(), headers: answer.headers().clone(), body: body.freeze() };
+            let whole = Whole {
+                status: answer.status(),
+                headers: answer.headers().clone(),
+                body: body.freeze(),
+            };
             if length.is_some() {
                 self.resting.hold(answer);
             }
@@ -218,7 +281,11 @@
         self.resting.release(now);
         let mut pools = self.pools.borrow_mut();
         let address = server.address();
-        let new = || Pool { address, client: self.sockets.client(), used: now };
+        let new = || Pool {
+            address,
+            client: self.sockets.client(),
+            used: now,
+        };
         let pool = pools.entry(server.id).or_insert_with(new);
         // Guards against connections kept for an address that the job server has left.
         if pool.address != address {
@@ -235,7 +302,9 @@
             tokio::time::sleep(self.limits.idle_reuse).await;
             self.resting.release(Instant::now());
             let keep = self.limits.idle_reuse;
-            self.pools.borrow_mut().retain(|_, pool| pool.used.elapsed() < keep);
+            self.pools
+                .borrow_mut()
+                .retain(|_, pool| pool.used.elapsed() < keep);
         }
     }
 }
@@ -252,6 +321,8 @@
 /// Guards against a panic: what came in as a header goes out as one, or not at all.
 fn put(request: &mut ClientRequest, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
-        request.headers_mut().insert(HeaderName::from_static(name), value);
+        request
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
     }
 }
--- a/crates/sidecar/src/upstream/report.rs
+++ b/crates/sidecar/src/upstream/report.rs
@@ -7,12 +7,19 @@
     let (mut held, mut waiting) = (None, 0.0);
     for part in text.trim().split(',') {
         let (name, value) = part.split_once('=')?;
-        let value: f64 = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
+        let value: f64 = value
+            .trim()
+            .parse()
+            .ok()
+            .filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
         match name.trim() {
             "inflight" | "active" => held = Some(value),
             "queue" | "waiting" => waiting = value,
             _ => {}
         }
     }
-    Some(LoadReport { held: held?, waiting })
+    Some(LoadReport {
+        held: held?,
+        waiting,
+    })
 }
--- a/crates/sidecar/src/upstream/resting.rs
+++ b/crates/sidecar/src/upstream/resting.rs
@@ -21,7 +21,10 @@
 
 impl Resting {
     pub fn new(rest: Duration) -> Self {
-        Self { rest, held: RefCell::default() }
+        Self {
+            rest,
+            held: RefCell::default(),
+        }
     }
 
     pub fn hold(&self, answer: Ended) {
@@ -32,11 +35,15 @@
     pub fn release(&self, now: Instant) {
         loop {
             let mut held = self.held.borrow_mut();
-            let rested = held.front().is_some_and(|(ended, _)| now.duration_since(*ended) >= self.rest);
+            let rested = held
+                .front()
+                .is_some_and(|(ended, _)| now.duration_since(*ended) >= self.rest);
             if !rested {
                 return;
             }
-            let Some((_, mut answer)) = held.pop_front() else { return };
+            let Some((_, mut answer)) = held.pop_front() else {
+                return;
+            };
             drop(held);
             // The end is there without a look at the socket; else the connection is closed.
             let _ = answer.next().now_or_never();
--- a/crates/sidecar/src/upstream/sending.rs
+++ b/crates/sidecar/src/upstream/sending.rs
@@ -64,7 +64,14 @@
     pub fn new(gate: Option<Gate>, body: usize) -> Rc<Self> {
         let (mark, body_left) = (Cell::new(0), Cell::new(body));
         let (begun, held_back, cut) = (Cell::new(None), Cell::new(false), Cell::new(false));
-        Rc::new(Self { gate, mark, body_left, begun, held_back, cut })
+        Rc::new(Self {
+            gate,
+            mark,
+            body_left,
+            begun,
+            held_back,
+            cut,
+        })
     }
 
     /// When the socket took the first byte.
@@ -110,12 +117,19 @@
         }
         let mut rest = bytes;
         while self.mark.get() < HEAD_END.len() {
-            let Some((&byte, after)) = rest.split_first() else { return };
+            let Some((&byte, after)) = rest.split_first() else {
+                return;
+            };
             rest = after;
             let mark = self.mark.get();
-            self.mark.set(if byte == HEAD_END[mark] { mark + 1 } else { usize::from(byte == b'\r') });
+            self.mark.set(if byte == HEAD_END[mark] {
+                mark + 1
+            } else {
+                usize::from(byte == b'\r')
+            });
         }
-        self.body_left.set(self.body_left.get().saturating_sub(rest.len()));
+        self.body_left
+            .set(self.body_left.get().saturating_sub(rest.len()));
     }
 }
 
--- a/crates/sidecar/src/upstream/sending/tests.rs
+++ b/crates/sidecar/src/upstream/sending/tests.rs
@@ -5,10 +5,18 @@
 use crate::config::Names;
 
 fn core(drain_grace: std::time::Duration) -> Rc<Core> {
-    let basis = crate::limits::Basis { sockets: 64, drain_grace, ..Default::default() };
+    let basis = crate::limits::Basis {
+        sockets: 64,
+        drain_grace,
+        ..Default::default()
+    };
     let limits = Rc::new(Limits::derive(&basis));
     let settings = arrowstand_balancer::Settings {
-        classes: vec![arrowstand_balancer::Class::new(arrowstand_balancer::Semantics::Pure, 1, 1)],
+        classes: vec![arrowstand_balancer::Class::new(
+            arrowstand_balancer::Semantics::Pure,
+            1,
+            1,
+        )],
         ..Default::default()
     };
     let balancer = Informed::new(settings, 1).expect("settings");
@@ -31,7 +39,10 @@
 #[test]
 fn a_drain_stops_the_first_byte_but_no_later_one() {
     let core = core(std::time::Duration::ZERO);
-    let server = Rc::new(JobServer::new(ServerId(0), SocketAddr::from(([127, 0, 0, 1], 9))));
+    let server = Rc::new(JobServer::new(
+        ServerId(0),
+        SocketAddr::from(([127, 0, 0, 1], 9)),
+    ));
     let (late, begun) = (sending(&core, &server), sending(&core, &server));
     begun.wrote(b"POST / HTTP/1.1\r\n\r");
     server.told(Condition::Draining, 0.0);
@@ -40,7 +51,11 @@
     begun.wrote(b"\nab");
     assert!(begun.whole() && !begun.held_back());
     server.told(Condition::Ready, 0.0);
-    assert_eq!(late.may_begin(&core.limits), Err(Stop::ServerDrains), "an old list ends no drain");
+    assert_eq!(
+        late.may_begin(&core.limits),
+        Err(Stop::ServerDrains),
+        "an old list ends no drain"
+    );
     server.told(Condition::Ready, 1.0);
     assert_eq!(sending(&core, &server).may_begin(&core.limits), Ok(()));
 }
@@ -49,17 +64,31 @@
 #[test]
 fn a_list_too_old_stops_what_no_answer_speaks_for() {
     let core = core(std::time::Duration::from_secs(2));
-    let server = Rc::new(JobServer::new(ServerId(0), SocketAddr::from(([127, 0, 0, 1], 9))));
+    let server = Rc::new(JobServer::new(
+        ServerId(0),
+        SocketAddr::from(([127, 0, 0, 1], 9)),
+    ));
     core.watched(|list, now| list.fell_silent(now, now));
-    assert_eq!(sending(&core, &server).may_begin(&core.limits), Ok(()), "it does not bind yet");
+    assert_eq!(
+        sending(&core, &server).may_begin(&core.limits),
+        Ok(()),
+        "it does not bind yet"
+    );
     core.watched(|list, now| list.fell_silent(now - 9_000_000, now));
     server.has_served(core.now() - core.limits.list.slack);
-    assert_eq!(sending(&core, &server).may_begin(&core.limits), Err(Stop::ListTooOld));
+    assert_eq!(
+        sending(&core, &server).may_begin(&core.limits),
+        Err(Stop::ListTooOld)
+    );
     server.has_served(core.now());
     assert_eq!(sending(&core, &server).may_begin(&core.limits), Ok(()));
     core.watched(|list, _| list.heard());
     assert_eq!(
-        sending(&core, &Rc::new(JobServer::new(ServerId(1), server.address()))).may_begin(&core.limits),
+        sending(
+            &core,
+            &Rc::new(JobServer::new(ServerId(1), server.address()))
+        )
+        .may_begin(&core.limits),
         Ok(())
     );
 }
--- a/crates/sidecar/src/upstream/socket.rs
+++ b/crates/sidecar/src/upstream/socket.rs
@@ -34,7 +34,12 @@
 
 impl Socket {
     pub fn new(stream: TcpStream, permit: Permit) -> Self {
-        Self { stream: Some(stream), answer: Answer::default(), ended: None, permit }
+        Self {
+            stream: Some(stream),
+            answer: Answer::default(),
+            ended: None,
+            permit,
+        }
     }
 
     fn note_end(&mut self) {
@@ -45,10 +50,16 @@
 
     /// Reads on until there is something of the answer to hand on.
     fn poll_answer(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let next = SENDING.try_with(|sending| sending.begun().is_none()).unwrap_or(false);
+        let next = SENDING
+            .try_with(|sending| sending.begun().is_none())
+            .unwrap_or(false);
         let limits = &self.permit.0.limits;
-        let rests = self.ended.is_some_and(|ended| ended.elapsed() < limits.rest);
-        let old = self.ended.is_some_and(|ended| ended.elapsed() > limits.rest + limits.idle_reuse);
+        let rests = self
+            .ended
+            .is_some_and(|ended| ended.elapsed() < limits.rest);
+        let old = self
+            .ended
+            .is_some_and(|ended| ended.elapsed() > limits.rest + limits.idle_reuse);
         if next && (self.answer.is_open() || rests || old) {
             // Guards against another request's answer: whether more came behind an open one is not known here, and a
             // second answer may still be on its way. And against a server that closes it as idle: the pool counts from
@@ -59,12 +70,16 @@
             if self.answer.hand_on(buf) {
                 return Poll::Ready(Ok(()));
             }
-            let Some(stream) = &mut self.stream else { return Poll::Ready(Ok(())) };
+            let Some(stream) = &mut self.stream else {
+                return Poll::Ready(Ok(()));
+            };
             if self.answer.in_head() {
                 let mut bytes = [0; READ];
                 let mut head = ReadBuf::new(&mut bytes);
                 ready!(Pin::new(stream).poll_read(cx, &mut head))?;
-                if head.filled().is_empty() || !self.answer.head(head.filled(), &self.permit.0.limits)? {
+                if head.filled().is_empty()
+                    || !self.answer.head(head.filled(), &self.permit.0.limits)?
+                {
                     self.stream = None;
                 }
                 self.note_end();
@@ -103,7 +118,11 @@
 }
 
 impl AsyncWrite for Socket {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
         let sending = SENDING.try_with(Rc::clone).ok();
         if let Some(Err(stop)) = sending.as_ref().map(|s| s.may_begin(&self.permit.0.limits)) {
             self.permit.0.counters.stopped(stop);
@@ -123,22 +142,30 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream.as_mut().map_or(Poll::Ready(Ok(())), |s| Pin::new(s).poll_flush(cx))
+        self.stream
+            .as_mut()
+            .map_or(Poll::Ready(Ok(())), |s| Pin::new(s).poll_flush(cx))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream.as_mut().map_or(Poll::Ready(Ok(())), |s| Pin::new(s).poll_shutdown(cx))
+        self.stream
+            .as_mut()
+            .map_or(Poll::Ready(Ok(())), |s| Pin::new(s).poll_shutdown(cx))
     }
 }
 
 impl ActixStream for Socket {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         let closed = || Poll::Ready(Ok(Ready::READ_CLOSED));
-        self.stream.as_ref().map_or_else(closed, |s| ActixStream::poll_read_ready(s, cx))
+        self.stream
+            .as_ref()
+            .map_or_else(closed, |s| ActixStream::poll_read_ready(s, cx))
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         let closed = || Poll::Ready(Ok(Ready::WRITE_CLOSED));
-        self.stream.as_ref().map_or_else(closed, |s| ActixStream::poll_write_ready(s, cx))
+        self.stream
+            .as_ref()
+            .map_or_else(closed, |s| ActixStream::poll_write_ready(s, cx))
     }
 }
--- a/crates/sidecar/src/upstream/sockets.rs
+++ b/crates/sidecar/src/upstream/sockets.rs
@@ -25,7 +25,11 @@
 
 impl Sockets {
     pub fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Rc<Self> {
-        Rc::new(Self { open: Cell::new(0), limits, counters })
+        Rc::new(Self {
+            open: Cell::new(0),
+            limits,
+            counters,
+        })
     }
 
     /// A client with a pool of its own and none of awc's own time-outs, redirects or headers.
@@ -46,7 +50,11 @@
             .conn_lifetime(self.limits.patience)
             .connector(connect);
         let client = Client::builder().connector(connector);
-        client.disable_timeout().disable_redirects().no_default_headers().finish()
+        client
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish()
     }
 
     async fn open(self: Rc<Self>, uri: &Uri) -> io::Result<Socket> {
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -50,7 +50,9 @@
 
 #[test]
 fn bad_configuration_names_the_key() {
-    let good = include_str!("exchanges/config.json").replace("{targets}", "").replace("\"{idle}\"", "1");
+    let good = include_str!("exchanges/config.json")
+        .replace("{targets}", "")
+        .replace("\"{idle}\"", "1");
     let good = good.replace("\"{memory}\"", "64");
     let cases = [
         ("\"objective-ms\":15000", "\"objective-ms\":\"soon\""),
@@ -65,12 +67,21 @@
     let mut said = String::new();
     for (i, (from, to)) in cases.iter().enumerate() {
         assert!(good.contains(from), "{from}");
-        let path = std::env::temp_dir().join(format!("arrowstand-bad-{i}-{}.json", std::process::id()));
+        let path =
+            std::env::temp_dir().join(format!("arrowstand-bad-{i}-{}.json", std::process::id()));
         fs::write(&path, good.replacen(from, to, 1)).expect("written");
-        let run = Command::new(env!("CARGO_BIN_EXE_arrowstand")).env("NODE_CONFIG", &path).output();
+        let run = Command::new(env!("CARGO_BIN_EXE_arrowstand"))
+            .env("NODE_CONFIG", &path)
+            .output();
         let run = run.expect("the program starts");
         fs::remove_file(path).expect("removed");
-        write!(said, "{:?} {}", run.status.code(), String::from_utf8_lossy(&run.stderr)).expect("written");
+        write!(
+            said,
+            "{:?} {}",
+            run.status.code(),
+            String::from_utf8_lossy(&run.stderr)
+        )
+        .expect("written");
     }
     insta::assert_snapshot!(said);
 }
--- a/crates/sidecar/tests/floods.rs
+++ b/crates/sidecar/tests/floods.rs
@@ -32,7 +32,10 @@
     let start = match kind % 4 {
         0 => format!("GET /api HTTP/1.1\r\nX-Long: {}", "a".repeat(100_000)),
         1 => request(&format!("b{kind}"), 9_000, 60_000) + &"b".repeat(59_999),
-        2 => request(&format!("f{kind}"), 9_000, 0) + &"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(30_000),
+        2 => {
+            request(&format!("f{kind}"), 9_000, 0)
+                + &"GET / HTTP/1.1\r\nHost: x\r\n\r\n".repeat(30_000)
+        }
         _ => String::new(),
     };
     // What the machine does not take now is not sent: the program reads no more.
@@ -72,8 +75,14 @@
 
 fn anonymous_kb(stage: &Stage) -> u64 {
     let status = fs::read_to_string(stage.process("status")).expect("the program runs");
-    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).expect("a figure");
-    line.trim().trim_end_matches(" kB").parse().expect("a number")
+    let line = status
+        .lines()
+        .find_map(|l| l.strip_prefix("RssAnon:"))
+        .expect("a figure");
+    line.trim()
+        .trim_end_matches(" kB")
+        .parse()
+        .expect("a number")
 }
 
 #[test]
@@ -89,7 +98,11 @@
         })
         .collect();
     stage.step("D1", "read", "");
-    stage.step("D1", "send", "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n");
+    stage.step(
+        "D1",
+        "send",
+        "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n",
+    );
     // A line of the list without end.
     (0..5).for_each(|_| stage.step("D1", "fill", "["));
     let listen = stage.listen().to_owned();
@@ -98,27 +111,45 @@
         crowd.extend((0..12).filter_map(|n| bad_client(&listen, 12 * round + n)));
         crowd.truncate(400);
         let mut link = TcpStream::connect(&listen).expect("a usual client connects");
-        link.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+        link.set_read_timeout(Some(Duration::from_secs(10)))
+            .expect("a time-out");
         let whole = request(&format!("u{round}"), 500, 4) + "slot";
         link.write_all(whole.as_bytes()).expect("sent");
         let mut answer = [0; 512];
-        let read = link.read(&mut answer).unwrap_or_else(|e| panic!("request {round}: {e}"));
+        let read = link
+            .read(&mut answer)
+            .unwrap_or_else(|e| panic!("request {round}: {e}"));
         let text = String::from_utf8_lossy(&answer[..read]);
-        assert!(text.starts_with("HTTP/1.1 200") || text.starts_with("HTTP/1.1 50"), "{round}: {text:?}");
+        assert!(
+            text.starts_with("HTTP/1.1 200") || text.starts_with("HTTP/1.1 50"),
+            "{round}: {text:?}"
+        );
         answered += usize::from(text.starts_with("HTTP/1.1 200"));
         most_kb = most_kb.max(anonymous_kb(&stage));
-        most_open = most_open.max(fs::read_dir(stage.process("fd")).expect("the program runs").count());
+        most_open = most_open.max(
+            fs::read_dir(stage.process("fd"))
+                .expect("the program runs")
+                .count(),
+        );
     }
     over.store(true, Ordering::Relaxed);
-    serving.into_iter().for_each(|s| s.join().expect("a server ends"));
+    serving
+        .into_iter()
+        .for_each(|s| s.join().expect("a server ends"));
     drop(crowd);
-    println!("at most {most_kb} kB and {most_open} descriptors; {answered} of 40 usual requests served");
+    println!(
+        "at most {most_kb} kB and {most_open} descriptors; {answered} of 40 usual requests served"
+    );
     assert!(most_kb < MEMORY_MB * 1024, "{most_kb} kB of {MEMORY_MB} MB");
-    assert!(most_open < DESCRIPTORS, "{most_open} descriptors of {DESCRIPTORS}");
+    assert!(
+        most_open < DESCRIPTORS,
+        "{most_open} descriptors of {DESCRIPTORS}"
+    );
     assert!(answered > 0, "no usual request was served");
     let text = until("the crowd's end", || {
         let mut link = TcpStream::connect(&listen).ok()?;
-        link.write_all(b"GET /counters HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n").ok()?;
+        link.write_all(b"GET /counters HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+            .ok()?;
         let mut text = String::new();
         link.read_to_string(&mut text).ok()?;
         text.starts_with("HTTP/1.1 200").then_some(text)
--- a/crates/sidecar/tests/stage/mod.rs
+++ b/crates/sidecar/tests/stage/mod.rs
@@ -43,11 +43,16 @@
 }
 
 fn option(line: &str, name: &str) -> Option<usize> {
-    line.split_whitespace().find_map(|w| w.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+    line.split_whitespace()
+        .find_map(|w| w.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
 }
 
 fn span(text: &str) -> Duration {
-    let ms = text.trim().strip_suffix("ms").and_then(|t| t.parse().ok()).expect("a time in ms");
+    let ms = text
+        .trim()
+        .strip_suffix("ms")
+        .and_then(|t| t.parse().ok())
+        .expect("a time in ms");
     Duration::from_millis(ms)
 }
 
@@ -61,7 +66,9 @@
 /// a test that plays against another one's program, or against none, since it took its port before it listened.
 fn hold() -> (TcpSocket, String) {
     let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    socket
+        .bind("127.0.0.1:0".parse().expect("an address"))
+        .expect("a free port");
     socket.set_reuseaddr(true).expect("shared with a listener");
     let address = socket.local_addr().expect("bound").to_string();
     (socket, address)
@@ -93,7 +100,10 @@
         let slow: Vec<Slow> = (0..count("slow", 0)).map(|_| Slow::new()).collect();
         addresses.extend(slow.iter().map(Slow::address));
         let target = |(i, a): (usize, &String)| {
-            format!(r#"{{"uid":"s{i}","endpoint":"{a}","az":"z{}","state":"ready"}}"#, i % count("zones", 1))
+            format!(
+                r#"{{"uid":"s{i}","endpoint":"{a}","az":"z{}","state":"ready"}}"#,
+                i % count("zones", 1)
+            )
         };
         let targets: Vec<String> = addresses.iter().enumerate().map(target).collect();
         let (discovery, moved, (own, listen)) = (free_port(), free_port(), hold());
@@ -102,12 +112,29 @@
             .replace("{targets}", &targets.join(","))
             .replace("\"{idle}\"", &format!("{}e-3", count("idle", 60_000_000)))
             .replace("\"{memory}\"", &count("memory", 192).to_string())
-            .replace("\"deadline-ms\":20000", &format!("\"deadline-ms\":{}", count("deadline", 20_000)))
-            .replace("\"objective-ms\":15000", &format!("\"objective-ms\":{}", count("deadline", 15_000)))
-            .replace("\"window-ms\":60000", &format!("\"window-ms\":{}", count("window", 60_000)))
-            .replace("\"drain-grace-ms\":2000.0", &format!("\"drain-grace-ms\":{}", count("grace", 2_000)));
-        let config = if line.contains("pushed") { config.replace("on_request", "pushed") } else { config };
-        let path = std::env::temp_dir().join(format!("arrowstand-{name}-{}.json", std::process::id()));
+            .replace(
+                "\"deadline-ms\":20000",
+                &format!("\"deadline-ms\":{}", count("deadline", 20_000)),
+            )
+            .replace(
+                "\"objective-ms\":15000",
+                &format!("\"objective-ms\":{}", count("deadline", 15_000)),
+            )
+            .replace(
+                "\"window-ms\":60000",
+                &format!("\"window-ms\":{}", count("window", 60_000)),
+            )
+            .replace(
+                "\"drain-grace-ms\":2000.0",
+                &format!("\"drain-grace-ms\":{}", count("grace", 2_000)),
+            );
+        let config = if line.contains("pushed") {
+            config.replace("on_request", "pushed")
+        } else {
+            config
+        };
+        let path =
+            std::env::temp_dir().join(format!("arrowstand-{name}-{}.json", std::process::id()));
         fs::write(&path, &config).expect("configuration written");
         let child = Command::new(env!("CARGO_BIN_EXE_arrowstand"))
             .env("NODE_CONFIG", &path)
@@ -148,7 +175,10 @@
 
     /// The listening sides of the servers.
     pub fn servers(&self) -> Vec<TcpListener> {
-        self.servers.iter().map(|l| l.try_clone().expect("a second handle")).collect()
+        self.servers
+            .iter()
+            .map(|l| l.try_clone().expect("a second handle"))
+            .collect()
     }
 
     pub fn transcript(&mut self) -> String {
@@ -161,7 +191,10 @@
             let link = match &party[..1] {
                 "T" => TcpStream::connect(&self.listen).expect("the program accepts"),
                 "S" => until(party, || {
-                    self.servers.iter().find_map(accept).or_else(|| self.slow.iter().find_map(Slow::accept))
+                    self.servers
+                        .iter()
+                        .find_map(accept)
+                        .or_else(|| self.slow.iter().find_map(Slow::accept))
                 }),
                 "E" => until(party, || accept(&self.moved)),
                 _ => until(party, || accept(&self.discovery)),
--- a/crates/sidecar/tests/stage/servers.rs
+++ b/crates/sidecar/tests/stage/servers.rs
@@ -13,12 +13,18 @@
 impl Slow {
     pub fn new() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+        socket
+            .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
+            .expect("a free port");
         socket.listen(0).expect("listening");
         socket.set_nonblocking(true).expect("not blocking");
         let listener = TcpListener::from(socket);
-        let filler = TcpStream::connect(listener.local_addr().expect("bound")).expect("the one place");
-        Self { listener, filler: Some(filler) }
+        let filler =
+            TcpStream::connect(listener.local_addr().expect("bound")).expect("the one place");
+        Self {
+            listener,
+            filler: Some(filler),
+        }
     }
 
     pub fn address(&self) -> String {
--- a/crates/sidecar/tests/stage/steps.rs
+++ b/crates/sidecar/tests/stage/steps.rs
@@ -27,13 +27,16 @@
                 };
                 let _ = link.set_nonblocking(false);
                 let _ = link.read(&mut [0; 1024]);
-                let _ = link.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                let _ = link
+                    .write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
             }
         });
     }
 
     fn signal(&self, which: &str) {
-        let kill = Command::new("kill").args([which, &self.child.id().to_string()]).status();
+        let kill = Command::new("kill")
+            .args([which, &self.child.id().to_string()])
+            .status();
         assert!(kill.expect("kill runs").success());
     }
 
@@ -64,7 +67,10 @@
                 let server = self.servers.first().map(address).unwrap_or_default();
                 let spare = self.servers.last().map(address).unwrap_or_default();
                 let slow = self.slow.first().map(Slow::address).unwrap_or_default();
-                let text = text.replace("{S}", &server).replace("{spare}", &spare).replace("{slow}", &slow);
+                let text = text
+                    .replace("{S}", &server)
+                    .replace("{spare}", &spare)
+                    .replace("{slow}", &slow);
                 let text = text.replace("\\n", "\n");
                 let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                 self.link(party).write_all(chunk.as_bytes()).expect("sent");
@@ -75,13 +81,18 @@
             }
             "ready" => until("ready", || {
                 let mut link = TcpStream::connect(&self.listen).expect("the program accepts");
-                link.write_all(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n").expect("sent");
-                read_message(&mut link).starts_with("HTTP/1.1 200").then_some(())
+                link.write_all(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+                    .expect("sent");
+                read_message(&mut link)
+                    .starts_with("HTTP/1.1 200")
+                    .then_some(())
             }),
             "close" => drop(self.links.remove(party)),
             "reset" => {
                 let link = self.links.remove(party).expect("there");
-                socket2::SockRef::from(&link).set_linger(Some(Duration::ZERO)).expect("no lingering");
+                socket2::SockRef::from(&link)
+                    .set_linger(Some(Duration::ZERO))
+                    .expect("no lingering");
             }
             "closed" => {
                 let rest = self.link(party).read(&mut [0; 64]);
@@ -93,7 +104,10 @@
             }
             "ended" => {
                 // An end of file and nothing else: a reset would take what was not read yet with it.
-                let rest = self.link(party).read(&mut [0; 64]).map_err(|e| e.to_string());
+                let rest = self
+                    .link(party)
+                    .read(&mut [0; 64])
+                    .map_err(|e| e.to_string());
                 writeln!(self.transcript, "{party} ended with {rest:?}").expect("written");
             }
             "nothing" => {
@@ -101,31 +115,45 @@
                 link.set_nonblocking(true).expect("not blocking");
                 let more = link.peek(&mut [0]).ok();
                 link.set_nonblocking(false).expect("blocking");
-                writeln!(self.transcript, "{party} got nothing more: {}", more.is_none_or(|n| n == 0))
-                    .expect("written");
+                writeln!(
+                    self.transcript,
+                    "{party} got nothing more: {}",
+                    more.is_none_or(|n| n == 0)
+                )
+                .expect("written");
             }
             "within" => {
                 // How soon the program connects, where that is the matter.
                 let most = span(text);
                 let start = Instant::now();
                 self.link(party);
-                writeln!(self.transcript, "{party} came within {most:?}: {}", start.elapsed() <= most)
-                    .expect("written");
-            }
-            "dialled" => until("a dial", || self.slow.iter().any(Slow::dialled).then_some(())),
+                writeln!(
+                    self.transcript,
+                    "{party} came within {most:?}: {}",
+                    start.elapsed() <= most
+                )
+                .expect("written");
+            }
+            "dialled" => until("a dial", || {
+                self.slow.iter().any(Slow::dialled).then_some(())
+            }),
             "admit" => self.slow.iter_mut().for_each(Slow::admit),
             "refill" => self.slow.iter_mut().for_each(Slow::refill),
             "deny" => self.deny(),
             "unsent" => {
                 // The connection comes up, and ends without a byte on it.
                 let mut bytes = Vec::new();
-                let end = self.link(party).read_to_end(&mut bytes).map_err(|e| e.to_string());
+                let end = self
+                    .link(party)
+                    .read_to_end(&mut bytes)
+                    .map_err(|e| e.to_string());
                 writeln!(self.transcript, "{party} ended with {end:?} bytes").expect("written");
             }
             "silent" => {
                 let none = self.servers.iter().all(|l| l.accept().is_err());
                 let none = none && self.slow.iter().all(|s| s.accept().is_none());
-                writeln!(self.transcript, "{party} no further connection: {none}").expect("written");
+                writeln!(self.transcript, "{party} no further connection: {none}")
+                    .expect("written");
             }
             "stop" => {
                 self.signal("-TERM");
@@ -140,10 +168,24 @@
                 let (path, old) = &self.config;
                 // "refused": to where nobody listens. Other text is the file itself.
                 let refused = text.trim() == "refused";
-                let to = if refused { self.refusing.1.clone() } else { address(&self.moved) };
-                let new = old.replace(r#""discovery":"127.0.0.1:1""#, &format!(r#""discovery":"{to}""#));
-                fs::write(path, if refused || text.trim().is_empty() { &new } else { text })
-                    .expect("written");
+                let to = if refused {
+                    self.refusing.1.clone()
+                } else {
+                    address(&self.moved)
+                };
+                let new = old.replace(
+                    r#""discovery":"127.0.0.1:1""#,
+                    &format!(r#""discovery":"{to}""#),
+                );
+                fs::write(
+                    path,
+                    if refused || text.trim().is_empty() {
+                        &new
+                    } else {
+                        text
+                    },
+                )
+                .expect("written");
                 self.signal("-HUP");
             }
             "exit" => {
@@ -152,7 +194,8 @@
                 if let Some(most) = Some(text.trim()).filter(|t| !t.is_empty()).map(span) {
                     let took = self.stopped.map(|at| at.elapsed());
                     let soon = took.is_some_and(|took| took <= most);
-                    write!(self.transcript, ", within {most:?} of SIGTERM: {soon}").expect("written");
+                    write!(self.transcript, ", within {most:?} of SIGTERM: {soon}")
+                        .expect("written");
                 }
                 writeln!(self.transcript).expect("written");
             }
--- a/crates/sidecar/tests/start.rs
+++ b/crates/sidecar/tests/start.rs
@@ -18,9 +18,16 @@
 impl Starting {
     /// The program at the moment in which it waits for its configuration, with a handler for that signal.
     fn new(name: &str, bit: u64) -> Self {
-        let pipe = std::env::temp_dir().join(format!("arrowstand-{name}-{}.pipe", std::process::id()));
+        let pipe =
+            std::env::temp_dir().join(format!("arrowstand-{name}-{}.pipe", std::process::id()));
         let _ = fs::remove_file(&pipe);
-        assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+        assert!(
+            Command::new("mkfifo")
+                .arg(&pipe)
+                .status()
+                .expect("mkfifo runs")
+                .success()
+        );
         let child = Command::new(env!("CARGO_BIN_EXE_arrowstand"))
             .env("NODE_CONFIG", &pipe)
             .env("NODE_LISTEN", "127.0.0.1:0")
@@ -28,24 +35,39 @@
             .spawn()
             .expect("the program starts");
         let config = include_str!("exchanges/config.json").replace("{targets}", "");
-        let config = config.replace("\"{idle}\"", "1000").replace("\"{memory}\"", "64");
-        let starting = Self { child, pipe, config };
+        let config = config
+            .replace("\"{idle}\"", "1000")
+            .replace("\"{memory}\"", "64");
+        let starting = Self {
+            child,
+            pipe,
+            config,
+        };
         until("a handler for the signal", || {
-            let status = fs::read_to_string(format!("/proc/{}/status", starting.child.id())).ok()?;
-            let caught = status.lines().find_map(|l| l.strip_prefix("SigCgt:"))?.trim();
+            let status =
+                fs::read_to_string(format!("/proc/{}/status", starting.child.id())).ok()?;
+            let caught = status
+                .lines()
+                .find_map(|l| l.strip_prefix("SigCgt:"))?
+                .trim();
             (u64::from_str_radix(caught, 16).ok()? & (1 << (bit - 1)) != 0).then_some(())
         });
         starting
     }
 
     fn signal(&self, which: &str) {
-        let kill = Command::new("kill").args([which, &self.child.id().to_string()]).status();
+        let kill = Command::new("kill")
+            .args([which, &self.child.id().to_string()])
+            .status();
         assert!(kill.expect("kill runs").success());
     }
 
     /// Hands the configuration over; whoever reads it again finds a usual file.
     fn go_on(&mut self) {
-        let mut writer = OpenOptions::new().write(true).open(&self.pipe).expect("the program reads");
+        let mut writer = OpenOptions::new()
+            .write(true)
+            .open(&self.pipe)
+            .expect("the program reads");
         let file = Path::new(&self.pipe).with_extension("json");
         fs::write(&file, &self.config).expect("written");
         fs::rename(&file, &self.pipe).expect("put in place");
--- a/crates/testbed/src/audit.rs
+++ b/crates/testbed/src/audit.rs
@@ -145,10 +145,23 @@
         }
     }
 
-    fn breach(&mut self, at: Micros, rule: Rule, tx: Option<u64>, server: Option<u32>, why: String) {
+    fn breach(
+        &mut self,
+        at: Micros,
+        rule: Rule,
+        tx: Option<u64>,
+        server: Option<u32>,
+        why: String,
+    ) {
         self.count += 1;
         if self.breaches.len() < LISTED {
-            self.breaches.push(Breach { at, rule, tx, server, why });
+            self.breaches.push(Breach {
+                at,
+                rule,
+                tx,
+                server,
+                why,
+            });
         }
     }
 
@@ -158,11 +171,21 @@
     }
 
     fn pass(&mut self, now: Micros) {
-        while let Some(&Reverse((due, tx))) = self.due.peek().filter(|Reverse((due, _))| *due < now) {
+        while let Some(&Reverse((due, tx))) = self.due.peek().filter(|Reverse((due, _))| *due < now)
+        {
             self.due.pop();
-            let late = self.open.get(&tx).is_some_and(|o| o.answer.is_none() && !self.excused(o));
+            let late = self
+                .open
+                .get(&tx)
+                .is_some_and(|o| o.answer.is_none() && !self.excused(o));
             if late {
-                self.breach(due, Rule::OneAnswer, Some(tx), None, "no answer in time".into());
+                self.breach(
+                    due,
+                    Rule::OneAnswer,
+                    Some(tx),
+                    None,
+                    "no answer in time".into(),
+                );
             }
         }
         while self.forget.front().is_some_and(|(at, _)| *at < now) {
@@ -174,24 +197,41 @@
 
     /// True for what a terminal has left, or a killed sidecar held.
     fn excused(&self, open: &Open) -> bool {
-        open.left || self.killed.get(&open.sidecar).is_some_and(|&at| at >= open.taken)
+        open.left
+            || self
+                .killed
+                .get(&open.sidecar)
+                .is_some_and(|&at| at >= open.taken)
     }
 
     fn arrived(&mut self, at: Micros, tx: u64, server: u32) {
         let zone = |sites: &FxHashMap<u32, Site>, id: u32| sites.get(&id).map_or(0, |s| s.zone);
         let here = zone(&self.sites, server);
-        let Some(open) = self.open.get_mut(&tx) else { return };
-        let Some(class) = self.classes.get(usize::from(open.class)) else { return };
+        let Some(open) = self.open.get_mut(&tx) else {
+            return;
+        };
+        let Some(class) = self.classes.get(usize::from(open.class)) else {
+            return;
+        };
         let first = open.arrivals.iter().find(|a| !a.turned_away);
         let why = first.and_then(|first| match (class.effect, class.group) {
             (Effect::Safe, _) => None,
-            (Effect::Unsafe, _) => Some(format!("it had arrived at s{} and may have run", first.server)),
+            (Effect::Unsafe, _) => Some(format!(
+                "it had arrived at s{} and may have run",
+                first.server
+            )),
             (Effect::Keyed, group) => {
                 let there = zone(&self.sites, first.server);
                 if group == Group::Zone && here != there {
-                    Some(format!("its key is known at s{} in another zone", first.server))
+                    Some(format!(
+                        "its key is known at s{} in another zone",
+                        first.server
+                    ))
                 } else if at > first.at + from_ms(class.window_ms) {
-                    Some(format!("its key at s{} was forgotten by then", first.server))
+                    Some(format!(
+                        "its key at s{} was forgotten by then",
+                        first.server
+                    ))
                 } else {
                     None
                 }
@@ -199,7 +239,11 @@
         });
         let harmless = class.effect == Effect::Safe;
         let refused = open.answer == Some(How::Refused) && !harmless;
-        open.arrivals.push(Arrival { at, server, turned_away: false });
+        open.arrivals.push(Arrival {
+            at,
+            server,
+            turned_away: false,
+        });
         if let Some(why) = why {
             self.breach(at, Rule::NoSecondRun, Some(tx), Some(server), why);
         }
@@ -222,14 +266,32 @@
         let knows = told.is_some_and(|t| t.launched >= started);
         let (multiple, span) = self.fall;
         site.sent.push_back((at, work, knows));
-        while site.sent.front().is_some_and(|(sent, ..)| *sent + span <= at) {
+        while site
+            .sent
+            .front()
+            .is_some_and(|(sent, ..)| *sent + span <= at)
+        {
             site.sent.pop_front();
         }
-        let sum = |told: bool| site.sent.iter().filter(|s| s.2 || !told).map(|s| s.1).sum::<f64>();
-        let (all, told, most) = (sum(false), sum(true), budget(multiple, capacity, span, work));
+        let sum = |told: bool| {
+            site.sent
+                .iter()
+                .filter(|s| s.2 || !told)
+                .map(|s| s.1)
+                .sum::<f64>()
+        };
+        let (all, told, most) = (
+            sum(false),
+            sum(true),
+            budget(multiple, capacity, span, work),
+        );
         if all > most && told >= TOLD * all && !site.pushed {
             site.pushed = true;
-            let why = format!("{:.0} ms of work in its span, of {:.0} ms", all / 1e3, most / 1e3);
+            let why = format!(
+                "{:.0} ms of work in its span, of {:.0} ms",
+                all / 1e3,
+                most / 1e3
+            );
             self.breach(at, Rule::ColdSpared, Some(tx), Some(server), why);
         }
     }
@@ -237,7 +299,9 @@
     fn answered(&mut self, at: Micros, tx: u64, how: How) {
         let grace = self.grace;
         let excused = self.open.get(&tx).is_some_and(|o| self.excused(o));
-        let Some(open) = self.open.get_mut(&tx) else { return };
+        let Some(open) = self.open.get_mut(&tx) else {
+            return;
+        };
         let second = open.answer.replace(how).is_some();
         let late = at > open.due + grace;
         let ran = open.arrivals.iter().any(|a| !a.turned_away);
@@ -282,16 +346,41 @@
         let at = line.at;
         self.pass(at);
         match line.entry {
-            Entry::Taken { tx, sidecar, class, due, .. } => {
+            Entry::Taken {
+                tx,
+                sidecar,
+                class,
+                due,
+                ..
+            } => {
                 self.transactions += 1;
                 let (arrivals, answer, left) = (Vec::new(), None, false);
-                let open = Open { sidecar, class, taken: at, due, arrivals, answer, left };
+                let open = Open {
+                    sidecar,
+                    class,
+                    taken: at,
+                    due,
+                    arrivals,
+                    answer,
+                    left,
+                };
                 self.open.insert(tx, open);
                 self.due.push(Reverse((due + self.grace, tx)));
                 self.forget.push_back((due + REMEMBER, tx));
             }
-            Entry::Began { tx, sidecar, server, .. } => self.began(at, tx, sidecar, server),
-            Entry::Arrived { tx, server, work, capacity, cold } => {
+            Entry::Began {
+                tx,
+                sidecar,
+                server,
+                ..
+            } => self.began(at, tx, sidecar, server),
+            Entry::Arrived {
+                tx,
+                server,
+                work,
+                capacity,
+                cold,
+            } => {
                 self.arrived(at, tx, server);
                 self.pressed(at, tx, server, work, capacity, cold);
             }
@@ -308,10 +397,24 @@
                     open.left = true;
                 }
             }
-            Entry::Listed { sidecar, server, listing, launched } => {
-                let told = self.told.entry(sidecar).or_default().entry(server).or_default();
+            Entry::Listed {
+                sidecar,
+                server,
+                listing,
+                launched,
+            } => {
+                let told = self
+                    .told
+                    .entry(sidecar)
+                    .or_default()
+                    .entry(server)
+                    .or_default();
                 told.launched = told.launched.max(launched);
-                told.out = if listing == Listing::Ready { None } else { told.out.or(Some(at)) };
+                told.out = if listing == Listing::Ready {
+                    None
+                } else {
+                    told.out.or(Some(at))
+                };
             }
             Entry::Sidecar { sidecar, life } if life != Life::Ending => {
                 self.told.remove(&sidecar);
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -130,14 +130,21 @@
 impl Program {
     fn options(&self) -> Result<stage::Options, Failure> {
         let beside = || Some(std::env::current_exe().ok()?.parent()?.join("arrowstand"));
-        let program = self.arrowstand.clone().or_else(beside).unwrap_or_else(|| "arrowstand".into());
+        let program = self
+            .arrowstand
+            .clone()
+            .or_else(beside)
+            .unwrap_or_else(|| "arrowstand".into());
         if !program.is_file() {
             let path = program.display();
             return Err(input(format!(
                 "--arrowstand: there is no program {path}: build the workspace first"
             )));
         }
-        Ok(stage::Options { program, folder: self.folder.clone() })
+        Ok(stage::Options {
+            program,
+            folder: self.folder.clone(),
+        })
     }
 }
 
@@ -145,8 +152,15 @@
     fn scenario(&self) -> Result<Scenario, Failure> {
         let mut changes = Vec::new();
         for set in &self.set {
-            let pair = set.split_once('=').ok_or_else(|| input(format!("--set {set}: is not KEY=VALUE")))?;
-            let value = |text: &str| format!("v = {text}").parse::<toml::Table>().ok()?.remove("v");
+            let pair = set
+                .split_once('=')
+                .ok_or_else(|| input(format!("--set {set}: is not KEY=VALUE")))?;
+            let value = |text: &str| {
+                format!("v = {text}")
+                    .parse::<toml::Table>()
+                    .ok()?
+                    .remove("v")
+            };
             let text = || toml::Value::String(pair.1.to_owned());
             changes.push((pair.0.to_owned(), value(pair.1).unwrap_or_else(text)));
         }
@@ -154,7 +168,9 @@
             let seed = i64::try_from(seed).map_err(|_| input("--seed: is too large"))?;
             changes.push(("seed".into(), toml::Value::Integer(seed)));
         }
-        Scenario::open(&self.scenario).and_then(|s| s.with(&changes)).map_err(input)
+        Scenario::open(&self.scenario)
+            .and_then(|s| s.with(&changes))
+            .map_err(input)
     }
 
     /// Plays, and writes what is asked for.
@@ -163,7 +179,8 @@
         play: impl FnOnce(&Scenario, Option<&mut dyn Ledger>) -> Result<Report, String>,
     ) -> Result<(), Failure> {
         let scenario = self.scenario()?;
-        let create = |path: &Path| File::create(path).map_err(|e| input(format!("{}: {e}", path.display())));
+        let create =
+            |path: &Path| File::create(path).map_err(|e| input(format!("{}: {e}", path.display())));
         let report = match &self.ledger {
             Some(path) => {
                 let mut writer = Writer::new(BufWriter::new(create(path)?));
@@ -181,7 +198,11 @@
             picture::report(&report, path).map_err(trouble)?;
         }
         print!("{report}");
-        if report.holds() { Ok(()) } else { Err(Failure::Missed) }
+        if report.holds() {
+            Ok(())
+        } else {
+            Err(Failure::Missed)
+        }
     }
 }
 
@@ -209,7 +230,11 @@
     if let Some(path) = svg {
         played.draw(path).map_err(trouble)?;
     }
-    if played.all_broken() == 0 { Ok(()) } else { Err(Failure::Missed) }
+    if played.all_broken() == 0 {
+        Ok(())
+    } else {
+        Err(Failure::Missed)
+    }
 }
 
 /// The day of `try`: two job servers, one sidecar, a little load.
@@ -217,36 +242,58 @@
 
 fn carry_out(command: Command) -> Result<(), Failure> {
     match command {
-        Command::Run(play) => play.play(|scenario, ledger| Ok(model::run(&scenario.day, ledger)?.0)),
+        Command::Run(play) => {
+            play.play(|scenario, ledger| Ok(model::run(&scenario.day, ledger)?.0))
+        }
         Command::Stage { play, at } => {
             let options = at.options()?;
             play.play(|scenario, ledger| stage::run(&scenario.day, &options, ledger))
         }
-        Command::Experiment { plan, csv, svg, seeds, quiet } => {
-            experiment(&plan, csv.as_deref(), svg.as_deref(), seeds, quiet)
-        }
+        Command::Experiment {
+            plan,
+            csv,
+            svg,
+            seeds,
+            quiet,
+        } => experiment(&plan, csv.as_deref(), svg.as_deref(), seeds, quiet),
         Command::Compare { a, b } => {
             print!("{}", compare(&read_report(&a)?, &read_report(&b)?));
             Ok(())
         }
         Command::Check { scenarios } => {
-            let faults: Vec<String> =
-                scenarios.iter().filter_map(|s| Scenario::open(s).err()).map(|f| f.to_string()).collect();
-            if faults.is_empty() { Ok(()) } else { Err(Failure::Input(faults.join("\n"))) }
+            let faults: Vec<String> = scenarios
+                .iter()
+                .filter_map(|s| Scenario::open(s).err())
+                .map(|f| f.to_string())
+                .collect();
+            if faults.is_empty() {
+                Ok(())
+            } else {
+                Err(Failure::Input(faults.join("\n")))
+            }
         }
         Command::Serve { scenario, at } => {
             let options = at.options()?;
             let scenario = Scenario::open(&scenario).map_err(input)?;
-            let say = |how: String| println!("The stand-ins are up until Ctrl-C. To start a sidecar:\n{how}");
+            let say = |how: String| {
+                println!("The stand-ins are up until Ctrl-C. To start a sidecar:\n{how}")
+            };
             stage::serve(&scenario.day, &options, say).map_err(trouble)
         }
         Command::Try { at } => {
             let options = at.options()?;
             let scenario = Scenario::read("try", TRY).map_err(input)?;
-            println!("Two stand-in job servers, one sidecar, {} s of load ...", scenario.day.seconds);
+            println!(
+                "Two stand-in job servers, one sidecar, {} s of load ...",
+                scenario.day.seconds
+            );
             let report = stage::run(&scenario.day, &options, None).map_err(trouble)?;
             print!("{report}");
-            if report.holds() { Ok(()) } else { Err(Failure::Missed) }
+            if report.holds() {
+                Ok(())
+            } else {
+                Err(Failure::Missed)
+            }
         }
     }
 }
@@ -254,7 +301,10 @@
 /// Runs the program.
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
-    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    let lines = tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_target(false);
     match cli.log {
         Log::Lines => lines.init(),
         Log::Json => lines.json().init(),
--- a/crates/testbed/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -70,8 +70,15 @@
 }
 
 fn fault(file: &Path, key: &str, why: impl Into<String>) -> Faults {
-    let fault = Fault { key: key.to_owned(), why: why.into(), line: None };
-    Faults { file: file.display().to_string(), faults: vec![fault] }
+    let fault = Fault {
+        key: key.to_owned(),
+        why: why.into(),
+        line: None,
+    };
+    Faults {
+        file: file.display().to_string(),
+        faults: vec![fault],
+    }
 }
 
 impl Plan {
@@ -83,8 +90,15 @@
         let text = std::fs::read_to_string(path).map_err(|e| fault(path, "", e.to_string()))?;
         let plan: Self = toml::from_str(&text).map_err(|e| {
             let line = e.span().map(|s| text[..s.start].matches('\n').count() + 1);
-            let fault = Fault { key: String::new(), why: e.message().to_owned(), line };
-            Faults { file: path.display().to_string(), faults: vec![fault] }
+            let fault = Fault {
+                key: String::new(),
+                why: e.message().to_owned(),
+                line,
+            };
+            Faults {
+                file: path.display().to_string(),
+                faults: vec![fault],
+            }
         })?;
         for (i, figure) in plan.figures.iter().enumerate() {
             if !FIGURES.contains(&figure.as_str()) {
@@ -100,9 +114,14 @@
         }
         let runs = plan.axis.iter().map(|a| a.values.len()).product::<usize>() as u64 * plan.seeds;
         if runs > RUNS_MOST as u64 {
-            return Err(fault(path, "axis", format!("{runs} runs are more than {RUNS_MOST}")));
+            return Err(fault(
+                path,
+                "axis",
+                format!("{runs} runs are more than {RUNS_MOST}"),
+            ));
         }
-        let scenario = Scenario::open(&path.parent().unwrap_or(Path::new(".")).join(&plan.scenario))?;
+        let scenario =
+            Scenario::open(&path.parent().unwrap_or(Path::new(".")).join(&plan.scenario))?;
         // Every place of the grid is checked before the first is played.
         for values in plan.grid() {
             plan.variant(&scenario, &values, 1)?;
@@ -115,16 +134,30 @@
         for axis in &self.axis {
             let longer = |row: &Vec<toml::Value>| {
                 let row = row.clone();
-                axis.values.iter().map(move |v| row.iter().cloned().chain([v.clone()]).collect())
+                axis.values
+                    .iter()
+                    .map(move |v| row.iter().cloned().chain([v.clone()]).collect())
             };
             grid = grid.iter().flat_map(longer).collect();
         }
         grid
     }
 
-    fn variant(&self, scenario: &Scenario, values: &[toml::Value], seed: u64) -> Result<Scenario, Faults> {
-        let set = self.set.iter().map(|(key, value)| (key.clone(), value.clone()));
-        let axes = self.axis.iter().zip(values).map(|(axis, value)| (axis.key.clone(), value.clone()));
+    fn variant(
+        &self,
+        scenario: &Scenario,
+        values: &[toml::Value],
+        seed: u64,
+    ) -> Result<Scenario, Faults> {
+        let set = self
+            .set
+            .iter()
+            .map(|(key, value)| (key.clone(), value.clone()));
+        let axes = self
+            .axis
+            .iter()
+            .zip(values)
+            .map(|(axis, value)| (axis.key.clone(), value.clone()));
         let seed = [("seed".to_owned(), toml::Value::Integer(seed as i64))];
         scenario.with(&set.chain(axes).chain(seed).collect::<Vec<_>>())
     }
@@ -135,22 +168,34 @@
     /// What the scenario or the decision module refuses.
     pub fn play(self, scenario: &Scenario, quiet: bool) -> Result<Played, String> {
         let grid = self.grid();
-        let runs: Vec<(usize, u64)> =
-            (0..grid.len()).flat_map(|cell| (1..=self.seeds).map(move |seed| (cell, seed))).collect();
-        let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(runs.len() as u64) };
+        let runs: Vec<(usize, u64)> = (0..grid.len())
+            .flat_map(|cell| (1..=self.seeds).map(move |seed| (cell, seed)))
+            .collect();
+        let bar = if quiet {
+            ProgressBar::hidden()
+        } else {
+            ProgressBar::new(runs.len() as u64)
+        };
         if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} {eta}") {
             bar.set_style(style);
         }
         let play = |&(cell, seed): &(usize, u64)| -> Result<(usize, Report), String> {
-            let variant = self.variant(scenario, &grid[cell], seed).map_err(|e| e.to_string())?;
+            let variant = self
+                .variant(scenario, &grid[cell], seed)
+                .map_err(|e| e.to_string())?;
             let (report, _) = model::run(&variant.day, None)?;
             bar.inc(1);
             Ok((cell, report))
         };
         let reports: Result<Vec<_>, String> = runs.par_iter().map(play).collect();
         bar.finish_and_clear();
-        let mut cells: Vec<Cell> =
-            grid.into_iter().map(|values| Cell { values, reports: Vec::new() }).collect();
+        let mut cells: Vec<Cell> = grid
+            .into_iter()
+            .map(|values| Cell {
+                values,
+                reports: Vec::new(),
+            })
+            .collect();
         for (cell, report) in reports? {
             cells[cell].reports.push(report);
         }
@@ -159,12 +204,18 @@
 }
 
 fn text(value: &toml::Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
 }
 
 impl Played {
     fn figure(&self, cell: &Cell, figure: &str) -> Option<(f64, f64)> {
-        let values: Vec<f64> = cell.reports.iter().filter_map(|r| r.figure(figure)).collect();
+        let values: Vec<f64> = cell
+            .reports
+            .iter()
+            .filter_map(|r| r.figure(figure))
+            .collect();
         mean(&values)
     }
 
@@ -172,14 +223,26 @@
     pub fn csv(&self) -> String {
         let mut out = String::new();
         let axes = self.plan.axis.iter().map(|a| a.key.clone());
-        let figures = self.plan.figures.iter().flat_map(|f| [f.clone(), format!("{f} +-")]);
-        let _ = writeln!(out, "{},broken", axes.chain(figures).collect::<Vec<_>>().join(","));
+        let figures = self
+            .plan
+            .figures
+            .iter()
+            .flat_map(|f| [f.clone(), format!("{f} +-")]);
+        let _ = writeln!(
+            out,
+            "{},broken",
+            axes.chain(figures).collect::<Vec<_>>().join(",")
+        );
         for cell in &self.cells {
             let values = cell.values.iter().map(text);
-            let figures = self.plan.figures.iter().flat_map(|name| match self.figure(cell, name) {
-                Some((mean, half)) => [format!("{mean:.6}"), format!("{half:.6}")],
-                None => [String::new(), String::new()],
-            });
+            let figures = self
+                .plan
+                .figures
+                .iter()
+                .flat_map(|name| match self.figure(cell, name) {
+                    Some((mean, half)) => [format!("{mean:.6}"), format!("{half:.6}")],
+                    None => [String::new(), String::new()],
+                });
             let row: Vec<String> = values.chain(figures).collect();
             let _ = writeln!(out, "{},{}", row.join(","), self.broken(cell));
         }
@@ -202,12 +265,18 @@
     pub fn draw(&self, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
         let place = |cell: &Cell, number: usize| {
             let value = &cell.values[0];
-            value.as_float().or(value.as_integer().map(|n| n as f64)).unwrap_or(number as f64)
+            value
+                .as_float()
+                .or(value.as_integer().map(|n| n as f64))
+                .unwrap_or(number as f64)
         };
         let mut names: Vec<String> = Vec::new();
         let name = |cell: &Cell| {
             let others = self.plan.axis.iter().zip(&cell.values).skip(1);
-            others.map(|(axis, value)| format!("{} {}", axis.key, text(value))).collect::<Vec<_>>().join(", ")
+            others
+                .map(|(axis, value)| format!("{} {}", axis.key, text(value)))
+                .collect::<Vec<_>>()
+                .join(", ")
         };
         for cell in &self.cells {
             let name = name(cell);
@@ -218,12 +287,19 @@
         let line = |figure: &str, line: &String| {
             let cells = self.cells.iter().filter(|c| name(c) == *line).enumerate();
             let points = cells.filter_map(|(number, cell)| {
-                self.figure(cell, figure).map(|(mean, half)| (place(cell, number), mean, half))
+                self.figure(cell, figure)
+                    .map(|(mean, half)| (place(cell, number), mean, half))
             });
-            Series { name: line.clone(), points: points.collect() }
+            Series {
+                name: line.clone(),
+                points: points.collect(),
+            }
         };
-        let charts =
-            self.plan.figures.iter().map(|f| (f.clone(), names.iter().map(|n| line(f, n)).collect()));
+        let charts = self
+            .plan
+            .figures
+            .iter()
+            .map(|f| (f.clone(), names.iter().map(|n| line(f, n)).collect()));
         let charts: Vec<(String, Vec<Series>)> = charts.collect();
         picture::experiment(&self.plan.name, &self.plan.axis[0].key, &charts, path)
     }
--- a/crates/testbed/src/ledger.rs
+++ b/crates/testbed/src/ledger.rs
@@ -238,5 +238,9 @@
 /// Names the first line that cannot be read.
 pub fn read(text: &str) -> Result<Vec<Line>, String> {
     let line = |(i, line)| serde_json::from_str(line).map_err(|e| format!("line {}: {e}", i + 1));
-    text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()).map(line).collect()
+    text.lines()
+        .enumerate()
+        .filter(|(_, l)| !l.trim().is_empty())
+        .map(line)
+        .collect()
 }
--- a/crates/testbed/src/machine/cold.rs
+++ b/crates/testbed/src/machine/cold.rs
@@ -4,7 +4,9 @@
 
 impl Machine {
     pub(super) fn warmth(&self, now: Micros) -> f64 {
-        let Some(since) = self.cold_since else { return 1.0 };
+        let Some(since) = self.cold_since else {
+            return 1.0;
+        };
         let by_time = now.saturating_sub(since) as f64 / from_s(self.kind.cold_s).max(1) as f64;
         let by_work = match self.kind.warm_requests {
             0 => 0.0,
@@ -25,7 +27,11 @@
         }
         let (multiple, span) = self.fall;
         self.pressure.push_back((now, work));
-        while self.pressure.front().is_some_and(|(at, _)| *at + span <= now) {
+        while self
+            .pressure
+            .front()
+            .is_some_and(|(at, _)| *at + span <= now)
+        {
             self.pressure.pop_front();
         }
         let sent: f64 = self.pressure.iter().map(|(_, work)| work).sum();
--- a/crates/testbed/src/machine/mod.rs
+++ b/crates/testbed/src/machine/mod.rs
@@ -109,7 +109,14 @@
 
 impl Machine {
     /// A machine of a kind; `speed` as drawn for it, `fall` the multiple and span of the fourth rule.
-    pub fn new(kind: Kind, speed: f64, fall: (f64, Micros), chance: Stream, now: Micros, cold: bool) -> Self {
+    pub fn new(
+        kind: Kind,
+        speed: f64,
+        fall: (f64, Micros),
+        chance: Stream,
+        now: Micros,
+        cold: bool,
+    ) -> Self {
         let (error_rate, probe_tokens) = (kind.error_rate, kind.probes_per_s);
         Self {
             kind,
@@ -147,7 +154,10 @@
         let speed = kind.speed * chance.between(1.0 - kind.speed_spread, 1.0 + kind.speed_spread);
         let fall = (day.rules.fall_multiple, from_ms(day.rules.fall_ms));
         let new = Self::new(kind.clone(), speed, fall, chance, now, cold);
-        Self { tells: day.reports.clone(), ..new }
+        Self {
+            tells: day.reports.clone(),
+            ..new
+        }
     }
 
     pub fn kind(&self) -> &Kind {
--- a/crates/testbed/src/machine/tells.rs
+++ b/crates/testbed/src/machine/tells.rs
@@ -36,7 +36,14 @@
                 self.errors.pop_front();
             }
             let eps = self.errors.len() as f64;
-            self.report = (now, Report { inflight: self.held(), queue: self.queue.len(), eps });
+            self.report = (
+                now,
+                Report {
+                    inflight: self.held(),
+                    queue: self.queue.len(),
+                    eps,
+                },
+            );
         }
         Some(self.report.1)
     }
@@ -53,6 +60,9 @@
         while self.taken.get(1).is_some_and(|(at, _)| now >= at + delay) {
             self.taken.pop_front();
         }
-        self.taken.front().filter(|(at, _)| now >= at + delay).map(|(_, held)| *held)
+        self.taken
+            .front()
+            .filter(|(at, _)| now >= at + delay)
+            .map(|(_, held)| *held)
     }
 }
--- a/crates/testbed/src/machine/tests.rs
+++ b/crates/testbed/src/machine/tests.rs
@@ -9,11 +9,20 @@
 }
 
 fn plain() -> Kind {
-    Kind { cores: 2, queue: 3, error_rate: 0.0, ..Kind::default() }
+    Kind {
+        cores: 2,
+        queue: 3,
+        error_rate: 0.0,
+        ..Kind::default()
+    }
 }
 
 fn job(id: u64, work: f64) -> Job {
-    Job { id, work, until: Micros::MAX }
+    Job {
+        id,
+        work,
+        until: Micros::MAX,
+    }
 }
 
 fn ends(machine: &mut Machine, until: Micros) -> Vec<(u64, Micros)> {
@@ -32,11 +41,19 @@
 #[test]
 fn cores_share_nothing_and_the_queue_is_in_order_and_bounded() {
     let (mut machine, mut events) = (machine(plain()), Vec::new());
-    let taken: Vec<bool> = (0..6).map(|id| machine.offer(0, job(id, 10_000.0), &mut events)).collect();
+    let taken: Vec<bool> = (0..6)
+        .map(|id| machine.offer(0, job(id, 10_000.0), &mut events))
+        .collect();
     assert_eq!(taken, [true, true, true, true, true, false]);
     let ends = ends(&mut machine, 1_000_000);
-    assert_eq!(ends.iter().map(|e| e.0).collect::<Vec<_>>(), [0, 1, 2, 3, 4]);
-    assert_eq!(ends.iter().map(|e| e.1 / 1_000).collect::<Vec<_>>(), [10, 10, 20, 20, 30]);
+    assert_eq!(
+        ends.iter().map(|e| e.0).collect::<Vec<_>>(),
+        [0, 1, 2, 3, 4]
+    );
+    assert_eq!(
+        ends.iter().map(|e| e.1 / 1_000).collect::<Vec<_>>(),
+        [10, 10, 20, 20, 30]
+    );
 }
 
 #[test]
@@ -54,22 +71,44 @@
 
 #[test]
 fn a_crowd_chokes_it_until_it_has_rested() {
-    let choke = Choke { at: 2.0, over_s: 0.1, slower: 4.0, below: 0.6, rest_s: 0.2, most_s: 60.0 };
-    let kind = Kind { cores: 1, queue: 100, choke: Some(choke), ..plain() };
+    let choke = Choke {
+        at: 2.0,
+        over_s: 0.1,
+        slower: 4.0,
+        below: 0.6,
+        rest_s: 0.2,
+        most_s: 60.0,
+    };
+    let kind = Kind {
+        cores: 1,
+        queue: 100,
+        choke: Some(choke),
+        ..plain()
+    };
     let (mut machine, mut events) = (machine(kind), Vec::new());
     assert!((0..20).all(|id| machine.offer(0, job(id, 20_000.0), &mut events)));
     let crowd = ends(&mut machine, 60_000_000);
     let last = crowd.last().map_or(0, |e| e.1);
-    assert!(last > 1_200_000, "20 x 20 ms take 0.4 s unchoked, and took {last} us");
+    assert!(
+        last > 1_200_000,
+        "20 x 20 ms take 0.4 s unchoked, and took {last} us"
+    );
     assert!(machine.choked() > 0);
     machine.advance(last + 2_000_000, &mut events);
     machine.offer(last + 2_000_000, job(99, 20_000.0), &mut events);
-    assert_eq!(ends(&mut machine, 60_000_000).last().map(|e| e.1 - last), Some(2_020_000));
+    assert_eq!(
+        ends(&mut machine, 60_000_000).last().map(|e| e.1 - last),
+        Some(2_020_000)
+    );
 }
 
 #[test]
 fn requests_beyond_the_cores_share_them_and_a_crowd_slows_all() {
-    let shared = Kind { slots: 8, queue: 9, ..plain() };
+    let shared = Kind {
+        slots: 8,
+        queue: 9,
+        ..plain()
+    };
     let ends = |kind: Kind, count: u64| {
         let (mut machine, mut events) = (machine(kind), Vec::new());
         (0..count).for_each(|id| assert!(machine.offer(0, job(id, 10_000.0), &mut events)));
@@ -80,8 +119,15 @@
         }
         at
     };
-    assert!(ends(shared.clone(), 2).abs_diff(10_000) <= 2 && ends(shared.clone(), 4).abs_diff(20_000) <= 2);
-    let crowded = Kind { thrash: 0.5, thrash_at: 2.0, ..shared };
+    assert!(
+        ends(shared.clone(), 2).abs_diff(10_000) <= 2
+            && ends(shared.clone(), 4).abs_diff(20_000) <= 2
+    );
+    let crowded = Kind {
+        thrash: 0.5,
+        thrash_at: 2.0,
+        ..shared
+    };
     // Eight at two cores are two a core beyond the bound: twice as slow as without it.
     assert!(ends(crowded, 8).abs_diff(80_000) <= 8);
 }
@@ -89,25 +135,42 @@
 #[test]
 fn answers_tell_what_was_held_a_while_ago() {
     let mut machine = machine(plain());
-    machine.tells = Reports { source: Source::Answers, every_ms: 100.0, delay_ms: 50.0 };
+    machine.tells = Reports {
+        source: Source::Answers,
+        every_ms: 100.0,
+        delay_ms: 50.0,
+    };
     let mut events = Vec::new();
     assert_eq!(machine.answer_report(0), None, "nothing is old enough");
     machine.offer(1_000, job(1, 1e6), &mut events);
     assert_eq!(machine.answer_report(60_000), Some(0), "as of the start");
-    assert_eq!(machine.answer_report(110_000), Some(0), "taken anew, not told yet");
+    assert_eq!(
+        machine.answer_report(110_000),
+        Some(0),
+        "taken anew, not told yet"
+    );
     assert_eq!(machine.answer_report(170_000), Some(1));
 }
 
 #[test]
 fn a_cold_one_is_slow_warms_up_and_falls_over_when_pressed() {
-    let kind = Kind { cold_from: 0.25, cold_s: 10.0, queue: 10_000, ..plain() };
+    let kind = Kind {
+        cold_from: 0.25,
+        cold_s: 10.0,
+        queue: 10_000,
+        ..plain()
+    };
     let (mut machine, mut events) = (machine(kind), Vec::new());
     machine.set_state(0, State::Down, &mut events);
     machine.set_state(0, State::Up, &mut events);
     machine.offer(0, job(1, 10_000.0), &mut events);
-    assert_eq!(ends(&mut machine, 1_000_000).first().map(|e| e.1 / 1_000), Some(40));
+    assert_eq!(
+        ends(&mut machine, 1_000_000).first().map(|e| e.1 / 1_000),
+        Some(40)
+    );
     // 2.5 x (2 cores x 0.25) x 1.5 s are 1.875 s of work, and some for chance.
-    let taken = (0..400).take_while(|id| machine.offer(50_000, job(10 + id, 10_000.0), &mut events));
+    let taken =
+        (0..400).take_while(|id| machine.offer(50_000, job(10 + id, 10_000.0), &mut events));
     let taken = taken.count() as f64 * 0.01;
     assert!((1.8..2.0).contains(&taken), "{taken} s of work");
     assert!(events.contains(&Event::Fell));
@@ -116,13 +179,30 @@
 
 #[test]
 fn calling_off_stops_what_waits_and_expired_work_is_not_begun() {
-    let kind = Kind { cores: 1, queue: 10, ..plain() };
+    let kind = Kind {
+        cores: 1,
+        queue: 10,
+        ..plain()
+    };
     let (mut machine, mut events) = (machine(kind), Vec::new());
     machine.offer(0, job(1, 10_000.0), &mut events);
     machine.offer(0, job(2, 10_000.0), &mut events);
-    machine.offer(0, Job { until: 5_000, ..job(3, 10_000.0) }, &mut events);
+    machine.offer(
+        0,
+        Job {
+            until: 5_000,
+            ..job(3, 10_000.0)
+        },
+        &mut events,
+    );
     assert!(machine.cancel(1_000, 2, &mut events));
     assert!(!machine.cancel(1_000, 1, &mut events));
-    assert_eq!(ends(&mut machine, 1_000_000).iter().map(|e| e.0).collect::<Vec<_>>(), [1]);
+    assert_eq!(
+        ends(&mut machine, 1_000_000)
+            .iter()
+            .map(|e| e.0)
+            .collect::<Vec<_>>(),
+        [1]
+    );
     assert_eq!((machine.done.dropped, machine.done.stopped), (1, 1));
 }
--- a/crates/testbed/src/machine/work.rs
+++ b/crates/testbed/src/machine/work.rs
@@ -8,7 +8,11 @@
 impl Machine {
     /// Requests that run at a time.
     pub(super) fn slots(&self) -> usize {
-        self.kind.slots.max(if self.kind.slots == 0 { self.kind.cores } else { 1 }) as usize
+        self.kind.slots.max(if self.kind.slots == 0 {
+            self.kind.cores
+        } else {
+            1
+        }) as usize
     }
 
     /// Growth of `progress` in a microsecond: requests beyond the cores share them.
@@ -24,8 +28,14 @@
         }
         let full = self.connections as f64 / self.kind.connections.max(1) as f64;
         let tax = 1.0 - self.kind.full_tax * full.min(1.0);
-        let choke = self.kind.choke.as_ref().filter(|_| self.choking.is_some()).map_or(1.0, |c| c.slower);
-        let beyond = (self.held() as f64 / f64::from(self.kind.cores) - self.kind.thrash_at).max(0.0);
+        let choke = self
+            .kind
+            .choke
+            .as_ref()
+            .filter(|_| self.choking.is_some())
+            .map_or(1.0, |c| c.slower);
+        let beyond =
+            (self.held() as f64 / f64::from(self.kind.cores) - self.kind.thrash_at).max(0.0);
         let thrash = 1.0 + self.kind.thrash * beyond;
         self.speed * self.warmth(now) * tax / choke / self.slower / thrash
     }
@@ -57,7 +67,11 @@
     pub fn advance(&mut self, now: Micros, events: &mut Vec<Event>) {
         while self.at < now {
             let pace = self.pace(self.at);
-            let step = if self.changes_by_itself(self.at) { (self.at + STEP).min(now) } else { now };
+            let step = if self.changes_by_itself(self.at) {
+                (self.at + STEP).min(now)
+            } else {
+                now
+            };
             let mut span = (step - self.at) as f64;
             if pace <= 0.0 {
                 self.at = step;
@@ -69,7 +83,10 @@
             let paid = self.debt.min(span * core * cores);
             self.debt -= paid;
             span -= paid / core / cores;
-            let first = self.running.first_key_value().map(|(&(bits, _), _)| f64::from_bits(bits));
+            let first = self
+                .running
+                .first_key_value()
+                .map(|(&(bits, _), _)| f64::from_bits(bits));
             let reach = self.progress + span * pace;
             match first.filter(|&end| end <= reach + 1e-6) {
                 Some(end) => {
@@ -92,7 +109,9 @@
     }
 
     pub(super) fn end_first(&mut self, events: &mut Vec<Event>) {
-        let Some(((_, id), _)) = self.running.pop_first() else { return };
+        let Some(((_, id), _)) = self.running.pop_first() else {
+            return;
+        };
         self.ends.remove(&id);
         let error = self.chance.chance(self.error_rate);
         if error {
@@ -111,7 +130,9 @@
             return;
         }
         while self.running.len() < self.slots() {
-            let Some(job) = self.queue.pop_front() else { return };
+            let Some(job) = self.queue.pop_front() else {
+                return;
+            };
             if self.kind.drops_expired && job.until <= self.at {
                 self.done.dropped += 1;
                 events.push(Event::Dropped(job.id));
--- a/crates/testbed/src/model/discovery.rs
+++ b/crates/testbed/src/model/discovery.rs
@@ -42,25 +42,52 @@
     pub fn new(day: &Day) -> Self {
         let chance = Stream::new(day.seed, Cause::Discovery, 0);
         let (lines, news) = (BTreeMap::new(), Vec::new());
-        Self { version: 1, lines, news, busy_until: 0, down: false, silent: false, chance }
+        Self {
+            version: 1,
+            lines,
+            news,
+            busy_until: 0,
+            down: false,
+            silent: false,
+            chance,
+        }
     }
 
     /// Lists a job server that was there before the day.
     pub fn list(&mut self, server: u32, launched: Micros) {
         let version = self.version;
-        self.lines.insert(server, Line { listing: Listing::Ready, launched, version });
+        self.lines.insert(
+            server,
+            Line {
+                listing: Listing::Ready,
+                launched,
+                version,
+            },
+        );
     }
 
     /// The list as a sidecar keeps it.
     pub fn current(&self) -> BTreeMap<u32, (Listing, Micros)> {
-        let there = self.lines.iter().filter(|(_, l)| l.listing != Listing::Gone);
-        there.map(|(&server, l)| (server, (l.listing, l.launched))).collect()
+        let there = self
+            .lines
+            .iter()
+            .filter(|(_, l)| l.listing != Listing::Gone);
+        there
+            .map(|(&server, l)| (server, (l.listing, l.launched)))
+            .collect()
     }
 
     fn set(&mut self, server: u32, news: News) {
         self.version += 1;
         let (listing, launched, version) = (news.listing, news.launched, self.version);
-        self.lines.insert(server, Line { listing, launched, version });
+        self.lines.insert(
+            server,
+            Line {
+                listing,
+                launched,
+                version,
+            },
+        );
     }
 }
 
@@ -74,7 +101,9 @@
     }
 
     pub(super) fn notice(&mut self, server: u32, news: u32) {
-        let Some(&news) = self.discovery.news.get(news as usize) else { return };
+        let Some(&news) = self.discovery.news.get(news as usize) else {
+            return;
+        };
         let launched = self.servers[server as usize].launched;
         // A death that is noticed after the return is none; and what came back is not listed as it was before.
         if launched > news.launched {
@@ -88,7 +117,13 @@
             if self.sidecars[number as usize].subscribed {
                 let spread = from_ms(self.day.discovery.spread_ms * self.discovery.chance.unit());
                 let life = self.sidecars[number as usize].life;
-                self.after(spread, Happening::Heard { sidecar: number, life });
+                self.after(
+                    spread,
+                    Happening::Heard {
+                        sidecar: number,
+                        life,
+                    },
+                );
             }
         }
     }
@@ -101,7 +136,12 @@
         sidecar.calls += 1;
         sidecar.subscribed = false;
         let call = sidecar.calls;
-        let list = |lost| Happening::List { sidecar: number, life, call, lost };
+        let list = |lost| Happening::List {
+            sidecar: number,
+            life,
+            call,
+            lost,
+        };
         let discovery = &mut self.discovery;
         if discovery.silent {
             self.after(CALL, list(true));
@@ -140,7 +180,11 @@
 
     pub(super) fn lost(&mut self, number: u32) {
         self.sidecars[number as usize].subscribed = false;
-        let lost = Event::Members { kind: ListKind::Lost, version: 0, entries: Vec::new() };
+        let lost = Event::Members {
+            kind: ListKind::Lost,
+            version: 0,
+            entries: Vec::new(),
+        };
         self.tell(number, lost);
     }
 
@@ -148,15 +192,28 @@
     pub(super) fn heard(&mut self, number: u32, life: u32) {
         let sidecar = &self.sidecars[number as usize];
         let cut = self.discovery.down || self.discovery.silent;
-        if sidecar.life == life && sidecar.subscribed && !cut && sidecar.version < self.discovery.version {
+        if sidecar.life == life
+            && sidecar.subscribed
+            && !cut
+            && sidecar.version < self.discovery.version
+        {
             self.changes(number);
         }
     }
 
     fn changes(&mut self, number: u32) {
-        let (version, since) = (self.discovery.version, self.sidecars[number as usize].version);
-        let new = self.discovery.lines.iter().filter(|(_, l)| l.version > since);
-        let changed = new.map(|(&server, l)| (server, l.listing, l.launched)).collect();
+        let (version, since) = (
+            self.discovery.version,
+            self.sidecars[number as usize].version,
+        );
+        let new = self
+            .discovery
+            .lines
+            .iter()
+            .filter(|(_, l)| l.version > since);
+        let changed = new
+            .map(|(&server, l)| (server, l.listing, l.launched))
+            .collect();
         self.list_told(number, ListKind::Changes, version, changed);
     }
 
@@ -170,7 +227,12 @@
     ) {
         let mut members = Vec::with_capacity(entries.len());
         for &(server, listing, launched) in &entries {
-            self.note(Entry::Listed { sidecar: number, server, listing, launched });
+            self.note(Entry::Listed {
+                sidecar: number,
+                server,
+                listing,
+                launched,
+            });
             let known = &mut self.sidecars[number as usize].known;
             if listing == Listing::Gone {
                 known.remove(&server);
@@ -178,7 +240,9 @@
                 known.insert(server, (listing, launched));
             }
             let zone = self.servers[server as usize].zone;
-            let machine = self.day.told_machine(self.servers[server as usize].machine.kind());
+            let machine = self
+                .day
+                .told_machine(self.servers[server as usize].machine.kind());
             members.push(Member {
                 server: ServerId(server),
                 fingerprint: fingerprint(&format!("s{server}")),
@@ -194,7 +258,14 @@
             });
         }
         self.sidecars[number as usize].version = version;
-        self.tell(number, Event::Members { kind, version, entries: members });
+        self.tell(
+            number,
+            Event::Members {
+                kind,
+                version,
+                entries: members,
+            },
+        );
     }
 
     /// Discovery goes down or silent, or comes back.
@@ -209,7 +280,15 @@
             if std::mem::take(&mut sidecar.subscribed) {
                 let (life, call) = (sidecar.life, sidecar.calls);
                 let after = if silent { SILENCE } else { 1_000 };
-                self.after(after, Happening::List { sidecar: number, life, call, lost: true });
+                self.after(
+                    after,
+                    Happening::List {
+                        sidecar: number,
+                        life,
+                        call,
+                        lost: true,
+                    },
+                );
             }
         }
     }
--- a/crates/testbed/src/model/mod.rs
+++ b/crates/testbed/src/model/mod.rs
@@ -88,25 +88,70 @@
     Arrival(u32, Wish),
     Again(AskKey),
     Reached(TryKey),
-    Timer { sidecar: u32, life: u32, token: u64 },
+    Timer {
+        sidecar: u32,
+        life: u32,
+        token: u64,
+    },
     Last(TryKey),
     GivenUp(TryKey),
     Leaves(TryKey),
-    Told { of: TryKey, how: How, pause: u32 },
+    Told {
+        of: TryKey,
+        how: How,
+        pause: u32,
+    },
     Knocks(TaskKey),
     Connected(TaskKey),
     Arrives(TaskKey),
     Back(TaskKey, Outcome),
     Late(TaskKey),
-    CalledOff { server: u32, start: u32, job: u64 },
-    Machine { server: u32, turn: u32 },
-    ProbeArrives { sidecar: u32, life: u32, server: u32, delay: u32, fresh: bool },
-    ProbeBack { sidecar: u32, life: u32, server: u32, outcome: Outcome, load: Option<(u32, u32)> },
-    List { sidecar: u32, life: u32, call: u32, lost: bool },
-    Heard { sidecar: u32, life: u32 },
-    Notice { server: u32, news: u32 },
-    Trouble { index: u32, starts: bool },
-    Restart { sidecar: u32, down: Micros, kill: bool },
+    CalledOff {
+        server: u32,
+        start: u32,
+        job: u64,
+    },
+    Machine {
+        server: u32,
+        turn: u32,
+    },
+    ProbeArrives {
+        sidecar: u32,
+        life: u32,
+        server: u32,
+        delay: u32,
+        fresh: bool,
+    },
+    ProbeBack {
+        sidecar: u32,
+        life: u32,
+        server: u32,
+        outcome: Outcome,
+        load: Option<(u32, u32)>,
+    },
+    List {
+        sidecar: u32,
+        life: u32,
+        call: u32,
+        lost: bool,
+    },
+    Heard {
+        sidecar: u32,
+        life: u32,
+    },
+    Notice {
+        server: u32,
+        news: u32,
+    },
+    Trouble {
+        index: u32,
+        starts: bool,
+    },
+    Restart {
+        sidecar: u32,
+        down: Micros,
+        kill: bool,
+    },
     Up(u32),
     Second,
 }
@@ -190,7 +235,11 @@
             Happening::Arrival(sidecar, wish) => self.arrival(sidecar, wish),
             Happening::Again(ask) => self.attempt(ask),
             Happening::Reached(of) => self.reached(of),
-            Happening::Timer { sidecar, life, token } => self.timer(sidecar, life, token),
+            Happening::Timer {
+                sidecar,
+                life,
+                token,
+            } => self.timer(sidecar, life, token),
             Happening::Last(of) => self.last(of),
             Happening::GivenUp(of) => self.given_up(of),
             Happening::Leaves(of) => self.leaves(of),
@@ -202,17 +251,38 @@
             Happening::Late(task) => self.late(task),
             Happening::CalledOff { server, start, job } => self.called_off(server, start, job),
             Happening::Machine { server, turn } => self.machine(server, turn),
-            Happening::ProbeArrives { sidecar, life, server, delay, fresh } => {
+            Happening::ProbeArrives {
+                sidecar,
+                life,
+                server,
+                delay,
+                fresh,
+            } => {
                 self.probe_arrives((sidecar, life), server, delay, fresh);
             }
-            Happening::ProbeBack { sidecar, life, server, outcome, load } => {
+            Happening::ProbeBack {
+                sidecar,
+                life,
+                server,
+                outcome,
+                load,
+            } => {
                 self.probe_back(sidecar, life, server, outcome, load);
             }
-            Happening::List { sidecar, life, call, lost } => self.list(sidecar, life, call, lost),
+            Happening::List {
+                sidecar,
+                life,
+                call,
+                lost,
+            } => self.list(sidecar, life, call, lost),
             Happening::Heard { sidecar, life } => self.heard(sidecar, life),
             Happening::Notice { server, news } => self.notice(server, news),
             Happening::Trouble { index, starts } => self.trouble(index as usize, starts),
-            Happening::Restart { sidecar, down, kill } => self.restart(sidecar, down, kill),
+            Happening::Restart {
+                sidecar,
+                down,
+                kill,
+            } => self.restart(sidecar, down, kill),
             Happening::Up(sidecar) => self.start_sidecar(sidecar),
             Happening::Second => self.second(),
         }
@@ -227,7 +297,10 @@
     }
 
     fn note(&mut self, entry: Entry) {
-        self.ledger.note(&Line { at: self.now, entry });
+        self.ledger.note(&Line {
+            at: self.now,
+            entry,
+        });
     }
 
     fn number(&mut self) -> u64 {
@@ -241,7 +314,11 @@
         let network = &self.day.network;
         let sidecar = &mut self.sidecars[sidecar as usize];
         let same = sidecar.zone == self.servers[server as usize].zone;
-        let base = if same { network.same_ms } else { network.cross_ms };
+        let base = if same {
+            network.same_ms
+        } else {
+            network.cross_ms
+        };
         from_ms(base * (1.0 + network.jitter * sidecar.network.unit()))
     }
 
@@ -250,7 +327,11 @@
         for number in 0..self.servers.len() {
             let machine = &self.servers[number].machine;
             let (held, connections) = (machine.held() as u32, machine.connections() as u32);
-            self.note(Entry::Gauge { server: number as u32, held, connections });
+            self.note(Entry::Gauge {
+                server: number as u32,
+                held,
+                connections,
+            });
         }
         self.sweep();
         self.after(1_000_000, Happening::Second);
@@ -270,21 +351,41 @@
 /// What the decision module says of the settings.
 pub fn run(day: &Day, further: Option<&mut dyn Ledger>) -> Result<(Report, Effort), String> {
     let (mut auditor, mut tally) = (Auditor::new(day, 0), Tally::new(day));
-    let mut readers = Readers { first: &mut auditor, second: &mut tally, further };
+    let mut readers = Readers {
+        first: &mut auditor,
+        second: &mut tally,
+        further,
+    };
     let mut model = Model::new(day, &mut readers)?;
     model.play();
-    let effort = Effort { happenings: model.played, choked_off: model.choked_off };
-    let choked = model.servers.iter().filter(|s| s.machine.choked() > 0).count();
-    let held = model.servers.iter().map(|s| s.machine.done.held_most).max().unwrap_or(0);
+    let effort = Effort {
+        happenings: model.played,
+        choked_off: model.choked_off,
+    };
+    let choked = model
+        .servers
+        .iter()
+        .filter(|s| s.machine.choked() > 0)
+        .count();
+    let held = model
+        .servers
+        .iter()
+        .map(|s| s.machine.done.held_most)
+        .max()
+        .unwrap_or(0);
     auditor.finish();
     let mut report = tally.report("model", day.seed);
     report.audited(&auditor);
     report.expect(&day.expect);
-    report.remarks.push(format!("{choked} job servers were choked for a time; one held {held} at most"));
+    report.remarks.push(format!(
+        "{choked} job servers were choked for a time; one held {held} at most"
+    ));
     if effort.choked_off > 0 {
         let most = day.load.open_most;
         let n = effort.choked_off;
-        report.remarks.push(format!("{n} wishes were choked off: load.open_most is {most}"));
+        report.remarks.push(format!(
+            "{n} wishes were choked off: load.open_most is {most}"
+        ));
     }
     Ok((report, effort))
 }
--- a/crates/testbed/src/model/queue.rs
+++ b/crates/testbed/src/model/queue.rs
@@ -53,13 +53,27 @@
 impl<T> Queue<T> {
     pub fn new() -> Self {
         let wheel = (0..WHEEL).map(|_| Vec::new()).collect();
-        Self { slice: 0, near: BinaryHeap::new(), wheel, far: BTreeMap::new(), turn: 0, count: 0 }
+        Self {
+            slice: 0,
+            near: BinaryHeap::new(),
+            wheel,
+            far: BTreeMap::new(),
+            turn: 0,
+            count: 0,
+        }
     }
 
     pub fn push(&mut self, at: Micros, what: T) {
         self.turn += 1;
         self.count += 1;
-        let (slice, queued) = (at >> SLICE, Queued { at, turn: self.turn, what });
+        let (slice, queued) = (
+            at >> SLICE,
+            Queued {
+                at,
+                turn: self.turn,
+                what,
+            },
+        );
         match slice.saturating_sub(self.slice) {
             0 => self.near.push(queued),
             ahead if ahead < WHEEL => self.wheel[(slice % WHEEL) as usize].push(queued),
