--- a/crates/testbed/src/model/server.rs
+++ b/crates/testbed/src/model/server.rs
@@ -73,9 +73,14 @@
         let day = self.day;
         for (number, (kind, group)) in day.fleet().into_iter().enumerate() {
             let zone = day.server_zone(group, number);
-            self.servers.push(Server::new(day, kind, number, zone, 0, group.cold));
-            self.fate(number as u32, if group.cold { Fate::Cold } else { Fate::Up });
-            self.discovery.list(number as u32, self.servers[number].launched);
+            self.servers
+                .push(Server::new(day, kind, number, zone, 0, group.cold));
+            self.fate(
+                number as u32,
+                if group.cold { Fate::Cold } else { Fate::Up },
+            );
+            self.discovery
+                .list(number as u32, self.servers[number].launched);
         }
     }
 
@@ -88,7 +93,9 @@
 
     pub(super) fn disconnect(&mut self, server: u32, starts: impl Iterator<Item = u32>) {
         let server = &mut self.servers[server as usize];
-        starts.filter(|&start| start == server.start).for_each(|_| server.machine.disconnect());
+        starts
+            .filter(|&start| start == server.start)
+            .for_each(|_| server.machine.disconnect());
     }
 
     fn idle(&mut self, sidecar: u32, server: u32) -> Option<u32> {
@@ -118,7 +125,10 @@
 
     /// Closes connections that have stood idle for too long.
     pub(super) fn sweep(&mut self) {
-        let (now, keep) = (self.now, (from_s(self.day.allow.idle_s) as f64 * REUSE) as Micros);
+        let (now, keep) = (
+            self.now,
+            (from_s(self.day.allow.idle_s) as f64 * REUSE) as Micros,
+        );
         for sidecar in &mut self.sidecars {
             for (&server, pool) in &mut sidecar.pools {
                 let server = &mut self.servers[server as usize];
@@ -136,7 +146,9 @@
 
     /// Closes a routed task's connection; what the job server has of it, it is told after the way there.
     pub(super) fn hang_up(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get_mut(key) else { return };
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
         let (server, delay, job, written) = (task.server, task.delay, task.job, task.written);
         if let Some(start) = task.connection.take() {
             self.disconnect(server, std::iter::once(start));
@@ -155,20 +167,41 @@
         timeout: Option<Micros>,
         events: &mut VecDeque<Told>,
     ) {
-        let Some(owner) = self.tries.get(of).filter(|t| !t.answered) else { return };
-        let (sidecar, tx, attempt, work) =
-            (owner.sidecar, owner.number, owner.tasks.len() as u32, owner.work);
+        let Some(owner) = self.tries.get(of).filter(|t| !t.answered) else {
+            return;
+        };
+        let (sidecar, tx, attempt, work) = (
+            owner.sidecar,
+            owner.number,
+            owner.tasks.len() as u32,
+            owner.work,
+        );
         let left = owner.due.saturating_sub(self.now);
         let until = self.now + timeout.map_or(left, |t| t.min(left));
-        let noise = self.day.class.get(usize::from(owner.class)).map_or(0.0, |c| c.noise);
+        let noise = self
+            .day
+            .class
+            .get(usize::from(owner.class))
+            .map_or(0.0, |c| c.noise);
         let job = self.next_job;
         self.next_job += 1;
         let known = self.servers.get(server as usize).is_some();
-        let delay = if known { self.delay(sidecar, server) } else { 0 };
+        let delay = if known {
+            self.delay(sidecar, server)
+        } else {
+            0
+        };
         let chance = &mut self.sidecars[sidecar as usize].network;
-        let work =
-            if noise > 0.0 { work * (noise * chance.normal() - noise * noise / 2.0).exp() } else { work };
-        let connection = if known { self.idle(sidecar, server) } else { None };
+        let work = if noise > 0.0 {
+            work * (noise * chance.normal() - noise * noise / 2.0).exp()
+        } else {
+            work
+        };
+        let connection = if known {
+            self.idle(sidecar, server)
+        } else {
+            None
+        };
         let task = Task {
             of,
             tx,
@@ -205,16 +238,25 @@
     }
 
     fn begin(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get_mut(key) else { return };
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
         task.written = true;
         let (tx, sidecar, server) = (task.tx, task.sidecar, task.server);
         let crossing = self.sidecars[sidecar as usize].zone != self.servers[server as usize].zone;
-        self.note(Entry::Began { tx, sidecar, server, crossing });
+        self.note(Entry::Began {
+            tx,
+            sidecar,
+            server,
+            crossing,
+        });
     }
 
     /// A new connection's first packet is at the job server.
     pub(super) fn knocks(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get_mut(key) else { return };
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
         let (server, delay) = (&mut self.servers[task.server as usize], task.delay);
         let open = match server.net {
             Net::Silent => return,
@@ -234,7 +276,9 @@
     }
 
     pub(super) fn connected(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get(key) else { return };
+        let Some(task) = self.tasks.get(key) else {
+            return;
+        };
         if task.ended {
             self.tasks.remove(key);
             return;
@@ -243,12 +287,17 @@
         let trips = (self.servers[server as usize].machine.kind().handshake_rtts - 1.0).max(0.0);
         self.begin(key);
         self.at(until, Happening::Late(key));
-        self.after(delay + (trips * 2.0 * delay as f64) as Micros, Happening::Arrives(key));
+        self.after(
+            delay + (trips * 2.0 * delay as f64) as Micros,
+            Happening::Arrives(key),
+        );
     }
 
     /// A request's last byte is at the job server.
     pub(super) fn arrives(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get_mut(key) else { return };
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
         let number = task.server;
         let server = &mut self.servers[number as usize];
         // Closed before it was all there.
@@ -261,25 +310,43 @@
             server.lost.push(key);
             return;
         }
-        if server.net == Net::Refusing || task.connection.is_some_and(|start| start != server.start) {
+        if server.net == Net::Refusing || task.connection.is_some_and(|start| start != server.start)
+        {
             self.after(delay, Happening::Back(key, Outcome::Reset));
             return;
         }
-        let (capacity, cold) = (server.machine.capacity(self.now), server.machine.is_cold(self.now));
+        let (capacity, cold) = (
+            server.machine.capacity(self.now),
+            server.machine.is_cold(self.now),
+        );
         task.doomed = server.resets > 0.0 && self.machines.chance(server.resets);
         let fresh = task.fresh;
         if fresh {
             server.machine.handshake(self.now, &mut self.events);
         }
         let taken = !server.draining
-            && server.machine.offer(self.now, Job { id: job, work, until: task.until }, &mut self.events);
+            && server.machine.offer(
+                self.now,
+                Job {
+                    id: job,
+                    work,
+                    until: task.until,
+                },
+                &mut self.events,
+            );
         if taken {
             server.jobs.insert(job, key);
         }
         if fresh {
             self.note(Entry::Opened { server: number });
         }
-        self.note(Entry::Arrived { tx, server: number, work, capacity, cold });
+        self.note(Entry::Arrived {
+            tx,
+            server: number,
+            work,
+            capacity,
+            cold,
+        });
         if !taken {
             self.note(Entry::TurnedAway { tx, server: number });
             self.after(delay, Happening::Back(key, Outcome::Rejected));
@@ -313,20 +380,34 @@
             server.turn += 1;
             let turn = server.turn;
             if let Some(at) = next {
-                self.at(at, Happening::Machine { server: number, turn });
+                self.at(
+                    at,
+                    Happening::Machine {
+                        server: number,
+                        turn,
+                    },
+                );
             }
         }
     }
 
     fn ended(&mut self, number: u32, id: u64, error: bool) {
         let server = &mut self.servers[number as usize];
-        let Some(key) = server.jobs.remove(&id) else { return };
-        let Some(task) = self.tasks.get_mut(key) else { return };
+        let Some(key) = server.jobs.remove(&id) else {
+            return;
+        };
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
         task.report = server.machine.answer_report(self.now);
         let (tx, work, delay, ended) = (task.tx, task.work, task.delay, task.ended);
         let spoilt = server.spoilt > 0.0 && self.machines.chance(server.spoilt);
         let broken = task.doomed || spoilt;
-        self.note(Entry::Ran { tx, server: number, work });
+        self.note(Entry::Ran {
+            tx,
+            server: number,
+            work,
+        });
         let outcome = match (broken, error) {
             (true, _) => Outcome::Reset,
             (false, true) => Outcome::ServerError,
@@ -369,10 +450,15 @@
 
     /// The end of a routed task is at its sidecar.
     pub(super) fn back(&mut self, key: TaskKey, outcome: Outcome) {
-        let Some(task) = self.tasks.get_mut(key) else { return };
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
         if !task.ended {
             let (sidecar, server) = (task.sidecar, task.server);
-            let whole = matches!(outcome, Outcome::Served | Outcome::ServerError | Outcome::Rejected);
+            let whole = matches!(
+                outcome,
+                Outcome::Served | Outcome::ServerError | Outcome::Rejected
+            );
             if let Some(start) = task.connection.take() {
                 if whole {
                     self.keep(sidecar, server, self.now, start);
@@ -382,24 +468,36 @@
             }
             let mut events = VecDeque::new();
             self.end_task(key, outcome, &mut events);
-            events.into_iter().for_each(|event| self.tell(sidecar, event));
+            events
+                .into_iter()
+                .for_each(|event| self.tell(sidecar, event));
         }
         self.tasks.remove(key);
     }
 
     /// A routed task's time is over, or its connection did not come up.
     pub(super) fn late(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get(key) else { return };
+        let Some(task) = self.tasks.get(key) else {
+            return;
+        };
         if task.ended || task.written && self.now < task.until {
             return;
         }
         let (sidecar, server, job) = (task.sidecar, task.server, task.job);
-        let outcome = if task.written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        let outcome = if task.written {
+            Outcome::TimedOut
+        } else {
+            Outcome::ConnectFailed
+        };
         self.hang_up(key);
         let mut events = VecDeque::new();
         self.end_task(key, outcome, &mut events);
-        events.into_iter().for_each(|event| self.tell(sidecar, event));
-        if !self.servers[server as usize].jobs.contains_key(&job) && outcome == Outcome::ConnectFailed {
+        events
+            .into_iter()
+            .for_each(|event| self.tell(sidecar, event));
+        if !self.servers[server as usize].jobs.contains_key(&job)
+            && outcome == Outcome::ConnectFailed
+        {
             self.tasks.remove(key);
         }
     }
@@ -412,16 +510,31 @@
         let delay = self.delay(sidecar, server);
         let fresh = self.idle(sidecar, server).is_none();
         let way = if fresh { 3 * delay } else { delay };
-        self.after(way, Happening::ProbeArrives { sidecar, life, server, delay: delay as u32, fresh });
+        self.after(
+            way,
+            Happening::ProbeArrives {
+                sidecar,
+                life,
+                server,
+                delay: delay as u32,
+                fresh,
+            },
+        );
     }
 
     pub(super) fn probe_arrives(&mut self, of: (u32, u32), number: u32, delay: u32, fresh: bool) {
         let (sidecar, life) = of;
         let server = &mut self.servers[number as usize];
-        let back = |outcome, load| Happening::ProbeBack { sidecar, life, server: number, outcome, load };
+        let back = |outcome, load| Happening::ProbeBack {
+            sidecar,
+            life,
+            server: number,
+            outcome,
+            load,
+        };
         let delay = Micros::from(delay);
-        let refused =
-            server.net == Net::Refusing || server.net == Net::Open && fresh && !server.machine.connect();
+        let refused = server.net == Net::Refusing
+            || server.net == Net::Open && fresh && !server.machine.connect();
         if refused {
             self.after(delay, back(Outcome::ConnectFailed, None));
             return;
@@ -439,7 +552,11 @@
         }
         let start = server.start;
         let load = server.machine.probe(self.now, &mut self.events).map(load);
-        let outcome = if load.is_some() { Outcome::Served } else { Outcome::Rejected };
+        let outcome = if load.is_some() {
+            Outcome::Served
+        } else {
+            Outcome::Rejected
+        };
         self.after(delay, back(outcome, load));
         if fresh {
             self.note(Entry::Opened { server: number });
--- a/crates/testbed/src/model/sidecar.rs
+++ b/crates/testbed/src/model/sidecar.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use arrowstand_balancer::{
-    Action, AttemptEnd, Call, Class as ModuleClass, ClassId, Event, LoadReport, RequestId, Scope, Semantics,
-    ServerId, Settings,
+    Action, AttemptEnd, Call, Class as ModuleClass, ClassId, Event, LoadReport, RequestId, Scope,
+    Semantics, ServerId, Settings,
 };
 use arrowstand_control::Informed;
 
@@ -43,7 +43,11 @@
         Effect::Unsafe => Semantics::SideEffect,
         Effect::Keyed => Semantics::Keyed,
     };
-    let scope = if class.group == Group::Zone { Scope::Zone } else { Scope::All };
+    let scope = if class.group == Group::Zone {
+        Scope::Zone
+    } else {
+        Scope::All
+    };
     let (aim, deadline) = (from_ms(class.aim_ms), from_ms(class.deadline_ms));
     ModuleClass {
         worth: class.worth,
@@ -91,7 +95,9 @@
     pub(super) fn build_sidecars(&mut self) -> Result<(), String> {
         let seed = self.day.seed;
         for (number, part) in parts(self.day).into_iter().enumerate() {
-            settings(self.day, number).validate().map_err(|e| e.to_string())?;
+            settings(self.day, number)
+                .validate()
+                .map_err(|e| e.to_string())?;
             let stream = |cause| Stream::new(seed, cause, number);
             self.sidecars.push(Sidecar {
                 zone: self.day.spread_zone(number),
@@ -124,10 +130,22 @@
         let seed = sidecar.seeds.number();
         sidecar.balancer = Informed::new(settings, seed).ok();
         sidecar.subscribed = false;
-        let known: Vec<_> = sidecar.known.iter().map(|(&server, &(l, at))| (server, l, at)).collect();
+        let known: Vec<_> = sidecar
+            .known
+            .iter()
+            .map(|(&server, &(l, at))| (server, l, at))
+            .collect();
         let version = sidecar.version;
-        self.note(Entry::Sidecar { sidecar: number, life: Life::Up });
-        self.list_told(number, arrowstand_balancer::ListKind::WarmCopy, version, known);
+        self.note(Entry::Sidecar {
+            sidecar: number,
+            life: Life::Up,
+        });
+        self.list_told(
+            number,
+            arrowstand_balancer::ListKind::WarmCopy,
+            version,
+            known,
+        );
     }
 
     pub(super) fn is_up(&self, number: u32) -> bool {
@@ -141,15 +159,25 @@
         }
         if !kill {
             // What is open is answered first: the real program accepts for 0.7 s more, and drains.
-            self.note(Entry::Sidecar { sidecar: number, life: Life::Ending });
+            self.note(Entry::Sidecar {
+                sidecar: number,
+                life: Life::Ending,
+            });
             let grace = 700_000;
             self.after(
                 grace,
-                Happening::Restart { sidecar: number, down: down.saturating_sub(grace), kill: true },
+                Happening::Restart {
+                    sidecar: number,
+                    down: down.saturating_sub(grace),
+                    kill: true,
+                },
             );
             return;
         }
-        self.note(Entry::Sidecar { sidecar: number, life: Life::Killed });
+        self.note(Entry::Sidecar {
+            sidecar: number,
+            life: Life::Killed,
+        });
         let sidecar = &mut self.sidecars[number as usize];
         sidecar.balancer = None;
         sidecar.subscribed = false;
@@ -160,13 +188,22 @@
             self.disconnect(server, pool.iter().map(|(_, start)| *start));
         }
         for key in open.into_values() {
-            let Some(of) = self.tries.get_mut(key) else { continue };
+            let Some(of) = self.tries.get_mut(key) else {
+                continue;
+            };
             let unanswered = !std::mem::replace(&mut of.answered, true);
             let tasks = std::mem::take(&mut of.tasks);
             tasks.into_iter().for_each(|task| self.hang_up(task));
             if unanswered {
                 let back = from_ms(self.day.network.client_ms);
-                self.after(back, Happening::Told { of: key, how: How::Cut, pause: 0 });
+                self.after(
+                    back,
+                    Happening::Told {
+                        of: key,
+                        how: How::Cut,
+                        pause: 0,
+                    },
+                );
             }
         }
         self.after(down, Happening::Up(number));
@@ -191,21 +228,31 @@
     }
 
     fn carry_out(&mut self, number: u32, action: Action, events: &mut VecDeque<Event>) {
-        let open = |this: &Self, id: RequestId| this.sidecars[number as usize].open.get(&id.0).copied();
+        let open =
+            |this: &Self, id: RequestId| this.sidecars[number as usize].open.get(&id.0).copied();
         match action {
-            Action::Send { request, server, timeout } => {
+            Action::Send {
+                request,
+                server,
+                timeout,
+            } => {
                 if let Some(key) = open(self, request) {
                     self.send(key, server.0, timeout, events);
                 }
             }
             Action::Cancel { request, attempt } => {
-                let tasks = open(self, request).and_then(|key| self.tries.get(key)).map(|t| &t.tasks);
+                let tasks = open(self, request)
+                    .and_then(|key| self.tries.get(key))
+                    .map(|t| &t.tasks);
                 let task = tasks.and_then(|tasks| tasks.get(attempt as usize)).copied();
                 if let Some(task) = task {
                     self.abort(task, events);
                 }
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse {
+                request,
+                retry_after,
+            } => {
                 if let Some(key) = open(self, request) {
                     let pause = retry_after.unwrap_or(from_ms(self.day.allow.max_retry_after_ms));
                     self.answer(key, How::Refused, pause, events);
@@ -219,7 +266,14 @@
             }
             Action::Timer { token, after } => {
                 let life = self.sidecars[number as usize].life;
-                self.after(after, Happening::Timer { sidecar: number, life, token });
+                self.after(
+                    after,
+                    Happening::Timer {
+                        sidecar: number,
+                        life,
+                        token,
+                    },
+                );
             }
             Action::Probe { server } => self.probe(number, server.0),
             Action::Subscribe => self.subscribe(number),
@@ -235,72 +289,119 @@
 
     /// A transaction's last byte is at its sidecar.
     pub(super) fn reached(&mut self, key: TryKey) {
-        let Some(of) = self.tries.get(key) else { return };
-        let (number, sidecar, class, due, size_hint) = (of.number, of.sidecar, of.class, of.due, of.hint);
+        let Some(of) = self.tries.get(key) else {
+            return;
+        };
+        let (number, sidecar, class, due, size_hint) =
+            (of.number, of.sidecar, of.class, of.due, of.hint);
         if !self.is_up(sidecar) || self.sidecars[sidecar as usize].life != of.life {
             self.told(key, How::Unreached, 0);
             return;
         }
         let ask = self.asks.get(of.ask).map_or(0, |a| a.number);
-        self.note(Entry::Taken { tx: number, ask, sidecar, class, due });
+        self.note(Entry::Taken {
+            tx: number,
+            ask,
+            sidecar,
+            class,
+            due,
+        });
         self.sidecars[sidecar as usize].open.insert(number, key);
         let left = due.saturating_sub(self.now);
         self.at(due.saturating_sub(MARGIN), Happening::Last(key));
-        let call = Call { id: RequestId(number), class: ClassId(class), time_left: left, size_hint };
+        let call = Call {
+            id: RequestId(number),
+            class: ClassId(class),
+            time_left: left,
+            size_hint,
+        };
         self.tell(sidecar, Event::Request(call));
     }
 
     /// The sidecar's last moment for a transaction that the module has not decided.
     pub(super) fn last(&mut self, key: TryKey) {
-        let Some(of) = self.tries.get(key).filter(|t| !t.answered) else { return };
+        let Some(of) = self.tries.get(key).filter(|t| !t.answered) else {
+            return;
+        };
         let (sidecar, number) = (of.sidecar, of.number);
         if !self.is_up(sidecar) {
             return;
         }
-        let mut events = VecDeque::from([Event::Dropped { request: RequestId(number) }]);
+        let mut events = VecDeque::from([Event::Dropped {
+            request: RequestId(number),
+        }]);
         let pause = from_ms(self.day.allow.max_retry_after_ms);
         self.answer(key, How::Failed, pause, &mut events);
-        events.into_iter().for_each(|event| self.tell(sidecar, event));
+        events
+            .into_iter()
+            .for_each(|event| self.tell(sidecar, event));
     }
 
     /// The terminal has left: nothing more is owed, and what is out is called off.
     pub(super) fn abandoned(&mut self, key: TryKey) {
-        let Some(of) = self.tries.get_mut(key) else { return };
+        let Some(of) = self.tries.get_mut(key) else {
+            return;
+        };
         if std::mem::replace(&mut of.answered, true) {
             return;
         }
         let (sidecar, number) = (of.sidecar, of.number);
-        let mut events = VecDeque::from([Event::Dropped { request: RequestId(number) }]);
+        let mut events = VecDeque::from([Event::Dropped {
+            request: RequestId(number),
+        }]);
         self.close(key, &mut events);
-        events.into_iter().for_each(|event| self.tell(sidecar, event));
+        events
+            .into_iter()
+            .for_each(|event| self.tell(sidecar, event));
     }
 
     /// Gives the one final answer and calls off what is still out.
     fn answer(&mut self, key: TryKey, how: How, pause: Micros, events: &mut VecDeque<Event>) {
-        let Some(of) = self.tries.get_mut(key) else { return };
+        let Some(of) = self.tries.get_mut(key) else {
+            return;
+        };
         if std::mem::replace(&mut of.answered, true) {
             return;
         }
         self.close(key, events);
         let back = from_ms(self.day.network.client_ms);
-        self.after(back, Happening::Told { of: key, how, pause: pause as u32 });
+        self.after(
+            back,
+            Happening::Told {
+                of: key,
+                how,
+                pause: pause as u32,
+            },
+        );
     }
 
     fn close(&mut self, key: TryKey, events: &mut VecDeque<Event>) {
-        let Some(of) = self.tries.get(key) else { return };
+        let Some(of) = self.tries.get(key) else {
+            return;
+        };
         let (sidecar, number, tasks) = (of.sidecar, of.number, of.tasks.clone());
         tasks.into_iter().for_each(|task| self.abort(task, events));
         self.sidecars[sidecar as usize].open.remove(&number);
     }
 
     /// Tells the module how a routed task ended.
-    pub(super) fn end_task(&mut self, key: TaskKey, outcome: Outcome, events: &mut VecDeque<Event>) {
-        let Some(task) = self.tasks.get_mut(key) else { return };
+    pub(super) fn end_task(
+        &mut self,
+        key: TaskKey,
+        outcome: Outcome,
+        events: &mut VecDeque<Event>,
+    ) {
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
         if std::mem::replace(&mut task.ended, true) {
             return;
         }
         let (of, tx, server, attempt) = (task.of, task.tx, task.server, task.attempt);
-        let report = task.report.map(|held| LoadReport { held: held as f64, waiting: 0.0 });
+        let report = task.report.map(|held| LoadReport {
+            held: held as f64,
+            waiting: 0.0,
+        });
         let elapsed = self.now - task.sent;
         let answered = self.tries.get(of).is_none_or(|t| t.answered);
         let finished = answered || outcome == Outcome::Served;
@@ -337,9 +438,18 @@
         if self.sidecars[number as usize].life != life {
             return;
         }
-        let report =
-            load.map(|(held, waiting)| LoadReport { held: f64::from(held), waiting: f64::from(waiting) });
-        self.tell(number, Event::Probed { server: ServerId(server), outcome, report });
+        let report = load.map(|(held, waiting)| LoadReport {
+            held: f64::from(held),
+            waiting: f64::from(waiting),
+        });
+        self.tell(
+            number,
+            Event::Probed {
+                server: ServerId(server),
+                outcome,
+                report,
+            },
+        );
     }
 }
 
--- a/crates/testbed/src/model/terminal.rs
+++ b/crates/testbed/src/model/terminal.rs
@@ -24,11 +24,37 @@
 
     pub(super) fn arrival(&mut self, number: u32, wish: Wish) {
         let (ask_number, now) = (self.number(), self.now);
-        let Wish { class, shop, work, hint, honours, .. } = wish;
-        let within = self.quotas.get_mut(usize::from(shop)).is_none_or(|quota| quota.take(now));
-        self.note(Entry::Asked { ask: ask_number, sidecar: number, class, shop, within, work });
+        let Wish {
+            class,
+            shop,
+            work,
+            hint,
+            honours,
+            ..
+        } = wish;
+        let within = self
+            .quotas
+            .get_mut(usize::from(shop))
+            .is_none_or(|quota| quota.take(now));
+        self.note(Entry::Asked {
+            ask: ask_number,
+            sidecar: number,
+            class,
+            shop,
+            within,
+            work,
+        });
         let deadline = now + from_ms(self.day.class[usize::from(class)].deadline_ms);
-        let ask = Ask { number: ask_number, sidecar: number, class, work, hint, deadline, tries: 0, honours };
+        let ask = Ask {
+            number: ask_number,
+            sidecar: number,
+            class,
+            work,
+            hint,
+            deadline,
+            tries: 0,
+            honours,
+        };
         let full = self.tries.len() >= self.day.load.open_most;
         let key = self.asks.insert(ask);
         if full {
@@ -44,7 +70,9 @@
     pub(super) fn attempt(&mut self, key: AskKey) {
         let number = self.number();
         let day = self.day;
-        let Some(ask) = self.asks.get_mut(key) else { return };
+        let Some(ask) = self.asks.get_mut(key) else {
+            return;
+        };
         ask.tries += 1;
         let sidecar = &mut self.sidecars[ask.sidecar as usize];
         let [least, most] = day.terminals.patience;
@@ -77,7 +105,9 @@
 
     /// The final answer is at the terminal.
     pub(super) fn told(&mut self, key: TryKey, how: How, pause: u32) {
-        let Some(of) = self.tries.remove(key) else { return };
+        let Some(of) = self.tries.remove(key) else {
+            return;
+        };
         if how != How::Unreached {
             self.note(Entry::Answered { tx: of.number, how });
         }
@@ -110,7 +140,9 @@
 
     fn ended_try(&mut self, key: AskKey, how: How, pause: Micros) {
         let day = self.day;
-        let Some(ask) = self.asks.get(key) else { return };
+        let Some(ask) = self.asks.get(key) else {
+            return;
+        };
         let class = &day.class[usize::from(ask.class)];
         let anywhere = class.effect == Effect::Safe;
         let again = match how {
@@ -121,7 +153,11 @@
         let chance = &mut self.sidecars[ask.sidecar as usize].terminals;
         let [least, most] = day.terminals.backoff_ms;
         let backoff = from_ms(chance.between(least, most));
-        let wait = if ask.honours && how == How::Refused { pause.max(1) } else { backoff };
+        let wait = if ask.honours && how == How::Refused {
+            pause.max(1)
+        } else {
+            backoff
+        };
         if again && ask.tries <= day.terminals.retries && self.now + wait < ask.deadline {
             self.after(wait, Happening::Again(key));
         } else {
@@ -130,7 +166,13 @@
     }
 
     fn close_ask(&mut self, key: AskKey, how: How) {
-        let Some(ask) = self.asks.remove(key) else { return };
-        self.note(Entry::Closed { ask: ask.number, how, tries: ask.tries });
+        let Some(ask) = self.asks.remove(key) else {
+            return;
+        };
+        self.note(Entry::Closed {
+            ask: ask.number,
+            how,
+            tries: ask.tries,
+        });
     }
 }
--- a/crates/testbed/src/model/troubles.rs
+++ b/crates/testbed/src/model/troubles.rs
@@ -16,11 +16,18 @@
         let number = |name: &String| name.strip_prefix('s').and_then(|n| n.parse().ok());
         return trouble.servers.iter().filter_map(number).collect();
     }
-    let zone = trouble.zone.as_ref().and_then(|z| day.network.zones.iter().position(|n| n == z));
+    let zone = trouble
+        .zone
+        .as_ref()
+        .and_then(|z| day.network.zones.iter().position(|n| n == z));
     let mut there: Vec<u32> = (0..zones.len() as u32)
         .filter(|&s| zone.is_none_or(|z| zones.get(s as usize) == Some(&(z as u32))))
         .collect();
-    let part = if trouble.part > 0.0 { trouble.part } else { 1.0 };
+    let part = if trouble.part > 0.0 {
+        trouble.part
+    } else {
+        1.0
+    };
     let count = ((there.len() as f64 * part).round() as usize).clamp(1, there.len().max(1));
     draw(day, index, &mut there, count)
 }
@@ -40,13 +47,21 @@
 pub fn roll(day: &Day, index: usize) -> Vec<(u32, Micros)> {
     let trouble = &day.trouble[index];
     let all = day.sidecars.count;
-    let part = if trouble.part > 0.0 { trouble.part } else { 1.0 };
+    let part = if trouble.part > 0.0 {
+        trouble.part
+    } else {
+        1.0
+    };
     let count = ((all as f64 * part).round() as usize).clamp(1, all);
     let concerned = draw(day, index, &mut (0..all as u32).collect(), count);
     let batch = ((all as f64 * trouble.batch).floor() as usize).max(1);
     let batches = concerned.len().div_ceil(batch);
     let pause = from_s(trouble.for_s) / batches.max(1) as Micros;
-    concerned.iter().enumerate().map(|(i, &s)| (s, (i / batch) as Micros * pause)).collect()
+    concerned
+        .iter()
+        .enumerate()
+        .map(|(i, &s)| (s, (i / batch) as Micros * pause))
+        .collect()
 }
 
 impl Model<'_> {
@@ -69,8 +84,20 @@
                     }
                 }
                 _ => {
-                    self.at(at, Happening::Trouble { index: number, starts: true });
-                    self.at(at + length, Happening::Trouble { index: number, starts: false });
+                    self.at(
+                        at,
+                        Happening::Trouble {
+                            index: number,
+                            starts: true,
+                        },
+                    );
+                    self.at(
+                        at + length,
+                        Happening::Trouble {
+                            index: number,
+                            starts: false,
+                        },
+                    );
                 }
             }
         }
@@ -92,11 +119,16 @@
 
     fn server_trouble(&mut self, number: u32, trouble: &Trouble, starts: bool) {
         let now = self.now;
-        let (notice, silent) = (self.day.discovery.notice_ms, self.day.discovery.silent_notice_ms);
+        let (notice, silent) = (
+            self.day.discovery.notice_ms,
+            self.day.discovery.silent_notice_ms,
+        );
         let server = &mut self.servers[number as usize];
         match (trouble.what, starts) {
             (What::Pause, true) if server.machine.state() == State::Up => {
-                server.machine.set_state(now, State::Paused, &mut self.events);
+                server
+                    .machine
+                    .set_state(now, State::Paused, &mut self.events);
                 self.fate(number, Fate::Paused);
             }
             (What::Pause, false) if server.machine.state() == State::Paused => {
@@ -104,7 +136,11 @@
                 self.fate(number, Fate::Up);
             }
             (What::Slow, _) => {
-                server.machine.set_slower(now, if starts { trouble.times } else { 1.0 }, &mut self.events);
+                server.machine.set_slower(
+                    now,
+                    if starts { trouble.times } else { 1.0 },
+                    &mut self.events,
+                );
                 self.fate(number, if starts { Fate::Slow } else { Fate::Up });
             }
             (What::Errors, _) => server.machine.set_errors(starts.then_some(trouble.share)),
@@ -141,7 +177,9 @@
     pub(super) fn vanish(&mut self, number: u32, net: Net) {
         let server = &mut self.servers[number as usize];
         server.net = net;
-        server.machine.set_state(self.now, State::Down, &mut self.events);
+        server
+            .machine
+            .set_state(self.now, State::Down, &mut self.events);
         let held: Vec<TaskKey> = std::mem::take(&mut server.jobs).into_values().collect();
         if net == Net::Silent {
             server.lost.extend(held);
@@ -153,7 +191,9 @@
 
     fn reset(&mut self, tasks: Vec<TaskKey>) {
         for key in tasks {
-            let Some(delay) = self.tasks.get(key).map(|t| t.delay) else { continue };
+            let Some(delay) = self.tasks.get(key).map(|t| t.delay) else {
+                continue;
+            };
             self.after(delay, Happening::Back(key, Outcome::Reset));
         }
     }
@@ -164,7 +204,9 @@
         server.net = Net::Open;
         server.draining = false;
         server.launched = self.now;
-        server.machine.set_state(self.now, State::Up, &mut self.events);
+        server
+            .machine
+            .set_state(self.now, State::Up, &mut self.events);
         let lost = std::mem::take(&mut server.lost);
         self.reset(lost);
         self.fate(number, Fate::Cold);
@@ -176,15 +218,22 @@
         self.vanish(old, Net::Refusing);
         self.fate(old, Fate::Down);
         self.announce(old, Listing::Gone, self.day.discovery.notice_ms);
-        let (kind, zone) =
-            (self.servers[old as usize].machine.kind().clone(), self.servers[old as usize].zone);
+        let (kind, zone) = (
+            self.servers[old as usize].machine.kind().clone(),
+            self.servers[old as usize].zone,
+        );
         let number = self.servers.len();
-        self.servers.push(Server::new(self.day, &kind, number, zone, self.now, true));
+        self.servers
+            .push(Server::new(self.day, &kind, number, zone, self.now, true));
         self.fate(number as u32, Fate::Cold);
         self.announce(number as u32, Listing::Ready, self.day.discovery.add_ms);
     }
 }
 
 fn restart(sidecar: u32, trouble: &Trouble) -> Happening {
-    Happening::Restart { sidecar, down: from_s(trouble.down_s), kill: trouble.kill }
+    Happening::Restart {
+        sidecar,
+        down: from_s(trouble.down_s),
+        kill: trouble.kill,
+    }
 }
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -18,7 +18,9 @@
     }
 
     pub fn add(&mut self, class: usize, how: How, in_time: bool) {
-        let Some(row) = self.0.get_mut(class) else { return };
+        let Some(row) = self.0.get_mut(class) else {
+            return;
+        };
         row[0] += 1;
         let at = match how {
             How::Served if in_time => 1,
@@ -126,7 +128,10 @@
     }
 
     pub fn count(&self, how: How) -> u64 {
-        self.answered.iter().find(|(h, _)| *h == how).map_or(0, |(_, n)| *n)
+        self.answered
+            .iter()
+            .find(|(h, _)| *h == how)
+            .map_or(0, |(_, n)| *n)
     }
 
     /// Share of the transactions that was served.
@@ -148,7 +153,9 @@
             match self.recovered_s {
                 Some(took) if took <= most => {}
                 Some(took) => missed.push(format!("recovered_s is {took:.1}, above {most:.1}")),
-                None => missed.push(format!("recovered_s: not recovered, {most:.1} were expected")),
+                None => missed.push(format!(
+                    "recovered_s: not recovered, {most:.1} were expected"
+                )),
             }
         }
         self.missed = missed;
@@ -156,14 +163,21 @@
 
     /// True where all held.
     pub fn holds(&self) -> bool {
-        self.broken_count == 0 && self.missed.is_empty() && self.uncounted.is_empty() && self.late.is_none()
+        self.broken_count == 0
+            && self.missed.is_empty()
+            && self.uncounted.is_empty()
+            && self.late.is_none()
     }
 
     /// Figures by name, for tables and plots.
     pub fn figure(&self, name: &str) -> Option<f64> {
         let per_server = |sum: f64| sum / self.seconds / self.servers.max(1) as f64;
         let gauged = |f: fn(&Fleet) -> u64| {
-            let means = self.fleet.iter().filter(|s| s.gauges > 0).map(|s| f(s) as f64 / s.gauges as f64);
+            let means = self
+                .fleet
+                .iter()
+                .filter(|s| s.gauges > 0)
+                .map(|s| f(s) as f64 / s.gauges as f64);
             means.sum::<f64>() / self.servers.max(1) as f64
         };
         let most = |f: fn(&Fleet) -> u64| self.fleet.iter().map(f).max().unwrap_or(0) as f64;
@@ -232,13 +246,24 @@
 
 fn ends(list: &[(How, u64)]) -> String {
     let word = |how: &How| format!("{how:?}").to_lowercase();
-    let parts: Vec<String> = list.iter().map(|(how, n)| format!("{} {n}", word(how))).collect();
+    let parts: Vec<String> = list
+        .iter()
+        .map(|(how, n)| format!("{} {n}", word(how)))
+        .collect();
     parts.join(", ")
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { name, engine, seed, seconds, sidecars, servers, .. } = self;
+        let Self {
+            name,
+            engine,
+            seed,
+            seconds,
+            sidecars,
+            servers,
+            ..
+        } = self;
         writeln!(
             f,
             "{name}: {engine}, seed {seed}, {seconds} s, {sidecars} sidecars, {servers} job servers"
@@ -256,7 +281,11 @@
             self.worst_shop,
             self.service_after_prices
         )?;
-        writeln!(f, "wishes {}, tries {}, transactions {}", self.asked, self.tries, self.transactions)?;
+        writeln!(
+            f,
+            "wishes {}, tries {}, transactions {}",
+            self.asked, self.tries, self.transactions
+        )?;
         writeln!(f, "answers: {}", ends(&self.answered))?;
         writeln!(
             f,
@@ -269,15 +298,31 @@
             self.list_calls_peak,
             100.0 * self.wasted
         )?;
-        let ms =
-            |q: &[f64; 5]| format!("{:.1} / {:.1} / {:.1} / {:.1} / {:.1}", q[0], q[1], q[2], q[3], q[4]);
-        writeln!(f, "latency in ms, 50 / 90 / 99 / 99.9 / 100 %: {}", ms(&self.latency_ms))?;
+        let ms = |q: &[f64; 5]| {
+            format!(
+                "{:.1} / {:.1} / {:.1} / {:.1} / {:.1}",
+                q[0], q[1], q[2], q[3], q[4]
+            )
+        };
+        writeln!(
+            f,
+            "latency in ms, 50 / 90 / 99 / 99.9 / 100 %: {}",
+            ms(&self.latency_ms)
+        )?;
         if let Some(took) = self.recovered_s {
-            writeln!(f, "recovered {took:.1} s after the last restart of a sidecar")?;
+            writeln!(
+                f,
+                "recovered {took:.1} s after the last restart of a sidecar"
+            )?;
         }
         for class in &self.classes {
             let service = class.service.map_or("-".into(), |s| format!("{s:.4}"));
-            writeln!(f, "  {:<14} service {service}; {}", class.name, ends(&class.ended))?;
+            writeln!(
+                f,
+                "  {:<14} service {service}; {}",
+                class.name,
+                ends(&class.ended)
+            )?;
             writeln!(f, "  {:<14} {}", "", ms(&class.latency_ms))?;
         }
         for shop in &self.shops {
@@ -288,10 +333,18 @@
         if fell > 0 {
             writeln!(f, "{fell} job servers fell over")?;
         }
-        self.remarks.iter().try_for_each(|remark| writeln!(f, "{remark}"))?;
-        self.uncounted.iter().try_for_each(|line| writeln!(f, "COUNTS DIFFER: {line}"))?;
-        self.missed.iter().try_for_each(|line| writeln!(f, "MISSED: {line}"))?;
-        self.broken.iter().try_for_each(|line| writeln!(f, "BROKEN: {line}"))?;
+        self.remarks
+            .iter()
+            .try_for_each(|remark| writeln!(f, "{remark}"))?;
+        self.uncounted
+            .iter()
+            .try_for_each(|line| writeln!(f, "COUNTS DIFFER: {line}"))?;
+        self.missed
+            .iter()
+            .try_for_each(|line| writeln!(f, "MISSED: {line}"))?;
+        self.broken
+            .iter()
+            .try_for_each(|line| writeln!(f, "BROKEN: {line}"))?;
         let further = self.broken_count.saturating_sub(self.broken.len() as u64);
         if further > 0 {
             writeln!(f, "BROKEN: {further} more")?;
@@ -308,7 +361,9 @@
     let _ = writeln!(text, "{:<26}{:>12}{:>12}{:>12}", "", "A", "B", "B - A");
     let mut row = |name: &str, a: Option<f64>, b: Option<f64>| {
         let cell = |v: Option<f64>| v.map_or("-".into(), |v| format!("{v:.4}"));
-        let change = a.zip(b).map_or("-".into(), |(a, b)| format!("{:+.4}", b - a));
+        let change = a
+            .zip(b)
+            .map_or("-".into(), |(a, b)| format!("{:+.4}", b - a));
         let _ = writeln!(text, "{name:<26}{:>12}{:>12}{change:>12}", cell(a), cell(b));
     };
     for name in FIGURES {
--- a/crates/testbed/src/scenario/check.rs
+++ b/crates/testbed/src/scenario/check.rs
@@ -14,7 +14,11 @@
 impl Check {
     fn that(&mut self, ok: bool, key: impl Into<String>, why: impl Into<String>) {
         if !ok {
-            self.0.push(Fault { key: key.into(), why: why.into(), line: None });
+            self.0.push(Fault {
+                key: key.into(),
+                why: why.into(),
+                line: None,
+            });
         }
     }
 
@@ -23,18 +27,34 @@
     }
 
     fn not_negative(&mut self, value: f64, key: impl Into<String>) {
-        self.that(value.is_finite() && value >= 0.0, key, "must not be negative");
+        self.that(
+            value.is_finite() && value >= 0.0,
+            key,
+            "must not be negative",
+        );
     }
 
     fn share(&mut self, value: f64, key: impl Into<String>) {
-        self.that((0.0..=1.0).contains(&value), key, "must lie between 0 and 1");
+        self.that(
+            (0.0..=1.0).contains(&value),
+            key,
+            "must lie between 0 and 1",
+        );
     }
 
     fn unique<'a>(&mut self, names: impl Iterator<Item = &'a str>, list: &str) {
         let mut seen = BTreeSet::new();
         for (i, name) in names.enumerate() {
-            self.that(!name.is_empty(), format!("{list}[{i}].name"), "must not be empty");
-            self.that(seen.insert(name), format!("{list}[{i}].name"), format!("{name:?} is there twice"));
+            self.that(
+                !name.is_empty(),
+                format!("{list}[{i}].name"),
+                "must not be empty",
+            );
+            self.that(
+                seen.insert(name),
+                format!("{list}[{i}].name"),
+                format!("{name:?} is there twice"),
+            );
         }
     }
 }
@@ -59,7 +79,11 @@
 
     fn check_network(&self, check: &mut Check) {
         let network = &self.network;
-        check.that(!network.zones.is_empty(), "network.zones", "at least one is needed");
+        check.that(
+            !network.zones.is_empty(),
+            "network.zones",
+            "at least one is needed",
+        );
         let distinct = network.zones.iter().collect::<BTreeSet<_>>().len() == network.zones.len();
         check.that(distinct, "network.zones", "a zone is there twice");
         check.not_negative(network.same_ms, "network.same_ms");
@@ -74,7 +98,11 @@
             let key = |name: &str| format!("kind[{i}].{name}");
             check.that(kind.cores > 0, key("cores"), "must be above zero");
             check.positive(kind.speed, key("speed"));
-            check.that((0.0..1.0).contains(&kind.speed_spread), key("speed_spread"), "must lie below 1");
+            check.that(
+                (0.0..1.0).contains(&kind.speed_spread),
+                key("speed_spread"),
+                "must lie below 1",
+            );
             let cold = kind.cold_from > 0.0 && kind.cold_from <= 1.0;
             check.that(cold, key("cold_from"), "must be above 0 and at most 1");
             check.not_negative(kind.cold_s, key("cold_s"));
@@ -90,22 +118,42 @@
             check.not_negative(kind.probes_per_s, key("probes_per_s"));
             if let Some(choke) = &kind.choke {
                 check.positive(choke.at, key("choke.at"));
-                check.that(choke.slower >= 1.0, key("choke.slower"), "must be 1 or more");
-                check.that(choke.below < choke.at, key("choke.below"), "must be below choke.at");
+                check.that(
+                    choke.slower >= 1.0,
+                    key("choke.slower"),
+                    "must be 1 or more",
+                );
+                check.that(
+                    choke.below < choke.at,
+                    key("choke.below"),
+                    "must be below choke.at",
+                );
                 check.not_negative(choke.over_s, key("choke.over_s"));
             }
         }
         for (i, group) in self.servers.iter().enumerate() {
             let known = self.kind.iter().any(|k| k.name == group.kind);
-            check.that(known, format!("servers[{i}].kind"), format!("there is no kind {:?}", group.kind));
+            check.that(
+                known,
+                format!("servers[{i}].kind"),
+                format!("there is no kind {:?}", group.kind),
+            );
             self.check_zone(check, group.zone.as_deref(), &format!("servers[{i}].zone"));
         }
         let servers: usize = self.servers.iter().map(|g| g.count).sum();
         check.that(servers > 0, "servers", "at least one job server is needed");
-        check.that(servers <= SERVERS_MOST, "servers", format!("more than {SERVERS_MOST} job servers"));
+        check.that(
+            servers <= SERVERS_MOST,
+            "servers",
+            format!("more than {SERVERS_MOST} job servers"),
+        );
         let sidecars = self.sidecars.count;
         check.that(sidecars > 0, "sidecars.count", "must be above zero");
-        check.that(sidecars <= SIDECARS_MOST, "sidecars.count", format!("must be at most {SIDECARS_MOST}"));
+        check.that(
+            sidecars <= SIDECARS_MOST,
+            "sidecars.count",
+            format!("must be at most {SIDECARS_MOST}"),
+        );
         check.not_negative(self.sidecars.skew, "sidecars.skew");
     }
 
@@ -146,7 +194,11 @@
             check.not_negative(shop.usage, format!("shop[{i}].usage"));
         }
         let shops = sum(&mut self.shop.iter().map(|s| s.share));
-        check.that(shops <= 1.0 + 1e-6, "shop", format!("shares add up to {shops:.3}, which is above 1"));
+        check.that(
+            shops <= 1.0 + 1e-6,
+            "shop",
+            format!("shares add up to {shops:.3}, which is above 1"),
+        );
         let load = &self.load;
         check.not_negative(load.rate, "load.rate");
         check.not_negative(load.of_capacity, "load.of_capacity");
@@ -154,19 +206,33 @@
         check.not_negative(load.hints.unwrap_or(0.0), "load.hints");
         check.positive(load.period_s, "load.period_s");
         check.not_negative(load.low, "load.low");
-        check.that(load.high >= load.low, "load.high", "must not be below load.low");
+        check.that(
+            load.high >= load.low,
+            "load.high",
+            "must not be below load.low",
+        );
         check.that(load.open_most > 0, "load.open_most", "must be above zero");
-        let arrivals =
-            self.rate().max(if load.shape == Shape::Brim { load.high * self.full_rate() } else { 0.0 })
-                * self.seconds;
+        let arrivals = self.rate().max(if load.shape == Shape::Brim {
+            load.high * self.full_rate()
+        } else {
+            0.0
+        }) * self.seconds;
         if arrivals.is_finite() {
             let fits = arrivals <= ARRIVALS_MOST;
-            check.that(fits, "load", format!("{arrivals:.0} arrivals are more than {ARRIVALS_MOST:.0}"));
+            check.that(
+                fits,
+                "load",
+                format!("{arrivals:.0} arrivals are more than {ARRIVALS_MOST:.0}"),
+            );
         }
         let terminals = &self.terminals;
         let [first, last] = terminals.patience;
         let order = first > 0.0 && first <= last && last <= 1.0;
-        check.that(order, "terminals.patience", "must be two shares in order, above 0 and at most 1");
+        check.that(
+            order,
+            "terminals.patience",
+            "must be two shares in order, above 0 and at most 1",
+        );
         let [least, most] = terminals.backoff_ms;
         let order = least >= 0.0 && least <= most && most.is_finite();
         check.that(order, "terminals.backoff_ms", "must be two times in order");
@@ -202,9 +268,16 @@
         ] {
             check.positive(value, key);
         }
-        check.that(self.allow.max_attempts > 0, "allow.max_attempts", "must be above zero");
+        check.that(
+            self.allow.max_attempts > 0,
+            "allow.max_attempts",
+            "must be above zero",
+        );
         check.share(self.rules.over_share_worth, "rules.over_share_worth");
-        for (value, key) in [(self.expect.service, "expect.service"), (self.expect.served, "expect.served")] {
+        for (value, key) in [
+            (self.expect.service, "expect.service"),
+            (self.expect.served, "expect.served"),
+        ] {
             check.share(value.unwrap_or(0.0), key);
         }
     }
@@ -212,7 +285,11 @@
     fn check_trouble(&self, check: &mut Check, trouble: &Trouble, at: &str) {
         let key = |name: &str| format!("{at}.{name}");
         check.not_negative(trouble.at_s, key("at_s"));
-        check.that(trouble.at_s < self.seconds, key("at_s"), "lies after the end of the day");
+        check.that(
+            trouble.at_s < self.seconds,
+            key("at_s"),
+            "lies after the end of the day",
+        );
         check.not_negative(trouble.for_s, key("for_s"));
         check.share(trouble.part, key("part"));
         check.share(trouble.share, key("share"));
@@ -228,11 +305,19 @@
         for (i, name) in trouble.servers.iter().enumerate() {
             let number = name.strip_prefix('s').and_then(|n| n.parse::<usize>().ok());
             let known = number.is_some_and(|n| n < count);
-            check.that(known, format!("{at}.servers[{i}]"), format!("there is no job server {name:?}"));
+            check.that(
+                known,
+                format!("{at}.servers[{i}]"),
+                format!("there is no job server {name:?}"),
+            );
         }
         if trouble.aims_at_servers() {
             let some = !trouble.servers.is_empty() || trouble.part > 0.0 || trouble.zone.is_some();
-            check.that(some, at, "names no job servers: servers, part or zone is needed");
+            check.that(
+                some,
+                at,
+                "names no job servers: servers, part or zone is needed",
+            );
         }
         if let Some(name) = &trouble.class {
             let known = self.class.iter().any(|c| c.name == *name);
@@ -251,8 +336,10 @@
                     && later.at_s < earlier.at_s + earlier.for_s;
                 let name = later.servers.iter().find(|s| earlier.servers.contains(s));
                 if let (true, Some(name)) = (overlap, name) {
-                    let why =
-                        format!("{name} is not there at {} s: trouble[{j}] has taken it away", later.at_s);
+                    let why = format!(
+                        "{name} is not there at {} s: trouble[{j}] has taken it away",
+                        later.at_s
+                    );
                     check.that(false, format!("trouble[{i}].servers"), why);
                 }
             }
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -456,29 +456,46 @@
 
     /// What a sidecar is told of a kind of job server: its number, and its size where the day says so.
     pub fn told_machine(&self, kind: &Kind) -> arrowstand_balancer::Machine {
-        let number = self.kind.iter().position(|k| k.name == kind.name).map_or(0, |n| n as u32 + 1);
+        let number = self
+            .kind
+            .iter()
+            .position(|k| k.name == kind.name)
+            .map_or(0, |n| n as u32 + 1);
         match self.sidecars.knows_kinds {
-            true => {
-                arrowstand_balancer::Machine { kind: number, cores: f64::from(kind.cores), speed: kind.speed }
-            }
+            true => arrowstand_balancer::Machine {
+                kind: number,
+                cores: f64::from(kind.cores),
+                speed: kind.speed,
+            },
             false => arrowstand_balancer::Machine::default(),
         }
     }
 
     /// Work the warm fleet does in a second, in seconds of a standard core.
     pub fn capacity(&self) -> f64 {
-        self.fleet().iter().map(|(kind, _)| f64::from(kind.cores) * kind.speed).sum()
+        self.fleet()
+            .iter()
+            .map(|(kind, _)| f64::from(kind.cores) * kind.speed)
+            .sum()
     }
 
     /// Mean work of a request in seconds.
     pub fn mean_work(&self) -> f64 {
         let shares: f64 = self.class.iter().map(|c| c.share).sum();
-        self.class.iter().map(|c| c.share * c.work_ms / 1_000.0).sum::<f64>() / shares.max(f64::MIN_POSITIVE)
+        self.class
+            .iter()
+            .map(|c| c.share * c.work_ms / 1_000.0)
+            .sum::<f64>()
+            / shares.max(f64::MIN_POSITIVE)
     }
 
     /// Requests a second, on the mean of the day.
     pub fn rate(&self) -> f64 {
-        if self.load.rate > 0.0 { self.load.rate } else { self.load.of_capacity * self.full_rate() }
+        if self.load.rate > 0.0 {
+            self.load.rate
+        } else {
+            self.load.of_capacity * self.full_rate()
+        }
     }
 
     /// Requests a second that the warm fleet can do.
@@ -509,7 +526,10 @@
 
     /// Zone of the job server of that number, which belongs to a group.
     pub fn server_zone(&self, group: &Servers, number: usize) -> u32 {
-        let named = group.zone.as_ref().and_then(|z| self.network.zones.iter().position(|n| n == z));
+        let named = group
+            .zone
+            .as_ref()
+            .and_then(|z| self.network.zones.iter().position(|n| n == z));
         named.map_or(self.spread_zone(number), |z| z as u32)
     }
 
--- a/crates/testbed/src/scenario/read.rs
+++ b/crates/testbed/src/scenario/read.rs
@@ -33,7 +33,11 @@
         for (i, fault) in self.faults.iter().enumerate() {
             let gap = if i > 0 { "\n" } else { "" };
             let line = fault.line.map(|l| format!(":{l}")).unwrap_or_default();
-            let key = if fault.key.is_empty() { String::new() } else { format!("{}: ", fault.key) };
+            let key = if fault.key.is_empty() {
+                String::new()
+            } else {
+                format!("{}: ", fault.key)
+            };
             write!(f, "{gap}{}{line}: {key}{}", self.file, fault.why)?;
         }
         Ok(())
@@ -59,7 +63,11 @@
         let file = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|e| Faults {
             file: file.clone(),
-            faults: vec![Fault { key: String::new(), why: e.to_string(), line: None }],
+            faults: vec![Fault {
+                key: String::new(),
+                why: e.to_string(),
+                line: None,
+            }],
         })?;
         Self::read(&file, &text)
     }
@@ -72,9 +80,22 @@
         let table = text.parse::<toml::Table>().map_err(|e| {
             let line = e.span().map(|s| line_at(text, s.start));
             let why = e.message().to_owned();
-            Faults { file: file.to_owned(), faults: vec![Fault { key: String::new(), why, line }] }
+            Faults {
+                file: file.to_owned(),
+                faults: vec![Fault {
+                    key: String::new(),
+                    why,
+                    line,
+                }],
+            }
         })?;
-        Self { day: Day::default(), file: file.to_owned(), text: text.to_owned(), table }.judged()
+        Self {
+            day: Day::default(),
+            file: file.to_owned(),
+            text: text.to_owned(),
+            table,
+        }
+        .judged()
     }
 
     /// The same scenario with keys set to other values, such as `sidecars.count` or `trouble[0].times`.
@@ -84,21 +105,35 @@
     pub fn with(&self, changes: &[(String, toml::Value)]) -> Result<Self, Faults> {
         let mut new = self.clone();
         for (key, value) in changes {
-            set(&mut new.table, key, value.clone())
-                .map_err(|why| new.faults(vec![Fault { key: key.clone(), why, line: None }]))?;
+            set(&mut new.table, key, value.clone()).map_err(|why| {
+                new.faults(vec![Fault {
+                    key: key.clone(),
+                    why,
+                    line: None,
+                }])
+            })?;
         }
         new.judged()
     }
 
     fn judged(mut self) -> Result<Self, Faults> {
-        let read: Result<Day, _> = serde_path_to_error::deserialize(toml::Value::Table(self.table.clone()));
+        let read: Result<Day, _> =
+            serde_path_to_error::deserialize(toml::Value::Table(self.table.clone()));
         self.day = read.map_err(|e| {
             let key = e.path().to_string().replace(".[", "[");
             let why = e.inner().message().trim().to_owned();
-            self.faults(vec![Fault { key, why, line: None }])
+            self.faults(vec![Fault {
+                key,
+                why,
+                line: None,
+            }])
         })?;
         let faults = self.day.check();
-        if faults.is_empty() { Ok(self) } else { Err(self.faults(faults)) }
+        if faults.is_empty() {
+            Ok(self)
+        } else {
+            Err(self.faults(faults))
+        }
     }
 
     fn faults(&self, mut faults: Vec<Fault>) -> Faults {
@@ -106,7 +141,10 @@
             fault.line = line_of(&self.text, &fault.key);
         }
         faults.sort_by_key(|f| f.line.unwrap_or(usize::MAX));
-        Faults { file: self.file.clone(), faults }
+        Faults {
+            file: self.file.clone(),
+            faults,
+        }
     }
 }
 
@@ -121,12 +159,21 @@
 }
 
 fn line_at(text: &str, byte: usize) -> usize {
-    text.as_bytes().iter().take(byte).filter(|&&b| b == b'\n').count() + 1
+    text.as_bytes()
+        .iter()
+        .take(byte)
+        .filter(|&&b| b == b'\n')
+        .count()
+        + 1
 }
 
 /// `trouble[2].at_s` as `trouble`, `2`, `at_s`.
 fn parts(key: &str) -> Vec<String> {
-    key.replace('[', ".").replace(']', "").split('.').map(str::to_owned).collect()
+    key.replace('[', ".")
+        .replace(']', "")
+        .split('.')
+        .map(str::to_owned)
+        .collect()
 }
 
 /// The line of a key, or of the nearest thing around it that the file names.
@@ -142,9 +189,15 @@
                 line = table.span().map(|s| line_at(text, s.start)).or(line);
                 let mut found = None;
                 // The rest of the key lies within this table.
-                let rest: Vec<String> = parts(key).into_iter().skip_while(|p| *p != part).skip(1).collect();
+                let rest: Vec<String> = parts(key)
+                    .into_iter()
+                    .skip_while(|p| *p != part)
+                    .skip(1)
+                    .collect();
                 if let Some(first) = rest.first() {
-                    found = table.get_key_value(first).map(|(k, v)| (k.span().or(v.span()), v));
+                    found = table
+                        .get_key_value(first)
+                        .map(|(k, v)| (k.span().or(v.span()), v));
                 }
                 if let Some((span, _)) = found {
                     line = span.map(|s| line_at(text, s.start)).or(line);
@@ -157,8 +210,14 @@
             }
             (item, _) => item.as_table_like().and_then(|t| t.get_key_value(&part)),
         };
-        let Some((found, inner)) = next else { return line };
-        line = found.span().or(inner.span()).map(|s| line_at(text, s.start)).or(line);
+        let Some((found, inner)) = next else {
+            return line;
+        };
+        line = found
+            .span()
+            .or(inner.span())
+            .map(|s| line_at(text, s.start))
+            .or(line);
         item = inner;
     }
     line
@@ -166,17 +225,24 @@
 
 fn set(table: &mut toml::Table, key: &str, value: toml::Value) -> Result<(), String> {
     let parts = parts(key);
-    let Some((last, path)) = parts.split_last() else { return Err("is empty".into()) };
+    let Some((last, path)) = parts.split_last() else {
+        return Err("is empty".into());
+    };
     let mut at = table;
     let mut path = path.iter().peekable();
     while let Some(part) = path.next() {
-        let inner = at.entry(part.clone()).or_insert_with(|| toml::Value::Table(toml::Table::new()));
+        let inner = at
+            .entry(part.clone())
+            .or_insert_with(|| toml::Value::Table(toml::Table::new()));
         let number = path.peek().and_then(|p| p.parse::<usize>().ok());
         at = match (inner, number) {
             (toml::Value::Array(list), Some(n)) => {
                 path.next();
-                let item = list.get_mut(n).ok_or_else(|| format!("there is no {part}[{n}]"))?;
-                item.as_table_mut().ok_or_else(|| format!("{part}[{n}] is no table"))?
+                let item = list
+                    .get_mut(n)
+                    .ok_or_else(|| format!("there is no {part}[{n}]"))?;
+                item.as_table_mut()
+                    .ok_or_else(|| format!("{part}[{n}] is no table"))?
             }
             (toml::Value::Table(inner), None) => inner,
             _ => return Err(format!("{part} is no table")),
--- a/crates/testbed/src/stage/counts.rs
+++ b/crates/testbed/src/stage/counts.rs
@@ -50,13 +50,18 @@
 pub fn compare(scene: &Scene, record: &[Line], counted: &Counted) -> Compared {
     let mut found = Compared::default();
     if counted.mute > 0 {
-        found.differences.push(format!("{} sidecars did not tell their counters at their end", counted.mute));
+        found.differences.push(format!(
+            "{} sidecars did not tell their counters at their end",
+            counted.mute
+        ));
         return found;
     }
     let seen = see(record);
     if counted.killed > 0 {
         let n = counted.killed;
-        found.remarks.push(format!("counters not compared: {n} sidecars were killed, and theirs with them"));
+        found.remarks.push(format!(
+            "counters not compared: {n} sidecars were killed, and theirs with them"
+        ));
         return found;
     }
     let count = |name: &str| counted.sum.get(name).copied().unwrap_or(0);
@@ -64,38 +69,67 @@
     let over = count("transactions_over_bound");
     let mut equal = |what: &str, sidecars: u64, stand_ins: u64| {
         if sidecars != stand_ins {
-            found.differences.push(format!("{what}: sidecars {sidecars}, stand-ins {stand_ins}"));
+            found.differences.push(format!(
+                "{what}: sidecars {sidecars}, stand-ins {stand_ins}"
+            ));
         }
     };
-    equal("transactions taken", count("transactions_taken") + over, seen.taken);
-    equal("answers served", count("answered_served"), answers(How::Served));
-    equal("short-on-capacity replies", count("answered_short_on_capacity") + over, answers(How::Refused));
+    equal(
+        "transactions taken",
+        count("transactions_taken") + over,
+        seen.taken,
+    );
+    equal(
+        "answers served",
+        count("answered_served"),
+        answers(How::Served),
+    );
+    equal(
+        "short-on-capacity replies",
+        count("answered_short_on_capacity") + over,
+        answers(How::Refused),
+    );
     let failed = count("answered_failed") + count("answered_overdue");
     equal("transactions failed", failed, answers(How::Failed));
     let unanswered = seen.taken - seen.answers.values().sum::<u64>() - seen.left;
-    equal("terminals gone", count("terminals_gone"), seen.left + unanswered);
+    equal(
+        "terminals gone",
+        count("terminals_gone"),
+        seen.left + unanswered,
+    );
     let (swallowed, unheard) = (&scene.shared.swallowed, &scene.shared.probes_swallowed);
-    let (swallowed, unheard) = (swallowed.load(Ordering::Relaxed), unheard.load(Ordering::Relaxed));
+    let (swallowed, unheard) = (
+        swallowed.load(Ordering::Relaxed),
+        unheard.load(Ordering::Relaxed),
+    );
     // What was called off or timed out may not have been written, or may have been turned away all the same.
     let sure = count("routed_served") + count("routed_error") + count("routed_rejected");
     let open = count("routed_cancelled") + count("routed_timed_out") + count("routed_reset");
     let arrived = seen.began;
     if !(sure..=sure + open).contains(&arrived) {
         let range = format!("{sure} to {}", sure + open);
-        found.differences.push(format!("requests arrived: sidecars {range}, stand-ins {arrived}"));
+        found.differences.push(format!(
+            "requests arrived: sidecars {range}, stand-ins {arrived}"
+        ));
     }
     let rejected = count("routed_rejected");
     let crossed = count("routed_cancelled") + count("routed_timed_out");
     if !(rejected..=rejected + crossed).contains(&seen.turned_away) {
         let range = format!("{rejected} to {}", rejected + crossed);
-        found.differences.push(format!("turned away: sidecars {range}, stand-ins {}", seen.turned_away));
+        found.differences.push(format!(
+            "turned away: sidecars {range}, stand-ins {}",
+            seen.turned_away
+        ));
     }
     let (sent, failed) = (count("probes_sent"), count("probes_failed"));
     // One each may have been on its way as its sidecar ended.
     let least = sent.saturating_sub(failed + scene.shared.day.sidecars.count as u64);
     if !(least..=sent).contains(&seen.probed) {
         let range = format!("{least} to {sent}");
-        found.differences.push(format!("probes: sidecars {range}, stand-ins {}", seen.probed));
+        found.differences.push(format!(
+            "probes: sidecars {range}, stand-ins {}",
+            seen.probed
+        ));
     }
     found.remarks.push(format!(
         "counters compared: {} transactions, {arrived} of {} routed tasks arrived ({swallowed} in silence), \
--- a/crates/testbed/src/stage/discovery.rs
+++ b/crates/testbed/src/stage/discovery.rs
@@ -54,23 +54,40 @@
 }
 
 impl Discovery {
-    pub async fn start(shared: &Arc<Shared>, stand_ins: &[Arc<StandIn>]) -> Result<Arc<Self>, String> {
+    pub async fn start(
+        shared: &Arc<Shared>,
+        stand_ins: &[Arc<StandIn>],
+    ) -> Result<Arc<Self>, String> {
         let launched = |at: usize| stand_ins[at].launched();
-        let line = |at| Line { at, listing: Listing::Ready, launched: launched(at), version: 1 };
-        let lines = (0..stand_ins.len()).map(|at| (at as u32, line(at))).collect();
+        let line = |at| Line {
+            at,
+            listing: Listing::Ready,
+            launched: launched(at),
+            version: 1,
+        };
+        let lines = (0..stand_ins.len())
+            .map(|at| (at as u32, line(at)))
+            .collect();
         let chance = Stream::new(shared.day.seed, Cause::Discovery, 0);
         let mut this = Self {
             shared: Arc::clone(shared),
             stand_ins: stand_ins.to_vec(),
             addresses: Vec::new(),
-            book: Mutex::new(Book { version: 1, lines, busy_until: 0, chance }),
+            book: Mutex::new(Book {
+                version: 1,
+                lines,
+                busy_until: 0,
+                chance,
+            }),
             version: watch::channel(1).0,
             mode: watch::channel(Mode::Up).0,
         };
         let mut listeners = Vec::new();
         for _ in 0..shared.day.sidecars.count {
             let address = free_address()?;
-            let listener = TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))?;
+            let listener = TcpListener::bind(address)
+                .await
+                .map_err(|e| format!("{address}: {e}"))?;
             listeners.push(listener);
             this.addresses.push(address);
         }
@@ -93,12 +110,24 @@
     /// Puts news into the list, unless what they tell is older than what is there by now.
     pub fn set(&self, server: u32, at: usize, listing: Listing, launched: Micros) {
         let mut book = lock(&self.book);
-        if book.lines.get(&server).is_some_and(|line| line.launched > launched) {
+        if book
+            .lines
+            .get(&server)
+            .is_some_and(|line| line.launched > launched)
+        {
             return;
         }
         book.version += 1;
         let version = book.version;
-        book.lines.insert(server, Line { at, listing, launched, version });
+        book.lines.insert(
+            server,
+            Line {
+                at,
+                listing,
+                launched,
+                version,
+            },
+        );
         self.version.send_replace(version);
     }
 
@@ -116,7 +145,9 @@
         let there = book.lines.iter().filter(|(_, line)| wanted(line));
         let (mut targets, mut told) = (Vec::new(), Vec::new());
         for (&server, line) in there {
-            let Some(stand_in) = self.stand_ins.get(line.at) else { continue };
+            let Some(stand_in) = self.stand_ins.get(line.at) else {
+                continue;
+            };
             let zones = &self.shared.day.network.zones;
             targets.push(json!({
                 "uid": format!("s{server}"),
@@ -134,12 +165,20 @@
             }));
             told.push((server, line.listing, line.launched));
         }
-        (json!({"rev": book.version, "all": since.is_none(), "targets": targets}), told)
+        (
+            json!({"rev": book.version, "all": since.is_none(), "targets": targets}),
+            told,
+        )
     }
 
     fn note(&self, sidecar: u32, told: &[(u32, Listing, Micros)]) {
         for &(server, listing, launched) in told {
-            self.shared.note(Entry::Listed { sidecar, server, listing, launched });
+            self.shared.note(Entry::Listed {
+                sidecar,
+                server,
+                listing,
+                launched,
+            });
         }
     }
 
@@ -155,7 +194,10 @@
         };
         let down = *self.mode.borrow() == Mode::Down;
         if down {
-            let _ = wire.stream.write_all(answer("503 Service Unavailable", "", "").as_bytes()).await;
+            let _ = wire
+                .stream
+                .write_all(answer("503 Service Unavailable", "", "").as_bytes())
+                .await;
             return;
         }
         tokio::select! {
@@ -180,7 +222,10 @@
         let request = wire.request().await?;
         self.shared.note(Entry::Called { sidecar });
         self.spoken().await;
-        let (now, most) = (self.shared.clock.now(), from_ms(self.shared.day.discovery.timeout_ms));
+        let (now, most) = (
+            self.shared.clock.now(),
+            from_ms(self.shared.day.discovery.timeout_ms),
+        );
         let turn = {
             let mut book = lock(&self.book);
             let start = book.busy_until.max(now);
@@ -189,21 +234,35 @@
             if fits {
                 book.busy_until = start + took;
             }
-            if fits { Ok(start + took) } else { Err(now + most) }
+            if fits {
+                Ok(start + took)
+            } else {
+                Err(now + most)
+            }
         };
         let (Ok(at) | Err(at)) = turn;
         tokio::time::sleep_until(self.shared.clock.instant(at)).await;
         if turn.is_err() || !request.target.starts_with("/v1/endpoints") {
-            return wire.stream.write_all(answer("503 Service Unavailable", "", "").as_bytes()).await;
+            return wire
+                .stream
+                .write_all(answer("503 Service Unavailable", "", "").as_bytes())
+                .await;
         }
         if request.field("stream").is_none() {
             let (table, told) = self.whole(sidecar);
-            wire.stream.write_all(answer("200 OK", "", &format!("{table}\n")).as_bytes()).await?;
+            wire.stream
+                .write_all(answer("200 OK", "", &format!("{table}\n")).as_bytes())
+                .await?;
             self.note(sidecar, &told);
             return Ok(());
         }
-        wire.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
-        let index = request.field("index").and_then(|i| i.parse().ok()).unwrap_or(0);
+        wire.stream
+            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .await?;
+        let index = request
+            .field("index")
+            .and_then(|i| i.parse().ok())
+            .unwrap_or(0);
         self.watch(wire, sidecar, index).await
     }
 
@@ -240,5 +299,7 @@
 }
 
 async fn chunk(wire: &mut Wire, text: &str) -> std::io::Result<()> {
-    wire.stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
+    wire.stream
+        .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+        .await
 }
--- a/crates/testbed/src/stage/http.rs
+++ b/crates/testbed/src/stage/http.rs
@@ -22,13 +22,18 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
     }
 
     /// A field of the target's query.
     pub fn field(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
-        query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
+        query
+            .split('&')
+            .find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
     }
 }
 
@@ -45,7 +50,10 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, held: BytesMut::new() }
+        Self {
+            stream,
+            held: BytesMut::new(),
+        }
     }
 
     /// Waits for a first byte of something new; false at the end of the connection.
@@ -73,7 +81,17 @@
             {
                 let target = request.path.unwrap_or_default().to_owned();
                 let headers = owned(request.headers);
-                return self.rest(end, Message { target, headers, ..Message::default() }, false).await;
+                return self
+                    .rest(
+                        end,
+                        Message {
+                            target,
+                            headers,
+                            ..Message::default()
+                        },
+                        false,
+                    )
+                    .await;
             }
             self.more().await?;
         }
@@ -89,16 +107,33 @@
             {
                 let status = response.code.unwrap_or_default();
                 let headers = owned(response.headers);
-                return self.rest(end, Message { status, headers, ..Message::default() }, true).await;
+                return self
+                    .rest(
+                        end,
+                        Message {
+                            status,
+                            headers,
+                            ..Message::default()
+                        },
+                        true,
+                    )
+                    .await;
             }
             self.more().await?;
         }
     }
 
-    async fn rest(&mut self, end: usize, mut message: Message, answer: bool) -> io::Result<Message> {
+    async fn rest(
+        &mut self,
+        end: usize,
+        mut message: Message,
+        answer: bool,
+    ) -> io::Result<Message> {
         self.held.advance(end);
         let chunked = message.header("transfer-encoding").is_some();
-        let length = message.header("content-length").map(|l| l.parse::<usize>().map_err(|_| bad("length")));
+        let length = message
+            .header("content-length")
+            .map(|l| l.parse::<usize>().map_err(|_| bad("length")));
         match (length.transpose()?, chunked) {
             (_, true) => self.chunks(&mut message.body).await?,
             (Some(length), false) if length <= MOST => {
@@ -125,7 +160,8 @@
                 }
             };
             let digits = std::str::from_utf8(&line).unwrap_or_default().trim();
-            let length = usize::from_str_radix(digits, 16).map_err(|_| bad("a chunk without a length"))?;
+            let length =
+                usize::from_str_radix(digits, 16).map_err(|_| bad("a chunk without a length"))?;
             if body.len() + length > MOST {
                 return Err(bad("too long"));
             }
@@ -148,10 +184,16 @@
 
 fn owned(headers: &[httparse::Header<'_>]) -> Vec<(String, String)> {
     let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
-    headers.iter().map(|h| (h.name.to_owned(), text(h.value))).collect()
+    headers
+        .iter()
+        .map(|h| (h.name.to_owned(), text(h.value)))
+        .collect()
 }
 
 /// A whole answer.
 pub fn answer(status: &str, headers: &str, body: &str) -> String {
-    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len())
+    format!(
+        "HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}",
+        body.len()
+    )
 }
--- a/crates/testbed/src/stage/mod.rs
+++ b/crates/testbed/src/stage/mod.rs
@@ -57,8 +57,14 @@
 
 impl Clock {
     fn new(ahead: Duration) -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default() + ahead;
-        Self { start: Instant::now() + ahead, unix_ms: unix.as_secs_f64() * 1_000.0 }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            + ahead;
+        Self {
+            start: Instant::now() + ahead,
+            unix_ms: unix.as_secs_f64() * 1_000.0,
+        }
     }
 
     fn now(&self) -> Micros {
@@ -71,7 +77,11 @@
 
     /// Unix milliseconds of a start; 0 for long ago.
     fn boot_ms(&self, launched: Micros) -> f64 {
-        if launched == 0 { 0.0 } else { self.unix_ms + launched as f64 / 1_000.0 }
+        if launched == 0 {
+            0.0
+        } else {
+            self.unix_ms + launched as f64 / 1_000.0
+        }
     }
 }
 
@@ -91,7 +101,9 @@
 
 /// A poisoned lock is used all the same: the record of a task that panicked is still the record.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 impl Shared {
@@ -115,7 +127,11 @@
 
     fn delay(&self, same: bool, unit: f64) -> Micros {
         let network = &self.day.network;
-        let base = if same { network.same_ms } else { network.cross_ms };
+        let base = if same {
+            network.same_ms
+        } else {
+            network.cross_ms
+        };
         from_ms(base * (1.0 + network.jitter * unit))
     }
 }
@@ -139,7 +155,10 @@
     turn: usize,
 }
 
-static PORTS: Mutex<Ports> = Mutex::new(Ports { marks: Vec::new(), turn: 0 });
+static PORTS: Mutex<Ports> = Mutex::new(Ports {
+    marks: Vec::new(),
+    turn: 0,
+});
 
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
@@ -147,13 +166,16 @@
 
 fn mark() -> Option<(TcpListener, u16)> {
     let starts = (0..PORT_BLOCKS).map(|block| PORT_FIRST + block * PORT_BLOCK);
-    starts.filter_map(|start| Some((TcpListener::bind(loopback(start)).ok()?, start))).next()
+    starts
+        .filter_map(|start| Some((TcpListener::bind(loopback(start)).ok()?, start)))
+        .next()
 }
 
 /// Tries an address without listening there. Guards against a sidecar that is started in that very moment: up to its
 /// exec it holds a copy of every socket, and a copy that listens would keep the address from whom it is for.
 fn is_free(address: SocketAddr) -> bool {
-    let tried = TcpSocket::new_v4().and_then(|s| s.set_reuseaddr(true).and_then(|()| s.bind(address)));
+    let tried =
+        TcpSocket::new_v4().and_then(|s| s.set_reuseaddr(true).and_then(|()| s.bind(address)));
     tried.is_ok()
 }
 
@@ -169,7 +191,9 @@
             }
         }
         let turn = ports.turn;
-        let Some((_, start)) = ports.marks.get(turn / each) else { break };
+        let Some((_, start)) = ports.marks.get(turn / each) else {
+            break;
+        };
         let address = loopback(start + 1 + (turn % each) as u16);
         ports.turn += 1;
         if is_free(address) {
@@ -191,14 +215,18 @@
     async fn set(day: &Day, options: &Options) -> Result<Self, String> {
         let pairs = day.fleet().len() * day.sidecars.count;
         if pairs > PAIRS_MOST {
-            return Err(format!("{pairs} pairs of job server and sidecar are more than {PAIRS_MOST}"));
+            return Err(format!(
+                "{pairs} pairs of job server and sidecar are more than {PAIRS_MOST}"
+            ));
         }
         let ahead = Duration::from_millis(1_500 + 30 * day.sidecars.count as u64 + pairs as u64);
         let shared = Arc::new(Shared {
             day: Arc::new(day.clone()),
             clock: Clock::new(ahead),
             record: Mutex::default(),
-            lag: Mutex::new(Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|e| e.to_string())?),
+            lag: Mutex::new(
+                Histogram::new_with_bounds(1, 600_000_000, 3).map_err(|e| e.to_string())?,
+            ),
             numbers: AtomicU64::new(1),
             crossed: Mutex::default(),
             swallowed: AtomicU64::new(0),
@@ -210,7 +238,12 @@
         }
         let discovery = Discovery::start(&shared, &stand_ins).await?;
         let sidecars = Sidecars::new(&shared, &discovery, options)?;
-        Ok(Self { shared, stand_ins, discovery, sidecars })
+        Ok(Self {
+            shared,
+            stand_ins,
+            discovery,
+            sidecars,
+        })
     }
 
     /// The record so far, by time. A request that crossed the close of its connection was not taken, unless a
@@ -250,7 +283,11 @@
 ///
 /// # Errors
 /// What could not be set up or started.
-pub fn run(day: &Day, options: &Options, further: Option<&mut dyn Ledger>) -> Result<Report, String> {
+pub fn run(
+    day: &Day,
+    options: &Options,
+    further: Option<&mut dyn Ledger>,
+) -> Result<Report, String> {
     let runtime = runtime()?;
     let (record, late, counted) = runtime.block_on(async {
         let scene = Scene::set(day, options).await?;
@@ -271,7 +308,11 @@
     })?;
     let extra = from_ms(day.rules.stage_extra_ms);
     let (mut auditor, mut tally) = (Auditor::new(day, extra), Tally::new(day));
-    let mut readers = Readers { first: &mut auditor, second: &mut tally, further };
+    let mut readers = Readers {
+        first: &mut auditor,
+        second: &mut tally,
+        further,
+    };
     record.iter().for_each(|line| readers.note(line));
     auditor.finish();
     let mut report = tally.report("stage", day.seed);
@@ -313,11 +354,16 @@
 
     #[test]
     fn addresses_differ_and_lie_in_blocks_that_nobody_else_can_mark() {
-        let taken: Vec<u16> = (0..1_200).map(|_| free_address().expect("free").port()).collect();
+        let taken: Vec<u16> = (0..1_200)
+            .map(|_| free_address().expect("free").port())
+            .collect();
         assert_eq!(taken.iter().collect::<HashSet<_>>().len(), taken.len());
         for port in taken {
             let start = port - port % PORT_BLOCK;
-            assert!(port != start && TcpListener::bind(loopback(start)).is_err(), "{port}");
+            assert!(
+                port != start && TcpListener::bind(loopback(start)).is_err(),
+                "{port}"
+            );
         }
     }
 
--- a/crates/testbed/src/stage/process.rs
+++ b/crates/testbed/src/stage/process.rs
@@ -115,8 +115,9 @@
 /// The operator's table of kinds, empty where sidecars are told of none.
 fn write_machines(day: &Day, folder: &Path) -> Result<PathBuf, String> {
     let told = day.kind.iter().filter(|_| day.sidecars.knows_kinds);
-    let told: Vec<Value> =
-        told.map(|k| json!({"model": k.name, "cores": k.cores, "speed": k.speed})).collect();
+    let told: Vec<Value> = told
+        .map(|k| json!({"model": k.name, "cores": k.cores, "speed": k.speed}))
+        .collect();
     let path = folder.join("machines.json");
     let text = json!({"machines": told}).to_string();
     std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
@@ -143,11 +144,20 @@
                 seeds: Mutex::new(Stream::new(shared.day.seed, Cause::Seeds, number)),
             })
         };
-        let list = (0..shared.day.sidecars.count).map(one).collect::<Result<_, String>>()?;
+        let list = (0..shared.day.sidecars.count)
+            .map(one)
+            .collect::<Result<_, String>>()?;
         let (shared, discovery) = (Arc::clone(shared), Arc::clone(discovery));
         // Written once: guards against a sidecar that reads it, as it starts, while it is written for the next.
         let machines = write_machines(&shared.day, &folder)?;
-        Ok(Arc::new(Self { shared, discovery, program: options.program.clone(), folder, machines, list }))
+        Ok(Arc::new(Self {
+            shared,
+            discovery,
+            program: options.program.clone(),
+            folder,
+            machines,
+            list,
+        }))
     }
 
     pub fn address(&self, number: usize) -> SocketAddr {
@@ -170,7 +180,12 @@
         let sidecar = &self.list[number];
         let (known, told) = self.discovery.whole(number as u32);
         for (server, listing, launched) in told {
-            self.shared.note(Entry::Listed { sidecar: number as u32, server, listing, launched });
+            self.shared.note(Entry::Listed {
+                sidecar: number as u32,
+                server,
+                listing,
+                launched,
+            });
         }
         let day = &self.shared.day;
         let config = json!({
@@ -181,7 +196,8 @@
             "known": known, "settings": settings(day, number),
         });
         let path = self.folder.join(format!("n{number}.json"));
-        std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        std::fs::write(&path, config.to_string())
+            .map_err(|e| format!("{}: {e}", path.display()))?;
         Ok(path)
     }
 
@@ -191,9 +207,13 @@
     }
 
     fn start(&self, number: usize) -> Result<(), String> {
-        self.shared.note(Entry::Sidecar { sidecar: number as u32, life: Life::Up });
+        self.shared.note(Entry::Sidecar {
+            sidecar: number as u32,
+            life: Life::Up,
+        });
         let config = self.write_config(number)?;
-        let log = File::create(self.log(number)).map_err(|e| format!("the log of n{number}: {e}"))?;
+        let log =
+            File::create(self.log(number)).map_err(|e| format!("the log of n{number}: {e}"))?;
         let child = Command::new(&self.program)
             .env_remove("NODE_NAME")
             .env_remove("NODE_LISTEN")
@@ -223,7 +243,10 @@
                     {
                         return Ok(());
                     }
-                    if let Some(ended) = lock(&sidecar.child).as_mut().and_then(|c| c.try_wait().ok()?) {
+                    if let Some(ended) = lock(&sidecar.child)
+                        .as_mut()
+                        .and_then(|c| c.try_wait().ok()?)
+                    {
                         let said = std::fs::read_to_string(self.log(number)).unwrap_or_default();
                         let last = said.lines().last().unwrap_or("nothing in its log");
                         return Err(format!("n{number} ended at its start ({ended}): {last}"));
@@ -231,9 +254,15 @@
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             };
-            let late =
-                |_| Err(format!("n{number} was not ready in {READY:?}: {}", self.log(number).display()));
-            tokio::time::timeout(READY, ready).await.unwrap_or_else(late)?;
+            let late = |_| {
+                Err(format!(
+                    "n{number} was not ready in {READY:?}: {}",
+                    self.log(number).display()
+                ))
+            };
+            tokio::time::timeout(READY, ready)
+                .await
+                .unwrap_or_else(late)?;
         }
         Ok(())
     }
@@ -261,21 +290,40 @@
         if outright {
             sidecar.life.fetch_add(1, Ordering::SeqCst);
             sidecar.killed.fetch_add(1, Ordering::SeqCst);
-            self.shared.note(Entry::Sidecar { sidecar: name, life: Life::Killed });
+            self.shared.note(Entry::Sidecar {
+                sidecar: name,
+                life: Life::Killed,
+            });
             sidecar.dying.store(true, Ordering::SeqCst);
             self.signal(number, Signal::SIGKILL);
             self.wait(number, READY).await;
             // What came between the signal and its effect was lost by the same kill.
-            self.shared.note(Entry::Sidecar { sidecar: name, life: Life::Killed });
+            self.shared.note(Entry::Sidecar {
+                sidecar: name,
+                life: Life::Killed,
+            });
             sidecar.dying.store(false, Ordering::SeqCst);
         } else {
-            self.shared.note(Entry::Sidecar { sidecar: name, life: Life::Ending });
+            self.shared.note(Entry::Sidecar {
+                sidecar: name,
+                life: Life::Ending,
+            });
             let log = self.log(number);
             self.signal(number, Signal::SIGTERM);
-            let longest = self.shared.day.class.iter().map(|c| c.deadline_ms).fold(3_000.0, f64::max);
-            self.wait(number, Duration::from_micros(from_ms(longest) + 900_000)).await;
+            let longest = self
+                .shared
+                .day
+                .class
+                .iter()
+                .map(|c| c.deadline_ms)
+                .fold(3_000.0, f64::max);
+            self.wait(number, Duration::from_micros(from_ms(longest) + 900_000))
+                .await;
             sidecar.life.fetch_add(1, Ordering::SeqCst);
-            self.shared.note(Entry::Sidecar { sidecar: name, life: Life::Ended });
+            self.shared.note(Entry::Sidecar {
+                sidecar: name,
+                life: Life::Ended,
+            });
             self.told(number, &log);
         }
         tokio::time::sleep_until(back).await;
@@ -288,7 +336,9 @@
     fn told(&self, number: usize, log: &Path) -> bool {
         let said = std::fs::read_to_string(log).unwrap_or_default();
         let last = said.rsplit_once("stopped\n").map(|(_, last)| read(last));
-        last.as_ref().inspect(|last| add(&mut lock(&self.list[number].ended), last)).is_some()
+        last.as_ref()
+            .inspect(|last| add(&mut lock(&self.list[number].ended), last))
+            .is_some()
     }
 
     /// Ends all, and gathers what they counted to the last one.
@@ -312,7 +362,11 @@
         let mut text = String::new();
         for number in 0..self.list.len() {
             let config = self.write_config(number)?;
-            text += &format!("NODE_CONFIG={} {}\n", config.display(), self.program.display());
+            text += &format!(
+                "NODE_CONFIG={} {}\n",
+                config.display(),
+                self.program.display()
+            );
         }
         Ok(text)
     }
@@ -326,6 +380,8 @@
 
 async fn get(address: SocketAddr, path: &str) -> std::io::Result<Message> {
     let mut wire = Wire::new(TcpStream::connect(address).await?);
-    wire.stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: n\r\n\r\n").as_bytes()).await?;
+    wire.stream
+        .write_all(format!("GET {path} HTTP/1.1\r\nHost: n\r\n\r\n").as_bytes())
+        .await?;
     wire.answer().await
 }
--- a/crates/testbed/src/stage/stand_in.rs
+++ b/crates/testbed/src/stage/stand_in.rs
@@ -69,7 +69,9 @@
         let zone = day.server_zone(group, number);
         let chance = Stream::new(day.seed, Cause::Machines, (1 << 20) + number);
         let machine = Machine::drawn(day, kind, number, 0, group.cold);
-        let addresses = (0..day.sidecars.count).map(|_| free_address()).collect::<Result<_, _>>()?;
+        let addresses = (0..day.sidecars.count)
+            .map(|_| free_address())
+            .collect::<Result<_, _>>()?;
         let this = Arc::new(Self {
             shared: Arc::clone(shared),
             number: AtomicU32::new(number as u32),
@@ -106,11 +108,18 @@
 
     pub fn held(&self) -> (u32, u32) {
         let inner = lock(&self.inner);
-        (inner.machine.held() as u32, inner.machine.connections() as u32)
+        (
+            inner.machine.held() as u32,
+            inner.machine.connections() as u32,
+        )
     }
 
     pub fn fate(&self, fate: Fate) {
-        self.shared.note(Entry::Server { server: self.number(), zone: self.zone, fate });
+        self.shared.note(Entry::Server {
+            server: self.number(),
+            zone: self.zone,
+            fate,
+        });
     }
 
     // The network.
@@ -118,7 +127,9 @@
     async fn listen(self: &Arc<Self>) -> Result<(), String> {
         let mut handles = Vec::new();
         for (sidecar, &address) in self.addresses.iter().enumerate() {
-            let listener = TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))?;
+            let listener = TcpListener::bind(address)
+                .await
+                .map_err(|e| format!("{address}: {e}"))?;
             let this = Arc::clone(self);
             let task = tokio::spawn(async move {
                 while let Ok((stream, _)) = listener.accept().await {
@@ -135,9 +146,13 @@
     async fn stall(self: &Arc<Self>) {
         let mut handles = Vec::new();
         for &address in &self.addresses {
-            let Ok(socket) = TcpSocket::new_v4() else { continue };
+            let Ok(socket) = TcpSocket::new_v4() else {
+                continue;
+            };
             let _ = socket.set_reuseaddr(true);
-            let Ok(listener) = socket.bind(address).and_then(|()| socket.listen(0)) else { continue };
+            let Ok(listener) = socket.bind(address).and_then(|()| socket.listen(0)) else {
+                continue;
+            };
             let task = tokio::spawn(async move {
                 let fill = TcpStream::connect(address).await;
                 std::future::pending::<()>().await;
@@ -194,8 +209,10 @@
             (inner.draining, inner.launched) = (false, now);
         }
         let (server, zone, fate) = (self.number(), self.zone, Fate::Cold);
-        self.shared.note_at(now, Entry::Server { server, zone, fate });
-        self.net.send_modify(|(net, start)| (*net, *start) = (Net::Open, *start + 1));
+        self.shared
+            .note_at(now, Entry::Server { server, zone, fate });
+        self.net
+            .send_modify(|(net, start)| (*net, *start) = (Net::Open, *start + 1));
         for _ in 0..50 {
             match self.listen().await {
                 Ok(()) => break,
@@ -228,7 +245,12 @@
         self.fate(Fate::Draining);
     }
 
-    pub fn set_faults(&self, errors: Option<Option<f64>>, spoilt: Option<f64>, resets: Option<f64>) {
+    pub fn set_faults(
+        &self,
+        errors: Option<Option<f64>>,
+        spoilt: Option<f64>,
+        resets: Option<f64>,
+    ) {
         self.with(|inner, _| {
             if let Some(share) = errors {
                 inner.machine.set_errors(share);
@@ -249,8 +271,11 @@
         if fell {
             self.fate(Fate::Fallen);
             // Fallen over: its process is there no more for anybody.
-            self.net.send_modify(|(net, start)| (*net, *start) = (Net::Refusing, *start + 1));
-            std::mem::take(&mut lock(&self.inner).listeners).iter().for_each(AbortHandle::abort);
+            self.net
+                .send_modify(|(net, start)| (*net, *start) = (Net::Refusing, *start + 1));
+            std::mem::take(&mut lock(&self.inner).listeners)
+                .iter()
+                .for_each(AbortHandle::abort);
         }
         self.wake.notify_one();
         result
@@ -265,7 +290,14 @@
                 Event::Ended { id, error } => {
                     if let Some(held) = inner.jobs.remove(&id) {
                         let (tx, work) = (held.tx, held.work);
-                        self.shared.note_at(now, Entry::Ran { tx, server: self.number(), work });
+                        self.shared.note_at(
+                            now,
+                            Entry::Ran {
+                                tx,
+                                server: self.number(),
+                                work,
+                            },
+                        );
                         let _ = held.end.send(error);
                     }
                 }
@@ -305,7 +337,11 @@
     /// What the table calls its kind; nothing where sidecars are told of none, as in the model.
     pub fn told_kind(&self) -> String {
         let told = self.shared.day.sidecars.knows_kinds;
-        if told { lock(&self.inner).machine.kind().name.clone() } else { String::new() }
+        if told {
+            lock(&self.inner).machine.kind().name.clone()
+        } else {
+            String::new()
+        }
     }
 
     // Connections.
@@ -318,7 +354,9 @@
         if !room {
             return;
         }
-        self.shared.note(Entry::Opened { server: self.number() });
+        self.shared.note(Entry::Opened {
+            server: self.number(),
+        });
         let mut wire = Wire::new(stream);
         // A new start, or the end of the process, resets what is open.
         let over = async {
@@ -354,7 +392,8 @@
             let said = if request.target == "/status/load" {
                 self.probed(sidecar, delay).await
             } else {
-                self.work(wire, &request, sidecar, (first, delay, same), fresh).await?
+                self.work(wire, &request, sidecar, (first, delay, same), fresh)
+                    .await?
             };
             match said {
                 Some(said) => wire.stream.write_all(said.as_bytes()).await?,
@@ -398,26 +437,49 @@
         (first, delay, same): (Micros, Micros, bool),
         fresh: bool,
     ) -> std::io::Result<Option<String>> {
-        let tx = request.header("x-request-id").and_then(|id| u64::from_str_radix(id, 16).ok());
+        let tx = request
+            .header("x-request-id")
+            .and_then(|id| u64::from_str_radix(id, 16).ok());
         let work = request.field("w").and_then(|w| w.parse::<f64>().ok());
         let (Some(tx), Some(work)) = (tx, work) else {
             return Ok(Some(answer("400 Bad Request", "", "")));
         };
-        let class = request.field("c").and_then(|c| c.parse::<usize>().ok()).unwrap_or(0);
+        let class = request
+            .field("c")
+            .and_then(|c| c.parse::<usize>().ok())
+            .unwrap_or(0);
         let server = self.number();
-        self.shared.note_at(first, Entry::Began { tx, sidecar, server, crossing: !same });
-        let trips = if fresh { lock(&self.inner).machine.kind().handshake_rtts } else { 0.0 };
+        self.shared.note_at(
+            first,
+            Entry::Began {
+                tx,
+                sidecar,
+                server,
+                crossing: !same,
+            },
+        );
+        let trips = if fresh {
+            lock(&self.inner).machine.kind().handshake_rtts
+        } else {
+            0.0
+        };
         pause(delay + (trips * 2.0 * delay as f64) as Micros).await;
         if self.is_silent() {
             self.shared.swallowed.fetch_add(1, Ordering::Relaxed);
             return Ok(None);
         }
-        let wait = request.header("x-timeout").and_then(|t| t.strip_suffix('u')?.parse::<u64>().ok());
+        let wait = request
+            .header("x-timeout")
+            .and_then(|t| t.strip_suffix('u')?.parse::<u64>().ok());
         let until = first + wait.unwrap_or(600_000_000);
         let noise = self.shared.day.class.get(class).map_or(0.0, |c| c.noise);
         let taken = self.with(|inner, now| {
             let factor = noise * inner.chance.normal() - noise * noise / 2.0;
-            let work = if noise > 0.0 { work * factor.exp() } else { work };
+            let work = if noise > 0.0 {
+                work * factor.exp()
+            } else {
+                work
+            };
             let (capacity, cold) = (inner.machine.capacity(now), inner.machine.is_cold(now));
             if fresh {
                 inner.machine.handshake(now, &mut inner.events);
@@ -428,7 +490,16 @@
             inner.jobs.insert(id, Held { tx, work, end });
             let job = Job { id, work, until };
             let taken = !inner.draining && inner.machine.offer(now, job, &mut inner.events);
-            self.shared.note_at(now, Entry::Arrived { tx, server, work, capacity, cold });
+            self.shared.note_at(
+                now,
+                Entry::Arrived {
+                    tx,
+                    server,
+                    work,
+                    capacity,
+                    cold,
+                },
+            );
             if !taken {
                 inner.jobs.remove(&id);
                 self.shared.note_at(now, Entry::TurnedAway { tx, server });
@@ -437,7 +508,11 @@
         });
         let Some((id, ended)) = taken else {
             pause(delay).await;
-            return Ok(Some(answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")));
+            return Ok(Some(answer(
+                "503 Service Unavailable",
+                "X-Not-Processed: 1\r\n",
+                "",
+            )));
         };
         let error = tokio::select! {
             ended = ended => match ended {
@@ -457,9 +532,15 @@
         };
         let (spoilt, reset, held) = self.with(|inner, now| {
             let held = inner.machine.answer_report(now);
-            (inner.chance.chance(inner.spoilt), inner.chance.chance(inner.resets), held)
+            (
+                inner.chance.chance(inner.spoilt),
+                inner.chance.chance(inner.resets),
+                held,
+            )
+        });
+        let load = held.map_or(String::new(), |held| {
+            format!("X-Server-Load: inflight={held}\r\n")
         });
-        let load = held.map_or(String::new(), |held| format!("X-Server-Load: inflight={held}\r\n"));
         pause(delay).await;
         if self.is_silent() {
             return Ok(None);
@@ -472,7 +553,11 @@
             // A head that cannot be read; the connection stays and is of no further use.
             (true, _) => "HTTP/1.1 2oo OK\r\nContent-Length: -7\r\n\r\n".to_owned(),
             (false, true) => answer("500 Internal Server Error", &load, ""),
-            (false, false) => answer("200 OK", &format!("Content-Type: text/plain\r\n{load}"), &body),
+            (false, false) => answer(
+                "200 OK",
+                &format!("Content-Type: text/plain\r\n{load}"),
+                &body,
+            ),
         }))
     }
 }
@@ -484,7 +569,11 @@
         tokio::time::sleep_until(clock.instant(second * 1_000_000)).await;
         for stand_in in &scene.stand_ins {
             let (held, connections) = stand_in.held();
-            scene.shared.note(Entry::Gauge { server: stand_in.number(), held, connections });
+            scene.shared.note(Entry::Gauge {
+                server: stand_in.number(),
+                held,
+                connections,
+            });
         }
     }
 }
--- a/crates/testbed/src/stage/terminal.rs
+++ b/crates/testbed/src/stage/terminal.rs
@@ -73,33 +73,59 @@
         use std::sync::atomic::Ordering::Relaxed;
         let (shared, day) = (&self.shared, &self.shared.day);
         let (ask, Wish { class, shop, .. }) = (shared.number(), wish);
-        let within =
-            lock(&self.quotas).get_mut(usize::from(shop)).is_none_or(|quota| quota.take(shared.clock.now()));
+        let within = lock(&self.quotas)
+            .get_mut(usize::from(shop))
+            .is_none_or(|quota| quota.take(shared.clock.now()));
         shared.note_at(
             wish.at,
-            Entry::Asked { ask, sidecar: self.sidecar, class, shop, within, work: wish.work },
+            Entry::Asked {
+                ask,
+                sidecar: self.sidecar,
+                class,
+                shop,
+                within,
+                work: wish.work,
+            },
         );
         if self.open.load(Relaxed) >= day.load.open_most {
-            shared.note(Entry::Closed { ask, how: How::ChokedOff, tries: 0 });
+            shared.note(Entry::Closed {
+                ask,
+                how: How::ChokedOff,
+                tries: 0,
+            });
             return;
         }
         self.open.fetch_add(1, Relaxed);
-        let mut chance =
-            Stream::new(day.seed, Cause::Terminals, (1 << 38) + ((self.sidecar as usize) << 22) + turn);
+        let mut chance = Stream::new(
+            day.seed,
+            Cause::Terminals,
+            (1 << 38) + ((self.sidecar as usize) << 22) + turn,
+        );
         let rules = &day.class[usize::from(class)];
-        let (full, deadline) = (from_ms(rules.deadline_ms), wish.at + from_ms(rules.deadline_ms));
+        let (full, deadline) = (
+            from_ms(rules.deadline_ms),
+            wish.at + from_ms(rules.deadline_ms),
+        );
         let mut tries = 0;
         let how = loop {
             tries += 1;
             let [least, most] = day.terminals.patience;
-            let from = if tries == 1 { wish.at } else { shared.clock.now() };
+            let from = if tries == 1 {
+                wish.at
+            } else {
+                shared.clock.now()
+            };
             let due = (from + (full as f64 * chance.between(least, most)) as Micros).min(deadline);
             let leaves = chance.chance(day.terminals.leave);
             let leaves_at = from + (chance.unit() * due.saturating_sub(from) as f64) as Micros;
             let tx = shared.number();
             let until = if leaves { leaves_at } else { due };
             let (how, pause) = self.attempt(&wish, ask, tx, due, until).await;
-            let how = if leaves && how == How::Unanswered { How::Left } else { how };
+            let how = if leaves && how == How::Unanswered {
+                How::Left
+            } else {
+                how
+            };
             match how {
                 How::Unreached => {}
                 How::Left => shared.note(Entry::Left { tx }),
@@ -129,13 +155,27 @@
         let left = due.saturating_sub(self.shared.clock.now()).max(1);
         let (method, key, body) = match rules.effect {
             Effect::Safe => ("GET", String::new(), ""),
-            Effect::Keyed => ("POST", format!("Idempotency-Key: k{tx:016x}\r\n"), "{\"order\":1}"),
+            Effect::Keyed => (
+                "POST",
+                format!("Idempotency-Key: k{tx:016x}\r\n"),
+                "{\"order\":1}",
+            ),
             Effect::Unsafe => ("POST", String::new(), "{\"slot\":3}"),
         };
-        let shop = self.shared.day.shop.get(usize::from(wish.shop)).map_or("none", |s| s.name.as_str());
-        let length =
-            if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
-        let cost = wish.hint.map_or(String::new(), |hint| format!("X-Cost: {hint}\r\n"));
+        let shop = self
+            .shared
+            .day
+            .shop
+            .get(usize::from(wish.shop))
+            .map_or("none", |s| s.name.as_str());
+        let length = if body.is_empty() {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
+        let cost = wish
+            .hint
+            .map_or(String::new(), |hint| format!("X-Cost: {hint}\r\n"));
         format!(
             "{method} /api?w={:.1}&c={} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {tx:016x}\r\n\
              X-Priority-Class: {}\r\nX-Tenant-Id: {shop}\r\nX-Timeout: {left}u\r\n{cost}{key}{length}\r\n{body}",
@@ -148,7 +188,8 @@
         let clock = self.shared.clock;
         let life = self.sidecars.life(self.sidecar);
         // An answer on its way at the deadline is still read: whether it came in time is the auditor's.
-        let grace = from_ms(self.shared.day.rules.answer_grace_ms + self.shared.day.rules.stage_extra_ms);
+        let grace =
+            from_ms(self.shared.day.rules.answer_grace_ms + self.shared.day.rules.stage_extra_ms);
         let last = if until < due { until } else { due + 2 * grace };
         let mut taken = false;
         let talk = async {
@@ -173,7 +214,13 @@
                 if written.is_ok() && !taken {
                     taken = true;
                     let (sidecar, class) = (self.sidecar, wish.class);
-                    self.shared.note(Entry::Taken { tx, ask, sidecar, class, due });
+                    self.shared.note(Entry::Taken {
+                        tx,
+                        ask,
+                        sidecar,
+                        class,
+                        due,
+                    });
                 }
                 let said = match written {
                     Ok(()) => wire.answer().await,
@@ -182,7 +229,10 @@
                 match said {
                     Ok(message) => {
                         let ended = judge(&message, tx);
-                        if message.header("connection").is_none_or(|c| !c.eq_ignore_ascii_case("close")) {
+                        if message
+                            .header("connection")
+                            .is_none_or(|c| !c.eq_ignore_ascii_case("close"))
+                        {
                             lock(&self.idle).push((Instant::now(), wire));
                         }
                         return ended;
@@ -191,7 +241,8 @@
                     // unless its sidecar was ended in between: then what it did is not known.
                     Err(fault) => {
                         self.sidecars.settled(self.sidecar).await;
-                        let crossed = reused && is_close(&fault) && self.sidecars.life(self.sidecar) == life;
+                        let crossed =
+                            reused && is_close(&fault) && self.sidecars.life(self.sidecar) == life;
                         if !crossed {
                             return (if taken { How::Cut } else { How::Unreached }, None);
                         }
@@ -200,7 +251,9 @@
                 }
             }
         };
-        timeout_at(clock.instant(last), talk).await.unwrap_or((How::Unanswered, None))
+        timeout_at(clock.instant(last), talk)
+            .await
+            .unwrap_or((How::Unanswered, None))
     }
 
     fn take_idle(&self) -> Option<Wire> {
@@ -217,7 +270,9 @@
 
 /// What an answer says, and whether it is a job server's answer to this very request.
 fn judge(message: &Message, tx: u64) -> Ended {
-    let pause = message.header("retry-after").and_then(|p| p.parse::<f64>().ok());
+    let pause = message
+        .header("retry-after")
+        .and_then(|p| p.parse::<f64>().ok());
     let pause = pause.map(|seconds| (seconds.clamp(0.0, 600.0) * 1e6) as Micros);
     let own = format!("done {tx:016x} at s");
     let how = match message.status {
--- a/crates/testbed/src/stage/timetable.rs
+++ b/crates/testbed/src/stage/timetable.rs
@@ -23,7 +23,11 @@
             What::Burst | What::Costly => {}
             What::Roll | What::RestartAll => {
                 let everybody = || (0..day.sidecars.count as u32).map(|s| (s, 0)).collect();
-                let when = if trouble.what == What::Roll { roll(&day, index) } else { everybody() };
+                let when = if trouble.what == What::Roll {
+                    roll(&day, index)
+                } else {
+                    everybody()
+                };
                 for (sidecar, later) in when {
                     let sidecars = Arc::clone(&scene.sidecars);
                     let (down, kill) = (from_s(trouble.down_s), trouble.kill);
@@ -35,7 +39,11 @@
             }
             What::DiscoveryDown | What::DiscoverySilent => {
                 let discovery = Arc::clone(&scene.discovery);
-                let mode = if trouble.what == What::DiscoveryDown { Mode::Down } else { Mode::Silent };
+                let mode = if trouble.what == What::DiscoveryDown {
+                    Mode::Down
+                } else {
+                    Mode::Silent
+                };
                 all.spawn(async move {
                     until(clock, at).await;
                     discovery.set_mode(mode);
@@ -45,7 +53,9 @@
             }
             _ => {
                 for server in targets(&day, index, &zones) {
-                    let Some(stand_in) = scene.stand_ins.get(server as usize) else { continue };
+                    let Some(stand_in) = scene.stand_ins.get(server as usize) else {
+                        continue;
+                    };
                     let concerned = Concerned {
                         stand_in: Arc::clone(stand_in),
                         at: server as usize,
@@ -85,7 +95,11 @@
 impl Concerned {
     /// Discovery will have noticed after a while.
     fn announce(&self, server: u32, listing: Listing, after_ms: f64) {
-        let (discovery, at, launched) = (Arc::clone(&self.discovery), self.at, self.stand_in.launched());
+        let (discovery, at, launched) = (
+            Arc::clone(&self.discovery),
+            self.at,
+            self.stand_in.launched(),
+        );
         let after = std::time::Duration::from_micros(from_ms(after_ms));
         tokio::spawn(async move {
             tokio::time::sleep(after).await;
--- a/crates/testbed/src/tally.rs
+++ b/crates/testbed/src/tally.rs
@@ -119,13 +119,21 @@
     }
 
     fn closed(&mut self, at: Micros, ask: u64, how: How, tries: u32) {
-        let Some(ask) = self.asks.remove(&ask) else { return };
+        let Some(ask) = self.asks.remove(&ask) else {
+            return;
+        };
         self.tries += u64::from(tries);
         let class = usize::from(ask.class);
-        let Some(rules) = self.day.class.get(class) else { return };
+        let Some(rules) = self.day.class.get(class) else {
+            return;
+        };
         let (took, aim) = (at.saturating_sub(ask.at), from_ms(rules.aim_ms));
         let in_time = how == How::Served && took <= aim;
-        let late = if how == How::Served { rules.late_worth } else { 0.0 };
+        let late = if how == How::Served {
+            rules.late_worth
+        } else {
+            0.0
+        };
         let gained = if in_time { 1.0 } else { late };
         if how == How::Left {
             return;
@@ -141,7 +149,9 @@
             shop.add(ask.worth, gained);
         }
         let second = (ask.at / 1_000_000) as usize;
-        if let (Some(worth), Some(second)) = (self.worths.get_mut(second), self.seconds.get_mut(second)) {
+        if let (Some(worth), Some(second)) =
+            (self.worths.get_mut(second), self.seconds.get_mut(second))
+        {
             worth.add(ask.worth, gained);
             second.add(class, how, in_time);
         }
@@ -157,9 +167,16 @@
         let worths = &self.worths[..length.min(self.worths.len())];
         let share = |part: &[Worth]| {
             let sum = |f: fn(&Worth) -> f64| part.iter().map(f).sum::<f64>();
-            Worth { asked: sum(|w| w.asked), gained: sum(|w| w.gained) }.share()
+            Worth {
+                asked: sum(|w| w.asked),
+                gained: sum(|w| w.gained),
+            }
+            .share()
         };
-        let worst = worths.windows(STRETCH.min(length)).filter_map(share).fold(f64::INFINITY, f64::min);
+        let worst = worths
+            .windows(STRETCH.min(length))
+            .filter_map(share)
+            .fold(f64::INFINITY, f64::min);
         if worst.is_finite() { worst } else { 1.0 }
     }
 
@@ -169,19 +186,26 @@
         let share = |from: usize, to: usize| {
             let part = self.worths.get(from..to.min(self.worths.len()))?;
             let sum = |f: fn(&Worth) -> f64| part.iter().map(f).sum::<f64>();
-            Worth { asked: sum(|w| w.asked), gained: sum(|w| w.gained) }.share()
+            Worth {
+                asked: sum(|w| w.asked),
+                gained: sum(|w| w.gained),
+            }
+            .share()
         };
         let before = share(0, ((first / 1_000_000) as usize).max(1))?;
         let from = last.div_ceil(1_000_000) as usize;
-        let back =
-            (from..self.worths.len()).find(|&s| share(s, s + 2).is_some_and(|now| now >= RECOVERED * before));
+        let back = (from..self.worths.len())
+            .find(|&s| share(s, s + 2).is_some_and(|now| now >= RECOVERED * before));
         back.map(|s| s as f64 - last as f64 / 1e6)
     }
 
     /// Sums up. `engine` names what played; `seed` is the day's.
     pub fn report(&self, engine: &str, seed: u64) -> Report {
         let least = |list: &[Worth]| {
-            let worst = list.iter().filter_map(|w| w.share()).fold(f64::INFINITY, f64::min);
+            let worst = list
+                .iter()
+                .filter_map(|w| w.share())
+                .fold(f64::INFINITY, f64::min);
             if worst.is_finite() { worst } else { 1.0 }
         };
         let parts = [
@@ -207,16 +231,26 @@
         let quantiles = |h: &Histogram<u64>| {
             [0.5, 0.9, 0.99, 0.999, 1.0].map(|q| h.value_at_quantile(q) as f64 / 1_000.0)
         };
-        let classes = self.day.class.iter().enumerate().map(|(i, class)| ClassFigures {
-            name: class.name.clone(),
-            service: self.by_class[i].share(),
-            ended: names(&self.class_counts[i]),
-            latency_ms: quantiles(&self.class_latency[i]),
-        });
+        let classes = self
+            .day
+            .class
+            .iter()
+            .enumerate()
+            .map(|(i, class)| ClassFigures {
+                name: class.name.clone(),
+                service: self.by_class[i].share(),
+                ended: names(&self.class_counts[i]),
+                latency_ms: quantiles(&self.class_latency[i]),
+            });
         let shops = self.day.shop.iter().zip(&self.by_shop);
-        let shops =
-            shops.map(|(shop, worth)| ShopFigures { name: shop.name.clone(), service: worth.share() });
-        let seconds = self.seconds.len().min(self.day.seconds.floor().max(1.0) as usize);
+        let shops = shops.map(|(shop, worth)| ShopFigures {
+            name: shop.name.clone(),
+            service: worth.share(),
+        });
+        let seconds = self
+            .seconds
+            .len()
+            .min(self.day.seconds.floor().max(1.0) as usize);
         Report {
             name: self.day.name.clone(),
             engine: engine.to_owned(),
@@ -256,17 +290,44 @@
     fn note(&mut self, line: &Line) {
         let second = (line.at / 1_000_000) as usize;
         match line.entry {
-            Entry::Asked { ask, class, shop, within, work, .. } => {
+            Entry::Asked {
+                ask,
+                class,
+                shop,
+                within,
+                work,
+                ..
+            } => {
                 self.asked += 1;
-                let by_work =
-                    |mean: f64| if self.day.load.worth_by_work { work / mean / 1_000.0 } else { 1.0 };
+                let by_work = |mean: f64| {
+                    if self.day.load.worth_by_work {
+                        work / mean / 1_000.0
+                    } else {
+                        1.0
+                    }
+                };
                 let class_of = self.day.class.get(usize::from(class));
                 let full = class_of.map_or(0.0, |c| c.worth * by_work(c.work_ms));
-                let worth = if within { full } else { full * self.day.rules.over_share_worth };
-                self.asks.insert(ask, Ask { at: line.at, class, shop, worth, within });
+                let worth = if within {
+                    full
+                } else {
+                    full * self.day.rules.over_share_worth
+                };
+                self.asks.insert(
+                    ask,
+                    Ask {
+                        at: line.at,
+                        class,
+                        shop,
+                        worth,
+                        within,
+                    },
+                );
             }
             Entry::Taken { .. } => self.transactions += 1,
-            Entry::Began { server, crossing, .. } => {
+            Entry::Began {
+                server, crossing, ..
+            } => {
                 self.routed += 1;
                 self.crossing += u64::from(crossing);
                 self.server(server).routed += 1;
@@ -306,7 +367,11 @@
                     *calls += 1;
                 }
             }
-            Entry::Gauge { server, held, connections } => {
+            Entry::Gauge {
+                server,
+                held,
+                connections,
+            } => {
                 let site = self.server(server);
                 site.gauges += 1;
                 site.held_sum += u64::from(held);
--- a/crates/testbed/src/wishes.rs
+++ b/crates/testbed/src/wishes.rs
@@ -46,7 +46,9 @@
 /// Parts of the traffic that the sidecars get, adding up to 1.
 pub fn parts(day: &Day) -> Vec<f64> {
     let mut stream = Stream::new(day.seed, Cause::Fleet, 1 << 20);
-    let parts: Vec<f64> = (0..day.sidecars.count).map(|_| stream.lognormal(day.sidecars.skew)).collect();
+    let parts: Vec<f64> = (0..day.sidecars.count)
+        .map(|_| stream.lognormal(day.sidecars.skew))
+        .collect();
     let sum: f64 = parts.iter().sum();
     parts.into_iter().map(|p| p / sum).collect()
 }
@@ -81,7 +83,8 @@
         let (class, shop) = (self.work.pick(&self.classes), self.work.pick(&self.shops));
         let mut work = self.work.work(&self.day.class[class]);
         let name = &self.day.class[class].name;
-        let dear = |t: &&Trouble| t.what == What::Costly && t.class.as_ref().is_none_or(|c| c == name);
+        let dear =
+            |t: &&Trouble| t.what == What::Costly && t.class.as_ref().is_none_or(|c| c == name);
         for trouble in self.day.trouble.iter().filter(dear) {
             // Drawn whether or not it is on, so that a trouble moves no other draw.
             let hit = self.work.unit() < trouble.share;
@@ -91,8 +94,20 @@
         }
         let honours = self.terminals.chance(self.day.terminals.honour);
         let off = |spread: f64| (spread * self.hints.normal()).exp();
-        let hint = self.day.load.hints.map(off).map(|off| (work * off).max(1.0) as Micros);
-        Wish { at: self.at, class: class as u16, shop: shop as u16, work, hint, honours }
+        let hint = self
+            .day
+            .load
+            .hints
+            .map(off)
+            .map(|off| (work * off).max(1.0) as Micros);
+        Wish {
+            at: self.at,
+            class: class as u16,
+            shop: shop as u16,
+            work,
+            hint,
+            honours,
+        }
     }
 }
 
@@ -102,10 +117,18 @@
     fn next(&mut self) -> Option<Wish> {
         let end = from_s(self.day.seconds);
         loop {
-            let wander = self.wander.get((self.at / 1_000_000) as usize).copied().unwrap_or(0.5);
+            let wander = self
+                .wander
+                .get((self.at / 1_000_000) as usize)
+                .copied()
+                .unwrap_or(0.5);
             let rate = self.day.rate_at(self.at, wander) * self.part;
             // A load that is nothing now may rise: it is looked at again in a while.
-            let wait = if rate > 0.0 { self.arrivals.exp() / rate * 1e6 } else { 1e6 };
+            let wait = if rate > 0.0 {
+                self.arrivals.exp() / rate * 1e6
+            } else {
+                1e6
+            };
             self.at = self.at.saturating_add(wait.min(1e13) as Micros);
             if self.at >= end {
                 return None;
@@ -140,6 +163,10 @@
 /// One quota for each shop, full at the start.
 pub fn quotas(day: &Day) -> Vec<Quota> {
     let all = day.full_rate() * day.rules.quota_of_capacity;
-    let quota = |share: f64| Quota { rate: share * all, tokens: (share * all).max(1.0), at: 0 };
+    let quota = |share: f64| Quota {
+        rate: share * all,
+        tokens: (share * all).max(1.0),
+        at: 0,
+    };
     day.shop.iter().map(|s| quota(s.share)).collect()
 }
--- a/crates/testbed/tests/cli.rs
+++ b/crates/testbed/tests/cli.rs
@@ -4,7 +4,10 @@
 use std::process::{Command, Output};
 
 fn lab(words: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_arrowstand-testbed")).args(words).output().expect("runs")
+    Command::new(env!("CARGO_BIN_EXE_arrowstand-testbed"))
+        .args(words)
+        .output()
+        .expect("runs")
 }
 
 fn scenario(name: &str) -> String {
@@ -12,31 +15,68 @@
 }
 
 fn temporary(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("arrowstand-testbed-{}-{name}", std::process::id()));
+    let path =
+        std::env::temp_dir().join(format!("arrowstand-testbed-{}-{name}", std::process::id()));
     std::fs::write(&path, text).expect("written");
     path
 }
 
 #[test]
 fn a_day_that_holds_ends_with_0_and_writes_what_is_asked_for() {
-    let (json, svg, ledger) = (temporary("r.json", ""), temporary("r.svg", ""), temporary("r.ledger", ""));
+    let (json, svg, ledger) = (
+        temporary("r.json", ""),
+        temporary("r.svg", ""),
+        temporary("r.ledger", ""),
+    );
     let [j, s, l] = [&json, &svg, &ledger].map(|p| p.to_str().expect("text"));
-    let run = lab(&["run", &scenario("try.toml"), "--seed", "3", "--json", j, "--svg", s, "--ledger", l]);
-    assert_eq!(run.status.code(), Some(0), "{}", String::from_utf8_lossy(&run.stdout));
-    assert!(std::fs::read_to_string(&svg).expect("drawn").contains("<svg"));
+    let run = lab(&[
+        "run",
+        &scenario("try.toml"),
+        "--seed",
+        "3",
+        "--json",
+        j,
+        "--svg",
+        s,
+        "--ledger",
+        l,
+    ]);
+    assert_eq!(
+        run.status.code(),
+        Some(0),
+        "{}",
+        String::from_utf8_lossy(&run.stdout)
+    );
+    assert!(
+        std::fs::read_to_string(&svg)
+            .expect("drawn")
+            .contains("<svg")
+    );
     let record =
-        arrowstand_testbed::ledger::read(&std::fs::read_to_string(&ledger).expect("there")).expect("read");
+        arrowstand_testbed::ledger::read(&std::fs::read_to_string(&ledger).expect("there"))
+            .expect("read");
     assert!(record.len() > 1_000 && record.windows(2).all(|w| w[0].at <= w[1].at));
     let compared = lab(&["compare", j, j]);
     let text = String::from_utf8_lossy(&compared.stdout).into_owned();
-    assert!(text.contains("service") && text.contains("+0.0000"), "{text}");
-    [json, svg, ledger].iter().for_each(|p| std::fs::remove_file(p).expect("removed"));
+    assert!(
+        text.contains("service") && text.contains("+0.0000"),
+        "{text}"
+    );
+    [json, svg, ledger]
+        .iter()
+        .for_each(|p| std::fs::remove_file(p).expect("removed"));
 }
 
 #[test]
 fn an_expectation_that_is_missed_ends_with_1() {
-    let run =
-        lab(&["run", &scenario("try.toml"), "--set", "expect.service=1.0", "--set", "load.of_capacity=3.0"]);
+    let run = lab(&[
+        "run",
+        &scenario("try.toml"),
+        "--set",
+        "expect.service=1.0",
+        "--set",
+        "load.of_capacity=3.0",
+    ]);
     assert_eq!(run.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&run.stdout).contains("MISSED: service"));
 }
@@ -49,7 +89,10 @@
         let run = lab(&words);
         let said = String::from_utf8_lossy(&run.stderr).into_owned();
         assert_eq!(run.status.code(), Some(2), "{said}");
-        assert!(said.contains("bad.toml:3: load.speed: unknown field"), "{said}");
+        assert!(
+            said.contains("bad.toml:3: load.speed: unknown field"),
+            "{said}"
+        );
     }
     let run = lab(&["run", &scenario("try.toml"), "--set", "sidecars.count=-1"]);
     assert_eq!(run.status.code(), Some(2));
@@ -66,18 +109,40 @@
         scenario("try.toml")
     );
     let (plan, svg) = (temporary("plan.toml", &text), temporary("plan.svg", ""));
-    let run =
-        lab(&["experiment", plan.to_str().expect("text"), "--quiet", "--svg", svg.to_str().expect("text")]);
+    let run = lab(&[
+        "experiment",
+        plan.to_str().expect("text"),
+        "--quiet",
+        "--svg",
+        svg.to_str().expect("text"),
+    ]);
     let said = String::from_utf8_lossy(&run.stdout).into_owned();
-    assert_eq!(run.status.code(), Some(0), "{said}{}", String::from_utf8_lossy(&run.stderr));
-    let rows: Vec<Vec<f64>> =
-        said.lines().skip(1).map(|l| l.split(',').map(|c| c.parse().expect("number")).collect()).collect();
+    assert_eq!(
+        run.status.code(),
+        Some(0),
+        "{said}{}",
+        String::from_utf8_lossy(&run.stderr)
+    );
+    let rows: Vec<Vec<f64>> = said
+        .lines()
+        .skip(1)
+        .map(|l| l.split(',').map(|c| c.parse().expect("number")).collect())
+        .collect();
     assert_eq!(rows.len(), 4);
-    assert!(rows[0][2] > rows[2][2] && rows.iter().all(|r| r[3] >= 0.0), "{said}");
-    assert!(std::fs::read_to_string(&svg).expect("drawn").contains("<svg"));
+    assert!(
+        rows[0][2] > rows[2][2] && rows.iter().all(|r| r[3] >= 0.0),
+        "{said}"
+    );
+    assert!(
+        std::fs::read_to_string(&svg)
+            .expect("drawn")
+            .contains("<svg")
+    );
     let bad = temporary("bad-plan.toml", &text.replace("\"service\"", "\"bliss\""));
     let run = lab(&["experiment", bad.to_str().expect("text")]);
     assert_eq!(run.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&run.stderr).contains("figures[0]"));
-    [plan, svg, bad].iter().for_each(|p| std::fs::remove_file(p).expect("removed"));
+    [plan, svg, bad]
+        .iter()
+        .for_each(|p| std::fs::remove_file(p).expect("removed"));
 }
--- a/crates/testbed/tests/model.rs
+++ b/crates/testbed/tests/model.rs
@@ -8,7 +8,10 @@
 fn day(name: &str, changes: &[(&str, toml::Value)]) -> Scenario {
     let path = format!("{}/scenarios/{name}.toml", env!("CARGO_MANIFEST_DIR"));
     let scenario = Scenario::open(path.as_ref()).unwrap_or_else(|f| panic!("{f}"));
-    let changes: Vec<_> = changes.iter().map(|(k, v)| ((*k).to_owned(), v.clone())).collect();
+    let changes: Vec<_> = changes
+        .iter()
+        .map(|(k, v)| ((*k).to_owned(), v.clone()))
+        .collect();
     scenario.with(&changes).unwrap_or_else(|f| panic!("{f}"))
 }
 
@@ -35,25 +38,53 @@
     let asked = |more: i64| -> Vec<Line> {
         let scenario = day(
             "calm",
-            &[("seconds", 5.0.into()), ("load.rate", 200.0.into()), ("servers[0].count", more.into())],
+            &[
+                ("seconds", 5.0.into()),
+                ("load.rate", 200.0.into()),
+                ("servers[0].count", more.into()),
+            ],
         );
-        play(&scenario).1.into_iter().filter(|l| matches!(l.entry, Entry::Asked { .. })).collect()
+        play(&scenario)
+            .1
+            .into_iter()
+            .filter(|l| matches!(l.entry, Entry::Asked { .. }))
+            .collect()
     };
     let key = |l: &Line| match l.entry {
-        Entry::Asked { sidecar, class, shop, .. } => (l.at, sidecar, class, shop),
+        Entry::Asked {
+            sidecar,
+            class,
+            shop,
+            ..
+        } => (l.at, sidecar, class, shop),
         _ => unreachable!(),
     };
     let (few, many) = (asked(6), asked(7));
     assert!(few.len() > 500);
-    assert_eq!(few.iter().map(key).collect::<Vec<_>>(), many.iter().map(key).collect::<Vec<_>>());
+    assert_eq!(
+        few.iter().map(key).collect::<Vec<_>>(),
+        many.iter().map(key).collect::<Vec<_>>()
+    );
 }
 
 #[test]
 fn each_shipped_day_keeps_the_rules() {
-    for name in ["calm", "cold-return", "rolling-restart", "restart-all", "brim", "try"] {
+    for name in [
+        "calm",
+        "cold-return",
+        "rolling-restart",
+        "restart-all",
+        "brim",
+        "try",
+    ] {
         let (report, _) = play(&day(name, &[]));
         assert_eq!(report.broken, Vec::<String>::new(), "{name}");
-        let ended: u64 = report.classes.iter().flat_map(|c| &c.ended).map(|e| e.1).sum();
+        let ended: u64 = report
+            .classes
+            .iter()
+            .flat_map(|c| &c.ended)
+            .map(|e| e.1)
+            .sum();
         assert_eq!(ended, report.asked, "{name}: every wish comes to an end");
     }
 }
@@ -66,7 +97,11 @@
         for seed in 1..=4 {
             let (report, _) = play(&day(name, &[("seed", seed.into())]));
             assert_eq!(report.broken, Vec::<String>::new(), "{name}, seed {seed}");
-            assert!(report.service > least, "{name}, seed {seed}: {}", report.service);
+            assert!(
+                report.service > least,
+                "{name}, seed {seed}: {}",
+                report.service
+            );
         }
     }
 }
@@ -84,10 +119,17 @@
     let scenario = Scenario::read("silent", &format!("{text}{trouble}")).expect("good");
     let (report, record) = play(&scenario);
     assert_eq!(report.broken, Vec::<String>::new());
-    assert!(record.iter().any(|l| matches!(l.entry, Entry::Answered { how: How::Failed, .. })));
+    assert!(record.iter().any(|l| matches!(
+        l.entry,
+        Entry::Answered {
+            how: How::Failed,
+            ..
+        }
+    )));
     // Nothing ran there while it was away.
-    let ran =
-        |l: &&Line| matches!(l.entry, Entry::Ran { server: 0, .. }) && (3_000_000..7_000_000).contains(&l.at);
+    let ran = |l: &&Line| {
+        matches!(l.entry, Entry::Ran { server: 0, .. }) && (3_000_000..7_000_000).contains(&l.at)
+    };
     assert_eq!(record.iter().filter(ran).count(), 0);
 }
 
@@ -101,7 +143,11 @@
     ];
     let (report, record) = play(&day("festival", &changes));
     assert_eq!(report.broken, Vec::<String>::new());
-    assert!(record.iter().any(|l| matches!(l.entry, Entry::Answered { how: How::Cut, .. })));
+    assert!(
+        record
+            .iter()
+            .any(|l| matches!(l.entry, Entry::Answered { how: How::Cut, .. }))
+    );
 }
 
 #[test]
@@ -112,7 +158,11 @@
         ("load.open_most", toml::Value::Integer(60)),
     ];
     let (report, _) = play(&day("calm", &changes));
-    assert!(report.remarks.iter().any(|r| r.contains("choked off")), "{:?}", report.remarks);
+    assert!(
+        report.remarks.iter().any(|r| r.contains("choked off")),
+        "{:?}",
+        report.remarks
+    );
     assert!(report.whole < 0.5 && report.broken.is_empty(), "{report}");
 }
 
@@ -127,10 +177,18 @@
 part = 0.5
 times = 8.0
 "#;
-    let text = std::fs::read_to_string(format!("{}/scenarios/calm.toml", env!("CARGO_MANIFEST_DIR")))
-        .expect("there");
+    let text = std::fs::read_to_string(format!(
+        "{}/scenarios/calm.toml",
+        env!("CARGO_MANIFEST_DIR")
+    ))
+    .expect("there");
     let slow = play(&Scenario::read("slow", &format!("{text}{trouble}")).expect("good")).0;
-    assert!(slow.service < calm.service - 0.02, "{} {}", slow.service, calm.service);
+    assert!(
+        slow.service < calm.service - 0.02,
+        "{} {}",
+        slow.service,
+        calm.service
+    );
 }
 
 /// What the fleet costs, at the size of `docs/fleet.md`: a bound on each job server's handshakes and probes a second.
@@ -138,12 +196,19 @@
 fn days_of_a_large_fleet_keep_the_rules_and_spare_each_job_server() {
     for name in ["fleet-herd", "fleet-zone", "fleet-join"] {
         for seed in [1, 2] {
-            let (report, _) = model::run(&day(name, &[("seed", seed.into())]).day, None).expect("played");
+            let (report, _) =
+                model::run(&day(name, &[("seed", seed.into())]).day, None).expect("played");
             assert_eq!(report.broken, Vec::<String>::new(), "{name}, seed {seed}");
-            assert_eq!(report.fleet.iter().filter(|s| s.fell).count(), 0, "{name}: none is pushed over");
-            for (figure, most) in
-                [("handshakes_most", 15.0), ("probes_most", 8.0), ("connections_most", 65.0)]
-            {
+            assert_eq!(
+                report.fleet.iter().filter(|s| s.fell).count(),
+                0,
+                "{name}: none is pushed over"
+            );
+            for (figure, most) in [
+                ("handshakes_most", 15.0),
+                ("probes_most", 8.0),
+                ("connections_most", 65.0),
+            ] {
                 let seen = report.figure(figure).expect("known");
                 assert!(seen <= most, "{name}, seed {seed}: {figure} {seen}");
             }
@@ -155,15 +220,33 @@
     let changes = [&[("seed", seed.into())], changes].concat();
     let (report, _) = model::run(&day(name, &changes).day, None).expect("played");
     assert_eq!(report.broken, Vec::<String>::new(), "{name}, seed {seed}");
-    let ended: u64 = report.classes.iter().flat_map(|c| &c.ended).map(|e| e.1).sum();
-    assert_eq!(ended, report.asked, "{name}, seed {seed}: every wish comes to an end");
-    for (figure, most) in [("handshakes_most", 20.0), ("probes_most", 10.0), ("connections_most", 70.0)] {
+    let ended: u64 = report
+        .classes
+        .iter()
+        .flat_map(|c| &c.ended)
+        .map(|e| e.1)
+        .sum();
+    assert_eq!(
+        ended, report.asked,
+        "{name}, seed {seed}: every wish comes to an end"
+    );
+    for (figure, most) in [
+        ("handshakes_most", 20.0),
+        ("probes_most", 10.0),
+        ("connections_most", 70.0),
+    ] {
         let seen = report.figure(figure).expect("known");
         assert!(seen <= most, "{name}, seed {seed}: {figure} {seen}");
     }
 }
 
-const FULL_SIZE: [&str; 5] = ["mass-herd", "mass-roll", "mass-zone", "mass-split", "mass-join"];
+const FULL_SIZE: [&str; 5] = [
+    "mass-herd",
+    "mass-roll",
+    "mass-zone",
+    "mass-split",
+    "mass-join",
+];
 
 /// The beginning of each day, up to where its troubles are at their worst.
 #[test]
--- a/crates/testbed/tests/scenario.rs
+++ b/crates/testbed/tests/scenario.rs
@@ -47,18 +47,29 @@
         ("count = 3", "count = -3", "servers[0].count"),
         ("kind = \"std\"", "kind = \"other\"", "servers[0].kind"),
         ("share = 0.6", "share = 1.6", "class[0].share"),
-        ("share = 0.6", "share = 0.6\ndeadline_ms = 10.0", "class[0].deadline_ms"),
+        (
+            "share = 0.6",
+            "share = 0.6\ndeadline_ms = 10.0",
+            "class[0].deadline_ms",
+        ),
         ("at_s = 2.0", "at_s = -2.0", "trouble[0].at_s"),
         ("at_s = 2.0", "at_s = 20.0", "trouble[0].at_s"),
         ("what = \"crash\"", "what = \"quake\"", "trouble[0].what"),
-        ("servers = [\"s1\"]", "servers = [\"s9\"]", "trouble[0].servers[0]"),
+        (
+            "servers = [\"s1\"]",
+            "servers = [\"s9\"]",
+            "trouble[0].servers[0]",
+        ),
         ("servers = [\"s1\"]", "zone = \"tokyo\"", "trouble[0].zone"),
     ];
     for (from, to, key) in cases {
         let text = GOOD.replacen(from, to, 1);
         let found = faults(&text);
         let wanted = to.lines().last().and_then(|last| line(&text, last));
-        assert!(found.contains(&(key.to_owned(), wanted)), "{to}: {found:?}, wanted {key} {wanted:?}");
+        assert!(
+            found.contains(&(key.to_owned(), wanted)),
+            "{to}: {found:?}, wanted {key} {wanted:?}"
+        );
     }
 }
 
@@ -66,14 +77,23 @@
 fn shares_above_one_and_a_drain_of_what_is_not_there_contradict() {
     let more = "\n[[class]]\nname = \"quote\"\nshare = 0.5\n";
     let text = format!("{GOOD}{more}");
-    let message = Scenario::read("small.toml", &text).expect_err("too much").to_string();
-    assert!(message.contains("class: shares add up to 1.100"), "{message}");
+    let message = Scenario::read("small.toml", &text)
+        .expect_err("too much")
+        .to_string();
+    assert!(
+        message.contains("class: shares add up to 1.100"),
+        "{message}"
+    );
     let drain = "\n[[trouble]]\nwhat = \"drain\"\nat_s = 4.0\nservers = [\"s1\"]\n";
     let text = format!("{GOOD}{drain}");
-    let message = Scenario::read("small.toml", &text).expect_err("gone by then").to_string();
+    let message = Scenario::read("small.toml", &text)
+        .expect_err("gone by then")
+        .to_string();
     let at = text.lines().count();
     assert!(
-        message.starts_with(&format!("small.toml:{at}: trouble[1].servers: s1 is not there")),
+        message.starts_with(&format!(
+            "small.toml:{at}: trouble[1].servers: s1 is not there"
+        )),
         "{message}"
     );
     // Once it is back, it can be drained.
@@ -82,12 +102,19 @@
 
 #[test]
 fn several_faults_are_told_together_and_a_broken_text_by_its_line() {
-    let text = GOOD.replace("count = 3", "count = 0").replace("share = 0.6", "share = 2.0");
+    let text = GOOD
+        .replace("count = 3", "count = 0")
+        .replace("share = 0.6", "share = 2.0");
     assert!(faults(&text).len() >= 2);
     let broken = GOOD.replace("[[class]]", "[[class");
-    let message = Scenario::read("small.toml", &broken).expect_err("broken").to_string();
+    let message = Scenario::read("small.toml", &broken)
+        .expect_err("broken")
+        .to_string();
     let at = line(&broken, "[[class").expect("there");
-    assert!(message.starts_with(&format!("small.toml:{at}: ")), "{message}");
+    assert!(
+        message.starts_with(&format!("small.toml:{at}: ")),
+        "{message}"
+    );
 }
 
 #[test]
@@ -95,12 +122,29 @@
     let scenario = Scenario::read("small.toml", GOOD).expect("good");
     let set = |key: &str, value: toml::Value| scenario.with(&[(key.to_owned(), value)]);
     let more = set("sidecars.count", 7.into()).expect("set");
-    assert_eq!((more.day.sidecars.count, scenario.day.sidecars.count), (7, 3));
-    assert_eq!(set("trouble[0].times", 2.5.into()).expect("set").day.trouble[0].times, 2.5);
-    for (key, value) in [("sidecars.count", -1), ("trouble[4].times", 1), ("seconds.x", 1), ("load.speed", 1)]
-    {
+    assert_eq!(
+        (more.day.sidecars.count, scenario.day.sidecars.count),
+        (7, 3)
+    );
+    assert_eq!(
+        set("trouble[0].times", 2.5.into())
+            .expect("set")
+            .day
+            .trouble[0]
+            .times,
+        2.5
+    );
+    for (key, value) in [
+        ("sidecars.count", -1),
+        ("trouble[4].times", 1),
+        ("seconds.x", 1),
+        ("load.speed", 1),
+    ] {
         let message = set(key, value.into()).expect_err(key).to_string();
-        assert!(message.contains(key.split('.').next().unwrap_or_default()), "{key}: {message}");
+        assert!(
+            message.contains(key.split('.').next().unwrap_or_default()),
+            "{key}: {message}"
+        );
     }
 }
 
--- a/crates/testbed/tests/stage.rs
+++ b/crates/testbed/tests/stage.rs
@@ -10,7 +10,11 @@
 /// The sidecar's program, which a test of the whole workspace builds beside the lab's.
 fn program() -> PathBuf {
     let path = Path::new(env!("CARGO_BIN_EXE_arrowstand-testbed")).with_file_name("arrowstand");
-    assert!(path.is_file(), "{} is missing: test the whole workspace", path.display());
+    assert!(
+        path.is_file(),
+        "{} is missing: test the whole workspace",
+        path.display()
+    );
     path
 }
 
@@ -47,15 +51,24 @@
 "#;
 
 fn stage(name: &str, more: &str) -> Report {
-    let scenario =
-        Scenario::read(name, &format!("name = \"{name}\"\n{SMALL}{more}")).unwrap_or_else(|f| panic!("{f}"));
-    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-{name}-{}", std::process::id()));
-    let options = Options { program: program(), folder: Some(folder.clone()) };
+    let scenario = Scenario::read(name, &format!("name = \"{name}\"\n{SMALL}{more}"))
+        .unwrap_or_else(|f| panic!("{f}"));
+    let folder =
+        std::env::temp_dir().join(format!("arrowstand-testbed-{name}-{}", std::process::id()));
+    let options = Options {
+        program: program(),
+        folder: Some(folder.clone()),
+    };
     let report = run(&scenario.day, &options, None).expect("played");
     let _ = std::fs::remove_dir_all(folder);
     assert_eq!(report.broken, Vec::<String>::new(), "{report}");
     assert_eq!(report.uncounted, Vec::<String>::new(), "{report}");
-    let ended: u64 = report.classes.iter().flat_map(|c| &c.ended).map(|e| e.1).sum();
+    let ended: u64 = report
+        .classes
+        .iter()
+        .flat_map(|c| &c.ended)
+        .map(|e| e.1)
+        .sum();
     assert_eq!(ended, report.asked, "every wish comes to an end: {report}");
     report
 }
@@ -66,14 +79,23 @@
     assert_eq!(first.asked, second.asked);
     assert_eq!(first.count(How::Served), first.transactions);
     assert_eq!(first.answered, second.answered);
-    assert!(first.remarks.iter().any(|r| r.starts_with("counters compared")), "{first}");
+    assert!(
+        first
+            .remarks
+            .iter()
+            .any(|r| r.starts_with("counters compared")),
+        "{first}"
+    );
 }
 
 #[test]
 fn silence_mid_request_and_a_vanished_machine_lose_no_answer() {
     let trouble = "[[trouble]]\nwhat = \"silence\"\nat_s = 1.0\nfor_s = 1.5\nservers = [\"s0\"]\n";
     let report = stage("silence", trouble);
-    assert!(report.count(How::Served) > report.transactions / 2, "{report}");
+    assert!(
+        report.count(How::Served) > report.transactions / 2,
+        "{report}"
+    );
 }
 
 #[test]
@@ -118,7 +140,13 @@
 kill = false
 "#;
     let report = stage("ending", trouble);
-    assert!(report.remarks.iter().any(|r| r.starts_with("counters compared")), "{report}");
+    assert!(
+        report
+            .remarks
+            .iter()
+            .any(|r| r.starts_with("counters compared")),
+        "{report}"
+    );
 }
 
 #[test]
@@ -140,17 +168,30 @@
 notice_ms = 100.0
 "#;
     let report = stage("killed", trouble);
-    assert!(report.remarks.iter().any(|r| r.contains("were killed")), "{report}");
+    assert!(
+        report.remarks.iter().any(|r| r.contains("were killed")),
+        "{report}"
+    );
 }
 
 /// Guards against a file that one sidecar reads at its start while it is written for the next.
 #[test]
 fn many_sidecars_start_at_once() {
-    let day = SMALL.replace("seconds = 4.0", "seconds = 1.0").replace("count = 2", "count = 60");
-    let scenario =
-        Scenario::read("many", &format!("name = \"many\"\n{day}")).unwrap_or_else(|f| panic!("{f}"));
-    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-many-{}", std::process::id()));
-    let played = run(&scenario.day, &Options { program: program(), folder: Some(folder.clone()) }, None);
+    let day = SMALL
+        .replace("seconds = 4.0", "seconds = 1.0")
+        .replace("count = 2", "count = 60");
+    let scenario = Scenario::read("many", &format!("name = \"many\"\n{day}"))
+        .unwrap_or_else(|f| panic!("{f}"));
+    let folder =
+        std::env::temp_dir().join(format!("arrowstand-testbed-many-{}", std::process::id()));
+    let played = run(
+        &scenario.day,
+        &Options {
+            program: program(),
+            folder: Some(folder.clone()),
+        },
+        None,
+    );
     let report = played.expect("all start");
     let _ = std::fs::remove_dir_all(folder);
     assert_eq!(report.broken, Vec::<String>::new(), "{report}");
@@ -158,13 +199,20 @@
 
 #[test]
 fn a_sidecar_that_ends_at_its_start_is_told_at_once() {
-    let scenario =
-        Scenario::read("ends", &format!("name = \"ends\"\n{SMALL}")).unwrap_or_else(|f| panic!("{f}"));
-    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-ends-{}", std::process::id()));
-    let options = Options { program: "/bin/false".into(), folder: Some(folder.clone()) };
+    let scenario = Scenario::read("ends", &format!("name = \"ends\"\n{SMALL}"))
+        .unwrap_or_else(|f| panic!("{f}"));
+    let folder =
+        std::env::temp_dir().join(format!("arrowstand-testbed-ends-{}", std::process::id()));
+    let options = Options {
+        program: "/bin/false".into(),
+        folder: Some(folder.clone()),
+    };
     let fault = run(&scenario.day, &options, None).err();
     let _ = std::fs::remove_dir_all(folder);
-    assert_eq!(fault.as_deref(), Some("n0 ended at its start (exit status: 1): nothing in its log"),);
+    assert_eq!(
+        fault.as_deref(),
+        Some("n0 ended at its start (exit status: 1): nothing in its log"),
+    );
 }
 
 #[test]
@@ -172,12 +220,18 @@
     use nix::sys::signal::{Signal, kill};
     use std::process::{Command, Stdio};
     use std::time::Duration;
-    let folder = std::env::temp_dir().join(format!("arrowstand-testbed-late-{}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("arrowstand-testbed-late-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
     let path = folder.join("late.toml");
     std::fs::write(&path, SMALL).expect("written");
     let child = Command::new(env!("CARGO_BIN_EXE_arrowstand-testbed"))
-        .args(["stage".as_ref(), path.as_os_str(), "--folder".as_ref(), folder.as_os_str()])
+        .args([
+            "stage".as_ref(),
+            path.as_os_str(),
+            "--folder".as_ref(),
+            folder.as_os_str(),
+        ])
         .stdout(Stdio::piped())
         .spawn()
         .expect("starts");
@@ -191,5 +245,8 @@
     let text = String::from_utf8_lossy(&said.stdout).into_owned();
     let _ = std::fs::remove_dir_all(folder);
     assert_eq!(said.status.code(), Some(1), "{text}");
-    assert!(text.contains("NOT TO BE RELIED ON: the machine ran late"), "{text}");
+    assert!(
+        text.contains("NOT TO BE RELIED ON: the machine ran late"),
+        "{text}"
+    );
 }
