--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 
 use arrowstand_balancer::{
-    Action, AttemptEnd, Call, Class, ClassId, Condition, Event, ListKind, LoadReport, Member,
-    Micros, Outcome, RequestId, Scope, Semantics, ServerId, Settings,
+    Action, AttemptEnd, ClassId, DeduplicationScope, Endpoint, EndpointStatus, Event, Idempotency,
+    IncomingRequest, LoadReport, Micros, Outcome, RequestClass, RequestId, ServerId, Settings,
+    UpdateKind,
 };
 use arrowstand_control::{Informed, Machines, fingerprint};
 
@@ -23,7 +24,7 @@
 /// A list line, kept until its table number is used again.
 struct Line {
     server: String,
-    condition: Condition,
+    condition: EndpointStatus,
     launched: Option<Micros>,
     cell: u32,
     area: String,
@@ -76,25 +77,25 @@
     let mut classes = Vec::with_capacity(conf.request_classes.len());
     for c in &conf.request_classes {
         let semantics = match c.semantics.as_str() {
-            "pure" => Semantics::Pure,
-            "token" => Semantics::Keyed,
-            "side_effect" => Semantics::SideEffect,
+            "pure" => Idempotency::Idempotent,
+            "token" => Idempotency::IdempotencyKey,
+            "side_effect" => Idempotency::NonIdempotent,
             other => return Err(format!("class {}: unknown semantics {other:?}", c.name)),
         };
         let scope = match c.dedup_scope.as_deref() {
-            None | Some("all") => Scope::All,
-            Some("zone") => Scope::Zone,
-            Some("cell") => Scope::Cell,
+            None | Some("all") => DeduplicationScope::All,
+            Some("zone") => DeduplicationScope::Zone,
+            Some("cell") => DeduplicationScope::Cell,
             Some(other) => return Err(format!("class {}: unknown scope {other:?}", c.name)),
         };
-        classes.push(Class {
-            worth: c.importance.unwrap_or(1.0),
+        classes.push(RequestClass {
+            priority_weight: c.importance.unwrap_or(1.0),
             late_value: c.late_value.unwrap_or(0.0),
-            stretch: c.aim_stretch.unwrap_or(0.0),
-            scope,
-            window: micros(c.window_ms.unwrap_or(0.0)),
+            objective_per_work: c.aim_stretch.unwrap_or(0.0),
+            deduplication_scope: scope,
+            deduplication_window: micros(c.window_ms.unwrap_or(0.0)),
             streamed: c.streamed.unwrap_or(false),
-            ..Class::new(semantics, micros(c.objective_ms), micros(c.deadline_ms))
+            ..RequestClass::new(semantics, micros(c.objective_ms), micros(c.deadline_ms))
         });
     }
     let position = |name: &str| conf.report.fields.iter().position(|f| f == name);
@@ -107,31 +108,31 @@
     let settings = Settings {
         classes,
         zone: zone.map_or(u32::MAX, |z| z as u32),
-        index: conf.my_number.unwrap_or(0),
-        balancers: conf.balancers.unwrap_or(1),
+        balancer_index: conf.my_number.unwrap_or(0),
+        balancer_count: conf.balancers.unwrap_or(1),
         step: conf.step_ms.map_or(base.step, micros),
-        cancel: permissions.cancel,
-        probes: permissions.probes,
-        peers: permissions.peers,
+        cancellation: permissions.cancel,
+        health_checks: permissions.probes,
+        gossip: permissions.peers,
         hedging: permissions.may_duplicate,
         retry_after: permissions.retry_after,
         max_retry_after: micros(permissions.max_retry_after_ms),
         max_attempts: permissions.max_attempts.unwrap_or(base.max_attempts),
-        probe_fee: conf.fees.probe,
+        health_check_fee: conf.fees.probe,
         handshake_fee: conf.fees.handshake,
-        idle_close: permissions.idle_close_ms.map_or(base.idle_close, micros),
+        idle_timeout: permissions.idle_close_ms.map_or(base.idle_timeout, micros),
         connection_fee: conf.fees.connection,
         cross_zone_fee: conf.fees.cross_zone,
-        reports: shape.held.is_some() && conf.report.source != "none",
-        answers_report: conf.report.source == "answers",
-        worth_by_work: conf.worth_by.as_deref() == Some("work"),
-        list_on_request: conf.membership_mode.as_deref() == Some("on_request"),
-        ask_every: safety.ask_every_ms.map_or(base.ask_every, micros),
+        load_reports: shape.held.is_some() && conf.report.source != "none",
+        load_reports_in_responses: conf.report.source == "answers",
+        weight_by_work: conf.worth_by.as_deref() == Some("work"),
+        poll_endpoints: conf.membership_mode.as_deref() == Some("on_request"),
+        max_poll_interval: safety.ask_every_ms.map_or(base.max_poll_interval, micros),
         only_draining_binds: safety.only_draining_binds,
-        cold_share: safety.cold_from.unwrap_or(base.cold_share),
-        cold_time: safety.cold_ms.map_or(base.cold_time, micros),
-        cold_multiple: safety.overload_factor.unwrap_or(base.cold_multiple),
-        cold_span: safety.fall_ms.map_or(base.cold_span, micros),
+        cold_capacity_share: safety.cold_from.unwrap_or(base.cold_capacity_share),
+        slow_start_time: safety.cold_ms.map_or(base.slow_start_time, micros),
+        cold_overload_factor: safety.overload_factor.unwrap_or(base.cold_overload_factor),
+        cold_overload_window: safety.fall_ms.map_or(base.cold_overload_window, micros),
     };
     Ok((settings, shape))
 }
@@ -167,7 +168,7 @@
         ServerId(id)
     }
 
-    fn member(&mut self, line: &Line) -> Member {
+    fn member(&mut self, line: &Line) -> Endpoint {
         let zone = match self.zones.iter().position(|z| *z == line.area) {
             Some(known) => known,
             None => {
@@ -175,14 +176,14 @@
                 self.zones.len() - 1
             }
         };
-        Member {
+        Endpoint {
             server: self.intern(&line.server),
-            fingerprint: fingerprint(&line.server),
-            condition: line.condition,
-            launched: line.launched,
+            stable_hash: fingerprint(&line.server),
+            status: line.condition,
+            incarnation: line.launched,
             zone: zone as u32,
             cell: line.cell,
-            machine: self.machines.of(&line.model),
+            machine_type: self.machines.of(&line.model),
         }
     }
 
@@ -191,8 +192,8 @@
         let at = |place: Option<usize>| stats.get(place?).copied().flatten();
         let held = at(self.report.held)?;
         Some(LoadReport {
-            held,
-            waiting: at(self.report.waiting).unwrap_or(0.0),
+            in_flight: held,
+            queued: at(self.report.waiting).unwrap_or(0.0),
         })
     }
 
@@ -205,60 +206,60 @@
         Ok(match msg {
             "roster-change" => {
                 let kind = match need(event.kind, msg, "kind")? {
-                    "incr" => ListKind::Changes,
-                    "total" => ListKind::Full,
-                    "warm_copy" => ListKind::WarmCopy,
-                    "lost" => ListKind::Lost,
+                    "incr" => UpdateKind::Incremental,
+                    "total" => UpdateKind::Full,
+                    "warm_copy" => UpdateKind::Cached,
+                    "lost" => UpdateKind::Lost,
                     other => return Err(format!("{msg}: unknown kind {other:?}")),
                 };
                 let mut entries = Vec::new();
-                if kind != ListKind::Lost {
+                if kind != UpdateKind::Lost {
                     let number = need(event.table, msg, "table")?;
                     let lines = tables.get(&number);
                     let lines = lines.ok_or_else(|| format!("{msg}: no roster {number}"))?;
                     entries.extend(lines.iter().map(|line| self.member(line)));
                 }
-                Event::Members {
+                Event::EndpointsUpdated {
                     kind,
                     version: event.r#gen.unwrap_or(0),
-                    entries,
+                    endpoints: entries,
                 }
             }
             "request" => {
                 let name = need(event.grade, msg, "grade")?;
                 let class = self.classes.iter().position(|c| c == name);
                 let class = class.ok_or_else(|| format!("{msg}: unknown grade {name:?}"))?;
-                Event::Request(Call {
+                Event::RequestArrived(IncomingRequest {
                     id: request_id(event)?,
                     class: ClassId(class as u16),
                     time_left: micros(event.left_ms.unwrap_or(0.0)),
-                    size_hint: event.size_hint_ms.map(micros),
+                    work_hint: event.size_hint_ms.map(micros),
                 })
             }
-            "ack-first" => Event::Started {
+            "ack-first" => Event::ResponseStarted {
                 request: request_id(event)?,
             },
-            "response" => Event::Outcome(AttemptEnd {
+            "response" => Event::AttemptEnded(AttemptEnd {
                 request: request_id(event)?,
                 attempt: need(event.n, msg, "n")?,
                 server: server(self)?,
                 outcome: outcome(need(event.rc, msg, "rc")?)?,
                 finished: need(event.finished, msg, "finished")?,
                 elapsed: micros(event.time_taken_ms.unwrap_or(0.0)),
-                report: self.load(event.stats.as_deref()),
+                load_report: self.load(event.stats.as_deref()),
             }),
-            "dropped" => Event::Dropped {
+            "dropped" => Event::ClientDisconnected {
                 request: request_id(event)?,
             },
-            "wakeup" => Event::Timer {
+            "wakeup" => Event::TimerFired {
                 token: need(event.cookie, msg, "cookie")?,
             },
-            "health" => Event::Probed {
+            "health" => Event::HealthCheckEnded {
                 server: server(self)?,
                 outcome: outcome(need(event.rc, msg, "rc")?)?,
-                report: self.load(event.stats.as_deref()),
+                load_report: self.load(event.stats.as_deref()),
             },
-            "whisper" => Event::Peer {
+            "whisper" => Event::GossipReceived {
                 from: need(event.by, msg, "by")?,
                 message: decode(need(event.contents, msg, "contents")?)?,
             },
@@ -286,7 +287,7 @@
                     .id(request.0)
                     .number("n", attempt);
             }
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => {
@@ -298,23 +299,23 @@
             Action::Fail { request } => {
                 reply.begin("give-up", instance).id(request.0);
             }
-            Action::Timer { token, after } => {
+            Action::SetTimer { token, after } => {
                 reply.begin("wake-at", instance).number("cookie", token);
                 reply.millis("from-now-ms", *after);
             }
-            Action::Probe { server } => {
+            Action::HealthCheck { server } => {
                 reply
                     .begin("sound-out", instance)
                     .text("server", name(server));
             }
-            Action::Tell { to, message } => {
+            Action::SendGossip { to, message } => {
                 let to = to.map_or(-1, i64::from);
                 reply
                     .begin("share", instance)
                     .number("to", to)
                     .payload(message);
             }
-            Action::Subscribe => {
+            Action::PollEndpoints => {
                 reply.begin("observe", instance).number("want", true);
             }
             Action::Log { text, server } => {
@@ -367,9 +368,9 @@
         let mut lines = Vec::with_capacity(entries.len());
         for entry in entries {
             let condition = match entry.condition {
-                "in_service" => Condition::Ready,
-                "terminating" => Condition::Draining,
-                "terminated" => Condition::Gone,
+                "in_service" => EndpointStatus::Ready,
+                "terminating" => EndpointStatus::Draining,
+                "terminated" => EndpointStatus::Removed,
                 other => return Err(format!("roster: unknown condition {other:?}")),
             };
             lines.push(Line {
--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -1,7 +1,7 @@
 //! The interface of the balancer: its settings, the events it is told and the actions it asks for.
 //!
 //! Times are whole microseconds on one clock that only rises. Ids are interned by the host and
-//! carry no meaning, apart from [`Member::fingerprint`], which all balancers compute alike.
+//! carry no meaning, apart from [`Endpoint::stable_hash`], which all balancers compute alike.
 
 use std::fmt;
 
@@ -22,18 +22,18 @@
 
 /// May a request run more than once?
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Semantics {
+pub enum Idempotency {
     /// Safe to repeat anywhere.
-    Pure,
+    Idempotent,
     /// Carries a key by which the servers of one scope drop repeats for a while.
-    Keyed,
+    IdempotencyKey,
     /// Must never run twice.
-    SideEffect,
+    NonIdempotent,
 }
 
 /// The servers among which repeats of a keyed request are dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
+pub enum DeduplicationScope {
     /// All of them.
     All,
     /// Those of one zone.
@@ -44,39 +44,39 @@
 
 /// What the balancer knows of a request class.
 #[derive(Clone, Debug)]
-pub struct Class {
+pub struct RequestClass {
     /// Worth of one request in time.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Answers within this time have full worth.
-    pub objective: Micros,
+    pub latency_objective: Micros,
     /// Time a client waits across all its tries.
     pub deadline: Micros,
     /// Share of the worth that a late answer keeps.
     pub late_value: f64,
     /// The objective grows by this multiple of the request's own work.
-    pub stretch: f64,
+    pub objective_per_work: f64,
     /// Whether a request may run again.
-    pub semantics: Semantics,
+    pub idempotency: Idempotency,
     /// Where repeats of a keyed request are dropped.
-    pub scope: Scope,
+    pub deduplication_scope: DeduplicationScope,
     /// For how long they are dropped, from the first attempt that may have run.
-    pub window: Micros,
+    pub deduplication_window: Micros,
     /// The answer is streamed: it may start before it ends.
     pub streamed: bool,
 }
 
-impl Class {
+impl RequestClass {
     /// A class of worth 1 whose late answers are worth nothing.
-    pub fn new(semantics: Semantics, objective: Micros, deadline: Micros) -> Self {
+    pub fn new(idempotency: Idempotency, latency_objective: Micros, deadline: Micros) -> Self {
         Self {
-            worth: 1.0,
-            objective,
+            priority_weight: 1.0,
+            latency_objective,
             deadline,
             late_value: 0.0,
-            stretch: 0.0,
-            semantics,
-            scope: Scope::All,
-            window: 0,
+            objective_per_work: 0.0,
+            idempotency,
+            deduplication_scope: DeduplicationScope::All,
+            deduplication_window: 0,
             streamed: false,
         }
     }
@@ -86,21 +86,21 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// The request classes.
-    pub classes: Vec<Class>,
-    /// Zone of this balancer, in the numbering of [`Member::zone`].
+    pub classes: Vec<RequestClass>,
+    /// Zone of this balancer, in the numbering of [`Endpoint::zone`].
     pub zone: u32,
     /// Number of this balancer among its peers.
-    pub index: u32,
+    pub balancer_index: u32,
     /// How many balancers there are.
-    pub balancers: u32,
+    pub balancer_count: u32,
     /// Shortest time between two calls of the balancer.
     pub step: Micros,
     /// Attempts can be cancelled.
-    pub cancel: bool,
+    pub cancellation: bool,
     /// Servers can be probed.
-    pub probes: bool,
+    pub health_checks: bool,
     /// Balancers can message each other.
-    pub peers: bool,
+    pub gossip: bool,
     /// A request may have two attempts outstanding.
     pub hedging: bool,
     /// Clients hear the retry-after of a refusal.
@@ -110,35 +110,35 @@
     /// Most attempts for one request.
     pub max_attempts: u32,
     /// Price of one probe per request, as a fraction of the result.
-    pub probe_fee: f64,
+    pub health_check_fee: f64,
     /// Price of one new connection per request, as a fraction of the result.
     pub handshake_fee: f64,
     /// A connection that stands idle for this long is closed.
-    pub idle_close: Micros,
+    pub idle_timeout: Micros,
     /// Price of a mean of 100 open connections for each server.
     pub connection_fee: f64,
     /// Price of one attempt per request crossing zones.
     pub cross_zone_fee: f64,
     /// Load reports carry the requests held and waiting, with probes.
-    pub reports: bool,
+    pub load_reports: bool,
     /// Load reports come with answers too, each as of some time before.
-    pub answers_report: bool,
+    pub load_reports_in_responses: bool,
     /// A request's worth counts for each unit of its work.
-    pub worth_by_work: bool,
+    pub weight_by_work: bool,
     /// The list of servers must be asked for.
-    pub list_on_request: bool,
+    pub poll_endpoints: bool,
     /// Longest time to go without asking for the list.
-    pub ask_every: Micros,
+    pub max_poll_interval: Micros,
     /// Only a listed drain binds; a server that is merely gone may be tried.
     pub only_draining_binds: bool,
     /// A server starts at this share of its capacity or more.
-    pub cold_share: f64,
+    pub cold_capacity_share: f64,
     /// And is warm after this time.
-    pub cold_time: Micros,
+    pub slow_start_time: Micros,
     /// A cold server falls over that is sent more than this many times what it can do,
-    pub cold_multiple: f64,
+    pub cold_overload_factor: f64,
     /// for this long, by all balancers together.
-    pub cold_span: Micros,
+    pub cold_overload_window: Micros,
 }
 
 impl Default for Settings {
@@ -146,31 +146,31 @@
         Self {
             classes: Vec::new(),
             zone: 0,
-            index: 0,
-            balancers: 1,
+            balancer_index: 0,
+            balancer_count: 1,
             step: 1_000,
-            cancel: true,
-            probes: true,
-            peers: false,
+            cancellation: true,
+            health_checks: true,
+            gossip: false,
             hedging: true,
             retry_after: true,
             max_retry_after: 1_000_000,
             max_attempts: 3,
-            probe_fee: 0.01,
+            health_check_fee: 0.01,
             handshake_fee: 0.0,
-            idle_close: 5_000_000,
+            idle_timeout: 5_000_000,
             connection_fee: 0.0,
             cross_zone_fee: 0.0,
-            reports: false,
-            answers_report: false,
-            worth_by_work: false,
-            list_on_request: false,
-            ask_every: 10_000_000,
+            load_reports: false,
+            load_reports_in_responses: false,
+            weight_by_work: false,
+            poll_endpoints: false,
+            max_poll_interval: 10_000_000,
             only_draining_binds: false,
-            cold_share: 0.3,
-            cold_time: 10_000_000,
-            cold_multiple: 2.5,
-            cold_span: 1_500_000,
+            cold_capacity_share: 0.3,
+            slow_start_time: 10_000_000,
+            cold_overload_factor: 2.5,
+            cold_overload_window: 1_500_000,
         }
     }
 }
@@ -204,33 +204,33 @@
         };
         check(!self.classes.is_empty(), "classes", "at least one class is needed")?;
         for (i, class) in self.classes.iter().enumerate() {
-            let worth = class.worth.is_finite() && class.worth >= 0.0;
+            let worth = class.priority_weight.is_finite() && class.priority_weight >= 0.0;
             check(worth, &format!("classes[{i}].worth"), "must be finite and not negative")?;
-            let objective = class.objective > 0;
+            let objective = class.latency_objective > 0;
             check(objective, &format!("classes[{i}].objective"), "must be above zero")?;
-            let deadline = class.deadline >= class.objective;
+            let deadline = class.deadline >= class.latency_objective;
             check(deadline, &format!("classes[{i}].deadline"), "must not be below the objective")?;
             let late = (0.0..=1.0).contains(&class.late_value);
             check(late, &format!("classes[{i}].late_value"), "must lie between 0 and 1")?;
-            let stretch = class.stretch.is_finite() && class.stretch >= 0.0;
+            let stretch = class.objective_per_work.is_finite() && class.objective_per_work >= 0.0;
             check(stretch, &format!("classes[{i}].stretch"), "must be finite and not negative")?;
         }
         check(self.max_attempts > 0, "max_attempts", "at least one attempt is needed")?;
-        let share = self.cold_share > 0.0 && self.cold_share <= 1.0;
+        let share = self.cold_capacity_share > 0.0 && self.cold_capacity_share <= 1.0;
         check(share, "cold_share", "must be above 0 and at most 1")?;
-        let multiple = self.cold_multiple > 0.0 && self.cold_multiple.is_finite();
+        let multiple = self.cold_overload_factor > 0.0 && self.cold_overload_factor.is_finite();
         check(multiple, "cold_multiple", "must be finite and above 0")?;
-        let fees = [self.probe_fee, self.handshake_fee, self.connection_fee, self.cross_zone_fee]
+        let fees = [self.health_check_fee, self.handshake_fee, self.connection_fee, self.cross_zone_fee]
             .iter()
             .all(|f| f.is_finite());
         check(fees, "probe_fee, connection_fee or cross_zone_fee", "must be finite")?;
-        check(self.ask_every > 0, "ask_every", "must be above zero")
+        check(self.max_poll_interval > 0, "ask_every", "must be above zero")
     }
 }
 
 /// A request as it came from a client.
 #[derive(Clone, Copy, Debug)]
-pub struct Call {
+pub struct IncomingRequest {
     /// Its id.
     pub id: RequestId,
     /// Its class.
@@ -238,7 +238,7 @@
     /// How long the client still waits for this try.
     pub time_left: Micros,
     /// Expected work, in time on a standard core, where the client can tell.
-    pub size_hint: Option<Micros>,
+    pub work_hint: Option<Micros>,
 }
 
 /// How an attempt or a probe ended.
@@ -264,7 +264,7 @@
 
 impl Outcome {
     /// True where the outcome proves that the attempt had no effect.
-    pub fn never_ran(self) -> bool {
+    pub fn never_executed(self) -> bool {
         matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
     }
 }
@@ -273,9 +273,9 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadReport {
     /// Requests it holds, running and waiting.
-    pub held: f64,
+    pub in_flight: f64,
     /// Those of them that wait.
-    pub waiting: f64,
+    pub queued: f64,
 }
 
 /// The end of one attempt.
@@ -294,74 +294,74 @@
     /// Time since the send.
     pub elapsed: Micros,
     /// Load report that came along.
-    pub report: Option<LoadReport>,
+    pub load_report: Option<LoadReport>,
 }
 
 /// How a server stands in the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Condition {
+pub enum EndpointStatus {
     /// In service.
     #[default]
     Ready,
     /// Finishing its work; nothing new may be sent.
     Draining,
     /// Removed.
-    Gone,
+    Removed,
 }
 
 /// What a machine of some kind can do, as far as the deployment tells.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Machine {
+pub struct MachineType {
     /// The kind's number: what is learnt of one server tells of the others of its kind.
-    pub kind: u32,
+    pub id: u32,
     /// Requests that it runs at a time; above zero.
     pub cores: f64,
     /// Work per time of one core, against a usual one; above zero.
     pub speed: f64,
 }
 
-impl Default for Machine {
+impl Default for MachineType {
     fn default() -> Self {
-        Self { kind: 0, cores: 1.0, speed: 1.0 }
+        Self { id: 0, cores: 1.0, speed: 1.0 }
     }
 }
 
 /// One line of the server list.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Member {
+pub struct Endpoint {
     /// The server.
     pub server: ServerId,
     /// A hash of the server's address, computed alike by every balancer: its name in gossip.
-    pub fingerprint: u64,
+    pub stable_hash: u64,
     /// How it stands.
-    pub condition: Condition,
+    pub status: EndpointStatus,
     /// Time of its most recent start; `None` for long ago. Serves as incarnation.
-    pub launched: Option<Micros>,
+    pub incarnation: Option<Micros>,
     /// Its zone.
     pub zone: u32,
     /// Its cell.
     pub cell: u32,
     /// What kind of machine it is.
-    pub machine: Machine,
+    pub machine_type: MachineType,
 }
 
-impl Member {
+impl Endpoint {
     /// A ready server, started long ago, in zone 0 and cell 0.
-    pub fn ready(server: ServerId, fingerprint: u64) -> Self {
-        let condition = Condition::Ready;
-        Self { server, fingerprint, condition, ..Self::default() }
+    pub fn ready(server: ServerId, stable_hash: u64) -> Self {
+        let status = EndpointStatus::Ready;
+        Self { server, stable_hash, status, ..Self::default() }
     }
 }
 
 /// What a list event holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListKind {
+pub enum UpdateKind {
     /// Only the servers that changed.
-    Changes,
+    Incremental,
     /// Every server; one that is missing has been removed.
     Full,
     /// Every server as last known before a restart, possibly stale.
-    WarmCopy,
+    Cached,
     /// Nothing: a call failed, or the subscription broke.
     Lost,
 }
@@ -370,44 +370,44 @@
 #[derive(Clone, Debug)]
 pub enum Event {
     /// News of the server list.
-    Members {
+    EndpointsUpdated {
         /// What it holds.
-        kind: ListKind,
+        kind: UpdateKind,
         /// Version of the list.
         version: u64,
         /// The servers named.
-        entries: Vec<Member>,
+        endpoints: Vec<Endpoint>,
     },
     /// A request arrived; it is owed one final answer.
-    Request(Call),
+    RequestArrived(IncomingRequest),
     /// A streamed answer started.
-    Started {
+    ResponseStarted {
         /// The request.
         request: RequestId,
     },
     /// An attempt ended.
-    Outcome(AttemptEnd),
+    AttemptEnded(AttemptEnd),
     /// The client left; nothing more is owed.
-    Dropped {
+    ClientDisconnected {
         /// The request.
         request: RequestId,
     },
     /// A timer came due.
-    Timer {
+    TimerFired {
         /// The token it was set with.
         token: u64,
     },
     /// A probe ended.
-    Probed {
+    HealthCheckEnded {
         /// The server probed.
         server: ServerId,
         /// How it ended.
         outcome: Outcome,
         /// Load report that came along.
-        report: Option<LoadReport>,
+        load_report: Option<LoadReport>,
     },
     /// A message from another balancer.
-    Peer {
+    GossipReceived {
         /// Its number.
         from: u32,
         /// What it sent.
@@ -435,7 +435,7 @@
         attempt: u32,
     },
     /// Final answer: not done, trying again is harmless.
-    Refuse {
+    Reject {
         /// The request.
         request: RequestId,
         /// When the client should come back.
@@ -446,27 +446,27 @@
         /// The request.
         request: RequestId,
     },
-    /// Send [`Event::Timer`] later.
-    Timer {
+    /// Send [`Event::TimerFired`] later.
+    SetTimer {
         /// Token to return.
         token: u64,
         /// How much later.
         after: Micros,
     },
     /// Probe a server.
-    Probe {
+    HealthCheck {
         /// Which.
         server: ServerId,
     },
     /// Message one peer, or all.
-    Tell {
+    SendGossip {
         /// Its number, or `None` for all.
         to: Option<u32>,
         /// What to send.
         message: Vec<u8>,
     },
     /// Ask for list changes from now on.
-    Subscribe,
+    PollEndpoints,
     /// A line for the log.
     Log {
         /// What happened.
--- a/crates/balancer/src/estimates/load.rs
+++ b/crates/balancer/src/estimates/load.rs
@@ -13,7 +13,7 @@
 impl Balancer {
     /// True where answers tell of load and nobody asks before a send.
     pub(crate) fn by_answers(&self) -> bool {
-        self.settings.answers_report && !self.looks()
+        self.settings.load_reports_in_responses && !self.looks()
     }
 
     pub(crate) fn take_report(&mut self, i: usize, report: Option<LoadReport>) {
@@ -22,7 +22,7 @@
         // Guards against reports that are frozen or wrong: one that owns up to less than we know to be there.
         let known = server.own.iter().filter(|o| Some(o.sent) < server.probing).count() as f64;
         let sound = |h: &f64| h.is_finite() && *h >= 0.0 && (by_answers || *h + 0.5 >= known);
-        let Some(held) = report.map(|r| r.held).filter(sound) else { return };
+        let Some(held) = report.map(|r| r.in_flight).filter(sound) else { return };
         let own = server.own.len() as f64;
         if by_answers {
             // Guards against old reports set against own requests of now: means are compared over the same time.
--- a/crates/balancer/src/estimates/pace.rs
+++ b/crates/balancer/src/estimates/pace.rs
@@ -18,11 +18,11 @@
     /// server next to nothing: what one server shows tells of all machines like it. Servers that are asked
     /// before a send speak for themselves.
     fn usual(&self, server: &Server) -> f64 {
-        let machine = server.member.machine;
+        let machine = server.member.machine_type;
         if self.looks() {
             return 1.0;
         }
-        self.kinds.get(&machine.kind).copied().unwrap_or(1.0 / machine.speed)
+        self.kinds.get(&machine.id).copied().unwrap_or(1.0 / machine.speed)
     }
 
     /// Moves the latencies of the fleet, and the pace of the server against them.
@@ -41,8 +41,8 @@
         let old = self.pace(&self.servers[i]);
         let server = &mut self.servers[i];
         (server.pace, server.pace_at) = (old + PACE_WEIGHT * (pace - old), self.now);
-        let (machine, usual) = (self.servers[i].member.machine, self.usual(&self.servers[i]));
-        self.kinds.insert(machine.kind, usual + MEAN_WEIGHT * (pace - usual));
+        let (machine, usual) = (self.servers[i].member.machine_type, self.usual(&self.servers[i]));
+        self.kinds.insert(machine.id, usual + MEAN_WEIGHT * (pace - usual));
         self.unit += MEAN_WEIGHT * (unit.min(4.0 * self.unit) - self.unit);
         let off = elapsed.max(1.0).ln() - self.log_mean;
         self.log_mean += MEAN_WEIGHT * off;
@@ -55,7 +55,7 @@
         if self.mean_size == 0.0 {
             return 1.0;
         }
-        let work = if self.settings.worth_by_work { 1.0 } else { request.size };
-        self.class(request).worth / work / self.mean_worth.max(f64::MIN_POSITIVE)
+        let work = if self.settings.weight_by_work { 1.0 } else { request.size };
+        self.class(request).priority_weight / work / self.mean_worth.max(f64::MIN_POSITIVE)
     }
 }
--- a/crates/balancer/src/estimates/warmth.rs
+++ b/crates/balancer/src/estimates/warmth.rs
@@ -10,8 +10,8 @@
     /// Share of its capacity that a server is assumed to have: from the cold share up to all of it.
     pub(crate) fn warmth(&self, server: &Server) -> f64 {
         let Some(since) = server.cold_since else { return 1.0 };
-        let age = self.now.saturating_sub(since) as f64 / self.settings.cold_time.max(1) as f64;
-        (self.settings.cold_share + (1.0 - self.settings.cold_share) * age).min(1.0)
+        let age = self.now.saturating_sub(since) as f64 / self.settings.slow_start_time.max(1) as f64;
+        (self.settings.cold_capacity_share + (1.0 - self.settings.cold_capacity_share) * age).min(1.0)
     }
 
     /// What a warm server gets of the work that this balancer sends, as size a microsecond.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,29 +7,29 @@
 //! use arrowstand_balancer::*;
 //!
 //! let mut settings = Settings::default();
-//! settings.classes.push(Class::new(Semantics::Pure, 250_000, 600_000));
+//! settings.classes.push(RequestClass::new(Idempotency::Idempotent, 250_000, 600_000));
 //! let mut balancer = Balancer::new(settings, 7).expect("valid settings");
 //! let mut actions = Vec::new();
 //!
-//! // The list names one server.
-//! let member = Member::ready(ServerId(0), 0x5eed);
-//! let list = Event::Members { kind: ListKind::Full, version: 1, entries: vec![member] };
+//! // The endpoint list names one server.
+//! let endpoint = Endpoint::ready(ServerId(0), 0x5eed);
+//! let list = Event::EndpointsUpdated { kind: UpdateKind::Full, version: 1, endpoints: vec![endpoint] };
 //! balancer.handle(0, list, &mut actions);
 //!
 //! // A request comes in and is sent to it.
 //! actions.clear();
-//! let call = Call { id: RequestId(1), class: ClassId(0), time_left: 600_000, size_hint: None };
-//! balancer.handle(1_000, Event::Request(call), &mut actions);
+//! let call = IncomingRequest { id: RequestId(1), class: ClassId(0), time_left: 600_000, work_hint: None };
+//! balancer.handle(1_000, Event::RequestArrived(call), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(0), .. })));
 //!
 //! // The attempt is served: the host passes the answer on, and nothing more is owed.
 //! actions.clear();
 //! let served = AttemptEnd {
 //!     request: RequestId(1), attempt: 0, server: ServerId(0), outcome: Outcome::Served,
-//!     finished: true, elapsed: 20_000, report: None,
+//!     finished: true, elapsed: 20_000, load_report: None,
 //! };
-//! balancer.handle(21_000, Event::Outcome(served), &mut actions);
-//! assert!(!actions.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })));
+//! balancer.handle(21_000, Event::AttemptEnded(served), &mut actions);
+//! assert!(!actions.iter().any(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })));
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/crates/balancer/src/logic/again.rs
+++ b/crates/balancer/src/logic/again.rs
@@ -20,14 +20,18 @@
         let Some(first) = request.attempts.iter().find(|a| a.fate != Fate::NeverRan) else {
             return Some(Reach::Anywhere);
         };
-        match class.semantics {
-            Semantics::Pure => Some(Reach::Anywhere),
-            Semantics::SideEffect => None,
-            Semantics::Keyed if self.now + WINDOW_MARGIN >= first.sent + class.window => None,
-            Semantics::Keyed => Some(match class.scope {
-                Scope::All => Reach::Anywhere,
-                Scope::Zone => Reach::Zone(first.zone),
-                Scope::Cell => Reach::Cell(first.cell),
+        match class.idempotency {
+            Idempotency::Idempotent => Some(Reach::Anywhere),
+            Idempotency::NonIdempotent => None,
+            Idempotency::IdempotencyKey
+                if self.now + WINDOW_MARGIN >= first.sent + class.deduplication_window =>
+            {
+                None
+            }
+            Idempotency::IdempotencyKey => Some(match class.deduplication_scope {
+                DeduplicationScope::All => Reach::Anywhere,
+                DeduplicationScope::Zone => Reach::Zone(first.zone),
+                DeduplicationScope::Cell => Reach::Cell(first.cell),
             }),
         }
     }
--- a/crates/balancer/src/logic/attempts.rs
+++ b/crates/balancer/src/logic/attempts.rs
@@ -8,22 +8,22 @@
 const HOLD: f64 = 0.5;
 
 impl Balancer {
-    pub(super) fn on_request(&mut self, call: Call, acts: &mut Actions) {
+    pub(super) fn on_request(&mut self, call: IncomingRequest, acts: &mut Actions) {
         let now = self.now;
         let Some(class) = self.settings.classes.get(usize::from(call.class.0)) else {
-            acts.push(Action::Refuse { request: call.id, retry_after: None });
+            acts.push(Action::Reject { request: call.id, retry_after: None });
             return;
         };
-        let hint = call.size_hint.unwrap_or(0) as f64;
+        let hint = call.work_hint.unwrap_or(0) as f64;
         if hint > 0.0 {
             let first = if self.mean_size > 0.0 { self.mean_size } else { hint };
             self.mean_size = first + MEAN_WEIGHT * (hint.min(4.0 * first) - first);
         }
-        let first = if self.mean_worth > 0.0 { self.mean_worth } else { class.worth };
-        self.mean_worth = first + MEAN_WEIGHT * (class.worth - first);
+        let first = if self.mean_worth > 0.0 { self.mean_worth } else { class.priority_weight };
+        self.mean_worth = first + MEAN_WEIGHT * (class.priority_weight - first);
         self.traffic.count(now, TRAFFIC_HALF);
         let size = if hint > 0.0 { hint / self.mean_size } else { 1.0 };
-        let objective = class.objective + (class.stretch * hint) as Micros;
+        let objective = class.latency_objective + (class.objective_per_work * hint) as Micros;
         let request = Request {
             class: call.class,
             arrived: now,
@@ -53,7 +53,7 @@
             request.alarm = at;
         }
         self.alarms.insert((at, id));
-        acts.push(Action::Timer { token: TOKEN_ALARM, after });
+        acts.push(Action::SetTimer { token: TOKEN_ALARM, after });
     }
 
     pub(super) fn on_alarm(&mut self, acts: &mut Actions) {
@@ -107,7 +107,7 @@
     /// Forgets a request that has its final answer and calls off what is still out for it.
     pub(super) fn finish(&mut self, id: RequestId, acts: &mut Actions) {
         let Some(request) = self.requests.remove(&id) else { return };
-        if !self.settings.cancel || request.streaming {
+        if !self.settings.cancellation || request.streaming {
             return;
         }
         let out = request.attempts.iter().zip(0..).filter(|(a, _)| a.fate == Fate::Out);
--- a/crates/balancer/src/logic/looks.rs
+++ b/crates/balancer/src/logic/looks.rs
@@ -18,7 +18,9 @@
     /// True where a request may ask for load before it is sent. Guards against trust in reports that nobody
     /// fetches: where probes are dear, what is known of queues is seconds old, and answers have to tell.
     pub(crate) fn looks(&self) -> bool {
-        self.settings.reports && self.settings.probes && self.settings.probe_fee <= LOOK_FEE
+        self.settings.load_reports
+            && self.settings.health_checks
+            && self.settings.health_check_fee <= LOOK_FEE
     }
 
     /// Asks a few random servers for their load, which own requests tell little of where others send too.
--- a/crates/balancer/src/logic/outcomes.rs
+++ b/crates/balancer/src/logic/outcomes.rs
@@ -17,7 +17,7 @@
         }
         let Some(request) = self.requests.get_mut(&end.request) else { return };
         if let Some(attempt) = request.attempts.get_mut(end.attempt as usize) {
-            attempt.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+            attempt.fate = if end.outcome.never_executed() { Fate::NeverRan } else { Fate::MayHaveRun };
         }
         if end.finished {
             self.finish(end.request, acts);
@@ -32,7 +32,7 @@
     }
 
     fn learn(&mut self, i: usize, end: &AttemptEnd, acts: &mut Actions) {
-        self.take_report(i, end.report);
+        self.take_report(i, end.load_report);
         let (now, server) = (self.now, &mut self.servers[i]);
         let own = server.own.iter().position(|o| (o.request, o.attempt) == (end.request, end.attempt));
         let Some(own) = own.map(|at| server.own.swap_remove(at)) else { return };
@@ -54,7 +54,7 @@
                 server.foreign = server.foreign.max(own.load + 1.0);
                 server.foreign_at = now;
                 // Guards against a drain that the list cannot tell, which binds all the same after a time.
-                server.doubted = self.settings.list_on_request && !self.subscribed;
+                server.doubted = self.settings.poll_endpoints && !self.subscribed;
                 self.feel(1.0);
             }
             _ => {
--- a/crates/balancer/src/logic/part.rs
+++ b/crates/balancer/src/logic/part.rs
@@ -16,18 +16,18 @@
 
 impl Balancer {
     pub(crate) fn is_ready(&self, server: &Server) -> bool {
-        let listed = server.member.condition == Condition::Ready || self.settings.only_draining_binds;
+        let listed = server.member.status == EndpointStatus::Ready || self.settings.only_draining_binds;
         listed && !server.drained
     }
 
     /// Guards against more connections than servers accept: each balancer uses the first so many of an order
     /// of its own, and goes further down where these are suspected.
     pub(crate) fn subset(&self) -> usize {
-        let (fleet, balancers) = (self.servers.len() as f64, f64::from(self.settings.balancers));
+        let (fleet, balancers) = (self.servers.len() as f64, f64::from(self.settings.balancer_count));
         // Guards against handshakes: connections that rarely serve are closed before they serve again,
         // and what all balancers open for rare use is what servers run out of.
         if self.settings.handshake_fee > HANDSHAKE_FEE {
-            let kept = self.rate() * self.settings.idle_close as f64 / SUBSET_KEEP;
+            let kept = self.rate() * self.settings.idle_timeout as f64 / SUBSET_KEEP;
             return kept.max(SUBSET_DEAR).min(fleet).ceil() as usize;
         }
         let fee = (self.settings.connection_fee * balancers).max(f64::MIN_POSITIVE);
@@ -40,8 +40,8 @@
     pub(super) fn arrange(&mut self) {
         self.mute = self.servers.iter().filter(|s| s.mute).count();
         self.places = self.servers.iter().enumerate().map(|(i, s)| (s.member.server, i)).collect();
-        let own = u64::from(self.settings.index) << 32;
-        let hash = |s: &Server| fastrand::Rng::with_seed(s.member.fingerprint ^ own).u64(..);
+        let own = u64::from(self.settings.balancer_index) << 32;
+        let hash = |s: &Server| fastrand::Rng::with_seed(s.member.stable_hash ^ own).u64(..);
         let mut order: Vec<_> = self.servers.iter().enumerate().map(|(i, s)| (hash(s), i)).collect();
         order.sort_unstable();
         self.order = order.into_iter().map(|(_, i)| i).collect();
--- a/crates/balancer/src/logic/peers.rs
+++ b/crates/balancer/src/logic/peers.rs
@@ -14,7 +14,7 @@
         for _ in 0..INTERMEDIATES {
             let to = self.random_peer();
             if to.is_some() {
-                acts.push(Action::Tell { to, message: say(SAY_ASK, &self.servers[i]) });
+                acts.push(Action::SendGossip { to, message: say(SAY_ASK, &self.servers[i]) });
             }
         }
     }
@@ -25,15 +25,15 @@
         if to.is_none() || self.gossip.is_empty() {
             return;
         }
-        acts.push(Action::Tell { to, message: self.gossip.next(GOSSIP_LINES) });
+        acts.push(Action::SendGossip { to, message: self.gossip.next(GOSSIP_LINES) });
     }
 
     pub(super) fn on_peer(&mut self, from: u32, message: &[u8], acts: &mut Actions) {
-        if from >= self.settings.balancers {
+        if from >= self.settings.balancer_count {
             return;
         }
         for (what, name, incarnation) in unpack(message) {
-            let named = |s: &Server| s.member.fingerprint == name;
+            let named = |s: &Server| s.member.stable_hash == name;
             let Some(i) = self.servers.iter().position(named) else { continue };
             let (now, server) = (self.now, &mut self.servers[i]);
             let id = server.member.server;
--- a/crates/balancer/src/logic/pick.rs
+++ b/crates/balancer/src/logic/pick.rs
@@ -11,7 +11,7 @@
         let part = |&i: &usize| {
             let server = &self.servers[i];
             // A failure costs the whole request, so a server that fails gets less than what is left of it.
-            server.member.machine.cores * (1.0 - server.failing).powi(3) / self.pace(server)
+            server.member.machine_type.cores * (1.0 - server.failing).powi(3) / self.pace(server)
         };
         let parts: Vec<f64> = open.iter().map(part).collect();
         let mut at = self.rng.f64() * parts.iter().sum::<f64>();
@@ -29,7 +29,7 @@
         if self.looks() || self.by_answers() {
             load
         } else {
-            (load - self.slowness(server)) / server.member.machine.cores
+            (load - self.slowness(server)) / server.member.machine_type.cores
         }
     }
 
--- a/crates/balancer/src/logic/probing.rs
+++ b/crates/balancer/src/logic/probing.rs
@@ -10,12 +10,12 @@
 impl Balancer {
     pub(super) fn on_tick(&mut self, acts: &mut Actions) {
         let now = self.now;
-        acts.push(Action::Timer { token: TOKEN_TICK, after: TICK });
+        acts.push(Action::SetTimer { token: TOKEN_TICK, after: TICK });
         self.measure_part();
         for i in 0..self.servers.len() {
             self.watch(i, acts);
         }
-        if self.settings.probes && now >= self.next_probe {
+        if self.settings.health_checks && now >= self.next_probe {
             self.next_probe = now + self.probe_pause();
             self.last_probe = now;
             if let Some(i) = self.next_to_probe() {
@@ -36,7 +36,7 @@
 
     /// Guards against probes that together cost more than they tell: one schedule serves them all.
     fn probe_pause(&self) -> Micros {
-        let affordable = (self.settings.probe_fee / (PROBE_COST * self.rate())) as Micros;
+        let affordable = (self.settings.health_check_fee / (PROBE_COST * self.rate())) as Micros;
         let period = affordable.clamp(PROBE_PERIOD, PROBE_PERIOD_MOST);
         let suspected = self.servers.iter().any(|s| s.suspicion.is_some());
         if suspected { period / PROBE_HASTE } else { period }
@@ -70,10 +70,10 @@
 
     pub(super) fn probe(&mut self, i: usize, acts: &mut Actions) {
         let server = &mut self.servers[i];
-        if self.settings.probes && server.probing.is_none() {
+        if self.settings.health_checks && server.probing.is_none() {
             server.probing = Some(self.now);
             server.probed = self.now;
-            acts.push(Action::Probe { server: server.member.server });
+            acts.push(Action::HealthCheck { server: server.member.server });
         }
     }
 
@@ -98,7 +98,7 @@
         self.mute = self.mute + usize::from(!good) - usize::from(was_mute);
         let glance = std::mem::take(&mut server.glance);
         for asker in std::mem::take(&mut server.askers).into_iter().filter(|_| good) {
-            acts.push(Action::Tell { to: Some(asker), message: say(SAY_REACHED, server) });
+            acts.push(Action::SendGossip { to: Some(asker), message: say(SAY_REACHED, server) });
         }
         if good {
             (server.confirm, server.reached) = (None, true);
--- a/crates/balancer/src/logic/refusals.rs
+++ b/crates/balancer/src/logic/refusals.rs
@@ -58,17 +58,18 @@
         if self.reports() || self.by_answers() || class.late_value > 0.0 {
             return false;
         }
-        let worths = || self.settings.classes.iter().map(|c| c.worth);
+        let worths = || self.settings.classes.iter().map(|c| c.priority_weight);
         let (least, most) = (worths().fold(f64::MAX, f64::min), worths().fold(0.0, f64::max));
-        let rank = (class.worth - least) / (most - least).max(f64::MIN_POSITIVE);
+        let rank = (class.priority_weight - least) / (most - least).max(f64::MIN_POSITIVE);
         self.rng.f64() < 2.0 * (self.strain() - STRAIN) / STRAIN_SPAN - rank
     }
 
     /// May the client be told that trying again is harmless? The one judge of it.
     fn may_refuse(&self, request: &Request) -> bool {
         let class = self.class(request);
-        let keyed_everywhere = class.semantics == Semantics::Keyed && class.scope == Scope::All;
-        class.semantics == Semantics::Pure
+        let keyed_everywhere = class.idempotency == Idempotency::IdempotencyKey
+            && class.deduplication_scope == DeduplicationScope::All;
+        class.idempotency == Idempotency::Idempotent
             || keyed_everywhere
             || request.attempts.iter().all(|a| a.fate == Fate::NeverRan)
     }
@@ -81,7 +82,7 @@
             let most = self.settings.max_retry_after;
             let wait = (self.unit + self.strictness() * most as f64) * (0.75 + 0.5 * self.rng.f64());
             let retry_after = self.settings.retry_after.then(|| (wait as Micros).min(most));
-            acts.push(Action::Refuse { request: id, retry_after });
+            acts.push(Action::Reject { request: id, retry_after });
         } else {
             acts.push(Action::Fail { request: id });
         }
--- a/crates/balancer/src/logic/suspicion.rs
+++ b/crates/balancer/src/logic/suspicion.rs
@@ -35,7 +35,7 @@
                     acts.push(Action::Log { text: "dead".into(), server: Some(server.member.server) });
                 }
                 let lie = suspicion.cause != Cause::Work && self.probes_lie();
-                if lie || !self.settings.probes && now >= suspicion.since + suspicion.hold {
+                if lie || !self.settings.health_checks && now >= suspicion.since + suspicion.hold {
                     self.clear(i, acts);
                 }
             }
@@ -90,10 +90,10 @@
     pub(super) fn reborn(&mut self, i: usize, acts: &mut Actions) {
         let now = self.now;
         let server = &mut self.servers[i];
-        let launched = server.member.launched.unwrap_or(0);
+        let launched = server.member.incarnation.unwrap_or(0);
         let flapping = server.strikes > 0 && now < server.struck + FORGET;
         (server.drained, server.foreign, server.held, server.held_own) = (false, 0.0, 0.0, 0.0);
-        if now < launched + self.settings.cold_time {
+        if now < launched + self.settings.slow_start_time {
             server.cold_since = Some(launched.min(now));
         }
         // A server that keeps restarting does not earn trust by its new start time alone.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -4,6 +4,7 @@
 use std::f64::consts::LN_2;
 
 use crate::api::*;
+use crate::logic::{INITIAL_RETRY_BUDGET, REASK};
 
 /// Where actions are pushed.
 pub(crate) type Actions = Vec<Action>;
@@ -54,6 +55,31 @@
 }
 
 impl Balancer {
+    /// A balancer that knows nothing yet.
+    ///
+    /// # Errors
+    /// Names the first setting that is out of range.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let first = settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(1) as f64;
+        let mut new = Self::blank(settings, seed);
+        new.log_mean = (first / 4.0).ln();
+        new.log_var = 1.0;
+        new.unit = first / 8.0;
+        new.busy = 0.5;
+        new.budget = INITIAL_RETRY_BUDGET;
+        new.reask = REASK;
+        Ok(new)
+    }
+
+    pub(crate) fn find(&self, id: ServerId) -> Option<usize> {
+        self.places.get(&id).copied()
+    }
+
+    pub(crate) fn class(&self, request: &Request) -> &RequestClass {
+        &self.settings.classes[usize::from(request.class.0)]
+    }
+
     /// With nothing known.
     pub(crate) fn blank(settings: Settings, seed: u64) -> Self {
         Self {
@@ -95,13 +121,13 @@
     }
 
     pub(crate) fn random_peer(&mut self) -> Option<u32> {
-        let peer = self.settings.has_peers().then(|| self.rng.u32(0..self.settings.balancers - 1))?;
-        Some(if peer >= self.settings.index { peer + 1 } else { peer })
+        let peer = self.settings.has_peers().then(|| self.rng.u32(0..self.settings.balancer_count - 1))?;
+        Some(if peer >= self.settings.balancer_index { peer + 1 } else { peer })
     }
 
     /// Gossips the suspicion of a server about log N times.
     pub(crate) fn spread(&mut self, i: usize) {
-        let times = u32::BITS - self.settings.balancers.leading_zeros() + 1;
+        let times = u32::BITS - self.settings.balancer_count.leading_zeros() + 1;
         self.gossip.add(say(SAY_SUSPECT, &self.servers[i]), times);
     }
 
@@ -119,7 +145,7 @@
 impl Settings {
     /// True where there is somebody to message.
     pub(crate) fn has_peers(&self) -> bool {
-        self.peers && self.balancers > 1
+        self.gossip && self.balancer_count > 1
     }
 }
 
@@ -189,7 +215,7 @@
 /// A server, as this balancer knows it.
 #[derive(Default)]
 pub(crate) struct Server {
-    pub(crate) member: Member,
+    pub(crate) member: Endpoint,
     /// Listed as draining since its last start.
     pub(crate) drained: bool,
     /// Turned work away while nothing was heard of the list: it may drain.
@@ -226,13 +252,13 @@
 }
 
 impl Server {
-    pub(crate) fn new(member: Member) -> Self {
-        let drained = member.condition == Condition::Draining;
-        Self { member, drained, reached: true, pace: 1.0 / member.machine.speed, ..Self::default() }
+    pub(crate) fn new(member: Endpoint) -> Self {
+        let drained = member.status == EndpointStatus::Draining;
+        Self { member, drained, reached: true, pace: 1.0 / member.machine_type.speed, ..Self::default() }
     }
 
     pub(crate) fn incarnation(&self) -> Micros {
-        self.member.launched.unwrap_or(0)
+        self.member.incarnation.unwrap_or(0)
     }
 }
 
@@ -278,7 +304,7 @@
 }
 
 impl Reach {
-    pub(crate) fn holds(self, member: &Member) -> bool {
+    pub(crate) fn holds(self, member: &Endpoint) -> bool {
         match self {
             Self::Anywhere => true,
             Self::Zone(zone) => member.zone == zone,
@@ -295,7 +321,7 @@
 
 pub(crate) fn say(what: u8, server: &Server) -> Vec<u8> {
     let mut message = vec![what];
-    message.extend_from_slice(&server.member.fingerprint.to_be_bytes());
+    message.extend_from_slice(&server.member.stable_hash.to_be_bytes());
     message.extend_from_slice(&server.incarnation().to_be_bytes());
     message
 }
--- a/crates/balancer/tests/answers.rs
+++ b/crates/balancer/tests/answers.rs
@@ -9,16 +9,16 @@
 fn by_answers() -> Settings {
     let mut base = settings();
     base.classes.iter_mut().for_each(|c| c.late_value = 0.2);
-    Settings { reports: true, answers_report: true, probe_fee: 0.01, ..base }
+    Settings { load_reports: true, load_reports_in_responses: true, health_check_fee: 0.01, ..base }
 }
 
 /// A job server of the platform's kind: it works on all that it holds at once, on two cores.
-struct Machine {
+struct MachineType {
     left: Vec<(RequestId, f64)>,
     speed: f64,
 }
 
-impl Machine {
+impl MachineType {
     /// Works for a time in milliseconds, and gives what is done.
     fn work(&mut self, ms: f64) -> Vec<RequestId> {
         let each = self.speed * ms * (2.0 / self.left.len().max(1) as f64).min(1.0);
@@ -32,7 +32,7 @@
 /// A balancer before such machines, and what became of the requests.
 struct Fleet {
     driver: Driver,
-    machines: Vec<Machine>,
+    machines: Vec<MachineType>,
     started: std::collections::BTreeMap<RequestId, (Micros, ServerId)>,
     /// When, to whom and how much was sent.
     sends: Vec<(Micros, ServerId, f64)>,
@@ -44,7 +44,7 @@
 impl Fleet {
     fn new(settings: Settings, machines: u32, seed: u64) -> Self {
         let driver = Driver::seeded(settings, machines, seed);
-        let machines = (0..machines).map(|_| Machine { left: Vec::new(), speed: 1.0 }).collect();
+        let machines = (0..machines).map(|_| MachineType { left: Vec::new(), speed: 1.0 }).collect();
         Self {
             driver,
             machines,
@@ -83,11 +83,19 @@
             for request in machine.work(5.0) {
                 let (since, server) = self.started.remove(&request).expect("started");
                 let (finished, outcome) = (true, Outcome::Served);
-                let report = Some(LoadReport { held, waiting: 0.0 });
+                let report = Some(LoadReport { in_flight: held, queued: 0.0 });
                 let elapsed = now - since;
-                let end = AttemptEnd { request, attempt: 0, server, outcome, finished, elapsed, report };
+                let end = AttemptEnd {
+                    request,
+                    attempt: 0,
+                    server,
+                    outcome,
+                    finished,
+                    elapsed,
+                    load_report: report,
+                };
                 assert_eq!(n as u32, server.0);
-                self.driver.tell(Event::Outcome(end));
+                self.driver.tell(Event::AttemptEnded(end));
                 if elapsed <= 250 * MS { self.in_time += 1 } else { self.late += 1 }
             }
         }
@@ -156,13 +164,13 @@
 #[test]
 fn a_fleet_that_is_wholly_cold_is_not_pushed_over() {
     for seed in 0..6 {
-        let settings = Settings { cold_share: 0.2, cold_time: 16_000 * MS, ..by_answers() };
-        let (multiple, span) = (settings.cold_multiple, settings.cold_span);
+        let settings = Settings { cold_capacity_share: 0.2, slow_start_time: 16_000 * MS, ..by_answers() };
+        let (multiple, span) = (settings.cold_overload_factor, settings.cold_overload_window);
         let mut fleet = Fleet::new(settings, 6, seed);
         fleet.load(0.8, 10);
         let born = fleet.driver.now;
         for n in 0..fleet.machines.len() as u32 {
-            fleet.driver.tell(changed(Member { launched: Some(born), ..member(n) }));
+            fleet.driver.tell(changed(Endpoint { incarnation: Some(born), ..member(n) }));
         }
         let warmth = |at: Micros| 0.2 + 0.8 * (at - born) as f64 / (16_000 * MS) as f64;
         fleet.sends.clear();
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -12,22 +12,26 @@
     next: u64,
 }
 
-pub fn class(semantics: Semantics) -> Class {
-    let scope = Scope::Cell;
-    Class { scope, window: 4_000 * MS, ..Class::new(semantics, 250 * MS, 600 * MS) }
+pub fn class(semantics: Idempotency) -> RequestClass {
+    let scope = DeduplicationScope::Cell;
+    RequestClass {
+        deduplication_scope: scope,
+        deduplication_window: 4_000 * MS,
+        ..RequestClass::new(semantics, 250 * MS, 600 * MS)
+    }
 }
 
 pub fn settings() -> Settings {
-    let kinds = [Semantics::Pure, Semantics::Keyed, Semantics::SideEffect];
+    let kinds = [Idempotency::Idempotent, Idempotency::IdempotencyKey, Idempotency::NonIdempotent];
     Settings { classes: kinds.into_iter().map(class).collect(), ..Settings::default() }
 }
 
-pub fn member(n: u32) -> Member {
-    Member { cell: n / 2, zone: n / 4, ..Member::ready(ServerId(n), u64::from(n) + 100) }
+pub fn member(n: u32) -> Endpoint {
+    Endpoint { cell: n / 2, zone: n / 4, ..Endpoint::ready(ServerId(n), u64::from(n) + 100) }
 }
 
-pub fn changed(entry: Member) -> Event {
-    Event::Members { kind: ListKind::Changes, version: u64::MAX, entries: vec![entry] }
+pub fn changed(entry: Endpoint) -> Event {
+    Event::EndpointsUpdated { kind: UpdateKind::Incremental, version: u64::MAX, endpoints: vec![entry] }
 }
 
 impl Driver {
@@ -40,7 +44,7 @@
         let balancer = Balancer::new(settings, seed).expect("valid settings");
         let mut driver = Self { balancer, now: 1_000_000 * MS, next: 1 };
         let entries = (0..servers).map(member).collect();
-        driver.tell(Event::Members { kind: ListKind::Full, version: 1, entries });
+        driver.tell(Event::EndpointsUpdated { kind: UpdateKind::Full, version: 1, endpoints: entries });
         driver
     }
 
@@ -51,7 +55,7 @@
     }
 
     pub fn tick(&mut self) -> Vec<Action> {
-        self.tell(Event::Timer { token: TICK_TOKEN })
+        self.tell(Event::TimerFired { token: TICK_TOKEN })
     }
 
     /// Ticks for a while and gathers all that is asked for.
@@ -71,8 +75,8 @@
     pub fn hinted(&mut self, class: u16, size_hint: Option<Micros>) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next);
         self.next += 1;
-        let call = Call { id, class: ClassId(class), time_left: 600 * MS, size_hint };
-        (id, self.tell(Event::Request(call)))
+        let call = IncomingRequest { id, class: ClassId(class), time_left: 600 * MS, work_hint: size_hint };
+        (id, self.tell(Event::RequestArrived(call)))
     }
 
     pub fn end(
@@ -84,7 +88,15 @@
     ) -> Vec<Action> {
         let finished = outcome == Outcome::Served;
         let (elapsed, report) = (10 * MS, None);
-        self.tell(Event::Outcome(AttemptEnd { request, attempt, server, outcome, finished, elapsed, report }))
+        self.tell(Event::AttemptEnded(AttemptEnd {
+            request,
+            attempt,
+            server,
+            outcome,
+            finished,
+            elapsed,
+            load_report: report,
+        }))
     }
 
     /// Sends a request and has it served after a while.
@@ -97,7 +109,7 @@
     }
 
     pub fn probed(&mut self, server: ServerId, outcome: Outcome) -> Vec<Action> {
-        self.tell(Event::Probed { server, outcome, report: None })
+        self.tell(Event::HealthCheckEnded { server, outcome, load_report: None })
     }
 
     /// The servers that get first sends now.
@@ -138,7 +150,7 @@
 }
 
 pub fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
 pub fn failed(actions: &[Action]) -> bool {
@@ -146,12 +158,13 @@
 }
 
 pub fn probes(actions: &[Action]) -> Vec<ServerId> {
-    let probe = |a: &Action| if let Action::Probe { server } = a { Some(*server) } else { None };
+    let probe = |a: &Action| if let Action::HealthCheck { server } = a { Some(*server) } else { None };
     actions.iter().filter_map(probe).collect()
 }
 
 pub fn messages(actions: &[Action]) -> Vec<Vec<u8>> {
-    let tell = |a: &Action| if let Action::Tell { message, .. } = a { Some(message.clone()) } else { None };
+    let tell =
+        |a: &Action| if let Action::SendGossip { message, .. } = a { Some(message.clone()) } else { None };
     actions.iter().filter_map(tell).collect()
 }
 
--- a/crates/balancer/tests/members.rs
+++ b/crates/balancer/tests/members.rs
@@ -6,20 +6,20 @@
 use common::*;
 
 fn with_peers() -> Settings {
-    Settings { peers: true, balancers: 4, ..settings() }
+    Settings { gossip: true, balancer_count: 4, ..settings() }
 }
 
 /// What a balancer says to its peers once it has confirmed that server 0 is out of reach.
 fn suspect_message(launched: Option<Micros>) -> Vec<u8> {
     let mut driver = Driver::new(with_peers(), 6);
-    driver.tell(changed(Member { launched, ..member(0) }));
+    driver.tell(changed(Endpoint { incarnation: launched, ..member(0) }));
     let asked = messages(&driver.probed(ServerId(0), Outcome::TimedOut));
     messages(&driver.pass(3_000 * MS)).into_iter().find(|m| m[0] != asked[0][0]).expect("gossip")
 }
 
 #[test]
 fn probes_a_random_server_every_period() {
-    let mut driver = Driver::new(Settings { probe_fee: 0.0, ..settings() }, 6);
+    let mut driver = Driver::new(Settings { health_check_fee: 0.0, ..settings() }, 6);
     let mut probed = Vec::new();
     for _ in 0..40 {
         let asked = probes(&driver.pass(1_000 * MS));
@@ -34,7 +34,7 @@
 
 #[test]
 fn dear_probes_come_less_often_however_many_servers_are_suspected() {
-    let mut driver = Driver::new(Settings { probe_fee: 0.05, ..settings() }, 60);
+    let mut driver = Driver::new(Settings { health_check_fee: 0.05, ..settings() }, 60);
     let calm = probes(&driver.pass(40_000 * MS)).len();
     assert!((6..=9).contains(&calm), "{calm}");
     (0..25).for_each(|n| drop(driver.fail_probes(ServerId(n))));
@@ -43,7 +43,7 @@
 
 #[test]
 fn one_message_with_each_probe_tells_of_many_suspicions() {
-    let mut driver = Driver::new(Settings { probe_fee: 0.0, ..with_peers() }, 60);
+    let mut driver = Driver::new(Settings { health_check_fee: 0.0, ..with_peers() }, 60);
     (0..8).for_each(|n| drop(driver.fail_probes(ServerId(n))));
     let told = messages(&driver.pass(5_000 * MS));
     assert!(!told.is_empty() && told.len() <= 20 + 3 * 20);
@@ -98,16 +98,16 @@
 #[test]
 fn intermediates_that_reach_it_keep_the_suspicion_local() {
     let reached = {
-        let mut peer = Driver::new(Settings { index: 1, ..with_peers() }, 6);
+        let mut peer = Driver::new(Settings { balancer_index: 1, ..with_peers() }, 6);
         let mut asker = Driver::new(with_peers(), 6);
         let ask = messages(&asker.probed(ServerId(0), Outcome::TimedOut)).remove(0);
-        let asked = peer.tell(Event::Peer { from: 0, message: ask });
+        let asked = peer.tell(Event::GossipReceived { from: 0, message: ask });
         assert_eq!(probes(&asked), [ServerId(0)]);
         messages(&peer.probed(ServerId(0), Outcome::Served)).remove(0)
     };
     let mut driver = Driver::new(with_peers(), 6);
     driver.probed(ServerId(0), Outcome::TimedOut);
-    driver.tell(Event::Peer { from: 1, message: reached });
+    driver.tell(Event::GossipReceived { from: 1, message: reached });
     let later = driver.pass(400 * MS);
     assert!(logged(&later, "suspected"));
     assert!(messages(&later).is_empty());
@@ -121,8 +121,8 @@
     for (held, suspected, holds) in table {
         let message = suspect_message(suspected);
         let mut driver = Driver::new(with_peers(), 6);
-        driver.tell(changed(Member { launched: held, ..member(0) }));
-        let actions = driver.tell(Event::Peer { from: 2, message });
+        driver.tell(changed(Endpoint { incarnation: held, ..member(0) }));
+        let actions = driver.tell(Event::GossipReceived { from: 2, message });
         assert_eq!(logged(&actions, "suspected"), holds, "{held:?} {suspected:?}");
     }
 }
@@ -131,18 +131,18 @@
 fn a_newer_start_clears_but_a_flapper_must_prove_itself() {
     let mut driver = Driver::new(settings(), 4);
     driver.fail_probes(ServerId(0));
-    assert!(logged(&driver.tell(changed(Member { launched: Some(9), ..member(0) })), "cleared"));
+    assert!(logged(&driver.tell(changed(Endpoint { incarnation: Some(9), ..member(0) })), "cleared"));
     driver.fail_probes(ServerId(0));
-    assert!(!logged(&driver.tell(changed(Member { launched: Some(10), ..member(0) })), "cleared"));
+    assert!(!logged(&driver.tell(changed(Endpoint { incarnation: Some(10), ..member(0) })), "cleared"));
 }
 
 #[test]
 fn own_served_work_outweighs_gossip() {
     let mut driver = Driver::new(with_peers(), 1);
     let entries = (0..6).map(member).collect();
-    driver.tell(Event::Members { kind: ListKind::Full, version: 2, entries });
+    driver.tell(Event::EndpointsUpdated { kind: UpdateKind::Full, version: 2, endpoints: entries });
     driver.in_use();
-    let actions = driver.tell(Event::Peer { from: 2, message: suspect_message(None) });
+    let actions = driver.tell(Event::GossipReceived { from: 2, message: suspect_message(None) });
     assert!(!logged(&actions, "suspected"));
     assert!(probes(&driver.pass(250 * MS)).contains(&ServerId(0)));
 }
@@ -204,17 +204,17 @@
 fn nonsense_from_peers_is_ignored() {
     let mut driver = Driver::new(with_peers(), 4);
     for message in [vec![], vec![2], vec![2; 16], vec![2; 17], vec![9; 40]] {
-        assert!(driver.tell(Event::Peer { from: 77, message }).is_empty());
+        assert!(driver.tell(Event::GossipReceived { from: 77, message }).is_empty());
     }
 }
 
 #[test]
 fn a_lost_list_is_asked_for_again_within_the_time_allowed() {
-    let mut driver = Driver::new(Settings { list_on_request: true, ..settings() }, 4);
+    let mut driver = Driver::new(Settings { poll_endpoints: true, ..settings() }, 4);
     for _ in 0..8 {
-        driver.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: vec![] });
+        driver.tell(Event::EndpointsUpdated { kind: UpdateKind::Lost, version: 0, endpoints: vec![] });
         // The longest pause is three quarters of the ten seconds that are allowed.
-        assert!(driver.pass(7_550 * MS).contains(&Action::Subscribe));
+        assert!(driver.pass(7_550 * MS).contains(&Action::PollEndpoints));
     }
 }
 
@@ -222,9 +222,9 @@
 #[test]
 fn a_list_that_is_lost_is_first_asked_for_again_within_the_third_of_a_second() {
     for seed in 0..400 {
-        let mut driver = Driver::seeded(Settings { list_on_request: true, ..settings() }, 4, seed);
-        driver.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: vec![] });
-        assert!(driver.pass(325 * MS).contains(&Action::Subscribe), "seed {seed}");
+        let mut driver = Driver::seeded(Settings { poll_endpoints: true, ..settings() }, 4, seed);
+        driver.tell(Event::EndpointsUpdated { kind: UpdateKind::Lost, version: 0, endpoints: vec![] });
+        assert!(driver.pass(325 * MS).contains(&Action::PollEndpoints), "seed {seed}");
     }
 }
 
@@ -233,9 +233,9 @@
 #[test]
 fn what_turns_work_away_while_the_list_is_lost_gets_no_more_until_news() {
     for (seed, servers, gap) in (0..60).map(|n| (n, 3 + n as u32 % 5, [20, 200, 1_500][n as usize % 3])) {
-        let list = Settings { list_on_request: true, ..settings() };
+        let list = Settings { poll_endpoints: true, ..settings() };
         let mut driver = Driver::seeded(list, servers, seed);
-        driver.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: vec![] });
+        driver.tell(Event::EndpointsUpdated { kind: UpdateKind::Lost, version: 0, endpoints: vec![] });
         let mut sends = 0;
         for _ in 0..200 {
             driver.now += gap * MS;
@@ -250,7 +250,7 @@
             }
         }
         assert!(sends <= 1, "seed {seed}: {sends} sends");
-        driver.tell(changed(Member { condition: Condition::Draining, ..member(1) }));
+        driver.tell(changed(Endpoint { status: EndpointStatus::Draining, ..member(1) }));
         assert!(driver.in_use().contains(&0), "seed {seed}: told to be ready");
     }
 }
@@ -258,11 +258,11 @@
 #[test]
 fn a_stale_list_never_restores_a_drain() {
     let mut driver = Driver::new(settings(), 4);
-    driver.tell(changed(Member { condition: Condition::Draining, ..member(0) }));
+    driver.tell(changed(Endpoint { status: EndpointStatus::Draining, ..member(0) }));
     assert_eq!(driver.in_use(), [1, 2, 3]);
     driver.tell(changed(member(0)));
     assert_eq!(driver.in_use(), [1, 2, 3]);
-    driver.tell(changed(Member { launched: Some(5), ..member(0) }));
+    driver.tell(changed(Endpoint { incarnation: Some(5), ..member(0) }));
     assert_eq!(driver.in_use(), [0, 1, 2, 3]);
 }
 
@@ -270,15 +270,15 @@
 fn a_full_list_removes_what_it_omits() {
     let mut driver = Driver::new(settings(), 4);
     let entries = (1..4).map(member).collect();
-    driver.tell(Event::Members { kind: ListKind::Full, version: 2, entries });
+    driver.tell(Event::EndpointsUpdated { kind: UpdateKind::Full, version: 2, endpoints: entries });
     assert_eq!(driver.in_use(), [1, 2, 3]);
 }
 
 #[test]
 fn gone_alone_does_not_bind_where_the_settings_say_so() {
     let mut driver = Driver::new(Settings { only_draining_binds: true, ..settings() }, 4);
-    driver.tell(changed(Member { condition: Condition::Gone, ..member(0) }));
-    driver.tell(changed(Member { condition: Condition::Draining, ..member(1) }));
+    driver.tell(changed(Endpoint { status: EndpointStatus::Removed, ..member(0) }));
+    driver.tell(changed(Endpoint { status: EndpointStatus::Draining, ..member(1) }));
     assert_eq!(driver.in_use(), [0, 2, 3]);
 }
 
@@ -286,7 +286,8 @@
 fn where_connections_are_dear_each_balancer_uses_a_small_stable_part_of_the_fleet() {
     let mut all = vec![0; 64];
     for index in 0..200 {
-        let settings = Settings { connection_fee: 0.05, balancers: 320, index, ..settings() };
+        let settings =
+            Settings { connection_fee: 0.05, balancer_count: 320, balancer_index: index, ..settings() };
         let mut driver = Driver::new(settings, 64);
         let first = driver.in_use_slowly();
         assert!((3..=5).contains(&first.len()), "{first:?}");
@@ -303,7 +304,7 @@
 
 #[test]
 fn a_suspect_is_replaced_from_outside_the_part() {
-    let settings = Settings { connection_fee: 0.05, balancers: 320, ..settings() };
+    let settings = Settings { connection_fee: 0.05, balancer_count: 320, ..settings() };
     let mut driver = Driver::new(settings, 64);
     let first = driver.in_use();
     driver.fail_probes(ServerId(first[0]));
@@ -374,7 +375,8 @@
 
 #[test]
 fn looks_that_fail_do_not_each_ask_intermediates() {
-    let settings = Settings { reports: true, probe_fee: 0.002, balancers: 900, ..with_peers() };
+    let settings =
+        Settings { load_reports: true, health_check_fee: 0.002, balancer_count: 900, ..with_peers() };
     let mut driver = Driver::new(settings, 60);
     let mut told = 0;
     for _ in 0..100 {
@@ -440,7 +442,8 @@
 
 /// Servers in use by a balancer with a request at each pause, before 60 servers.
 fn part_of_sixty(fee: f64, pause: Micros, seed: u64) -> std::collections::BTreeSet<u32> {
-    let fees = Settings { handshake_fee: fee, index: seed as u32, balancers: 100, ..settings() };
+    let fees =
+        Settings { handshake_fee: fee, balancer_index: seed as u32, balancer_count: 100, ..settings() };
     let mut driver = Driver::seeded(fees, 60, seed);
     let mut serve = || {
         driver.now += pause;
@@ -474,11 +477,11 @@
 
 #[test]
 fn a_machine_that_can_do_more_is_drawn_more_often_from_the_first_request_on() {
-    let big = Machine { kind: 1, cores: 3.0, speed: 1.0 };
-    let small = Machine { kind: 2, cores: 2.0, speed: 0.5 };
+    let big = MachineType { id: 1, cores: 3.0, speed: 1.0 };
+    let small = MachineType { id: 2, cores: 2.0, speed: 0.5 };
     let mut driver = Driver::new(settings(), 8);
     for n in 0..8 {
-        driver.tell(changed(Member { machine: if n < 4 { big } else { small }, ..member(n) }));
+        driver.tell(changed(Endpoint { machine_type: if n < 4 { big } else { small }, ..member(n) }));
     }
     let on_big = (0..800).filter(|_| driver.serve(0).0 < 4).count();
     // At first three to one; as all take alike long, the speeds that were told give way to what was learnt.
@@ -487,9 +490,9 @@
 
 #[test]
 fn what_one_server_shows_tells_of_all_of_its_kind() {
-    let kind = |n: u32| Machine { kind: n / 4, ..Machine::default() };
+    let kind = |n: u32| MachineType { id: n / 4, ..MachineType::default() };
     let mut driver = Driver::new(settings(), 8);
-    (0..8).for_each(|n| drop(driver.tell(changed(Member { machine: kind(n), ..member(n) }))));
+    (0..8).for_each(|n| drop(driver.tell(changed(Endpoint { machine_type: kind(n), ..member(n) }))));
     let mut served = |count: u32, of: std::ops::Range<u32>| {
         let mut seen = 0;
         for _ in 0..count {
@@ -513,16 +516,16 @@
 fn a_hundred_balancers_that_lost_their_list_do_not_keep_discovery_full() {
     let (mut calls, mut late) = (0, 0);
     for seed in 0..100 {
-        let settings = Settings { list_on_request: true, ..settings() };
+        let settings = Settings { poll_endpoints: true, ..settings() };
         let mut driver = Driver::seeded(settings, 4, seed);
         let lost = |driver: &mut Driver| {
-            let (kind, version, entries) = (ListKind::Lost, 0, Vec::new());
-            driver.tell(Event::Members { kind, version, entries });
+            let (kind, version, entries) = (UpdateKind::Lost, 0, Vec::new());
+            driver.tell(Event::EndpointsUpdated { kind, version, endpoints: entries });
         };
         lost(&mut driver);
         let mut last = driver.now;
         for _ in 0..25_000 / 25 {
-            if driver.pass(25 * MS).contains(&Action::Subscribe) {
+            if driver.pass(25 * MS).contains(&Action::PollEndpoints) {
                 late = late.max(driver.now - last);
                 last = driver.now;
                 calls += 1;
--- a/crates/control/src/informed.rs
+++ b/crates/control/src/informed.rs
@@ -46,11 +46,11 @@
     /// Takes in one event and pushes what is to be done about it.
     pub fn handle(&mut self, now: Micros, mut event: Event, acts: &mut Vec<Action>) {
         match &mut event {
-            Event::Request(call) => {
+            Event::RequestArrived(call) => {
                 // What the host was told by the client wins over what was learnt.
                 let learnt = self.work.expected(call.class);
-                call.size_hint = call
-                    .size_hint
+                call.work_hint = call
+                    .work_hint
                     .or(learnt.map(|w| ((w as f64 * LEAST) as Micros).max(1)));
                 self.open.insert(
                     call.id,
@@ -60,7 +60,7 @@
                     },
                 );
             }
-            Event::Outcome(end) => {
+            Event::AttemptEnded(end) => {
                 if end.outcome == Outcome::Served
                     && let Some(open) = self.open.get(&end.request)
                     && let Some(sent) = open.sent.get(end.attempt as usize)
@@ -71,12 +71,12 @@
                     self.open.remove(&end.request);
                 }
             }
-            Event::Dropped { request } => {
+            Event::ClientDisconnected { request } => {
                 self.open.remove(request);
             }
-            Event::Probed {
+            Event::HealthCheckEnded {
                 server,
-                report: Some(report),
+                load_report: Some(report),
                 ..
             } => self.work.reported(now, *server, *report),
             _ => {}
@@ -92,7 +92,7 @@
                         open.sent.push(self.work.sent(now, *server));
                     }
                 }
-                Action::Refuse { request, .. } | Action::Fail { request } => {
+                Action::Reject { request, .. } | Action::Fail { request } => {
                     self.open.remove(request);
                 }
                 _ => {}
@@ -110,25 +110,26 @@
 mod tests {
     use super::*;
     use arrowstand_balancer::{
-        AttemptEnd, Call, Class, ListKind, LoadReport, Member, Semantics, ServerId,
+        AttemptEnd, Endpoint, Idempotency, IncomingRequest, LoadReport, RequestClass, ServerId,
+        UpdateKind,
     };
 
     /// A balancer that has learnt that its requests take 30 ms.
     fn informed() -> (Informed, Micros) {
         let mut settings = Settings {
-            reports: true,
-            probe_fee: 0.001,
+            load_reports: true,
+            health_check_fee: 0.001,
             ..Settings::default()
         };
         settings
             .classes
-            .push(Class::new(Semantics::Pure, 150_000, 600_000));
+            .push(RequestClass::new(Idempotency::Idempotent, 150_000, 600_000));
         let mut informed = Informed::new(settings, 7).expect("valid");
-        let member = Member::ready(ServerId(0), 1);
-        let list = Event::Members {
-            kind: ListKind::Full,
+        let member = Endpoint::ready(ServerId(0), 1);
+        let list = Event::EndpointsUpdated {
+            kind: UpdateKind::Full,
             version: 1,
-            entries: vec![member],
+            endpoints: vec![member],
         };
         informed.handle(0, list, &mut Vec::new());
         let mut now = 0;
@@ -148,9 +149,9 @@
                 outcome,
                 finished,
                 elapsed,
-                report,
+                load_report: report,
             };
-            informed.handle(now, Event::Outcome(end), &mut Vec::new());
+            informed.handle(now, Event::AttemptEnded(end), &mut Vec::new());
         }
         (informed, now + 100_000)
     }
@@ -158,21 +159,21 @@
     /// Asks, answers the look for load, and tells whether the request was sent.
     fn ask(informed: &mut Informed, now: Micros, id: u64, time_left: Micros) -> bool {
         let mut acts = Vec::new();
-        let call = Call {
+        let call = IncomingRequest {
             id: RequestId(id),
             class: ClassId(0),
             time_left,
-            size_hint: None,
+            work_hint: None,
         };
-        informed.handle(now, Event::Request(call), &mut acts);
+        informed.handle(now, Event::RequestArrived(call), &mut acts);
         let report = Some(LoadReport {
-            held: 0.0,
-            waiting: 0.0,
+            in_flight: 0.0,
+            queued: 0.0,
         });
-        let probed = Event::Probed {
+        let probed = Event::HealthCheckEnded {
             server: ServerId(0),
             outcome: Outcome::Served,
-            report,
+            load_report: report,
         };
         informed.handle(now, probed, &mut acts);
         acts.iter().any(|a| matches!(a, Action::Send { .. }))
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -1,7 +1,7 @@
 //! What kinds of machine there are and what they can do: told by the operator for the kinds that he names, and
 //! unknown for the others, which only get a number, so that what is learnt of one machine counts for its like.
 
-use arrowstand_balancer::Machine;
+use arrowstand_balancer::MachineType;
 
 /// Kinds that get a number of their own. Guards against memory that grows with whatever a list says.
 const KINDS_MOST: usize = 256;
@@ -9,9 +9,9 @@
 /// The kinds, by the platform's names.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Machines {
-    kinds: Vec<(String, Machine)>,
+    kinds: Vec<(String, MachineType)>,
     /// What a kind that was not told counts as.
-    usual: Machine,
+    usual: MachineType,
 }
 
 impl Machines {
@@ -22,20 +22,20 @@
         for (model, cores, speed) in table {
             machines.add(
                 model,
-                Machine {
+                MachineType {
                     cores,
                     speed,
-                    ..Machine::default()
+                    ..MachineType::default()
                 },
             );
         }
         let count = machines.kinds.len() as f64;
         if count > 0.0 {
-            let mean = |of: fn(&Machine) -> f64| {
+            let mean = |of: fn(&MachineType) -> f64| {
                 machines.kinds.iter().map(|(_, m)| of(m)).sum::<f64>() / count
             };
-            machines.usual = Machine {
-                kind: 0,
+            machines.usual = MachineType {
+                id: 0,
                 cores: mean(|m| m.cores),
                 speed: mean(|m| m.speed),
             };
@@ -43,10 +43,10 @@
         machines
     }
 
-    fn add(&mut self, model: String, machine: Machine) -> Machine {
+    fn add(&mut self, model: String, machine: MachineType) -> MachineType {
         // Number 0 is left to what has no kind of its own.
-        let machine = Machine {
-            kind: self.kinds.len() as u32 + 1,
+        let machine = MachineType {
+            id: self.kinds.len() as u32 + 1,
             ..machine
         };
         self.kinds.push((model, machine));
@@ -54,7 +54,7 @@
     }
 
     /// What a machine of that kind can do; a new name becomes a kind. No name is none.
-    pub fn of(&mut self, model: &str) -> Machine {
+    pub fn of(&mut self, model: &str) -> MachineType {
         match self.kinds.iter().find(|(name, _)| name == model) {
             Some((_, machine)) => *machine,
             None if model.is_empty() || self.kinds.len() >= KINDS_MOST => self.usual,
@@ -73,27 +73,27 @@
         let mut machines = Machines::told([("a".to_owned(), 2.0, 1.5), ("b".to_owned(), 4.0, 0.5)]);
         assert_eq!(
             machines.of("b"),
-            Machine {
-                kind: 2,
+            MachineType {
+                id: 2,
                 cores: 4.0,
                 speed: 0.5
             }
         );
         assert_eq!(
             machines.of("c"),
-            Machine {
-                kind: 3,
+            MachineType {
+                id: 3,
                 cores: 3.0,
                 speed: 1.0
             }
         );
-        assert_eq!(machines.of("d").kind, 4);
-        assert_eq!((machines.of("c").kind, machines.of("").kind), (3, 0));
+        assert_eq!(machines.of("d").id, 4);
+        assert_eq!((machines.of("c").id, machines.of("").id), (3, 0));
         assert_eq!(
             Machines::default().of("a"),
-            Machine {
-                kind: 1,
-                ..Machine::default()
+            MachineType {
+                id: 1,
+                ..MachineType::default()
             }
         );
     }
@@ -103,8 +103,8 @@
         #[test]
         fn a_name_keeps_its_kind(names in prop::collection::vec("[a-z]{0,3}", 0..600)) {
             let mut machines = Machines::default();
-            let first: Vec<Machine> = names.iter().map(|n| machines.of(n)).collect();
-            let again: Vec<Machine> = names.iter().map(|n| machines.of(n)).collect();
+            let first: Vec<MachineType> = names.iter().map(|n| machines.of(n)).collect();
+            let again: Vec<MachineType> = names.iter().map(|n| machines.of(n)).collect();
             prop_assert_eq!(first, again);
             prop_assert!(machines.kinds.len() <= KINDS_MOST);
         }
--- a/crates/control/src/work.rs
+++ b/crates/control/src/work.rs
@@ -80,7 +80,7 @@
 
     /// A job server has told its load.
     pub fn reported(&mut self, now: Micros, server: ServerId, report: LoadReport) {
-        if !report.waiting.is_finite() {
+        if !report.queued.is_finite() {
             return;
         }
         let new = Site {
@@ -92,7 +92,7 @@
             },
         };
         let site = self.sites.entry(server).or_insert(new);
-        (site.waiting, site.at) = (report.waiting, now);
+        (site.waiting, site.at) = (report.queued, now);
         if self.sites.len() > SERVERS_MOST
             && let Some(&oldest) = self
                 .sites
@@ -164,8 +164,8 @@
     use proptest::prelude::*;
 
     const FREE_REPORT: LoadReport = LoadReport {
-        held: 1.0,
-        waiting: 0.0,
+        in_flight: 1.0,
+        queued: 0.0,
     };
 
     fn serve(work: &mut Work, now: Micros, class: u16, server: u32, elapsed: Micros) {
@@ -200,8 +200,8 @@
             40_000,
             ServerId(0),
             LoadReport {
-                held: 9.0,
-                waiting: 6.0,
+                in_flight: 9.0,
+                queued: 6.0,
             },
         );
         for _ in 0..200 {
@@ -259,7 +259,7 @@
         ) {
             let mut work = Work::new(3);
             for (n, (class, server, elapsed, waiting)) in seen.iter().enumerate() {
-                work.reported(n as Micros, ServerId(*server), LoadReport { held: 1.0, waiting: *waiting });
+                work.reported(n as Micros, ServerId(*server), LoadReport { in_flight: 1.0, queued: *waiting });
                 let sent = work.sent(n as Micros, ServerId(*server));
                 work.served(ClassId(*class), &sent, *elapsed);
             }
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use arrowstand_balancer::{Class, Micros, Scope, Semantics, Settings};
+use arrowstand_balancer::{DeduplicationScope, Idempotency, Micros, RequestClass, Settings};
 use arrowstand_control::Machines;
 
 use crate::discovery::EndpointList;
@@ -128,7 +128,7 @@
                     .unwrap_or(0),
             ),
             step: Duration::from_micros(settings.step),
-            ask_every: Duration::from_micros(settings.ask_every),
+            ask_every: Duration::from_micros(settings.max_poll_interval),
             pushed: conf.at("membership-mode").text_opt()?.as_deref() == Some("pushed"),
         };
         if basis.sockets < 64 {
@@ -165,11 +165,11 @@
     }
 }
 
-fn class(node: &Node) -> Result<Class, String> {
+fn class(node: &Node) -> Result<RequestClass, String> {
     let semantics = match node.at("semantics").text()?.as_str() {
-        "pure" => Semantics::Pure,
-        "token" => Semantics::Keyed,
-        "side_effect" => Semantics::SideEffect,
+        "pure" => Idempotency::Idempotent,
+        "token" => Idempotency::IdempotencyKey,
+        "side_effect" => Idempotency::NonIdempotent,
         other => {
             return node
                 .at("semantics")
@@ -177,9 +177,9 @@
         }
     };
     let scope = match node.at("dedup-scope").text_opt()?.as_deref() {
-        None | Some("all") => Scope::All,
-        Some("zone") => Scope::Zone,
-        Some("cell") => Scope::Cell,
+        None | Some("all") => DeduplicationScope::All,
+        Some("zone") => DeduplicationScope::Zone,
+        Some("cell") => DeduplicationScope::Cell,
         Some(other) => {
             return node
                 .at("dedup-scope")
@@ -187,15 +187,15 @@
         }
     };
     let or = |key: &str, default: f64| node.at(key).number_opt().map(|n| n.unwrap_or(default));
-    Ok(Class {
-        worth: or("importance", 1.0)?,
+    Ok(RequestClass {
+        priority_weight: or("importance", 1.0)?,
         late_value: or("late-value", 0.0)?,
-        stretch: or("aim-stretch", 0.0)?,
-        scope,
-        window: micros(or("window-ms", 0.0)?),
+        objective_per_work: or("aim-stretch", 0.0)?,
+        deduplication_scope: scope,
+        deduplication_window: micros(or("window-ms", 0.0)?),
         // Whole answers are passed on: a stream's start is not told to the module.
         streamed: false,
-        ..Class::new(
+        ..RequestClass::new(
             semantics,
             micros(node.at("objective-ms").number()?),
             micros(node.at("deadline-ms").number()?),
@@ -214,15 +214,15 @@
                 .last()
                 .map_or(Duration::ZERO, |c| Duration::from_micros(c.deadline)),
         );
-        names.windows.push(
-            classes
-                .last()
-                .map_or(Duration::ZERO, |c| Duration::from_micros(c.window)),
-        );
+        names
+            .windows
+            .push(classes.last().map_or(Duration::ZERO, |c| {
+                Duration::from_micros(c.deduplication_window)
+            }));
         names.keyed.push(
             classes
                 .last()
-                .is_some_and(|c| c.semantics == Semantics::Keyed),
+                .is_some_and(|c| c.idempotency == Idempotency::IdempotencyKey),
         );
     }
     for zone in conf.at("zones").items()? {
@@ -245,13 +245,13 @@
     let settings = Settings {
         classes,
         zone: zone.map_or(u32::MAX, |z| z as u32),
-        index: number(conf.at("my-number"), 0.0)? as u32,
-        balancers: number(conf.at("balancers"), 1.0)? as u32,
+        balancer_index: number(conf.at("my-number"), 0.0)? as u32,
+        balancer_count: number(conf.at("balancers"), 1.0)? as u32,
         step: time(conf.at("step-ms"), base.step)?,
-        cancel: flag(permissions.at("cancel"))?,
-        probes: flag(permissions.at("probes"))?,
+        cancellation: flag(permissions.at("cancel"))?,
+        health_checks: flag(permissions.at("probes"))?,
         // Sidecars do not talk to each other: there is no such channel in this program.
-        peers: false,
+        gossip: false,
         hedging: flag(permissions.at("may-duplicate"))?,
         // `permissions.retry-after` tells whether the simulator hands its clients the pause of a refusal.
         // On sockets the header is part of the answer whoever reads it, and it is what keeps a client from
@@ -259,22 +259,22 @@
         retry_after: true,
         max_retry_after: time(permissions.at("max-retry-after-ms"), base.max_retry_after)?,
         max_attempts: number(permissions.at("max-attempts"), f64::from(base.max_attempts))? as u32,
-        probe_fee: number(fees.at("probe"), 0.0)?,
+        health_check_fee: number(fees.at("probe"), 0.0)?,
         handshake_fee: number(fees.at("handshake"), 0.0)?,
-        idle_close: time(permissions.at("idle-close-ms"), base.idle_close)?,
+        idle_timeout: time(permissions.at("idle-close-ms"), base.idle_timeout)?,
         connection_fee: number(fees.at("connection"), 0.0)?,
         cross_zone_fee: number(fees.at("cross-zone"), 0.0)?,
-        reports,
-        answers_report: source.as_deref() == Some("answers"),
-        worth_by_work: conf.at("worth-by").text_opt()?.as_deref() == Some("work"),
+        load_reports: reports,
+        load_reports_in_responses: source.as_deref() == Some("answers"),
+        weight_by_work: conf.at("worth-by").text_opt()?.as_deref() == Some("work"),
         // On sockets discovery answers only when asked, whatever the simulator does for this deployment.
-        list_on_request: true,
-        ask_every: time(safety.at("ask-every-ms"), base.ask_every)?,
+        poll_endpoints: true,
+        max_poll_interval: time(safety.at("ask-every-ms"), base.max_poll_interval)?,
         only_draining_binds: flag(safety.at("only-draining-binds"))?,
-        cold_share: number(safety.at("cold-from"), base.cold_share)?,
-        cold_time: time(safety.at("cold-ms"), base.cold_time)?,
-        cold_multiple: number(safety.at("overload-factor"), base.cold_multiple)?,
-        cold_span: time(safety.at("fall-ms"), base.cold_span)?,
+        cold_capacity_share: number(safety.at("cold-from"), base.cold_capacity_share)?,
+        slow_start_time: time(safety.at("cold-ms"), base.slow_start_time)?,
+        cold_overload_factor: number(safety.at("overload-factor"), base.cold_overload_factor)?,
+        cold_overload_window: time(safety.at("fall-ms"), base.cold_overload_window)?,
     };
     settings.validate().map_err(|e| format!("settings: {e}"))?;
     Ok((settings, names))
--- a/crates/sidecar/src/core/directory.rs
+++ b/crates/sidecar/src/core/directory.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use arrowstand_balancer::{Condition, ListKind, Member, Micros, ServerId};
+use arrowstand_balancer::{Endpoint, EndpointStatus, Micros, ServerId, UpdateKind};
 use arrowstand_control::{Machines, fingerprint};
 use tokio::time::Instant;
 
@@ -59,23 +59,23 @@
     }
 
     /// Takes in what a list says of it.
-    pub fn told(&self, condition: Condition, boot_ms: f64) {
+    pub fn told(&self, condition: EndpointStatus, boot_ms: f64) {
         // Guards against an old list that takes a drain back while a connection comes up: a drain ends with a new start,
         // or once the server has gone.
         let newer = boot_ms > self.boot_ms.get();
         self.boot_ms.set(boot_ms.max(self.boot_ms.get()));
-        if condition == Condition::Ready {
+        if condition == EndpointStatus::Ready {
             if newer || self.gone.get() || !self.drains.get() {
                 self.drains.set(false);
                 self.told_out.set(None);
             }
         } else {
             self.drains
-                .set(self.drains.get() || condition == Condition::Draining);
+                .set(self.drains.get() || condition == EndpointStatus::Draining);
             self.told_out
                 .set(self.told_out.get().or(Some(Instant::now())));
         }
-        self.gone.set(condition == Condition::Gone);
+        self.gone.set(condition == EndpointStatus::Removed);
     }
 }
 
@@ -112,25 +112,25 @@
     /// Takes in a list; tells what the module is to know of each entry.
     pub(super) fn take(
         &mut self,
-        kind: ListKind,
+        kind: UpdateKind,
         list: &EndpointList,
         forget: Duration,
-    ) -> Vec<Member> {
+    ) -> Vec<Endpoint> {
         // Guards against names and numbers that grow without end where job servers are replaced all the time.
         self.ids.retain(|_, server| {
             !(server.gone.get() && server.drained().is_some_and(|known| known >= forget))
         });
         self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
-        if kind != ListKind::Changes {
+        if kind != UpdateKind::Incremental {
             let named = |uid: &str| list.endpoints.iter().any(|l| l.uid == uid);
             for (_, server) in self.ids.iter().filter(|(uid, _)| !named(uid)) {
-                server.told(Condition::Gone, 0.0);
+                server.told(EndpointStatus::Removed, 0.0);
             }
         }
         self.listed |= list
             .endpoints
             .iter()
-            .any(|l| l.condition == Condition::Ready);
+            .any(|l| l.condition == EndpointStatus::Ready);
         let mut entries = Vec::with_capacity(list.endpoints.len());
         for line in &list.endpoints {
             let server = match self.ids.get(&line.uid) {
@@ -154,14 +154,14 @@
                     self.zones.push(line.zone.clone());
                     self.zones.len() - 1
                 });
-            entries.push(Member {
+            entries.push(Endpoint {
                 server: server.id,
-                fingerprint: fingerprint(&line.uid),
-                condition: line.condition,
-                launched: (line.boot_ms > 0.0).then_some((line.boot_ms * 1_000.0) as Micros),
+                stable_hash: fingerprint(&line.uid),
+                status: line.condition,
+                incarnation: (line.boot_ms > 0.0).then_some((line.boot_ms * 1_000.0) as Micros),
                 zone: zone as u32,
                 cell: line.cell,
-                machine: self.machines.of(&line.model),
+                machine_type: self.machines.of(&line.model),
             });
         }
         entries
--- a/crates/sidecar/src/core/directory/tests.rs
+++ b/crates/sidecar/src/core/directory/tests.rs
@@ -15,12 +15,15 @@
         boot_ms: 0.0,
     };
     for n in 1..100 {
-        let endpoints = vec![line(n - 1, Condition::Gone), line(n, Condition::Ready)];
+        let endpoints = vec![
+            line(n - 1, EndpointStatus::Removed),
+            line(n, EndpointStatus::Ready),
+        ];
         let table = EndpointList {
             endpoints,
             ..EndpointList::default()
         };
-        let members = directory.take(ListKind::Changes, &table, Duration::ZERO);
+        let members = directory.take(UpdateKind::Incremental, &table, Duration::ZERO);
         numbers.push(members[1].server);
     }
     assert!(directory.ids.len() <= 3 && directory.by_id.len() <= 3);
--- a/crates/sidecar/src/core/mod.rs
+++ b/crates/sidecar/src/core/mod.rs
@@ -10,7 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use arrowstand_balancer::{Action, ClassId, Event, ListKind, Micros, Outcome, RequestId, ServerId};
+use arrowstand_balancer::{
+    Action, ClassId, Event, Micros, Outcome, RequestId, ServerId, UpdateKind,
+};
 use arrowstand_control::Informed;
 use arrowstand_control::freshness::Freshness;
 use tokio::sync::{Notify, mpsc, watch};
@@ -184,10 +186,10 @@
             .collect();
         // Guards against a job server that is never probed again because the module waits for this one.
         for server in unsent {
-            self.tell(Event::Probed {
+            self.tell(Event::HealthCheckEnded {
                 server,
                 outcome: Outcome::NotSent,
-                report: None,
+                load_report: None,
             });
         }
     }
@@ -201,23 +203,23 @@
                 timeout,
             } => self.step(request, Step::Send { server, timeout }),
             Action::Cancel { request, attempt } => self.step(request, Step::Cancel { attempt }),
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => self.step(request, Step::Refuse { retry_after }),
             Action::Fail { request } => self.step(request, Step::Fail),
-            Action::Timer { token, after } => {
+            Action::SetTimer { token, after } => {
                 self.timers
                     .borrow_mut()
                     .push(Reverse((self.now() + after, token)));
                 self.timer_set.notify_one();
             }
-            Action::Probe { server } => {
+            Action::HealthCheck { server } => {
                 return self.probes.try_send(server).is_err().then_some(server);
             }
-            Action::Subscribe => self.list_wanted.notify_one(),
+            Action::PollEndpoints => self.list_wanted.notify_one(),
             // Sidecars do not talk to each other, and the settings say so to the module.
-            Action::Tell { .. } => {}
+            Action::SendGossip { .. } => {}
             Action::Log { text, server } => {
                 let server = server.and_then(|id| self.job_server(id));
                 let address = server.map(|s| s.address().to_string()).unwrap_or_default();
@@ -248,7 +250,7 @@
                 Some(at) if at <= now => {
                     let due = self.timers.borrow_mut().pop();
                     if let Some(Reverse((_, token))) = due {
-                        self.tell(Event::Timer { token });
+                        self.tell(Event::TimerFired { token });
                     }
                 }
                 Some(at) => {
@@ -261,7 +263,7 @@
     }
 
     /// Hands a list of endpoints, or a change to it, to the module, as of a version that only rises.
-    pub fn list(&self, kind: ListKind, version: u64, list: &EndpointList) {
+    pub fn list(&self, kind: UpdateKind, version: u64, list: &EndpointList) {
         self.counters.list_events.add();
         for message in &list.skipped {
             self.counters.list_lines_skipped.add();
@@ -271,10 +273,10 @@
             .directory
             .borrow_mut()
             .take(kind, list, self.limits.forget);
-        self.tell(Event::Members {
+        self.tell(Event::EndpointsUpdated {
             kind,
             version,
-            entries,
+            endpoints: entries,
         });
     }
 }
--- a/crates/sidecar/src/core/owed.rs
+++ b/crates/sidecar/src/core/owed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arrowstand_balancer::{
-    AttemptEnd, Call, ClassId, Event, LoadReport, Micros, Outcome, RequestId, ServerId,
+    AttemptEnd, ClassId, Event, IncomingRequest, LoadReport, Micros, Outcome, RequestId, ServerId,
 };
 use tokio::sync::mpsc;
 
@@ -66,11 +66,11 @@
         core.counters.transactions_taken.add();
         let time_left = time_left.as_micros() as Micros;
         let size_hint = cost.map(|cost| cost.as_micros() as Micros);
-        core.tell(Event::Request(Call {
+        core.tell(Event::RequestArrived(IncomingRequest {
             id,
             class,
             time_left,
-            size_hint,
+            work_hint: size_hint,
         }));
         owed
     }
@@ -109,19 +109,20 @@
     pub fn overdue(&mut self) {
         self.answered = true;
         self.core.counters.answered_overdue.add();
-        self.core.tell(Event::Dropped { request: self.id });
+        self.core
+            .tell(Event::ClientDisconnected { request: self.id });
     }
 
     fn report(&self, out: &Out, outcome: Outcome, report: Option<LoadReport>) {
         self.core.counters.routed(outcome);
-        self.core.tell(Event::Outcome(AttemptEnd {
+        self.core.tell(Event::AttemptEnded(AttemptEnd {
             request: self.id,
             attempt: out.attempt,
             server: out.server,
             outcome,
             finished: self.answered,
             elapsed: self.core.now().saturating_sub(out.sent),
-            report,
+            load_report: report,
         }));
     }
 }
@@ -133,7 +134,8 @@
         if !self.answered {
             self.answered = true;
             self.core.counters.terminals_gone.add();
-            self.core.tell(Event::Dropped { request: self.id });
+            self.core
+                .tell(Event::ClientDisconnected { request: self.id });
         }
         self.core.waiting.borrow_mut().remove(&self.id);
         for out in std::mem::take(&mut self.out) {
--- a/crates/sidecar/src/discovery/endpoint.rs
+++ b/crates/sidecar/src/discovery/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use arrowstand_balancer::Condition;
+use arrowstand_balancer::EndpointStatus;
 use tinyjson::JsonValue;
 
 use crate::json::{self, Node};
@@ -17,7 +17,7 @@
     pub cell: u32,
     /// What kind of machine it is, as the platform calls it.
     pub model: String,
-    pub condition: Condition,
+    pub condition: EndpointStatus,
     /// Unix time of the last start in milliseconds; 0 if long ago.
     pub boot_ms: f64,
 }
@@ -52,9 +52,9 @@
         model: node.at("model").text_opt()?.unwrap_or_default(),
         cell: node.at("pod_group").number_opt()?.unwrap_or(0.0) as u32,
         condition: match node.at("state").text()?.as_str() {
-            "ready" => Condition::Ready,
-            "draining" => Condition::Draining,
-            "gone" => Condition::Gone,
+            "ready" => EndpointStatus::Ready,
+            "draining" => EndpointStatus::Draining,
+            "gone" => EndpointStatus::Removed,
             other => return node.at("state").fault(&format!("unknown value {other:?}")),
         },
         boot_ms,
--- a/crates/sidecar/src/discovery/follow.rs
+++ b/crates/sidecar/src/discovery/follow.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use arrowstand_balancer::{Event, ListKind};
+use arrowstand_balancer::{Event, UpdateKind};
 use tokio::sync::watch as channel;
 use tokio::time::sleep;
 
@@ -49,7 +49,7 @@
                     End::Broken => freshness.lost(now),
                     End::Unanswered => freshness.unanswered(),
                 });
-                core.tell(Event::Members { kind: ListKind::Lost, version: 0, entries: Vec::new() });
+                core.tell(Event::EndpointsUpdated { kind: UpdateKind::Lost, version: 0, endpoints: Vec::new() });
                 break false;
             }
             // Guards against a call that loses its turn at a crowded discovery: the one that is on is the one asked for.
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use arrowstand_balancer::ListKind;
+use arrowstand_balancer::UpdateKind;
 use arrowstand_control::freshness::Freshness;
 use awc::error::{ConnectError, SendRequestError};
 use futures_util::StreamExt as _;
@@ -151,9 +151,9 @@
     }
     at.rev.set(list.rev);
     let kind = if list.all {
-        ListKind::Full
+        UpdateKind::Full
     } else {
-        ListKind::Changes
+        UpdateKind::Incremental
     };
     core.watched(|freshness, _| freshness.heard());
     core.list(kind, at.raised.get() + list.rev, list);
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -15,7 +15,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use arrowstand_balancer::ListKind;
+use arrowstand_balancer::UpdateKind;
 use arrowstand_control::Informed;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -98,7 +98,7 @@
     let listener = listener.map_err(|e| format!("NODE_LISTEN: {}: {e}", config.listen))?;
 
     let known = config.known.unwrap_or_default();
-    core.list(ListKind::WarmCopy, known.rev, &known);
+    core.list(UpdateKind::Cached, known.rev, &known);
     actix_rt::spawn({
         let core = Rc::clone(&core);
         async move { core.run_timers().await }
--- a/crates/sidecar/src/transaction.rs
+++ b/crates/sidecar/src/transaction.rs
@@ -170,7 +170,7 @@
         if let Some(sent) = self
             .sent
             .get_mut(attempt as usize)
-            .filter(|_| outcome.never_ran())
+            .filter(|_| outcome.never_executed())
         {
             *sent = None;
         }
--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -200,10 +200,10 @@
         while let Some(id) = wanted.recv().await {
             let Some(server) = self.core.job_server(id) else {
                 // Each probe that is asked for is owed its end.
-                self.core.tell(Event::Probed {
+                self.core.tell(Event::HealthCheckEnded {
                     server: id,
                     outcome: Outcome::NotSent,
-                    report: None,
+                    load_report: None,
                 });
                 continue;
             };
@@ -214,10 +214,10 @@
                 if outcome != Outcome::Served {
                     this.counters.probes_failed.add();
                 }
-                this.core.tell(Event::Probed {
+                this.core.tell(Event::HealthCheckEnded {
                     server: id,
                     outcome,
-                    report,
+                    load_report: report,
                 });
             });
         }
--- a/crates/sidecar/src/upstream/report.rs
+++ b/crates/sidecar/src/upstream/report.rs
@@ -19,7 +19,7 @@
         }
     }
     Some(LoadReport {
-        held: held?,
-        waiting,
+        in_flight: held?,
+        queued: waiting,
     })
 }
--- a/crates/sidecar/src/upstream/sending/tests.rs
+++ b/crates/sidecar/src/upstream/sending/tests.rs
@@ -1,4 +1,4 @@
-use arrowstand_balancer::{Condition, ServerId};
+use arrowstand_balancer::{EndpointStatus, ServerId};
 use arrowstand_control::Informed;
 
 use super::*;
@@ -12,8 +12,8 @@
     };
     let limits = Rc::new(Limits::derive(&basis));
     let settings = arrowstand_balancer::Settings {
-        classes: vec![arrowstand_balancer::Class::new(
-            arrowstand_balancer::Semantics::Pure,
+        classes: vec![arrowstand_balancer::RequestClass::new(
+            arrowstand_balancer::Idempotency::Idempotent,
             1,
             1,
         )],
@@ -45,18 +45,18 @@
     ));
     let (late, begun) = (sending(&core, &server), sending(&core, &server));
     begun.wrote(b"POST / HTTP/1.1\r\n\r");
-    server.told(Condition::Draining, 0.0);
+    server.told(EndpointStatus::Draining, 0.0);
     assert_eq!(late.may_begin(&core.limits), Err(Stop::ServerDrains));
     assert!(late.held_back() && begun.may_begin(&core.limits).is_ok() && !begun.whole());
     begun.wrote(b"\nab");
     assert!(begun.whole() && !begun.held_back());
-    server.told(Condition::Ready, 0.0);
+    server.told(EndpointStatus::Ready, 0.0);
     assert_eq!(
         late.may_begin(&core.limits),
         Err(Stop::ServerDrains),
         "an old list ends no drain"
     );
-    server.told(Condition::Ready, 1.0);
+    server.told(EndpointStatus::Ready, 1.0);
     assert_eq!(sending(&core, &server).may_begin(&core.limits), Ok(()));
 }
 
--- a/crates/testbed/src/model/discovery.rs
+++ b/crates/testbed/src/model/discovery.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use arrowstand_balancer::{Condition, Event, ListKind, Member, ServerId};
+use arrowstand_balancer::{Endpoint, EndpointStatus, Event, ServerId, UpdateKind};
 use arrowstand_control::fingerprint;
 
 use super::*;
@@ -172,7 +172,7 @@
         sidecar.subscribed = true;
         if sidecar.version >= self.discovery.version {
             let version = self.discovery.version;
-            self.list_told(number, ListKind::Changes, version, Vec::new());
+            self.list_told(number, UpdateKind::Incremental, version, Vec::new());
         } else {
             self.changes(number);
         }
@@ -180,10 +180,10 @@
 
     pub(super) fn lost(&mut self, number: u32) {
         self.sidecars[number as usize].subscribed = false;
-        let lost = Event::Members {
-            kind: ListKind::Lost,
+        let lost = Event::EndpointsUpdated {
+            kind: UpdateKind::Lost,
             version: 0,
-            entries: Vec::new(),
+            endpoints: Vec::new(),
         };
         self.tell(number, lost);
     }
@@ -214,14 +214,14 @@
         let changed = new
             .map(|(&server, l)| (server, l.listing, l.launched))
             .collect();
-        self.list_told(number, ListKind::Changes, version, changed);
+        self.list_told(number, UpdateKind::Incremental, version, changed);
     }
 
     /// Hands a list to a sidecar's module and keeps it as what the sidecar last had.
     pub(super) fn list_told(
         &mut self,
         number: u32,
-        kind: ListKind,
+        kind: UpdateKind,
         version: u64,
         entries: Vec<(u32, Listing, Micros)>,
     ) {
@@ -243,27 +243,27 @@
             let machine = self
                 .day
                 .told_machine(self.servers[server as usize].machine.kind());
-            members.push(Member {
+            members.push(Endpoint {
                 server: ServerId(server),
-                fingerprint: fingerprint(&format!("s{server}")),
-                condition: match listing {
-                    Listing::Ready => Condition::Ready,
-                    Listing::Draining => Condition::Draining,
-                    Listing::Gone => Condition::Gone,
+                stable_hash: fingerprint(&format!("s{server}")),
+                status: match listing {
+                    Listing::Ready => EndpointStatus::Ready,
+                    Listing::Draining => EndpointStatus::Draining,
+                    Listing::Gone => EndpointStatus::Removed,
                 },
-                launched: (launched > 0).then_some(EPOCH + launched),
+                incarnation: (launched > 0).then_some(EPOCH + launched),
                 zone,
                 cell: zone,
-                machine,
+                machine_type: machine,
             });
         }
         self.sidecars[number as usize].version = version;
         self.tell(
             number,
-            Event::Members {
+            Event::EndpointsUpdated {
                 kind,
                 version,
-                entries: members,
+                endpoints: members,
             },
         );
     }
--- a/crates/testbed/src/model/sidecar.rs
+++ b/crates/testbed/src/model/sidecar.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use arrowstand_balancer::{
-    Action, AttemptEnd, Call, Class as ModuleClass, ClassId, Event, LoadReport, RequestId, Scope,
-    Semantics, ServerId, Settings,
+    Action, AttemptEnd, ClassId, DeduplicationScope, Event, Idempotency, IncomingRequest,
+    LoadReport, RequestClass as ModuleClass, RequestId, ServerId, Settings,
 };
 use arrowstand_control::Informed;
 
@@ -39,20 +39,20 @@
 /// The module's class for a scenario's.
 pub fn module_class(class: &Class) -> ModuleClass {
     let semantics = match class.effect {
-        Effect::Safe => Semantics::Pure,
-        Effect::Unsafe => Semantics::SideEffect,
-        Effect::Keyed => Semantics::Keyed,
+        Effect::Safe => Idempotency::Idempotent,
+        Effect::Unsafe => Idempotency::NonIdempotent,
+        Effect::Keyed => Idempotency::IdempotencyKey,
     };
     let scope = if class.group == Group::Zone {
-        Scope::Zone
+        DeduplicationScope::Zone
     } else {
-        Scope::All
+        DeduplicationScope::All
     };
     let (aim, deadline) = (from_ms(class.aim_ms), from_ms(class.deadline_ms));
     ModuleClass {
-        worth: class.worth,
-        scope,
-        window: from_ms(class.window_ms),
+        priority_weight: class.worth,
+        deduplication_scope: scope,
+        deduplication_window: from_ms(class.window_ms),
         late_value: class.late_worth,
         ..ModuleClass::new(semantics, aim, deadline)
     }
@@ -63,31 +63,31 @@
     Settings {
         classes: day.class.iter().map(module_class).collect(),
         zone: day.spread_zone(number),
-        index: number as u32,
-        balancers: day.sidecars.count as u32,
+        balancer_index: number as u32,
+        balancer_count: day.sidecars.count as u32,
         step: MARGIN,
-        cancel: day.allow.cancel,
-        probes: day.allow.probes,
-        peers: false,
+        cancellation: day.allow.cancel,
+        health_checks: day.allow.probes,
+        gossip: false,
         hedging: day.allow.second_copies,
         retry_after: true,
         max_retry_after: from_ms(day.allow.max_retry_after_ms),
         max_attempts: day.allow.max_attempts,
-        probe_fee: day.prices.probe,
+        health_check_fee: day.prices.probe,
         handshake_fee: day.prices.handshake,
-        idle_close: from_s(day.allow.idle_s),
+        idle_timeout: from_s(day.allow.idle_s),
         connection_fee: 0.0,
         cross_zone_fee: day.prices.cross_zone,
-        reports: true,
-        answers_report: day.reports.source == Source::Answers,
-        worth_by_work: day.load.worth_by_work,
-        list_on_request: true,
-        ask_every: from_ms(day.allow.ask_every_ms),
+        load_reports: true,
+        load_reports_in_responses: day.reports.source == Source::Answers,
+        weight_by_work: day.load.worth_by_work,
+        poll_endpoints: true,
+        max_poll_interval: from_ms(day.allow.ask_every_ms),
         only_draining_binds: false,
-        cold_share: day.kind.iter().map(|k| k.cold_from).fold(1.0, f64::min),
-        cold_time: from_s(day.kind.iter().map(|k| k.cold_s).fold(0.0, f64::max)),
-        cold_multiple: day.rules.fall_multiple,
-        cold_span: from_ms(day.rules.fall_ms),
+        cold_capacity_share: day.kind.iter().map(|k| k.cold_from).fold(1.0, f64::min),
+        slow_start_time: from_s(day.kind.iter().map(|k| k.cold_s).fold(0.0, f64::max)),
+        cold_overload_factor: day.rules.fall_multiple,
+        cold_overload_window: from_ms(day.rules.fall_ms),
     }
 }
 
@@ -142,7 +142,7 @@
         });
         self.list_told(
             number,
-            arrowstand_balancer::ListKind::WarmCopy,
+            arrowstand_balancer::UpdateKind::Cached,
             version,
             known,
         );
@@ -249,7 +249,7 @@
                     self.abort(task, events);
                 }
             }
-            Action::Refuse {
+            Action::Reject {
                 request,
                 retry_after,
             } => {
@@ -264,7 +264,7 @@
                     self.answer(key, How::Failed, pause, events);
                 }
             }
-            Action::Timer { token, after } => {
+            Action::SetTimer { token, after } => {
                 let life = self.sidecars[number as usize].life;
                 self.after(
                     after,
@@ -275,15 +275,15 @@
                     },
                 );
             }
-            Action::Probe { server } => self.probe(number, server.0),
-            Action::Subscribe => self.subscribe(number),
-            Action::Tell { .. } | Action::Log { .. } => {}
+            Action::HealthCheck { server } => self.probe(number, server.0),
+            Action::PollEndpoints => self.subscribe(number),
+            Action::SendGossip { .. } | Action::Log { .. } => {}
         }
     }
 
     pub(super) fn timer(&mut self, number: u32, life: u32, token: u64) {
         if self.sidecars[number as usize].life == life {
-            self.tell(number, Event::Timer { token });
+            self.tell(number, Event::TimerFired { token });
         }
     }
 
@@ -309,13 +309,13 @@
         self.sidecars[sidecar as usize].open.insert(number, key);
         let left = due.saturating_sub(self.now);
         self.at(due.saturating_sub(MARGIN), Happening::Last(key));
-        let call = Call {
+        let call = IncomingRequest {
             id: RequestId(number),
             class: ClassId(class),
             time_left: left,
-            size_hint,
+            work_hint: size_hint,
         };
-        self.tell(sidecar, Event::Request(call));
+        self.tell(sidecar, Event::RequestArrived(call));
     }
 
     /// The sidecar's last moment for a transaction that the module has not decided.
@@ -327,7 +327,7 @@
         if !self.is_up(sidecar) {
             return;
         }
-        let mut events = VecDeque::from([Event::Dropped {
+        let mut events = VecDeque::from([Event::ClientDisconnected {
             request: RequestId(number),
         }]);
         let pause = from_ms(self.day.allow.max_retry_after_ms);
@@ -346,7 +346,7 @@
             return;
         }
         let (sidecar, number) = (of.sidecar, of.number);
-        let mut events = VecDeque::from([Event::Dropped {
+        let mut events = VecDeque::from([Event::ClientDisconnected {
             request: RequestId(number),
         }]);
         self.close(key, &mut events);
@@ -399,20 +399,20 @@
         }
         let (of, tx, server, attempt) = (task.of, task.tx, task.server, task.attempt);
         let report = task.report.map(|held| LoadReport {
-            held: held as f64,
-            waiting: 0.0,
+            in_flight: held as f64,
+            queued: 0.0,
         });
         let elapsed = self.now - task.sent;
         let answered = self.tries.get(of).is_none_or(|t| t.answered);
         let finished = answered || outcome == Outcome::Served;
-        events.push_back(Event::Outcome(AttemptEnd {
+        events.push_back(Event::AttemptEnded(AttemptEnd {
             request: RequestId(tx),
             attempt,
             server: ServerId(server),
             outcome,
             finished,
             elapsed,
-            report,
+            load_report: report,
         }));
         if outcome == Outcome::Served && !answered {
             self.answer(of, How::Served, 0, events);
@@ -439,15 +439,15 @@
             return;
         }
         let report = load.map(|(held, waiting)| LoadReport {
-            held: f64::from(held),
-            waiting: f64::from(waiting),
+            in_flight: f64::from(held),
+            queued: f64::from(waiting),
         });
         self.tell(
             number,
-            Event::Probed {
+            Event::HealthCheckEnded {
                 server: ServerId(server),
                 outcome,
-                report,
+                load_report: report,
             },
         );
     }
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -455,19 +455,19 @@
     }
 
     /// What a sidecar is told of a kind of job server: its number, and its size where the day says so.
-    pub fn told_machine(&self, kind: &Kind) -> arrowstand_balancer::Machine {
+    pub fn told_machine(&self, kind: &Kind) -> arrowstand_balancer::MachineType {
         let number = self
             .kind
             .iter()
             .position(|k| k.name == kind.name)
             .map_or(0, |n| n as u32 + 1);
         match self.sidecars.knows_kinds {
-            true => arrowstand_balancer::Machine {
-                kind: number,
+            true => arrowstand_balancer::MachineType {
+                id: number,
                 cores: f64::from(kind.cores),
                 speed: kind.speed,
             },
-            false => arrowstand_balancer::Machine::default(),
+            false => arrowstand_balancer::MachineType::default(),
         }
     }
 
