--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -7,7 +7,7 @@
     IncomingRequest, LoadReport, Micros, Outcome, RequestClass, RequestId, ServerId, Settings,
     UpdateKind,
 };
-use arrowstand_control::{Informed, Machines, fingerprint};
+use arrowstand_control::{MachineCatalogue, WorkAwareBalancer, stable_hash};
 
 use crate::wire::{Arrival, Batch, Conf, Reply, decode, micros};
 
@@ -32,12 +32,12 @@
 }
 
 struct Instance {
-    balancer: Informed,
+    balancer: WorkAwareBalancer,
     ids: HashMap<String, u32>,
     names: Vec<String>,
     classes: Vec<String>,
     zones: Vec<String>,
-    machines: Machines,
+    machines: MachineCatalogue,
     report: ReportShape,
 }
 
@@ -143,7 +143,7 @@
         let seed = need(event.random_seed, event.msg, "random-seed")?;
         let (settings, report) = settings(conf)?;
         Ok(Self {
-            balancer: Informed::new(settings, seed).map_err(|e| e.to_string())?,
+            balancer: WorkAwareBalancer::new(settings, seed).map_err(|e| e.to_string())?,
             ids: HashMap::new(),
             names: Vec::new(),
             classes: conf
@@ -153,7 +153,7 @@
                 .collect(),
             zones: conf.zones.clone(),
             // Told nothing of them: they have numbers, and what they can do is learnt.
-            machines: Machines::default(),
+            machines: MachineCatalogue::default(),
             report,
         })
     }
@@ -178,12 +178,12 @@
         };
         Endpoint {
             server: self.intern(&line.server),
-            stable_hash: fingerprint(&line.server),
+            stable_hash: stable_hash(&line.server),
             status: line.condition,
             incarnation: line.launched,
             zone: zone as u32,
             cell: line.cell,
-            machine_type: self.machines.of(&line.model),
+            machine_type: self.machines.lookup(&line.model),
         }
     }
 
--- a/crates/control/src/freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -22,7 +22,7 @@
 /// The page's own words on what counts as told, kept apart from the code: since when a change that was made at `made`
 /// counts, given all that happened. Nothing where the page names no time.
 struct Page {
-    terms: Terms,
+    terms: StalenessBounds,
     /// Since when nothing has come, and how that began.
     dark: Option<(Micros, Dark)>,
     /// When discovery was last seen to be there, or to be down.
@@ -42,10 +42,10 @@
         let (since, how) = self.dark?;
         let last_call = self.calls.last().copied().filter(|&at| at >= since);
         Some(match (how, self.terms.pushed) {
-            (Dark::Silent, _) => made.max(since + self.terms.silent),
-            (Dark::Moved, _) => made.max(since + self.terms.moved),
+            (Dark::Silent, _) => made.max(since + self.terms.watch_silence),
+            (Dark::Moved, _) => made.max(since + self.terms.relocation_delay),
             (Dark::Lost, true) => made.max(since),
-            (Dark::Lost, false) => made.max(last_call?) + self.terms.ask_every,
+            (Dark::Lost, false) => made.max(last_call?) + self.terms.max_poll_interval,
         })
     }
 }
@@ -74,22 +74,22 @@
         made_after in 0..20_000_000_u64,
         proof in prop::option::of(0..1_000_000_u64),
     ) {
-        let terms = Terms { pushed, ask_every, silent: 6_000_000, moved: 4_000_000, slack: grace / 2 };
+        let terms = StalenessBounds { pushed, max_poll_interval: ask_every, watch_silence: 6_000_000, relocation_delay: 4_000_000, drain_slack: grace / 2 };
         let mut now = 100_000_000;
-        let mut list = Freshness::new(terms, now);
+        let mut list = ListFreshness::new(terms, now);
         let mut page = Page { terms, dark: Some((now, Dark::Lost)), calls: vec![now] };
-        list.calling(now);
+        list.on_poll_started(now);
         for (step, after) in steps {
             now += after;
             match step {
                 Step::Line => {
-                    list.heard();
+                    list.on_watch_event();
                     page.dark = None;
                     continue;
                 }
                 // What breaks in the dark tells that discovery is down, or moves the last call.
                 Step::Reset => {
-                    list.lost(now);
+                    list.on_watch_ended(now);
                     if page.dark.is_none_or(|(_, how)| how == Dark::Lost) {
                         page.dark = Some((now, Dark::Lost));
                     }
@@ -97,30 +97,30 @@
                 Step::Silence if page.dark.is_none() => {
                     let heard = now;
                     now += SILENCE;
-                    list.fell_silent(heard, now);
+                    list.on_watch_silent(heard, now);
                     page.dark = Some((heard, Dark::Silent));
                 }
-                Step::GiveUp if page.dark.is_some() => list.unanswered(),
+                Step::GiveUp if page.dark.is_some() => list.on_poll_abandoned(),
                 Step::Silence | Step::GiveUp => continue,
                 Step::Move => {
-                    list.moved(now);
+                    list.on_discovery_relocated(now);
                     // What had counted as told before does so still.
                     if page.dark.is_none_or(|(since, how)| how == Dark::Lost || since + 2_000_000 > now) {
                         page.dark = Some((now, Dark::Moved));
                     }
                 }
             }
-            list.calling(now);
+            list.on_poll_started(now);
             page.calls.push(now);
         }
         let Some((since, _)) = page.dark else {
-            prop_assert_eq!(list.until(None), None, "the list is what discovery has");
+            prop_assert_eq!(list.trusted_until(None), None, "the list is what discovery has");
             return Ok(());
         };
         let made = since + made_after;
         let Some(told) = page.told(made) else { return Ok(()) };
         let served = proof.map(|ago| made.saturating_sub(ago));
-        let until = list.until(served);
+        let until = list.trusted_until(served);
         prop_assert!(
             until.is_some_and(|until| until <= told + grace),
             "made at {made}, told at {told}, bound at {until:?}, {list:?}"
@@ -130,55 +130,59 @@
 
 #[test]
 fn an_outage_stops_no_service_and_a_crowded_discovery_does() {
-    let terms = Terms {
+    let terms = StalenessBounds {
         pushed: true,
-        ask_every: 10_000_000,
-        silent: 6_000_000,
-        moved: 4_000_000,
-        slack: 250_000,
+        max_poll_interval: 10_000_000,
+        watch_silence: 6_000_000,
+        relocation_delay: 4_000_000,
+        drain_slack: 250_000,
     };
-    let mut list = Freshness::new(terms, 0);
+    let mut list = ListFreshness::new(terms, 0);
     for call in (0..8_000_000).step_by(200_000) {
-        list.calling(call);
-        list.lost(call + 1_000);
-        assert_eq!(list.until(None), None, "down at {call}");
+        list.on_poll_started(call);
+        list.on_watch_ended(call + 1_000);
+        assert_eq!(list.trusted_until(None), None, "down at {call}");
     }
-    list.calling(8_000_000);
-    let from = list.until(None);
+    list.on_poll_started(8_000_000);
+    let from = list.trusted_until(None);
     assert!(
         from.is_some_and(|from| from < 8_250_000),
         "waiting: {from:?}"
     );
-    list.lost(9_000_000);
+    list.on_watch_ended(9_000_000);
     assert_eq!(
-        list.until(None),
+        list.trusted_until(None),
         from,
         "it waited and failed: discovery is there"
     );
-    list.heard();
-    assert_eq!(list.until(None), None);
+    list.on_watch_event();
+    assert_eq!(list.trusted_until(None), None);
 }
 
 #[test]
 fn only_a_recent_answer_speaks_for_a_server() {
-    let terms = Terms {
+    let terms = StalenessBounds {
         pushed: false,
-        ask_every: 10_000_000,
-        silent: 6_000_000,
-        moved: 4_000_000,
-        slack: 500_000,
+        max_poll_interval: 10_000_000,
+        watch_silence: 6_000_000,
+        relocation_delay: 4_000_000,
+        drain_slack: 500_000,
     };
-    let mut list = Freshness::new(terms, 0);
-    list.fell_silent(1_000_000, 4_000_000);
-    assert!(list.urgent());
-    assert_eq!(list.until(None), Some(7_500_000));
+    let mut list = ListFreshness::new(terms, 0);
+    list.on_watch_silent(1_000_000, 4_000_000);
+    assert!(list.needs_immediate_poll());
+    assert_eq!(list.trusted_until(None), Some(7_500_000));
     assert_eq!(
-        list.until(Some(4_500_000)),
+        list.trusted_until(Some(4_500_000)),
         Some(7_500_000),
         "an answer before the drain counts is no news"
     );
-    assert_eq!(list.until(Some(9_000_000)), Some(9_500_000));
-    list.moved(4_100_000);
-    list.refused(4_200_000);
-    assert_eq!(list.until(None), None, "nobody is there after a move");
+    assert_eq!(list.trusted_until(Some(9_000_000)), Some(9_500_000));
+    list.on_discovery_relocated(4_100_000);
+    list.on_poll_refused(4_200_000);
+    assert_eq!(
+        list.trusted_until(None),
+        None,
+        "nobody is there after a move"
+    );
 }
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machine_catalogue.rs
@@ -8,16 +8,16 @@
 
 /// The kinds, by the platform's names.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Machines {
+pub struct MachineCatalogue {
     kinds: Vec<(String, MachineType)>,
     /// What a kind that was not told counts as.
     usual: MachineType,
 }
 
-impl Machines {
+impl MachineCatalogue {
     /// From the operator's table: name, cores that work at a time, and work per time of one core against a usual
     /// one, both above zero. A kind that the table does not name counts as its mean.
-    pub fn told(table: impl IntoIterator<Item = (String, f64, f64)>) -> Self {
+    pub fn from_table(table: impl IntoIterator<Item = (String, f64, f64)>) -> Self {
         let mut machines = Self::default();
         for (model, cores, speed) in table {
             machines.add(
@@ -54,7 +54,7 @@
     }
 
     /// What a machine of that kind can do; a new name becomes a kind. No name is none.
-    pub fn of(&mut self, model: &str) -> MachineType {
+    pub fn lookup(&mut self, model: &str) -> MachineType {
         match self.kinds.iter().find(|(name, _)| name == model) {
             Some((_, machine)) => *machine,
             None if model.is_empty() || self.kinds.len() >= KINDS_MOST => self.usual,
@@ -70,9 +70,10 @@
 
     #[test]
     fn a_kind_that_was_not_told_counts_as_the_mean_and_as_one_of_its_own() {
-        let mut machines = Machines::told([("a".to_owned(), 2.0, 1.5), ("b".to_owned(), 4.0, 0.5)]);
+        let mut machines =
+            MachineCatalogue::from_table([("a".to_owned(), 2.0, 1.5), ("b".to_owned(), 4.0, 0.5)]);
         assert_eq!(
-            machines.of("b"),
+            machines.lookup("b"),
             MachineType {
                 id: 2,
                 cores: 4.0,
@@ -80,17 +81,17 @@
             }
         );
         assert_eq!(
-            machines.of("c"),
+            machines.lookup("c"),
             MachineType {
                 id: 3,
                 cores: 3.0,
                 speed: 1.0
             }
         );
-        assert_eq!(machines.of("d").id, 4);
-        assert_eq!((machines.of("c").id, machines.of("").id), (3, 0));
+        assert_eq!(machines.lookup("d").id, 4);
+        assert_eq!((machines.lookup("c").id, machines.lookup("").id), (3, 0));
         assert_eq!(
-            Machines::default().of("a"),
+            MachineCatalogue::default().lookup("a"),
             MachineType {
                 id: 1,
                 ..MachineType::default()
@@ -102,9 +103,9 @@
         /// Whatever names a list brings, a name keeps its kind and what is kept is bounded.
         #[test]
         fn a_name_keeps_its_kind(names in prop::collection::vec("[a-z]{0,3}", 0..600)) {
-            let mut machines = Machines::default();
-            let first: Vec<MachineType> = names.iter().map(|n| machines.of(n)).collect();
-            let again: Vec<MachineType> = names.iter().map(|n| machines.of(n)).collect();
+            let mut machines = MachineCatalogue::default();
+            let first: Vec<MachineType> = names.iter().map(|n| machines.lookup(n)).collect();
+            let again: Vec<MachineType> = names.iter().map(|n| machines.lookup(n)).collect();
             prop_assert_eq!(first, again);
             prop_assert!(machines.kinds.len() <= KINDS_MOST);
         }
--- a/crates/control/src/informed.rs
+++ b/crates/control/src/work_aware_balancer.rs
@@ -8,7 +8,7 @@
     Action, Balancer, ClassId, Event, Micros, Outcome, RequestId, Settings, SettingsError,
 };
 
-use crate::work::{Sent, Work};
+use crate::work_estimator::{SendSample, WorkEstimator};
 
 /// Part of a class's mean work that is told as a request's size. Sizes count against each other, so the part
 /// changes no decision but one: the module turns a request away at once whose size is more than its time left.
@@ -19,23 +19,23 @@
 /// A request that is open: its class, and its attempts in the order of the sends.
 struct Open {
     class: ClassId,
-    sent: Vec<Sent>,
+    sent: Vec<SendSample>,
 }
 
 /// A balancer that is told the expected work of each request.
-pub struct Informed {
+pub struct WorkAwareBalancer {
     balancer: Balancer,
-    work: Work,
+    work: WorkEstimator,
     open: BTreeMap<RequestId, Open>,
 }
 
-impl Informed {
+impl WorkAwareBalancer {
     /// As [`Balancer::new`].
     ///
     /// # Errors
     /// Names the first setting that is out of range.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        let work = Work::new(settings.classes.len());
+        let work = WorkEstimator::new(settings.classes.len());
         Ok(Self {
             balancer: Balancer::new(settings, seed)?,
             work,
@@ -48,7 +48,7 @@
         match &mut event {
             Event::RequestArrived(call) => {
                 // What the host was told by the client wins over what was learnt.
-                let learnt = self.work.expected(call.class);
+                let learnt = self.work.expected_work(call.class);
                 call.work_hint = call
                     .work_hint
                     .or(learnt.map(|w| ((w as f64 * LEAST) as Micros).max(1)));
@@ -65,7 +65,7 @@
                     && let Some(open) = self.open.get(&end.request)
                     && let Some(sent) = open.sent.get(end.attempt as usize)
                 {
-                    self.work.served(open.class, sent, end.elapsed);
+                    self.work.on_attempt_served(open.class, sent, end.elapsed);
                 }
                 if end.finished {
                     self.open.remove(&end.request);
@@ -78,7 +78,7 @@
                 server,
                 load_report: Some(report),
                 ..
-            } => self.work.reported(now, *server, *report),
+            } => self.work.on_load_report(now, *server, *report),
             _ => {}
         }
         let before = acts.len();
@@ -89,7 +89,7 @@
                     request, server, ..
                 } => {
                     if let Some(open) = self.open.get_mut(request) {
-                        open.sent.push(self.work.sent(now, *server));
+                        open.sent.push(self.work.on_attempt_started(now, *server));
                     }
                 }
                 Action::Reject { request, .. } | Action::Fail { request } => {
@@ -101,7 +101,7 @@
     }
 
     /// What was learnt of the work.
-    pub fn work(&self) -> &Work {
+    pub fn work(&self) -> &WorkEstimator {
         &self.work
     }
 }
@@ -115,7 +115,7 @@
     };
 
     /// A balancer that has learnt that its requests take 30 ms.
-    fn informed() -> (Informed, Micros) {
+    fn informed() -> (WorkAwareBalancer, Micros) {
         let mut settings = Settings {
             load_reports: true,
             health_check_fee: 0.001,
@@ -124,7 +124,7 @@
         settings
             .classes
             .push(RequestClass::new(Idempotency::Idempotent, 150_000, 600_000));
-        let mut informed = Informed::new(settings, 7).expect("valid");
+        let mut informed = WorkAwareBalancer::new(settings, 7).expect("valid");
         let member = Endpoint::ready(ServerId(0), 1);
         let list = Event::EndpointsUpdated {
             kind: UpdateKind::Full,
@@ -157,7 +157,7 @@
     }
 
     /// Asks, answers the look for load, and tells whether the request was sent.
-    fn ask(informed: &mut Informed, now: Micros, id: u64, time_left: Micros) -> bool {
+    fn ask(informed: &mut WorkAwareBalancer, now: Micros, id: u64, time_left: Micros) -> bool {
         let mut acts = Vec::new();
         let call = IncomingRequest {
             id: RequestId(id),
@@ -185,7 +185,7 @@
         assert!(
             informed
                 .work()
-                .expected(ClassId(0))
+                .expected_work(ClassId(0))
                 .is_some_and(|w| (29_000..31_000).contains(&w))
         );
         assert!(ask(&mut informed, now, 1_000, 20_000));
--- a/crates/control/src/work.rs
+++ b/crates/control/src/work_estimator.rs
@@ -26,21 +26,21 @@
 
 /// A send, as it was when it began.
 #[derive(Clone, Copy, Debug)]
-pub struct Sent {
+pub struct SendSample {
     server: ServerId,
     /// The job server had just said that nothing waits there.
     free: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Mean {
+struct BoundedMean {
     samples: u32,
     value: f64,
 }
 
-impl Mean {
+impl BoundedMean {
     /// Takes in a sample, of which at most a few times the value counts.
-    fn take(&mut self, sample: f64, weight: f64) {
+    fn record(&mut self, sample: f64, weight: f64) {
         self.samples = self.samples.saturating_add(1);
         let weight = weight.max(1.0 / f64::from(self.samples));
         let bounded = if self.samples > 5 {
@@ -53,40 +53,40 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Site {
+struct ServerEstimate {
     waiting: f64,
     at: Micros,
-    pace: Mean,
+    pace: BoundedMean,
 }
 
 /// What was learnt.
 #[derive(Clone, Debug, Default)]
-pub struct Work {
-    classes: Vec<Mean>,
-    sites: BTreeMap<ServerId, Site>,
+pub struct WorkEstimator {
+    classes: Vec<BoundedMean>,
+    sites: BTreeMap<ServerId, ServerEstimate>,
     /// Mean pace of the job servers that served what was counted. Guards against drift: a class's work that
     /// rises while all paces fall would say the same of every sample.
-    usual: Mean,
+    usual: BoundedMean,
 }
 
-impl Work {
+impl WorkEstimator {
     /// Nothing known of so many classes.
     pub fn new(classes: usize) -> Self {
         Self {
-            classes: vec![Mean::default(); classes],
+            classes: vec![BoundedMean::default(); classes],
             ..Self::default()
         }
     }
 
     /// A job server has told its load.
-    pub fn reported(&mut self, now: Micros, server: ServerId, report: LoadReport) {
+    pub fn on_load_report(&mut self, now: Micros, server: ServerId, report: LoadReport) {
         if !report.queued.is_finite() {
             return;
         }
-        let new = Site {
+        let new = ServerEstimate {
             waiting: 0.0,
             at: 0,
-            pace: Mean {
+            pace: BoundedMean {
                 samples: 0,
                 value: 1.0,
             },
@@ -105,9 +105,9 @@
     }
 
     /// An attempt goes out to a job server; to be kept with it.
-    pub fn sent(&mut self, now: Micros, server: ServerId) -> Sent {
+    pub fn on_attempt_started(&mut self, now: Micros, server: ServerId) -> SendSample {
         let Some(site) = self.sites.get_mut(&server) else {
-            return Sent {
+            return SendSample {
                 server,
                 free: false,
             };
@@ -115,11 +115,11 @@
         let free = now.saturating_sub(site.at) <= FRESH && site.waiting < FREE;
         // What goes out now may be what the next one waits for.
         site.waiting += FREE;
-        Sent { server, free }
+        SendSample { server, free }
     }
 
     /// An attempt was served after a time in microseconds.
-    pub fn served(&mut self, class: ClassId, sent: &Sent, elapsed: Micros) {
+    pub fn on_attempt_served(&mut self, class: ClassId, sent: &SendSample, elapsed: Micros) {
         let (Some(known), true) = (self.classes.get_mut(usize::from(class.0)), sent.free) else {
             return;
         };
@@ -128,28 +128,28 @@
             .get(&sent.server)
             .map_or(1.0, |s| s.pace.value)
             .max(0.05);
-        self.usual.take(pace, WEIGHT);
-        known.take(elapsed as f64 / (pace / self.usual.value.max(0.05)), WEIGHT);
+        self.usual.record(pace, WEIGHT);
+        known.record(elapsed as f64 / (pace / self.usual.value.max(0.05)), WEIGHT);
         let expected = known.value;
         if known.samples >= ENOUGH
             && expected > 0.0
             && let Some(site) = self.sites.get_mut(&sent.server)
         {
             site.pace
-                .take((elapsed as f64 / expected).min(MOST), PACE_WEIGHT);
+                .record((elapsed as f64 / expected).min(MOST), PACE_WEIGHT);
         }
     }
 
     /// Expected work of a request of a class, in microseconds on a usual job server; nothing until all classes
     /// have been seen often enough, as sizes count against each other.
-    pub fn expected(&self, class: ClassId) -> Option<Micros> {
+    pub fn expected_work(&self, class: ClassId) -> Option<Micros> {
         let known = self.classes.get(usize::from(class.0))?;
         let enough = self.classes.iter().all(|c| c.samples >= ENOUGH);
         (enough && known.value >= 1.0).then_some(known.value as Micros)
     }
 
     /// How much longer than a usual job server this one takes.
-    pub fn pace(&self, server: ServerId) -> Option<f64> {
+    pub fn latency_factor(&self, server: ServerId) -> Option<f64> {
         let site = self
             .sites
             .get(&server)
@@ -168,35 +168,35 @@
         queued: 0.0,
     };
 
-    fn serve(work: &mut Work, now: Micros, class: u16, server: u32, elapsed: Micros) {
+    fn serve(work: &mut WorkEstimator, now: Micros, class: u16, server: u32, elapsed: Micros) {
         let server = ServerId(server);
-        work.reported(now, server, FREE_REPORT);
-        let sent = work.sent(now, server);
-        work.served(ClassId(class), &sent, elapsed);
+        work.on_load_report(now, server, FREE_REPORT);
+        let sent = work.on_attempt_started(now, server);
+        work.on_attempt_served(ClassId(class), &sent, elapsed);
     }
 
     #[test]
     fn classes_are_told_apart_once_all_are_known() {
-        let mut work = Work::new(2);
+        let mut work = WorkEstimator::new(2);
         (0..30).for_each(|n| serve(&mut work, n * 1_000, 0, 0, 40_000));
-        assert_eq!(work.expected(ClassId(0)), None);
+        assert_eq!(work.expected_work(ClassId(0)), None);
         (30..60).for_each(|n| serve(&mut work, n * 1_000, 1, 0, 110_000));
         assert!(
-            work.expected(ClassId(0))
+            work.expected_work(ClassId(0))
                 .is_some_and(|w| (39_000..41_000).contains(&w))
         );
         assert!(
-            work.expected(ClassId(1))
+            work.expected_work(ClassId(1))
                 .is_some_and(|w| (100_000..120_000).contains(&w))
         );
     }
 
     #[test]
     fn what_had_to_wait_teaches_nothing() {
-        let mut work = Work::new(1);
+        let mut work = WorkEstimator::new(1);
         (0..30).for_each(|n| serve(&mut work, n * 1_000, 0, 0, 40_000));
-        let before = work.expected(ClassId(0));
-        work.reported(
+        let before = work.expected_work(ClassId(0));
+        work.on_load_report(
             40_000,
             ServerId(0),
             LoadReport {
@@ -205,19 +205,19 @@
             },
         );
         for _ in 0..200 {
-            let sent = work.sent(40_000, ServerId(0));
-            work.served(ClassId(0), &sent, 900_000);
+            let sent = work.on_attempt_started(40_000, ServerId(0));
+            work.on_attempt_served(ClassId(0), &sent, 900_000);
         }
         // Nor does a report that is too old.
-        work.reported(50_000, ServerId(0), FREE_REPORT);
-        let sent = work.sent(50_001 + FRESH, ServerId(0));
-        work.served(ClassId(0), &sent, 900_000);
-        assert_eq!(work.expected(ClassId(0)), before);
+        work.on_load_report(50_000, ServerId(0), FREE_REPORT);
+        let sent = work.on_attempt_started(50_001 + FRESH, ServerId(0));
+        work.on_attempt_served(ClassId(0), &sent, 900_000);
+        assert_eq!(work.expected_work(ClassId(0)), before);
     }
 
     #[test]
     fn a_costly_request_in_fifty_does_not_move_it_far() {
-        let mut work = Work::new(1);
+        let mut work = WorkEstimator::new(1);
         (0..20_000).for_each(|n| {
             serve(
                 &mut work,
@@ -227,13 +227,13 @@
                 if n % 50 == 7 { 26 * 40_000 } else { 40_000 },
             )
         });
-        let known = work.expected(ClassId(0)).expect("known");
+        let known = work.expected_work(ClassId(0)).expect("known");
         assert!((38_000..44_000).contains(&known), "{known}");
     }
 
     #[test]
     fn a_slow_job_server_is_known_by_its_pace_and_moves_no_class() {
-        let mut work = Work::new(1);
+        let mut work = WorkEstimator::new(1);
         for n in 0..3_000u64 {
             let server = (n % 4) as u32;
             serve(
@@ -245,8 +245,8 @@
             );
         }
         let (slow, usual) = (
-            work.pace(ServerId(3)).expect("known"),
-            work.pace(ServerId(0)).expect("known"),
+            work.latency_factor(ServerId(3)).expect("known"),
+            work.latency_factor(ServerId(0)).expect("known"),
         );
         assert!((1.8..2.2).contains(&(slow / usual)), "{slow} {usual}");
     }
@@ -257,18 +257,18 @@
         fn stays_within_what_was_seen(
             seen in prop::collection::vec((0u16..3, 0u32..6, 1u64..5_000_000, -1.0f64..40.0), 0..400),
         ) {
-            let mut work = Work::new(3);
+            let mut work = WorkEstimator::new(3);
             for (n, (class, server, elapsed, waiting)) in seen.iter().enumerate() {
-                work.reported(n as Micros, ServerId(*server), LoadReport { in_flight: 1.0, queued: *waiting });
-                let sent = work.sent(n as Micros, ServerId(*server));
-                work.served(ClassId(*class), &sent, *elapsed);
+                work.on_load_report(n as Micros, ServerId(*server), LoadReport { in_flight: 1.0, queued: *waiting });
+                let sent = work.on_attempt_started(n as Micros, ServerId(*server));
+                work.on_attempt_served(ClassId(*class), &sent, *elapsed);
             }
             for class in 0..3 {
-                if let Some(known) = work.expected(ClassId(class)) {
+                if let Some(known) = work.expected_work(ClassId(class)) {
                     prop_assert!((1..=100_000_000).contains(&known));
                 }
             }
-            prop_assert_eq!(work.expected(ClassId(9)), None);
+            prop_assert_eq!(work.expected_work(ClassId(9)), None);
         }
     }
 }
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use arrowstand_balancer::{DeduplicationScope, Idempotency, Micros, RequestClass, Settings};
-use arrowstand_control::Machines;
+use arrowstand_control::MachineCatalogue;
 
 use crate::discovery::EndpointList;
 use crate::json::{self, Node};
 use crate::limits::{Basis, Limits};
-use crate::machines;
+use crate::machine_table;
 
 /// What this sidecar was told at start.
 pub struct Config {
@@ -36,7 +36,7 @@
     pub windows: Vec<Duration>,
     pub zones: Vec<String>,
     /// What the kinds of machine can do.
-    pub machines: Machines,
+    pub machines: MachineCatalogue,
 }
 
 fn micros(ms: f64) -> Micros {
@@ -106,7 +106,7 @@
         }
         let (settings, mut names) = settings(&conf)?;
         if let Some(path) = variable("ARROWSTAND_MACHINES") {
-            names.machines = machines::load(&path)?;
+            names.machines = machine_table::load(&path)?;
         }
         let own = root.at("limits");
         let permissions = conf.at("permissions");
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -5,7 +5,7 @@
 
 use arrowstand_balancer::Outcome;
 
-use crate::upstream::gate::Stop;
+use crate::upstream::send_guard::SendBlocked;
 
 macro_rules! counters {
     ($($name:ident: $text:literal,)*) => {
@@ -70,13 +70,13 @@
 }
 
 impl Counters {
-    pub fn stopped(&self, stop: Stop) {
+    pub fn stopped(&self, stop: SendBlocked) {
         let cell = match stop {
-            Stop::ClientLeft => &self.stopped_client_left,
-            Stop::NoTime => &self.stopped_no_time,
-            Stop::WindowOver => &self.stopped_window_over,
-            Stop::ServerDrains | Stop::ServerMoved => &self.stopped_server_drains,
-            Stop::ListTooOld => &self.stopped_list_too_old,
+            SendBlocked::ClientLeft => &self.stopped_client_left,
+            SendBlocked::NoTime => &self.stopped_no_time,
+            SendBlocked::WindowOver => &self.stopped_window_over,
+            SendBlocked::ServerDraining | SendBlocked::ServerMoved => &self.stopped_server_drains,
+            SendBlocked::ListStale => &self.stopped_list_too_old,
         };
         cell.add();
     }
--- a/crates/sidecar/src/discovery/endpoint.rs
+++ b/crates/sidecar/src/discovery/endpoint.rs
@@ -81,7 +81,7 @@
     }
 
     pub fn parse(text: &str, limits: &Limits) -> Result<Self, String> {
-        let value: JsonValue = json::parse(text, limits.json_depth)?;
+        let value: JsonValue = json::parse(text, limits.discovery.max_json_depth)?;
         Self::read(&Node::root(&value))
     }
 }
--- a/crates/sidecar/src/discovery/lines.rs
+++ b/crates/sidecar/src/discovery/line_decoder.rs
@@ -5,7 +5,7 @@
 use crate::json;
 
 /// Cuts a watch's bytes into objects and empty lines, however they were split over chunks.
-pub struct Lines {
+pub struct LineDecoder {
     held: BytesMut,
     /// The lines of an object that is not closed yet.
     open: Vec<u8>,
@@ -13,7 +13,7 @@
     depth_most: usize,
 }
 
-impl Lines {
+impl LineDecoder {
     /// Objects of so many bytes and so deep at most.
     pub fn new(most: usize, depth_most: usize) -> Self {
         Self {
--- a/crates/sidecar/src/discovery/lines/tests.rs
+++ b/crates/sidecar/src/discovery/line_decoder/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 fn all(text: &[u8], sizes: &[usize]) -> Vec<String> {
-    let (mut lines, mut found, mut at) = (Lines::new(100_000, 8), Vec::new(), 0);
+    let (mut lines, mut found, mut at) = (LineDecoder::new(100_000, 8), Vec::new(), 0);
     let mut sizes = sizes.iter().cycle();
     while at < text.len() {
         let end = (at + sizes.next().copied().unwrap_or(1).max(1)).min(text.len());
@@ -32,7 +32,7 @@
 
 #[test]
 fn an_object_without_end_is_refused() {
-    let mut lines = Lines::new(1_000, 2_000);
+    let mut lines = LineDecoder::new(1_000, 2_000);
     let refused = (0..100).any(|_| {
         let full = lines.add(b" [[[[[[[[[[[[[[[[[[\n").is_err();
         full || lines.take().is_some()
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -1,11 +1,11 @@
 //! Discovery's list of endpoints: its form, the watch that turns it into events, and when it is called.
 
 mod endpoint;
-mod follow;
-mod lines;
+mod line_decoder;
 mod watch;
+mod watcher;
 
 #[cfg(test)]
 pub use endpoint::Endpoint;
 pub use endpoint::EndpointList;
-pub use follow::follow;
+pub use watcher::follow;
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -6,18 +6,18 @@
 use std::rc::Rc;
 
 use arrowstand_balancer::UpdateKind;
-use arrowstand_control::freshness::Freshness;
+use arrowstand_control::list_freshness::ListFreshness;
 use awc::error::{ConnectError, SendRequestError};
 use futures_util::StreamExt as _;
 use tokio::time::{Instant, timeout};
 
 use super::endpoint::EndpointList;
-use super::lines::Lines;
-use crate::core::Core;
+use super::line_decoder::LineDecoder;
+use crate::host::BalancerHost;
 use crate::limits::Limits;
 
 /// Where this sidecar stands in discovery's numbering of its changes.
-pub struct Position {
+pub struct WatchCursor {
     rev: Cell<u64>,
     /// What the module is told is this much higher, so that its count only rises.
     raised: Cell<u64>,
@@ -26,13 +26,13 @@
 }
 
 /// Why a watch ended.
-pub struct Fault {
+pub struct WatchError {
     pub text: String,
-    pub end: End,
+    pub end: WatchEnd,
 }
 
 /// How a call or a watch ended, as far as it tells what the list may hide.
-pub enum End {
+pub enum WatchEnd {
     Broken,
     /// The call was given up.
     Unanswered,
@@ -44,7 +44,7 @@
     Refused,
 }
 
-impl Position {
+impl WatchCursor {
     pub fn new(rev: u64) -> Self {
         Self {
             rev: Cell::new(rev),
@@ -54,11 +54,11 @@
     }
 }
 
-impl From<String> for Fault {
+impl From<String> for WatchError {
     fn from(text: String) -> Self {
         Self {
             text,
-            end: End::Broken,
+            end: WatchEnd::Broken,
         }
     }
 }
@@ -70,52 +70,55 @@
 
 /// One watch, from the call to its end; tells why it ended.
 pub async fn watch(
-    core: &Rc<Core>,
+    host: &Rc<BalancerHost>,
     client: &awc::Client,
     discovery: SocketAddr,
-    at: &Position,
+    at: &WatchCursor,
     limits: &Limits,
-) -> Fault {
+) -> WatchError {
     let uri = format!(
         "http://{discovery}/v1/endpoints?stream=1&index={}",
         at.rev.get()
     );
-    core.watched(Freshness::calling);
+    host.update_list_freshness(ListFreshness::on_poll_started);
     at.first.set(true);
     let call = client.get(uri).force_close().no_decompress().send();
-    let mut answer = match timeout(limits.list_call, call).await {
+    let mut answer = match timeout(limits.discovery.poll_timeout, call).await {
         Ok(Ok(answer)) if answer.status().is_success() => answer,
         Ok(Ok(answer)) => return format!("the call ended with {}", answer.status()).into(),
         Ok(Err(e)) => {
             let end = if refused(&e) {
-                End::Refused
+                WatchEnd::Refused
             } else {
-                End::Broken
+                WatchEnd::Broken
             };
-            return Fault {
+            return WatchError {
                 text: format!("the call failed: {e}"),
                 end,
             };
         }
         Err(_) => {
-            return Fault {
+            return WatchError {
                 text: "the call was not answered".to_owned(),
-                end: End::Unanswered,
+                end: WatchEnd::Unanswered,
             };
         }
     };
     let mut heard = Instant::now();
-    let mut lines = Lines::new(limits.list_line, limits.json_depth);
+    let mut lines = LineDecoder::new(
+        limits.discovery.max_line_bytes,
+        limits.discovery.max_json_depth,
+    );
     loop {
         // Guards against a watch whose other end has vanished: it says nothing, not even the heartbeat.
-        let chunk = match timeout(limits.list_silence, answer.next()).await {
+        let chunk = match timeout(limits.discovery.watch_silence_timeout, answer.next()).await {
             Ok(Some(Ok(chunk))) => chunk,
             Ok(Some(Err(e))) => return format!("the watch broke: {e}").into(),
             Ok(None) => return "the watch ended".to_owned().into(),
             Err(_) => {
-                return Fault {
+                return WatchError {
                     text: "the watch fell silent".to_owned(),
-                    end: End::Silent { heard },
+                    end: WatchEnd::Silent { heard },
                 };
             }
         };
@@ -126,13 +129,13 @@
         while let Some(line) = lines.take() {
             let text = String::from_utf8_lossy(&line);
             if text.trim().is_empty() {
-                core.watched(|freshness, _| freshness.heard());
+                host.update_list_freshness(|freshness, _| freshness.on_watch_event());
                 continue;
             }
             match EndpointList::parse(&text, limits) {
-                Ok(list) => take(core, at, &list),
+                Ok(list) => take(host, at, &list),
                 Err(fault) => {
-                    core.counters.list_lines_skipped.add();
+                    host.counters.list_lines_skipped.add();
                     // Guards against changes lost with a line: the next one would move the position past them.
                     at.rev.set(0);
                     return format!("a line cannot be read, the whole list is asked for: {fault}")
@@ -143,7 +146,7 @@
     }
 }
 
-fn take(core: &Core, at: &Position, list: &EndpointList) {
+fn take(host: &BalancerHost, at: &WatchCursor, list: &EndpointList) {
     // Guards against a discovery that counts from lower down, a new one or one that has started anew: it was asked for
     // what came after the position and gave the whole list instead, so that list is no old one.
     if at.first.replace(false) && list.all && list.rev < at.rev.get() {
@@ -155,6 +158,6 @@
     } else {
         UpdateKind::Incremental
     };
-    core.watched(|freshness, _| freshness.heard());
-    core.list(kind, at.raised.get() + list.rev, list);
+    host.update_list_freshness(|freshness, _| freshness.on_watch_event());
+    host.update_endpoints(kind, at.raised.get() + list.rev, list);
 }
--- a/crates/sidecar/src/front/lent.rs
+++ b/crates/sidecar/src/downstream/bounded_stream.rs
@@ -9,12 +9,12 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::client::Client;
+use super::connection::ClientConnection;
 use crate::limits::Limits;
 
-pub struct Lent {
+pub struct BoundedStream {
     socket: Option<TcpStream>,
-    client: Rc<Client>,
+    client: Rc<ClientConnection>,
     limits: Rc<Limits>,
     /// Bytes given out since the protocol last looked at what it has, and the most of them. Guards against memory: it
     /// reads all requests that it holds at once, and keeps each, so it holds little more than one.
@@ -22,8 +22,8 @@
     most: usize,
 }
 
-impl Lent {
-    pub fn new(socket: TcpStream, client: Rc<Client>, limits: Rc<Limits>) -> Self {
+impl BoundedStream {
+    pub fn new(socket: TcpStream, client: Rc<ClientConnection>, limits: Rc<Limits>) -> Self {
         Self {
             socket: Some(socket),
             client,
@@ -33,7 +33,7 @@
         }
     }
 
-    pub fn client(&self) -> &Rc<Client> {
+    pub fn client(&self) -> &Rc<ClientConnection> {
         &self.client
     }
 
@@ -73,37 +73,40 @@
         let bytes = buf.filled().len() - before;
         match read {
             Poll::Pending => {
-                self.client.dry();
+                self.client.on_input_drained();
                 return Poll::Pending;
             }
-            Poll::Ready(Ok(())) if bytes > 0 => self.client.heard(bytes),
-            Poll::Ready(_) => self.client.left(),
+            Poll::Ready(Ok(())) if bytes > 0 => self.client.on_received(bytes),
+            Poll::Ready(_) => self.client.on_disconnected(),
         }
         ready!(read)?;
         Poll::Ready(Ok(bytes))
     }
 }
 
-impl Drop for Lent {
+impl Drop for BoundedStream {
     fn drop(&mut self) {
-        self.client.give_back(self.socket.take());
+        self.client.return_stream(self.socket.take());
     }
 }
 
-impl AsyncRead for Lent {
+impl AsyncRead for BoundedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         // Guards against a request that is taken after the last answer: to the protocol it is the end of file.
-        if self.client.had_last() {
+        if self.client.sent_last_response() {
             return Poll::Ready(Ok(()));
         }
-        if !self.client.is_full(&self.limits) {
+        if !self.client.is_pipeline_full(&self.limits) {
             if self.given == 0 {
-                self.most =
-                    self.limits.portion + self.client.announced().min(self.limits.portion_body);
+                self.most = self.limits.client.read_chunk_bytes
+                    + self
+                        .client
+                        .announced_body_bytes()
+                        .min(self.limits.client.body_chunk_bytes);
             }
             let room = self.most.saturating_sub(self.given);
             if room > 0 {
@@ -132,7 +135,7 @@
     }
 }
 
-impl AsyncWrite for Lent {
+impl AsyncWrite for BoundedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -144,7 +147,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = self.socket()?.poll_flush(cx);
         if flushed.is_ready() {
-            self.client.written();
+            self.client.on_response_written();
         }
         flushed
     }
--- a/crates/sidecar/src/front/http.rs
+++ b/crates/sidecar/src/downstream/http.rs
@@ -11,18 +11,18 @@
 use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response, StatusCode};
 use actix_service::{ServiceFactory, fn_service};
 
-use super::client::Client;
-use super::lent::Lent;
-use super::listener::Front;
+use super::bounded_stream::BoundedStream;
+use super::connection::ClientConnection;
+use super::listener::Listener;
 use super::request::{Bad, read};
-use crate::transaction::{self, Answer, Content};
+use crate::proxy::{self, Payload, ProxyResponse};
 
 pub type Reply = Response<BoxBody>;
 
 /// What serves one connection to its end.
 pub trait Protocol:
     ServiceFactory<
-        (Lent, Option<SocketAddr>),
+        (BoundedStream, Option<SocketAddr>),
         Config = (),
         Response = (),
         Error = DispatchError,
@@ -33,7 +33,7 @@
 
 impl<P> Protocol for P where
     P: ServiceFactory<
-            (Lent, Option<SocketAddr>),
+            (BoundedStream, Option<SocketAddr>),
             Config = (),
             Response = (),
             Error = DispatchError,
@@ -43,75 +43,75 @@
 }
 
 /// Serves clients that hold a permit.
-pub fn service(front: &Rc<Front>) -> impl Protocol + use<> {
+pub fn service(front: &Rc<Listener>) -> impl Protocol + use<> {
     let front = Rc::clone(front);
     HttpService::build()
-        // The client's own bounds, kept by `Client::overstayed`, cover each request, not just the first.
+        // The client's own bounds, kept by `ClientConnection::overstayed`, cover each request, not just the first.
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         // Guards against requests that run on for a client that has left.
         .h1_allow_half_closed(false)
-        .on_connect_ext(|lent: &Lent, data| drop(data.insert(Rc::clone(lent.client()))))
+        .on_connect_ext(|lent: &BoundedStream, data| drop(data.insert(Rc::clone(lent.client()))))
         .h1(fn_service(move |request: Request| {
             let front = Rc::clone(&front);
             async move {
-                let client = request.conn_data::<Rc<Client>>().cloned();
-                let client = client.unwrap_or_else(|| Client::new(None));
+                let client = request.conn_data::<Rc<ClientConnection>>().cloned();
+                let client = client.unwrap_or_else(|| ClientConnection::new(None));
                 let mut reply = answer(&front, request, &client).await;
-                if front.closing() || client.leaving() {
+                if front.closing() || client.is_closing() {
                     reply.head_mut().set_connection_type(ConnectionType::Close);
                 }
-                client.answered(reply.head().connection_type() == ConnectionType::Close);
+                client.on_response_made(reply.head().connection_type() == ConnectionType::Close);
                 Ok::<_, Infallible>(reply)
             }
         }))
 }
 
 /// Guards against a full descriptor table: clients past the bound are told so at once.
-pub fn turn_away(front: &Rc<Front>) -> impl Protocol + use<> {
+pub fn reject_over_capacity(front: &Rc<Listener>) -> impl Protocol + use<> {
     let front = Rc::clone(front);
-    let turn_away = move |request: Request| {
-        front.core.counters.transactions_over_bound.add();
+    let reject_over_capacity = move |request: Request| {
+        front.host.counters.transactions_over_bound.add();
         let mut reply = pause(
             StatusCode::SERVICE_UNAVAILABLE,
-            front.core.limits.retry_after,
+            front.host.limits.default_retry_after,
         );
         reply.head_mut().set_connection_type(ConnectionType::Close);
         request
-            .conn_data::<Rc<Client>>()
-            .inspect(|client| client.answered(true));
+            .conn_data::<Rc<ClientConnection>>()
+            .inspect(|client| client.on_response_made(true));
         async move { Ok::<_, Infallible>(reply) }
     };
     HttpService::build()
         .client_request_timeout(Duration::ZERO)
-        .on_connect_ext(|lent: &Lent, data| drop(data.insert(Rc::clone(lent.client()))))
-        .h1(fn_service(turn_away))
+        .on_connect_ext(|lent: &BoundedStream, data| drop(data.insert(Rc::clone(lent.client()))))
+        .h1(fn_service(reject_over_capacity))
 }
 
-async fn answer(front: &Front, request: Request, client: &Client) -> Reply {
-    let core = &front.core;
+async fn answer(front: &Listener, request: Request, client: &ClientConnection) -> Reply {
+    let host = &front.host;
     match request.path() {
-        "/ready" if core.ready() => return plain(StatusCode::OK, "ready\n"),
+        "/ready" if host.is_ready() => return plain(StatusCode::OK, "ready\n"),
         "/ready" => {
             return plain(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no job server is known yet\n",
             );
         }
-        "/counters" => return plain(StatusCode::OK, core.counters.to_string()),
+        "/counters" => return plain(StatusCode::OK, host.counters.to_string()),
         _ => {}
     }
-    match read(core, request, client).await {
+    match read(host, request, client).await {
         Ok(ask) => {
-            let answer = transaction::run(Rc::clone(core), Rc::clone(&front.upstream), ask).await;
+            let answer = proxy::run(Rc::clone(host), Rc::clone(&front.upstream), ask).await;
             write(answer).unwrap_or_else(|bad| reject(front, bad))
         }
         Err(bad) => reject(front, bad),
     }
 }
 
-fn reject(front: &Front, Bad(status, why): Bad) -> Reply {
-    front.core.counters.transactions_malformed.add();
+fn reject(front: &Listener, Bad(status, why): Bad) -> Reply {
+    front.host.counters.transactions_malformed.add();
     let mut reply = plain(status, why);
     // What is left of its body is of no use.
     reply.head_mut().set_connection_type(ConnectionType::Close);
@@ -134,20 +134,25 @@
         .map_into_boxed_body()
 }
 
-fn write(answer: Answer) -> Result<Reply, Bad> {
+fn write(answer: ProxyResponse) -> Result<Reply, Bad> {
     match answer {
-        Answer::Served(Content { body, labels }) => {
+        ProxyResponse::Served(Payload {
+            body,
+            headers: labels,
+        }) => {
             let mut reply = Response::build(StatusCode::OK);
             for label in labels {
                 reply.insert_header(label);
             }
             Ok(reply.body(body).map_into_boxed_body())
         }
-        Answer::ShortOnCapacity { retry_after } => {
+        ProxyResponse::Rejected { retry_after } => {
             Ok(pause(StatusCode::SERVICE_UNAVAILABLE, retry_after))
         }
-        Answer::Failed { retry_after } => Ok(pause(StatusCode::GATEWAY_TIMEOUT, retry_after)),
-        Answer::InUse => Err(Bad(
+        ProxyResponse::Failed { retry_after } => {
+            Ok(pause(StatusCode::GATEWAY_TIMEOUT, retry_after))
+        }
+        ProxyResponse::DuplicateId => Err(Bad(
             StatusCode::CONFLICT,
             "a transaction of that id is open\n",
         )),
--- a/crates/sidecar/src/front/linger.rs
+++ b/crates/sidecar/src/downstream/lingering_close.rs
@@ -9,12 +9,12 @@
 
 /// Guards against a close over unread bytes: that is a reset, which takes the end of the last answer with it. `wanted`
 /// ends it early, where its descriptor is needed for a new client.
-pub async fn linger(mut socket: TcpStream, limits: &Limits, wanted: &Notify) {
+pub async fn lingering_close(mut socket: TcpStream, limits: &Limits, wanted: &Notify) {
     if socket.shutdown().await.is_err() {
         return;
     }
     let read = async {
-        let mut left = limits.linger_bytes;
+        let mut left = limits.client.max_lingering_bytes;
         let mut bytes = vec![0; 4096];
         while let Ok(read @ 1..) = socket.read(&mut bytes).await {
             // Guards against a flood that is read for nothing until the time is over.
@@ -26,7 +26,7 @@
     };
     tokio::select! {
         () = read => {}
-        () = tokio::time::sleep(limits.linger) => {}
+        () = tokio::time::sleep(limits.client.lingering_close_timeout) => {}
         () = wanted.notified() => {}
     }
 }
--- a/crates/sidecar/src/front/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -12,21 +12,21 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use super::client::Client;
-use super::http::{service, turn_away};
-use super::lent::Lent;
-use super::linger::linger;
-use crate::core::Core;
+use super::bounded_stream::BoundedStream;
+use super::connection::ClientConnection;
+use super::http::{reject_over_capacity, service};
+use super::lingering_close::lingering_close;
+use crate::host::BalancerHost;
 use crate::upstream::Upstream;
 
 /// The listening side.
-pub struct Front {
-    pub(super) core: Rc<Core>,
+pub struct Listener {
+    pub(super) host: Rc<BalancerHost>,
     pub(super) upstream: Rc<Upstream>,
     /// Client connections that hold a descriptor.
     open: Cell<usize>,
     /// Those that hold a permit, which the ones dismissed or turned away do not.
-    clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    clients: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     next: Cell<u64>,
     changed: Notify,
     /// Descriptors of connections that linger are wanted.
@@ -35,8 +35,8 @@
     closing: Cell<bool>,
 }
 
-impl Front {
-    pub fn new(core: Rc<Core>, upstream: Rc<Upstream>) -> Rc<Self> {
+impl Listener {
+    pub fn new(host: Rc<BalancerHost>, upstream: Rc<Upstream>) -> Rc<Self> {
         let (open, clients, next) = (Cell::new(0), RefCell::default(), Cell::new(0));
         let (changed, wanted, stopping, closing) = (
             Notify::new(),
@@ -45,7 +45,7 @@
             Cell::new(false),
         );
         Rc::new(Self {
-            core,
+            host,
             upstream,
             open,
             clients,
@@ -62,19 +62,19 @@
         self.closing.get()
     }
 
-    /// Accepts clients until [`Front::close`], and then those whom the machine has accepted.
+    /// Accepts clients until [`Listener::close`], and then those whom the machine has accepted.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         use actix_service::ServiceFactory as _;
         let Ok(protocol) = service(&self).new_service(()).await else {
             return;
         };
-        let Ok(crowded) = turn_away(&self).new_service(()).await else {
+        let Ok(crowded) = reject_over_capacity(&self).new_service(()).await else {
             return;
         };
         let (protocol, crowded) = (Rc::new(protocol), Rc::new(crowded));
-        let limits = Rc::clone(&self.core.limits);
+        let limits = Rc::clone(&self.host.limits);
         loop {
-            while self.open.get() >= limits.terminals_most {
+            while self.open.get() >= limits.client.max_accepted_connections {
                 // Guards against a crowd at the stop that takes the descriptors of what is still owed.
                 if self.closing.get() {
                     return;
@@ -101,7 +101,7 @@
                     continue;
                 }
             };
-            let client = Client::new(Some(stream));
+            let client = ClientConnection::new(Some(stream));
             let full = !self.has_room();
             let permit = self.permit(&client, full);
             let (this, protocol, crowded) =
@@ -113,19 +113,19 @@
                     this.serve(&*protocol, &client).await;
                 }
                 permit.give_back();
-                if let Some(socket) = client.take() {
-                    linger(socket, &this.core.limits, &this.wanted).await;
+                if let Some(socket) = client.take_stream() {
+                    lingering_close(socket, &this.host.limits, &this.wanted).await;
                 }
             });
         }
     }
 
     /// Serves one client until its connection is to end, and leaves its socket open for that.
-    async fn serve<S>(&self, protocol: &S, client: &Rc<Client>)
+    async fn serve<S>(&self, protocol: &S, client: &Rc<ClientConnection>)
     where
-        S: Service<(Lent, Option<SocketAddr>), Response = (), Error = DispatchError>,
+        S: Service<(BoundedStream, Option<SocketAddr>), Response = (), Error = DispatchError>,
     {
-        while let Some(lent) = client.lend(&self.core.limits) {
+        while let Some(lent) = client.lend_stream(&self.host.limits) {
             let served = async {
                 lent.first_byte().await;
                 protocol.call((lent, None)).await
@@ -135,15 +135,15 @@
                 biased;
                 end = served => {
                     if let Err(DispatchError::Parse(_)) = end {
-                        self.core.counters.transactions_malformed.add();
+                        self.host.counters.transactions_malformed.add();
                     }
                     return;
                 }
-                () = client.overstayed(&self.core.limits) => {}
+                () = client.timed_out(&self.host.limits) => {}
             }
             // Guards against a request that came as its connection was chosen for closing: nothing of it was read.
             if !client.has_unread() {
-                self.core.counters.terminals_dismissed.add();
+                self.host.counters.terminals_dismissed.add();
                 return;
             }
         }
@@ -152,27 +152,27 @@
     /// Guards against silent clients that fill all permits: a new one gets that of the idlest.
     fn has_room(&self) -> bool {
         let mut clients = self.clients.borrow_mut();
-        if clients.len() < self.core.limits.terminals {
+        if clients.len() < self.host.limits.client.max_connections {
             return true;
         }
         let idle = clients
             .iter()
-            .filter_map(|(&number, t)| Some((t.idle()?, number)));
+            .filter_map(|(&number, t)| Some((t.idle_rank()?, number)));
         let idlest = idle.min().map(|(_, number)| number);
         idlest
             .and_then(|number| clients.remove(&number))
-            .inspect(|t| t.dismiss())
+            .inspect(|t| t.begin_close())
             .is_some()
     }
 
-    fn permit(self: &Rc<Self>, client: &Rc<Client>, full: bool) -> Permit {
+    fn permit(self: &Rc<Self>, client: &Rc<ClientConnection>, full: bool) -> ClientPermit {
         let number = self.next.get();
         self.next.set(number + 1);
         self.open.set(self.open.get() + 1);
         if !full {
             self.clients.borrow_mut().insert(number, Rc::clone(client));
         }
-        Permit {
+        ClientPermit {
             front: Rc::clone(self),
             number,
         }
@@ -186,8 +186,8 @@
         self.clients
             .borrow()
             .values()
-            .filter(|t| t.idle().is_some())
-            .for_each(|t| t.dismiss());
+            .filter(|t| t.idle_rank().is_some())
+            .for_each(|t| t.begin_close());
         self.closed().await;
     }
 
@@ -200,19 +200,19 @@
 }
 
 /// One client connection within the bounds; its descriptor counts until this is dropped.
-struct Permit {
-    front: Rc<Front>,
+struct ClientPermit {
+    front: Rc<Listener>,
     number: u64,
 }
 
-impl Permit {
+impl ClientPermit {
     /// It takes no more requests: another client may.
     fn give_back(&self) {
         self.front.clients.borrow_mut().remove(&self.number);
     }
 }
 
-impl Drop for Permit {
+impl Drop for ClientPermit {
     fn drop(&mut self) {
         self.give_back();
         self.front.open.set(self.front.open.get() - 1);
--- a/crates/sidecar/src/front/mod.rs
+++ b/crates/sidecar/src/downstream/mod.rs
@@ -1,9 +1,9 @@
 //! The side of the clients: connections, their bounds and their ends, and the protocol on them.
 
-mod client;
+mod bounded_stream;
+mod connection;
 pub mod http;
-mod lent;
-mod linger;
+mod lingering_close;
 pub mod listener;
 mod request;
 #[cfg(test)]
--- a/crates/sidecar/src/front/request.rs
+++ b/crates/sidecar/src/downstream/request.rs
@@ -8,42 +8,46 @@
 use futures_util::StreamExt as _;
 use tokio::time::Instant;
 
-use super::client::Client;
-use crate::core::Core;
-use crate::transaction::{Ask, Content, LABELS};
+use super::connection::ClientConnection;
+use crate::host::BalancerHost;
+use crate::proxy::{FORWARDED_HEADERS, Payload, ProxyRequest};
 
 /// Why a request is answered with a 4xx and goes no further.
 pub struct Bad(pub StatusCode, pub &'static str);
 
 /// Reads a request to its last byte and checks it.
-pub async fn read(core: &Core, mut request: Request, client: &Client) -> Result<Ask, Bad> {
-    let limits = &core.limits;
+pub async fn read(
+    host: &BalancerHost,
+    mut request: Request,
+    client: &ClientConnection,
+) -> Result<ProxyRequest, Bad> {
+    let limits = &host.limits;
     let bad = |why| Bad(StatusCode::BAD_REQUEST, why);
     // Guards against requests that pile up behind an open one.
-    if !client.one_at_a_time() {
+    if !client.is_first_since_response() {
         return Err(bad("one request at a time\n"));
     }
     let headers = request.headers();
-    let id = token(headers, "x-request-id", limits.token)?;
+    let id = token(headers, "x-request-id", limits.client.max_token_chars)?;
     let id = id.ok_or_else(|| bad("X-Request-ID is missing\n"))?;
-    let key = token(headers, "idempotency-key", limits.token)?;
-    let class = token(headers, "x-priority-class", limits.token)?;
-    let class = class.and_then(|name| core.class(&name));
+    let key = token(headers, "idempotency-key", limits.client.max_token_chars)?;
+    let class = token(headers, "x-priority-class", limits.client.max_token_chars)?;
+    let class = class.and_then(|name| host.class(&name));
     let class = class.ok_or_else(|| bad("X-Priority-Class is not a known class\n"))?;
     // Guards against a refusal for a word about the request: what cannot be read counts as not said.
     let said = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let patience = said("x-timeout")
         .and_then(span)
-        .map(|span| span.min(limits.patience));
+        .map(|span| span.min(limits.client.max_timeout));
     if patience.is_none() {
-        core.counters.times_skipped.add();
+        host.counters.times_skipped.add();
     }
-    let patience = patience.unwrap_or_else(|| core.deadline(class));
+    let patience = patience.unwrap_or_else(|| host.default_client_timeout(class));
     let cost = said("x-cost").and_then(cost_of);
     if cost.is_none() && headers.contains_key("x-cost") {
-        core.counters.costs_skipped.add();
+        host.counters.costs_skipped.add();
     }
-    if core.keyed(class) && key.is_none() {
+    if host.requires_idempotency_key(class) && key.is_none() {
         // Without its key no job server could drop a repeat.
         return Err(bad("Idempotency-Key is missing\n"));
     }
@@ -63,27 +67,27 @@
     let target = target
         .ok_or_else(|| bad("the target is not a path\n"))?
         .to_owned();
-    if target.len() > limits.target {
+    if target.len() > limits.client.max_target_chars {
         return Err(Bad(StatusCode::URI_TOO_LONG, "the target is too long\n"));
     }
     // Guards against reading what is to be refused.
     let length = headers
         .get(CONTENT_LENGTH)
         .and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    if length.is_some_and(|length| length > limits.body as u64) {
+    if length.is_some_and(|length| length > limits.max_body_bytes as u64) {
         return Err(Bad(
             StatusCode::PAYLOAD_TOO_LARGE,
             "the body is too large\n",
         ));
     }
     let label = |name: &'static str| Some((name, headers.get(name)?.to_str().ok()?.to_owned()));
-    let labels = LABELS.into_iter().filter_map(label).collect();
-    client.announce(length.unwrap_or_default() as usize);
+    let labels = FORWARDED_HEADERS.into_iter().filter_map(label).collect();
+    client.announce_body(length.unwrap_or_default() as usize);
     let mut payload = request.take_payload();
     let mut body = BytesMut::with_capacity(length.unwrap_or_default() as usize);
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| bad("the body cannot be read\n"))?;
-        if body.len() + chunk.len() > limits.body {
+        if body.len() + chunk.len() > limits.max_body_bytes {
             return Err(Bad(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too large\n",
@@ -91,24 +95,24 @@
         }
         body.extend_from_slice(&chunk);
     }
-    if !client.opened(limits).await {
+    if !client.on_request_read(limits).await {
         return Err(bad("one request at a time\n"));
     }
-    let content = Content {
+    let content = Payload {
         body: body.freeze(),
-        labels,
+        headers: labels,
     };
     let (arrived, presence) = (Instant::now(), client.presence());
-    Ok(Ask {
+    Ok(ProxyRequest {
         method,
         target,
         id,
-        key,
+        idempotency_key: key,
         class,
-        content,
+        payload: content,
         arrived,
-        patience,
-        cost,
+        client_timeout: patience,
+        work_hint: cost,
         presence,
     })
 }
--- a/crates/sidecar/src/core/directory/tests.rs
+++ b/crates/sidecar/src/host/server_registry/tests.rs
@@ -4,7 +4,7 @@
 /// A day of replaced job servers, each at the address of the one before: too long to record.
 #[test]
 fn what_has_gone_is_forgotten_and_its_number_is_not_used_again() {
-    let (mut directory, mut numbers) = (Directory::default(), Vec::new());
+    let (mut directory, mut numbers) = (ServerRegistry::default(), Vec::new());
     let line = |n: u32, condition| Endpoint {
         uid: format!("s{n}"),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
@@ -23,9 +23,9 @@
             endpoints,
             ..EndpointList::default()
         };
-        let members = directory.take(UpdateKind::Incremental, &table, Duration::ZERO);
+        let members = directory.apply(UpdateKind::Incremental, &table, Duration::ZERO);
         numbers.push(members[1].server);
     }
-    assert!(directory.ids.len() <= 3 && directory.by_id.len() <= 3);
+    assert!(directory.by_name.len() <= 3 && directory.by_id.len() <= 3);
     assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
 }
--- a/crates/sidecar/src/limits/tests.rs
+++ b/crates/sidecar/src/limits/tests.rs
@@ -9,10 +9,11 @@
             drain_grace: grace,
             ..Default::default()
         });
-        let longest = limits.list_silence + LIST_PAUSE + limits.list_call;
-        assert!(longest <= LIST_TOLD + grace, "{ms} ms: {longest:?}");
+        let longest =
+            limits.discovery.watch_silence_timeout + MAX_POLL_PAUSE + limits.discovery.poll_timeout;
+        assert!(longest <= NEWS_KNOWN_AFTER + grace, "{ms} ms: {longest:?}");
         assert!(
-            limits.list_call >= Duration::from_secs(3),
+            limits.discovery.poll_timeout >= Duration::from_secs(3),
             "a call waits its turn: {ms} ms"
         );
     }
@@ -27,13 +28,16 @@
             idle_close,
             ..Default::default()
         });
-        let none = limits.idle_reuse <= Duration::from_millis(1);
+        let none = limits.upstream.idle_reuse_timeout <= Duration::from_millis(1);
         assert!(
-            none || limits.rest + limits.idle_reuse < idle_close,
+            none || limits.upstream.reuse_delay + limits.upstream.idle_reuse_timeout < idle_close,
             "{ms} ms: {:?}",
-            limits.idle_reuse
+            limits.upstream.idle_reuse_timeout
+        );
+        assert!(
+            !limits.upstream.idle_reuse_timeout.is_zero(),
+            "the sweep would never rest"
         );
-        assert!(!limits.idle_reuse.is_zero(), "the sweep would never rest");
     }
 }
 
@@ -48,17 +52,17 @@
         });
         let kill = deadline.min(Duration::from_secs(3)) + Duration::from_millis(700);
         assert!(
-            limits.stop_most + Duration::from_millis(50) <= kill,
+            limits.shutdown.exit_after + Duration::from_millis(50) <= kill,
             "{ms} ms: killed while it answers"
         );
         assert!(
-            limits.stop_answer < limits.stop_most,
+            limits.shutdown.answer_after < limits.shutdown.exit_after,
             "{ms} ms: no time to write what is answered last"
         );
-        let last = limits.stop_accepting + deadline;
+        let last = limits.shutdown.accept_for + deadline;
         let whole = deadline <= Duration::from_secs(3);
         assert!(
-            !whole || last < limits.stop_answer,
+            !whole || last < limits.shutdown.answer_after,
             "{ms} ms: the last request taken is cut short"
         );
     }
--- a/crates/sidecar/src/machines.rs
+++ b/crates/sidecar/src/machine_table.rs
@@ -1,6 +1,6 @@
 //! Reads the operator's table of the kinds of machine: the platform names kinds and tells no sizes.
 
-use arrowstand_control::Machines;
+use arrowstand_control::MachineCatalogue;
 use tinyjson::JsonValue;
 
 use crate::json::{self, Node};
@@ -9,14 +9,14 @@
 const MOST: f64 = 10_000.0;
 
 /// Reads the file of that name; the message names file, kind and key.
-pub fn load(path: &str) -> Result<Machines, String> {
+pub fn load(path: &str) -> Result<MachineCatalogue, String> {
     let fault = |e: String| format!("ARROWSTAND_MACHINES: {path}: {e}");
     let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
     read(&text).map_err(fault)
 }
 
 /// Reads `{"machines": [{"model": "fast-2", "cores": 2, "speed": 1.3}, ...]}`.
-fn read(text: &str) -> Result<Machines, String> {
+fn read(text: &str) -> Result<MachineCatalogue, String> {
     let value: JsonValue = json::parse(text, 8)?;
     let list = Node::root(&value).at("machines");
     // Guards against a table whose one key is misspelt and that is then taken for an empty one.
@@ -42,7 +42,7 @@
         }
         table.push(line);
     }
-    Ok(Machines::told(table))
+    Ok(MachineCatalogue::from_table(table))
 }
 
 #[cfg(test)]
@@ -52,7 +52,7 @@
     #[test]
     fn the_example_table_can_be_read() {
         let mut machines = read(include_str!("../../../examples/machines.json")).expect("good");
-        assert!(machines.of("std-3").cores > machines.of("slow-2").cores);
+        assert!(machines.lookup("std-3").cores > machines.lookup("slow-2").cores);
     }
 
     #[test]
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -2,21 +2,21 @@
 #![forbid(unsafe_code)]
 
 mod config;
-mod core;
 mod counters;
 mod discovery;
-mod front;
+mod downstream;
+mod host;
 mod json;
 mod limits;
-mod machines;
-mod transaction;
+mod machine_table;
+mod proxy;
 mod upstream;
 
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use arrowstand_balancer::UpdateKind;
-use arrowstand_control::Informed;
+use arrowstand_control::WorkAwareBalancer;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tracing_subscriber::Layer as _;
@@ -25,9 +25,9 @@
 use tracing_subscriber::util::SubscriberInitExt as _;
 
 use crate::config::Config;
-use crate::core::Core;
 use crate::counters::Counters;
-use crate::front::listener::Front;
+use crate::downstream::listener::Listener;
+use crate::host::BalancerHost;
 use crate::upstream::Upstream;
 
 fn main() -> ExitCode {
@@ -86,35 +86,36 @@
 async fn serve(config: Config, mut signals: Signals) -> Result<(), String> {
     let limits = Rc::new(config.limits);
     let counters = Rc::new(Counters::default());
-    let balancer = Informed::new(config.settings, config.seed).map_err(|e| e.to_string())?;
-    let (core, probes) = Core::new(
+    let balancer =
+        WorkAwareBalancer::new(config.settings, config.seed).map_err(|e| e.to_string())?;
+    let (host, probes) = BalancerHost::new(
         balancer,
         config.names,
         Rc::clone(&limits),
         Rc::clone(&counters),
     );
-    let upstream = Upstream::new(&core);
+    let upstream = Upstream::new(&host);
     let listener = tokio::net::TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("NODE_LISTEN: {}: {e}", config.listen))?;
 
     let known = config.known.unwrap_or_default();
-    core.list(UpdateKind::Cached, known.rev, &known);
+    host.update_endpoints(UpdateKind::Cached, known.rev, &known);
     actix_rt::spawn({
-        let core = Rc::clone(&core);
-        async move { core.run_timers().await }
+        let host = Rc::clone(&host);
+        async move { host.run_timers().await }
     });
-    actix_rt::spawn(Rc::clone(&upstream).run_probes(probes));
-    actix_rt::spawn(Rc::clone(&upstream).run_sweeps());
+    actix_rt::spawn(Rc::clone(&upstream).run_health_checks(probes));
+    actix_rt::spawn(Rc::clone(&upstream).run_pool_sweeps());
     let (moved, at) = watch::channel(config.discovery);
     let follow = discovery::follow(
-        Rc::clone(&core),
+        Rc::clone(&host),
         at,
         known.rev,
         Rc::clone(&limits),
         config.seed,
     );
     actix_rt::spawn(follow);
-    let front = Front::new(Rc::clone(&core), upstream);
+    let front = Listener::new(Rc::clone(&host), upstream);
     let accept = actix_rt::spawn(Rc::clone(&front).accept(listener));
     tracing::info!("{} listens on {}", config.name, config.listen);
 
@@ -137,15 +138,15 @@
     // Guards against transactions lost at a planned restart: terminals go on for a while, and what has
     // been taken is answered before the end.
     let stopping = tokio::time::Instant::now();
-    tokio::time::sleep(limits.stop_accepting).await;
+    tokio::time::sleep(limits.shutdown.accept_for).await;
     let answered = async {
         tokio::select! {
             () = front.close(accept) => return,
-            () = tokio::time::sleep_until(stopping + limits.stop_answer) => core.end(),
+            () = tokio::time::sleep_until(stopping + limits.shutdown.answer_after) => host.force_shutdown(),
         }
         front.closed().await;
     };
-    let _ = tokio::time::timeout_at(stopping + limits.stop_most, answered).await;
+    let _ = tokio::time::timeout_at(stopping + limits.shutdown.exit_after, answered).await;
     tracing::info!("stopped\n{counters}");
     Ok(())
 }
--- a/crates/sidecar/src/upstream/sockets.rs
+++ b/crates/sidecar/src/upstream/connector.rs
@@ -11,19 +11,19 @@
 use awc::http::Uri;
 use awc::{Client, Connector};
 
-use super::sending::SENDING;
-use super::socket::Socket;
+use super::tracked_stream::TrackedStream;
+use super::write_progress::CURRENT_WRITE;
 use crate::counters::Counters;
 use crate::limits::Limits;
 
 /// Opens connections and keeps their number within bounds.
-pub struct Sockets {
+pub struct BoundedConnector {
     open: Cell<usize>,
     pub limits: Rc<Limits>,
     pub counters: Rc<Counters>,
 }
 
-impl Sockets {
+impl BoundedConnector {
     pub fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Rc<Self> {
         Rc::new(Self {
             open: Cell::new(0),
@@ -44,10 +44,10 @@
             }
         });
         let connector = Connector::new()
-            .timeout(self.limits.connect)
-            .limit(self.limits.upstream)
-            .conn_keep_alive(self.limits.idle_reuse)
-            .conn_lifetime(self.limits.patience)
+            .timeout(self.limits.upstream.connect_timeout)
+            .limit(self.limits.upstream.max_connections)
+            .conn_keep_alive(self.limits.upstream.idle_reuse_timeout)
+            .conn_lifetime(self.limits.client.max_timeout)
             .connector(connect);
         let client = Client::builder().connector(connector);
         client
@@ -57,29 +57,29 @@
             .finish()
     }
 
-    async fn open(self: Rc<Self>, uri: &Uri) -> io::Result<Socket> {
+    async fn open(self: Rc<Self>, uri: &Uri) -> io::Result<TrackedStream> {
         let address: SocketAddr = uri
             .authority()
             .and_then(|a| a.as_str().parse().ok())
             .ok_or_else(|| io::Error::from(io::ErrorKind::InvalidInput))?;
         // Guards against running out of descriptors: a connection too many fails before it is opened.
-        if self.open.get() >= self.limits.upstream {
-            let _ = SENDING.try_with(|sending| sending.hold_back());
+        if self.open.get() >= self.limits.upstream.max_connections {
+            let _ = CURRENT_WRITE.try_with(|sending| sending.mark_not_sent());
             return Err(io::Error::other("too many connections"));
         }
         self.open.set(self.open.get() + 1);
         self.counters.connections_opened.add();
-        let permit = Permit(self);
+        let permit = ConnectionPermit(self);
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(Socket::new(stream, permit))
+        Ok(TrackedStream::new(stream, permit))
     }
 }
 
 /// One of the connections that may be open.
-pub struct Permit(pub Rc<Sockets>);
+pub struct ConnectionPermit(pub Rc<BoundedConnector>);
 
-impl Drop for Permit {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
     }
--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -1,12 +1,12 @@
 //! Calls to job servers: routed tasks and probes, the connections they use, and what their ends mean.
 
-mod answer;
-pub mod gate;
-mod report;
-mod resting;
-mod sending;
-mod socket;
-mod sockets;
+mod connector;
+mod load_report;
+mod response_framing;
+mod reuse_delay;
+pub mod send_guard;
+mod tracked_stream;
+mod write_progress;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -24,28 +24,28 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
-use crate::core::{Core, JobServer};
 use crate::counters::Counters;
+use crate::host::{BalancerHost, Server};
 use crate::limits::Limits;
-use crate::transaction::{Ask, Content, LABELS};
-use report::read_report;
-use resting::Resting;
-use sending::{Gate, Sending};
-use sockets::Sockets;
+use crate::proxy::{FORWARDED_HEADERS, Payload, ProxyRequest};
+use connector::BoundedConnector;
+use load_report::read_report;
+use reuse_delay::ReuseDelay;
+use write_progress::{SendGuard, WriteProgress};
 
 /// How a routed task ended; the answer is there if it was served.
-pub struct End {
+pub struct AttemptResult {
     pub outcome: Outcome,
-    pub report: Option<LoadReport>,
-    pub answer: Option<Content>,
+    pub load_report: Option<LoadReport>,
+    pub payload: Option<Payload>,
 }
 
-impl End {
-    fn bare(outcome: Outcome) -> Self {
+impl AttemptResult {
+    fn without_payload(outcome: Outcome) -> Self {
         Self {
             outcome,
-            report: None,
-            answer: None,
+            load_report: None,
+            payload: None,
         }
     }
 }
@@ -59,79 +59,85 @@
 
 /// What is needed to call job servers.
 pub struct Upstream {
-    core: Rc<Core>,
+    host: Rc<BalancerHost>,
     pools: RefCell<BTreeMap<ServerId, Pool>>,
-    sockets: Rc<Sockets>,
-    resting: Resting,
+    connector: Rc<BoundedConnector>,
+    reuse_delay: ReuseDelay,
     limits: Rc<Limits>,
     counters: Rc<Counters>,
 }
 
 /// An answer read to its end.
-struct Whole {
+struct CompleteResponse {
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
 }
 
 impl Upstream {
-    pub fn new(core: &Rc<Core>) -> Rc<Self> {
-        let (limits, counters) = (Rc::clone(&core.limits), Rc::clone(&core.counters));
-        let sockets = Sockets::new(Rc::clone(&limits), Rc::clone(&counters));
-        let resting = Resting::new(limits.rest);
+    pub fn new(host: &Rc<BalancerHost>) -> Rc<Self> {
+        let (limits, counters) = (Rc::clone(&host.limits), Rc::clone(&host.counters));
+        let sockets = BoundedConnector::new(Rc::clone(&limits), Rc::clone(&counters));
+        let resting = ReuseDelay::new(limits.upstream.reuse_delay);
         Rc::new(Self {
-            core: Rc::clone(core),
+            host: Rc::clone(host),
             pools: RefCell::default(),
-            sockets,
-            resting,
+            connector: sockets,
+            reuse_delay: resting,
             limits,
             counters,
         })
     }
 
     /// Sends a transaction's request to a job server once, and waits for the answer.
-    pub async fn route(
+    pub async fn forward(
         &self,
         server: ServerId,
-        ask: &Ask,
+        ask: &ProxyRequest,
         wait: Duration,
         begins_by: Option<Instant>,
-    ) -> End {
-        let Some(server) = self.core.job_server(server) else {
-            return End::bare(Outcome::NotSent);
+    ) -> AttemptResult {
+        let Some(server) = self.host.server(server) else {
+            return AttemptResult::without_payload(Outcome::NotSent);
         };
         self.counters.routed_tasks_sent.add();
         let uri = format!("http://{}{}", server.address(), ask.target);
         let Ok(method) = ask.method.parse() else {
-            return End::bare(Outcome::NotSent);
+            return AttemptResult::without_payload(Outcome::NotSent);
         };
-        let mut request = self.client(&server).request(method, uri);
-        put(&mut request, "x-request-id", &ask.id);
-        put(&mut request, "x-timeout", &format!("{}u", wait.as_micros()));
-        if let Some(key) = &ask.key {
-            put(&mut request, "idempotency-key", key);
+        let mut request = self.client_for(&server).request(method, uri);
+        insert_header(&mut request, "x-request-id", &ask.id);
+        insert_header(&mut request, "x-timeout", &format!("{}u", wait.as_micros()));
+        if let Some(key) = &ask.idempotency_key {
+            insert_header(&mut request, "idempotency-key", key);
         }
-        for (name, value) in &ask.content.labels {
-            put(&mut request, name, value);
+        for (name, value) in &ask.payload.headers {
+            insert_header(&mut request, name, value);
         }
-        let gate = Gate {
-            core: Rc::clone(&self.core),
+        let gate = SendGuard {
+            host: Rc::clone(&self.host),
             server: Rc::clone(&server),
             address: server.address(),
             presence: ask.presence.clone(),
-            until: Instant::now() + wait,
-            begins_by,
+            attempt_deadline: Instant::now() + wait,
+            start_before: begins_by,
         };
-        let sending = Sending::new(Some(gate), ask.content.body.len());
-        let whole = self.call(request, ask.content.body.clone(), &sending);
+        let sending = WriteProgress::new(Some(gate), ask.payload.body.len());
+        let whole = self.call(request, ask.payload.body.clone(), &sending);
         let Ok(whole) = timeout(wait, whole).await else {
             // A request that was never written whole cannot have been started.
-            return End::bare(unanswered(&sending, Outcome::TimedOut));
+            return AttemptResult::without_payload(outcome_without_response(
+                &sending,
+                Outcome::TimedOut,
+            ));
         };
         let Some(whole) = whole else {
             // awc reports a connection that ended before an answer as one that never came up, and reads
             // a break before and after the last byte alike. Only what the socket took counts here.
-            return End::bare(unanswered(&sending, Outcome::Reset));
+            return AttemptResult::without_payload(outcome_without_response(
+                &sending,
+                Outcome::Reset,
+            ));
         };
         let text = |name: &str| whole.headers.get(name).and_then(|v| v.to_str().ok());
         let report = text("x-server-load").and_then(read_report);
@@ -139,41 +145,43 @@
         match whole.status {
             StatusCode::OK => {
                 sending
-                    .begun()
-                    .inspect(|&begun| server.has_served(self.core.at(begun)));
-                let labels = LABELS
+                    .started_at()
+                    .inspect(|&begun| server.on_request_served(self.host.micros_at(begun)));
+                let labels = FORWARDED_HEADERS
                     .into_iter()
                     .filter_map(|name| Some((name, text(name)?.to_owned())))
                     .collect();
-                End {
+                AttemptResult {
                     outcome: Outcome::Served,
-                    report,
-                    answer: Some(Content {
+                    load_report: report,
+                    payload: Some(Payload {
                         body: whole.body,
-                        labels,
+                        headers: labels,
                     }),
                 }
             }
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => End {
-                report,
-                ..End::bare(Outcome::Rejected)
-            },
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
+                AttemptResult {
+                    load_report: report,
+                    ..AttemptResult::without_payload(Outcome::Rejected)
+                }
+            }
             // An answer that does not prove the contrary may have run.
-            _ => End {
-                report,
-                ..End::bare(Outcome::ServerError)
+            _ => AttemptResult {
+                load_report: report,
+                ..AttemptResult::without_payload(Outcome::ServerError)
             },
         }
     }
 
     /// Asks a job server for its load.
-    async fn probe(&self, server: &Rc<JobServer>) -> (Outcome, Option<LoadReport>) {
+    async fn health_check(&self, server: &Rc<Server>) -> (Outcome, Option<LoadReport>) {
         let uri = format!("http://{}/status/load", server.address());
-        let request = self.client(server).get(uri);
+        let request = self.client_for(server).get(uri);
         // A probe is no work: it may go to a job server that drains.
-        let sending = Sending::new(None, 0);
+        let sending = WriteProgress::new(None, 0);
         let call = self.call(request, Bytes::new(), &sending);
-        match timeout(self.limits.probe, call).await {
+        match timeout(self.limits.upstream.health_check_timeout, call).await {
             Ok(Some(whole)) => {
                 let text = std::str::from_utf8(&whole.body).unwrap_or_default();
                 let report = read_report(text);
@@ -190,17 +198,17 @@
                     report,
                 )
             }
-            Ok(None) => (unanswered(&sending, Outcome::Reset), None),
+            Ok(None) => (outcome_without_response(&sending, Outcome::Reset), None),
             Err(_) => (Outcome::TimedOut, None),
         }
     }
 
     /// Carries out the probes that the module asks for.
-    pub async fn run_probes(self: Rc<Self>, mut wanted: mpsc::Receiver<ServerId>) {
+    pub async fn run_health_checks(self: Rc<Self>, mut wanted: mpsc::Receiver<ServerId>) {
         while let Some(id) = wanted.recv().await {
-            let Some(server) = self.core.job_server(id) else {
+            let Some(server) = self.host.server(id) else {
                 // Each probe that is asked for is owed its end.
-                self.core.tell(Event::HealthCheckEnded {
+                self.host.handle_event(Event::HealthCheckEnded {
                     server: id,
                     outcome: Outcome::NotSent,
                     load_report: None,
@@ -210,11 +218,11 @@
             let this = Rc::clone(&self);
             self.counters.probes_sent.add();
             actix_rt::spawn(async move {
-                let (outcome, report) = this.probe(&server).await;
+                let (outcome, report) = this.health_check(&server).await;
                 if outcome != Outcome::Served {
                     this.counters.probes_failed.add();
                 }
-                this.core.tell(Event::HealthCheckEnded {
+                this.host.handle_event(Event::HealthCheckEnded {
                     server: id,
                     outcome,
                     load_report: report,
@@ -228,8 +236,8 @@
         &self,
         request: ClientRequest,
         body: Bytes,
-        sending: &Rc<Sending>,
-    ) -> Option<Whole> {
+        sending: &Rc<WriteProgress>,
+    ) -> Option<CompleteResponse> {
         let bare = body.is_empty() && request.get_method() == awc::http::Method::GET;
         let send = async {
             let request = request.no_decompress();
@@ -251,7 +259,7 @@
                 };
                 let chunk = chunk.ok()?;
                 // Guards against memory taken by an answer that is larger than the protocol allows.
-                if body.len() + chunk.len() > self.limits.body {
+                if body.len() + chunk.len() > self.limits.max_body_bytes {
                     return None;
                 }
                 body.extend_from_slice(&chunk);
@@ -260,30 +268,32 @@
             // connection without an error, however much of it was announced.
             let announced =
                 answer.headers().contains_key(CONTENT_LENGTH) || answer.chunked().unwrap_or(true);
-            if announced && sending.cut() {
+            if announced && sending.connection_ended() {
                 return None;
             }
-            let whole = Whole {
+            let whole = CompleteResponse {
                 status: answer.status(),
                 headers: answer.headers().clone(),
                 body: body.freeze(),
             };
             if length.is_some() {
-                self.resting.hold(answer);
+                self.reuse_delay.hold(answer);
             }
             Some(whole)
         };
-        sending::SENDING.scope(Rc::clone(sending), send).await
+        write_progress::CURRENT_WRITE
+            .scope(Rc::clone(sending), send)
+            .await
     }
 
-    fn client(&self, server: &JobServer) -> Client {
+    fn client_for(&self, server: &Server) -> Client {
         let now = Instant::now();
-        self.resting.release(now);
+        self.reuse_delay.release(now);
         let mut pools = self.pools.borrow_mut();
         let address = server.address();
         let new = || Pool {
             address,
-            client: self.sockets.client(),
+            client: self.connector.client(),
             used: now,
         };
         let pool = pools.entry(server.id).or_insert_with(new);
@@ -297,11 +307,11 @@
 
     /// Guards against descriptors held for job servers that are called no more: awc looks at an idle
     /// connection only when it wants one, so what is idle for good goes with its pool.
-    pub async fn run_sweeps(self: Rc<Self>) {
+    pub async fn run_pool_sweeps(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(self.limits.idle_reuse).await;
-            self.resting.release(Instant::now());
-            let keep = self.limits.idle_reuse;
+            tokio::time::sleep(self.limits.upstream.idle_reuse_timeout).await;
+            self.reuse_delay.release(Instant::now());
+            let keep = self.limits.upstream.idle_reuse_timeout;
             self.pools
                 .borrow_mut()
                 .retain(|_, pool| pool.used.elapsed() < keep);
@@ -310,8 +320,8 @@
 }
 
 /// What an unanswered request is known to have done. Never-ran is claimed only where it is proven.
-fn unanswered(sending: &Sending, may_have_run: Outcome) -> Outcome {
-    match (sending.held_back(), sending.whole()) {
+fn outcome_without_response(sending: &WriteProgress, may_have_run: Outcome) -> Outcome {
+    match (sending.is_not_sent(), sending.is_complete()) {
         (true, _) => Outcome::NotSent,
         (false, true) => may_have_run,
         (false, false) => Outcome::ConnectFailed,
@@ -319,7 +329,7 @@
 }
 
 /// Guards against a panic: what came in as a header goes out as one, or not at all.
-fn put(request: &mut ClientRequest, name: &'static str, value: &str) {
+fn insert_header(request: &mut ClientRequest, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         request
             .headers_mut()
--- a/crates/sidecar/src/upstream/answer.rs
+++ b/crates/sidecar/src/upstream/response_framing.rs
@@ -24,7 +24,7 @@
 /// longer than allowed, and bytes behind an answer: awc takes an interim answer for the final one, and
 /// would use a connection again that has brought more than its answer.
 #[derive(Default)]
-pub struct Answer {
+pub struct ResponseFraming {
     at: At,
     interim: usize,
     held: BytesMut,
@@ -34,7 +34,7 @@
     io::Error::new(io::ErrorKind::InvalidData, why)
 }
 
-impl Answer {
+impl ResponseFraming {
     pub fn awaited() -> Self {
         Self {
             at: At::Head,
@@ -77,7 +77,9 @@
             let mut response = httparse::Response::new(&mut headers);
             let end = match response.parse(&self.held) {
                 Ok(httparse::Status::Complete(end)) => end,
-                Ok(httparse::Status::Partial) if self.held.len() < limits.answer_head => {
+                Ok(httparse::Status::Partial)
+                    if self.held.len() < limits.upstream.max_response_head_bytes =>
+                {
                     return Ok(true);
                 }
                 _ => return Err(spoilt("the head of an answer cannot be read")),
@@ -85,7 +87,7 @@
             let status = response.code.unwrap_or_default();
             if (100..200).contains(&status) {
                 self.interim += 1;
-                if status == 101 || self.interim > limits.interim_answers {
+                if status == 101 || self.interim > limits.upstream.max_interim_responses {
                     return Err(spoilt("too many interim answers"));
                 }
                 self.held.advance(end);
@@ -147,19 +149,19 @@
             let length = std::str::from_utf8(length.value).ok().filter(|_| digits);
             let length = length
                 .and_then(|text| text.parse().ok())
-                .filter(|&n: &usize| n <= limits.body);
+                .filter(|&n: &usize| n <= limits.max_body_bytes);
             let length = length.ok_or_else(|| spoilt("an answer's length is none, or too long"))?;
             Ok((At::Body(length), true))
         }
         (None, None, None) if matches!(response.code, Some(204 | 304)) => Ok((At::Body(0), true)),
-        (None, None, None) => Ok((At::Open(limits.answer_open), false)),
+        (None, None, None) => Ok((At::Open(limits.upstream.max_unsized_response_bytes), false)),
         (None, None, Some(coding)) => {
             // Guards against an end that only one side sees: HTTP/1.0 knows no chunks, and nothing else is undone.
             let known = coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked");
             if !known || further.is_some() || response.version != Some(1) {
                 return Err(spoilt("an answer's transfer coding is not chunked"));
             }
-            Ok((At::Open(limits.answer_open), true))
+            Ok((At::Open(limits.upstream.max_unsized_response_bytes), true))
         }
         _ => Err(spoilt("an answer's length is given twice")),
     }
--- a/crates/sidecar/src/upstream/resting.rs
+++ b/crates/sidecar/src/upstream/reuse_delay.rs
@@ -14,12 +14,12 @@
 
 /// Guards against connections opened for want of those that rest. Each holds one of the bounded connections, so there
 /// are no more of them. They go back as the next request looks for one: a quiet sidecar is not woken for it.
-pub struct Resting {
+pub struct ReuseDelay {
     rest: Duration,
     held: RefCell<VecDeque<(Instant, Ended)>>,
 }
 
-impl Resting {
+impl ReuseDelay {
     pub fn new(rest: Duration) -> Self {
         Self {
             rest,
--- a/crates/sidecar/src/upstream/gate/tests.rs
+++ b/crates/sidecar/src/upstream/send_guard/tests.rs
@@ -15,30 +15,30 @@
         grace in 1_u64..6,
     ) {
         let ms = Duration::from_millis;
-        let view = View {
-            left,
+        let view = SendConditions {
+            client_left: left,
             time_left: ms(time),
             window_left: window.map(ms),
-            drained: drained.map(ms),
-            moved,
-            stale,
+            drain_age: drained.map(ms),
+            server_moved: moved,
+            list_stale: stale,
         };
         let free = !left && time > 0 && window != Some(0) && drained.is_none_or(|d| d < grace) && !moved && !stale;
-        prop_assert_eq!(judge(&view, ms(grace)).is_ok(), free);
+        prop_assert_eq!(check(&view, ms(grace)).is_ok(), free);
     }
 
     /// What is stopped stays stopped as time goes on: a later look never lets through what an earlier one refused.
     #[test]
     fn time_opens_nothing(time in 0_u64..100, window in 0_u64..100, drained in 0_u64..100, later in 0_u64..100) {
         let ms = Duration::from_millis;
-        let at = |passed: u64| View {
-            left: false,
+        let at = |passed: u64| SendConditions {
+            client_left: false,
             time_left: ms(time.saturating_sub(passed)),
             window_left: Some(ms(window.saturating_sub(passed))),
-            drained: Some(ms(drained + passed)),
-            moved: false,
-            stale: false,
+            drain_age: Some(ms(drained + passed)),
+            server_moved: false,
+            list_stale: false,
         };
-        prop_assert!(judge(&at(0), ms(50)).is_ok() || judge(&at(later), ms(50)).is_err());
+        prop_assert!(check(&at(0), ms(50)).is_ok() || check(&at(later), ms(50)).is_err());
     }
 }
--- a/crates/sidecar/src/upstream/socket.rs
+++ b/crates/sidecar/src/upstream/tracked_stream.rs
@@ -9,34 +9,34 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
-use super::answer::Answer;
-use super::sending::SENDING;
-use super::sockets::Permit;
+use super::connector::ConnectionPermit;
+use super::response_framing::ResponseFraming;
+use super::write_progress::CURRENT_WRITE;
 
 /// Bytes read at a time while the head of an answer is awaited.
 const READ: usize = 1024;
 
 /// A connection that tells the current task's request what was written of it, and hands on its answer alone.
-pub struct Socket {
+pub struct TrackedStream {
     /// Gone once it has brought bytes that belong to no answer.
     stream: Option<TcpStream>,
-    answer: Answer,
+    answer: ResponseFraming,
     /// When its last answer was whole.
     ended: Option<Instant>,
-    permit: Permit,
+    permit: ConnectionPermit,
 }
 
-impl std::fmt::Debug for Socket {
+impl std::fmt::Debug for TrackedStream {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.stream.fmt(f)
     }
 }
 
-impl Socket {
-    pub fn new(stream: TcpStream, permit: Permit) -> Self {
+impl TrackedStream {
+    pub fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
         Self {
             stream: Some(stream),
-            answer: Answer::default(),
+            answer: ResponseFraming::default(),
             ended: None,
             permit,
         }
@@ -50,16 +50,16 @@
 
     /// Reads on until there is something of the answer to hand on.
     fn poll_answer(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let next = SENDING
-            .try_with(|sending| sending.begun().is_none())
+        let next = CURRENT_WRITE
+            .try_with(|sending| sending.started_at().is_none())
             .unwrap_or(false);
         let limits = &self.permit.0.limits;
         let rests = self
             .ended
-            .is_some_and(|ended| ended.elapsed() < limits.rest);
-        let old = self
-            .ended
-            .is_some_and(|ended| ended.elapsed() > limits.rest + limits.idle_reuse);
+            .is_some_and(|ended| ended.elapsed() < limits.upstream.reuse_delay);
+        let old = self.ended.is_some_and(|ended| {
+            ended.elapsed() > limits.upstream.reuse_delay + limits.upstream.idle_reuse_timeout
+        });
         if next && (self.answer.is_open() || rests || old) {
             // Guards against another request's answer: whether more came behind an open one is not known here, and a
             // second answer may still be on its way. And against a server that closes it as idle: the pool counts from
@@ -101,7 +101,7 @@
     }
 }
 
-impl AsyncRead for Socket {
+impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -111,32 +111,35 @@
         let read = self.poll_answer(cx, buf);
         let more = matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() > before;
         if read.is_ready() && !more {
-            let _ = SENDING.try_with(|sending| sending.ended());
+            let _ = CURRENT_WRITE.try_with(|sending| sending.on_connection_ended());
         }
         read
     }
 }
 
-impl AsyncWrite for Socket {
+impl AsyncWrite for TrackedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let sending = SENDING.try_with(Rc::clone).ok();
-        if let Some(Err(stop)) = sending.as_ref().map(|s| s.may_begin(&self.permit.0.limits)) {
+        let sending = CURRENT_WRITE.try_with(Rc::clone).ok();
+        if let Some(Err(stop)) = sending
+            .as_ref()
+            .map(|s| s.check_first_byte(&self.permit.0.limits))
+        {
             self.permit.0.counters.stopped(stop);
-            return Poll::Ready(Err(io::Error::other(stop.text())));
+            return Poll::Ready(Err(io::Error::other(stop.reason())));
         }
-        if sending.as_ref().is_some_and(|s| s.begun().is_none()) {
-            self.answer = Answer::awaited();
+        if sending.as_ref().is_some_and(|s| s.started_at().is_none()) {
+            self.answer = ResponseFraming::awaited();
         }
         let Some(stream) = &mut self.stream else {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         };
         let wrote = Pin::new(stream).poll_write(cx, buf);
         if let (Poll::Ready(Ok(n)), Some(sending)) = (&wrote, sending) {
-            sending.wrote(buf.get(..*n).unwrap_or(buf));
+            sending.on_written(buf.get(..*n).unwrap_or(buf));
         }
         wrote
     }
@@ -154,7 +157,7 @@
     }
 }
 
-impl ActixStream for Socket {
+impl ActixStream for TrackedStream {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         let closed = || Poll::Ready(Ok(Ready::READ_CLOSED));
         self.stream
--- a/crates/testbed/src/model/discovery.rs
+++ b/crates/testbed/src/model/discovery.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use arrowstand_balancer::{Endpoint, EndpointStatus, Event, ServerId, UpdateKind};
-use arrowstand_control::fingerprint;
+use arrowstand_control::stable_hash;
 
 use super::*;
 use crate::ledger::Listing;
@@ -245,7 +245,7 @@
                 .told_machine(self.servers[server as usize].machine.kind());
             members.push(Endpoint {
                 server: ServerId(server),
-                stable_hash: fingerprint(&format!("s{server}")),
+                stable_hash: stable_hash(&format!("s{server}")),
                 status: match listing {
                     Listing::Ready => EndpointStatus::Ready,
                     Listing::Draining => EndpointStatus::Draining,
--- a/crates/testbed/src/model/sidecar.rs
+++ b/crates/testbed/src/model/sidecar.rs
@@ -6,7 +6,7 @@
     Action, AttemptEnd, ClassId, DeduplicationScope, Event, Idempotency, IncomingRequest,
     LoadReport, RequestClass as ModuleClass, RequestId, ServerId, Settings,
 };
-use arrowstand_control::Informed;
+use arrowstand_control::WorkAwareBalancer;
 
 use rustc_hash::FxHashMap;
 
@@ -21,7 +21,7 @@
 pub struct Sidecar {
     pub zone: u32,
     pub life: u32,
-    balancer: Option<Informed>,
+    balancer: Option<WorkAwareBalancer>,
     /// The list as it last had it.
     pub known: BTreeMap<u32, (Listing, Micros)>,
     pub version: u64,
@@ -128,7 +128,7 @@
         let settings = settings(self.day, number as usize);
         let sidecar = &mut self.sidecars[number as usize];
         let seed = sidecar.seeds.number();
-        sidecar.balancer = Informed::new(settings, seed).ok();
+        sidecar.balancer = WorkAwareBalancer::new(settings, seed).ok();
         sidecar.subscribed = false;
         let known: Vec<_> = sidecar
             .known
