--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -37,59 +37,61 @@
 }
 
 counters! {
-    transactions_taken: "Transactions handed to the module.",
-    transactions_malformed: "Requests answered with a 4xx.",
-    transactions_over_bound: "Requests turned away because too many terminals were connected.",
-    terminals_dismissed: "Terminals closed for saying nothing, or never ending what they say.",
-    answered_served: "Answers of a job server passed on.",
-    answered_short_on_capacity: "Short-on-capacity replies that the module decided on.",
-    answered_failed: "Transactions that failed.",
-    answered_overdue: "Failures that the module had not decided in time.",
-    terminals_gone: "Transactions whose terminal left first.",
-    routed_tasks_sent: "Routed tasks begun.",
-    routed_served: "Routed tasks that were served.",
-    routed_error: "Routed tasks that ended in an error.",
-    routed_rejected: "Routed tasks that a job server turned away.",
-    routed_timed_out: "Routed tasks without an answer in time.",
-    routed_connect_failed: "Routed tasks that were never written whole.",
-    routed_reset: "Routed tasks whose connection broke.",
-    routed_cancelled: "Routed tasks that were called off.",
-    stopped_client_left: "Routed tasks not begun, since the client had left.",
-    stopped_no_time: "Routed tasks not begun for want of time.",
-    stopped_window_over: "Repeats not begun, since the window for them was over.",
-    stopped_server_drains: "Routed tasks not begun, since the job server drains or has moved.",
-    stopped_list_too_old: "Routed tasks not begun, since the list was too old to show a drain.",
-    probes_sent: "Probes begun.",
-    probes_failed: "Probes that failed.",
+    requests_accepted: "Transactions handed to the module.",
+    requests_malformed: "Requests answered with a 4xx.",
+    requests_over_capacity: "Requests turned away because too many terminals were connected.",
+    clients_timed_out: "Terminals closed for saying nothing, or never ending what they say.",
+    responses_served: "Answers of a job server passed on.",
+    responses_rejected: "Short-on-capacity replies that the module decided on.",
+    responses_failed: "Transactions that failed.",
+    responses_overdue: "Failures that the module had not decided in time.",
+    clients_disconnected: "Transactions whose terminal left first.",
+    attempts_started: "Routed tasks begun.",
+    attempts_served: "Routed tasks that were served.",
+    attempts_error: "Routed tasks that ended in an error.",
+    attempts_rejected: "Routed tasks that a job server turned away.",
+    attempts_timed_out: "Routed tasks without an answer in time.",
+    attempts_connect_failed: "Routed tasks that were never written whole.",
+    attempts_reset: "Routed tasks whose connection broke.",
+    attempts_cancelled: "Routed tasks that were called off.",
+    attempts_blocked_client_left: "Routed tasks not begun, since the client had left.",
+    attempts_blocked_no_time: "Routed tasks not begun for want of time.",
+    attempts_blocked_window_over: "Repeats not begun, since the window for them was over.",
+    attempts_blocked_server_draining: "Routed tasks not begun, since the job server drains or has moved.",
+    attempts_blocked_list_stale: "Routed tasks not begun, since the list was too old to show a drain.",
+    health_checks_sent: "Probes begun.",
+    health_checks_failed: "Probes that failed.",
     connections_opened: "Connections to job servers opened.",
-    list_events: "Lists of endpoints and changes read.",
-    list_lines_skipped: "Lines of them that could not be read.",
-    costs_skipped: "Estimates of a request's work that could not be read.",
-    times_skipped: "Times that a terminal waits that could not be read, or were not told.",
-    reports_skipped: "Load reports that could not be read.",
+    endpoint_updates: "Lists of endpoints and changes read.",
+    endpoint_lines_skipped: "Lines of them that could not be read.",
+    cost_headers_skipped: "Estimates of a request's work that could not be read.",
+    timeout_headers_skipped: "Times that a terminal waits that could not be read, or were not told.",
+    load_reports_skipped: "Load reports that could not be read.",
 }
 
 impl Counters {
-    pub fn stopped(&self, stop: SendBlocked) {
-        let cell = match stop {
-            SendBlocked::ClientLeft => &self.stopped_client_left,
-            SendBlocked::NoTime => &self.stopped_no_time,
-            SendBlocked::WindowOver => &self.stopped_window_over,
-            SendBlocked::ServerDraining | SendBlocked::ServerMoved => &self.stopped_server_drains,
-            SendBlocked::ListStale => &self.stopped_list_too_old,
+    pub fn on_attempt_blocked(&self, blocked: SendBlocked) {
+        let cell = match blocked {
+            SendBlocked::ClientLeft => &self.attempts_blocked_client_left,
+            SendBlocked::NoTime => &self.attempts_blocked_no_time,
+            SendBlocked::WindowOver => &self.attempts_blocked_window_over,
+            SendBlocked::ServerDraining | SendBlocked::ServerMoved => {
+                &self.attempts_blocked_server_draining
+            }
+            SendBlocked::ListStale => &self.attempts_blocked_list_stale,
         };
         cell.add();
     }
 
-    pub fn routed(&self, outcome: Outcome) {
+    pub fn on_attempt_ended(&self, outcome: Outcome) {
         let cell = match outcome {
-            Outcome::Served => &self.routed_served,
-            Outcome::ServerError => &self.routed_error,
-            Outcome::Rejected => &self.routed_rejected,
-            Outcome::TimedOut => &self.routed_timed_out,
-            Outcome::ConnectFailed => &self.routed_connect_failed,
-            Outcome::Reset => &self.routed_reset,
-            Outcome::Cancelled | Outcome::NotSent => &self.routed_cancelled,
+            Outcome::Served => &self.attempts_served,
+            Outcome::ServerError => &self.attempts_error,
+            Outcome::Rejected => &self.attempts_rejected,
+            Outcome::TimedOut => &self.attempts_timed_out,
+            Outcome::ConnectFailed => &self.attempts_connect_failed,
+            Outcome::Reset => &self.attempts_reset,
+            Outcome::Cancelled | Outcome::NotSent => &self.attempts_cancelled,
         };
         cell.add();
     }
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -135,7 +135,7 @@
             match EndpointList::parse(&text, limits) {
                 Ok(list) => take(host, at, &list),
                 Err(fault) => {
-                    host.counters.list_lines_skipped.add();
+                    host.counters.endpoint_lines_skipped.add();
                     // Guards against changes lost with a line: the next one would move the position past them.
                     at.rev.set(0);
                     return format!("a line cannot be read, the whole list is asked for: {fault}")
--- a/crates/sidecar/src/downstream/http.rs
+++ b/crates/sidecar/src/downstream/http.rs
@@ -71,7 +71,7 @@
 pub fn reject_over_capacity(front: &Rc<Listener>) -> impl Protocol + use<> {
     let front = Rc::clone(front);
     let reject_over_capacity = move |request: Request| {
-        front.host.counters.transactions_over_bound.add();
+        front.host.counters.requests_over_capacity.add();
         let mut reply = pause(
             StatusCode::SERVICE_UNAVAILABLE,
             front.host.limits.default_retry_after,
@@ -111,7 +111,7 @@
 }
 
 fn reject(front: &Listener, Bad(status, why): Bad) -> Reply {
-    front.host.counters.transactions_malformed.add();
+    front.host.counters.requests_malformed.add();
     let mut reply = plain(status, why);
     // What is left of its body is of no use.
     reply.head_mut().set_connection_type(ConnectionType::Close);
--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -135,7 +135,7 @@
                 biased;
                 end = served => {
                     if let Err(DispatchError::Parse(_)) = end {
-                        self.host.counters.transactions_malformed.add();
+                        self.host.counters.requests_malformed.add();
                     }
                     return;
                 }
@@ -143,7 +143,7 @@
             }
             // Guards against a request that came as its connection was chosen for closing: nothing of it was read.
             if !client.has_unread() {
-                self.host.counters.terminals_dismissed.add();
+                self.host.counters.clients_timed_out.add();
                 return;
             }
         }
--- a/crates/sidecar/src/downstream/request.rs
+++ b/crates/sidecar/src/downstream/request.rs
@@ -40,12 +40,12 @@
         .and_then(span)
         .map(|span| span.min(limits.client.max_timeout));
     if patience.is_none() {
-        host.counters.times_skipped.add();
+        host.counters.timeout_headers_skipped.add();
     }
     let patience = patience.unwrap_or_else(|| host.default_client_timeout(class));
     let cost = said("x-cost").and_then(cost_of);
     if cost.is_none() && headers.contains_key("x-cost") {
-        host.counters.costs_skipped.add();
+        host.counters.cost_headers_skipped.add();
     }
     if host.requires_idempotency_key(class) && key.is_none() {
         // Without its key no job server could drop a repeat.
--- a/crates/sidecar/src/host/in_flight_request.rs
+++ b/crates/sidecar/src/host/in_flight_request.rs
@@ -63,7 +63,7 @@
             attempts_started: 0,
             has_final_response: false,
         };
-        host.counters.transactions_taken.add();
+        host.counters.requests_accepted.add();
         let time_left = time_left.as_micros() as Micros;
         let size_hint = cost.map(|cost| cost.as_micros() as Micros);
         host.handle_event(Event::RequestArrived(IncomingRequest {
@@ -109,13 +109,13 @@
     /// Closes a transaction that the module has let run to its terminal's last moment.
     pub fn on_overdue(&mut self) {
         self.has_final_response = true;
-        self.host.counters.answered_overdue.add();
+        self.host.counters.responses_overdue.add();
         self.host
             .handle_event(Event::ClientDisconnected { request: self.id });
     }
 
     fn report(&self, out: &OpenAttempt, outcome: Outcome, report: Option<LoadReport>) {
-        self.host.counters.routed(outcome);
+        self.host.counters.on_attempt_ended(outcome);
         self.host.handle_event(Event::AttemptEnded(AttemptEnd {
             request: self.id,
             attempt: out.attempt,
@@ -134,7 +134,7 @@
     fn drop(&mut self) {
         if !self.has_final_response {
             self.has_final_response = true;
-            self.host.counters.terminals_gone.add();
+            self.host.counters.clients_disconnected.add();
             self.host
                 .handle_event(Event::ClientDisconnected { request: self.id });
         }
--- a/crates/sidecar/src/host/mod.rs
+++ b/crates/sidecar/src/host/mod.rs
@@ -276,9 +276,9 @@
 
     /// Hands a list of endpoints, or a change to it, to the module, as of a version that only rises.
     pub fn update_endpoints(&self, kind: UpdateKind, version: u64, list: &EndpointList) {
-        self.counters.list_events.add();
+        self.counters.endpoint_updates.add();
         for message in &list.skipped {
-            self.counters.list_lines_skipped.add();
+            self.counters.endpoint_lines_skipped.add();
             tracing::warn!("discovery: an entry was skipped: {message}");
         }
         let entries =
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -119,12 +119,12 @@
                     calls.get(attempt as usize).inspect(|call| call.abort());
                 }
                 RequestAction::Reject { retry_after } => {
-                    counters.answered_short_on_capacity.add();
+                    counters.responses_rejected.add();
                     let pause = retry_after.map_or(limits.default_retry_after, Duration::from_micros);
                     return ProxyResponse::Rejected { retry_after: pause };
                 }
                 RequestAction::Fail => {
-                    counters.answered_failed.add();
+                    counters.responses_failed.add();
                     return ProxyResponse::Failed { retry_after: limits.default_retry_after };
                 }
             },
@@ -133,7 +133,7 @@
                     repeats.ended(attempt, end.outcome);
                     owed.on_attempt_ended(attempt, end.outcome, end.load_report);
                     if let Some(content) = end.payload {
-                        counters.answered_served.add();
+                        counters.responses_served.add();
                         return ProxyResponse::Served(content);
                     }
                 }
--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -100,7 +100,7 @@
         let Some(server) = self.host.server(server) else {
             return AttemptResult::without_payload(Outcome::NotSent);
         };
-        self.counters.routed_tasks_sent.add();
+        self.counters.attempts_started.add();
         let uri = format!("http://{}{}", server.address(), ask.target);
         let Ok(method) = ask.method.parse() else {
             return AttemptResult::without_payload(Outcome::NotSent);
@@ -186,7 +186,7 @@
                 let text = std::str::from_utf8(&whole.body).unwrap_or_default();
                 let report = read_report(text);
                 if report.is_none() && !text.trim().is_empty() {
-                    self.counters.reports_skipped.add();
+                    self.counters.load_reports_skipped.add();
                 }
                 let good = whole.status == StatusCode::OK;
                 (
@@ -216,11 +216,11 @@
                 continue;
             };
             let this = Rc::clone(&self);
-            self.counters.probes_sent.add();
+            self.counters.health_checks_sent.add();
             actix_rt::spawn(async move {
                 let (outcome, report) = this.health_check(&server).await;
                 if outcome != Outcome::Served {
-                    this.counters.probes_failed.add();
+                    this.counters.health_checks_failed.add();
                 }
                 this.host.handle_event(Event::HealthCheckEnded {
                     server: id,
--- a/crates/sidecar/src/upstream/tracked_stream.rs
+++ b/crates/sidecar/src/upstream/tracked_stream.rs
@@ -128,7 +128,7 @@
             .as_ref()
             .map(|s| s.check_first_byte(&self.permit.0.limits))
         {
-            self.permit.0.counters.stopped(stop);
+            self.permit.0.counters.on_attempt_blocked(stop);
             return Poll::Ready(Err(io::Error::other(stop.reason())));
         }
         if sending.as_ref().is_some_and(|s| s.started_at().is_none()) {
--- a/crates/sidecar/tests/floods.rs
+++ b/crates/sidecar/tests/floods.rs
@@ -154,5 +154,5 @@
         link.read_to_string(&mut text).ok()?;
         text.starts_with("HTTP/1.1 200").then_some(text)
     });
-    assert!(text.contains("transactions_taken"), "{text}");
+    assert!(text.contains("requests_accepted"), "{text}");
 }
--- a/crates/testbed/src/stage/counts.rs
+++ b/crates/testbed/src/stage/counts.rs
@@ -66,7 +66,7 @@
     }
     let count = |name: &str| counted.sum.get(name).copied().unwrap_or(0);
     let answers = |how: How| seen.answers.get(&how).copied().unwrap_or(0);
-    let over = count("transactions_over_bound");
+    let over = count("requests_over_capacity");
     let mut equal = |what: &str, sidecars: u64, stand_ins: u64| {
         if sidecars != stand_ins {
             found.differences.push(format!(
@@ -76,25 +76,25 @@
     };
     equal(
         "transactions taken",
-        count("transactions_taken") + over,
+        count("requests_accepted") + over,
         seen.taken,
     );
     equal(
         "answers served",
-        count("answered_served"),
+        count("responses_served"),
         answers(How::Served),
     );
     equal(
         "short-on-capacity replies",
-        count("answered_short_on_capacity") + over,
+        count("responses_rejected") + over,
         answers(How::Refused),
     );
-    let failed = count("answered_failed") + count("answered_overdue");
+    let failed = count("responses_failed") + count("responses_overdue");
     equal("transactions failed", failed, answers(How::Failed));
     let unanswered = seen.taken - seen.answers.values().sum::<u64>() - seen.left;
     equal(
         "terminals gone",
-        count("terminals_gone"),
+        count("clients_disconnected"),
         seen.left + unanswered,
     );
     let (swallowed, unheard) = (&scene.shared.swallowed, &scene.shared.probes_swallowed);
@@ -103,8 +103,8 @@
         unheard.load(Ordering::Relaxed),
     );
     // What was called off or timed out may not have been written, or may have been turned away all the same.
-    let sure = count("routed_served") + count("routed_error") + count("routed_rejected");
-    let open = count("routed_cancelled") + count("routed_timed_out") + count("routed_reset");
+    let sure = count("attempts_served") + count("attempts_error") + count("attempts_rejected");
+    let open = count("attempts_cancelled") + count("attempts_timed_out") + count("attempts_reset");
     let arrived = seen.began;
     if !(sure..=sure + open).contains(&arrived) {
         let range = format!("{sure} to {}", sure + open);
@@ -112,8 +112,8 @@
             "requests arrived: sidecars {range}, stand-ins {arrived}"
         ));
     }
-    let rejected = count("routed_rejected");
-    let crossed = count("routed_cancelled") + count("routed_timed_out");
+    let rejected = count("attempts_rejected");
+    let crossed = count("attempts_cancelled") + count("attempts_timed_out");
     if !(rejected..=rejected + crossed).contains(&seen.turned_away) {
         let range = format!("{rejected} to {}", rejected + crossed);
         found.differences.push(format!(
@@ -121,7 +121,7 @@
             seen.turned_away
         ));
     }
-    let (sent, failed) = (count("probes_sent"), count("probes_failed"));
+    let (sent, failed) = (count("health_checks_sent"), count("health_checks_failed"));
     // One each may have been on its way as its sidecar ended.
     let least = sent.saturating_sub(failed + scene.shared.day.sidecars.count as u64);
     if !(least..=sent).contains(&seen.probed) {
@@ -135,7 +135,7 @@
         "counters compared: {} transactions, {arrived} of {} routed tasks arrived ({swallowed} in silence), \
          {} probes ({unheard} in silence)",
         seen.taken,
-        count("routed_tasks_sent"),
+        count("attempts_started"),
         seen.probed
     ));
     found
