--- a/crates/testbed/src/audit.rs
+++ b/crates/testbed/src/audit.rs
@@ -10,9 +10,11 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::ledger::{Entry, Fate, How, Ledger, Life, Line, Listing};
-use crate::machine::budget;
-use crate::scenario::{Class, Day, Effect, Group, Micros, from_ms};
+use crate::event_log::{
+    EventLog, ListedStatus, LogEvent, LogRecord, ProcessState, RequestOutcome, ServerState,
+};
+use crate::scenario::{Class, DeduplicationGroup, Effect, Micros, Scenario, from_ms};
+use crate::server_model::budget;
 
 /// How long a finished transaction is remembered beyond its deadline, to catch what comes after it.
 const REMEMBER: Micros = 12_000_000;
@@ -51,7 +53,7 @@
 
 /// One breach, with what is needed to find it in the record.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Breach {
+pub struct Violation {
     pub at: Micros,
     pub rule: Rule,
     pub tx: Option<u64>,
@@ -59,7 +61,7 @@
     pub why: String,
 }
 
-impl fmt::Display for Breach {
+impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "at {:.3} s, ", self.at as f64 / 1e6)?;
         if let Some(tx) = self.tx {
@@ -84,7 +86,7 @@
     taken: Micros,
     due: Micros,
     arrivals: Vec<Arrival>,
-    answer: Option<How>,
+    answer: Option<RequestOutcome>,
     left: bool,
 }
 
@@ -118,7 +120,7 @@
     /// When a sidecar was last killed.
     killed: FxHashMap<u32, Micros>,
     /// The first ones, in the order found.
-    pub breaches: Vec<Breach>,
+    pub breaches: Vec<Violation>,
     /// All of them.
     pub count: u64,
     /// Transactions read.
@@ -127,12 +129,15 @@
 
 impl Auditor {
     /// For a day; `extra` is what the engine allows on every time limit.
-    pub fn new(day: &Day, extra: Micros) -> Self {
+    pub fn new(day: &Scenario, extra: Micros) -> Self {
         Self {
             classes: day.class.clone(),
             drain: from_ms(day.rules.drain_grace_ms) + extra,
-            grace: from_ms(day.rules.answer_grace_ms) + extra,
-            fall: (day.rules.fall_multiple, from_ms(day.rules.fall_ms)),
+            grace: from_ms(day.rules.response_grace_ms) + extra,
+            fall: (
+                day.rules.cold_overload_factor,
+                from_ms(day.rules.cold_overload_window_ms),
+            ),
             open: FxHashMap::default(),
             due: BinaryHeap::new(),
             forget: VecDeque::new(),
@@ -155,7 +160,7 @@
     ) {
         self.count += 1;
         if self.breaches.len() < LISTED {
-            self.breaches.push(Breach {
+            self.breaches.push(Violation {
                 at,
                 rule,
                 tx,
@@ -214,31 +219,33 @@
             return;
         };
         let first = open.arrivals.iter().find(|a| !a.turned_away);
-        let why = first.and_then(|first| match (class.effect, class.group) {
-            (Effect::Safe, _) => None,
-            (Effect::Unsafe, _) => Some(format!(
-                "it had arrived at s{} and may have run",
-                first.server
-            )),
-            (Effect::Keyed, group) => {
-                let there = zone(&self.sites, first.server);
-                if group == Group::Zone && here != there {
-                    Some(format!(
-                        "its key is known at s{} in another zone",
-                        first.server
-                    ))
-                } else if at > first.at + from_ms(class.window_ms) {
-                    Some(format!(
-                        "its key at s{} was forgotten by then",
-                        first.server
-                    ))
-                } else {
-                    None
+        let why = first.and_then(
+            |first| match (class.idempotency, class.deduplication_scope) {
+                (Effect::Safe, _) => None,
+                (Effect::Unsafe, _) => Some(format!(
+                    "it had arrived at s{} and may have run",
+                    first.server
+                )),
+                (Effect::Keyed, group) => {
+                    let there = zone(&self.sites, first.server);
+                    if group == DeduplicationGroup::Zone && here != there {
+                        Some(format!(
+                            "its key is known at s{} in another zone",
+                            first.server
+                        ))
+                    } else if at > first.at + from_ms(class.deduplication_window_ms) {
+                        Some(format!(
+                            "its key at s{} was forgotten by then",
+                            first.server
+                        ))
+                    } else {
+                        None
+                    }
                 }
-            }
-        });
-        let harmless = class.effect == Effect::Safe;
-        let refused = open.answer == Some(How::Refused) && !harmless;
+            },
+        );
+        let harmless = class.idempotency == Effect::Safe;
+        let refused = open.answer == Some(RequestOutcome::Rejected) && !harmless;
         open.arrivals.push(Arrival {
             at,
             server,
@@ -296,7 +303,7 @@
         }
     }
 
-    fn answered(&mut self, at: Micros, tx: u64, how: How) {
+    fn answered(&mut self, at: Micros, tx: u64, how: RequestOutcome) {
         let grace = self.grace;
         let excused = self.open.get(&tx).is_some_and(|o| self.excused(o));
         let Some(open) = self.open.get_mut(&tx) else {
@@ -306,10 +313,10 @@
         let late = at > open.due + grace;
         let ran = open.arrivals.iter().any(|a| !a.turned_away);
         let class = self.classes.get(usize::from(open.class));
-        let harmful = class.is_some_and(|c| match c.effect {
+        let harmful = class.is_some_and(|c| match c.idempotency {
             Effect::Safe => false,
             Effect::Unsafe => true,
-            Effect::Keyed => c.group != Group::All,
+            Effect::Keyed => c.deduplication_scope != DeduplicationGroup::All,
         });
         let one = |why: &str| (Rule::OneAnswer, why.to_owned());
         let mut found = Vec::new();
@@ -317,14 +324,18 @@
             found.push(one("a second final answer"));
         }
         match how {
-            How::Wrong => found.push(one("an answer that no job server made for it")),
-            How::Cut | How::Unanswered if excused => {}
-            How::Cut => found.push(one("the sidecar closed on it without an answer")),
-            How::Unanswered => found.push(one("no answer in time")),
+            RequestOutcome::Mismatched => {
+                found.push(one("an answer that no job server made for it"))
+            }
+            RequestOutcome::ConnectionLost | RequestOutcome::Unanswered if excused => {}
+            RequestOutcome::ConnectionLost => {
+                found.push(one("the sidecar closed on it without an answer"))
+            }
+            RequestOutcome::Unanswered => found.push(one("no answer in time")),
             _ if late => found.push(one("the answer came too late")),
             _ => {}
         }
-        if how == How::Refused && ran && harmful {
+        if how == RequestOutcome::Rejected && ran && harmful {
             found.push((Rule::HonestRefusal, "it may have run".into()));
         }
         for (rule, why) in found {
@@ -341,13 +352,13 @@
     }
 }
 
-impl Ledger for Auditor {
-    fn note(&mut self, line: &Line) {
+impl EventLog for Auditor {
+    fn note(&mut self, line: &LogRecord) {
         let at = line.at;
         self.pass(at);
-        match line.entry {
-            Entry::Taken {
-                tx,
+        match line.event {
+            LogEvent::RequestAccepted {
+                request: tx,
                 sidecar,
                 class,
                 due,
@@ -368,14 +379,14 @@
                 self.due.push(Reverse((due + self.grace, tx)));
                 self.forget.push_back((due + REMEMBER, tx));
             }
-            Entry::Began {
-                tx,
+            LogEvent::AttemptStarted {
+                request: tx,
                 sidecar,
                 server,
                 ..
             } => self.began(at, tx, sidecar, server),
-            Entry::Arrived {
-                tx,
+            LogEvent::AttemptReceived {
+                request: tx,
                 server,
                 work,
                 capacity,
@@ -384,24 +395,30 @@
                 self.arrived(at, tx, server);
                 self.pressed(at, tx, server, work, capacity, cold);
             }
-            Entry::TurnedAway { tx, server } => {
+            LogEvent::AttemptRejected {
+                request: tx,
+                server,
+            } => {
                 let arrivals = self.open.get_mut(&tx).map(|o| &mut o.arrivals);
                 let last = arrivals.and_then(|a| a.iter_mut().rev().find(|a| a.server == server));
                 if let Some(arrival) = last {
                     arrival.turned_away = true;
                 }
             }
-            Entry::Answered { tx, how } => self.answered(at, tx, how),
-            Entry::Left { tx } => {
+            LogEvent::ResponseReceived {
+                request: tx,
+                outcome: how,
+            } => self.answered(at, tx, how),
+            LogEvent::ClientDisconnected { request: tx } => {
                 if let Some(open) = self.open.get_mut(&tx) {
                     open.left = true;
                 }
             }
-            Entry::Listed {
+            LogEvent::EndpointListed {
                 sidecar,
                 server,
-                listing,
-                launched,
+                status: listing,
+                incarnation: launched,
             } => {
                 let told = self
                     .told
@@ -410,22 +427,29 @@
                     .entry(server)
                     .or_default();
                 told.launched = told.launched.max(launched);
-                told.out = if listing == Listing::Ready {
+                told.out = if listing == ListedStatus::Ready {
                     None
                 } else {
                     told.out.or(Some(at))
                 };
             }
-            Entry::Sidecar { sidecar, life } if life != Life::Ending => {
+            LogEvent::SidecarStateChanged {
+                sidecar,
+                state: life,
+            } if life != ProcessState::Ending => {
                 self.told.remove(&sidecar);
-                if life == Life::Killed {
+                if life == ProcessState::Killed {
                     self.killed.insert(sidecar, at);
                 }
             }
-            Entry::Server { server, zone, fate } => {
+            LogEvent::ServerStateChanged {
+                server,
+                zone,
+                state: fate,
+            } => {
                 let site = self.sites.entry(server).or_default();
                 site.zone = zone;
-                if fate == Fate::Cold {
+                if fate == ServerState::Cold {
                     site.started = Some(at);
                     site.sent.clear();
                     site.pushed = false;
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -8,11 +8,11 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
+use crate::event_log::{EventLog, Writer};
 use crate::experiment::Plan;
-use crate::ledger::{Ledger, Writer};
 use crate::report::{Report, compare};
-use crate::scenario::Scenario;
-use crate::{model, picture, stage};
+use crate::scenario::ScenarioFile;
+use crate::{emulator, plot, simulator};
 
 /// Plays scenarios against arrowstand: in a model, or on loopback sockets.
 #[derive(Parser)]
@@ -116,7 +116,7 @@
     /// Bad input.
     Input(String),
     /// Something else went wrong.
-    Trouble(String),
+    Fault(String),
 }
 
 fn input(fault: impl ToString) -> Failure {
@@ -124,11 +124,11 @@
 }
 
 fn trouble(fault: impl ToString) -> Failure {
-    Failure::Trouble(fault.to_string())
+    Failure::Fault(fault.to_string())
 }
 
 impl Program {
-    fn options(&self) -> Result<stage::Options, Failure> {
+    fn options(&self) -> Result<emulator::Options, Failure> {
         let beside = || Some(std::env::current_exe().ok()?.parent()?.join("arrowstand"));
         let program = self
             .arrowstand
@@ -141,7 +141,7 @@
                 "--arrowstand: there is no program {path}: build the workspace first"
             )));
         }
-        Ok(stage::Options {
+        Ok(emulator::Options {
             program,
             folder: self.folder.clone(),
         })
@@ -149,7 +149,7 @@
 }
 
 impl Play {
-    fn scenario(&self) -> Result<Scenario, Failure> {
+    fn scenario(&self) -> Result<ScenarioFile, Failure> {
         let mut changes = Vec::new();
         for set in &self.set {
             let pair = set
@@ -168,7 +168,7 @@
             let seed = i64::try_from(seed).map_err(|_| input("--seed: is too large"))?;
             changes.push(("seed".into(), toml::Value::Integer(seed)));
         }
-        Scenario::open(&self.scenario)
+        ScenarioFile::open(&self.scenario)
             .and_then(|s| s.with(&changes))
             .map_err(input)
     }
@@ -176,7 +176,7 @@
     /// Plays, and writes what is asked for.
     fn play(
         &self,
-        play: impl FnOnce(&Scenario, Option<&mut dyn Ledger>) -> Result<Report, String>,
+        play: impl FnOnce(&ScenarioFile, Option<&mut dyn EventLog>) -> Result<Report, String>,
     ) -> Result<(), Failure> {
         let scenario = self.scenario()?;
         let create =
@@ -195,7 +195,7 @@
             writeln!(create(path)?, "{text}").map_err(trouble)?;
         }
         if let Some(path) = &self.svg {
-            picture::report(&report, path).map_err(trouble)?;
+            plot::report(&report, path).map_err(trouble)?;
         }
         print!("{report}");
         if report.holds() {
@@ -243,11 +243,11 @@
 fn carry_out(command: Command) -> Result<(), Failure> {
     match command {
         Command::Run(play) => {
-            play.play(|scenario, ledger| Ok(model::run(&scenario.day, ledger)?.0))
+            play.play(|scenario, ledger| Ok(simulator::run(&scenario.day, ledger)?.0))
         }
         Command::Stage { play, at } => {
             let options = at.options()?;
-            play.play(|scenario, ledger| stage::run(&scenario.day, &options, ledger))
+            play.play(|scenario, ledger| emulator::run(&scenario.day, &options, ledger))
         }
         Command::Experiment {
             plan,
@@ -263,7 +263,7 @@
         Command::Check { scenarios } => {
             let faults: Vec<String> = scenarios
                 .iter()
-                .filter_map(|s| Scenario::open(s).err())
+                .filter_map(|s| ScenarioFile::open(s).err())
                 .map(|f| f.to_string())
                 .collect();
             if faults.is_empty() {
@@ -274,20 +274,20 @@
         }
         Command::Serve { scenario, at } => {
             let options = at.options()?;
-            let scenario = Scenario::open(&scenario).map_err(input)?;
+            let scenario = ScenarioFile::open(&scenario).map_err(input)?;
             let say = |how: String| {
                 println!("The stand-ins are up until Ctrl-C. To start a sidecar:\n{how}")
             };
-            stage::serve(&scenario.day, &options, say).map_err(trouble)
+            emulator::serve(&scenario.day, &options, say).map_err(trouble)
         }
         Command::Try { at } => {
             let options = at.options()?;
-            let scenario = Scenario::read("try", TRY).map_err(input)?;
+            let scenario = ScenarioFile::read("try", TRY).map_err(input)?;
             println!(
                 "Two stand-in job servers, one sidecar, {} s of load ...",
                 scenario.day.seconds
             );
-            let report = stage::run(&scenario.day, &options, None).map_err(trouble)?;
+            let report = emulator::run(&scenario.day, &options, None).map_err(trouble)?;
             print!("{report}");
             if report.holds() {
                 Ok(())
@@ -316,7 +316,7 @@
             eprintln!("{fault}");
             ExitCode::from(2)
         }
-        Err(Failure::Trouble(fault)) => {
+        Err(Failure::Fault(fault)) => {
             eprintln!("arrowstand-testbed: {fault}");
             ExitCode::FAILURE
         }
--- a/crates/testbed/src/stage/terminal.rs
+++ b/crates/testbed/src/emulator/client.rs
@@ -12,37 +12,37 @@
 
 use super::http::{Message, Wire};
 use super::process::Sidecars;
-use super::{Scene, Shared, lock};
-use crate::chance::{Cause, Stream};
-use crate::ledger::{Entry, How};
+use super::{Emulation, Shared, lock};
+use crate::event_log::{LogEvent, RequestOutcome};
+use crate::random::{RandomStream, StreamId};
 use crate::scenario::{Effect, Micros, from_ms};
-use crate::wishes::{Quota, Wish, Wishes, parts, quotas};
+use crate::workload::{Arrival, ArrivalStream, TenantQuota, parts, quotas};
 
 /// An idle connection is used again within this: under the time after which a sidecar may close it.
 const IDLE: Duration = Duration::from_millis(1_400);
 
 /// The terminals of one sidecar.
-struct Terminals {
+struct Clients {
     shared: Arc<Shared>,
     sidecars: Arc<Sidecars>,
     sidecar: u32,
     address: SocketAddr,
     idle: Mutex<Vec<(Instant, Wire)>>,
-    quotas: Arc<Mutex<Vec<Quota>>>,
+    quotas: Arc<Mutex<Vec<TenantQuota>>>,
     open: Arc<std::sync::atomic::AtomicUsize>,
 }
 
 /// How one try ended, and the pause that was advised.
-type Ended = (How, Option<Micros>);
+type Ended = (RequestOutcome, Option<Micros>);
 
 /// Plays all wishes to their ends.
-pub async fn load(scene: &Scene) {
+pub async fn load(scene: &Emulation) {
     let day = Arc::clone(&scene.shared.day);
     let quotas = Arc::new(Mutex::new(quotas(&day)));
     let open = Arc::default();
     let mut all = tokio::task::JoinSet::new();
     for (number, part) in parts(&day).into_iter().enumerate() {
-        let terminals = Arc::new(Terminals {
+        let terminals = Arc::new(Clients {
             shared: Arc::clone(&scene.shared),
             sidecars: Arc::clone(&scene.sidecars),
             sidecar: number as u32,
@@ -51,7 +51,7 @@
             quotas: Arc::clone(&quotas),
             open: Arc::clone(&open),
         });
-        let wishes = Wishes::new(&day, number, part);
+        let wishes = ArrivalStream::new(&day, number, part);
         all.spawn(async move {
             let mut open = tokio::task::JoinSet::new();
             for (turn, wish) in wishes.enumerate() {
@@ -67,38 +67,38 @@
     while all.join_next().await.is_some() {}
 }
 
-impl Terminals {
+impl Clients {
     /// One wish with all its tries.
-    async fn wish(self: Arc<Self>, wish: Wish, turn: usize) {
+    async fn wish(self: Arc<Self>, wish: Arrival, turn: usize) {
         use std::sync::atomic::Ordering::Relaxed;
         let (shared, day) = (&self.shared, &self.shared.day);
-        let (ask, Wish { class, shop, .. }) = (shared.number(), wish);
+        let (ask, Arrival { class, shop, .. }) = (shared.number(), wish);
         let within = lock(&self.quotas)
             .get_mut(usize::from(shop))
             .is_none_or(|quota| quota.take(shared.clock.now()));
         shared.note_at(
             wish.at,
-            Entry::Asked {
-                ask,
+            LogEvent::ArrivalStarted {
+                arrival: ask,
                 sidecar: self.sidecar,
                 class,
-                shop,
-                within,
+                tenant: shop,
+                within_share: within,
                 work: wish.work,
             },
         );
-        if self.open.load(Relaxed) >= day.load.open_most {
-            shared.note(Entry::Closed {
-                ask,
-                how: How::ChokedOff,
-                tries: 0,
+        if self.open.load(Relaxed) >= day.load.max_open_requests {
+            shared.note(LogEvent::ArrivalEnded {
+                arrival: ask,
+                outcome: RequestOutcome::NotPlayed,
+                requests: 0,
             });
             return;
         }
         self.open.fetch_add(1, Relaxed);
-        let mut chance = Stream::new(
+        let mut chance = RandomStream::new(
             day.seed,
-            Cause::Terminals,
+            StreamId::Clients,
             (1 << 38) + ((self.sidecar as usize) << 22) + turn,
         );
         let rules = &day.class[usize::from(class)];
@@ -109,51 +109,62 @@
         let mut tries = 0;
         let how = loop {
             tries += 1;
-            let [least, most] = day.terminals.patience;
+            let [least, most] = day.clients.timeout_share;
             let from = if tries == 1 {
                 wish.at
             } else {
                 shared.clock.now()
             };
             let due = (from + (full as f64 * chance.between(least, most)) as Micros).min(deadline);
-            let leaves = chance.chance(day.terminals.leave);
+            let leaves = chance.chance(day.clients.disconnect_share);
             let leaves_at = from + (chance.unit() * due.saturating_sub(from) as f64) as Micros;
             let tx = shared.number();
             let until = if leaves { leaves_at } else { due };
             let (how, pause) = self.attempt(&wish, ask, tx, due, until).await;
-            let how = if leaves && how == How::Unanswered {
-                How::Left
+            let how = if leaves && how == RequestOutcome::Unanswered {
+                RequestOutcome::Disconnected
             } else {
                 how
             };
             match how {
-                How::Unreached => {}
-                How::Left => shared.note(Entry::Left { tx }),
-                How::Unanswered => {}
-                how => shared.note(Entry::Answered { tx, how }),
+                RequestOutcome::Unreachable => {}
+                RequestOutcome::Disconnected => {
+                    shared.note(LogEvent::ClientDisconnected { request: tx })
+                }
+                RequestOutcome::Unanswered => {}
+                how => shared.note(LogEvent::ResponseReceived {
+                    request: tx,
+                    outcome: how,
+                }),
             }
             let again = match how {
-                How::Refused | How::Unreached => true,
-                How::Failed | How::Cut | How::Unanswered => rules.effect == Effect::Safe,
+                RequestOutcome::Rejected | RequestOutcome::Unreachable => true,
+                RequestOutcome::Failed
+                | RequestOutcome::ConnectionLost
+                | RequestOutcome::Unanswered => rules.idempotency == Effect::Safe,
                 _ => false,
             };
-            let [least, most] = day.terminals.backoff_ms;
+            let [least, most] = day.clients.backoff_ms;
             let backoff = from_ms(chance.between(least, most));
-            let told = pause.filter(|_| wish.honours && how == How::Refused);
+            let told = pause.filter(|_| wish.honours && how == RequestOutcome::Rejected);
             let wait = told.map_or(backoff, |p| p.max(1));
-            if !again || tries > day.terminals.retries || shared.clock.now() + wait >= deadline {
+            if !again || tries > day.clients.retries || shared.clock.now() + wait >= deadline {
                 break how;
             }
             tokio::time::sleep(Duration::from_micros(wait)).await;
         };
-        shared.note(Entry::Closed { ask, how, tries });
+        shared.note(LogEvent::ArrivalEnded {
+            arrival: ask,
+            outcome: how,
+            requests: tries,
+        });
         self.open.fetch_sub(1, Relaxed);
     }
 
-    fn request(&self, wish: &Wish, tx: u64, due: Micros) -> String {
+    fn request(&self, wish: &Arrival, tx: u64, due: Micros) -> String {
         let rules = &self.shared.day.class[usize::from(wish.class)];
         let left = due.saturating_sub(self.shared.clock.now()).max(1);
-        let (method, key, body) = match rules.effect {
+        let (method, key, body) = match rules.idempotency {
             Effect::Safe => ("GET", String::new(), ""),
             Effect::Keyed => (
                 "POST",
@@ -165,7 +176,7 @@
         let shop = self
             .shared
             .day
-            .shop
+            .tenant
             .get(usize::from(wish.shop))
             .map_or("none", |s| s.name.as_str());
         let length = if body.is_empty() {
@@ -184,12 +195,20 @@
     }
 
     /// One try: a transaction.
-    async fn attempt(&self, wish: &Wish, ask: u64, tx: u64, due: Micros, until: Micros) -> Ended {
+    async fn attempt(
+        &self,
+        wish: &Arrival,
+        ask: u64,
+        tx: u64,
+        due: Micros,
+        until: Micros,
+    ) -> Ended {
         let clock = self.shared.clock;
         let life = self.sidecars.life(self.sidecar);
         // An answer on its way at the deadline is still read: whether it came in time is the auditor's.
-        let grace =
-            from_ms(self.shared.day.rules.answer_grace_ms + self.shared.day.rules.stage_extra_ms);
+        let grace = from_ms(
+            self.shared.day.rules.response_grace_ms + self.shared.day.rules.emulator_extra_ms,
+        );
         let last = if until < due { until } else { due + 2 * grace };
         let mut taken = false;
         let talk = async {
@@ -205,7 +224,7 @@
                             if taken {
                                 lock(&self.shared.crossed).insert(tx);
                             }
-                            return (How::Unreached, None);
+                            return (RequestOutcome::Unreachable, None);
                         }
                     },
                 };
@@ -214,9 +233,9 @@
                 if written.is_ok() && !taken {
                     taken = true;
                     let (sidecar, class) = (self.sidecar, wish.class);
-                    self.shared.note(Entry::Taken {
-                        tx,
-                        ask,
+                    self.shared.note(LogEvent::RequestAccepted {
+                        request: tx,
+                        arrival: ask,
                         sidecar,
                         class,
                         due,
@@ -244,7 +263,14 @@
                         let crossed =
                             reused && is_close(&fault) && self.sidecars.life(self.sidecar) == life;
                         if !crossed {
-                            return (if taken { How::Cut } else { How::Unreached }, None);
+                            return (
+                                if taken {
+                                    RequestOutcome::ConnectionLost
+                                } else {
+                                    RequestOutcome::Unreachable
+                                },
+                                None,
+                            );
                         }
                         lock(&self.idle).clear();
                     }
@@ -253,7 +279,7 @@
         };
         timeout_at(clock.instant(last), talk)
             .await
-            .unwrap_or((How::Unanswered, None))
+            .unwrap_or((RequestOutcome::Unanswered, None))
     }
 
     fn take_idle(&self) -> Option<Wire> {
@@ -276,10 +302,10 @@
     let pause = pause.map(|seconds| (seconds.clamp(0.0, 600.0) * 1e6) as Micros);
     let own = format!("done {tx:016x} at s");
     let how = match message.status {
-        200 if message.body.starts_with(own.as_bytes()) => How::Served,
-        200 => How::Wrong,
-        429 | 503 => How::Refused,
-        _ => How::Failed,
+        200 if message.body.starts_with(own.as_bytes()) => RequestOutcome::Served,
+        200 => RequestOutcome::Mismatched,
+        429 | 503 => RequestOutcome::Rejected,
+        _ => RequestOutcome::Failed,
     };
     (how, pause)
 }
--- a/crates/testbed/src/stage/counts.rs
+++ b/crates/testbed/src/emulator/counter_check.rs
@@ -6,9 +6,9 @@
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 
-use super::Scene;
+use super::Emulation;
 use super::process::Counted;
-use crate::ledger::{Entry, How, Line};
+use crate::event_log::{LogEvent, LogRecord, RequestOutcome};
 
 /// What the comparison found.
 #[derive(Default)]
@@ -21,7 +21,7 @@
 #[derive(Default)]
 struct Seen {
     taken: u64,
-    answers: HashMap<How, u64>,
+    answers: HashMap<RequestOutcome, u64>,
     left: u64,
     began: u64,
     arrived: u64,
@@ -29,17 +29,19 @@
     probed: u64,
 }
 
-fn see(record: &[Line]) -> Seen {
+fn see(record: &[LogRecord]) -> Seen {
     let mut seen = Seen::default();
     for line in record {
-        match line.entry {
-            Entry::Taken { .. } => seen.taken += 1,
-            Entry::Answered { how, .. } => *seen.answers.entry(how).or_default() += 1,
-            Entry::Left { .. } => seen.left += 1,
-            Entry::Began { .. } => seen.began += 1,
-            Entry::Arrived { .. } => seen.arrived += 1,
-            Entry::TurnedAway { .. } => seen.turned_away += 1,
-            Entry::Probed { .. } => seen.probed += 1,
+        match line.event {
+            LogEvent::RequestAccepted { .. } => seen.taken += 1,
+            LogEvent::ResponseReceived { outcome: how, .. } => {
+                *seen.answers.entry(how).or_default() += 1
+            }
+            LogEvent::ClientDisconnected { .. } => seen.left += 1,
+            LogEvent::AttemptStarted { .. } => seen.began += 1,
+            LogEvent::AttemptReceived { .. } => seen.arrived += 1,
+            LogEvent::AttemptRejected { .. } => seen.turned_away += 1,
+            LogEvent::HealthChecked { .. } => seen.probed += 1,
             _ => {}
         }
     }
@@ -47,7 +49,7 @@
 }
 
 /// Compares the two; a life that was killed has told nothing, and then there is nothing to compare.
-pub fn compare(scene: &Scene, record: &[Line], counted: &Counted) -> Compared {
+pub fn compare(scene: &Emulation, record: &[LogRecord], counted: &Counted) -> Compared {
     let mut found = Compared::default();
     if counted.mute > 0 {
         found.differences.push(format!(
@@ -65,7 +67,7 @@
         return found;
     }
     let count = |name: &str| counted.sum.get(name).copied().unwrap_or(0);
-    let answers = |how: How| seen.answers.get(&how).copied().unwrap_or(0);
+    let answers = |how: RequestOutcome| seen.answers.get(&how).copied().unwrap_or(0);
     let over = count("requests_over_capacity");
     let mut equal = |what: &str, sidecars: u64, stand_ins: u64| {
         if sidecars != stand_ins {
@@ -82,15 +84,19 @@
     equal(
         "answers served",
         count("responses_served"),
-        answers(How::Served),
+        answers(RequestOutcome::Served),
     );
     equal(
         "short-on-capacity replies",
         count("responses_rejected") + over,
-        answers(How::Refused),
+        answers(RequestOutcome::Rejected),
     );
     let failed = count("responses_failed") + count("responses_overdue");
-    equal("transactions failed", failed, answers(How::Failed));
+    equal(
+        "transactions failed",
+        failed,
+        answers(RequestOutcome::Failed),
+    );
     let unanswered = seen.taken - seen.answers.values().sum::<u64>() - seen.left;
     equal(
         "terminals gone",
--- a/crates/testbed/src/stage/discovery.rs
+++ b/crates/testbed/src/emulator/discovery.rs
@@ -10,11 +10,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::emulated_server::EmulatedServer;
 use super::http::{Wire, answer};
-use super::stand_in::StandIn;
 use super::{Shared, free_address, lock};
-use crate::chance::{Cause, Stream};
-use crate::ledger::{Entry, Listing};
+use crate::event_log::{ListedStatus, LogEvent};
+use crate::random::{RandomStream, StreamId};
 use crate::scenario::{Micros, from_ms};
 
 /// An empty line comes this often while nothing changes.
@@ -29,24 +29,24 @@
 }
 
 #[derive(Clone, Copy)]
-struct Line {
+struct LogRecord {
     at: usize,
-    listing: Listing,
+    listing: ListedStatus,
     launched: Micros,
     version: u64,
 }
 
 struct Book {
     version: u64,
-    lines: BTreeMap<u32, Line>,
+    lines: BTreeMap<u32, LogRecord>,
     busy_until: Micros,
-    chance: Stream,
+    chance: RandomStream,
 }
 
 /// The service; each sidecar has an address of its own at it.
 pub struct Discovery {
     shared: Arc<Shared>,
-    stand_ins: Vec<Arc<StandIn>>,
+    stand_ins: Vec<Arc<EmulatedServer>>,
     pub addresses: Vec<SocketAddr>,
     book: Mutex<Book>,
     version: watch::Sender<u64>,
@@ -56,19 +56,19 @@
 impl Discovery {
     pub async fn start(
         shared: &Arc<Shared>,
-        stand_ins: &[Arc<StandIn>],
+        stand_ins: &[Arc<EmulatedServer>],
     ) -> Result<Arc<Self>, String> {
         let launched = |at: usize| stand_ins[at].launched();
-        let line = |at| Line {
+        let line = |at| LogRecord {
             at,
-            listing: Listing::Ready,
+            listing: ListedStatus::Ready,
             launched: launched(at),
             version: 1,
         };
         let lines = (0..stand_ins.len())
             .map(|at| (at as u32, line(at)))
             .collect();
-        let chance = Stream::new(shared.day.seed, Cause::Discovery, 0);
+        let chance = RandomStream::new(shared.day.seed, StreamId::Discovery, 0);
         let mut this = Self {
             shared: Arc::clone(shared),
             stand_ins: stand_ins.to_vec(),
@@ -108,7 +108,7 @@
     }
 
     /// Puts news into the list, unless what they tell is older than what is there by now.
-    pub fn set(&self, server: u32, at: usize, listing: Listing, launched: Micros) {
+    pub fn set(&self, server: u32, at: usize, listing: ListedStatus, launched: Micros) {
         let mut book = lock(&self.book);
         if book
             .lines
@@ -121,7 +121,7 @@
         let version = book.version;
         book.lines.insert(
             server,
-            Line {
+            LogRecord {
                 at,
                 listing,
                 launched,
@@ -132,15 +132,15 @@
     }
 
     /// The list as a sidecar of that number has it.
-    pub fn whole(&self, sidecar: u32) -> (Value, Vec<(u32, Listing, Micros)>) {
+    pub fn whole(&self, sidecar: u32) -> (Value, Vec<(u32, ListedStatus, Micros)>) {
         self.table(sidecar, None)
     }
 
-    fn table(&self, sidecar: u32, since: Option<u64>) -> (Value, Vec<(u32, Listing, Micros)>) {
+    fn table(&self, sidecar: u32, since: Option<u64>) -> (Value, Vec<(u32, ListedStatus, Micros)>) {
         let book = lock(&self.book);
-        let wanted = |line: &Line| match since {
+        let wanted = |line: &LogRecord| match since {
             Some(version) => line.version > version,
-            None => line.listing != Listing::Gone,
+            None => line.listing != ListedStatus::Gone,
         };
         let there = book.lines.iter().filter(|(_, line)| wanted(line));
         let (mut targets, mut told) = (Vec::new(), Vec::new());
@@ -156,9 +156,9 @@
                 "model": stand_in.told_kind(),
                 "pod_group": stand_in.zone,
                 "state": match line.listing {
-                    Listing::Ready => "ready",
-                    Listing::Draining => "draining",
-                    Listing::Gone => "gone",
+                    ListedStatus::Ready => "ready",
+                    ListedStatus::Draining => "draining",
+                    ListedStatus::Gone => "gone",
                 },
                 "capacity_hint": 1.0,
                 "boot_ms": self.shared.clock.boot_ms(line.launched),
@@ -171,13 +171,13 @@
         )
     }
 
-    fn note(&self, sidecar: u32, told: &[(u32, Listing, Micros)]) {
+    fn note(&self, sidecar: u32, told: &[(u32, ListedStatus, Micros)]) {
         for &(server, listing, launched) in told {
-            self.shared.note(Entry::Listed {
+            self.shared.note(LogEvent::EndpointListed {
                 sidecar,
                 server,
-                listing,
-                launched,
+                status: listing,
+                incarnation: launched,
             });
         }
     }
@@ -220,7 +220,7 @@
 
     async fn talk(&self, wire: &mut Wire, sidecar: u32) -> std::io::Result<()> {
         let request = wire.request().await?;
-        self.shared.note(Entry::Called { sidecar });
+        self.shared.note(LogEvent::DiscoveryPolled { sidecar });
         self.spoken().await;
         let (now, most) = (
             self.shared.clock.now(),
--- a/crates/testbed/src/stage/stand_in.rs
+++ b/crates/testbed/src/emulator/emulated_server.rs
@@ -12,11 +12,11 @@
 use tokio::task::AbortHandle;
 
 use super::http::{Message, Wire, answer};
-use super::{Scene, Shared, free_address, lock, pause};
-use crate::chance::{Cause, Stream};
-use crate::ledger::{Entry, Fate};
-use crate::machine::{Event, Job, Machine, State};
-use crate::scenario::{Kind, Micros, Servers};
+use super::{Emulation, Shared, free_address, lock, pause};
+use crate::event_log::{LogEvent, ServerState};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{MachineType, Micros, Servers};
+use crate::server_model::{Event, Job, ServerModel, State};
 
 /// How the network answers for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,20 +33,20 @@
 }
 
 struct Inner {
-    machine: Machine,
+    machine: ServerModel,
     launched: Micros,
     draining: bool,
     spoilt: f64,
     resets: f64,
     jobs: HashMap<u64, Held>,
     next_job: u64,
-    chance: Stream,
+    chance: RandomStream,
     listeners: Vec<AbortHandle>,
     events: Vec<Event>,
 }
 
 /// One stand-in. Each sidecar has an address of its own at it, so that it knows who calls.
-pub struct StandIn {
+pub struct EmulatedServer {
     shared: Arc<Shared>,
     /// Its number in the record; a replacement at the same address has another.
     number: AtomicU32,
@@ -58,17 +58,17 @@
     net: watch::Sender<(Net, u32)>,
 }
 
-impl StandIn {
+impl EmulatedServer {
     pub async fn start(
         shared: &Arc<Shared>,
         number: usize,
-        kind: &Kind,
+        kind: &MachineType,
         group: &Servers,
     ) -> Result<Arc<Self>, String> {
         let day = &shared.day;
         let zone = day.server_zone(group, number);
-        let chance = Stream::new(day.seed, Cause::Machines, (1 << 20) + number);
-        let machine = Machine::drawn(day, kind, number, 0, group.cold);
+        let chance = RandomStream::new(day.seed, StreamId::Machines, (1 << 20) + number);
+        let machine = ServerModel::drawn(day, kind, number, 0, group.cold);
         let addresses = (0..day.sidecars.count)
             .map(|_| free_address())
             .collect::<Result<_, _>>()?;
@@ -93,7 +93,11 @@
             net: watch::channel((Net::Open, 0)).0,
         });
         this.listen().await?;
-        this.fate(if group.cold { Fate::Cold } else { Fate::Up });
+        this.fate(if group.cold {
+            ServerState::Cold
+        } else {
+            ServerState::Up
+        });
         tokio::spawn(Arc::clone(&this).drive());
         Ok(this)
     }
@@ -114,11 +118,11 @@
         )
     }
 
-    pub fn fate(&self, fate: Fate) {
-        self.shared.note(Entry::Server {
+    pub fn fate(&self, fate: ServerState) {
+        self.shared.note(LogEvent::ServerStateChanged {
             server: self.number(),
             zone: self.zone,
-            fate,
+            state: fate,
         });
     }
 
@@ -208,9 +212,15 @@
             inner.events = events;
             (inner.draining, inner.launched) = (false, now);
         }
-        let (server, zone, fate) = (self.number(), self.zone, Fate::Cold);
-        self.shared
-            .note_at(now, Entry::Server { server, zone, fate });
+        let (server, zone, fate) = (self.number(), self.zone, ServerState::Cold);
+        self.shared.note_at(
+            now,
+            LogEvent::ServerStateChanged {
+                server,
+                zone,
+                state: fate,
+            },
+        );
         self.net
             .send_modify(|(net, start)| (*net, *start) = (Net::Open, *start + 1));
         for _ in 0..50 {
@@ -232,17 +242,25 @@
                 inner.machine.set_state(now, state, &mut inner.events);
             }
         });
-        self.fate(if paused { Fate::Paused } else { Fate::Up });
+        self.fate(if paused {
+            ServerState::Paused
+        } else {
+            ServerState::Up
+        });
     }
 
     pub fn set_slower(&self, times: f64) {
         self.with(|inner, now| inner.machine.set_slower(now, times, &mut inner.events));
-        self.fate(if times > 1.0 { Fate::Slow } else { Fate::Up });
+        self.fate(if times > 1.0 {
+            ServerState::Slow
+        } else {
+            ServerState::Up
+        });
     }
 
     pub fn set_draining(&self) {
         self.with(|inner, _| inner.draining = true);
-        self.fate(Fate::Draining);
+        self.fate(ServerState::Draining);
     }
 
     pub fn set_faults(
@@ -269,7 +287,7 @@
             (result, self.settle(&mut inner, now))
         };
         if fell {
-            self.fate(Fate::Fallen);
+            self.fate(ServerState::Fallen);
             // Fallen over: its process is there no more for anybody.
             self.net
                 .send_modify(|(net, start)| (*net, *start) = (Net::Refusing, *start + 1));
@@ -292,8 +310,8 @@
                         let (tx, work) = (held.tx, held.work);
                         self.shared.note_at(
                             now,
-                            Entry::Ran {
-                                tx,
+                            LogEvent::WorkDone {
+                                request: tx,
                                 server: self.number(),
                                 work,
                             },
@@ -336,7 +354,7 @@
 
     /// What the table calls its kind; nothing where sidecars are told of none, as in the model.
     pub fn told_kind(&self) -> String {
-        let told = self.shared.day.sidecars.knows_kinds;
+        let told = self.shared.day.sidecars.knows_machine_types;
         if told {
             lock(&self.inner).machine.kind().name.clone()
         } else {
@@ -354,7 +372,7 @@
         if !room {
             return;
         }
-        self.shared.note(Entry::Opened {
+        self.shared.note(LogEvent::ConnectionOpened {
             server: self.number(),
         });
         let mut wire = Wire::new(stream);
@@ -407,7 +425,8 @@
 
     async fn probed(&self, sidecar: u32, delay: Micros) -> Option<String> {
         let server = self.number();
-        self.shared.note(Entry::Probed { sidecar, server });
+        self.shared
+            .note(LogEvent::HealthChecked { sidecar, server });
         pause(delay).await;
         // A process that stands still answers once it goes on.
         while lock(&self.inner).machine.state() == State::Paused {
@@ -451,11 +470,11 @@
         let server = self.number();
         self.shared.note_at(
             first,
-            Entry::Began {
-                tx,
+            LogEvent::AttemptStarted {
+                request: tx,
                 sidecar,
                 server,
-                crossing: !same,
+                cross_zone: !same,
             },
         );
         let trips = if fresh {
@@ -492,8 +511,8 @@
             let taken = !inner.draining && inner.machine.offer(now, job, &mut inner.events);
             self.shared.note_at(
                 now,
-                Entry::Arrived {
-                    tx,
+                LogEvent::AttemptReceived {
+                    request: tx,
                     server,
                     work,
                     capacity,
@@ -502,7 +521,13 @@
             );
             if !taken {
                 inner.jobs.remove(&id);
-                self.shared.note_at(now, Entry::TurnedAway { tx, server });
+                self.shared.note_at(
+                    now,
+                    LogEvent::AttemptRejected {
+                        request: tx,
+                        server,
+                    },
+                );
             }
             taken.then_some((id, ended))
         });
@@ -563,15 +588,15 @@
 }
 
 /// Notes what each stand-in holds, once a second.
-pub async fn gauge(scene: &Scene) {
+pub async fn gauge(scene: &Emulation) {
     let clock = scene.shared.clock;
     for second in 1.. {
         tokio::time::sleep_until(clock.instant(second * 1_000_000)).await;
         for stand_in in &scene.stand_ins {
             let (held, connections) = stand_in.held();
-            scene.shared.note(Entry::Gauge {
+            scene.shared.note(LogEvent::ServerGauge {
                 server: stand_in.number(),
-                held,
+                in_flight: held,
                 connections,
             });
         }
--- a/crates/testbed/src/stage/timetable.rs
+++ b/crates/testbed/src/emulator/fault_schedule.rs
@@ -4,26 +4,26 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use super::discovery::{Discovery, Mode};
-use super::stand_in::{Net, StandIn};
-use super::{Clock, Scene};
-use crate::ledger::{Fate, Listing};
-use crate::model::troubles::{roll, targets};
-use crate::scenario::{Day, Micros, Trouble, What, from_ms, from_s};
+use super::emulated_server::{EmulatedServer, Net};
+use super::{Clock, Emulation};
+use crate::event_log::{ListedStatus, ServerState};
+use crate::scenario::{Fault, FaultKind, Micros, Scenario, from_ms, from_s};
+use crate::simulator::faults::{roll, targets};
 
 /// Plays the troubles of the day.
-pub async fn play(scene: &Scene) {
+pub async fn play(scene: &Emulation) {
     let day = Arc::clone(&scene.shared.day);
     let zones: Vec<u32> = scene.stand_ins.iter().map(|s| s.zone).collect();
     let next = Arc::new(AtomicU32::new(scene.stand_ins.len() as u32));
     let mut all = tokio::task::JoinSet::new();
-    for (index, trouble) in day.trouble.iter().enumerate() {
+    for (index, trouble) in day.fault.iter().enumerate() {
         let (at, length) = (from_s(trouble.at_s), from_s(trouble.for_s));
         let clock = scene.shared.clock;
-        match trouble.what {
-            What::Burst | What::Costly => {}
-            What::Roll | What::RestartAll => {
+        match trouble.kind {
+            FaultKind::Burst | FaultKind::Costly => {}
+            FaultKind::Roll | FaultKind::RestartAll => {
                 let everybody = || (0..day.sidecars.count as u32).map(|s| (s, 0)).collect();
-                let when = if trouble.what == What::Roll {
+                let when = if trouble.kind == FaultKind::Roll {
                     roll(&day, index)
                 } else {
                     everybody()
@@ -37,9 +37,9 @@
                     });
                 }
             }
-            What::DiscoveryDown | What::DiscoverySilent => {
+            FaultKind::DiscoveryDown | FaultKind::DiscoverySilent => {
                 let discovery = Arc::clone(&scene.discovery);
-                let mode = if trouble.what == What::DiscoveryDown {
+                let mode = if trouble.kind == FaultKind::DiscoveryDown {
                     Mode::Down
                 } else {
                     Mode::Silent
@@ -73,7 +73,7 @@
 }
 
 /// Plays the troubles, and then holds everything up.
-pub async fn play_for_ever(scene: &Scene) {
+pub async fn play_for_ever(scene: &Emulation) {
     play(scene).await;
     std::future::pending().await
 }
@@ -84,17 +84,17 @@
 
 /// A job server in trouble, and those who will hear of it.
 struct Concerned {
-    stand_in: Arc<StandIn>,
+    stand_in: Arc<EmulatedServer>,
     at: usize,
     discovery: Arc<Discovery>,
-    day: Arc<Day>,
+    day: Arc<Scenario>,
     clock: Clock,
     next: Arc<AtomicU32>,
 }
 
 impl Concerned {
     /// Discovery will have noticed after a while.
-    fn announce(&self, server: u32, listing: Listing, after_ms: f64) {
+    fn announce(&self, server: u32, listing: ListedStatus, after_ms: f64) {
         let (discovery, at, launched) = (
             Arc::clone(&self.discovery),
             self.at,
@@ -107,56 +107,56 @@
         });
     }
 
-    async fn suffer(self, trouble: Trouble, at: Micros, length: Micros) {
+    async fn suffer(self, trouble: Fault, at: Micros, length: Micros) {
         until(self.clock, at).await;
         let (notice, add) = (self.day.discovery.notice_ms, self.day.discovery.add_ms);
         let (stand_in, share) = (&self.stand_in, trouble.share);
         let old = stand_in.number();
-        match trouble.what {
-            What::Pause => stand_in.set_paused(true),
-            What::Slow => stand_in.set_slower(trouble.times),
-            What::Errors => stand_in.set_faults(Some(Some(share)), None, None),
-            What::Spoilt => stand_in.set_faults(None, Some(share), None),
-            What::Resets => stand_in.set_faults(None, None, Some(share)),
-            What::Crash => {
-                stand_in.fate(Fate::Down);
+        match trouble.kind {
+            FaultKind::Pause => stand_in.set_paused(true),
+            FaultKind::Slow => stand_in.set_slower(trouble.factor),
+            FaultKind::Errors => stand_in.set_faults(Some(Some(share)), None, None),
+            FaultKind::Spoilt => stand_in.set_faults(None, Some(share), None),
+            FaultKind::Resets => stand_in.set_faults(None, None, Some(share)),
+            FaultKind::Crash => {
+                stand_in.fate(ServerState::Down);
                 stand_in.vanish(Net::Refusing).await;
-                self.announce(old, Listing::Gone, notice);
+                self.announce(old, ListedStatus::Gone, notice);
             }
-            What::Silence => {
-                stand_in.fate(Fate::Silent);
+            FaultKind::Silence => {
+                stand_in.fate(ServerState::Silent);
                 stand_in.vanish(Net::Silent).await;
-                self.announce(old, Listing::Gone, self.day.discovery.silent_notice_ms);
+                self.announce(old, ListedStatus::Gone, self.day.discovery.silent_notice_ms);
             }
-            What::Drain | What::Replace => {
+            FaultKind::Drain | FaultKind::Replace => {
                 stand_in.set_draining();
-                self.announce(old, Listing::Draining, notice);
+                self.announce(old, ListedStatus::Draining, notice);
             }
             _ => {}
         }
         until(self.clock, at + length).await;
-        match trouble.what {
-            What::Pause => stand_in.set_paused(false),
-            What::Slow => stand_in.set_slower(1.0),
-            What::Errors => stand_in.set_faults(Some(None), None, None),
-            What::Spoilt => stand_in.set_faults(None, Some(0.0), None),
-            What::Resets => stand_in.set_faults(None, None, Some(0.0)),
-            What::Crash | What::Silence => {
+        match trouble.kind {
+            FaultKind::Pause => stand_in.set_paused(false),
+            FaultKind::Slow => stand_in.set_slower(1.0),
+            FaultKind::Errors => stand_in.set_faults(Some(None), None, None),
+            FaultKind::Spoilt => stand_in.set_faults(None, Some(0.0), None),
+            FaultKind::Resets => stand_in.set_faults(None, None, Some(0.0)),
+            FaultKind::Crash | FaultKind::Silence => {
                 stand_in.comes_back(None).await;
-                self.announce(old, Listing::Ready, add);
+                self.announce(old, ListedStatus::Ready, add);
             }
-            What::Drain => {
+            FaultKind::Drain => {
                 stand_in.vanish(Net::Refusing).await;
                 stand_in.comes_back(None).await;
-                self.announce(old, Listing::Ready, add);
+                self.announce(old, ListedStatus::Ready, add);
             }
-            What::Replace => {
+            FaultKind::Replace => {
                 stand_in.vanish(Net::Refusing).await;
-                stand_in.fate(Fate::Down);
-                self.announce(old, Listing::Gone, notice);
+                stand_in.fate(ServerState::Down);
+                self.announce(old, ListedStatus::Gone, notice);
                 let new = self.next.fetch_add(1, Ordering::Relaxed);
                 stand_in.comes_back(Some(new)).await;
-                self.announce(new, Listing::Ready, add);
+                self.announce(new, ListedStatus::Ready, add);
             }
             _ => {}
         }
--- a/crates/testbed/src/stage/mod.rs
+++ b/crates/testbed/src/emulator/mod.rs
@@ -4,13 +4,13 @@
 //! The stand-in job servers are the model's machines behind an HTTP/1.1 front; what terminals want is drawn as
 //! in the model. What was seen goes into one record, which is sorted by time and then read as the model's is.
 
-mod counts;
+mod client;
+mod counter_check;
 mod discovery;
+mod emulated_server;
+mod fault_schedule;
 mod http;
 mod process;
-mod stand_in;
-mod terminal;
-mod timetable;
 
 use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -23,14 +23,14 @@
 use tokio::net::TcpSocket;
 
 use crate::audit::Auditor;
-use crate::ledger::{Entry, Ledger, Line, Readers};
+use crate::event_log::{EventLog, LogEvent, LogRecord, Tee};
 use crate::report::Report;
-use crate::scenario::{Day, Micros, from_ms};
-use crate::tally::Tally;
+use crate::scenario::{Micros, Scenario, from_ms};
+use crate::statistics::Statistics;
 
 use discovery::Discovery;
+use emulated_server::EmulatedServer;
 use process::Sidecars;
-use stand_in::StandIn;
 
 /// A wish that began this long after its time, or a timer that fired so late, was played late.
 const LATE: Micros = 25_000;
@@ -87,9 +87,9 @@
 
 /// What all parts of a stage share.
 pub struct Shared {
-    day: Arc<Day>,
+    day: Arc<Scenario>,
     clock: Clock,
-    record: Mutex<Vec<Line>>,
+    record: Mutex<Vec<LogRecord>>,
     lag: Mutex<Histogram<u64>>,
     numbers: AtomicU64,
     /// Transactions that crossed the close of their connection and found nobody on a new one.
@@ -107,11 +107,11 @@
 }
 
 impl Shared {
-    fn note_at(&self, at: Micros, entry: Entry) {
-        lock(&self.record).push(Line { at, entry });
+    fn note_at(&self, at: Micros, entry: LogEvent) {
+        lock(&self.record).push(LogRecord { at, event: entry });
     }
 
-    fn note(&self, entry: Entry) {
+    fn note(&self, entry: LogEvent) {
         self.note_at(self.clock.now(), entry);
     }
 
@@ -204,15 +204,15 @@
 }
 
 /// Everything that stands around the sidecars.
-pub struct Scene {
+pub struct Emulation {
     shared: Arc<Shared>,
-    stand_ins: Vec<Arc<StandIn>>,
+    stand_ins: Vec<Arc<EmulatedServer>>,
     discovery: Arc<Discovery>,
     sidecars: Arc<Sidecars>,
 }
 
-impl Scene {
-    async fn set(day: &Day, options: &Options) -> Result<Self, String> {
+impl Emulation {
+    async fn set(day: &Scenario, options: &Options) -> Result<Self, String> {
         let pairs = day.fleet().len() * day.sidecars.count;
         if pairs > PAIRS_MOST {
             return Err(format!(
@@ -234,7 +234,7 @@
         });
         let mut stand_ins = Vec::new();
         for (number, (kind, group)) in day.fleet().into_iter().enumerate() {
-            stand_ins.push(StandIn::start(&shared, number, kind, group).await?);
+            stand_ins.push(EmulatedServer::start(&shared, number, kind, group).await?);
         }
         let discovery = Discovery::start(&shared, &stand_ins).await?;
         let sidecars = Sidecars::new(&shared, &discovery, options)?;
@@ -248,17 +248,18 @@
 
     /// The record so far, by time. A request that crossed the close of its connection was not taken, unless a
     /// job server knows better.
-    fn record(&self) -> Vec<Line> {
+    fn record(&self) -> Vec<LogRecord> {
         let mut record = lock(&self.shared.record).clone();
         record.sort_by_key(|line| line.at);
         let mut crossed = lock(&self.shared.crossed).clone();
         for line in &record {
-            if let Entry::Began { tx, .. } = line.entry {
+            if let LogEvent::AttemptStarted { request: tx, .. } = line.event {
                 crossed.remove(&tx);
             }
         }
-        record.retain(|line| match line.entry {
-            Entry::Taken { tx, .. } | Entry::Answered { tx, .. } => !crossed.contains(&tx),
+        record.retain(|line| match line.event {
+            LogEvent::RequestAccepted { request: tx, .. }
+            | LogEvent::ResponseReceived { request: tx, .. } => !crossed.contains(&tx),
             _ => true,
         });
         record
@@ -284,17 +285,17 @@
 /// # Errors
 /// What could not be set up or started.
 pub fn run(
-    day: &Day,
+    day: &Scenario,
     options: &Options,
-    further: Option<&mut dyn Ledger>,
+    further: Option<&mut dyn EventLog>,
 ) -> Result<Report, String> {
     let runtime = runtime()?;
     let (record, late, counted) = runtime.block_on(async {
-        let scene = Scene::set(day, options).await?;
+        let scene = Emulation::set(day, options).await?;
         scene.sidecars.start_all().await?;
-        let play = timetable::play(&scene);
-        let load = terminal::load(&scene);
-        let gauge = stand_in::gauge(&scene);
+        let play = fault_schedule::play(&scene);
+        let load = client::load(&scene);
+        let gauge = emulated_server::gauge(&scene);
         tokio::select! {
             () = async { tokio::join!(play, load); } => {}
             () = gauge => {}
@@ -303,12 +304,12 @@
         tokio::time::sleep(Duration::from_millis(400)).await;
         let counters = scene.sidecars.end_all().await;
         let record = scene.record();
-        let counted = counts::compare(&scene, &record, &counters);
+        let counted = counter_check::compare(&scene, &record, &counters);
         Ok::<_, String>((record, scene.late(), counted))
     })?;
-    let extra = from_ms(day.rules.stage_extra_ms);
-    let (mut auditor, mut tally) = (Auditor::new(day, extra), Tally::new(day));
-    let mut readers = Readers {
+    let extra = from_ms(day.rules.emulator_extra_ms);
+    let (mut auditor, mut tally) = (Auditor::new(day, extra), Statistics::new(day));
+    let mut readers = Tee {
         first: &mut auditor,
         second: &mut tally,
         further,
@@ -318,8 +319,8 @@
     let mut report = tally.report("stage", day.seed);
     report.audited(&auditor);
     report.expect(&day.expect);
-    report.late = late;
-    report.uncounted = counted.differences;
+    report.unreliable = late;
+    report.counter_differences = counted.differences;
     report.remarks = counted.remarks;
     Ok(report)
 }
@@ -328,12 +329,12 @@
 ///
 /// # Errors
 /// What could not be set up.
-pub fn serve(day: &Day, options: &Options, say: impl FnOnce(String)) -> Result<(), String> {
+pub fn serve(day: &Scenario, options: &Options, say: impl FnOnce(String)) -> Result<(), String> {
     runtime()?.block_on(async {
-        let scene = Scene::set(day, options).await?;
+        let scene = Emulation::set(day, options).await?;
         say(scene.sidecars.by_hand()?);
         tokio::select! {
-            () = timetable::play_for_ever(&scene) => {}
+            () = fault_schedule::play_for_ever(&scene) => {}
             interrupted = tokio::signal::ctrl_c() => interrupted.map_err(|e| e.to_string())?,
         }
         Ok(())
--- a/crates/testbed/src/stage/process.rs
+++ b/crates/testbed/src/emulator/process.rs
@@ -19,9 +19,9 @@
 use super::discovery::Discovery;
 use super::http::{Message, Wire};
 use super::{Options, Shared, free_address, lock};
-use crate::chance::{Cause, Stream};
-use crate::ledger::{Entry, Life};
-use crate::scenario::{Class, Day, Effect, Group, Micros, Source, from_ms};
+use crate::event_log::{LogEvent, ProcessState};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Class, DeduplicationGroup, Effect, Micros, ReportSource, Scenario, from_ms};
 
 /// A sidecar must be ready within this.
 const READY: Duration = Duration::from_secs(20);
@@ -38,7 +38,7 @@
     killed: AtomicU32,
     /// Killed, and not yet known to be gone.
     dying: AtomicBool,
-    seeds: Mutex<Stream>,
+    seeds: Mutex<RandomStream>,
 }
 
 /// All of them.
@@ -71,50 +71,55 @@
 }
 
 fn class(class: &Class) -> Value {
-    let semantics = match class.effect {
+    let semantics = match class.idempotency {
         Effect::Safe => "pure",
         Effect::Unsafe => "side_effect",
         Effect::Keyed => "token",
     };
     json!({
-        "name": class.name, "semantics": semantics, "importance": class.worth, "late-value": class.late_worth,
-        "objective-ms": class.aim_ms, "deadline-ms": class.deadline_ms, "window-ms": class.window_ms,
-        "dedup-scope": if class.group == Group::Zone { "zone" } else { "all" }, "streamed": false,
+        "name": class.name, "semantics": semantics, "importance": class.priority_weight, "late-value": class.late_value,
+        "objective-ms": class.latency_objective_ms, "deadline-ms": class.deadline_ms, "window-ms": class.deduplication_window_ms,
+        "dedup-scope": if class.deduplication_scope == DeduplicationGroup::Zone { "zone" } else { "all" }, "streamed": false,
     })
 }
 
 /// A sidecar's settings, in the platform's form; `sidecar::settings` of the model says the same to the module.
-fn settings(day: &Day, number: usize) -> Value {
-    let allow = &day.allow;
+fn settings(day: &Scenario, number: usize) -> Value {
+    let allow = &day.permissions;
     let classes: Vec<Value> = day.class.iter().map(class).collect();
-    let report = match day.reports.source {
-        Source::Probe => json!({"source": "probe", "fields": ["active", "err_rps", "waiting"]}),
-        Source::Answers => json!({"source": "answers", "fields": ["active"]}),
+    let report = match day.load_reports.source {
+        ReportSource::Probe => {
+            json!({"source": "probe", "fields": ["active", "err_rps", "waiting"]})
+        }
+        ReportSource::Answers => json!({"source": "answers", "fields": ["active"]}),
     };
     json!({
         "az": day.network.zones.get(day.spread_zone(number) as usize),
         "zones": day.network.zones, "balancers": day.sidecars.count, "my-number": number,
-        "membership-mode": "on_request", "worth-by": if day.load.worth_by_work { "work" } else { "request" }, "step-ms": 5.0, "request-classes": classes,
+        "membership-mode": "on_request", "worth-by": if day.load.weight_by_work { "work" } else { "request" }, "step-ms": 5.0, "request-classes": classes,
         "permissions": {
-            "cancel": allow.cancel, "probes": allow.probes, "may-duplicate": allow.second_copies,
+            "cancel": allow.cancellation, "probes": allow.health_checks, "may-duplicate": allow.hedging,
             "retry-after": false, "max-retry-after-ms": allow.max_retry_after_ms, "peers": false,
             "max-attempts": allow.max_attempts, "connect-timeout-ms": allow.connect_timeout_ms,
-            "idle-close-ms": allow.idle_s * 1_000.0,
+            "idle-close-ms": allow.idle_timeout_s * 1_000.0,
         },
-        "fees": {"probe": day.prices.probe, "handshake": day.prices.handshake, "cross-zone": day.prices.cross_zone},
+        "fees": {"probe": day.prices.health_check, "handshake": day.prices.handshake, "cross-zone": day.prices.cross_zone},
         "report": report,
         "safety": {
-            "ask-every-ms": allow.ask_every_ms, "drain-grace-ms": day.rules.drain_grace_ms,
-            "cold-from": day.kind.iter().map(|k| k.cold_from).fold(1.0, f64::min),
-            "cold-ms": day.kind.iter().map(|k| k.cold_s).fold(0.0, f64::max) * 1_000.0,
-            "overload-factor": day.rules.fall_multiple, "fall-ms": day.rules.fall_ms,
+            "ask-every-ms": allow.max_poll_interval_ms, "drain-grace-ms": day.rules.drain_grace_ms,
+            "cold-from": day.machine_type.iter().map(|k| k.cold_capacity_share).fold(1.0, f64::min),
+            "cold-ms": day.machine_type.iter().map(|k| k.slow_start_s).fold(0.0, f64::max) * 1_000.0,
+            "overload-factor": day.rules.cold_overload_factor, "fall-ms": day.rules.cold_overload_window_ms,
         },
     })
 }
 
 /// The operator's table of kinds, empty where sidecars are told of none.
-fn write_machines(day: &Day, folder: &Path) -> Result<PathBuf, String> {
-    let told = day.kind.iter().filter(|_| day.sidecars.knows_kinds);
+fn write_machines(day: &Scenario, folder: &Path) -> Result<PathBuf, String> {
+    let told = day
+        .machine_type
+        .iter()
+        .filter(|_| day.sidecars.knows_machine_types);
     let told: Vec<Value> = told
         .map(|k| json!({"model": k.name, "cores": k.cores, "speed": k.speed}))
         .collect();
@@ -141,7 +146,7 @@
                 ended: Mutex::default(),
                 killed: AtomicU32::new(0),
                 dying: AtomicBool::new(false),
-                seeds: Mutex::new(Stream::new(shared.day.seed, Cause::Seeds, number)),
+                seeds: Mutex::new(RandomStream::new(shared.day.seed, StreamId::Seeds, number)),
             })
         };
         let list = (0..shared.day.sidecars.count)
@@ -180,11 +185,11 @@
         let sidecar = &self.list[number];
         let (known, told) = self.discovery.whole(number as u32);
         for (server, listing, launched) in told {
-            self.shared.note(Entry::Listed {
+            self.shared.note(LogEvent::EndpointListed {
                 sidecar: number as u32,
                 server,
-                listing,
-                launched,
+                status: listing,
+                incarnation: launched,
             });
         }
         let day = &self.shared.day;
@@ -207,9 +212,9 @@
     }
 
     fn start(&self, number: usize) -> Result<(), String> {
-        self.shared.note(Entry::Sidecar {
+        self.shared.note(LogEvent::SidecarStateChanged {
             sidecar: number as u32,
-            life: Life::Up,
+            state: ProcessState::Up,
         });
         let config = self.write_config(number)?;
         let log =
@@ -290,23 +295,23 @@
         if outright {
             sidecar.life.fetch_add(1, Ordering::SeqCst);
             sidecar.killed.fetch_add(1, Ordering::SeqCst);
-            self.shared.note(Entry::Sidecar {
+            self.shared.note(LogEvent::SidecarStateChanged {
                 sidecar: name,
-                life: Life::Killed,
+                state: ProcessState::Killed,
             });
             sidecar.dying.store(true, Ordering::SeqCst);
             self.signal(number, Signal::SIGKILL);
             self.wait(number, READY).await;
             // What came between the signal and its effect was lost by the same kill.
-            self.shared.note(Entry::Sidecar {
+            self.shared.note(LogEvent::SidecarStateChanged {
                 sidecar: name,
-                life: Life::Killed,
+                state: ProcessState::Killed,
             });
             sidecar.dying.store(false, Ordering::SeqCst);
         } else {
-            self.shared.note(Entry::Sidecar {
+            self.shared.note(LogEvent::SidecarStateChanged {
                 sidecar: name,
-                life: Life::Ending,
+                state: ProcessState::Ending,
             });
             let log = self.log(number);
             self.signal(number, Signal::SIGTERM);
@@ -320,9 +325,9 @@
             self.wait(number, Duration::from_micros(from_ms(longest) + 900_000))
                 .await;
             sidecar.life.fetch_add(1, Ordering::SeqCst);
-            self.shared.note(Entry::Sidecar {
+            self.shared.note(LogEvent::SidecarStateChanged {
                 sidecar: name,
-                life: Life::Ended,
+                state: ProcessState::Ended,
             });
             self.told(number, &log);
         }
--- a/crates/testbed/src/ledger.rs
+++ b/crates/testbed/src/event_log.rs
@@ -9,31 +9,37 @@
 /// How a try or a whole ask ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum How {
+pub enum RequestOutcome {
     /// With a job server's answer to this very request.
     Served,
     /// With a short-on-capacity reply: trying again is harmless.
-    Refused,
+    #[serde(alias = "refused")]
+    Rejected,
     /// Failed, with no promise about effects.
     Failed,
     /// With something that no job server made for it.
-    Wrong,
+    #[serde(alias = "wrong")]
+    Mismatched,
     /// With nothing, until its terminal gave up.
     Unanswered,
     /// Its sidecar was killed, or closed on it.
-    Cut,
+    #[serde(alias = "cut")]
+    ConnectionLost,
     /// No sidecar took it.
-    Unreached,
+    #[serde(alias = "unreached")]
+    Unreachable,
     /// Its terminal left first.
-    Left,
+    #[serde(alias = "left")]
+    Disconnected,
     /// Not played: more was open than the scenario allows.
-    ChokedOff,
+    #[serde(alias = "choked_off")]
+    NotPlayed,
 }
 
 /// How a job server stands in the list that a sidecar was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Listing {
+pub enum ListedStatus {
     Ready,
     Draining,
     Gone,
@@ -42,7 +48,7 @@
 /// What became of a sidecar.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Life {
+pub enum ProcessState {
     Up,
     /// Told to end: it still owes what it has taken.
     Ending,
@@ -54,7 +60,7 @@
 /// What became of a job server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Fate {
+pub enum ServerState {
     Up,
     Cold,
     Paused,
@@ -69,131 +75,161 @@
 /// count from 0; works are microseconds of a standard core.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
-pub enum Entry {
+pub enum LogEvent {
     /// A terminal wants something; `within` its shop's share.
-    Asked {
-        ask: u64,
+    #[serde(alias = "asked")]
+    ArrivalStarted {
+        #[serde(alias = "ask")]
+        arrival: u64,
         sidecar: u32,
         class: u16,
-        shop: u16,
-        within: bool,
+        #[serde(alias = "shop")]
+        tenant: u16,
+        #[serde(alias = "within")]
+        within_share: bool,
         /// Absent in records of before it was noted.
         #[serde(default)]
         work: f64,
     },
     /// The sidecar has a transaction's last byte, and owes its answer by `due`.
-    Taken {
-        tx: u64,
-        ask: u64,
+    #[serde(alias = "taken")]
+    RequestAccepted {
+        #[serde(alias = "tx")]
+        request: u64,
+        #[serde(alias = "ask")]
+        arrival: u64,
         sidecar: u32,
         class: u16,
         due: Micros,
     },
     /// The first byte of a routed task is out to a job server.
-    Began {
-        tx: u64,
+    #[serde(alias = "began")]
+    AttemptStarted {
+        #[serde(alias = "tx")]
+        request: u64,
         sidecar: u32,
         server: u32,
-        crossing: bool,
+        #[serde(alias = "crossing")]
+        cross_zone: bool,
     },
     /// A job server has the last byte; `capacity` is the work it can do in a microsecond now.
-    Arrived {
-        tx: u64,
+    #[serde(alias = "arrived")]
+    AttemptReceived {
+        #[serde(alias = "tx")]
+        request: u64,
         server: u32,
         work: f64,
         capacity: f64,
         cold: bool,
     },
     /// It was turned away unseen.
-    TurnedAway {
-        tx: u64,
+    #[serde(alias = "turned_away")]
+    AttemptRejected {
+        #[serde(alias = "tx")]
+        request: u64,
         server: u32,
     },
     /// Its work was done there.
-    Ran {
-        tx: u64,
+    #[serde(alias = "ran")]
+    WorkDone {
+        #[serde(alias = "tx")]
+        request: u64,
         server: u32,
         work: f64,
     },
     /// The terminal has the final answer of a transaction.
-    Answered {
-        tx: u64,
-        how: How,
+    #[serde(alias = "answered")]
+    ResponseReceived {
+        #[serde(alias = "tx")]
+        request: u64,
+        #[serde(alias = "how")]
+        outcome: RequestOutcome,
     },
     /// The terminal left before that.
-    Left {
-        tx: u64,
+    #[serde(alias = "left")]
+    ClientDisconnected {
+        #[serde(alias = "tx")]
+        request: u64,
     },
     /// The wish has come to its end.
-    Closed {
-        ask: u64,
-        how: How,
-        tries: u32,
+    #[serde(alias = "closed")]
+    ArrivalEnded {
+        #[serde(alias = "ask")]
+        arrival: u64,
+        #[serde(alias = "how")]
+        outcome: RequestOutcome,
+        #[serde(alias = "tries")]
+        requests: u32,
     },
     /// A sidecar was told how a job server stands; `launched` is its last start, 0 for long ago.
-    Listed {
+    #[serde(alias = "listed")]
+    EndpointListed {
         sidecar: u32,
         server: u32,
-        listing: Listing,
-        launched: Micros,
+        #[serde(alias = "listing")]
+        status: ListedStatus,
+        #[serde(alias = "launched")]
+        incarnation: Micros,
     },
-    Sidecar {
+    #[serde(alias = "sidecar")]
+    SidecarStateChanged {
         sidecar: u32,
-        life: Life,
+        #[serde(alias = "life")]
+        state: ProcessState,
     },
-    Server {
+    #[serde(alias = "server")]
+    ServerStateChanged {
         server: u32,
         zone: u32,
-        fate: Fate,
-    },
-    Probed {
-        sidecar: u32,
-        server: u32,
+        #[serde(alias = "fate")]
+        state: ServerState,
     },
+    #[serde(alias = "probed")]
+    HealthChecked { sidecar: u32, server: u32 },
     /// A new connection has cost a job server its handshake.
-    Opened {
-        server: u32,
-    },
+    #[serde(alias = "opened")]
+    ConnectionOpened { server: u32 },
     /// A call at discovery.
-    Called {
-        sidecar: u32,
-    },
+    #[serde(alias = "called")]
+    DiscoveryPolled { sidecar: u32 },
     /// What a job server holds, once a second.
-    Gauge {
+    #[serde(alias = "gauge")]
+    ServerGauge {
         server: u32,
-        held: u32,
+        #[serde(alias = "held")]
+        in_flight: u32,
         connections: u32,
     },
 }
 
 /// An entry and its time in microseconds since the day began.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Line {
+pub struct LogRecord {
     pub at: Micros,
     #[serde(flatten)]
-    pub entry: Entry,
+    pub event: LogEvent,
 }
 
 /// Takes entries in the order of their times.
-pub trait Ledger {
-    fn note(&mut self, line: &Line);
+pub trait EventLog {
+    fn note(&mut self, line: &LogRecord);
 }
 
-impl Ledger for Vec<Line> {
-    fn note(&mut self, line: &Line) {
+impl EventLog for Vec<LogRecord> {
+    fn note(&mut self, line: &LogRecord) {
         self.push(*line);
     }
 }
 
 /// The two readers that every run has, and one more where it is asked for.
-pub struct Readers<'a, 'b, A, B> {
+pub struct Tee<'a, 'b, A, B> {
     pub first: &'a mut A,
     pub second: &'a mut B,
-    pub further: Option<&'b mut dyn Ledger>,
+    pub further: Option<&'b mut dyn EventLog>,
 }
 
-impl<A: Ledger, B: Ledger> Ledger for Readers<'_, '_, A, B> {
-    fn note(&mut self, line: &Line) {
+impl<A: EventLog, B: EventLog> EventLog for Tee<'_, '_, A, B> {
+    fn note(&mut self, line: &LogRecord) {
         self.first.note(line);
         self.second.note(line);
         if let Some(further) = &mut self.further {
@@ -223,8 +259,8 @@
     }
 }
 
-impl<W: Write> Ledger for Writer<W> {
-    fn note(&mut self, line: &Line) {
+impl<W: Write> EventLog for Writer<W> {
+    fn note(&mut self, line: &LogRecord) {
         if self.fault.is_none() {
             let written = serde_json::to_writer(&mut self.out, line).map_err(io::Error::from);
             self.fault = written.and_then(|()| self.out.write_all(b"\n")).err();
@@ -236,7 +272,7 @@
 ///
 /// # Errors
 /// Names the first line that cannot be read.
-pub fn read(text: &str) -> Result<Vec<Line>, String> {
+pub fn read(text: &str) -> Result<Vec<LogRecord>, String> {
     let line = |(i, line)| serde_json::from_str(line).map_err(|e| format!("line {}: {e}", i + 1));
     text.lines()
         .enumerate()
--- a/crates/testbed/src/experiment.rs
+++ b/crates/testbed/src/experiment.rs
@@ -8,10 +8,10 @@
 use serde::Deserialize;
 use statrs::distribution::{ContinuousCDF as _, StudentsT};
 
-use crate::model;
-use crate::picture::{self, Series};
+use crate::plot::{self, Series};
 use crate::report::{FIGURES, Report};
-use crate::scenario::{Fault, Faults, Scenario};
+use crate::scenario::{ScenarioError, ScenarioErrors, ScenarioFile};
+use crate::simulator;
 
 /// Runs that one experiment may ask for.
 const RUNS_MOST: usize = 100_000;
@@ -69,13 +69,13 @@
     Some((mean, factor * (var / n).sqrt()))
 }
 
-fn fault(file: &Path, key: &str, why: impl Into<String>) -> Faults {
-    let fault = Fault {
+fn fault(file: &Path, key: &str, why: impl Into<String>) -> ScenarioErrors {
+    let fault = ScenarioError {
         key: key.to_owned(),
         why: why.into(),
         line: None,
     };
-    Faults {
+    ScenarioErrors {
         file: file.display().to_string(),
         faults: vec![fault],
     }
@@ -86,16 +86,16 @@
     ///
     /// # Errors
     /// What is wrong with either.
-    pub fn open(path: &Path) -> Result<(Self, Scenario), Faults> {
+    pub fn open(path: &Path) -> Result<(Self, ScenarioFile), ScenarioErrors> {
         let text = std::fs::read_to_string(path).map_err(|e| fault(path, "", e.to_string()))?;
         let plan: Self = toml::from_str(&text).map_err(|e| {
             let line = e.span().map(|s| text[..s.start].matches('\n').count() + 1);
-            let fault = Fault {
+            let fault = ScenarioError {
                 key: String::new(),
                 why: e.message().to_owned(),
                 line,
             };
-            Faults {
+            ScenarioErrors {
                 file: path.display().to_string(),
                 faults: vec![fault],
             }
@@ -121,7 +121,7 @@
             ));
         }
         let scenario =
-            Scenario::open(&path.parent().unwrap_or(Path::new(".")).join(&plan.scenario))?;
+            ScenarioFile::open(&path.parent().unwrap_or(Path::new(".")).join(&plan.scenario))?;
         // Every place of the grid is checked before the first is played.
         for values in plan.grid() {
             plan.variant(&scenario, &values, 1)?;
@@ -145,10 +145,10 @@
 
     fn variant(
         &self,
-        scenario: &Scenario,
+        scenario: &ScenarioFile,
         values: &[toml::Value],
         seed: u64,
-    ) -> Result<Scenario, Faults> {
+    ) -> Result<ScenarioFile, ScenarioErrors> {
         let set = self
             .set
             .iter()
@@ -166,7 +166,7 @@
     ///
     /// # Errors
     /// What the scenario or the decision module refuses.
-    pub fn play(self, scenario: &Scenario, quiet: bool) -> Result<Played, String> {
+    pub fn play(self, scenario: &ScenarioFile, quiet: bool) -> Result<Played, String> {
         let grid = self.grid();
         let runs: Vec<(usize, u64)> = (0..grid.len())
             .flat_map(|cell| (1..=self.seeds).map(move |seed| (cell, seed)))
@@ -183,7 +183,7 @@
             let variant = self
                 .variant(scenario, &grid[cell], seed)
                 .map_err(|e| e.to_string())?;
-            let (report, _) = model::run(&variant.day, None)?;
+            let (report, _) = simulator::run(&variant.day, None)?;
             bar.inc(1);
             Ok((cell, report))
         };
@@ -250,7 +250,7 @@
     }
 
     fn broken(&self, cell: &Cell) -> u64 {
-        cell.reports.iter().map(|r| r.broken_count).sum()
+        cell.reports.iter().map(|r| r.violation_count).sum()
     }
 
     /// Broken rules over all runs.
@@ -301,6 +301,6 @@
             .iter()
             .map(|f| (f.clone(), names.iter().map(|n| line(f, n)).collect()));
         let charts: Vec<(String, Vec<Series>)> = charts.collect();
-        picture::experiment(&self.plan.name, &self.plan.axis[0].key, &charts, path)
+        plot::experiment(&self.plan.name, &self.plan.axis[0].key, &charts, path)
     }
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,15 +5,15 @@
 #![forbid(unsafe_code)]
 
 pub mod audit;
-pub mod chance;
 pub mod cli;
+pub mod emulator;
+pub mod event_log;
 pub mod experiment;
-pub mod ledger;
-pub mod machine;
-pub mod model;
-pub mod picture;
+pub mod plot;
+pub mod random;
 pub mod report;
 pub mod scenario;
-pub mod stage;
-pub mod tally;
-pub mod wishes;
+pub mod server_model;
+pub mod simulator;
+pub mod statistics;
+pub mod workload;
--- a/crates/testbed/src/chance.rs
+++ b/crates/testbed/src/random.rs
@@ -4,14 +4,14 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, Exp1, LogNormal, StandardNormal};
 
-use crate::scenario::{Class, Spread};
+use crate::scenario::{Class, WorkDistribution};
 
 /// What draws.
 #[derive(Clone, Copy, Debug)]
-pub enum Cause {
+pub enum StreamId {
     Arrivals = 1,
     Work = 2,
-    Terminals = 3,
+    Clients = 3,
     Network = 4,
     Machines = 5,
     Fleet = 6,
@@ -24,11 +24,11 @@
 
 /// One stream of chance.
 #[derive(Clone, Debug)]
-pub struct Stream(ChaCha8Rng);
+pub struct RandomStream(ChaCha8Rng);
 
-impl Stream {
+impl RandomStream {
     /// The stream of a cause and a number within it, such as a sidecar's; the seed is the day's.
-    pub fn new(seed: u64, cause: Cause, number: usize) -> Self {
+    pub fn new(seed: u64, cause: StreamId, number: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         rng.set_stream((cause as u64) << 40 | number as u64);
         Self(rng)
@@ -75,9 +75,9 @@
     pub fn work(&mut self, class: &Class) -> f64 {
         let mean = class.work_ms * 1_000.0;
         match class.dist {
-            Spread::Fixed => mean,
-            Spread::Exp => mean * self.exp(),
-            Spread::Lognormal => mean * self.lognormal(class.cv),
+            WorkDistribution::Fixed => mean,
+            WorkDistribution::Exp => mean * self.exp(),
+            WorkDistribution::Lognormal => mean * self.lognormal(class.cv),
         }
     }
 
--- a/crates/testbed/src/scenario/check.rs
+++ b/crates/testbed/src/scenario/check.rs
@@ -9,12 +9,12 @@
 const SIDECARS_MOST: usize = 50_000;
 const ARRIVALS_MOST: f64 = 50e6;
 
-struct Check(Vec<Fault>);
+struct Check(Vec<ScenarioError>);
 
 impl Check {
     fn that(&mut self, ok: bool, key: impl Into<String>, why: impl Into<String>) {
         if !ok {
-            self.0.push(Fault {
+            self.0.push(ScenarioError {
                 key: key.into(),
                 why: why.into(),
                 line: None,
@@ -59,17 +59,17 @@
     }
 }
 
-impl Day {
+impl Scenario {
     /// Everything that is wrong with it.
-    pub fn check(&self) -> Vec<Fault> {
+    pub fn check(&self) -> Vec<ScenarioError> {
         let mut check = Check(Vec::new());
         check.positive(self.seconds, "seconds");
         self.check_network(&mut check);
         self.check_fleet(&mut check);
         self.check_traffic(&mut check);
         self.check_figures(&mut check);
-        for (i, trouble) in self.trouble.iter().enumerate() {
-            self.check_trouble(&mut check, trouble, &format!("trouble[{i}]"));
+        for (i, trouble) in self.fault.iter().enumerate() {
+            self.check_trouble(&mut check, trouble, &format!("fault[{i}]"));
         }
         if check.0.is_empty() {
             self.check_drains(&mut check);
@@ -93,9 +93,12 @@
     }
 
     fn check_fleet(&self, check: &mut Check) {
-        check.unique(self.kind.iter().map(|k| k.name.as_str()), "kind");
-        for (i, kind) in self.kind.iter().enumerate() {
-            let key = |name: &str| format!("kind[{i}].{name}");
+        check.unique(
+            self.machine_type.iter().map(|k| k.name.as_str()),
+            "machine_type",
+        );
+        for (i, kind) in self.machine_type.iter().enumerate() {
+            let key = |name: &str| format!("machine_type[{i}].{name}");
             check.that(kind.cores > 0, key("cores"), "must be above zero");
             check.positive(kind.speed, key("speed"));
             check.that(
@@ -103,9 +106,13 @@
                 key("speed_spread"),
                 "must lie below 1",
             );
-            let cold = kind.cold_from > 0.0 && kind.cold_from <= 1.0;
-            check.that(cold, key("cold_from"), "must be above 0 and at most 1");
-            check.not_negative(kind.cold_s, key("cold_s"));
+            let cold = kind.cold_capacity_share > 0.0 && kind.cold_capacity_share <= 1.0;
+            check.that(
+                cold,
+                key("cold_capacity_share"),
+                "must be above 0 and at most 1",
+            );
+            check.not_negative(kind.slow_start_s, key("slow_start_s"));
             check.share(kind.error_rate, key("error_rate"));
             check.not_negative(kind.thrash, key("thrash"));
             check.positive(kind.thrash_at, key("thrash_at"));
@@ -114,8 +121,8 @@
             check.share(kind.full_tax, key("full_tax"));
             check.not_negative(kind.handshake_ms, key("handshake_ms"));
             check.not_negative(kind.handshake_rtts, key("handshake_rtts"));
-            check.not_negative(kind.probe_ms, key("probe_ms"));
-            check.not_negative(kind.probes_per_s, key("probes_per_s"));
+            check.not_negative(kind.health_check_ms, key("health_check_ms"));
+            check.not_negative(kind.health_checks_per_s, key("health_checks_per_s"));
             if let Some(choke) = &kind.choke {
                 check.positive(choke.at, key("choke.at"));
                 check.that(
@@ -132,11 +139,14 @@
             }
         }
         for (i, group) in self.servers.iter().enumerate() {
-            let known = self.kind.iter().any(|k| k.name == group.kind);
+            let known = self
+                .machine_type
+                .iter()
+                .any(|k| k.name == group.machine_type);
             check.that(
                 known,
-                format!("servers[{i}].kind"),
-                format!("there is no kind {:?}", group.kind),
+                format!("servers[{i}].machine_type"),
+                format!("there is no kind {:?}", group.machine_type),
             );
             self.check_zone(check, group.zone.as_deref(), &format!("servers[{i}].zone"));
         }
@@ -173,12 +183,19 @@
             check.positive(class.work_ms, key("work_ms"));
             check.not_negative(class.cv, key("cv"));
             check.not_negative(class.noise, key("noise"));
-            check.positive(class.aim_ms, key("aim_ms"));
-            let order = class.deadline_ms >= class.aim_ms;
-            check.that(order, key("deadline_ms"), "must not be below aim_ms");
-            check.not_negative(class.worth, key("worth"));
-            check.share(class.late_worth, key("late_worth"));
-            check.not_negative(class.window_ms, key("window_ms"));
+            check.positive(class.latency_objective_ms, key("latency_objective_ms"));
+            let order = class.deadline_ms >= class.latency_objective_ms;
+            check.that(
+                order,
+                key("deadline_ms"),
+                "must not be below latency_objective_ms",
+            );
+            check.not_negative(class.priority_weight, key("priority_weight"));
+            check.share(class.late_value, key("late_value"));
+            check.not_negative(
+                class.deduplication_window_ms,
+                key("deduplication_window_ms"),
+            );
         }
         let sum = |shares: &mut dyn Iterator<Item = f64>| shares.sum::<f64>();
         let classes = sum(&mut self.class.iter().map(|c| c.share));
@@ -188,22 +205,22 @@
             format!("shares add up to {classes:.3}, which is above 1"),
         );
         check.that(classes > 0.0, "class", "no class has a share");
-        check.unique(self.shop.iter().map(|s| s.name.as_str()), "shop");
-        for (i, shop) in self.shop.iter().enumerate() {
-            check.share(shop.share, format!("shop[{i}].share"));
-            check.not_negative(shop.usage, format!("shop[{i}].usage"));
+        check.unique(self.tenant.iter().map(|s| s.name.as_str()), "tenant");
+        for (i, shop) in self.tenant.iter().enumerate() {
+            check.share(shop.share, format!("tenant[{i}].share"));
+            check.not_negative(shop.usage, format!("tenant[{i}].usage"));
         }
-        let shops = sum(&mut self.shop.iter().map(|s| s.share));
+        let shops = sum(&mut self.tenant.iter().map(|s| s.share));
         check.that(
             shops <= 1.0 + 1e-6,
-            "shop",
+            "tenant",
             format!("shares add up to {shops:.3}, which is above 1"),
         );
         let load = &self.load;
         check.not_negative(load.rate, "load.rate");
         check.not_negative(load.of_capacity, "load.of_capacity");
         check.share(load.swing, "load.swing");
-        check.not_negative(load.hints.unwrap_or(0.0), "load.hints");
+        check.not_negative(load.work_hints.unwrap_or(0.0), "load.work_hints");
         check.positive(load.period_s, "load.period_s");
         check.not_negative(load.low, "load.low");
         check.that(
@@ -211,8 +228,12 @@
             "load.high",
             "must not be below load.low",
         );
-        check.that(load.open_most > 0, "load.open_most", "must be above zero");
-        let arrivals = self.rate().max(if load.shape == Shape::Brim {
+        check.that(
+            load.max_open_requests > 0,
+            "load.max_open_requests",
+            "must be above zero",
+        );
+        let arrivals = self.rate().max(if load.shape == LoadShape::Brim {
             load.high * self.full_rate()
         } else {
             0.0
@@ -225,19 +246,19 @@
                 format!("{arrivals:.0} arrivals are more than {ARRIVALS_MOST:.0}"),
             );
         }
-        let terminals = &self.terminals;
-        let [first, last] = terminals.patience;
+        let terminals = &self.clients;
+        let [first, last] = terminals.timeout_share;
         let order = first > 0.0 && first <= last && last <= 1.0;
         check.that(
             order,
-            "terminals.patience",
+            "clients.timeout_share",
             "must be two shares in order, above 0 and at most 1",
         );
         let [least, most] = terminals.backoff_ms;
         let order = least >= 0.0 && least <= most && most.is_finite();
-        check.that(order, "terminals.backoff_ms", "must be two times in order");
-        check.share(terminals.honour, "terminals.honour");
-        check.share(terminals.leave, "terminals.leave");
+        check.that(order, "clients.backoff_ms", "must be two times in order");
+        check.share(terminals.honour_retry_after, "clients.honour_retry_after");
+        check.share(terminals.disconnect_share, "clients.disconnect_share");
     }
 
     fn check_figures(&self, check: &mut Check) {
@@ -248,32 +269,50 @@
             (discovery.add_ms, "discovery.add_ms"),
             (discovery.spread_ms, "discovery.spread_ms"),
             (self.rules.drain_grace_ms, "rules.drain_grace_ms"),
-            (self.reports.delay_ms, "reports.delay_ms"),
-            (self.rules.answer_grace_ms, "rules.answer_grace_ms"),
-            (self.rules.stage_extra_ms, "rules.stage_extra_ms"),
+            (self.load_reports.delay_ms, "load_reports.delay_ms"),
+            (self.rules.response_grace_ms, "rules.response_grace_ms"),
+            (self.rules.emulator_extra_ms, "rules.emulator_extra_ms"),
         ] {
             check.not_negative(value, key);
         }
         for (value, key) in [
             (discovery.capacity, "discovery.capacity"),
             (discovery.timeout_ms, "discovery.timeout_ms"),
-            (self.allow.idle_s, "allow.idle_s"),
-            (self.allow.connect_timeout_ms, "allow.connect_timeout_ms"),
-            (self.allow.probe_timeout_ms, "allow.probe_timeout_ms"),
-            (self.allow.ask_every_ms, "allow.ask_every_ms"),
-            (self.reports.every_ms, "reports.every_ms"),
-            (self.rules.fall_multiple, "rules.fall_multiple"),
-            (self.rules.fall_ms, "rules.fall_ms"),
+            (
+                self.permissions.idle_timeout_s,
+                "permissions.idle_timeout_s",
+            ),
+            (
+                self.permissions.connect_timeout_ms,
+                "permissions.connect_timeout_ms",
+            ),
+            (
+                self.permissions.health_check_timeout_ms,
+                "permissions.health_check_timeout_ms",
+            ),
+            (
+                self.permissions.max_poll_interval_ms,
+                "permissions.max_poll_interval_ms",
+            ),
+            (self.load_reports.every_ms, "load_reports.every_ms"),
+            (
+                self.rules.cold_overload_factor,
+                "rules.cold_overload_factor",
+            ),
+            (
+                self.rules.cold_overload_window_ms,
+                "rules.cold_overload_window_ms",
+            ),
             (self.rules.quota_of_capacity, "rules.quota_of_capacity"),
         ] {
             check.positive(value, key);
         }
         check.that(
-            self.allow.max_attempts > 0,
-            "allow.max_attempts",
+            self.permissions.max_attempts > 0,
+            "permissions.max_attempts",
             "must be above zero",
         );
-        check.share(self.rules.over_share_worth, "rules.over_share_worth");
+        check.share(self.rules.over_share_weight, "rules.over_share_weight");
         for (value, key) in [
             (self.expect.service, "expect.service"),
             (self.expect.served, "expect.served"),
@@ -282,7 +321,7 @@
         }
     }
 
-    fn check_trouble(&self, check: &mut Check, trouble: &Trouble, at: &str) {
+    fn check_trouble(&self, check: &mut Check, trouble: &Fault, at: &str) {
         let key = |name: &str| format!("{at}.{name}");
         check.not_negative(trouble.at_s, key("at_s"));
         check.that(
@@ -293,7 +332,7 @@
         check.not_negative(trouble.for_s, key("for_s"));
         check.share(trouble.part, key("part"));
         check.share(trouble.share, key("share"));
-        check.positive(trouble.times, key("times"));
+        check.positive(trouble.factor, key("factor"));
         check.not_negative(trouble.down_s, key("down_s"));
         check.that(
             trouble.batch > 0.0 && trouble.batch <= 1.0,
@@ -327,9 +366,14 @@
 
     /// A drain or crash of a job server that is not there at the time contradicts the timetable.
     fn check_drains(&self, check: &mut Check) {
-        let down = |t: &Trouble| matches!(t.what, What::Drain | What::Crash | What::Silence);
-        for (i, later) in self.trouble.iter().enumerate().filter(|(_, t)| down(t)) {
-            for (j, earlier) in self.trouble.iter().enumerate().filter(|(_, t)| down(t)) {
+        let down = |t: &Fault| {
+            matches!(
+                t.kind,
+                FaultKind::Drain | FaultKind::Crash | FaultKind::Silence
+            )
+        };
+        for (i, later) in self.fault.iter().enumerate().filter(|(_, t)| down(t)) {
+            for (j, earlier) in self.fault.iter().enumerate().filter(|(_, t)| down(t)) {
                 let overlap = i != j
                     && later.at_s >= earlier.at_s
                     && (i > j || later.at_s > earlier.at_s)
@@ -340,24 +384,24 @@
                         "{name} is not there at {} s: trouble[{j}] has taken it away",
                         later.at_s
                     );
-                    check.that(false, format!("trouble[{i}].servers"), why);
+                    check.that(false, format!("fault[{i}].servers"), why);
                 }
             }
         }
     }
 }
 
-impl Trouble {
+impl Fault {
     /// True for what happens to job servers rather than to sidecars, classes or discovery.
     pub fn aims_at_servers(&self) -> bool {
         !matches!(
-            self.what,
-            What::Burst
-                | What::Costly
-                | What::Roll
-                | What::RestartAll
-                | What::DiscoveryDown
-                | What::DiscoverySilent
+            self.kind,
+            FaultKind::Burst
+                | FaultKind::Costly
+                | FaultKind::Roll
+                | FaultKind::RestartAll
+                | FaultKind::DiscoveryDown
+                | FaultKind::DiscoverySilent
         )
     }
 }
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use read::{Fault, Faults, Scenario};
+pub use read::{ScenarioError, ScenarioErrors, ScenarioFile};
 
 /// Microseconds on the lab's clock.
 pub type Micros = u64;
@@ -38,7 +38,7 @@
 
 section! {
     /// A whole day.
-    Day {
+    Scenario {
         /// Name in reports.
         name: String = "day".into(),
         /// Length of the arrivals, in seconds; what is open at their end is played to its end.
@@ -46,19 +46,25 @@
         /// Seed of every stream of chance.
         seed: u64 = 1,
         network: Network = Network::default(),
-        kind: Vec<Kind> = Vec::new(),
+        #[serde(alias = "kind")]
+        machine_type: Vec<MachineType> = Vec::new(),
         servers: Vec<Servers> = Vec::new(),
         sidecars: Sidecars = Sidecars::default(),
         class: Vec<Class> = Vec::new(),
-        shop: Vec<Shop> = Vec::new(),
+        #[serde(alias = "shop")]
+        tenant: Vec<Tenant> = Vec::new(),
         load: Load = Load::default(),
-        terminals: Terminals = Terminals::default(),
+        #[serde(alias = "terminals")]
+        clients: Clients = Clients::default(),
         discovery: Discovery = Discovery::default(),
-        allow: Allow = Allow::default(),
-        reports: Reports = Reports::default(),
+        #[serde(alias = "allow")]
+        permissions: Permissions = Permissions::default(),
+        #[serde(alias = "reports")]
+        load_reports: Reports = Reports::default(),
         rules: Rules = Rules::default(),
         prices: Prices = Prices::default(),
-        trouble: Vec<Trouble> = Vec::new(),
+        #[serde(alias = "trouble")]
+        fault: Vec<Fault> = Vec::new(),
         expect: Expect = Expect::default(),
     }
 }
@@ -78,7 +84,7 @@
 
 section! {
     /// A kind of job server.
-    Kind {
+    MachineType {
         name: String = "std".into(),
         cores: u32 = 2,
         /// Requests that run at a time and share the cores; 0 for one a core.
@@ -93,9 +99,11 @@
         /// Requests that may wait.
         queue: usize = 800,
         /// Share of its capacity that it starts with.
-        cold_from: f64 = 0.2,
+        #[serde(alias = "cold_from")]
+        cold_capacity_share: f64 = 0.2,
         /// Time until it is warm, at the latest.
-        cold_s: f64 = 18.0,
+        #[serde(alias = "cold_s")]
+        slow_start_s: f64 = 18.0,
         /// Served requests that warm it as well; 0 where only time does.
         warm_requests: u64 = 0,
         /// Share of requests that end in an error, after their work.
@@ -109,9 +117,11 @@
         /// Round trips before a new connection carries its first request.
         handshake_rtts: f64 = 2.5,
         /// Work of a probe.
-        probe_ms: f64 = 0.12,
+        #[serde(alias = "probe_ms")]
+        health_check_ms: f64 = 0.12,
         /// Probes a second that it answers; 0 for no cap. Further ones get a short-on-capacity reply.
-        probes_per_s: f64 = 0.0,
+        #[serde(alias = "probes_per_s")]
+        health_checks_per_s: f64 = 0.0,
         /// Whether calling off a routed task also stops one that runs.
         cancel: Cancel = Cancel::Queued,
         /// A waiting request whose sidecar no longer waits is not started.
@@ -149,7 +159,8 @@
 section! {
     /// So many job servers of a kind.
     Servers {
-        kind: String = "std".into(),
+        #[serde(alias = "kind")]
+        machine_type: String = "std".into(),
         count: usize = 1,
         /// Their zone; spread over all where it is absent.
         zone: Option<String> = None,
@@ -165,7 +176,8 @@
         /// How unevenly traffic falls on them: coefficient of variation of their parts.
         skew: f64 = 0.0,
         /// They are told what each kind of job server can do, as by an operator's table.
-        knows_kinds: bool = false,
+        #[serde(alias = "knows_kinds")]
+        knows_machine_types: bool = false,
         memory_mb: u64 = 192,
         sockets: u64 = 1_024,
     }
@@ -186,7 +198,7 @@
 /// Among which job servers repeats of a key are dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Group {
+pub enum DeduplicationGroup {
     All,
     Zone,
 }
@@ -194,7 +206,7 @@
 /// How work is spread around its mean.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Spread {
+pub enum WorkDistribution {
     Fixed,
     Exp,
     Lognormal,
@@ -207,25 +219,31 @@
         share: f64 = 1.0,
         /// Mean work, in milliseconds of a standard core.
         work_ms: f64 = 40.0,
-        dist: Spread = Spread::Lognormal,
+        dist: WorkDistribution = WorkDistribution::Lognormal,
         /// Coefficient of variation, for `lognormal`.
         cv: f64 = 1.0,
         /// How far the work of two attempts differs: standard deviation of its logarithm.
         noise: f64 = 0.0,
-        aim_ms: f64 = 400.0,
+        #[serde(alias = "aim_ms")]
+        latency_objective_ms: f64 = 400.0,
         deadline_ms: f64 = 1_500.0,
-        worth: f64 = 1.0,
+        #[serde(alias = "worth")]
+        priority_weight: f64 = 1.0,
         /// Share of the worth that an answer after the aim and before the deadline keeps.
-        late_worth: f64 = 0.0,
-        effect: Effect = Effect::Safe,
-        group: Group = Group::All,
-        window_ms: f64 = 10_000.0,
+        #[serde(alias = "late_worth")]
+        late_value: f64 = 0.0,
+        #[serde(alias = "effect")]
+        idempotency: Effect = Effect::Safe,
+        #[serde(alias = "group")]
+        deduplication_scope: DeduplicationGroup = DeduplicationGroup::All,
+        #[serde(alias = "window_ms")]
+        deduplication_window_ms: f64 = 10_000.0,
     }
 }
 
 section! {
     /// A shop and its part.
-    Shop {
+    Tenant {
         name: String = "shop".into(),
         /// Share of the service that it is entitled to.
         share: f64 = 1.0,
@@ -237,7 +255,7 @@
 /// How the load runs through the day.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Shape {
+pub enum LoadShape {
     Steady,
     /// From a half to one and a half times the mean.
     Ramp,
@@ -254,7 +272,7 @@
         rate: f64 = 0.0,
         /// Share of what the warm fleet can do.
         of_capacity: f64 = 0.5,
-        shape: Shape = Shape::Steady,
+        shape: LoadShape = LoadShape::Steady,
         /// Height of the swing, as a share of the mean.
         swing: f64 = 0.25,
         /// Length of one wave.
@@ -262,26 +280,32 @@
         low: f64 = 0.9,
         high: f64 = 1.05,
         /// Terminals tell the work of a request, off by a factor whose logarithm has this standard deviation.
-        hints: Option<f64> = None,
+        #[serde(alias = "hints")]
+        work_hints: Option<f64> = None,
         /// Worth is counted for each unit of work: a class's worth is that of its mean work.
-        worth_by_work: bool = false,
+        #[serde(alias = "worth_by_work")]
+        weight_by_work: bool = false,
         /// Open transactions at which further arrivals are not played but counted as choked off.
-        open_most: usize = 200_000,
+        #[serde(alias = "open_most")]
+        max_open_requests: usize = 200_000,
     }
 }
 
 section! {
     /// What terminals do with an answer they don't like.
-    Terminals {
+    Clients {
         /// Most tries after the first.
         retries: u32 = 1,
         /// A try is given up after a share of the deadline between these.
-        patience: [f64; 2] = [0.7, 1.0],
+        #[serde(alias = "patience")]
+        timeout_share: [f64; 2] = [0.7, 1.0],
         backoff_ms: [f64; 2] = [20.0, 160.0],
         /// Share that keeps to the pause of a refusal.
-        honour: f64 = 0.25,
+        #[serde(alias = "honour")]
+        honour_retry_after: f64 = 0.25,
         /// Share that leaves early, at a random moment.
-        leave: f64 = 0.0,
+        #[serde(alias = "leave")]
+        disconnect_share: f64 = 0.0,
     }
 }
 
@@ -305,23 +329,29 @@
 
 section! {
     /// What the site lets sidecars do.
-    Allow {
-        probes: bool = true,
-        cancel: bool = true,
-        second_copies: bool = true,
+    Permissions {
+        #[serde(alias = "probes")]
+        health_checks: bool = true,
+        #[serde(alias = "cancel")]
+        cancellation: bool = true,
+        #[serde(alias = "second_copies")]
+        hedging: bool = true,
         max_attempts: u32 = 5,
-        idle_s: f64 = 5.0,
+        #[serde(alias = "idle_s")]
+        idle_timeout_s: f64 = 5.0,
         connect_timeout_ms: f64 = 200.0,
-        probe_timeout_ms: f64 = 250.0,
+        #[serde(alias = "probe_timeout_ms")]
+        health_check_timeout_ms: f64 = 250.0,
         max_retry_after_ms: f64 = 2_000.0,
-        ask_every_ms: f64 = 10_000.0,
+        #[serde(alias = "ask_every_ms")]
+        max_poll_interval_ms: f64 = 10_000.0,
     }
 }
 
 /// Where job servers tell of their load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Source {
+pub enum ReportSource {
     /// In the answers to probes, as of now.
     Probe,
     /// In every answer, what they hold and nothing else.
@@ -331,7 +361,7 @@
 section! {
     /// How job servers tell of their load in answers.
     Reports {
-        source: Source = Source::Probe,
+        source: ReportSource = ReportSource::Probe,
         /// What is told is taken this often.
         every_ms: f64 = 300.0,
         /// And told from this long after that.
@@ -343,14 +373,19 @@
     /// The figures of the four rules.
     Rules {
         drain_grace_ms: f64 = 2_000.0,
-        fall_multiple: f64 = 2.5,
-        fall_ms: f64 = 1_500.0,
+        #[serde(alias = "fall_multiple")]
+        cold_overload_factor: f64 = 2.5,
+        #[serde(alias = "fall_ms")]
+        cold_overload_window_ms: f64 = 1_500.0,
         /// Time after the deadline in which an answer still counts.
-        answer_grace_ms: f64 = 20.0,
+        #[serde(alias = "answer_grace_ms")]
+        response_grace_ms: f64 = 20.0,
         /// Sockets' allowance on every time limit.
-        stage_extra_ms: f64 = 50.0,
+        #[serde(alias = "stage_extra_ms")]
+        emulator_extra_ms: f64 = 50.0,
         /// Worth of a request beyond its shop's share.
-        over_share_worth: f64 = 0.2,
+        #[serde(alias = "over_share_worth")]
+        over_share_weight: f64 = 0.2,
         /// What shops are entitled to together, as a share of capacity.
         quota_of_capacity: f64 = 0.9,
     }
@@ -361,7 +396,8 @@
     Prices {
         cross_zone: f64 = 0.015,
         waste: f64 = 0.022,
-        probe: f64 = 0.0021,
+        #[serde(alias = "probe")]
+        health_check: f64 = 0.0021,
         handshake: f64 = 0.0,
         late_fail: f64 = 0.05,
     }
@@ -370,7 +406,7 @@
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum What {
+pub enum FaultKind {
     /// The process stands still; its machine and connections stay.
     Pause,
     /// The machine vanishes without a reset, and comes back cold.
@@ -405,8 +441,9 @@
 
 section! {
     /// One line of the timetable.
-    Trouble {
-        what: What = What::Pause,
+    Fault {
+        #[serde(alias = "what")]
+        kind: FaultKind = FaultKind::Pause,
         at_s: f64 = 0.0,
         for_s: f64 = 10.0,
         /// Job servers by name (`s0`, `s1` ...).
@@ -416,7 +453,8 @@
         /// Only those of this zone.
         zone: Option<String> = None,
         /// How many times slower or dearer.
-        times: f64 = 4.0,
+        #[serde(alias = "times")]
+        factor: f64 = 4.0,
         /// Share of requests concerned.
         share: f64 = 1.0,
         /// Class concerned.
@@ -442,10 +480,14 @@
     }
 }
 
-impl Day {
+impl Scenario {
     /// All job servers by kind, in the order of their names.
-    pub fn fleet(&self) -> Vec<(&Kind, &Servers)> {
-        let kind = |group: &Servers| self.kind.iter().find(|k| k.name == group.kind);
+    pub fn fleet(&self) -> Vec<(&MachineType, &Servers)> {
+        let kind = |group: &Servers| {
+            self.machine_type
+                .iter()
+                .find(|k| k.name == group.machine_type)
+        };
         let one = |group: &'_ Servers| kind(group).map(|k| (k, group.count));
         self.servers
             .iter()
@@ -455,13 +497,13 @@
     }
 
     /// What a sidecar is told of a kind of job server: its number, and its size where the day says so.
-    pub fn told_machine(&self, kind: &Kind) -> arrowstand_balancer::MachineType {
+    pub fn told_machine(&self, kind: &MachineType) -> arrowstand_balancer::MachineType {
         let number = self
-            .kind
+            .machine_type
             .iter()
             .position(|k| k.name == kind.name)
             .map_or(0, |n| n as u32 + 1);
-        match self.sidecars.knows_kinds {
+        match self.sidecars.knows_machine_types {
             true => arrowstand_balancer::MachineType {
                 id: number,
                 cores: f64::from(kind.cores),
@@ -506,17 +548,17 @@
     /// Requests a second at a moment; `wander` lies between 0 and 1 and serves the brim.
     pub fn rate_at(&self, at: Micros, wander: f64) -> f64 {
         let t = at as f64 / 1e6;
-        let burst = |t: &&Trouble| t.what == What::Burst && t.is_on(at);
-        let burst: f64 = self.trouble.iter().filter(burst).map(|t| t.times).product();
+        let burst = |t: &&Fault| t.kind == FaultKind::Burst && t.is_on(at);
+        let burst: f64 = self.fault.iter().filter(burst).map(|t| t.factor).product();
         let mean = self.rate() * burst;
         match self.load.shape {
-            Shape::Steady => mean,
-            Shape::Ramp => mean * (0.5 + (t / self.seconds).min(1.0)),
-            Shape::Swing => {
+            LoadShape::Steady => mean,
+            LoadShape::Ramp => mean * (0.5 + (t / self.seconds).min(1.0)),
+            LoadShape::Swing => {
                 let wave = (t / self.load.period_s * std::f64::consts::TAU).sin();
                 mean * (1.0 + self.load.swing * wave)
             }
-            Shape::Brim => {
+            LoadShape::Brim => {
                 burst
                     * self.full_rate()
                     * (self.load.low + (self.load.high - self.load.low) * wander.clamp(0.0, 1.0))
--- a/crates/testbed/src/scenario/read.rs
+++ b/crates/testbed/src/scenario/read.rs
@@ -6,11 +6,11 @@
 use serde::Deserialize as _;
 use toml_edit::{Document, Item, Value};
 
-use super::Day;
+use super::Scenario;
 
 /// One thing wrong with a scenario.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
+pub struct ScenarioError {
     /// The key, such as `trouble[2].at_s`; empty for a fault of the whole text.
     pub key: String,
     /// What is wrong with it.
@@ -21,14 +21,14 @@
 
 /// Everything wrong with a scenario, in the order of the file.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub struct Faults {
+pub struct ScenarioErrors {
     /// Where it came from.
     pub file: String,
     /// At least one.
-    pub faults: Vec<Fault>,
+    pub faults: Vec<ScenarioError>,
 }
 
-impl fmt::Display for Faults {
+impl fmt::Display for ScenarioErrors {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (i, fault) in self.faults.iter().enumerate() {
             let gap = if i > 0 { "\n" } else { "" };
@@ -46,24 +46,24 @@
 
 /// A scenario as read: the day, and the text it came from, from which experiments draw variants.
 #[derive(Clone, Debug)]
-pub struct Scenario {
+pub struct ScenarioFile {
     /// The checked day.
-    pub day: Day,
+    pub day: Scenario,
     file: String,
     text: String,
     table: toml::Table,
 }
 
-impl Scenario {
+impl ScenarioFile {
     /// Reads a file.
     ///
     /// # Errors
     /// Everything that is wrong with it.
-    pub fn open(path: &Path) -> Result<Self, Faults> {
+    pub fn open(path: &Path) -> Result<Self, ScenarioErrors> {
         let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| Faults {
+        let text = std::fs::read_to_string(path).map_err(|e| ScenarioErrors {
             file: file.clone(),
-            faults: vec![Fault {
+            faults: vec![ScenarioError {
                 key: String::new(),
                 why: e.to_string(),
                 line: None,
@@ -76,13 +76,13 @@
     ///
     /// # Errors
     /// Everything that is wrong with it.
-    pub fn read(file: &str, text: &str) -> Result<Self, Faults> {
+    pub fn read(file: &str, text: &str) -> Result<Self, ScenarioErrors> {
         let table = text.parse::<toml::Table>().map_err(|e| {
             let line = e.span().map(|s| line_at(text, s.start));
             let why = e.message().to_owned();
-            Faults {
+            ScenarioErrors {
                 file: file.to_owned(),
-                faults: vec![Fault {
+                faults: vec![ScenarioError {
                     key: String::new(),
                     why,
                     line,
@@ -90,7 +90,7 @@
             }
         })?;
         Self {
-            day: Day::default(),
+            day: Scenario::default(),
             file: file.to_owned(),
             text: text.to_owned(),
             table,
@@ -102,11 +102,11 @@
     ///
     /// # Errors
     /// A key that cannot be set, or everything that is wrong with what comes of it.
-    pub fn with(&self, changes: &[(String, toml::Value)]) -> Result<Self, Faults> {
+    pub fn with(&self, changes: &[(String, toml::Value)]) -> Result<Self, ScenarioErrors> {
         let mut new = self.clone();
         for (key, value) in changes {
             set(&mut new.table, key, value.clone()).map_err(|why| {
-                new.faults(vec![Fault {
+                new.faults(vec![ScenarioError {
                     key: key.clone(),
                     why,
                     line: None,
@@ -116,13 +116,13 @@
         new.judged()
     }
 
-    fn judged(mut self) -> Result<Self, Faults> {
-        let read: Result<Day, _> =
+    fn judged(mut self) -> Result<Self, ScenarioErrors> {
+        let read: Result<Scenario, _> =
             serde_path_to_error::deserialize(toml::Value::Table(self.table.clone()));
         self.day = read.map_err(|e| {
             let key = e.path().to_string().replace(".[", "[");
             let why = e.inner().message().trim().to_owned();
-            self.faults(vec![Fault {
+            self.faults(vec![ScenarioError {
                 key,
                 why,
                 line: None,
@@ -136,19 +136,19 @@
         }
     }
 
-    fn faults(&self, mut faults: Vec<Fault>) -> Faults {
+    fn faults(&self, mut faults: Vec<ScenarioError>) -> ScenarioErrors {
         for fault in &mut faults {
             fault.line = line_of(&self.text, &fault.key);
         }
         faults.sort_by_key(|f| f.line.unwrap_or(usize::MAX));
-        Faults {
+        ScenarioErrors {
             file: self.file.clone(),
             faults,
         }
     }
 }
 
-impl Day {
+impl Scenario {
     /// A day from a table, unchecked.
     ///
     /// # Errors
--- a/crates/testbed/src/machine/crowd.rs
+++ b/crates/testbed/src/server_model/contention.rs
@@ -8,7 +8,7 @@
     pub(super) calm: Option<Micros>,
 }
 
-impl Machine {
+impl ServerModel {
     pub(super) fn watch_crowd(&mut self) {
         let Some(choke) = self.kind.choke.clone() else {
             return;
--- a/crates/testbed/src/machine/mod.rs
+++ b/crates/testbed/src/server_model/mod.rs
@@ -5,20 +5,20 @@
 //! all along; a request ends once it has grown by the request's work. Pauses, warm-up and slowdown change only
 //! the speed at which it grows.
 
-mod changes;
-mod cold;
-mod crowd;
-mod tells;
-mod work;
+mod contention;
+mod load_report;
+mod service;
+mod slow_start;
+mod state_change;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use crate::chance::{Cause, Stream};
-use crate::scenario::{Cancel, Day, Kind, Micros, Reports, from_ms, from_s};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Cancel, MachineType, Micros, Reports, Scenario, from_ms, from_s};
 
-pub use cold::budget;
-use crowd::Choking;
-pub use tells::Report;
+use contention::Choking;
+pub use load_report::Report;
+pub use slow_start::budget;
 
 /// Work handed to a machine.
 #[derive(Clone, Copy, Debug)]
@@ -74,8 +74,8 @@
 
 /// A job server's machine.
 #[derive(Debug)]
-pub struct Machine {
-    kind: Kind,
+pub struct ServerModel {
+    kind: MachineType,
     speed: f64,
     state: State,
     at: Micros,
@@ -102,22 +102,22 @@
     /// What was sent lately, while cold: time and work.
     pressure: VecDeque<(Micros, f64)>,
     fall: (f64, Micros),
-    chance: Stream,
+    chance: RandomStream,
     /// Counts.
     pub done: Done,
 }
 
-impl Machine {
+impl ServerModel {
     /// A machine of a kind; `speed` as drawn for it, `fall` the multiple and span of the fourth rule.
     pub fn new(
-        kind: Kind,
+        kind: MachineType,
         speed: f64,
         fall: (f64, Micros),
-        chance: Stream,
+        chance: RandomStream,
         now: Micros,
         cold: bool,
     ) -> Self {
-        let (error_rate, probe_tokens) = (kind.error_rate, kind.probes_per_s);
+        let (error_rate, probe_tokens) = (kind.error_rate, kind.health_checks_per_s);
         Self {
             kind,
             speed,
@@ -149,18 +149,27 @@
     }
 
     /// The day's machine of that number, its speed drawn: the same in both engines.
-    pub fn drawn(day: &Day, kind: &Kind, number: usize, now: Micros, cold: bool) -> Self {
-        let mut chance = Stream::new(day.seed, Cause::Machines, number + 1);
+    pub fn drawn(
+        day: &Scenario,
+        kind: &MachineType,
+        number: usize,
+        now: Micros,
+        cold: bool,
+    ) -> Self {
+        let mut chance = RandomStream::new(day.seed, StreamId::Machines, number + 1);
         let speed = kind.speed * chance.between(1.0 - kind.speed_spread, 1.0 + kind.speed_spread);
-        let fall = (day.rules.fall_multiple, from_ms(day.rules.fall_ms));
+        let fall = (
+            day.rules.cold_overload_factor,
+            from_ms(day.rules.cold_overload_window_ms),
+        );
         let new = Self::new(kind.clone(), speed, fall, chance, now, cold);
         Self {
-            tells: day.reports.clone(),
+            tells: day.load_reports.clone(),
             ..new
         }
     }
 
-    pub fn kind(&self) -> &Kind {
+    pub fn kind(&self) -> &MachineType {
         &self.kind
     }
 
--- a/crates/testbed/src/machine/work.rs
+++ b/crates/testbed/src/server_model/service.rs
@@ -5,7 +5,7 @@
 /// How finely a speed that changes by itself is followed.
 const STEP: Micros = 50_000;
 
-impl Machine {
+impl ServerModel {
     /// Requests that run at a time.
     pub(super) fn slots(&self) -> usize {
         self.kind.slots.max(if self.kind.slots == 0 {
--- a/crates/testbed/src/machine/cold.rs
+++ b/crates/testbed/src/server_model/slow_start.rs
@@ -2,17 +2,20 @@
 
 use super::*;
 
-impl Machine {
+impl ServerModel {
     pub(super) fn warmth(&self, now: Micros) -> f64 {
         let Some(since) = self.cold_since else {
             return 1.0;
         };
-        let by_time = now.saturating_sub(since) as f64 / from_s(self.kind.cold_s).max(1) as f64;
+        let by_time =
+            now.saturating_sub(since) as f64 / from_s(self.kind.slow_start_s).max(1) as f64;
         let by_work = match self.kind.warm_requests {
             0 => 0.0,
             most => self.served_cold as f64 / most as f64,
         };
-        (self.kind.cold_from + (1.0 - self.kind.cold_from) * by_time.max(by_work)).min(1.0)
+        (self.kind.cold_capacity_share
+            + (1.0 - self.kind.cold_capacity_share) * by_time.max(by_work))
+        .min(1.0)
     }
 
     pub fn is_cold(&self, now: Micros) -> bool {
--- a/crates/testbed/src/machine/changes.rs
+++ b/crates/testbed/src/server_model/state_change.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl Machine {
+impl ServerModel {
     /// Nobody waits for a request any more. True if it had not begun and never will.
     pub fn cancel(&mut self, now: Micros, id: u64, events: &mut Vec<Event>) -> bool {
         self.advance(now, events);
--- a/crates/testbed/src/machine/tests.rs
+++ b/crates/testbed/src/server_model/tests.rs
@@ -1,19 +1,19 @@
 //! The machine by itself.
 
 use super::*;
-use crate::scenario::{Choke, Source};
+use crate::scenario::{Choke, ReportSource};
 
-fn machine(kind: Kind) -> Machine {
-    let chance = Stream::new(1, Cause::Machines, 0);
-    Machine::new(kind, 1.0, (2.5, 1_500_000), chance, 0, false)
+fn machine(kind: MachineType) -> ServerModel {
+    let chance = RandomStream::new(1, StreamId::Machines, 0);
+    ServerModel::new(kind, 1.0, (2.5, 1_500_000), chance, 0, false)
 }
 
-fn plain() -> Kind {
-    Kind {
+fn plain() -> MachineType {
+    MachineType {
         cores: 2,
         queue: 3,
         error_rate: 0.0,
-        ..Kind::default()
+        ..MachineType::default()
     }
 }
 
@@ -25,7 +25,7 @@
     }
 }
 
-fn ends(machine: &mut Machine, until: Micros) -> Vec<(u64, Micros)> {
+fn ends(machine: &mut ServerModel, until: Micros) -> Vec<(u64, Micros)> {
     let (mut all, mut events) = (Vec::new(), Vec::new());
     while let Some(at) = machine.next().filter(|&at| at <= until) {
         machine.advance(at, &mut events);
@@ -79,7 +79,7 @@
         rest_s: 0.2,
         most_s: 60.0,
     };
-    let kind = Kind {
+    let kind = MachineType {
         cores: 1,
         queue: 100,
         choke: Some(choke),
@@ -104,12 +104,12 @@
 
 #[test]
 fn requests_beyond_the_cores_share_them_and_a_crowd_slows_all() {
-    let shared = Kind {
+    let shared = MachineType {
         slots: 8,
         queue: 9,
         ..plain()
     };
-    let ends = |kind: Kind, count: u64| {
+    let ends = |kind: MachineType, count: u64| {
         let (mut machine, mut events) = (machine(kind), Vec::new());
         (0..count).for_each(|id| assert!(machine.offer(0, job(id, 10_000.0), &mut events)));
         let mut at = 0;
@@ -123,7 +123,7 @@
         ends(shared.clone(), 2).abs_diff(10_000) <= 2
             && ends(shared.clone(), 4).abs_diff(20_000) <= 2
     );
-    let crowded = Kind {
+    let crowded = MachineType {
         thrash: 0.5,
         thrash_at: 2.0,
         ..shared
@@ -136,7 +136,7 @@
 fn answers_tell_what_was_held_a_while_ago() {
     let mut machine = machine(plain());
     machine.tells = Reports {
-        source: Source::Answers,
+        source: ReportSource::Answers,
         every_ms: 100.0,
         delay_ms: 50.0,
     };
@@ -154,9 +154,9 @@
 
 #[test]
 fn a_cold_one_is_slow_warms_up_and_falls_over_when_pressed() {
-    let kind = Kind {
-        cold_from: 0.25,
-        cold_s: 10.0,
+    let kind = MachineType {
+        cold_capacity_share: 0.25,
+        slow_start_s: 10.0,
         queue: 10_000,
         ..plain()
     };
@@ -179,7 +179,7 @@
 
 #[test]
 fn calling_off_stops_what_waits_and_expired_work_is_not_begun() {
-    let kind = Kind {
+    let kind = MachineType {
         cores: 1,
         queue: 10,
         ..plain()
--- a/crates/testbed/src/model/terminal.rs
+++ b/crates/testbed/src/simulator/client.rs
@@ -15,16 +15,16 @@
     honours: bool,
 }
 
-impl Model<'_> {
+impl Simulator<'_> {
     pub(super) fn next_arrival(&mut self, number: u32) {
         if let Some(wish) = self.sidecars[number as usize].wishes.next() {
             self.at(wish.at, Happening::Arrival(number, wish));
         }
     }
 
-    pub(super) fn arrival(&mut self, number: u32, wish: Wish) {
+    pub(super) fn arrival(&mut self, number: u32, wish: Arrival) {
         let (ask_number, now) = (self.number(), self.now);
-        let Wish {
+        let Arrival {
             class,
             shop,
             work,
@@ -36,12 +36,12 @@
             .quotas
             .get_mut(usize::from(shop))
             .is_none_or(|quota| quota.take(now));
-        self.note(Entry::Asked {
-            ask: ask_number,
+        self.note(LogEvent::ArrivalStarted {
+            arrival: ask_number,
             sidecar: number,
             class,
-            shop,
-            within,
+            tenant: shop,
+            within_share: within,
             work,
         });
         let deadline = now + from_ms(self.day.class[usize::from(class)].deadline_ms);
@@ -55,11 +55,11 @@
             tries: 0,
             honours,
         };
-        let full = self.tries.len() >= self.day.load.open_most;
+        let full = self.tries.len() >= self.day.load.max_open_requests;
         let key = self.asks.insert(ask);
         if full {
             self.choked_off += 1;
-            self.close_ask(key, How::ChokedOff);
+            self.close_ask(key, RequestOutcome::NotPlayed);
         } else {
             self.attempt(key);
         }
@@ -75,11 +75,11 @@
         };
         ask.tries += 1;
         let sidecar = &mut self.sidecars[ask.sidecar as usize];
-        let [least, most] = day.terminals.patience;
+        let [least, most] = day.clients.timeout_share;
         let full = from_ms(day.class[usize::from(ask.class)].deadline_ms) as f64;
         let patience = (full * sidecar.terminals.between(least, most)) as Micros;
         let due = (self.now + patience).min(ask.deadline);
-        let leaves = sidecar.terminals.chance(day.terminals.leave);
+        let leaves = sidecar.terminals.chance(day.clients.disconnect_share);
         let leaves_at = self.now + (sidecar.terminals.unit() * patience as f64) as Micros;
         let (of, life) = (ask.sidecar, sidecar.life);
         let (class, work, hint) = (ask.class, ask.work, ask.hint);
@@ -104,12 +104,15 @@
     }
 
     /// The final answer is at the terminal.
-    pub(super) fn told(&mut self, key: TryKey, how: How, pause: u32) {
+    pub(super) fn told(&mut self, key: TryKey, how: RequestOutcome, pause: u32) {
         let Some(of) = self.tries.remove(key) else {
             return;
         };
-        if how != How::Unreached {
-            self.note(Entry::Answered { tx: of.number, how });
+        if how != RequestOutcome::Unreachable {
+            self.note(LogEvent::ResponseReceived {
+                request: of.number,
+                outcome: how,
+            });
         }
         self.ended_try(of.ask, how, Micros::from(pause));
     }
@@ -122,7 +125,7 @@
         }
         self.abandoned(key);
         if let Some(of) = self.tries.remove(key) {
-            self.ended_try(of.ask, How::Unanswered, 0);
+            self.ended_try(of.ask, RequestOutcome::Unanswered, 0);
         }
     }
 
@@ -131,48 +134,50 @@
             return;
         }
         let number = self.tries.get(key).map_or(0, |t| t.number);
-        self.note(Entry::Left { tx: number });
+        self.note(LogEvent::ClientDisconnected { request: number });
         self.abandoned(key);
         if let Some(of) = self.tries.remove(key) {
-            self.close_ask(of.ask, How::Left);
+            self.close_ask(of.ask, RequestOutcome::Disconnected);
         }
     }
 
-    fn ended_try(&mut self, key: AskKey, how: How, pause: Micros) {
+    fn ended_try(&mut self, key: AskKey, how: RequestOutcome, pause: Micros) {
         let day = self.day;
         let Some(ask) = self.asks.get(key) else {
             return;
         };
         let class = &day.class[usize::from(ask.class)];
-        let anywhere = class.effect == Effect::Safe;
+        let anywhere = class.idempotency == Effect::Safe;
         let again = match how {
-            How::Refused | How::Unreached => true,
-            How::Failed | How::Cut | How::Unanswered => anywhere,
+            RequestOutcome::Rejected | RequestOutcome::Unreachable => true,
+            RequestOutcome::Failed
+            | RequestOutcome::ConnectionLost
+            | RequestOutcome::Unanswered => anywhere,
             _ => false,
         };
         let chance = &mut self.sidecars[ask.sidecar as usize].terminals;
-        let [least, most] = day.terminals.backoff_ms;
+        let [least, most] = day.clients.backoff_ms;
         let backoff = from_ms(chance.between(least, most));
-        let wait = if ask.honours && how == How::Refused {
+        let wait = if ask.honours && how == RequestOutcome::Rejected {
             pause.max(1)
         } else {
             backoff
         };
-        if again && ask.tries <= day.terminals.retries && self.now + wait < ask.deadline {
+        if again && ask.tries <= day.clients.retries && self.now + wait < ask.deadline {
             self.after(wait, Happening::Again(key));
         } else {
             self.close_ask(key, how);
         }
     }
 
-    fn close_ask(&mut self, key: AskKey, how: How) {
+    fn close_ask(&mut self, key: AskKey, how: RequestOutcome) {
         let Some(ask) = self.asks.remove(key) else {
             return;
         };
-        self.note(Entry::Closed {
-            ask: ask.number,
-            how,
-            tries: ask.tries,
+        self.note(LogEvent::ArrivalEnded {
+            arrival: ask.number,
+            outcome: how,
+            requests: ask.tries,
         });
     }
 }
--- a/crates/testbed/src/model/discovery.rs
+++ b/crates/testbed/src/simulator/discovery.rs
@@ -6,7 +6,7 @@
 use arrowstand_control::stable_hash;
 
 use super::*;
-use crate::ledger::Listing;
+use crate::event_log::ListedStatus;
 
 /// A call that is not answered at all is given up after this; a watch that says nothing, after that.
 const CALL: Micros = 5_000_000;
@@ -14,8 +14,8 @@
 
 /// One job server in the list.
 #[derive(Clone, Copy)]
-struct Line {
-    listing: Listing,
+struct LogRecord {
+    listing: ListedStatus,
     launched: Micros,
     version: u64,
 }
@@ -23,24 +23,24 @@
 /// What is to be put into the list.
 #[derive(Clone, Copy)]
 pub struct News {
-    pub listing: Listing,
+    pub listing: ListedStatus,
     pub launched: Micros,
 }
 
 /// The service.
 pub struct Discovery {
     pub version: u64,
-    lines: BTreeMap<u32, Line>,
+    lines: BTreeMap<u32, LogRecord>,
     news: Vec<News>,
     busy_until: Micros,
     pub down: bool,
     pub silent: bool,
-    chance: Stream,
+    chance: RandomStream,
 }
 
 impl Discovery {
-    pub fn new(day: &Day) -> Self {
-        let chance = Stream::new(day.seed, Cause::Discovery, 0);
+    pub fn new(day: &Scenario) -> Self {
+        let chance = RandomStream::new(day.seed, StreamId::Discovery, 0);
         let (lines, news) = (BTreeMap::new(), Vec::new());
         Self {
             version: 1,
@@ -58,8 +58,8 @@
         let version = self.version;
         self.lines.insert(
             server,
-            Line {
-                listing: Listing::Ready,
+            LogRecord {
+                listing: ListedStatus::Ready,
                 launched,
                 version,
             },
@@ -67,11 +67,11 @@
     }
 
     /// The list as a sidecar keeps it.
-    pub fn current(&self) -> BTreeMap<u32, (Listing, Micros)> {
+    pub fn current(&self) -> BTreeMap<u32, (ListedStatus, Micros)> {
         let there = self
             .lines
             .iter()
-            .filter(|(_, l)| l.listing != Listing::Gone);
+            .filter(|(_, l)| l.listing != ListedStatus::Gone);
         there
             .map(|(&server, l)| (server, (l.listing, l.launched)))
             .collect()
@@ -82,7 +82,7 @@
         let (listing, launched, version) = (news.listing, news.launched, self.version);
         self.lines.insert(
             server,
-            Line {
+            LogRecord {
                 listing,
                 launched,
                 version,
@@ -91,9 +91,9 @@
     }
 }
 
-impl Model<'_> {
+impl Simulator<'_> {
     /// Something happened that discovery will have noticed after a while.
-    pub(super) fn announce(&mut self, server: u32, listing: Listing, after_ms: f64) {
+    pub(super) fn announce(&mut self, server: u32, listing: ListedStatus, after_ms: f64) {
         let launched = self.servers[server as usize].launched;
         self.discovery.news.push(News { listing, launched });
         let news = self.discovery.news.len() as u32 - 1;
@@ -130,7 +130,7 @@
 
     /// A sidecar calls for the list and for changes from then on.
     pub(super) fn subscribe(&mut self, number: u32) {
-        self.note(Entry::Called { sidecar: number });
+        self.note(LogEvent::DiscoveryPolled { sidecar: number });
         let (now, life) = (self.now, self.sidecars[number as usize].life);
         let sidecar = &mut self.sidecars[number as usize];
         sidecar.calls += 1;
@@ -223,18 +223,18 @@
         number: u32,
         kind: UpdateKind,
         version: u64,
-        entries: Vec<(u32, Listing, Micros)>,
+        entries: Vec<(u32, ListedStatus, Micros)>,
     ) {
         let mut members = Vec::with_capacity(entries.len());
         for &(server, listing, launched) in &entries {
-            self.note(Entry::Listed {
+            self.note(LogEvent::EndpointListed {
                 sidecar: number,
                 server,
-                listing,
-                launched,
+                status: listing,
+                incarnation: launched,
             });
             let known = &mut self.sidecars[number as usize].known;
-            if listing == Listing::Gone {
+            if listing == ListedStatus::Gone {
                 known.remove(&server);
             } else {
                 known.insert(server, (listing, launched));
@@ -247,9 +247,9 @@
                 server: ServerId(server),
                 stable_hash: stable_hash(&format!("s{server}")),
                 status: match listing {
-                    Listing::Ready => EndpointStatus::Ready,
-                    Listing::Draining => EndpointStatus::Draining,
-                    Listing::Gone => EndpointStatus::Removed,
+                    ListedStatus::Ready => EndpointStatus::Ready,
+                    ListedStatus::Draining => EndpointStatus::Draining,
+                    ListedStatus::Gone => EndpointStatus::Removed,
                 },
                 incarnation: (launched > 0).then_some(EPOCH + launched),
                 zone,
--- a/crates/testbed/src/model/troubles.rs
+++ b/crates/testbed/src/simulator/faults.rs
@@ -2,13 +2,13 @@
 
 use super::server::Net;
 use super::*;
-use crate::ledger::{Fate, Listing};
-use crate::machine::State;
-use crate::scenario::{Trouble, What};
+use crate::event_log::{ListedStatus, ServerState};
+use crate::scenario::{Fault, FaultKind};
+use crate::server_model::State;
 
 /// The job servers that a trouble hits: those named, or a part of them, drawn.
-pub fn targets(day: &Day, index: usize, zones: &[u32]) -> Vec<u32> {
-    let trouble = &day.trouble[index];
+pub fn targets(day: &Scenario, index: usize, zones: &[u32]) -> Vec<u32> {
+    let trouble = &day.fault[index];
     if !trouble.aims_at_servers() {
         return Vec::new();
     }
@@ -33,8 +33,8 @@
 }
 
 /// So many of a list, drawn by the trouble's own stream, in order.
-fn draw(day: &Day, index: usize, list: &mut Vec<u32>, count: usize) -> Vec<u32> {
-    let mut stream = Stream::new(day.seed, Cause::Troubles, index);
+fn draw(day: &Scenario, index: usize, list: &mut Vec<u32>, count: usize) -> Vec<u32> {
+    let mut stream = RandomStream::new(day.seed, StreamId::Troubles, index);
     let mut drawn = Vec::with_capacity(count);
     while drawn.len() < count && !list.is_empty() {
         drawn.push(list.swap_remove(stream.below(list.len())));
@@ -44,8 +44,8 @@
 }
 
 /// When each sidecar goes down in a roll, from its start: batch after batch over its length.
-pub fn roll(day: &Day, index: usize) -> Vec<(u32, Micros)> {
-    let trouble = &day.trouble[index];
+pub fn roll(day: &Scenario, index: usize) -> Vec<(u32, Micros)> {
+    let trouble = &day.fault[index];
     let all = day.sidecars.count;
     let part = if trouble.part > 0.0 {
         trouble.part
@@ -64,21 +64,21 @@
         .collect()
 }
 
-impl Model<'_> {
+impl Simulator<'_> {
     pub(super) fn plan_troubles(&mut self) {
         let zones: Vec<u32> = self.servers.iter().map(|s| s.zone).collect();
-        for index in 0..self.day.trouble.len() {
+        for index in 0..self.day.fault.len() {
             self.targets.push(targets(self.day, index, &zones));
-            let trouble = &self.day.trouble[index];
+            let trouble = &self.day.fault[index];
             let (at, length) = (from_s(trouble.at_s), from_s(trouble.for_s));
             let number = index as u32;
-            match trouble.what {
-                What::Roll => {
+            match trouble.kind {
+                FaultKind::Roll => {
                     for (sidecar, later) in roll(self.day, index) {
                         self.at(at + later, restart(sidecar, trouble));
                     }
                 }
-                What::RestartAll => {
+                FaultKind::RestartAll => {
                     for sidecar in 0..self.sidecars.len() as u32 {
                         self.at(at, restart(sidecar, trouble));
                     }
@@ -86,14 +86,14 @@
                 _ => {
                     self.at(
                         at,
-                        Happening::Trouble {
+                        Happening::Fault {
                             index: number,
                             starts: true,
                         },
                     );
                     self.at(
                         at + length,
-                        Happening::Trouble {
+                        Happening::Fault {
                             index: number,
                             starts: false,
                         },
@@ -104,11 +104,11 @@
     }
 
     pub(super) fn trouble(&mut self, index: usize, starts: bool) {
-        let trouble = &self.day.trouble[index];
-        match trouble.what {
-            What::DiscoveryDown => self.discovery_fails(starts, false),
-            What::DiscoverySilent => self.discovery_fails(false, starts),
-            What::Burst | What::Costly | What::Roll | What::RestartAll => {}
+        let trouble = &self.day.fault[index];
+        match trouble.kind {
+            FaultKind::DiscoveryDown => self.discovery_fails(starts, false),
+            FaultKind::DiscoverySilent => self.discovery_fails(false, starts),
+            FaultKind::Burst | FaultKind::Costly | FaultKind::Roll | FaultKind::RestartAll => {}
             _ => {
                 for server in self.targets[index].clone() {
                     self.server_trouble(server, trouble, starts);
@@ -117,57 +117,64 @@
         }
     }
 
-    fn server_trouble(&mut self, number: u32, trouble: &Trouble, starts: bool) {
+    fn server_trouble(&mut self, number: u32, trouble: &Fault, starts: bool) {
         let now = self.now;
         let (notice, silent) = (
             self.day.discovery.notice_ms,
             self.day.discovery.silent_notice_ms,
         );
         let server = &mut self.servers[number as usize];
-        match (trouble.what, starts) {
-            (What::Pause, true) if server.machine.state() == State::Up => {
+        match (trouble.kind, starts) {
+            (FaultKind::Pause, true) if server.machine.state() == State::Up => {
                 server
                     .machine
                     .set_state(now, State::Paused, &mut self.events);
-                self.fate(number, Fate::Paused);
+                self.fate(number, ServerState::Paused);
             }
-            (What::Pause, false) if server.machine.state() == State::Paused => {
+            (FaultKind::Pause, false) if server.machine.state() == State::Paused => {
                 server.machine.set_state(now, State::Up, &mut self.events);
-                self.fate(number, Fate::Up);
+                self.fate(number, ServerState::Up);
             }
-            (What::Slow, _) => {
+            (FaultKind::Slow, _) => {
                 server.machine.set_slower(
                     now,
-                    if starts { trouble.times } else { 1.0 },
+                    if starts { trouble.factor } else { 1.0 },
                     &mut self.events,
                 );
-                self.fate(number, if starts { Fate::Slow } else { Fate::Up });
+                self.fate(
+                    number,
+                    if starts {
+                        ServerState::Slow
+                    } else {
+                        ServerState::Up
+                    },
+                );
             }
-            (What::Errors, _) => server.machine.set_errors(starts.then_some(trouble.share)),
-            (What::Spoilt, _) => server.spoilt = if starts { trouble.share } else { 0.0 },
-            (What::Resets, _) => server.resets = if starts { trouble.share } else { 0.0 },
-            (What::Crash, true) => {
-                self.fate(number, Fate::Down);
+            (FaultKind::Errors, _) => server.machine.set_errors(starts.then_some(trouble.share)),
+            (FaultKind::Spoilt, _) => server.spoilt = if starts { trouble.share } else { 0.0 },
+            (FaultKind::Resets, _) => server.resets = if starts { trouble.share } else { 0.0 },
+            (FaultKind::Crash, true) => {
+                self.fate(number, ServerState::Down);
                 self.vanish(number, Net::Refusing);
-                self.announce(number, Listing::Gone, notice);
+                self.announce(number, ListedStatus::Gone, notice);
             }
-            (What::Silence, true) => {
-                self.fate(number, Fate::Silent);
+            (FaultKind::Silence, true) => {
+                self.fate(number, ServerState::Silent);
                 self.vanish(number, Net::Silent);
-                self.announce(number, Listing::Gone, silent);
+                self.announce(number, ListedStatus::Gone, silent);
             }
-            (What::Crash | What::Silence, false) => self.comes_back(number),
-            (What::Drain | What::Replace, true) => {
+            (FaultKind::Crash | FaultKind::Silence, false) => self.comes_back(number),
+            (FaultKind::Drain | FaultKind::Replace, true) => {
                 server.draining = true;
-                self.fate(number, Fate::Draining);
-                self.announce(number, Listing::Draining, notice);
+                self.fate(number, ServerState::Draining);
+                self.announce(number, ListedStatus::Draining, notice);
             }
-            (What::Drain, false) => {
+            (FaultKind::Drain, false) => {
                 self.vanish(number, Net::Refusing);
-                self.fate(number, Fate::Down);
+                self.fate(number, ServerState::Down);
                 self.comes_back(number);
             }
-            (What::Replace, false) => self.replaced(number),
+            (FaultKind::Replace, false) => self.replaced(number),
             _ => {}
         }
         self.settle(number);
@@ -209,15 +216,15 @@
             .set_state(self.now, State::Up, &mut self.events);
         let lost = std::mem::take(&mut server.lost);
         self.reset(lost);
-        self.fate(number, Fate::Cold);
-        self.announce(number, Listing::Ready, self.day.discovery.add_ms);
+        self.fate(number, ServerState::Cold);
+        self.announce(number, ListedStatus::Ready, self.day.discovery.add_ms);
     }
 
     /// A new machine takes the place of one that has drained.
     fn replaced(&mut self, old: u32) {
         self.vanish(old, Net::Refusing);
-        self.fate(old, Fate::Down);
-        self.announce(old, Listing::Gone, self.day.discovery.notice_ms);
+        self.fate(old, ServerState::Down);
+        self.announce(old, ListedStatus::Gone, self.day.discovery.notice_ms);
         let (kind, zone) = (
             self.servers[old as usize].machine.kind().clone(),
             self.servers[old as usize].zone,
@@ -225,12 +232,16 @@
         let number = self.servers.len();
         self.servers
             .push(Server::new(self.day, &kind, number, zone, self.now, true));
-        self.fate(number as u32, Fate::Cold);
-        self.announce(number as u32, Listing::Ready, self.day.discovery.add_ms);
+        self.fate(number as u32, ServerState::Cold);
+        self.announce(
+            number as u32,
+            ListedStatus::Ready,
+            self.day.discovery.add_ms,
+        );
     }
 }
 
-fn restart(sidecar: u32, trouble: &Trouble) -> Happening {
+fn restart(sidecar: u32, trouble: &Fault) -> Happening {
     Happening::Restart {
         sidecar,
         down: from_s(trouble.down_s),
--- a/crates/testbed/src/model/mod.rs
+++ b/crates/testbed/src/simulator/mod.rs
@@ -4,29 +4,29 @@
 //! Everything happens in the order of the queue, and chance comes from one stream for each cause, so the same
 //! day and seed give the same record to the last entry.
 
+mod client;
 mod discovery;
-mod queue;
+mod event_queue;
+pub mod faults;
 mod server;
 mod sidecar;
-mod terminal;
-pub mod troubles;
 
 use slotmap::{SlotMap, new_key_type};
 
 use crate::audit::Auditor;
-use crate::chance::{Cause, Stream};
-use crate::ledger::{Entry, How, Ledger, Line, Readers};
-use crate::machine::Report as Load;
+use crate::event_log::{EventLog, LogEvent, LogRecord, RequestOutcome, Tee};
+use crate::random::{RandomStream, StreamId};
 use crate::report::Report;
-use crate::scenario::{Day, Micros, from_ms, from_s};
-use crate::tally::Tally;
-use crate::wishes::{Quota, Wish, Wishes, parts, quotas};
+use crate::scenario::{Micros, Scenario, from_ms, from_s};
+use crate::server_model::Report as Load;
+use crate::statistics::Statistics;
+use crate::workload::{Arrival, ArrivalStream, TenantQuota, parts, quotas};
 
+use client::Ask;
 use discovery::Discovery;
-use queue::Queue;
+use event_queue::Queue;
 use server::Server;
 use sidecar::Sidecar;
-use terminal::Ask;
 
 /// Where the module's clock stands when the day begins: start times count from here.
 const EPOCH: Micros = 1_000_000_000_000;
@@ -85,7 +85,7 @@
 type Outcome = arrowstand_balancer::Outcome;
 
 enum Happening {
-    Arrival(u32, Wish),
+    Arrival(u32, Arrival),
     Again(AskKey),
     Reached(TryKey),
     Timer {
@@ -98,7 +98,7 @@
     Leaves(TryKey),
     Told {
         of: TryKey,
-        how: How,
+        how: RequestOutcome,
         pause: u32,
     },
     Knocks(TaskKey),
@@ -111,7 +111,7 @@
         start: u32,
         job: u64,
     },
-    Machine {
+    ServerModel {
         server: u32,
         turn: u32,
     },
@@ -143,7 +143,7 @@
         server: u32,
         news: u32,
     },
-    Trouble {
+    Fault {
         index: u32,
         starts: bool,
     },
@@ -157,12 +157,12 @@
 }
 
 /// A day being played.
-pub struct Model<'a> {
-    day: &'a Day,
+pub struct Simulator<'a> {
+    day: &'a Scenario,
     now: Micros,
     end: Micros,
     queue: Queue<Happening>,
-    ledger: &'a mut dyn Ledger,
+    ledger: &'a mut dyn EventLog,
     sidecars: Vec<Sidecar>,
     servers: Vec<Server>,
     discovery: Discovery,
@@ -171,10 +171,10 @@
     tasks: SlotMap<TaskKey, Task>,
     next_number: u64,
     next_job: u64,
-    machines: Stream,
-    quotas: Vec<Quota>,
+    machines: RandomStream,
+    quotas: Vec<TenantQuota>,
     targets: Vec<Vec<u32>>,
-    events: Vec<crate::machine::Event>,
+    events: Vec<crate::server_model::Event>,
     actions: Vec<arrowstand_balancer::Action>,
     /// Happenings played.
     pub played: u64,
@@ -182,12 +182,12 @@
     pub choked_off: u64,
 }
 
-impl<'a> Model<'a> {
+impl<'a> Simulator<'a> {
     /// Sets the day up.
     ///
     /// # Errors
     /// What the decision module says of the settings.
-    pub fn new(day: &'a Day, ledger: &'a mut dyn Ledger) -> Result<Self, String> {
+    pub fn new(day: &'a Scenario, ledger: &'a mut dyn EventLog) -> Result<Self, String> {
         let mut model = Self {
             day,
             now: 0,
@@ -202,7 +202,7 @@
             tasks: SlotMap::with_key(),
             next_number: 1,
             next_job: 1,
-            machines: Stream::new(day.seed, Cause::Machines, 0),
+            machines: RandomStream::new(day.seed, StreamId::Machines, 0),
             quotas: quotas(day),
             targets: Vec::new(),
             events: Vec::new(),
@@ -250,7 +250,7 @@
             Happening::Back(task, outcome) => self.back(task, outcome),
             Happening::Late(task) => self.late(task),
             Happening::CalledOff { server, start, job } => self.called_off(server, start, job),
-            Happening::Machine { server, turn } => self.machine(server, turn),
+            Happening::ServerModel { server, turn } => self.machine(server, turn),
             Happening::ProbeArrives {
                 sidecar,
                 life,
@@ -277,7 +277,7 @@
             } => self.list(sidecar, life, call, lost),
             Happening::Heard { sidecar, life } => self.heard(sidecar, life),
             Happening::Notice { server, news } => self.notice(server, news),
-            Happening::Trouble { index, starts } => self.trouble(index as usize, starts),
+            Happening::Fault { index, starts } => self.trouble(index as usize, starts),
             Happening::Restart {
                 sidecar,
                 down,
@@ -296,10 +296,10 @@
         self.at(self.now + span, what);
     }
 
-    fn note(&mut self, entry: Entry) {
-        self.ledger.note(&Line {
+    fn note(&mut self, entry: LogEvent) {
+        self.ledger.note(&LogRecord {
             at: self.now,
-            entry,
+            event: entry,
         });
     }
 
@@ -327,9 +327,9 @@
         for number in 0..self.servers.len() {
             let machine = &self.servers[number].machine;
             let (held, connections) = (machine.held() as u32, machine.connections() as u32);
-            self.note(Entry::Gauge {
+            self.note(LogEvent::ServerGauge {
                 server: number as u32,
-                held,
+                in_flight: held,
                 connections,
             });
         }
@@ -349,14 +349,14 @@
 ///
 /// # Errors
 /// What the decision module says of the settings.
-pub fn run(day: &Day, further: Option<&mut dyn Ledger>) -> Result<(Report, Effort), String> {
-    let (mut auditor, mut tally) = (Auditor::new(day, 0), Tally::new(day));
-    let mut readers = Readers {
+pub fn run(day: &Scenario, further: Option<&mut dyn EventLog>) -> Result<(Report, Effort), String> {
+    let (mut auditor, mut tally) = (Auditor::new(day, 0), Statistics::new(day));
+    let mut readers = Tee {
         first: &mut auditor,
         second: &mut tally,
         further,
     };
-    let mut model = Model::new(day, &mut readers)?;
+    let mut model = Simulator::new(day, &mut readers)?;
     model.play();
     let effort = Effort {
         happenings: model.played,
@@ -381,7 +381,7 @@
         "{choked} job servers were choked for a time; one held {held} at most"
     ));
     if effort.choked_off > 0 {
-        let most = day.load.open_most;
+        let most = day.load.max_open_requests;
         let n = effort.choked_off;
         report.remarks.push(format!(
             "{n} wishes were choked off: load.open_most is {most}"
--- a/crates/testbed/src/model/server.rs
+++ b/crates/testbed/src/simulator/server.rs
@@ -5,8 +5,8 @@
 use arrowstand_balancer::Event as Told;
 
 use super::*;
-use crate::ledger::Fate;
-use crate::machine::{Event, Job, Machine, State};
+use crate::event_log::ServerState;
+use crate::server_model::{Event, Job, ServerModel, State};
 
 /// Share of the idle time after which a sidecar no longer uses a connection.
 const REUSE: f64 = 0.75;
@@ -23,7 +23,7 @@
 
 /// A job server.
 pub struct Server {
-    pub machine: Machine,
+    pub machine: ServerModel,
     pub zone: u32,
     pub net: Net,
     /// Counts its starts: connections belong to one.
@@ -42,8 +42,8 @@
 
 impl Server {
     pub fn new(
-        day: &Day,
-        kind: &crate::scenario::Kind,
+        day: &Scenario,
+        kind: &crate::scenario::MachineType,
         number: usize,
         zone: u32,
         now: Micros,
@@ -52,7 +52,7 @@
         // 0 stands for long ago.
         let launched = if cold { now.max(1) } else { 0 };
         Self {
-            machine: Machine::drawn(day, kind, number, now, cold),
+            machine: ServerModel::drawn(day, kind, number, now, cold),
             zone,
             net: Net::Open,
             start: 0,
@@ -68,7 +68,7 @@
     }
 }
 
-impl Model<'_> {
+impl Simulator<'_> {
     pub(super) fn build_servers(&mut self) {
         let day = self.day;
         for (number, (kind, group)) in day.fleet().into_iter().enumerate() {
@@ -77,16 +77,24 @@
                 .push(Server::new(day, kind, number, zone, 0, group.cold));
             self.fate(
                 number as u32,
-                if group.cold { Fate::Cold } else { Fate::Up },
+                if group.cold {
+                    ServerState::Cold
+                } else {
+                    ServerState::Up
+                },
             );
             self.discovery
                 .list(number as u32, self.servers[number].launched);
         }
     }
 
-    pub(super) fn fate(&mut self, server: u32, fate: Fate) {
+    pub(super) fn fate(&mut self, server: u32, fate: ServerState) {
         let zone = self.servers[server as usize].zone;
-        self.note(Entry::Server { server, zone, fate });
+        self.note(LogEvent::ServerStateChanged {
+            server,
+            zone,
+            state: fate,
+        });
     }
 
     // Connections.
@@ -99,7 +107,7 @@
     }
 
     fn idle(&mut self, sidecar: u32, server: u32) -> Option<u32> {
-        let keep = (from_s(self.day.allow.idle_s) as f64 * REUSE) as Micros;
+        let keep = (from_s(self.day.permissions.idle_timeout_s) as f64 * REUSE) as Micros;
         let start = self.servers[server as usize].start;
         let refusing = self.servers[server as usize].net == Net::Refusing;
         let now = self.now;
@@ -127,7 +135,7 @@
     pub(super) fn sweep(&mut self) {
         let (now, keep) = (
             self.now,
-            (from_s(self.day.allow.idle_s) as f64 * REUSE) as Micros,
+            (from_s(self.day.permissions.idle_timeout_s) as f64 * REUSE) as Micros,
         );
         for sidecar in &mut self.sidecars {
             for (&server, pool) in &mut sidecar.pools {
@@ -232,7 +240,7 @@
             self.at(until, Happening::Late(key));
         } else {
             self.after(delay, Happening::Knocks(key));
-            let connect = self.now + from_ms(self.day.allow.connect_timeout_ms);
+            let connect = self.now + from_ms(self.day.permissions.connect_timeout_ms);
             self.at(until.min(connect), Happening::Late(key));
         }
     }
@@ -244,11 +252,11 @@
         task.written = true;
         let (tx, sidecar, server) = (task.tx, task.sidecar, task.server);
         let crossing = self.sidecars[sidecar as usize].zone != self.servers[server as usize].zone;
-        self.note(Entry::Began {
-            tx,
+        self.note(LogEvent::AttemptStarted {
+            request: tx,
             sidecar,
             server,
-            crossing,
+            cross_zone: crossing,
         });
     }
 
@@ -338,17 +346,20 @@
             server.jobs.insert(job, key);
         }
         if fresh {
-            self.note(Entry::Opened { server: number });
+            self.note(LogEvent::ConnectionOpened { server: number });
         }
-        self.note(Entry::Arrived {
-            tx,
+        self.note(LogEvent::AttemptReceived {
+            request: tx,
             server: number,
             work,
             capacity,
             cold,
         });
         if !taken {
-            self.note(Entry::TurnedAway { tx, server: number });
+            self.note(LogEvent::AttemptRejected {
+                request: tx,
+                server: number,
+            });
             self.after(delay, Happening::Back(key, Outcome::Rejected));
         }
         self.settle(number);
@@ -367,7 +378,7 @@
                     }
                 }
                 Event::Fell => {
-                    self.fate(number, Fate::Fallen);
+                    self.fate(number, ServerState::Fallen);
                     self.vanish(number, Net::Refusing);
                 }
             }
@@ -382,7 +393,7 @@
             if let Some(at) = next {
                 self.at(
                     at,
-                    Happening::Machine {
+                    Happening::ServerModel {
                         server: number,
                         turn,
                     },
@@ -403,8 +414,8 @@
         let (tx, work, delay, ended) = (task.tx, task.work, task.delay, task.ended);
         let spoilt = server.spoilt > 0.0 && self.machines.chance(server.spoilt);
         let broken = task.doomed || spoilt;
-        self.note(Entry::Ran {
-            tx,
+        self.note(LogEvent::WorkDone {
+            request: tx,
             server: number,
             work,
         });
@@ -505,7 +516,7 @@
     // Probes.
 
     pub(super) fn probe(&mut self, sidecar: u32, server: u32) {
-        self.note(Entry::Probed { sidecar, server });
+        self.note(LogEvent::HealthChecked { sidecar, server });
         let life = self.sidecars[sidecar as usize].life;
         let delay = self.delay(sidecar, server);
         let fresh = self.idle(sidecar, server).is_none();
@@ -543,7 +554,8 @@
             if server.net == Net::Open {
                 server.machine.disconnect();
             }
-            let wait = from_ms(self.day.allow.probe_timeout_ms).saturating_sub(2 * delay);
+            let wait =
+                from_ms(self.day.permissions.health_check_timeout_ms).saturating_sub(2 * delay);
             self.after(wait, back(Outcome::TimedOut, None));
             return;
         }
@@ -559,7 +571,7 @@
         };
         self.after(delay, back(outcome, load));
         if fresh {
-            self.note(Entry::Opened { server: number });
+            self.note(LogEvent::ConnectionOpened { server: number });
         }
         if self.sidecars[sidecar as usize].life == life {
             self.keep(sidecar, number, self.now + delay, start);
--- a/crates/testbed/src/model/sidecar.rs
+++ b/crates/testbed/src/simulator/sidecar.rs
@@ -11,8 +11,8 @@
 use rustc_hash::FxHashMap;
 
 use super::*;
-use crate::ledger::{Life, Listing};
-use crate::scenario::{Class, Effect, Group, Source};
+use crate::event_log::{ListedStatus, ProcessState};
+use crate::scenario::{Class, DeduplicationGroup, Effect, ReportSource};
 
 /// The sidecar answers this long before the terminal gives up: `step-ms`.
 const MARGIN: Micros = 5_000;
@@ -23,82 +23,94 @@
     pub life: u32,
     balancer: Option<WorkAwareBalancer>,
     /// The list as it last had it.
-    pub known: BTreeMap<u32, (Listing, Micros)>,
+    pub known: BTreeMap<u32, (ListedStatus, Micros)>,
     pub version: u64,
     pub subscribed: bool,
     pub calls: u32,
     /// Idle connections by job server: since when, and the start of the server that they belong to.
     pub pools: FxHashMap<u32, VecDeque<(Micros, u32)>>,
     open: BTreeMap<u64, TryKey>,
-    pub wishes: Wishes,
-    pub terminals: Stream,
-    pub network: Stream,
-    seeds: Stream,
+    pub wishes: ArrivalStream,
+    pub terminals: RandomStream,
+    pub network: RandomStream,
+    seeds: RandomStream,
 }
 
 /// The module's class for a scenario's.
 pub fn module_class(class: &Class) -> ModuleClass {
-    let semantics = match class.effect {
+    let semantics = match class.idempotency {
         Effect::Safe => Idempotency::Idempotent,
         Effect::Unsafe => Idempotency::NonIdempotent,
         Effect::Keyed => Idempotency::IdempotencyKey,
     };
-    let scope = if class.group == Group::Zone {
+    let scope = if class.deduplication_scope == DeduplicationGroup::Zone {
         DeduplicationScope::Zone
     } else {
         DeduplicationScope::All
     };
-    let (aim, deadline) = (from_ms(class.aim_ms), from_ms(class.deadline_ms));
+    let (aim, deadline) = (
+        from_ms(class.latency_objective_ms),
+        from_ms(class.deadline_ms),
+    );
     ModuleClass {
-        priority_weight: class.worth,
+        priority_weight: class.priority_weight,
         deduplication_scope: scope,
-        deduplication_window: from_ms(class.window_ms),
-        late_value: class.late_worth,
+        deduplication_window: from_ms(class.deduplication_window_ms),
+        late_value: class.late_value,
         ..ModuleClass::new(semantics, aim, deadline)
     }
 }
 
 /// The module's settings at one of the day's sidecars, as the real program would read them.
-pub fn settings(day: &Day, number: usize) -> Settings {
+pub fn settings(day: &Scenario, number: usize) -> Settings {
     Settings {
         classes: day.class.iter().map(module_class).collect(),
         zone: day.spread_zone(number),
         balancer_index: number as u32,
         balancer_count: day.sidecars.count as u32,
         step: MARGIN,
-        cancellation: day.allow.cancel,
-        health_checks: day.allow.probes,
+        cancellation: day.permissions.cancellation,
+        health_checks: day.permissions.health_checks,
         gossip: false,
-        hedging: day.allow.second_copies,
+        hedging: day.permissions.hedging,
         retry_after: true,
-        max_retry_after: from_ms(day.allow.max_retry_after_ms),
-        max_attempts: day.allow.max_attempts,
-        health_check_fee: day.prices.probe,
+        max_retry_after: from_ms(day.permissions.max_retry_after_ms),
+        max_attempts: day.permissions.max_attempts,
+        health_check_fee: day.prices.health_check,
         handshake_fee: day.prices.handshake,
-        idle_timeout: from_s(day.allow.idle_s),
+        idle_timeout: from_s(day.permissions.idle_timeout_s),
         connection_fee: 0.0,
         cross_zone_fee: day.prices.cross_zone,
         load_reports: true,
-        load_reports_in_responses: day.reports.source == Source::Answers,
-        weight_by_work: day.load.worth_by_work,
+        load_reports_in_responses: day.load_reports.source == ReportSource::Answers,
+        weight_by_work: day.load.weight_by_work,
         poll_endpoints: true,
-        max_poll_interval: from_ms(day.allow.ask_every_ms),
+        max_poll_interval: from_ms(day.permissions.max_poll_interval_ms),
         only_draining_binds: false,
-        cold_capacity_share: day.kind.iter().map(|k| k.cold_from).fold(1.0, f64::min),
-        slow_start_time: from_s(day.kind.iter().map(|k| k.cold_s).fold(0.0, f64::max)),
-        cold_overload_factor: day.rules.fall_multiple,
-        cold_overload_window: from_ms(day.rules.fall_ms),
+        cold_capacity_share: day
+            .machine_type
+            .iter()
+            .map(|k| k.cold_capacity_share)
+            .fold(1.0, f64::min),
+        slow_start_time: from_s(
+            day.machine_type
+                .iter()
+                .map(|k| k.slow_start_s)
+                .fold(0.0, f64::max),
+        ),
+        cold_overload_factor: day.rules.cold_overload_factor,
+        cold_overload_window: from_ms(day.rules.cold_overload_window_ms),
     }
 }
 
-impl Model<'_> {
+impl Simulator<'_> {
     pub(super) fn build_sidecars(&mut self) -> Result<(), String> {
         let seed = self.day.seed;
         for (number, part) in parts(self.day).into_iter().enumerate() {
             settings(self.day, number)
                 .validate()
                 .map_err(|e| e.to_string())?;
-            let stream = |cause| Stream::new(seed, cause, number);
+            let stream = |cause| RandomStream::new(seed, cause, number);
             self.sidecars.push(Sidecar {
                 zone: self.day.spread_zone(number),
                 life: 0,
@@ -109,11 +121,11 @@
                 calls: 0,
                 pools: FxHashMap::default(),
                 open: BTreeMap::new(),
-                wishes: Wishes::new(self.day, number, part),
+                wishes: ArrivalStream::new(self.day, number, part),
                 // Tries draw from a stream of their own, so that wishes stay as they are.
-                terminals: Stream::new(seed, Cause::Terminals, number + (1 << 30)),
-                network: stream(Cause::Network),
-                seeds: stream(Cause::Seeds),
+                terminals: RandomStream::new(seed, StreamId::Clients, number + (1 << 30)),
+                network: stream(StreamId::Network),
+                seeds: stream(StreamId::Seeds),
             });
         }
         for number in 0..self.sidecars.len() as u32 {
@@ -136,9 +148,9 @@
             .map(|(&server, &(l, at))| (server, l, at))
             .collect();
         let version = sidecar.version;
-        self.note(Entry::Sidecar {
+        self.note(LogEvent::SidecarStateChanged {
             sidecar: number,
-            life: Life::Up,
+            state: ProcessState::Up,
         });
         self.list_told(
             number,
@@ -159,9 +171,9 @@
         }
         if !kill {
             // What is open is answered first: the real program accepts for 0.7 s more, and drains.
-            self.note(Entry::Sidecar {
+            self.note(LogEvent::SidecarStateChanged {
                 sidecar: number,
-                life: Life::Ending,
+                state: ProcessState::Ending,
             });
             let grace = 700_000;
             self.after(
@@ -174,9 +186,9 @@
             );
             return;
         }
-        self.note(Entry::Sidecar {
+        self.note(LogEvent::SidecarStateChanged {
             sidecar: number,
-            life: Life::Killed,
+            state: ProcessState::Killed,
         });
         let sidecar = &mut self.sidecars[number as usize];
         sidecar.balancer = None;
@@ -200,7 +212,7 @@
                     back,
                     Happening::Told {
                         of: key,
-                        how: How::Cut,
+                        how: RequestOutcome::ConnectionLost,
                         pause: 0,
                     },
                 );
@@ -254,14 +266,15 @@
                 retry_after,
             } => {
                 if let Some(key) = open(self, request) {
-                    let pause = retry_after.unwrap_or(from_ms(self.day.allow.max_retry_after_ms));
-                    self.answer(key, How::Refused, pause, events);
+                    let pause =
+                        retry_after.unwrap_or(from_ms(self.day.permissions.max_retry_after_ms));
+                    self.answer(key, RequestOutcome::Rejected, pause, events);
                 }
             }
             Action::Fail { request } => {
                 if let Some(key) = open(self, request) {
-                    let pause = from_ms(self.day.allow.max_retry_after_ms);
-                    self.answer(key, How::Failed, pause, events);
+                    let pause = from_ms(self.day.permissions.max_retry_after_ms);
+                    self.answer(key, RequestOutcome::Failed, pause, events);
                 }
             }
             Action::SetTimer { token, after } => {
@@ -295,13 +308,13 @@
         let (number, sidecar, class, due, size_hint) =
             (of.number, of.sidecar, of.class, of.due, of.hint);
         if !self.is_up(sidecar) || self.sidecars[sidecar as usize].life != of.life {
-            self.told(key, How::Unreached, 0);
+            self.told(key, RequestOutcome::Unreachable, 0);
             return;
         }
         let ask = self.asks.get(of.ask).map_or(0, |a| a.number);
-        self.note(Entry::Taken {
-            tx: number,
-            ask,
+        self.note(LogEvent::RequestAccepted {
+            request: number,
+            arrival: ask,
             sidecar,
             class,
             due,
@@ -330,8 +343,8 @@
         let mut events = VecDeque::from([Event::ClientDisconnected {
             request: RequestId(number),
         }]);
-        let pause = from_ms(self.day.allow.max_retry_after_ms);
-        self.answer(key, How::Failed, pause, &mut events);
+        let pause = from_ms(self.day.permissions.max_retry_after_ms);
+        self.answer(key, RequestOutcome::Failed, pause, &mut events);
         events
             .into_iter()
             .for_each(|event| self.tell(sidecar, event));
@@ -356,7 +369,13 @@
     }
 
     /// Gives the one final answer and calls off what is still out.
-    fn answer(&mut self, key: TryKey, how: How, pause: Micros, events: &mut VecDeque<Event>) {
+    fn answer(
+        &mut self,
+        key: TryKey,
+        how: RequestOutcome,
+        pause: Micros,
+        events: &mut VecDeque<Event>,
+    ) {
         let Some(of) = self.tries.get_mut(key) else {
             return;
         };
@@ -415,7 +434,7 @@
             load_report: report,
         }));
         if outcome == Outcome::Served && !answered {
-            self.answer(of, How::Served, 0, events);
+            self.answer(of, RequestOutcome::Served, 0, events);
         }
     }
 
--- a/crates/testbed/src/tally.rs
+++ b/crates/testbed/src/statistics.rs
@@ -5,9 +5,9 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::ledger::{Entry, Fate, How, Ledger, Life, Line};
-use crate::report::{ClassFigures, Fleet, Report, Second, ShopFigures};
-use crate::scenario::{Day, Micros, from_ms};
+use crate::event_log::{EventLog, LogEvent, LogRecord, ProcessState, RequestOutcome, ServerState};
+use crate::report::{ClassFigures, Report, Second, ServerFigures, TenantFigures};
+use crate::scenario::{Micros, Scenario, from_ms};
 
 /// Weights of the whole day, the worst stretch, the worst class and the worst shop.
 const WEIGHTS: [f64; 4] = [0.25, 0.45, 0.20, 0.10];
@@ -43,9 +43,9 @@
     }
 }
 
-/// Reads the record; [`Tally::report`] sums it up.
-pub struct Tally {
-    day: Day,
+/// Reads the record; [`Statistics::report`] sums it up.
+pub struct Statistics {
+    day: Scenario,
     asks: FxHashMap<u64, Ask>,
     runs: FxHashMap<u64, f64>,
     whole: Worth,
@@ -53,16 +53,16 @@
     by_shop: Vec<Worth>,
     seconds: Vec<Second>,
     worths: Vec<Worth>,
-    class_counts: Vec<FxHashMap<How, u64>>,
+    class_counts: Vec<FxHashMap<RequestOutcome, u64>>,
     class_latency: Vec<Histogram<u64>>,
     latency: Histogram<u64>,
-    fleet: Vec<Fleet>,
+    fleet: Vec<ServerFigures>,
     work_done: f64,
     work_useful: f64,
     asked: u64,
     tries: u64,
     transactions: u64,
-    answered: FxHashMap<How, u64>,
+    answered: FxHashMap<RequestOutcome, u64>,
     routed: u64,
     crossing: u64,
     probes: u64,
@@ -77,8 +77,8 @@
     Histogram::new_with_bounds(1, 600_000_000, 3).unwrap_or_else(|_| unreachable!("fixed bounds"))
 }
 
-impl Tally {
-    pub fn new(day: &Day) -> Self {
+impl Statistics {
+    pub fn new(day: &Scenario) -> Self {
         let seconds = day.seconds.ceil() as usize + 1;
         let classes = day.class.len();
         Self {
@@ -87,7 +87,7 @@
             runs: FxHashMap::default(),
             whole: Worth::default(),
             by_class: vec![Worth::default(); classes],
-            by_shop: vec![Worth::default(); day.shop.len()],
+            by_shop: vec![Worth::default(); day.tenant.len()],
             seconds: (0..seconds).map(|_| Second::new(classes)).collect(),
             worths: vec![Worth::default(); seconds],
             class_counts: vec![FxHashMap::default(); classes],
@@ -110,15 +110,15 @@
         }
     }
 
-    fn server(&mut self, server: u32) -> &mut Fleet {
+    fn server(&mut self, server: u32) -> &mut ServerFigures {
         let server = server as usize;
         if self.fleet.len() <= server {
-            self.fleet.resize_with(server + 1, Fleet::default);
+            self.fleet.resize_with(server + 1, ServerFigures::default);
         }
         &mut self.fleet[server]
     }
 
-    fn closed(&mut self, at: Micros, ask: u64, how: How, tries: u32) {
+    fn closed(&mut self, at: Micros, ask: u64, how: RequestOutcome, tries: u32) {
         let Some(ask) = self.asks.remove(&ask) else {
             return;
         };
@@ -127,15 +127,18 @@
         let Some(rules) = self.day.class.get(class) else {
             return;
         };
-        let (took, aim) = (at.saturating_sub(ask.at), from_ms(rules.aim_ms));
-        let in_time = how == How::Served && took <= aim;
-        let late = if how == How::Served {
-            rules.late_worth
+        let (took, aim) = (
+            at.saturating_sub(ask.at),
+            from_ms(rules.latency_objective_ms),
+        );
+        let in_time = how == RequestOutcome::Served && took <= aim;
+        let late = if how == RequestOutcome::Served {
+            rules.late_value
         } else {
             0.0
         };
         let gained = if in_time { 1.0 } else { late };
-        if how == How::Left {
+        if how == RequestOutcome::Disconnected {
             return;
         }
         if !in_time && took > aim {
@@ -156,7 +159,7 @@
             second.add(class, how, in_time);
         }
         *self.class_counts[class].entry(how).or_default() += 1;
-        if how == How::Served {
+        if how == RequestOutcome::Served {
             self.latency.saturating_record(took.max(1));
             self.class_latency[class].saturating_record(took.max(1));
         }
@@ -219,12 +222,12 @@
         let waste = (self.work_done - self.work_useful).max(0.0);
         let offered = asked * self.day.mean_work() * 1e6;
         let spent = prices.cross_zone * self.crossing as f64 / asked
-            + prices.probe * self.probes as f64 / asked
+            + prices.health_check * self.probes as f64 / asked
             + prices.handshake * self.handshakes as f64 / asked
             + prices.waste * waste / offered.max(1.0)
             + prices.late_fail * self.late_worth / self.whole.asked.max(f64::MIN_POSITIVE);
-        let names = |how: &FxHashMap<How, u64>| {
-            let mut list: Vec<(How, u64)> = how.iter().map(|(&h, &n)| (h, n)).collect();
+        let names = |how: &FxHashMap<RequestOutcome, u64>| {
+            let mut list: Vec<(RequestOutcome, u64)> = how.iter().map(|(&h, &n)| (h, n)).collect();
             list.sort();
             list
         };
@@ -242,8 +245,8 @@
                 ended: names(&self.class_counts[i]),
                 latency_ms: quantiles(&self.class_latency[i]),
             });
-        let shops = self.day.shop.iter().zip(&self.by_shop);
-        let shops = shops.map(|(shop, worth)| ShopFigures {
+        let shops = self.day.tenant.iter().zip(&self.by_shop);
+        let shops = shops.map(|(shop, worth)| TenantFigures {
             name: shop.name.clone(),
             service: worth.share(),
         });
@@ -260,58 +263,58 @@
             servers: self.fleet.len(),
             service: weighed,
             service_after_prices: weighed - spent,
-            whole: parts[0],
-            worst_stretch: parts[1],
+            overall: parts[0],
+            worst_window: parts[1],
             worst_class: parts[2],
-            worst_shop: parts[3],
-            asked: self.asked,
-            tries: self.tries,
-            transactions: self.transactions,
-            answered: names(&self.answered),
-            routed: self.routed,
-            crossing: self.crossing,
-            probes: self.probes,
+            worst_tenant: parts[3],
+            arrivals: self.asked,
+            requests: self.tries,
+            accepted: self.transactions,
+            responses: names(&self.answered),
+            attempts: self.routed,
+            cross_zone_attempts: self.crossing,
+            health_checks: self.probes,
             handshakes: self.handshakes,
-            list_calls: self.calls.iter().map(|&c| u64::from(c)).sum(),
-            list_calls_peak: self.calls.iter().copied().max().unwrap_or(0),
-            wasted: waste / self.work_done.max(1.0),
+            discovery_polls: self.calls.iter().map(|&c| u64::from(c)).sum(),
+            discovery_polls_peak: self.calls.iter().copied().max().unwrap_or(0),
+            wasted_work: waste / self.work_done.max(1.0),
             latency_ms: quantiles(&self.latency),
             recovered_s: self.recovery(),
             classes: classes.collect(),
-            shops: shops.collect(),
+            tenants: shops.collect(),
             timeline: self.seconds[..seconds].to_vec(),
-            fleet: self.fleet.clone(),
+            servers_by_number: self.fleet.clone(),
             ..Report::default()
         }
     }
 }
 
-impl Ledger for Tally {
-    fn note(&mut self, line: &Line) {
+impl EventLog for Statistics {
+    fn note(&mut self, line: &LogRecord) {
         let second = (line.at / 1_000_000) as usize;
-        match line.entry {
-            Entry::Asked {
-                ask,
+        match line.event {
+            LogEvent::ArrivalStarted {
+                arrival: ask,
                 class,
-                shop,
-                within,
+                tenant: shop,
+                within_share: within,
                 work,
                 ..
             } => {
                 self.asked += 1;
                 let by_work = |mean: f64| {
-                    if self.day.load.worth_by_work {
+                    if self.day.load.weight_by_work {
                         work / mean / 1_000.0
                     } else {
                         1.0
                     }
                 };
                 let class_of = self.day.class.get(usize::from(class));
-                let full = class_of.map_or(0.0, |c| c.worth * by_work(c.work_ms));
+                let full = class_of.map_or(0.0, |c| c.priority_weight * by_work(c.work_ms));
                 let worth = if within {
                     full
                 } else {
-                    full * self.day.rules.over_share_worth
+                    full * self.day.rules.over_share_weight
                 };
                 self.asks.insert(
                     ask,
@@ -324,60 +327,80 @@
                     },
                 );
             }
-            Entry::Taken { .. } => self.transactions += 1,
-            Entry::Began {
-                server, crossing, ..
+            LogEvent::RequestAccepted { .. } => self.transactions += 1,
+            LogEvent::AttemptStarted {
+                server,
+                cross_zone: crossing,
+                ..
             } => {
                 self.routed += 1;
                 self.crossing += u64::from(crossing);
-                self.server(server).routed += 1;
+                self.server(server).attempts += 1;
             }
-            Entry::Arrived { server, .. } => self.server(server).arrived += 1,
-            Entry::TurnedAway { server, .. } => self.server(server).turned_away += 1,
-            Entry::Ran { tx, server, work } => {
+            LogEvent::AttemptReceived { server, .. } => self.server(server).received += 1,
+            LogEvent::AttemptRejected { server, .. } => self.server(server).rejected += 1,
+            LogEvent::WorkDone {
+                request: tx,
+                server,
+                work,
+            } => {
                 self.work_done += work;
                 self.server(server).work_s += work / 1e6;
                 self.runs.insert(tx, work);
             }
-            Entry::Answered { tx, how } => {
+            LogEvent::ResponseReceived {
+                request: tx,
+                outcome: how,
+            } => {
                 let work = self.runs.remove(&tx).unwrap_or(0.0);
-                if how == How::Served {
+                if how == RequestOutcome::Served {
                     self.work_useful += work;
                 }
                 *self.answered.entry(how).or_default() += 1;
             }
-            Entry::Left { tx } => drop(self.runs.remove(&tx)),
-            Entry::Closed { ask, how, tries } => self.closed(line.at, ask, how, tries),
-            Entry::Sidecar { life: Life::Up, .. } if line.at > 0 => self.restarts.push(line.at),
-            Entry::Server { server, fate, .. } => {
-                let fallen = fate == Fate::Fallen;
+            LogEvent::ClientDisconnected { request: tx } => drop(self.runs.remove(&tx)),
+            LogEvent::ArrivalEnded {
+                arrival: ask,
+                outcome: how,
+                requests: tries,
+            } => self.closed(line.at, ask, how, tries),
+            LogEvent::SidecarStateChanged {
+                state: ProcessState::Up,
+                ..
+            } if line.at > 0 => self.restarts.push(line.at),
+            LogEvent::ServerStateChanged {
+                server,
+                state: fate,
+                ..
+            } => {
+                let fallen = fate == ServerState::Fallen;
                 let site = self.server(server);
-                site.fell |= fallen;
+                site.overloaded_cold |= fallen;
             }
-            Entry::Probed { server, .. } => {
+            LogEvent::HealthChecked { server, .. } => {
                 self.probes += 1;
-                self.server(server).probes += 1;
+                self.server(server).health_checks += 1;
             }
-            Entry::Opened { server } => {
+            LogEvent::ConnectionOpened { server } => {
                 self.handshakes += 1;
                 self.server(server).handshakes += 1;
             }
-            Entry::Called { .. } => {
+            LogEvent::DiscoveryPolled { .. } => {
                 if let Some(calls) = self.calls.get_mut(second) {
                     *calls += 1;
                 }
             }
-            Entry::Gauge {
+            LogEvent::ServerGauge {
                 server,
-                held,
+                in_flight: held,
                 connections,
             } => {
                 let site = self.server(server);
                 site.gauges += 1;
-                site.held_sum += u64::from(held);
+                site.in_flight_sum += u64::from(held);
                 site.connections_sum += u64::from(connections);
-                site.held_most = site.held_most.max(held);
-                site.connections_most = site.connections_most.max(connections);
+                site.in_flight_max = site.in_flight_max.max(held);
+                site.connections_max = site.connections_max.max(connections);
             }
             _ => {}
         }
--- a/crates/testbed/src/wishes.rs
+++ b/crates/testbed/src/workload.rs
@@ -1,11 +1,11 @@
 //! What terminals want, and when: drawn alike for both engines, one sidecar's terminals at a time.
 
-use crate::chance::{Cause, Stream};
-use crate::scenario::{Day, Micros, Trouble, What, from_s};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Fault, FaultKind, Micros, Scenario, from_s};
 
 /// One wish, drawn.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Wish {
+pub struct Arrival {
     pub at: Micros,
     pub class: u16,
     pub shop: u16,
@@ -19,13 +19,13 @@
 
 /// The wishes at one sidecar, in the order of their times.
 #[derive(Clone, Debug)]
-pub struct Wishes {
-    day: Day,
+pub struct ArrivalStream {
+    day: Scenario,
     part: f64,
-    arrivals: Stream,
-    work: Stream,
-    terminals: Stream,
-    hints: Stream,
+    arrivals: RandomStream,
+    work: RandomStream,
+    terminals: RandomStream,
+    hints: RandomStream,
     wander: Vec<f64>,
     at: Micros,
     classes: Vec<f64>,
@@ -33,8 +33,8 @@
 }
 
 /// How the load wanders between 0 and 1, second by second: alike at all sidecars.
-fn wander(day: &Day) -> Vec<f64> {
-    let mut stream = Stream::new(day.seed, Cause::Load, 0);
+fn wander(day: &Scenario) -> Vec<f64> {
+    let mut stream = RandomStream::new(day.seed, StreamId::Load, 0);
     let mut at: f64 = 0.5;
     let step = |_| {
         at = (at + stream.between(-0.12, 0.12) + 0.05 * (0.5 - at)).clamp(0.0, 1.0);
@@ -44,8 +44,8 @@
 }
 
 /// Parts of the traffic that the sidecars get, adding up to 1.
-pub fn parts(day: &Day) -> Vec<f64> {
-    let mut stream = Stream::new(day.seed, Cause::Fleet, 1 << 20);
+pub fn parts(day: &Scenario) -> Vec<f64> {
+    let mut stream = RandomStream::new(day.seed, StreamId::Fleet, 1 << 20);
     let parts: Vec<f64> = (0..day.sidecars.count)
         .map(|_| stream.lognormal(day.sidecars.skew))
         .collect();
@@ -53,7 +53,7 @@
     parts.into_iter().map(|p| p / sum).collect()
 }
 
-impl Trouble {
+impl Fault {
     /// True while it goes on.
     pub fn is_on(&self, at: Micros) -> bool {
         let from = from_s(self.at_s);
@@ -61,46 +61,46 @@
     }
 }
 
-impl Wishes {
+impl ArrivalStream {
     /// The wishes at the sidecar of that number, which gets that part of the traffic.
-    pub fn new(day: &Day, number: usize, part: f64) -> Self {
-        let stream = |cause| Stream::new(day.seed, cause, number);
+    pub fn new(day: &Scenario, number: usize, part: f64) -> Self {
+        let stream = |cause| RandomStream::new(day.seed, cause, number);
         Self {
             part,
-            arrivals: stream(Cause::Arrivals),
-            work: stream(Cause::Work),
-            terminals: stream(Cause::Terminals),
-            hints: stream(Cause::Hints),
+            arrivals: stream(StreamId::Arrivals),
+            work: stream(StreamId::Work),
+            terminals: stream(StreamId::Clients),
+            hints: stream(StreamId::Hints),
             wander: wander(day),
             at: 0,
             classes: day.class.iter().map(|c| c.share).collect(),
-            shops: day.shop.iter().map(|s| s.share * s.usage).collect(),
+            shops: day.tenant.iter().map(|s| s.share * s.usage).collect(),
             day: day.clone(),
         }
     }
 
-    fn draw(&mut self) -> Wish {
+    fn draw(&mut self) -> Arrival {
         let (class, shop) = (self.work.pick(&self.classes), self.work.pick(&self.shops));
         let mut work = self.work.work(&self.day.class[class]);
         let name = &self.day.class[class].name;
         let dear =
-            |t: &&Trouble| t.what == What::Costly && t.class.as_ref().is_none_or(|c| c == name);
-        for trouble in self.day.trouble.iter().filter(dear) {
+            |t: &&Fault| t.kind == FaultKind::Costly && t.class.as_ref().is_none_or(|c| c == name);
+        for trouble in self.day.fault.iter().filter(dear) {
             // Drawn whether or not it is on, so that a trouble moves no other draw.
             let hit = self.work.unit() < trouble.share;
             if hit && trouble.is_on(self.at) {
-                work *= trouble.times;
+                work *= trouble.factor;
             }
         }
-        let honours = self.terminals.chance(self.day.terminals.honour);
+        let honours = self.terminals.chance(self.day.clients.honour_retry_after);
         let off = |spread: f64| (spread * self.hints.normal()).exp();
         let hint = self
             .day
             .load
-            .hints
+            .work_hints
             .map(off)
             .map(|off| (work * off).max(1.0) as Micros);
-        Wish {
+        Arrival {
             at: self.at,
             class: class as u16,
             shop: shop as u16,
@@ -111,10 +111,10 @@
     }
 }
 
-impl Iterator for Wishes {
-    type Item = Wish;
+impl Iterator for ArrivalStream {
+    type Item = Arrival;
 
-    fn next(&mut self) -> Option<Wish> {
+    fn next(&mut self) -> Option<Arrival> {
         let end = from_s(self.day.seconds);
         loop {
             let wander = self
@@ -142,13 +142,13 @@
 
 /// What a shop may ask for within its share: tokens that come at its share of the quota.
 #[derive(Clone, Copy, Debug)]
-pub struct Quota {
+pub struct TenantQuota {
     rate: f64,
     tokens: f64,
     at: Micros,
 }
 
-impl Quota {
+impl TenantQuota {
     /// Takes a token; false for what lies beyond the share.
     pub fn take(&mut self, now: Micros) -> bool {
         let passed = now.saturating_sub(self.at) as f64 / 1e6;
@@ -161,12 +161,12 @@
 }
 
 /// One quota for each shop, full at the start.
-pub fn quotas(day: &Day) -> Vec<Quota> {
+pub fn quotas(day: &Scenario) -> Vec<TenantQuota> {
     let all = day.full_rate() * day.rules.quota_of_capacity;
-    let quota = |share: f64| Quota {
+    let quota = |share: f64| TenantQuota {
         rate: share * all,
         tokens: (share * all).max(1.0),
         at: 0,
     };
-    day.shop.iter().map(|s| quota(s.share)).collect()
+    day.tenant.iter().map(|s| quota(s.share)).collect()
 }
