--- a/crates/testbed/tests/auditor.rs
+++ b/crates/testbed/tests/auditor.rs
@@ -2,47 +2,49 @@
 //! passes.
 
 use arrowstand_testbed::audit::{Auditor, Rule};
-use arrowstand_testbed::ledger::{Entry, Fate, How, Ledger, Life, Line, Listing, read};
-use arrowstand_testbed::scenario::{Class, Day, Effect, Group, Micros};
+use arrowstand_testbed::event_log::{
+    EventLog, ListedStatus, LogEvent, LogRecord, ProcessState, RequestOutcome, ServerState, read,
+};
+use arrowstand_testbed::scenario::{Class, DeduplicationGroup, Effect, Micros, Scenario};
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
 
-fn day() -> Day {
+fn day() -> Scenario {
     let class = |effect, group| Class {
-        effect,
-        group,
-        window_ms: 10_000.0,
+        idempotency: effect,
+        deduplication_scope: group,
+        deduplication_window_ms: 10_000.0,
         ..Class::default()
     };
     let classes = [
-        class(Effect::Safe, Group::All),
-        class(Effect::Unsafe, Group::All),
-        class(Effect::Keyed, Group::Zone),
-        class(Effect::Keyed, Group::All),
+        class(Effect::Safe, DeduplicationGroup::All),
+        class(Effect::Unsafe, DeduplicationGroup::All),
+        class(Effect::Keyed, DeduplicationGroup::Zone),
+        class(Effect::Keyed, DeduplicationGroup::All),
     ];
-    Day {
+    Scenario {
         class: classes.to_vec(),
-        ..Day::default()
+        ..Scenario::default()
     }
 }
 
 /// What the auditor says of a record.
-fn audit(lines: &[(Micros, Entry)]) -> Vec<(Rule, Option<u64>, Option<u32>, Micros)> {
+fn audit(lines: &[(Micros, LogEvent)]) -> Vec<(Rule, Option<u64>, Option<u32>, Micros)> {
     let mut auditor = Auditor::new(&day(), 0);
     // Two job servers in zone 0, one in zone 1.
     for (server, zone) in [(0, 0), (1, 0), (2, 1)] {
-        auditor.note(&Line {
+        auditor.note(&LogRecord {
             at: 0,
-            entry: Entry::Server {
+            event: LogEvent::ServerStateChanged {
                 server,
                 zone,
-                fate: Fate::Up,
+                state: ServerState::Up,
             },
         });
     }
     for &(at, entry) in lines {
-        auditor.note(&Line { at, entry });
+        auditor.note(&LogRecord { at, event: entry });
     }
     auditor.finish();
     assert_eq!(auditor.count, auditor.breaches.len() as u64);
@@ -53,12 +55,12 @@
         .collect()
 }
 
-fn taken(tx: u64, class: u16) -> (Micros, Entry) {
+fn taken(tx: u64, class: u16) -> (Micros, LogEvent) {
     (
         S,
-        Entry::Taken {
-            tx,
-            ask: tx,
+        LogEvent::RequestAccepted {
+            request: tx,
+            arrival: tx,
             sidecar: 0,
             class,
             due: 2 * S,
@@ -66,11 +68,11 @@
     )
 }
 
-fn arrived(at: Micros, tx: u64, server: u32) -> (Micros, Entry) {
+fn arrived(at: Micros, tx: u64, server: u32) -> (Micros, LogEvent) {
     (
         at,
-        Entry::Arrived {
-            tx,
+        LogEvent::AttemptReceived {
+            request: tx,
             server,
             work: 10_000.0,
             capacity: 2.0,
@@ -79,12 +81,24 @@
     )
 }
 
-fn answered(at: Micros, tx: u64, how: How) -> (Micros, Entry) {
-    (at, Entry::Answered { tx, how })
+fn answered(at: Micros, tx: u64, how: RequestOutcome) -> (Micros, LogEvent) {
+    (
+        at,
+        LogEvent::ResponseReceived {
+            request: tx,
+            outcome: how,
+        },
+    )
 }
 
-fn turned(at: Micros, tx: u64, server: u32) -> (Micros, Entry) {
-    (at, Entry::TurnedAway { tx, server })
+fn turned(at: Micros, tx: u64, server: u32) -> (Micros, LogEvent) {
+    (
+        at,
+        LogEvent::AttemptRejected {
+            request: tx,
+            server,
+        },
+    )
 }
 
 const GRACE: Micros = 20 * MS;
@@ -92,8 +106,11 @@
 #[test]
 fn one_answer_in_time_and_no_more() {
     let late = 2 * S + GRACE;
-    assert_eq!(audit(&[taken(1, 0), answered(late, 1, How::Served)]), []);
-    let found = audit(&[taken(1, 0), answered(late + 1, 1, How::Served)]);
+    assert_eq!(
+        audit(&[taken(1, 0), answered(late, 1, RequestOutcome::Served)]),
+        []
+    );
+    let found = audit(&[taken(1, 0), answered(late + 1, 1, RequestOutcome::Served)]);
     assert!(
         found
             .iter()
@@ -106,11 +123,15 @@
     );
     let twice = [
         taken(1, 0),
-        answered(S + 1, 1, How::Served),
-        answered(S + 2, 1, How::Failed),
+        answered(S + 1, 1, RequestOutcome::Served),
+        answered(S + 2, 1, RequestOutcome::Failed),
     ];
     assert_eq!(audit(&twice), [(Rule::OneAnswer, Some(1), None, S + 2)]);
-    for how in [How::Wrong, How::Cut, How::Unanswered] {
+    for how in [
+        RequestOutcome::Mismatched,
+        RequestOutcome::ConnectionLost,
+        RequestOutcome::Unanswered,
+    ] {
         let found = audit(&[taken(1, 0), answered(S + 5, 1, how)]);
         assert_eq!(found, [(Rule::OneAnswer, Some(1), None, S + 5)], "{how:?}");
     }
@@ -118,26 +139,45 @@
 
 #[test]
 fn who_left_or_was_killed_is_owed_nothing_but_one_told_to_end_is() {
-    assert_eq!(audit(&[taken(1, 0), (S + 1, Entry::Left { tx: 1 })]), []);
-    let life = |life| (S + 2, Entry::Sidecar { sidecar: 0, life });
     assert_eq!(
         audit(&[
             taken(1, 0),
-            life(Life::Killed),
-            answered(S + 3, 1, How::Cut)
+            (S + 1, LogEvent::ClientDisconnected { request: 1 })
+        ]),
+        []
+    );
+    let life = |life| {
+        (
+            S + 2,
+            LogEvent::SidecarStateChanged {
+                sidecar: 0,
+                state: life,
+            },
+        )
+    };
+    assert_eq!(
+        audit(&[
+            taken(1, 0),
+            life(ProcessState::Killed),
+            answered(S + 3, 1, RequestOutcome::ConnectionLost)
         ]),
         []
     );
     assert_eq!(
-        audit(&[taken(1, 0), life(Life::Ending), life(Life::Ended)]).len(),
+        audit(&[
+            taken(1, 0),
+            life(ProcessState::Ending),
+            life(ProcessState::Ended)
+        ])
+        .len(),
         1
     );
     // A kill before it was taken excuses nothing.
     let before = (
         S - 1,
-        Entry::Sidecar {
+        LogEvent::SidecarStateChanged {
             sidecar: 0,
-            life: Life::Killed,
+            state: ProcessState::Killed,
         },
     );
     assert_eq!(audit(&[before, taken(1, 0)]).len(), 1);
@@ -145,7 +185,7 @@
 
 #[test]
 fn an_unsafe_request_arrives_again_only_if_it_was_turned_away() {
-    let end = answered(S + 90, 1, How::Served);
+    let end = answered(S + 90, 1, RequestOutcome::Served);
     let good = [
         taken(1, 1),
         arrived(S + 1, 1, 0),
@@ -173,7 +213,7 @@
 
 #[test]
 fn a_key_holds_in_its_zone_and_window() {
-    let end = answered(S + 90, 1, How::Served);
+    let end = answered(S + 90, 1, RequestOutcome::Served);
     assert_eq!(
         audit(&[taken(1, 2), arrived(S + 1, 1, 0), arrived(S + 2, 1, 1), end]),
         []
@@ -219,7 +259,7 @@
         let found = audit(&[
             taken(1, class),
             arrived(S + 1, 1, 0),
-            answered(S + 2, 1, How::Refused),
+            answered(S + 2, 1, RequestOutcome::Rejected),
         ]);
         let wanted = if honest {
             vec![]
@@ -232,12 +272,12 @@
         taken(1, 1),
         arrived(S + 1, 1, 0),
         turned(S + 1, 1, 0),
-        answered(S + 2, 1, How::Refused),
+        answered(S + 2, 1, RequestOutcome::Rejected),
     ];
     assert_eq!(audit(&turned_away), []);
     let after = [
         taken(1, 1),
-        answered(S + 1, 1, How::Refused),
+        answered(S + 1, 1, RequestOutcome::Rejected),
         arrived(S + 2, 1, 0),
     ];
     assert_eq!(
@@ -246,63 +286,66 @@
     );
 }
 
-fn began(at: Micros, sidecar: u32) -> (Micros, Entry) {
+fn began(at: Micros, sidecar: u32) -> (Micros, LogEvent) {
     (
         at,
-        Entry::Began {
-            tx: 1,
+        LogEvent::AttemptStarted {
+            request: 1,
             sidecar,
             server: 0,
-            crossing: false,
+            cross_zone: false,
         },
     )
 }
 
-fn listed(at: Micros, listing: Listing, launched: Micros) -> (Micros, Entry) {
+fn listed(at: Micros, listing: ListedStatus, launched: Micros) -> (Micros, LogEvent) {
     (
         at,
-        Entry::Listed {
+        LogEvent::EndpointListed {
             sidecar: 0,
             server: 0,
-            listing,
-            launched,
+            status: listing,
+            incarnation: launched,
         },
     )
 }
 
 #[test]
 fn nothing_new_begins_two_seconds_after_a_drain_was_told() {
-    for out in [Listing::Draining, Listing::Gone] {
+    for out in [ListedStatus::Draining, ListedStatus::Gone] {
         assert_eq!(audit(&[listed(S, out, 0), began(3 * S, 0)]), []);
         let found = audit(&[listed(S, out, 0), began(3 * S + 1, 0)]);
         assert_eq!(found, [(Rule::DrainKept, Some(1), Some(0), 3 * S + 1)]);
     }
     // Telling it again does not start the time anew; a new start ends the drain; others were not told.
     let again = [
-        listed(S, Listing::Draining, 0),
-        listed(2 * S, Listing::Gone, 0),
+        listed(S, ListedStatus::Draining, 0),
+        listed(2 * S, ListedStatus::Gone, 0),
         began(3 * S + 1, 0),
     ];
     assert_eq!(audit(&again).len(), 1);
     assert_eq!(
         audit(&[
-            listed(S, Listing::Gone, 0),
-            listed(2 * S, Listing::Ready, 2 * S),
+            listed(S, ListedStatus::Gone, 0),
+            listed(2 * S, ListedStatus::Ready, 2 * S),
             began(4 * S, 0)
         ]),
         []
     );
-    assert_eq!(audit(&[listed(S, Listing::Gone, 0), began(4 * S, 1)]), []);
+    assert_eq!(
+        audit(&[listed(S, ListedStatus::Gone, 0), began(4 * S, 1)]),
+        []
+    );
     // A restarted sidecar knows only what it is told since.
     let restart = (
         2 * S,
-        Entry::Sidecar {
+        LogEvent::SidecarStateChanged {
             sidecar: 0,
-            life: Life::Killed,
+            state: ProcessState::Killed,
         },
     );
     assert_eq!(
-        audit(&[listed(S, Listing::Gone, 0), restart, began(4 * S, 0)]),
+        audit(&[listed(S, ListedStatus::Gone, 0), restart, began(4 * S, 0)]),
         []
     );
 }
@@ -311,22 +354,22 @@
 fn pressed(count: u64, told: bool, cold: bool) -> Vec<(Rule, Option<u64>, Option<u32>, Micros)> {
     let mut lines = vec![(
         S,
-        Entry::Server {
+        LogEvent::ServerStateChanged {
             server: 0,
             zone: 0,
-            fate: Fate::Cold,
+            state: ServerState::Cold,
         },
     )];
     if told {
-        lines.push(listed(S, Listing::Ready, S));
+        lines.push(listed(S, ListedStatus::Ready, S));
     }
     for n in 0..count {
         let at = S + 10 + n;
         lines.push((
             at,
-            Entry::Taken {
-                tx: n,
-                ask: n,
+            LogEvent::RequestAccepted {
+                request: n,
+                arrival: n,
                 sidecar: 0,
                 class: 0,
                 due: 2 * S,
@@ -334,8 +377,8 @@
         ));
         lines.push((
             at,
-            Entry::Arrived {
-                tx: n,
+            LogEvent::AttemptReceived {
+                request: n,
                 server: 0,
                 work: 100_000.0,
                 capacity: 0.4,
@@ -344,9 +387,9 @@
         ));
         lines.push((
             at,
-            Entry::Answered {
-                tx: n,
-                how: How::Failed,
+            LogEvent::ResponseReceived {
+                request: n,
+                outcome: RequestOutcome::Failed,
             },
         ));
     }
@@ -367,12 +410,12 @@
 
 #[test]
 fn a_record_that_was_written_reads_back_and_a_bad_line_is_named() {
-    let lines = [Line {
+    let lines = [LogRecord {
         at: 7,
-        entry: Entry::Closed {
-            ask: 3,
-            how: How::ChokedOff,
-            tries: 2,
+        event: LogEvent::ArrivalEnded {
+            arrival: 3,
+            outcome: RequestOutcome::NotPlayed,
+            requests: 2,
         },
     }];
     let text: String = lines
--- a/crates/testbed/tests/cli.rs
+++ b/crates/testbed/tests/cli.rs
@@ -53,7 +53,7 @@
             .contains("<svg")
     );
     let record =
-        arrowstand_testbed::ledger::read(&std::fs::read_to_string(&ledger).expect("there"))
+        arrowstand_testbed::event_log::read(&std::fs::read_to_string(&ledger).expect("there"))
             .expect("read");
     assert!(record.len() > 1_000 && record.windows(2).all(|w| w[0].at <= w[1].at));
     let compared = lab(&["compare", j, j]);
--- a/crates/testbed/tests/stage.rs
+++ b/crates/testbed/tests/emulator.rs
@@ -2,10 +2,10 @@
 
 use std::path::{Path, PathBuf};
 
-use arrowstand_testbed::ledger::How;
+use arrowstand_testbed::emulator::{Options, run};
+use arrowstand_testbed::event_log::RequestOutcome;
 use arrowstand_testbed::report::Report;
-use arrowstand_testbed::scenario::Scenario;
-use arrowstand_testbed::stage::{Options, run};
+use arrowstand_testbed::scenario::ScenarioFile;
 
 /// The sidecar's program, which a test of the whole workspace builds beside the lab's.
 fn program() -> PathBuf {
@@ -20,21 +20,21 @@
 
 const SMALL: &str = r#"
 seconds = 4.0
-[[kind]]
+[[machine_type]]
 name = "std"
 cores = 2
 error_rate = 0.0
 handshake_ms = 0.5
 [[servers]]
-kind = "std"
+machine_type = "std"
 count = 3
 [sidecars]
 count = 2
 [load]
 rate = 60.0
-[terminals]
+[clients]
 retries = 0
-patience = [1.0, 1.0]
+timeout_share = [1.0, 1.0]
 [[class]]
 name = "job-status"
 share = 0.6
@@ -45,13 +45,13 @@
 share = 0.4
 work_ms = 10.0
 dist = "fixed"
-aim_ms = 800.0
+latency_objective_ms = 800.0
 deadline_ms = 2000.0
-effect = "unsafe"
+idempotency = "unsafe"
 "#;
 
 fn stage(name: &str, more: &str) -> Report {
-    let scenario = Scenario::read(name, &format!("name = \"{name}\"\n{SMALL}{more}"))
+    let scenario = ScenarioFile::read(name, &format!("name = \"{name}\"\n{SMALL}{more}"))
         .unwrap_or_else(|f| panic!("{f}"));
     let folder =
         std::env::temp_dir().join(format!("arrowstand-testbed-{name}-{}", std::process::id()));
@@ -61,24 +61,27 @@
     };
     let report = run(&scenario.day, &options, None).expect("played");
     let _ = std::fs::remove_dir_all(folder);
-    assert_eq!(report.broken, Vec::<String>::new(), "{report}");
-    assert_eq!(report.uncounted, Vec::<String>::new(), "{report}");
+    assert_eq!(report.violations, Vec::<String>::new(), "{report}");
+    assert_eq!(report.counter_differences, Vec::<String>::new(), "{report}");
     let ended: u64 = report
         .classes
         .iter()
         .flat_map(|c| &c.ended)
         .map(|e| e.1)
         .sum();
-    assert_eq!(ended, report.asked, "every wish comes to an end: {report}");
+    assert_eq!(
+        ended, report.arrivals,
+        "every wish comes to an end: {report}"
+    );
     report
 }
 
 #[test]
 fn a_quiet_day_is_served_and_counted_alike_twice() {
     let (first, second) = (stage("quiet", ""), stage("quiet-again", ""));
-    assert_eq!(first.asked, second.asked);
-    assert_eq!(first.count(How::Served), first.transactions);
-    assert_eq!(first.answered, second.answered);
+    assert_eq!(first.arrivals, second.arrivals);
+    assert_eq!(first.count(RequestOutcome::Served), first.accepted);
+    assert_eq!(first.responses, second.responses);
     assert!(
         first
             .remarks
@@ -90,10 +93,10 @@
 
 #[test]
 fn silence_mid_request_and_a_vanished_machine_lose_no_answer() {
-    let trouble = "[[trouble]]\nwhat = \"silence\"\nat_s = 1.0\nfor_s = 1.5\nservers = [\"s0\"]\n";
+    let trouble = "[[fault]]\nkind = \"silence\"\nat_s = 1.0\nfor_s = 1.5\nservers = [\"s0\"]\n";
     let report = stage("silence", trouble);
     assert!(
-        report.count(How::Served) > report.transactions / 2,
+        report.count(RequestOutcome::Served) > report.accepted / 2,
         "{report}"
     );
 }
@@ -101,40 +104,40 @@
 #[test]
 fn resets_spoilt_answers_and_a_crash_keep_the_rules() {
     let trouble = r#"
-[[trouble]]
-what = "resets"
+[[fault]]
+kind = "resets"
 at_s = 0.5
 for_s = 1.0
 servers = ["s0"]
 share = 0.5
-[[trouble]]
-what = "spoilt"
+[[fault]]
+kind = "spoilt"
 at_s = 1.0
 for_s = 1.0
 servers = ["s1"]
 share = 0.5
-[[trouble]]
-what = "crash"
+[[fault]]
+kind = "crash"
 at_s = 2.0
 for_s = 1.0
 servers = ["s2"]
 "#;
     let report = stage("faults", trouble);
     // Half of what ran at s0 and s1 for a second was lost with its connection: unsafe work among it must fail.
-    assert!(report.count(How::Failed) > 0, "{report}");
+    assert!(report.count(RequestOutcome::Failed) > 0, "{report}");
 }
 
 #[test]
 fn sidecars_that_are_told_to_end_while_job_servers_are_slow_answer_what_they_owe() {
     let trouble = r#"
-[[trouble]]
-what = "slow"
+[[fault]]
+kind = "slow"
 at_s = 0.5
 for_s = 3.0
 servers = ["s0", "s1"]
-times = 6.0
-[[trouble]]
-what = "restart_all"
+factor = 6.0
+[[fault]]
+kind = "restart_all"
 at_s = 1.5
 down_s = 1.0
 kill = false
@@ -152,15 +155,15 @@
 #[test]
 fn killed_sidecars_come_back_and_a_drained_server_gets_nothing_new() {
     let trouble = r#"
-[[trouble]]
-what = "roll"
+[[fault]]
+kind = "roll"
 at_s = 1.0
 for_s = 1.5
 part = 1.0
 batch = 0.5
 down_s = 0.3
-[[trouble]]
-what = "drain"
+[[fault]]
+kind = "drain"
 at_s = 0.2
 for_s = 3.6
 servers = ["s1"]
@@ -180,7 +183,7 @@
     let day = SMALL
         .replace("seconds = 4.0", "seconds = 1.0")
         .replace("count = 2", "count = 60");
-    let scenario = Scenario::read("many", &format!("name = \"many\"\n{day}"))
+    let scenario = ScenarioFile::read("many", &format!("name = \"many\"\n{day}"))
         .unwrap_or_else(|f| panic!("{f}"));
     let folder =
         std::env::temp_dir().join(format!("arrowstand-testbed-many-{}", std::process::id()));
@@ -194,12 +197,12 @@
     );
     let report = played.expect("all start");
     let _ = std::fs::remove_dir_all(folder);
-    assert_eq!(report.broken, Vec::<String>::new(), "{report}");
+    assert_eq!(report.violations, Vec::<String>::new(), "{report}");
 }
 
 #[test]
 fn a_sidecar_that_ends_at_its_start_is_told_at_once() {
-    let scenario = Scenario::read("ends", &format!("name = \"ends\"\n{SMALL}"))
+    let scenario = ScenarioFile::read("ends", &format!("name = \"ends\"\n{SMALL}"))
         .unwrap_or_else(|f| panic!("{f}"));
     let folder =
         std::env::temp_dir().join(format!("arrowstand-testbed-ends-{}", std::process::id()));
--- a/crates/testbed/tests/scenario.rs
+++ b/crates/testbed/tests/scenario.rs
@@ -2,32 +2,32 @@
 
 use std::path::PathBuf;
 
-use arrowstand_testbed::scenario::Scenario;
+use arrowstand_testbed::scenario::ScenarioFile;
 
 const GOOD: &str = r#"
 name = "small"
 seconds = 10.0
 
-[[kind]]
+[[machine_type]]
 name = "std"
 
 [[servers]]
-kind = "std"
+machine_type = "std"
 count = 3
 
 [[class]]
 name = "job-status"
 share = 0.6
 
-[[trouble]]
-what = "crash"
+[[fault]]
+kind = "crash"
 at_s = 2.0
 for_s = 3.0
 servers = ["s1"]
 "#;
 
 fn faults(text: &str) -> Vec<(String, Option<usize>)> {
-    match Scenario::read("small.toml", text) {
+    match ScenarioFile::read("small.toml", text) {
         Ok(_) => Vec::new(),
         Err(faults) => faults.faults.into_iter().map(|f| (f.key, f.line)).collect(),
     }
@@ -45,22 +45,26 @@
         ("seconds = 10.0", "seconds = \"long\"", "seconds"),
         ("seconds = 10.0", "secs = 10.0", "secs"),
         ("count = 3", "count = -3", "servers[0].count"),
-        ("kind = \"std\"", "kind = \"other\"", "servers[0].kind"),
+        (
+            "machine_type = \"std\"",
+            "machine_type = \"other\"",
+            "servers[0].machine_type",
+        ),
         ("share = 0.6", "share = 1.6", "class[0].share"),
         (
             "share = 0.6",
             "share = 0.6\ndeadline_ms = 10.0",
             "class[0].deadline_ms",
         ),
-        ("at_s = 2.0", "at_s = -2.0", "trouble[0].at_s"),
-        ("at_s = 2.0", "at_s = 20.0", "trouble[0].at_s"),
-        ("what = \"crash\"", "what = \"quake\"", "trouble[0].what"),
+        ("at_s = 2.0", "at_s = -2.0", "fault[0].at_s"),
+        ("at_s = 2.0", "at_s = 20.0", "fault[0].at_s"),
+        ("kind = \"crash\"", "kind = \"quake\"", "fault[0].kind"),
         (
             "servers = [\"s1\"]",
             "servers = [\"s9\"]",
-            "trouble[0].servers[0]",
+            "fault[0].servers[0]",
         ),
-        ("servers = [\"s1\"]", "zone = \"tokyo\"", "trouble[0].zone"),
+        ("servers = [\"s1\"]", "zone = \"tokyo\"", "fault[0].zone"),
     ];
     for (from, to, key) in cases {
         let text = GOOD.replacen(from, to, 1);
@@ -77,22 +81,22 @@
 fn shares_above_one_and_a_drain_of_what_is_not_there_contradict() {
     let more = "\n[[class]]\nname = \"quote\"\nshare = 0.5\n";
     let text = format!("{GOOD}{more}");
-    let message = Scenario::read("small.toml", &text)
+    let message = ScenarioFile::read("small.toml", &text)
         .expect_err("too much")
         .to_string();
     assert!(
         message.contains("class: shares add up to 1.100"),
         "{message}"
     );
-    let drain = "\n[[trouble]]\nwhat = \"drain\"\nat_s = 4.0\nservers = [\"s1\"]\n";
+    let drain = "\n[[fault]]\nkind = \"drain\"\nat_s = 4.0\nservers = [\"s1\"]\n";
     let text = format!("{GOOD}{drain}");
-    let message = Scenario::read("small.toml", &text)
+    let message = ScenarioFile::read("small.toml", &text)
         .expect_err("gone by then")
         .to_string();
     let at = text.lines().count();
     assert!(
         message.starts_with(&format!(
-            "small.toml:{at}: trouble[1].servers: s1 is not there"
+            "small.toml:{at}: fault[1].servers: s1 is not there"
         )),
         "{message}"
     );
@@ -107,7 +111,7 @@
         .replace("share = 0.6", "share = 2.0");
     assert!(faults(&text).len() >= 2);
     let broken = GOOD.replace("[[class]]", "[[class");
-    let message = Scenario::read("small.toml", &broken)
+    let message = ScenarioFile::read("small.toml", &broken)
         .expect_err("broken")
         .to_string();
     let at = line(&broken, "[[class").expect("there");
@@ -119,7 +123,7 @@
 
 #[test]
 fn keys_can_be_set_and_what_comes_of_it_is_checked() {
-    let scenario = Scenario::read("small.toml", GOOD).expect("good");
+    let scenario = ScenarioFile::read("small.toml", GOOD).expect("good");
     let set = |key: &str, value: toml::Value| scenario.with(&[(key.to_owned(), value)]);
     let more = set("sidecars.count", 7.into()).expect("set");
     assert_eq!(
@@ -127,16 +131,12 @@
         (7, 3)
     );
     assert_eq!(
-        set("trouble[0].times", 2.5.into())
-            .expect("set")
-            .day
-            .trouble[0]
-            .times,
+        set("fault[0].factor", 2.5.into()).expect("set").day.fault[0].factor,
         2.5
     );
     for (key, value) in [
         ("sidecars.count", -1),
-        ("trouble[4].times", 1),
+        ("fault[4].factor", 1),
         ("seconds.x", 1),
         ("load.speed", 1),
     ] {
@@ -163,7 +163,7 @@
         for entry in std::fs::read_dir(folder).expect("scenarios") {
             let path = entry.expect("entry").path();
             if path.extension().is_some_and(|e| e == "toml") {
-                Scenario::open(&path).unwrap_or_else(|f| panic!("{f}"));
+                ScenarioFile::open(&path).unwrap_or_else(|f| panic!("{f}"));
                 read += 1;
             }
         }
--- a/crates/testbed/tests/model.rs
+++ b/crates/testbed/tests/simulator.rs
@@ -1,13 +1,13 @@
 //! The model: the same bytes for a seed, the rules kept, and its hard cases.
 
-use arrowstand_testbed::ledger::{Entry, How, Line};
-use arrowstand_testbed::model;
+use arrowstand_testbed::event_log::{LogEvent, LogRecord, RequestOutcome};
 use arrowstand_testbed::report::Report;
-use arrowstand_testbed::scenario::Scenario;
+use arrowstand_testbed::scenario::ScenarioFile;
+use arrowstand_testbed::simulator;
 
-fn day(name: &str, changes: &[(&str, toml::Value)]) -> Scenario {
+fn day(name: &str, changes: &[(&str, toml::Value)]) -> ScenarioFile {
     let path = format!("{}/scenarios/{name}.toml", env!("CARGO_MANIFEST_DIR"));
-    let scenario = Scenario::open(path.as_ref()).unwrap_or_else(|f| panic!("{f}"));
+    let scenario = ScenarioFile::open(path.as_ref()).unwrap_or_else(|f| panic!("{f}"));
     let changes: Vec<_> = changes
         .iter()
         .map(|(k, v)| ((*k).to_owned(), v.clone()))
@@ -15,14 +15,14 @@
     scenario.with(&changes).unwrap_or_else(|f| panic!("{f}"))
 }
 
-fn play(scenario: &Scenario) -> (Report, Vec<Line>) {
+fn play(scenario: &ScenarioFile) -> (Report, Vec<LogRecord>) {
     let mut record = Vec::new();
-    let (report, _) = model::run(&scenario.day, Some(&mut record)).expect("played");
+    let (report, _) = simulator::run(&scenario.day, Some(&mut record)).expect("played");
     (report, record)
 }
 
-fn bytes(scenario: &Scenario) -> String {
-    serde_json::to_string(&model::run(&scenario.day, None).expect("played").0).expect("written")
+fn bytes(scenario: &ScenarioFile) -> String {
+    serde_json::to_string(&simulator::run(&scenario.day, None).expect("played").0).expect("written")
 }
 
 #[test]
@@ -35,7 +35,7 @@
 
 #[test]
 fn a_further_job_server_does_not_reshuffle_arrivals() {
-    let asked = |more: i64| -> Vec<Line> {
+    let asked = |more: i64| -> Vec<LogRecord> {
         let scenario = day(
             "calm",
             &[
@@ -47,14 +47,14 @@
         play(&scenario)
             .1
             .into_iter()
-            .filter(|l| matches!(l.entry, Entry::Asked { .. }))
+            .filter(|l| matches!(l.event, LogEvent::ArrivalStarted { .. }))
             .collect()
     };
-    let key = |l: &Line| match l.entry {
-        Entry::Asked {
+    let key = |l: &LogRecord| match l.event {
+        LogEvent::ArrivalStarted {
             sidecar,
             class,
-            shop,
+            tenant: shop,
             ..
         } => (l.at, sidecar, class, shop),
         _ => unreachable!(),
@@ -78,14 +78,14 @@
         "try",
     ] {
         let (report, _) = play(&day(name, &[]));
-        assert_eq!(report.broken, Vec::<String>::new(), "{name}");
+        assert_eq!(report.violations, Vec::<String>::new(), "{name}");
         let ended: u64 = report
             .classes
             .iter()
             .flat_map(|c| &c.ended)
             .map(|e| e.1)
             .sum();
-        assert_eq!(ended, report.asked, "{name}: every wish comes to an end");
+        assert_eq!(ended, report.arrivals, "{name}: every wish comes to an end");
     }
 }
 
@@ -96,7 +96,11 @@
     for (name, least) in [("consulta-burst", 0.65), ("consulta-roll", 0.7)] {
         for seed in 1..=4 {
             let (report, _) = play(&day(name, &[("seed", seed.into())]));
-            assert_eq!(report.broken, Vec::<String>::new(), "{name}, seed {seed}");
+            assert_eq!(
+                report.violations,
+                Vec::<String>::new(),
+                "{name}, seed {seed}"
+            );
             assert!(
                 report.service > least,
                 "{name}, seed {seed}: {}",
@@ -109,26 +113,27 @@
 #[test]
 fn a_job_server_that_falls_silent_mid_request_loses_nothing_that_is_owed() {
     let trouble = r#"
-[[trouble]]
-what = "silence"
+[[fault]]
+kind = "silence"
 at_s = 3.0
 for_s = 4.0
 servers = ["s0"]
 "#;
     let text = include_str!("../scenarios/try.toml");
-    let scenario = Scenario::read("silent", &format!("{text}{trouble}")).expect("good");
+    let scenario = ScenarioFile::read("silent", &format!("{text}{trouble}")).expect("good");
     let (report, record) = play(&scenario);
-    assert_eq!(report.broken, Vec::<String>::new());
+    assert_eq!(report.violations, Vec::<String>::new());
     assert!(record.iter().any(|l| matches!(
-        l.entry,
-        Entry::Answered {
-            how: How::Failed,
+        l.event,
+        LogEvent::ResponseReceived {
+            outcome: RequestOutcome::Failed,
             ..
         }
     )));
     // Nothing ran there while it was away.
-    let ran = |l: &&Line| {
-        matches!(l.entry, Entry::Ran { server: 0, .. }) && (3_000_000..7_000_000).contains(&l.at)
+    let ran = |l: &&LogRecord| {
+        matches!(l.event, LogEvent::WorkDone { server: 0, .. })
+            && (3_000_000..7_000_000).contains(&l.at)
     };
     assert_eq!(record.iter().filter(ran).count(), 0);
 }
@@ -136,18 +141,20 @@
 #[test]
 fn sidecars_restarted_while_job_servers_are_slow_keep_the_rules() {
     let changes = [
-        ("trouble[0].at_s", toml::Value::Float(5.0)),
-        ("trouble[3].at_s", toml::Value::Float(8.0)),
-        ("trouble[3].for_s", toml::Value::Float(8.0)),
+        ("fault[0].at_s", toml::Value::Float(5.0)),
+        ("fault[3].at_s", toml::Value::Float(8.0)),
+        ("fault[3].for_s", toml::Value::Float(8.0)),
         ("seconds", toml::Value::Float(101.0)),
     ];
     let (report, record) = play(&day("festival", &changes));
-    assert_eq!(report.broken, Vec::<String>::new());
-    assert!(
-        record
-            .iter()
-            .any(|l| matches!(l.entry, Entry::Answered { how: How::Cut, .. }))
-    );
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert!(record.iter().any(|l| matches!(
+        l.event,
+        LogEvent::ResponseReceived {
+            outcome: RequestOutcome::ConnectionLost,
+            ..
+        }
+    )));
 }
 
 #[test]
@@ -163,26 +170,29 @@
         "{:?}",
         report.remarks
     );
-    assert!(report.whole < 0.5 && report.broken.is_empty(), "{report}");
+    assert!(
+        report.overall < 0.5 && report.violations.is_empty(),
+        "{report}"
+    );
 }
 
 #[test]
 fn costly_requests_and_slow_machines_cost_service() {
     let calm = play(&day("calm", &[])).0;
     let trouble = r#"
-[[trouble]]
-what = "slow"
+[[fault]]
+kind = "slow"
 at_s = 5.0
 for_s = 25.0
 part = 0.5
-times = 8.0
+factor = 8.0
 "#;
     let text = std::fs::read_to_string(format!(
         "{}/scenarios/calm.toml",
         env!("CARGO_MANIFEST_DIR")
     ))
     .expect("there");
-    let slow = play(&Scenario::read("slow", &format!("{text}{trouble}")).expect("good")).0;
+    let slow = play(&ScenarioFile::read("slow", &format!("{text}{trouble}")).expect("good")).0;
     assert!(
         slow.service < calm.service - 0.02,
         "{} {}",
@@ -197,10 +207,18 @@
     for name in ["fleet-herd", "fleet-zone", "fleet-join"] {
         for seed in [1, 2] {
             let (report, _) =
-                model::run(&day(name, &[("seed", seed.into())]).day, None).expect("played");
-            assert_eq!(report.broken, Vec::<String>::new(), "{name}, seed {seed}");
+                simulator::run(&day(name, &[("seed", seed.into())]).day, None).expect("played");
             assert_eq!(
-                report.fleet.iter().filter(|s| s.fell).count(),
+                report.violations,
+                Vec::<String>::new(),
+                "{name}, seed {seed}"
+            );
+            assert_eq!(
+                report
+                    .servers_by_number
+                    .iter()
+                    .filter(|s| s.overloaded_cold)
+                    .count(),
                 0,
                 "{name}: none is pushed over"
             );
@@ -218,8 +236,12 @@
 
 fn full_size(name: &str, seed: i64, changes: &[(&str, toml::Value)]) {
     let changes = [&[("seed", seed.into())], changes].concat();
-    let (report, _) = model::run(&day(name, &changes).day, None).expect("played");
-    assert_eq!(report.broken, Vec::<String>::new(), "{name}, seed {seed}");
+    let (report, _) = simulator::run(&day(name, &changes).day, None).expect("played");
+    assert_eq!(
+        report.violations,
+        Vec::<String>::new(),
+        "{name}, seed {seed}"
+    );
     let ended: u64 = report
         .classes
         .iter()
@@ -227,7 +249,7 @@
         .map(|e| e.1)
         .sum();
     assert_eq!(
-        ended, report.asked,
+        ended, report.arrivals,
         "{name}, seed {seed}: every wish comes to an end"
     );
     for (figure, most) in [
