--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -34,10 +34,20 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod api;
-mod estimates;
-mod logic;
+mod action;
+mod endpoint;
+mod estimators;
+mod event;
+mod policy;
+mod request_class;
+mod settings;
 mod state;
+mod time;
 
-pub use api::*;
+pub use action::Action;
+pub use endpoint::{Endpoint, EndpointStatus, MachineType, ServerId, UpdateKind};
+pub use event::{AttemptEnd, Event, IncomingRequest, LoadReport, Outcome, RequestId};
+pub use request_class::{ClassId, DeduplicationScope, Idempotency, RequestClass};
+pub use settings::{Settings, SettingsError};
 pub use state::Balancer;
+pub use time::Micros;
--- a/crates/balancer/src/logic/mod.rs
+++ b/crates/balancer/src/policy/mod.rs
@@ -1,24 +1,24 @@
-//! Every decision of the balancer. Its interface, the settings, events and actions, is `api.rs`; what it has
-//! learnt is `estimates/`. The ordinary path is that of `docs/design.md`; each departure says what it guards.
+//! Every decision of the balancer. Its interface, the settings, events and actions, is `settings.rs`, `event.rs` and `action.rs`; what it has
+//! learnt is `estimators/`. The ordinary path is that of `docs/design.md`; each departure says what it guards.
 
-mod again;
-mod attempts;
-mod cold;
-mod list;
-mod looks;
-mod outcomes;
-mod part;
-mod peers;
+mod attempt_result;
+mod dispatch;
+mod endpoints;
+mod failure_detector;
+mod gossip;
+mod health_check;
+mod load_check;
+mod load_shedding;
 mod pick;
-mod probing;
-mod refusals;
-mod suspicion;
+mod retry;
+mod slow_start;
+mod subset;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::api::*;
-use crate::estimates::*;
+use crate::estimators::*;
 use crate::state::*;
+use crate::*;
 
 /// How often the balancer looks around, in microseconds: well under any time an answer is wanted in.
 const TICK: Micros = 25_000;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state/mod.rs
@@ -1,10 +1,10 @@
-//! What a balancer remembers, and how it writes to its peers. Decisions are in `logic/`, what answers tell in `estimates/`.
+//! What a balancer remembers, and how it writes to its peers. Decisions are in `policy/`, what answers tell in `estimators/`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::f64::consts::LN_2;
 
-use crate::api::*;
-use crate::logic::{INITIAL_RETRY_BUDGET, REASK};
+use crate::policy::{INITIAL_RETRY_BUDGET, REASK};
+use crate::*;
 
 /// Where actions are pushed.
 pub(crate) type Actions = Vec<Action>;
