--- a/crates/balancer/src/estimators/mod.rs
+++ b/crates/balancer/src/estimators/mod.rs
@@ -7,4 +7,4 @@
 
 use crate::state::*;
 use crate::*;
-pub(crate) use latency::{MEAN_WEIGHT, PACE_WEIGHT};
+pub(crate) use latency::{FLEET_WEIGHT, SERVER_WEIGHT};
--- a/crates/balancer/src/estimators/saturation.rs
+++ b/crates/balancer/src/estimators/saturation.rs
@@ -3,16 +3,16 @@
 use super::*;
 
 /// Weight of a new sample; forgotten by half in this time, so that some work always finds out.
-const STRAIN_WEIGHT: f64 = 0.1;
-const STRAIN_HALF: f64 = 3_000_000.0;
+const SATURATION_WEIGHT: f64 = 0.1;
+const SATURATION_HALF_LIFE: f64 = 3_000_000.0;
 
 impl Balancer {
-    pub(crate) fn strain(&self) -> f64 {
-        self.strain * self.fade(self.strain_at, STRAIN_HALF)
+    pub(crate) fn saturation(&self) -> f64 {
+        self.saturation * self.decay(self.saturation_updated_at, SATURATION_HALF_LIFE)
     }
 
-    pub(crate) fn feel(&mut self, share: f64) {
-        let old = self.strain();
-        (self.strain, self.strain_at) = (old + STRAIN_WEIGHT * (share - old), self.now);
+    pub(crate) fn record_latency_share(&mut self, share: f64) {
+        let old = self.saturation();
+        (self.saturation, self.saturation_updated_at) = (old + SATURATION_WEIGHT * (share - old), self.now);
     }
 }
--- a/crates/balancer/src/policy/slow_start.rs
+++ b/crates/balancer/src/policy/slow_start.rs
@@ -6,8 +6,8 @@
     /// Guards against a cold server pushed over by all balancers together: it is admitted to a draw with the
     /// chance of its warmth. Nothing is saved up; together they send its warmth times a warm server's part.
     /// The draws hold that in the mean; within the span of the rule, the bound on what was sent holds it.
-    pub(super) fn admits(&mut self, i: usize) -> bool {
-        let warmth = self.warmth(&self.servers[i]);
+    pub(super) fn admit_to_draw(&mut self, i: usize) -> bool {
+        let warmth = self.slow_start_factor(&self.servers[i]);
         let (now, span) = (self.now, self.settings.cold_overload_window);
         let server = &mut self.servers[i];
         if warmth >= 1.0 {
@@ -19,7 +19,7 @@
             server.cold_sent.pop_front();
         }
         let sent: f64 = server.cold_sent.iter().map(|&(_, size)| size).sum();
-        let most = self.settings.cold_overload_factor * warmth * self.part * span as f64;
+        let most = self.settings.cold_overload_factor * warmth * self.warm_server_quota * span as f64;
         (sent == 0.0 || sent < most) && self.rng.f64() < warmth
     }
 }
--- a/crates/balancer/src/state/mod.rs
+++ b/crates/balancer/src/state/mod.rs
@@ -1,16 +1,17 @@
-//! What a balancer remembers, and how it writes to its peers. Decisions are in `policy/`, what answers tell in `estimators/`.
+//! What a balancer remembers, and how it writes to its peers. Decisions are in `policy/`, what responses tell
+//! in `estimators/`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::f64::consts::LN_2;
 
-use crate::policy::{INITIAL_RETRY_BUDGET, REASK};
+use crate::policy::{INITIAL_POLL_BACKOFF, INITIAL_RETRY_BUDGET};
 use crate::*;
 
 /// Where actions are pushed.
 pub(crate) type Actions = Vec<Action>;
 
-pub(crate) const TOKEN_TICK: u64 = 0;
-pub(crate) const TOKEN_ALARM: u64 = 1;
+pub(crate) const TICK_TOKEN: u64 = 0;
+pub(crate) const REQUEST_TIMER_TOKEN: u64 = 1;
 
 /// Decides for one sidecar. Instances share nothing.
 pub struct Balancer {
@@ -18,40 +19,40 @@
     pub(crate) rng: fastrand::Rng,
     pub(crate) now: Micros,
     pub(crate) started: bool,
-    pub(crate) servers: Vec<Server>,
-    pub(crate) places: BTreeMap<ServerId, usize>,
-    pub(crate) order: Vec<usize>,
+    pub(crate) servers: Vec<ServerState>,
+    pub(crate) index_by_id: BTreeMap<ServerId, usize>,
+    pub(crate) subset_order: Vec<usize>,
     /// Pace of each kind of machine of which one has served.
-    pub(crate) kinds: BTreeMap<u32, f64>,
-    pub(crate) requests: BTreeMap<RequestId, Request>,
-    pub(crate) alarms: BTreeSet<(Micros, RequestId)>,
-    pub(crate) probe_next: Vec<ServerId>,
-    pub(crate) next_probe: Micros,
-    pub(crate) last_probe: Micros,
-    pub(crate) suspects_turn: bool,
-    pub(crate) traffic: Rate,
+    pub(crate) latency_by_machine_type: BTreeMap<u32, f64>,
+    pub(crate) requests: BTreeMap<RequestId, RequestState>,
+    pub(crate) request_timers: BTreeSet<(Micros, RequestId)>,
+    pub(crate) health_check_queue: Vec<ServerId>,
+    pub(crate) next_health_check_at: Micros,
+    pub(crate) last_health_check_at: Micros,
+    pub(crate) suspect_is_next: bool,
+    pub(crate) request_rate: DecayingRate,
     /// Sizes of what was sent, and a warm server's part of it a microsecond.
-    pub(crate) work: Rate,
-    pub(crate) part: f64,
-    pub(crate) gossip: Gossip,
-    pub(crate) log_mean: f64,
-    pub(crate) log_var: f64,
-    pub(crate) strain: f64,
-    pub(crate) strain_at: Micros,
-    pub(crate) unit: f64,
-    pub(crate) busy: f64,
+    pub(crate) work_rate: DecayingRate,
+    pub(crate) warm_server_quota: f64,
+    pub(crate) gossip: GossipQueue,
+    pub(crate) log_latency_mean: f64,
+    pub(crate) log_latency_variance: f64,
+    pub(crate) saturation: f64,
+    pub(crate) saturation_updated_at: Micros,
+    pub(crate) mean_service_time: f64,
+    pub(crate) utilization: f64,
     /// Servers whose last probe failed.
-    pub(crate) mute: usize,
-    pub(crate) errors: f64,
-    pub(crate) mean_size: f64,
-    pub(crate) mean_worth: f64,
+    pub(crate) failed_health_checks: usize,
+    pub(crate) fleet_error_rate: f64,
+    pub(crate) mean_work: f64,
+    pub(crate) mean_priority_weight: f64,
     /// Share of the requests that the fleet has no time for.
-    pub(crate) turned: f64,
-    pub(crate) budget: f64,
+    pub(crate) missed_objective_rate: f64,
+    pub(crate) retry_budget: f64,
     pub(crate) version: u64,
     pub(crate) subscribed: bool,
-    pub(crate) ask_at: Option<Micros>,
-    pub(crate) reask: Micros,
+    pub(crate) next_poll_at: Option<Micros>,
+    pub(crate) poll_backoff: Micros,
 }
 
 impl Balancer {
@@ -63,20 +64,20 @@
         settings.validate()?;
         let first = settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(1) as f64;
         let mut new = Self::blank(settings, seed);
-        new.log_mean = (first / 4.0).ln();
-        new.log_var = 1.0;
-        new.unit = first / 8.0;
-        new.busy = 0.5;
-        new.budget = INITIAL_RETRY_BUDGET;
-        new.reask = REASK;
+        new.log_latency_mean = (first / 4.0).ln();
+        new.log_latency_variance = 1.0;
+        new.mean_service_time = first / 8.0;
+        new.utilization = 0.5;
+        new.retry_budget = INITIAL_RETRY_BUDGET;
+        new.poll_backoff = INITIAL_POLL_BACKOFF;
         Ok(new)
     }
 
     pub(crate) fn find(&self, id: ServerId) -> Option<usize> {
-        self.places.get(&id).copied()
+        self.index_by_id.get(&id).copied()
     }
 
-    pub(crate) fn class(&self, request: &Request) -> &RequestClass {
+    pub(crate) fn class(&self, request: &RequestState) -> &RequestClass {
         &self.settings.classes[usize::from(request.class.0)]
     }
 
@@ -88,35 +89,35 @@
             now: 0,
             started: false,
             servers: Vec::new(),
-            places: BTreeMap::new(),
-            order: Vec::new(),
-            kinds: BTreeMap::new(),
+            index_by_id: BTreeMap::new(),
+            subset_order: Vec::new(),
+            latency_by_machine_type: BTreeMap::new(),
             requests: BTreeMap::new(),
-            alarms: BTreeSet::new(),
-            probe_next: Vec::new(),
-            next_probe: 0,
-            last_probe: 0,
-            suspects_turn: false,
-            traffic: Rate::default(),
-            work: Rate::default(),
-            part: 0.0,
-            gossip: Gossip::default(),
-            log_mean: 0.0,
-            log_var: 0.0,
-            strain: 0.0,
-            strain_at: 0,
-            unit: 0.0,
-            busy: 0.0,
-            mute: 0,
-            errors: 0.0,
-            mean_size: 0.0,
-            mean_worth: 0.0,
-            turned: 0.0,
-            budget: 0.0,
+            request_timers: BTreeSet::new(),
+            health_check_queue: Vec::new(),
+            next_health_check_at: 0,
+            last_health_check_at: 0,
+            suspect_is_next: false,
+            request_rate: DecayingRate::default(),
+            work_rate: DecayingRate::default(),
+            warm_server_quota: 0.0,
+            gossip: GossipQueue::default(),
+            log_latency_mean: 0.0,
+            log_latency_variance: 0.0,
+            saturation: 0.0,
+            saturation_updated_at: 0,
+            mean_service_time: 0.0,
+            utilization: 0.0,
+            failed_health_checks: 0,
+            fleet_error_rate: 0.0,
+            mean_work: 0.0,
+            mean_priority_weight: 0.0,
+            missed_objective_rate: 0.0,
+            retry_budget: 0.0,
             version: 0,
             subscribed: false,
-            ask_at: None,
-            reask: 0,
+            next_poll_at: None,
+            poll_backoff: 0,
         }
     }
 
@@ -126,19 +127,19 @@
     }
 
     /// Gossips the suspicion of a server about log N times.
-    pub(crate) fn spread(&mut self, i: usize) {
+    pub(crate) fn queue_suspicion(&mut self, i: usize) {
         let times = u32::BITS - self.settings.balancer_count.leading_zeros() + 1;
         self.gossip.add(say(SAY_SUSPECT, &self.servers[i]), times);
     }
 
     /// What is left of something learnt at a time, where half is forgotten in a given span.
-    pub(crate) fn fade(&self, since: Micros, half: f64) -> f64 {
+    pub(crate) fn decay(&self, since: Micros, half: f64) -> f64 {
         0.5_f64.powf(self.now.saturating_sub(since) as f64 / half)
     }
 }
 
 /// Negative logarithm of the chance that a normal variable exceeds z, to within a few per cent.
-pub(crate) fn surprise(z: f64) -> f64 {
+pub(crate) fn tail_improbability(z: f64) -> f64 {
     if z < 0.0 { 0.69 * (1.3 * z).exp() } else { 0.69 + z * (0.8 + 0.39 * z) }
 }
 
@@ -150,16 +151,16 @@
 }
 
 /// Own traffic is forgotten by half in this time.
-pub(crate) const TRAFFIC_HALF: f64 = 5_000_000.0;
+pub(crate) const REQUEST_RATE_HALF_LIFE: f64 = 5_000_000.0;
 
 /// Events per microsecond, of which half is forgotten in a given time.
 #[derive(Default)]
-pub(crate) struct Rate {
+pub(crate) struct DecayingRate {
     count: f64,
     at: Micros,
 }
 
-impl Rate {
+impl DecayingRate {
     fn left(&self, now: Micros, half: f64) -> f64 {
         self.count * 0.5_f64.powf(now.saturating_sub(self.at) as f64 / half)
     }
@@ -179,18 +180,18 @@
 }
 
 #[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Cause {
-    Probe,
-    Work,
+pub(crate) enum SuspicionCause {
+    HealthChecks,
+    Attempts,
     Gossip,
 }
 
-impl Cause {
+impl SuspicionCause {
     /// The log line for it.
     pub(crate) fn text(self) -> &'static str {
         match self {
-            Self::Probe => "suspected: probes fail",
-            Self::Work => "suspected: work fails or is overdue",
+            Self::HealthChecks => "suspected: probes fail",
+            Self::Attempts => "suspected: work fails or is overdue",
             Self::Gossip => "suspected: a peer says so",
         }
     }
@@ -198,75 +199,81 @@
 
 #[derive(Clone, Copy)]
 pub(crate) struct Suspicion {
-    pub(crate) cause: Cause,
+    pub(crate) cause: SuspicionCause,
     pub(crate) since: Micros,
-    pub(crate) hold: Micros,
+    pub(crate) ejection_time: Micros,
 }
 
 /// An attempt that is still out.
-pub(crate) struct Outstanding {
+pub(crate) struct InFlightAttempt {
     pub(crate) request: RequestId,
     pub(crate) attempt: u32,
     pub(crate) sent: Micros,
-    pub(crate) size: f64,
-    pub(crate) load: f64,
+    pub(crate) relative_work: f64,
+    pub(crate) queue_depth: f64,
 }
 
 /// A server, as this balancer knows it.
 #[derive(Default)]
-pub(crate) struct Server {
-    pub(crate) member: Endpoint,
+pub(crate) struct ServerState {
+    pub(crate) endpoint: Endpoint,
     /// Listed as draining since its last start.
     pub(crate) drained: bool,
     /// Turned work away while nothing was heard of the list: it may drain.
-    pub(crate) doubted: bool,
+    pub(crate) possibly_draining: bool,
     pub(crate) suspicion: Option<Suspicion>,
     pub(crate) dead: bool,
-    pub(crate) strikes: u32,
-    pub(crate) struck: Micros,
+    pub(crate) ejections: u32,
+    pub(crate) last_ejected_at: Micros,
     /// Attempts that failed since one was served.
-    pub(crate) failures: u32,
-    pub(crate) served: Micros,
-    pub(crate) probing: Option<Micros>,
+    pub(crate) consecutive_failures: u32,
+    pub(crate) last_served_at: Micros,
+    pub(crate) health_check_started_at: Option<Micros>,
     /// The probe that is out only asks for the load: its failure alone is not confirmed.
-    pub(crate) glance: bool,
+    pub(crate) load_only: bool,
     /// The last probe failed.
-    pub(crate) mute: bool,
-    pub(crate) probed: Micros,
-    pub(crate) confirm: Option<Micros>,
-    pub(crate) reached: bool,
-    pub(crate) askers: Vec<u32>,
-    pub(crate) own: Vec<Outstanding>,
-    pub(crate) foreign: f64,
-    pub(crate) foreign_at: Micros,
+    pub(crate) last_health_check_failed: bool,
+    pub(crate) last_health_check_at: Micros,
+    pub(crate) confirm_at: Option<Micros>,
+    pub(crate) confirmed_alive: bool,
+    pub(crate) indirect_check_requesters: Vec<u32>,
+    pub(crate) in_flight: Vec<InFlightAttempt>,
+    pub(crate) in_flight_elsewhere: f64,
+    pub(crate) load_updated_at: Micros,
     /// Moving means of what reports said it holds, and of own requests at it at the time.
-    pub(crate) held: f64,
-    pub(crate) held_own: f64,
+    pub(crate) reported_in_flight: f64,
+    pub(crate) own_in_flight: f64,
     /// Share of its attempts that fail.
-    pub(crate) failing: f64,
-    pub(crate) pace: f64,
-    pub(crate) pace_at: Micros,
+    pub(crate) failure_rate: f64,
+    pub(crate) latency_factor: f64,
+    pub(crate) latency_factor_updated_at: Micros,
     pub(crate) cold_since: Option<Micros>,
     /// What was sent to it while it is cold: when, and sizes.
     pub(crate) cold_sent: VecDeque<(Micros, f64)>,
 }
 
-impl Server {
-    pub(crate) fn new(member: Endpoint) -> Self {
-        let drained = member.status == EndpointStatus::Draining;
-        Self { member, drained, reached: true, pace: 1.0 / member.machine_type.speed, ..Self::default() }
+impl ServerState {
+    pub(crate) fn new(endpoint: Endpoint) -> Self {
+        let drained = endpoint.status == EndpointStatus::Draining;
+        Self {
+            endpoint,
+            drained,
+            confirmed_alive: true,
+            latency_factor: 1.0 / endpoint.machine_type.speed,
+            ..Self::default()
+        }
     }
 
     pub(crate) fn incarnation(&self) -> Micros {
-        self.member.incarnation.unwrap_or(0)
+        self.endpoint.incarnation.unwrap_or(0)
     }
 }
 
 #[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Fate {
-    Out,
-    NeverRan,
-    MayHaveRun,
+pub(crate) enum AttemptState {
+    InFlight,
+    NeverExecuted,
+    MayHaveExecuted,
 }
 
 #[derive(Clone, Copy)]
@@ -275,40 +282,40 @@
     pub(crate) sent: Micros,
     pub(crate) zone: u32,
     pub(crate) cell: u32,
-    pub(crate) fate: Fate,
+    pub(crate) state: AttemptState,
 }
 
 /// A request that is still owed its answer.
 #[derive(Default)]
-pub(crate) struct Request {
+pub(crate) struct RequestState {
     pub(crate) class: ClassId,
     pub(crate) arrived: Micros,
-    pub(crate) aim: Micros,
-    pub(crate) give_up: Micros,
-    pub(crate) size: f64,
+    pub(crate) objective_at: Micros,
+    pub(crate) deadline_at: Micros,
+    pub(crate) relative_work: f64,
     pub(crate) attempts: Vec<Attempt>,
     /// Servers asked for their load, and those of them that have not answered yet.
-    pub(crate) asked: Vec<ServerId>,
-    pub(crate) looking: Vec<ServerId>,
+    pub(crate) load_checked: Vec<ServerId>,
+    pub(crate) awaited_load_checks: Vec<ServerId>,
     pub(crate) streaming: bool,
     /// When to look at it again; alarms set earlier for another time are void.
-    pub(crate) alarm: Micros,
+    pub(crate) wake_at: Micros,
 }
 
 /// Where a further attempt may go.
 #[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Reach {
+pub(crate) enum RetryScope {
     Anywhere,
     Zone(u32),
     Cell(u32),
 }
 
-impl Reach {
-    pub(crate) fn holds(self, member: &Endpoint) -> bool {
+impl RetryScope {
+    pub(crate) fn contains(self, endpoint: &Endpoint) -> bool {
         match self {
             Self::Anywhere => true,
-            Self::Zone(zone) => member.zone == zone,
-            Self::Cell(cell) => member.cell == cell,
+            Self::Zone(zone) => endpoint.zone == zone,
+            Self::Cell(cell) => endpoint.cell == cell,
         }
     }
 }
@@ -319,9 +326,9 @@
 pub(crate) const SAY_REACHED: u8 = 1;
 pub(crate) const SAY_SUSPECT: u8 = 2;
 
-pub(crate) fn say(what: u8, server: &Server) -> Vec<u8> {
+pub(crate) fn say(what: u8, server: &ServerState) -> Vec<u8> {
     let mut message = vec![what];
-    message.extend_from_slice(&server.member.stable_hash.to_be_bytes());
+    message.extend_from_slice(&server.endpoint.stable_hash.to_be_bytes());
     message.extend_from_slice(&server.incarnation().to_be_bytes());
     message
 }
@@ -338,9 +345,9 @@
 
 /// Suspicions that are still to be told, and how often each.
 #[derive(Default)]
-pub(crate) struct Gossip(Vec<(Vec<u8>, u32)>);
+pub(crate) struct GossipQueue(Vec<(Vec<u8>, u32)>);
 
-impl Gossip {
+impl GossipQueue {
     pub(crate) fn add(&mut self, message: Vec<u8>, times: u32) {
         self.0.push((message, times));
     }
