--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,6 @@
-//! What the decision module is shown, and how much may be open. No I/O and no clock: events and times are
-//! handed in, and verdicts come out. Nothing here knows a protocol.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
+//! Control decisions outside the balancer: work estimates, machine types and the freshness of the endpoint
+//! list. No I/O and no clock: events and times are passed in, and verdicts are returned. Nothing here depends
+//! on a protocol.
 
 pub mod list_freshness;
 mod machine_catalogue;
@@ -11,9 +10,13 @@
 pub use machine_catalogue::MachineCatalogue;
 pub use work_aware_balancer::WorkAwareBalancer;
 
-/// A job server's name as a number that every instance computes alike: FNV-1a of its text.
+/// Hash of a server's name that every instance computes alike, whatever its version: 64-bit FNV-1a of the
+/// UTF-8 bytes. It identifies servers in gossip, so it must never change.
 pub fn stable_hash(text: &str) -> u64 {
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -1,43 +1,47 @@
-//! How long a list may be trusted: from when on a first byte to a server could break its drain's grace, because the
-//! drain counts as told though no list has shown it. Owns that one instant; what is listed is the module's.
+//! How long the endpoint list may be trusted: until when an attempt may be sent although the list may hide that
+//! its server is draining. Owns that one instant; the endpoints themselves are owned by the balancer.
+//!
+//! A drain counts as notified at a time that the platform states, whether or not the notification arrived. From
+//! then on the server accepts requests for the drain grace only.
 
 use arrowstand_balancer::Micros;
 
-/// What follows from the settings, derived in one place by whoever reads them. `slack` is what of a drain's grace may
-/// pass before a first byte; the rest is for what is on its way.
+/// The bounds that follow from the settings; all in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StalenessBounds {
-    /// What discovery has counts as told whether or not a watch is open.
+    /// Discovery pushes its changes: a change counts as notified whether or not a watch is open.
     pub pushed: bool,
-    /// Without a watch, a list is good for this long from the last call.
+    /// Without a push, a list is valid for this long from the last poll.
     pub max_poll_interval: Micros,
-    /// What a silent watch misses counts as told so long after its last word.
+    /// What a silent watch misses counts as notified this long after its last event.
     pub watch_silence: Micros,
-    /// What a new discovery has counts as told so long after the program was told of it.
+    /// What a relocated discovery has to say counts as notified this long after the relocation was configured.
     pub relocation_delay: Micros,
-    /// What of a drain's grace may pass before a first byte.
+    /// The part of the drain grace that may pass before an attempt's first byte; the rest is for bytes that are
+    /// on their way.
     pub drain_slack: Micros,
 }
 
-/// Follows the state of discovery's watch. Each event names its time; times only rise.
+/// Follows the state of the watch on discovery. Each event carries its time; times never fall.
 #[derive(Clone, Copy, Debug)]
 pub struct ListFreshness {
     bounds: StalenessBounds,
-    /// Until then nothing counts as told that the list does not show, where lists are pushed.
+    /// Where lists are pushed: until then only what the list shows counts as notified.
     known_until: Micros,
-    /// From a watch that fell silent or a discovery that moved, until a list is heard.
+    /// Set when a watch falls silent or discovery is relocated, cleared by the next watch event: when a drain that
+    /// the list hides may take effect.
     silent_from: Option<Micros>,
-    /// From a call that is not answered yet.
+    /// The same for a poll that is not answered yet.
     unanswered_from: Option<Micros>,
-    /// Discovery has moved, and nothing has come from there yet.
+    /// Discovery was relocated, and nothing has come from the new address yet.
     relocated: bool,
 }
 
 impl ListFreshness {
-    /// A program that starts at `now`, with a list of which the age is not known.
-    pub fn new(terms: StalenessBounds, now: Micros) -> Self {
+    /// The state at the start of the program, with a list of unknown age.
+    pub fn new(bounds: StalenessBounds, now: Micros) -> Self {
         Self {
-            bounds: terms,
+            bounds,
             known_until: now,
             silent_from: None,
             unanswered_from: None,
@@ -45,58 +49,58 @@
         }
     }
 
-    /// A line has come on a watch: from here the list is what discovery has.
+    /// An event or a heartbeat came on the watch: the list is now what discovery has.
     pub fn on_watch_event(&mut self) {
-        (self.silent_from, self.unanswered_from, self.relocated) = (None, None, false);
+        self.silent_from = None;
+        self.unanswered_from = None;
+        self.relocated = false;
     }
 
-    /// A call for a watch begins.
+    /// A call that opens a watch begins.
     pub fn on_poll_started(&mut self, now: Micros) {
-        let bounds = &self.bounds;
-        let good = if bounds.pushed {
+        let valid_until = if self.bounds.pushed {
             self.known_until
         } else {
-            now + bounds.max_poll_interval
+            now + self.bounds.max_poll_interval
         };
         self.unanswered_from
-            .get_or_insert(good + bounds.drain_slack);
+            .get_or_insert(valid_until + self.bounds.drain_slack);
     }
 
-    /// A watch or a call has ended, and not by silence.
+    /// A watch or a call ended, other than by silence.
     pub fn on_watch_ended(&mut self, now: Micros) {
-        // Guards against an outage that stops all service: a call that fails at once tells that discovery is down, and
-        // then it has nothing to tell. One that has waited beyond its time tells that it is there, and crowded; where
-        // lists are asked for, a failed call makes the old list good for four times as long.
+        // Guards against an outage that stops all service: a call that fails at once shows that discovery is down,
+        // and then there is nothing to be notified of. One that failed after its time shows that discovery is there
+        // and overloaded. Where lists are polled, a failed call keeps the old list valid for four times as long.
         if !self.bounds.pushed || self.unanswered_from.is_some_and(|from| now < from) {
             self.unanswered_from = None;
         }
         self.known_until = self.known_until.max(now);
     }
 
-    /// A call was given up unanswered. Where lists are pushed that tells nothing: what is not heard may be there.
+    /// A call was abandoned unanswered. Where lists are pushed that proves nothing: discovery may be there.
     pub fn on_poll_abandoned(&mut self) {
         if !self.bounds.pushed {
             self.unanswered_from = None;
         }
     }
 
-    /// A watch has ended that said nothing more after `heard`.
-    pub fn on_watch_silent(&mut self, heard: Micros, now: Micros) {
-        let from = heard + self.bounds.watch_silence + self.bounds.drain_slack;
-        self.silent_from = Some(self.silent_from.map_or(from, |old| old.min(from)));
+    /// A watch ended because nothing came after `last_event_at`.
+    pub fn on_watch_silent(&mut self, last_event_at: Micros, now: Micros) {
+        let from = last_event_at + self.bounds.watch_silence + self.bounds.drain_slack;
+        self.limit_silence(from);
         self.on_watch_ended(now);
     }
 
-    /// The program was told that discovery is elsewhere.
+    /// A new configuration names another address for discovery.
     pub fn on_discovery_relocated(&mut self, now: Micros) {
         self.relocated = true;
         self.known_until = now + self.bounds.relocation_delay;
-        let from = self.known_until + self.bounds.drain_slack;
         self.unanswered_from = None;
-        self.silent_from = Some(self.silent_from.map_or(from, |old| old.min(from)));
+        self.limit_silence(self.known_until + self.bounds.drain_slack);
     }
 
-    /// Nobody listens at discovery's address: who is not there after a move has nothing to tell.
+    /// The connection to discovery was refused: a process that is absent after a relocation has nothing to say.
     pub fn on_poll_refused(&mut self, now: Micros) {
         if self.relocated {
             self.silent_from = None;
@@ -104,19 +108,24 @@
         self.on_watch_ended(now);
     }
 
-    /// True while a drain may be hidden sooner or later: calls are made without a pause of the module's.
+    /// True while the list may hide a drain, now or later: polls are then repeated without the balancer's backoff.
     pub fn needs_immediate_poll(&self) -> bool {
         self.bounds.pushed || self.silent_from.is_some()
     }
 
-    /// From when on no first byte goes to a server; `served` is when the last request was begun that it served, which
-    /// shows that it did not drain then. Nothing while the list is what discovery has.
-    pub fn trusted_until(&self, served: Option<Micros>) -> Option<Micros> {
+    /// The time from which no attempt may be sent to a server, or `None` while the list is what discovery has.
+    /// `last_served_begin` is when the latest attempt began that the server served, which proves that it was not
+    /// draining then.
+    pub fn trusted_until(&self, last_served_begin: Option<Micros>) -> Option<Micros> {
         let from = [self.silent_from, self.unanswered_from]
             .into_iter()
             .flatten()
             .min()?;
-        Some(served.map_or(from, |begun| from.max(begun + self.bounds.drain_slack)))
+        Some(last_served_begin.map_or(from, |begin| from.max(begin + self.bounds.drain_slack)))
+    }
+
+    fn limit_silence(&mut self, from: Micros) {
+        self.silent_from = Some(self.silent_from.map_or(from, |earlier| earlier.min(from)));
     }
 }
 
--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -1,188 +1,192 @@
+use arrowstand_balancer::Micros;
 use proptest::prelude::*;
 
-use super::*;
+use super::{ListFreshness, StalenessBounds};
 
-/// What may happen to a watch; each is played some time after the one before.
+/// What may happen to a watch; each step follows some time after the one before.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// A line or a heartbeat comes.
-    Line,
+    /// An event or a heartbeat comes.
+    Event,
     /// The watch or the call ends.
-    Reset,
-    /// The watch says nothing more: noticed `SILENCE` later.
-    Silence,
-    /// A call is given up.
-    GiveUp,
-    /// A new configuration names another discovery.
-    Move,
+    Ended,
+    /// Nothing more comes on the watch: noticed [`SILENCE_TIMEOUT`] later.
+    Silent,
+    /// A call is abandoned.
+    Abandoned,
+    /// A new configuration names another address for discovery.
+    Relocated,
 }
 
-const SILENCE: Micros = 3_000_000;
+const SILENCE_TIMEOUT: Micros = 3_000_000;
 
-/// The page's own words on what counts as told, kept apart from the code: since when a change that was made at `made`
-/// counts, given all that happened. Nothing where the page names no time.
-struct Page {
-    terms: StalenessBounds,
-    /// Since when nothing has come, and how that began.
-    dark: Option<(Micros, Dark)>,
-    /// When discovery was last seen to be there, or to be down.
+/// The platform's protocol page on when a drain counts as notified, written down a second time: a reference model
+/// that shares nothing with the code under test.
+struct ReferenceModel {
+    bounds: StalenessBounds,
+    /// Since when nothing has come, and why.
+    blind: Option<(Micros, BlindReason)>,
+    /// When calls to discovery began.
     calls: Vec<Micros>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
-enum Dark {
+enum BlindReason {
     Silent,
-    Moved,
+    Relocated,
     Lost,
 }
 
-impl Page {
-    /// A drain at `made`, in the dark, counts as told then at the earliest.
-    fn told(&self, made: Micros) -> Option<Micros> {
-        let (since, how) = self.dark?;
+impl ReferenceModel {
+    /// When a drain that began at `drained_at`, unseen, counts as notified at the earliest; `None` where the page
+    /// names no time.
+    fn notified_at(&self, drained_at: Micros) -> Option<Micros> {
+        let (since, reason) = self.blind?;
         let last_call = self.calls.last().copied().filter(|&at| at >= since);
-        Some(match (how, self.terms.pushed) {
-            (Dark::Silent, _) => made.max(since + self.terms.watch_silence),
-            (Dark::Moved, _) => made.max(since + self.terms.relocation_delay),
-            (Dark::Lost, true) => made.max(since),
-            (Dark::Lost, false) => made.max(last_call?) + self.terms.max_poll_interval,
+        Some(match (reason, self.bounds.pushed) {
+            (BlindReason::Silent, _) => drained_at.max(since + self.bounds.watch_silence),
+            (BlindReason::Relocated, _) => drained_at.max(since + self.bounds.relocation_delay),
+            (BlindReason::Lost, true) => drained_at.max(since),
+            (BlindReason::Lost, false) => {
+                drained_at.max(last_call?) + self.bounds.max_poll_interval
+            }
         })
     }
 }
 
 fn steps() -> impl Strategy<Value = Vec<(Step, Micros)>> {
-    use Step::{GiveUp, Line, Move, Reset, Silence};
+    use Step::{Abandoned, Ended, Event, Relocated, Silent};
     let step = prop_oneof![
-        Just(Line),
-        Just(Reset),
-        Just(Silence),
-        Just(GiveUp),
-        Just(Move)
+        Just(Event),
+        Just(Ended),
+        Just(Silent),
+        Just(Abandoned),
+        Just(Relocated)
     ];
     prop::collection::vec((step, 1..9_000_000_u64), 0..8)
 }
 
 proptest! {
-    /// Whatever happens to the watch: with a call waiting that nobody answers, no first byte goes out later than a
-    /// drain's grace after the drain counts as told, in both modes, at any grace and any time for asking.
+    /// Whatever happens to the watch: with a call pending that nobody answers, no attempt begins later than the drain
+    /// grace after the drain counts as notified, in both modes, at any grace and any poll interval.
     #[test]
-    fn a_hidden_drain_is_borne_no_longer_than_its_grace(
+    fn no_attempt_begins_after_the_grace_of_a_hidden_drain(
         pushed in any::<bool>(),
-        ask_every in 500_000..20_000_000_u64,
+        poll_interval in 500_000..20_000_000_u64,
         grace in 500_000..10_000_000_u64,
         steps in steps(),
-        made_after in 0..20_000_000_u64,
-        proof in prop::option::of(0..1_000_000_u64),
+        drained_after in 0..20_000_000_u64,
+        served_before in prop::option::of(0..1_000_000_u64),
     ) {
-        let terms = StalenessBounds { pushed, max_poll_interval: ask_every, watch_silence: 6_000_000, relocation_delay: 4_000_000, drain_slack: grace / 2 };
+        let bounds = StalenessBounds { pushed, max_poll_interval: poll_interval, watch_silence: 6_000_000, relocation_delay: 4_000_000, drain_slack: grace / 2 };
         let mut now = 100_000_000;
-        let mut list = ListFreshness::new(terms, now);
-        let mut page = Page { terms, dark: Some((now, Dark::Lost)), calls: vec![now] };
-        list.on_poll_started(now);
+        let mut freshness = ListFreshness::new(bounds, now);
+        let mut reference = ReferenceModel { bounds, blind: Some((now, BlindReason::Lost)), calls: vec![now] };
+        freshness.on_poll_started(now);
         for (step, after) in steps {
             now += after;
             match step {
-                Step::Line => {
-                    list.on_watch_event();
-                    page.dark = None;
+                Step::Event => {
+                    freshness.on_watch_event();
+                    reference.blind = None;
                     continue;
                 }
-                // What breaks in the dark tells that discovery is down, or moves the last call.
-                Step::Reset => {
-                    list.on_watch_ended(now);
-                    if page.dark.is_none_or(|(_, how)| how == Dark::Lost) {
-                        page.dark = Some((now, Dark::Lost));
+                // A call that fails while blind shows that discovery is down, or replaces the last call.
+                Step::Ended => {
+                    freshness.on_watch_ended(now);
+                    if reference.blind.is_none_or(|(_, reason)| reason == BlindReason::Lost) {
+                        reference.blind = Some((now, BlindReason::Lost));
                     }
                 }
-                Step::Silence if page.dark.is_none() => {
-                    let heard = now;
-                    now += SILENCE;
-                    list.on_watch_silent(heard, now);
-                    page.dark = Some((heard, Dark::Silent));
+                Step::Silent if reference.blind.is_none() => {
+                    let last_event_at = now;
+                    now += SILENCE_TIMEOUT;
+                    freshness.on_watch_silent(last_event_at, now);
+                    reference.blind = Some((last_event_at, BlindReason::Silent));
                 }
-                Step::GiveUp if page.dark.is_some() => list.on_poll_abandoned(),
-                Step::Silence | Step::GiveUp => continue,
-                Step::Move => {
-                    list.on_discovery_relocated(now);
-                    // What had counted as told before does so still.
-                    if page.dark.is_none_or(|(since, how)| how == Dark::Lost || since + 2_000_000 > now) {
-                        page.dark = Some((now, Dark::Moved));
+                Step::Abandoned if reference.blind.is_some() => freshness.on_poll_abandoned(),
+                Step::Silent | Step::Abandoned => continue,
+                Step::Relocated => {
+                    freshness.on_discovery_relocated(now);
+                    // What counted as notified before still does.
+                    if reference.blind.is_none_or(|(since, reason)| reason == BlindReason::Lost || since + 2_000_000 > now) {
+                        reference.blind = Some((now, BlindReason::Relocated));
                     }
                 }
             }
-            list.on_poll_started(now);
-            page.calls.push(now);
+            freshness.on_poll_started(now);
+            reference.calls.push(now);
         }
-        let Some((since, _)) = page.dark else {
-            prop_assert_eq!(list.trusted_until(None), None, "the list is what discovery has");
+        let Some((since, _)) = reference.blind else {
+            prop_assert_eq!(freshness.trusted_until(None), None, "the list is what discovery has");
             return Ok(());
         };
-        let made = since + made_after;
-        let Some(told) = page.told(made) else { return Ok(()) };
-        let served = proof.map(|ago| made.saturating_sub(ago));
-        let until = list.trusted_until(served);
+        let drained_at = since + drained_after;
+        let Some(notified_at) = reference.notified_at(drained_at) else { return Ok(()) };
+        let served = served_before.map(|ago| drained_at.saturating_sub(ago));
+        let until = freshness.trusted_until(served);
         prop_assert!(
-            until.is_some_and(|until| until <= told + grace),
-            "made at {made}, told at {told}, bound at {until:?}, {list:?}"
+            until.is_some_and(|until| until <= notified_at + grace),
+            "drained at {drained_at}, notified at {notified_at}, bound at {until:?}, {freshness:?}"
         );
     }
 }
 
 #[test]
-fn an_outage_stops_no_service_and_a_crowded_discovery_does() {
-    let terms = StalenessBounds {
+fn an_outage_keeps_the_list_trusted_and_an_overloaded_discovery_does_not() {
+    let bounds = StalenessBounds {
         pushed: true,
         max_poll_interval: 10_000_000,
         watch_silence: 6_000_000,
         relocation_delay: 4_000_000,
         drain_slack: 250_000,
     };
-    let mut list = ListFreshness::new(terms, 0);
+    let mut freshness = ListFreshness::new(bounds, 0);
     for call in (0..8_000_000).step_by(200_000) {
-        list.on_poll_started(call);
-        list.on_watch_ended(call + 1_000);
-        assert_eq!(list.trusted_until(None), None, "down at {call}");
+        freshness.on_poll_started(call);
+        freshness.on_watch_ended(call + 1_000);
+        assert_eq!(freshness.trusted_until(None), None, "down at {call}");
     }
-    list.on_poll_started(8_000_000);
-    let from = list.trusted_until(None);
+    freshness.on_poll_started(8_000_000);
+    let from = freshness.trusted_until(None);
     assert!(
         from.is_some_and(|from| from < 8_250_000),
         "waiting: {from:?}"
     );
-    list.on_watch_ended(9_000_000);
+    freshness.on_watch_ended(9_000_000);
     assert_eq!(
-        list.trusted_until(None),
+        freshness.trusted_until(None),
         from,
         "it waited and failed: discovery is there"
     );
-    list.on_watch_event();
-    assert_eq!(list.trusted_until(None), None);
+    freshness.on_watch_event();
+    assert_eq!(freshness.trusted_until(None), None);
 }
 
 #[test]
-fn only_a_recent_answer_speaks_for_a_server() {
-    let terms = StalenessBounds {
+fn only_an_attempt_served_recently_extends_the_trust_in_a_server() {
+    let bounds = StalenessBounds {
         pushed: false,
         max_poll_interval: 10_000_000,
         watch_silence: 6_000_000,
         relocation_delay: 4_000_000,
         drain_slack: 500_000,
     };
-    let mut list = ListFreshness::new(terms, 0);
-    list.on_watch_silent(1_000_000, 4_000_000);
-    assert!(list.needs_immediate_poll());
-    assert_eq!(list.trusted_until(None), Some(7_500_000));
+    let mut freshness = ListFreshness::new(bounds, 0);
+    freshness.on_watch_silent(1_000_000, 4_000_000);
+    assert!(freshness.needs_immediate_poll());
+    assert_eq!(freshness.trusted_until(None), Some(7_500_000));
     assert_eq!(
-        list.trusted_until(Some(4_500_000)),
+        freshness.trusted_until(Some(4_500_000)),
         Some(7_500_000),
-        "an answer before the drain counts is no news"
+        "a response from before the drain counts proves nothing"
     );
-    assert_eq!(list.trusted_until(Some(9_000_000)), Some(9_500_000));
-    list.on_discovery_relocated(4_100_000);
-    list.on_poll_refused(4_200_000);
+    assert_eq!(freshness.trusted_until(Some(9_000_000)), Some(9_500_000));
+    freshness.on_discovery_relocated(4_100_000);
+    freshness.on_poll_refused(4_200_000);
     assert_eq!(
-        list.trusted_until(None),
+        freshness.trusted_until(None),
         None,
-        "nobody is there after a move"
+        "nothing listens there after a relocation"
     );
 }
--- a/crates/control/src/machine_catalogue.rs
+++ b/crates/control/src/machine_catalogue.rs
@@ -1,113 +1,78 @@
-//! What kinds of machine there are and what they can do: told by the operator for the kinds that he names, and
-//! unknown for the others, which only get a number, so that what is learnt of one machine counts for its like.
+//! The machine types of the fleet and their capacity. Types in the operator's table have the capacity stated
+//! there. Any other type counts as the mean of the table and gets an id of its own, so that what is learnt of
+//! one machine applies to all of its type.
+//!
+//! Owns the numbering of the types; the format of the operator's table is read by the sidecar.
 
 use arrowstand_balancer::MachineType;
 
-/// Kinds that get a number of their own. Guards against memory that grows with whatever a list says.
-const KINDS_MOST: usize = 256;
+/// Machine types that get an id of their own. Guards against memory that grows with the endpoint list.
+const MAX_MACHINE_TYPES: usize = 256;
+/// Id of machines without a type of their own.
+const NO_TYPE_ID: u32 = 0;
 
-/// The kinds, by the platform's names.
+/// The known machine types, by the platform's model names.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MachineCatalogue {
-    kinds: Vec<(String, MachineType)>,
-    /// What a kind that was not told counts as.
-    usual: MachineType,
+    types: Vec<(String, MachineType)>,
+    /// What a type counts as that the operator's table does not name.
+    unlisted: MachineType,
 }
 
 impl MachineCatalogue {
-    /// From the operator's table: name, cores that work at a time, and work per time of one core against a usual
-    /// one, both above zero. A kind that the table does not name counts as its mean.
+    /// Builds the catalogue from the operator's table: model name, cores (requests that run at a time) and
+    /// speed (work per time of one core, relative to an average one), both above zero. A type that the table
+    /// does not name counts as the mean of the table.
     pub fn from_table(table: impl IntoIterator<Item = (String, f64, f64)>) -> Self {
-        let mut machines = Self::default();
+        let mut catalogue = Self::default();
         for (model, cores, speed) in table {
-            machines.add(
-                model,
-                MachineType {
-                    cores,
-                    speed,
-                    ..MachineType::default()
-                },
-            );
-        }
-        let count = machines.kinds.len() as f64;
-        if count > 0.0 {
-            let mean = |of: fn(&MachineType) -> f64| {
-                machines.kinds.iter().map(|(_, m)| of(m)).sum::<f64>() / count
+            let capacity = MachineType {
+                cores,
+                speed,
+                ..MachineType::default()
             };
-            machines.usual = MachineType {
-                id: 0,
-                cores: mean(|m| m.cores),
-                speed: mean(|m| m.speed),
+            catalogue.add(model, capacity);
+        }
+        if !catalogue.types.is_empty() {
+            catalogue.unlisted = MachineType {
+                id: NO_TYPE_ID,
+                cores: catalogue.mean(|machine| machine.cores),
+                speed: catalogue.mean(|machine| machine.speed),
             };
         }
-        machines
+        catalogue
     }
 
-    fn add(&mut self, model: String, machine: MachineType) -> MachineType {
-        // Number 0 is left to what has no kind of its own.
+    fn mean(&self, of: fn(&MachineType) -> f64) -> f64 {
+        let count = self.types.len() as f64;
+        self.types
+            .iter()
+            .map(|(_, machine)| of(machine))
+            .sum::<f64>()
+            / count
+    }
+
+    /// Adds a type under the next id; [`NO_TYPE_ID`] is never given out.
+    fn add(&mut self, model: String, capacity: MachineType) -> MachineType {
         let machine = MachineType {
-            id: self.kinds.len() as u32 + 1,
-            ..machine
+            id: self.types.len() as u32 + 1,
+            ..capacity
         };
-        self.kinds.push((model, machine));
+        self.types.push((model, machine));
         machine
     }
 
-    /// What a machine of that kind can do; a new name becomes a kind. No name is none.
+    /// The machine type of a model name. An unknown name becomes a type of its own, up to a bound; an empty
+    /// name has none.
     pub fn lookup(&mut self, model: &str) -> MachineType {
-        match self.kinds.iter().find(|(name, _)| name == model) {
+        let known = self.types.iter().find(|(name, _)| name == model);
+        match known {
             Some((_, machine)) => *machine,
-            None if model.is_empty() || self.kinds.len() >= KINDS_MOST => self.usual,
-            None => self.add(model.to_owned(), self.usual),
+            None if model.is_empty() || self.types.len() >= MAX_MACHINE_TYPES => self.unlisted,
+            None => self.add(model.to_owned(), self.unlisted),
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    #[test]
-    fn a_kind_that_was_not_told_counts_as_the_mean_and_as_one_of_its_own() {
-        let mut machines =
-            MachineCatalogue::from_table([("a".to_owned(), 2.0, 1.5), ("b".to_owned(), 4.0, 0.5)]);
-        assert_eq!(
-            machines.lookup("b"),
-            MachineType {
-                id: 2,
-                cores: 4.0,
-                speed: 0.5
-            }
-        );
-        assert_eq!(
-            machines.lookup("c"),
-            MachineType {
-                id: 3,
-                cores: 3.0,
-                speed: 1.0
-            }
-        );
-        assert_eq!(machines.lookup("d").id, 4);
-        assert_eq!((machines.lookup("c").id, machines.lookup("").id), (3, 0));
-        assert_eq!(
-            MachineCatalogue::default().lookup("a"),
-            MachineType {
-                id: 1,
-                ..MachineType::default()
-            }
-        );
-    }
-
-    proptest! {
-        /// Whatever names a list brings, a name keeps its kind and what is kept is bounded.
-        #[test]
-        fn a_name_keeps_its_kind(names in prop::collection::vec("[a-z]{0,3}", 0..600)) {
-            let mut machines = MachineCatalogue::default();
-            let first: Vec<MachineType> = names.iter().map(|n| machines.lookup(n)).collect();
-            let again: Vec<MachineType> = names.iter().map(|n| machines.lookup(n)).collect();
-            prop_assert_eq!(first, again);
-            prop_assert!(machines.kinds.len() <= KINDS_MOST);
-        }
-    }
-}
+mod tests;
