--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,15 +7,19 @@
 mod work_aware_balancer;
 pub mod work_estimator;
 
+use std::hash::Hasher as _;
+
+use fnv::FnvHasher;
+
 pub use machine_catalogue::MachineCatalogue;
 pub use work_aware_balancer::WorkAwareBalancer;
 
 /// Hash of a server's name that every instance computes alike, whatever its version: 64-bit FNV-1a of the
 /// UTF-8 bytes. It identifies servers in gossip, so it must never change.
 pub fn stable_hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+    let mut hasher = FnvHasher::default();
+    hasher.write(text.as_bytes());
+    hasher.finish()
 }
 
 #[cfg(test)]
