--- /dev/null
+++ b/crates/platform/src/json.rs
@@ -0,0 +1,168 @@
+//! JSON by tinyjson: a parser with a bound on nesting, and typed access to keys with errors that name the key.
+
+use std::collections::HashMap;
+
+use tinyjson::JsonValue;
+
+use crate::error::{JsonError, KeyError, KeyProblem};
+
+/// Depth of open brackets and braces after each byte of the text.
+fn depths(text: &[u8]) -> impl Iterator<Item = usize> {
+    let (mut depth, mut in_string, mut escaped) = (0usize, false, false);
+    text.iter().map(move |byte| {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if in_string => escaped = true,
+            b'"' => in_string = !in_string,
+            b'[' | b'{' if !in_string => depth += 1,
+            b']' | b'}' if !in_string => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        depth
+    })
+}
+
+/// Number of brackets and braces that are still open at the end of the text.
+pub fn nesting_depth(text: &[u8]) -> usize {
+    depths(text).last().unwrap_or_default()
+}
+
+/// Parses a text whose nesting is at most `max_depth`. Guards against input nested so deep that tinyjson, which
+/// recurses, would overflow the stack.
+///
+/// # Errors
+/// The text is nested deeper, or is not JSON.
+pub fn parse(text: &str, max_depth: usize) -> Result<JsonValue, JsonError> {
+    if depths(text.as_bytes()).any(|depth| depth > max_depth) {
+        return Err(JsonError::TooDeep { max_depth });
+    }
+    Ok(text.parse::<JsonValue>()?)
+}
+
+/// A place in a JSON document: its path, and the value found there if any. `null` counts as absent.
+#[derive(Clone)]
+pub struct Node<'a> {
+    path: String,
+    value: Option<&'a JsonValue>,
+}
+
+impl<'a> Node<'a> {
+    /// The top of a document; its path is empty.
+    pub fn root(value: &'a JsonValue) -> Self {
+        Self {
+            path: String::new(),
+            value: Some(value),
+        }
+    }
+
+    /// The member of that name, present or not.
+    pub fn at(&self, key: &str) -> Self {
+        let object = self
+            .value
+            .and_then(|value| value.get::<HashMap<String, JsonValue>>());
+        let value = object
+            .and_then(|members| members.get(key))
+            .filter(|value| !value.is_null());
+        let dot = if self.path.is_empty() { "" } else { "." };
+        Self {
+            path: format!("{}{dot}{key}", self.path),
+            value,
+        }
+    }
+
+    /// True where there is a value other than `null`.
+    pub fn is_present(&self) -> bool {
+        self.value.is_some()
+    }
+
+    /// An error at this place.
+    pub fn error(&self, problem: KeyProblem) -> KeyError {
+        KeyError {
+            path: self.path.clone(),
+            problem,
+        }
+    }
+
+    /// A number that is finite and not negative.
+    ///
+    /// # Errors
+    /// The value is of another type, negative or not finite.
+    pub fn optional_number(&self) -> Result<Option<f64>, KeyError> {
+        match self.optional::<f64>(KeyProblem::NotANumber)? {
+            Some(number) if !number.is_finite() || number < 0.0 => {
+                Err(self.error(KeyProblem::Negative))
+            }
+            number => Ok(number),
+        }
+    }
+
+    /// A required [`optional_number`](Self::optional_number).
+    ///
+    /// # Errors
+    /// As there, or the value is absent.
+    pub fn number(&self) -> Result<f64, KeyError> {
+        self.required(self.optional_number()?)
+    }
+
+    /// A string.
+    ///
+    /// # Errors
+    /// The value is of another type.
+    pub fn optional_text(&self) -> Result<Option<String>, KeyError> {
+        self.optional::<String>(KeyProblem::NotAText)
+    }
+
+    /// A required [`optional_text`](Self::optional_text).
+    ///
+    /// # Errors
+    /// As there, or the value is absent.
+    pub fn text(&self) -> Result<String, KeyError> {
+        self.required(self.optional_text()?)
+    }
+
+    /// A boolean.
+    ///
+    /// # Errors
+    /// The value is of another type.
+    pub fn optional_flag(&self) -> Result<Option<bool>, KeyError> {
+        self.optional::<bool>(KeyProblem::NotAFlag)
+    }
+
+    /// The elements of an array; none where the value is absent.
+    ///
+    /// # Errors
+    /// The value is of another type.
+    pub fn items(&self) -> Result<Vec<Node<'a>>, KeyError> {
+        let Some(value) = self.value else {
+            return Ok(Vec::new());
+        };
+        let Some(elements) = value.get::<Vec<JsonValue>>() else {
+            return Err(self.error(KeyProblem::NotAnArray));
+        };
+        let item = |(index, element)| Node {
+            path: format!("{}[{index}]", self.path),
+            value: Some(element),
+        };
+        Ok(elements.iter().enumerate().map(item).collect())
+    }
+
+    fn optional<T>(&self, problem: KeyProblem) -> Result<Option<T>, KeyError>
+    where
+        T: Clone + tinyjson::InnerAsRef,
+    {
+        let Some(value) = self.value else {
+            return Ok(None);
+        };
+        match value.get::<T>() {
+            Some(inner) => Ok(Some(inner.clone())),
+            None => Err(self.error(problem)),
+        }
+    }
+
+    fn required<T>(&self, value: Option<T>) -> Result<T, KeyError> {
+        value.ok_or_else(|| self.error(KeyProblem::Missing))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,18 @@
+//! The platform's formats: the settings of a deployment, the endpoint list of discovery and the load reports of
+//! servers. Each format is read here and nowhere else, for the sidecar and for the simulator's adapter alike.
+//!
+//! Owns the names of the keys, the defaults of missing ones and the messages on bad ones. No I/O: callers pass
+//! text or parsed JSON. What a host does in spite of its settings is the host's own matter.
+
+pub mod endpoint_list;
+mod error;
+pub mod json;
+pub mod load_report;
+pub mod settings;
+mod units;
+
+pub use endpoint_list::{EndpointList, ListedEndpoint};
+pub use error::{JsonError, KeyError, KeyProblem, ReadError};
+pub use load_report::LoadReportLayout;
+pub use settings::{MembershipMode, PlatformSettings, SimulatorFeatures, TransportSettings};
+pub use units::{duration_from_ms, micros_from_ms};
--- /dev/null
+++ b/crates/platform/src/settings.rs
@@ -0,0 +1,147 @@
+//! The settings of a deployment: what the balancer is configured with, and the names behind its numbers.
+//!
+//! Owns the keys, their defaults and the units. The keys come in three groups, as hosts differ in what they can do:
+//! [`PlatformSettings`] is read by every host, [`TransportSettings`] by those that open connections, and
+//! [`SimulatorFeatures`] by those in the simulator. A host ignores the keys of a group that it does not read,
+//! whatever their values.
+
+mod request_class;
+mod simulator;
+mod transport;
+
+use arrowstand_balancer::{Micros, Settings};
+
+use crate::error::KeyError;
+use crate::json::Node;
+use crate::load_report::LoadReportLayout;
+use crate::units::micros_from_ms;
+use request_class::read_request_class;
+
+pub use simulator::SimulatorFeatures;
+pub use transport::{MembershipMode, TransportSettings};
+
+/// The zone of a balancer that is in none of the settings' zones.
+const UNKNOWN_ZONE: u32 = u32::MAX;
+
+/// The settings that every host reads.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// The balancer's settings, not validated yet. What [`SimulatorFeatures`] holds is off.
+    pub balancer: Settings,
+    /// Names of the request classes, in the order of [`Settings::classes`].
+    pub class_names: Vec<String>,
+    /// Names of the zones, in the numbering of [`Settings::zone`].
+    pub zones: Vec<String>,
+    /// Where the known values stand in the simulator's load reports.
+    pub load_report: LoadReportLayout,
+}
+
+impl PlatformSettings {
+    /// Reads the settings object. `default_max_retry_after` applies where the settings name no longest Retry-After,
+    /// in which hosts differ: in the simulator such a client waits for no time at all.
+    ///
+    /// # Errors
+    /// Names the first key whose value cannot be used. Ranges are left to [`Settings::validate`].
+    pub fn read(conf: &Node, default_max_retry_after: Micros) -> Result<Self, KeyError> {
+        let mut classes = Vec::new();
+        let mut class_names = Vec::new();
+        for node in conf.at("request-classes").items()? {
+            classes.push(read_request_class(&node)?);
+            class_names.push(node.at("name").text()?);
+        }
+        let mut zones = Vec::new();
+        for zone in conf.at("zones").items()? {
+            zones.push(zone.text()?);
+        }
+        let own_zone = conf.at("az").optional_text()?;
+        let zone = zones
+            .iter()
+            .position(|zone| Some(zone) == own_zone.as_ref());
+        let report = ReportSettings::read(&conf.at("report"))?;
+        let base = Settings {
+            classes,
+            zone: zone.map_or(UNKNOWN_ZONE, |index| index as u32),
+            load_reports: report.in_health_checks,
+            load_reports_in_responses: report.in_responses,
+            max_retry_after: default_max_retry_after,
+            ..Settings::default()
+        };
+        Ok(Self {
+            balancer: read_balancer_settings(conf, base)?,
+            class_names,
+            zones,
+            load_report: report.layout,
+        })
+    }
+}
+
+/// What the settings say on load reports.
+struct ReportSettings {
+    layout: LoadReportLayout,
+    in_health_checks: bool,
+    in_responses: bool,
+}
+
+impl ReportSettings {
+    fn read(report: &Node) -> Result<Self, KeyError> {
+        let layout = LoadReportLayout::read(&report.at("fields"))?;
+        let source = report.at("source").optional_text()?;
+        Ok(Self {
+            layout,
+            in_health_checks: layout.in_flight.is_some() && source.as_deref() != Some("none"),
+            in_responses: source.as_deref() == Some("answers"),
+        })
+    }
+}
+
+/// Fills the single values; `base` has the defaults and all that is no single value.
+fn read_balancer_settings(conf: &Node, base: Settings) -> Result<Settings, KeyError> {
+    let (permissions, safety, fees) = (conf.at("permissions"), conf.at("safety"), conf.at("fees"));
+    Ok(Settings {
+        balancer_index: number_or(&conf.at("my-number"), 0.0)? as u32,
+        balancer_count: number_or(&conf.at("balancers"), 1.0)? as u32,
+        step: time_or(&conf.at("step-ms"), base.step)?,
+        cancellation: flag(&permissions.at("cancel"))?,
+        health_checks: flag(&permissions.at("probes"))?,
+        gossip: false,
+        hedging: flag(&permissions.at("may-duplicate"))?,
+        retry_after: false,
+        max_retry_after: time_or(&permissions.at("max-retry-after-ms"), base.max_retry_after)?,
+        max_attempts: count_or(&permissions.at("max-attempts"), base.max_attempts)?,
+        health_check_fee: number_or(&fees.at("probe"), 0.0)?,
+        handshake_fee: number_or(&fees.at("handshake"), 0.0)?,
+        idle_timeout: time_or(&transport::idle_timeout_key(conf), base.idle_timeout)?,
+        connection_fee: number_or(&fees.at("connection"), 0.0)?,
+        cross_zone_fee: number_or(&fees.at("cross-zone"), 0.0)?,
+        weight_by_work: conf.at("worth-by").optional_text()?.as_deref() == Some("work"),
+        poll_endpoints: false,
+        max_poll_interval: time_or(&safety.at("ask-every-ms"), base.max_poll_interval)?,
+        only_draining_binds: flag(&safety.at("only-draining-binds"))?,
+        cold_capacity_share: number_or(&safety.at("cold-from"), base.cold_capacity_share)?,
+        slow_start_time: time_or(&safety.at("cold-ms"), base.slow_start_time)?,
+        cold_overload_factor: number_or(&safety.at("overload-factor"), base.cold_overload_factor)?,
+        cold_overload_window: time_or(&safety.at("fall-ms"), base.cold_overload_window)?,
+        ..base
+    })
+}
+
+/// A boolean that is false where the key is absent.
+fn flag(node: &Node) -> Result<bool, KeyError> {
+    Ok(node.optional_flag()?.unwrap_or(false))
+}
+
+fn number_or(node: &Node, default: f64) -> Result<f64, KeyError> {
+    Ok(node.optional_number()?.unwrap_or(default))
+}
+
+fn count_or(node: &Node, default: u32) -> Result<u32, KeyError> {
+    Ok(number_or(node, f64::from(default))? as u32)
+}
+
+/// A time in milliseconds; the default is in microseconds.
+fn time_or(node: &Node, default: Micros) -> Result<Micros, KeyError> {
+    Ok(node.optional_number()?.map_or(default, micros_from_ms))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/settings/simulator.rs
@@ -0,0 +1,52 @@
+//! The settings that only the simulator can honour.
+
+use arrowstand_balancer::Settings;
+
+use super::flag;
+use super::transport::MembershipMode;
+use crate::error::KeyError;
+use crate::json::Node;
+
+/// What the simulator's channels offer to a balancer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SimulatorFeatures {
+    /// Balancers can message each other.
+    pub gossip: bool,
+    /// Clients receive the Retry-After of a rejection.
+    pub retry_after: bool,
+    /// The endpoint list must be polled.
+    pub poll_endpoints: bool,
+    /// For each request class: a response may start before it ends.
+    pub streamed: Vec<bool>,
+}
+
+impl SimulatorFeatures {
+    /// Reads the features from the settings object.
+    ///
+    /// # Errors
+    /// Names the first key whose value has the wrong type.
+    pub fn read(conf: &Node) -> Result<Self, KeyError> {
+        let permissions = conf.at("permissions");
+        let classes = conf.at("request-classes").items()?;
+        let streamed: Result<Vec<bool>, KeyError> = classes
+            .iter()
+            .map(|class| flag(&class.at("streamed")))
+            .collect();
+        Ok(Self {
+            gossip: flag(&permissions.at("peers"))?,
+            retry_after: flag(&permissions.at("retry-after"))?,
+            poll_endpoints: MembershipMode::read(conf)? == MembershipMode::OnRequest,
+            streamed: streamed?,
+        })
+    }
+
+    /// Applies the features to the settings that were read from the same object.
+    pub fn apply(&self, settings: &mut Settings) {
+        settings.gossip = self.gossip;
+        settings.retry_after = self.retry_after;
+        settings.poll_endpoints = self.poll_endpoints;
+        for (class, &streamed) in settings.classes.iter_mut().zip(&self.streamed) {
+            class.streamed = streamed;
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/settings/transport.rs
@@ -0,0 +1,99 @@
+//! The settings of a host that opens connections.
+
+use std::time::Duration;
+
+use crate::error::{KeyError, KeyProblem};
+use crate::json::Node;
+use crate::units::duration_from_ms;
+
+/// Time for a connection to be established, where the settings name none.
+const DEFAULT_CONNECT_TIMEOUT_MS: f64 = 200.0;
+/// Time after which servers close an idle connection, where the settings name none.
+const DEFAULT_IDLE_TIMEOUT_MS: f64 = 5_000.0;
+/// Time for which a draining server still accepts requests, where the settings name none.
+const DEFAULT_DRAIN_GRACE_MS: f64 = 2_000.0;
+
+/// How changes of the endpoint list reach a balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MembershipMode {
+    /// Discovery answers only when polled.
+    OnRequest,
+    /// Discovery pushes its changes: they count as notified whether or not a watch is open.
+    Pushed,
+    /// The settings name no mode, or one that has no meaning here.
+    Unspecified,
+}
+
+impl MembershipMode {
+    /// Reads the mode from the settings object.
+    ///
+    /// # Errors
+    /// The value is not a text.
+    pub fn read(conf: &Node) -> Result<Self, KeyError> {
+        Ok(
+            match conf.at("membership-mode").optional_text()?.as_deref() {
+                Some("on_request") => Self::OnRequest,
+                Some("pushed") => Self::Pushed,
+                _ => Self::Unspecified,
+            },
+        )
+    }
+}
+
+/// Times and modes of connections to servers and to discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TransportSettings {
+    /// Time for a connection to be established.
+    pub connect_timeout: Duration,
+    /// Time after which servers close an idle connection.
+    pub idle_timeout: Duration,
+    /// Time for which a draining server still accepts requests.
+    pub drain_grace: Duration,
+    /// How changes of the endpoint list arrive.
+    pub membership: MembershipMode,
+}
+
+impl TransportSettings {
+    /// Reads the settings object.
+    ///
+    /// # Errors
+    /// Names the first key whose value cannot be used.
+    pub fn read(conf: &Node) -> Result<Self, KeyError> {
+        let drain_grace = conf.at("safety").at("drain-grace-ms");
+        Ok(Self {
+            connect_timeout: duration_or(&connect_timeout_key(conf), DEFAULT_CONNECT_TIMEOUT_MS)?,
+            idle_timeout: duration_or(&idle_timeout_key(conf), DEFAULT_IDLE_TIMEOUT_MS)?,
+            drain_grace: duration_or(&drain_grace, DEFAULT_DRAIN_GRACE_MS)?,
+            membership: MembershipMode::read(conf)?,
+        })
+    }
+
+    /// Checks that no timeout is zero. `conf` is the object that was read, for the path in the error.
+    ///
+    /// # Errors
+    /// Names the first key whose value is zero.
+    pub fn check_timeouts(&self, conf: &Node) -> Result<(), KeyError> {
+        if self.connect_timeout.is_zero() {
+            return Err(connect_timeout_key(conf).error(KeyProblem::Zero));
+        }
+        if self.idle_timeout.is_zero() {
+            return Err(idle_timeout_key(conf).error(KeyProblem::Zero));
+        }
+        Ok(())
+    }
+}
+
+fn connect_timeout_key<'a>(conf: &Node<'a>) -> Node<'a> {
+    conf.at("permissions").at("connect-timeout-ms")
+}
+
+/// The key of the idle timeout, which the balancer's settings hold too.
+pub(super) fn idle_timeout_key<'a>(conf: &Node<'a>) -> Node<'a> {
+    conf.at("permissions").at("idle-close-ms")
+}
+
+fn duration_or(node: &Node, default_ms: f64) -> Result<Duration, KeyError> {
+    Ok(duration_from_ms(
+        node.optional_number()?.unwrap_or(default_ms),
+    ))
+}
