--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -279,3 +279,6 @@
     settings.validate().map_err(|e| format!("settings: {e}"))?;
     Ok((settings, names))
 }
+
+#[cfg(test)]
+mod tests;
