--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -386,3 +386,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
