--- a/crates/platform/src/json.rs
+++ b/crates/platform/src/json.rs
@@ -75,6 +75,11 @@
         self.value.is_some()
     }
 
+    /// Where this place is, such as `settings.request-classes[0].objective-ms`.
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
     /// An error at this place.
     pub fn error(&self, problem: KeyProblem) -> KeyError {
         KeyError {
--- /dev/null
+++ b/crates/sidecar/src/limits/discovery.rs
@@ -0,0 +1,70 @@
+//! Bounds on calls to discovery and on its endpoint list.
+
+use std::time::Duration;
+
+use arrowstand_balancer::Micros;
+use arrowstand_control::list_freshness::StalenessBounds;
+
+use super::inputs::LimitInputs;
+
+/// A change of the endpoint list counts as notified after this long, whether or not it arrived (the protocol page).
+pub(super) const CHANGE_NOTIFIED_AFTER: Duration = Duration::from_secs(6);
+/// After a new configuration it counts as notified this much later (the protocol page).
+const RELOCATION_NOTIFIED_AFTER: Duration = Duration::from_secs(4);
+/// One and a half of the heartbeat's 2 s: a watch that is silent for longer is lost.
+const WATCH_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// The balancer's longest first backoff before it polls again (one and a half of its `REASK`), and what a busy machine
+/// adds to it.
+pub(super) const MAX_POLL_PAUSE: Duration = Duration::from_millis(500);
+/// Bytes of one line: guards memory against an object that does not end.
+const MAX_LINE_BYTES: usize = 512 * 1024;
+/// Deeper than any list; guards the stack.
+const MAX_JSON_DEPTH: usize = 32;
+/// Shortest and longest pause between polls for a list that is late.
+const POLL_RETRY_DELAYS: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_millis(300));
+
+/// Bounds on calls to discovery and on its endpoint list.
+#[derive(Clone, Debug)]
+pub struct DiscoveryLimits {
+    /// Bytes of one line.
+    pub max_line_bytes: usize,
+    /// Nesting of JSON that is read; guards the stack.
+    pub max_json_depth: usize,
+    /// The head of the response must come within this. Guards against a drain that is learnt too late to be kept: from
+    /// the last event of a watch that dies to the end of the call that replaces it, no more passes than the time after
+    /// which a change counts as notified and the grace of a drain.
+    pub poll_timeout: Duration,
+    /// A watch that is silent for this long is lost.
+    pub watch_silence_timeout: Duration,
+    /// A list that is late is polled again after about this long, until it is there.
+    pub poll_retry_delay: Duration,
+    /// When what the list does not show counts as notified; half of the grace is left for what is on its way.
+    pub staleness: StalenessBounds,
+}
+
+impl DiscoveryLimits {
+    pub(super) fn derive(inputs: &LimitInputs) -> Self {
+        let (min_delay, max_delay) = POLL_RETRY_DELAYS;
+        Self {
+            max_line_bytes: MAX_LINE_BYTES,
+            max_json_depth: MAX_JSON_DEPTH,
+            poll_timeout: (CHANGE_NOTIFIED_AFTER + inputs.drain_grace)
+                .saturating_sub(WATCH_SILENCE_TIMEOUT + MAX_POLL_PAUSE)
+                .max(WATCH_SILENCE_TIMEOUT),
+            watch_silence_timeout: WATCH_SILENCE_TIMEOUT,
+            poll_retry_delay: (inputs.drain_grace / 4).clamp(min_delay, max_delay),
+            staleness: StalenessBounds {
+                pushed: inputs.pushed,
+                max_poll_interval: micros(inputs.max_poll_interval),
+                watch_silence: micros(CHANGE_NOTIFIED_AFTER),
+                relocation_delay: micros(RELOCATION_NOTIFIED_AFTER),
+                drain_slack: micros(inputs.drain_grace / 2),
+            },
+        }
+    }
+}
+
+fn micros(duration: Duration) -> Micros {
+    duration.as_micros() as Micros
+}
--- /dev/null
+++ b/crates/sidecar/src/limits/inputs.rs
@@ -0,0 +1,58 @@
+//! The parts of the configuration that limits follow from.
+
+use std::time::Duration;
+
+use arrowstand_balancer::Settings;
+use arrowstand_platform::{MembershipMode, TransportSettings};
+
+/// The parts of the configuration that limits follow from.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LimitInputs {
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// Memory that it may use, in MiB.
+    pub memory_mib: usize,
+    /// `permissions.connect-timeout-ms`.
+    pub connect_timeout: Duration,
+    /// `permissions.idle-close-ms`.
+    pub idle_timeout: Duration,
+    /// `safety.drain-grace-ms`.
+    pub drain_grace: Duration,
+    /// `permissions.max-retry-after-ms`.
+    pub max_retry_after: Duration,
+    /// `permissions.max-attempts`.
+    pub max_attempts: usize,
+    /// The longest deadline of a request class.
+    pub longest_deadline: Duration,
+    /// `step-ms`.
+    pub step: Duration,
+    /// `safety.ask-every-ms`.
+    pub max_poll_interval: Duration,
+    /// `membership-mode` is `pushed`: changes count as notified, whether or not a watch is open.
+    pub pushed: bool,
+}
+
+impl LimitInputs {
+    /// Collects the inputs from the process's own limits and from the settings.
+    pub fn new(
+        sockets: usize,
+        memory_mib: usize,
+        transport: &TransportSettings,
+        settings: &Settings,
+    ) -> Self {
+        let deadlines = settings.classes.iter().map(|class| class.deadline);
+        Self {
+            sockets,
+            memory_mib,
+            connect_timeout: transport.connect_timeout,
+            idle_timeout: transport.idle_timeout,
+            drain_grace: transport.drain_grace,
+            max_retry_after: Duration::from_micros(settings.max_retry_after),
+            max_attempts: settings.max_attempts as usize,
+            longest_deadline: Duration::from_micros(deadlines.max().unwrap_or(0)),
+            step: Duration::from_micros(settings.step),
+            max_poll_interval: Duration::from_micros(settings.max_poll_interval),
+            pushed: transport.membership == MembershipMode::Pushed,
+        }
+    }
+}
--- a/crates/sidecar/src/machine_table.rs
+++ b/crates/sidecar/src/machine_table.rs
@@ -1,80 +1,86 @@
-//! Reads the operator's table of the kinds of machine: the platform names kinds and tells no sizes.
+//! The operator's table of machine types: the platform names the types and does not state their capacity.
+//!
+//! Owns the table's format and its errors; the types themselves are kept by [`MachineCatalogue`].
+
+use std::io;
 
 use arrowstand_control::MachineCatalogue;
-use tinyjson::JsonValue;
+use arrowstand_platform::json::{self, Node};
+use arrowstand_platform::{KeyError, KeyProblem, ReadError};
+use thiserror::Error;
 
-use crate::json::{self, Node};
+/// Cores or speed of this much are taken for a typing error.
+const CAPACITY_BOUND: f64 = 10_000.0;
+/// Bound on the nesting of the table's JSON; guards the stack.
+const MAX_JSON_DEPTH: usize = 8;
 
-/// More cores or speed than this is taken for a slip of the pen.
-const MOST: f64 = 10_000.0;
+/// A machine table that cannot be used. The message is one line that names file, entry and key.
+#[derive(Debug, Error)]
+pub enum MachineTableError {
+    /// The file cannot be read.
+    #[error("ARROWSTAND_MACHINES: {path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// Why it cannot be read.
+        source: io::Error,
+    },
+    /// The file is no machine table.
+    #[error("ARROWSTAND_MACHINES: {path}: {source}")]
+    Invalid {
+        /// The file.
+        path: String,
+        /// What is wrong with its text.
+        source: ReadError,
+    },
+}
 
-/// Reads the file of that name; the message names file, kind and key.
-pub fn load(path: &str) -> Result<MachineCatalogue, String> {
-    let fault = |e: String| format!("ARROWSTAND_MACHINES: {path}: {e}");
-    let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
-    read(&text).map_err(fault)
+/// Reads the file of that name.
+///
+/// # Errors
+/// The file cannot be read, or is no machine table.
+pub fn load(path: &str) -> Result<MachineCatalogue, MachineTableError> {
+    let text = std::fs::read_to_string(path).map_err(|source| MachineTableError::Unreadable {
+        path: path.to_owned(),
+        source,
+    })?;
+    read(&text).map_err(|source| MachineTableError::Invalid {
+        path: path.to_owned(),
+        source,
+    })
 }
 
 /// Reads `{"machines": [{"model": "fast-2", "cores": 2, "speed": 1.3}, ...]}`.
-fn read(text: &str) -> Result<MachineCatalogue, String> {
-    let value: JsonValue = json::parse(text, 8)?;
-    let list = Node::root(&value).at("machines");
-    // Guards against a table whose one key is misspelt and that is then taken for an empty one.
-    if !list.present() {
-        return list.fault("is missing");
+fn read(text: &str) -> Result<MachineCatalogue, ReadError> {
+    let value = json::parse(text, MAX_JSON_DEPTH)?;
+    let machines = Node::root(&value).at("machines");
+    // Guards against a table whose one key is misspelt and that would count as empty.
+    if !machines.is_present() {
+        return Err(machines.error(KeyProblem::Missing).into());
     }
     let mut table: Vec<(String, f64, f64)> = Vec::new();
-    for item in list.items()? {
-        let number = |key: &str| {
-            let node = item.at(key);
-            let number = node.number()?;
-            let fits = number > 0.0 && number < MOST;
-            if fits {
-                Ok(number)
-            } else {
-                node.fault(&format!("must be above zero and below {MOST}"))
-            }
-        };
-        let model = item.at("model");
-        let line = (model.text()?, number("cores")?, number("speed")?);
-        if line.0.is_empty() || table.iter().any(|(name, ..)| *name == line.0) {
-            return model.fault(&format!("{:?} is empty or there twice", line.0));
+    for entry in machines.items()? {
+        let model_node = entry.at("model");
+        let model = model_node.text()?;
+        let cores = read_capacity(&entry.at("cores"))?;
+        let speed = read_capacity(&entry.at("speed"))?;
+        if model.is_empty() || table.iter().any(|(name, ..)| *name == model) {
+            return Err(model_node.error(KeyProblem::EmptyOrDuplicate(model)).into());
         }
-        table.push(line);
+        table.push((model, cores, speed));
     }
     Ok(MachineCatalogue::from_table(table))
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_example_table_can_be_read() {
-        let mut machines = read(include_str!("../../../examples/machines.json")).expect("good");
-        assert!(machines.lookup("std-3").cores > machines.lookup("slow-2").cores);
-    }
-
-    #[test]
-    fn a_fault_names_the_key() {
-        let line = r#"{"model": "a", "cores": 2, "speed": 1}"#;
-        for (text, told) in [
-            (
-                r#"{"machines": [{"model": "a", "cores": 0, "speed": 1}]}"#.to_owned(),
-                "machines[0].cores: must",
-            ),
-            (
-                r#"{"machines": [{"model": "a", "cores": 2}]}"#.to_owned(),
-                "machines[0].speed: is missing",
-            ),
-            (
-                format!(r#"{{"machines": [{line}, {line}]}}"#),
-                "machines[1].model: \"a\"",
-            ),
-            (r#"{"machine": []}"#.to_owned(), "machines: is missing"),
-        ] {
-            let fault = read(&text).expect_err(told);
-            assert!(fault.contains(told), "{fault}");
-        }
+fn read_capacity(node: &Node) -> Result<f64, KeyError> {
+    let number = node.number()?;
+    if number > 0.0 && number < CAPACITY_BOUND {
+        Ok(number)
+    } else {
+        let bound = CAPACITY_BOUND;
+        Err(node.error(KeyProblem::OutOfRange { bound }))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sidecar/src/machine_table/tests.rs
@@ -0,0 +1,31 @@
+use super::read;
+
+#[test]
+fn the_example_table_can_be_read() {
+    let text = include_str!("../../../../examples/machines.json");
+    let mut machines = read(text).expect("good");
+    assert!(machines.lookup("std-3").cores > machines.lookup("slow-2").cores);
+}
+
+#[test]
+fn an_error_names_the_key() {
+    let line = r#"{"model": "a", "cores": 2, "speed": 1}"#;
+    for (text, expected) in [
+        (
+            r#"{"machines": [{"model": "a", "cores": 0, "speed": 1}]}"#.to_owned(),
+            "machines[0].cores: must be above zero and below 10000",
+        ),
+        (
+            r#"{"machines": [{"model": "a", "cores": 2}]}"#.to_owned(),
+            "machines[0].speed: is missing",
+        ),
+        (
+            format!(r#"{{"machines": [{line}, {line}]}}"#),
+            "machines[1].model: \"a\" is empty or there twice",
+        ),
+        (r#"{"machine": []}"#.to_owned(), "machines: is missing"),
+    ] {
+        let error = read(&text).expect_err(expected);
+        assert_eq!(error.to_string(), expected);
+    }
+}
