--- a/crates/sidecar/src/host/mod.rs
+++ b/crates/sidecar/src/host/mod.rs
@@ -2,6 +2,7 @@
 //! to whoever waits for them. Nothing here knows of HTTP.
 
 mod in_flight_request;
+mod server;
 mod server_registry;
 
 use std::cell::{Cell, RefCell};
@@ -19,7 +20,7 @@
 use tokio::time::Instant;
 
 pub use in_flight_request::{InFlightRequest, RequestAction};
-pub use server_registry::Server;
+pub use server::Server;
 use server_registry::ServerRegistry;
 
 use crate::config::Names;
--- /dev/null
+++ b/crates/sidecar/src/host/server/tests.rs
@@ -0,0 +1,99 @@
+use super::*;
+
+/// What a server's flags amount to; every other combination of them is a fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Observed {
+    Ready,
+    Draining { notified_at: Instant },
+    Removed { notified_at: Instant },
+}
+
+/// Reads a server's state, and fails where its flags are in a combination that must not occur.
+fn observed(server: &Server) -> Observed {
+    let flags = (
+        server.drain_notified_at.get(),
+        server.draining.get(),
+        server.removed.get(),
+    );
+    match flags {
+        (None, false, false) => Observed::Ready,
+        (Some(notified_at), true, false) => Observed::Draining { notified_at },
+        // Whether it was draining before it was removed makes no difference to any later list.
+        (Some(notified_at), _, true) => Observed::Removed { notified_at },
+        impossible => panic!("a combination that must not occur: {impossible:?}"),
+    }
+}
+
+/// What a list entry must make of a server, and since when its drain was known where it was known before.
+fn expected(
+    before: Observed,
+    status: EndpointStatus,
+    is_newer_incarnation: bool,
+) -> (&'static str, Option<Instant>) {
+    let known_since = match before {
+        Observed::Ready => None,
+        Observed::Draining { notified_at } | Observed::Removed { notified_at } => Some(notified_at),
+    };
+    match (before, status) {
+        (Observed::Draining { .. }, EndpointStatus::Ready) if !is_newer_incarnation => {
+            ("draining", known_since)
+        }
+        (_, EndpointStatus::Ready) => ("ready", None),
+        (_, EndpointStatus::Draining) => ("draining", known_since),
+        (_, EndpointStatus::Removed) => ("removed", known_since),
+    }
+}
+
+const INCARNATIONS_MS: [f64; 3] = [0.0, 1.0, 2.0];
+const STATUSES: [EndpointStatus; 3] = [
+    EndpointStatus::Ready,
+    EndpointStatus::Draining,
+    EndpointStatus::Removed,
+];
+
+/// Every entry that a list can have for a server, as far as its availability depends on it.
+fn list_entries() -> Vec<(EndpointStatus, f64)> {
+    STATUSES
+        .into_iter()
+        .flat_map(|status| INCARNATIONS_MS.map(|incarnation_ms| (status, incarnation_ms)))
+        .collect()
+}
+
+/// Runs the check over all sequences of list entries up to this length.
+const SEQUENCE_LENGTH: u32 = 5;
+
+#[test]
+fn every_sequence_of_list_entries_leaves_a_server_ready_draining_or_removed() {
+    let entries = list_entries();
+    for sequence in 0..entries.len().pow(SEQUENCE_LENGTH) {
+        let server = Server::new(ServerId(0), SocketAddr::from(([127, 0, 0, 1], 9)));
+        assert_eq!(observed(&server), Observed::Ready, "before any list");
+        let (mut rest, mut highest_incarnation_ms) = (sequence, 0.0_f64);
+        for _ in 0..SEQUENCE_LENGTH {
+            let (status, incarnation_ms) = entries[rest % entries.len()];
+            rest /= entries.len();
+            let before = observed(&server);
+            let earliest = Instant::now();
+            server.on_listed(status, incarnation_ms);
+            let latest = Instant::now();
+            let (state, known_since) =
+                expected(before, status, incarnation_ms > highest_incarnation_ms);
+            highest_incarnation_ms = highest_incarnation_ms.max(incarnation_ms);
+            let in_order = |notified_at: Instant| match known_since {
+                Some(known_since) => notified_at == known_since,
+                None => (earliest..=latest).contains(&notified_at),
+            };
+            match observed(&server) {
+                Observed::Ready => assert_eq!(state, "ready", "sequence {sequence}"),
+                Observed::Draining { notified_at } => {
+                    assert!(state == "draining" && in_order(notified_at), "{sequence}");
+                }
+                Observed::Removed { notified_at } => {
+                    assert!(state == "removed" && in_order(notified_at), "{sequence}");
+                }
+            }
+            assert_eq!(server.is_removed(), state == "removed");
+            assert_eq!(server.drain_age().is_some(), state != "ready");
+        }
+    }
+}
--- a/crates/sidecar/src/host/server_registry.rs
+++ b/crates/sidecar/src/host/server_registry.rs
@@ -1,85 +1,13 @@
 //! The servers that lists have named: numbers for their names, addresses, drains.
 
-use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::server::Server;
+use crate::discovery::EndpointList;
 use arrowstand_balancer::{Endpoint, EndpointStatus, Micros, ServerId, UpdateKind};
 use arrowstand_control::{MachineCatalogue, stable_hash};
-use tokio::time::Instant;
-
-use crate::discovery::EndpointList;
-
-/// A job server as the list names it.
-pub struct Server {
-    pub id: ServerId,
-    address: Cell<SocketAddr>,
-    /// When it was first told to be draining or gone, since its last start.
-    drain_notified_at: Cell<Option<Instant>>,
-    /// Told to be draining, and the start that was named then: only a later start ends a drain.
-    draining: Cell<bool>,
-    incarnation_ms: Cell<f64>,
-    /// Told to be gone, or left out of a whole list.
-    removed: Cell<bool>,
-    /// When the last request was begun that it served.
-    last_served_start: Cell<Option<Micros>>,
-}
-
-impl Server {
-    pub fn new(id: ServerId, address: SocketAddr) -> Self {
-        Self {
-            id,
-            address: Cell::new(address),
-            drain_notified_at: Cell::new(None),
-            draining: Cell::new(false),
-            incarnation_ms: Cell::new(0.0),
-            removed: Cell::new(false),
-            last_served_start: Cell::new(None),
-        }
-    }
-
-    pub fn address(&self) -> SocketAddr {
-        self.address.get()
-    }
-
-    /// For how long its drain has been known.
-    pub fn drain_age(&self) -> Option<Duration> {
-        self.drain_notified_at.get().map(|at| at.elapsed())
-    }
-
-    /// It has served a request that was begun then, so it took work then.
-    pub fn on_request_served(&self, begun: Micros) {
-        self.last_served_start
-            .set(self.last_served_start.get().max(Some(begun)));
-    }
-
-    pub fn last_served_start(&self) -> Option<Micros> {
-        self.last_served_start.get()
-    }
-
-    /// Takes in what a list says of it.
-    pub fn on_listed(&self, condition: EndpointStatus, boot_ms: f64) {
-        // Guards against an old list that takes a drain back while a connection comes up: a drain ends with a new start,
-        // or once the server has gone.
-        let newer = boot_ms > self.incarnation_ms.get();
-        self.incarnation_ms
-            .set(boot_ms.max(self.incarnation_ms.get()));
-        if condition == EndpointStatus::Ready {
-            if newer || self.removed.get() || !self.draining.get() {
-                self.draining.set(false);
-                self.drain_notified_at.set(None);
-            }
-        } else {
-            self.draining
-                .set(self.draining.get() || condition == EndpointStatus::Draining);
-            self.drain_notified_at
-                .set(self.drain_notified_at.get().or(Some(Instant::now())));
-        }
-        self.removed.set(condition == EndpointStatus::Removed);
-    }
-}
 
 /// All of them, by name and by number.
 #[derive(Default)]
@@ -120,7 +48,7 @@
     ) -> Vec<Endpoint> {
         // Guards against names and numbers that grow without end where job servers are replaced all the time.
         self.by_name.retain(|_, server| {
-            !(server.removed.get() && server.drain_age().is_some_and(|known| known >= forget))
+            !(server.is_removed() && server.drain_age().is_some_and(|known| known >= forget))
         });
         self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
         if kind != UpdateKind::Incremental {
@@ -146,7 +74,7 @@
                     new
                 }
             };
-            server.address.set(line.address);
+            server.on_address_listed(line.address);
             server.on_listed(line.condition, line.boot_ms);
             let zone = self
                 .zones
--- a/crates/sidecar/src/host/server_registry/tests.rs
+++ b/crates/sidecar/src/host/server_registry/tests.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use super::*;
 use crate::discovery::Endpoint;
 
