--- a/crates/sidecar/src/host/server.rs
+++ b/crates/sidecar/src/host/server.rs
@@ -7,82 +7,108 @@
 use arrowstand_balancer::{EndpointStatus, Micros, ServerId};
 use tokio::time::Instant;
 
-/// A job server as the list names it.
+/// Whether a server may get new requests, as the endpoint lists have named it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Availability {
+    /// Neither draining nor removed.
+    Ready,
+    /// Draining since a list first said so.
+    Draining { notified_at: Instant },
+    /// Removed, or left out of a full list; a drain that was known before keeps its time.
+    Removed { notified_at: Instant },
+}
+
+impl Availability {
+    /// When the drain or the removal was first known, whichever came first.
+    fn drain_notified_at(self) -> Option<Instant> {
+        match self {
+            Self::Ready => None,
+            Self::Draining { notified_at } | Self::Removed { notified_at } => Some(notified_at),
+        }
+    }
+
+    /// What a list entry makes of it. Guards against an old list that takes a drain back while a connection comes
+    /// up: only a later incarnation, or a removal in between, ends a drain.
+    fn after_listing(self, status: EndpointStatus, is_newer_incarnation: bool) -> Self {
+        let notified_at = || self.drain_notified_at().unwrap_or_else(Instant::now);
+        match (self, status) {
+            (Self::Draining { .. }, EndpointStatus::Ready) if !is_newer_incarnation => self,
+            (_, EndpointStatus::Ready) => Self::Ready,
+            (_, EndpointStatus::Draining) => Self::Draining {
+                notified_at: notified_at(),
+            },
+            (_, EndpointStatus::Removed) => Self::Removed {
+                notified_at: notified_at(),
+            },
+        }
+    }
+}
+
+/// A server as the endpoint list names it. Shared by the registry and by the attempts that are in flight.
 pub struct Server {
+    /// Its number towards the balancer, never used for another server.
     pub id: ServerId,
     address: Cell<SocketAddr>,
-    /// When it was first told to be draining or gone, since its last start.
-    drain_notified_at: Cell<Option<Instant>>,
-    /// Told to be draining, and the start that was named then: only a later start ends a drain.
-    draining: Cell<bool>,
+    availability: Cell<Availability>,
+    /// The latest start that a list has named, in Unix milliseconds; 0 where none has.
     incarnation_ms: Cell<f64>,
-    /// Told to be gone, or left out of a whole list.
-    removed: Cell<bool>,
-    /// When the last request was begun that it served.
+    /// When the latest request that it served was sent, on the balancer's clock.
     last_served_start: Cell<Option<Micros>>,
 }
 
 impl Server {
+    /// A server that is ready, at this address.
     pub fn new(id: ServerId, address: SocketAddr) -> Self {
         Self {
             id,
             address: Cell::new(address),
-            drain_notified_at: Cell::new(None),
-            draining: Cell::new(false),
+            availability: Cell::new(Availability::Ready),
             incarnation_ms: Cell::new(0.0),
-            removed: Cell::new(false),
             last_served_start: Cell::new(None),
         }
     }
 
+    /// Where the latest list has it.
     pub fn address(&self) -> SocketAddr {
         self.address.get()
     }
 
     /// True where a list has named it as removed, or a full list has left it out.
     pub(super) fn is_removed(&self) -> bool {
-        self.removed.get()
-    }
-
-    /// A list names it at this address.
-    pub(super) fn on_address_listed(&self, address: SocketAddr) {
-        self.address.set(address);
+        matches!(self.availability.get(), Availability::Removed { .. })
     }
 
-    /// For how long its drain has been known.
+    /// For how long its drain or its removal has been known; `None` while it is ready.
     pub fn drain_age(&self) -> Option<Duration> {
-        self.drain_notified_at.get().map(|at| at.elapsed())
+        let notified_at = self.availability.get().drain_notified_at();
+        notified_at.map(|at| at.elapsed())
     }
 
-    /// It has served a request that was begun then, so it took work then.
-    pub fn on_request_served(&self, begun: Micros) {
-        self.last_served_start
-            .set(self.last_served_start.get().max(Some(begun)));
+    /// It has served a request that was sent then (on the balancer's clock), so it accepted work then.
+    pub fn on_request_served(&self, started: Micros) {
+        let latest = self.last_served_start.get().max(Some(started));
+        self.last_served_start.set(latest);
     }
 
+    /// When the latest request that it served was sent, on the balancer's clock.
     pub fn last_served_start(&self) -> Option<Micros> {
         self.last_served_start.get()
     }
 
-    /// Takes in what a list says of it.
-    pub fn on_listed(&self, condition: EndpointStatus, boot_ms: f64) {
-        // Guards against an old list that takes a drain back while a connection comes up: a drain ends with a new start,
-        // or once the server has gone.
-        let newer = boot_ms > self.incarnation_ms.get();
+    /// A list names it at this address.
+    pub(super) fn on_address_listed(&self, address: SocketAddr) {
+        self.address.set(address);
+    }
+
+    /// A list names it with this status and this start, in Unix milliseconds; 0 where the list has no start.
+    pub fn on_listed(&self, status: EndpointStatus, incarnation_ms: f64) {
+        let known_incarnation_ms = self.incarnation_ms.get();
+        let is_newer_incarnation = incarnation_ms > known_incarnation_ms;
         self.incarnation_ms
-            .set(boot_ms.max(self.incarnation_ms.get()));
-        if condition == EndpointStatus::Ready {
-            if newer || self.removed.get() || !self.draining.get() {
-                self.draining.set(false);
-                self.drain_notified_at.set(None);
-            }
-        } else {
-            self.draining
-                .set(self.draining.get() || condition == EndpointStatus::Draining);
-            self.drain_notified_at
-                .set(self.drain_notified_at.get().or(Some(Instant::now())));
-        }
-        self.removed.set(condition == EndpointStatus::Removed);
+            .set(incarnation_ms.max(known_incarnation_ms));
+        let before = self.availability.get();
+        self.availability
+            .set(before.after_listing(status, is_newer_incarnation));
     }
 }
 
--- a/crates/sidecar/src/host/server/tests.rs
+++ b/crates/sidecar/src/host/server/tests.rs
@@ -1,41 +1,19 @@
 use super::*;
 
-/// What a server's flags amount to; every other combination of them is a fault.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Observed {
-    Ready,
-    Draining { notified_at: Instant },
-    Removed { notified_at: Instant },
-}
-
-/// Reads a server's state, and fails where its flags are in a combination that must not occur.
-fn observed(server: &Server) -> Observed {
-    let flags = (
-        server.drain_notified_at.get(),
-        server.draining.get(),
-        server.removed.get(),
-    );
-    match flags {
-        (None, false, false) => Observed::Ready,
-        (Some(notified_at), true, false) => Observed::Draining { notified_at },
-        // Whether it was draining before it was removed makes no difference to any later list.
-        (Some(notified_at), _, true) => Observed::Removed { notified_at },
-        impossible => panic!("a combination that must not occur: {impossible:?}"),
-    }
-}
-
 /// What a list entry must make of a server, and since when its drain was known where it was known before.
 fn expected(
-    before: Observed,
+    before: Availability,
     status: EndpointStatus,
     is_newer_incarnation: bool,
 ) -> (&'static str, Option<Instant>) {
     let known_since = match before {
-        Observed::Ready => None,
-        Observed::Draining { notified_at } | Observed::Removed { notified_at } => Some(notified_at),
+        Availability::Ready => None,
+        Availability::Draining { notified_at } | Availability::Removed { notified_at } => {
+            Some(notified_at)
+        }
     };
     match (before, status) {
-        (Observed::Draining { .. }, EndpointStatus::Ready) if !is_newer_incarnation => {
+        (Availability::Draining { .. }, EndpointStatus::Ready) if !is_newer_incarnation => {
             ("draining", known_since)
         }
         (_, EndpointStatus::Ready) => ("ready", None),
@@ -67,12 +45,16 @@
     let entries = list_entries();
     for sequence in 0..entries.len().pow(SEQUENCE_LENGTH) {
         let server = Server::new(ServerId(0), SocketAddr::from(([127, 0, 0, 1], 9)));
-        assert_eq!(observed(&server), Observed::Ready, "before any list");
+        assert_eq!(
+            server.availability.get(),
+            Availability::Ready,
+            "before any list"
+        );
         let (mut rest, mut highest_incarnation_ms) = (sequence, 0.0_f64);
         for _ in 0..SEQUENCE_LENGTH {
             let (status, incarnation_ms) = entries[rest % entries.len()];
             rest /= entries.len();
-            let before = observed(&server);
+            let before = server.availability.get();
             let earliest = Instant::now();
             server.on_listed(status, incarnation_ms);
             let latest = Instant::now();
@@ -83,12 +65,12 @@
                 Some(known_since) => notified_at == known_since,
                 None => (earliest..=latest).contains(&notified_at),
             };
-            match observed(&server) {
-                Observed::Ready => assert_eq!(state, "ready", "sequence {sequence}"),
-                Observed::Draining { notified_at } => {
+            match server.availability.get() {
+                Availability::Ready => assert_eq!(state, "ready", "sequence {sequence}"),
+                Availability::Draining { notified_at } => {
                     assert!(state == "draining" && in_order(notified_at), "{sequence}");
                 }
-                Observed::Removed { notified_at } => {
+                Availability::Removed { notified_at } => {
                     assert!(state == "removed" && in_order(notified_at), "{sequence}");
                 }
             }
