--- a/crates/sidecar/src/host/in_flight_request.rs
+++ b/crates/sidecar/src/host/in_flight_request.rs
@@ -1,4 +1,5 @@
-//! A transaction's tie to the module: the steps it is told, and the outcomes that it owes.
+//! One request towards the balancer: the actions that it gets, and one result for each attempt. Owns what is in flight
+//! of the request; does not know how an attempt is made.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,31 +9,17 @@
 };
 use tokio::sync::mpsc;
 
-use super::BalancerHost;
-
-/// What the module wants done next for a transaction.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum RequestAction {
-    Send {
-        server: ServerId,
-        timeout: Option<Micros>,
-    },
-    Cancel {
-        attempt: u32,
-    },
-    Reject {
-        retry_after: Option<Micros>,
-    },
-    Fail,
-}
+use super::balancer_host::BalancerHost;
+use super::clock::micros;
+use super::request_action::RequestAction;
 
 struct OpenAttempt {
     attempt: u32,
     server: ServerId,
-    sent: Micros,
+    started_at: Micros,
 }
 
-/// A transaction that the module knows of and that is owed one final answer.
+/// A request that the balancer knows of and that gets one final response.
 pub struct InFlightRequest {
     host: Rc<BalancerHost>,
     id: RequestId,
@@ -43,116 +30,118 @@
 }
 
 impl InFlightRequest {
-    /// Tells the module of a new transaction.
+    /// Hands a request to the balancer. `time_left` is until its client gives up, `work_hint` its work on a usual
+    /// server where the client gave an estimate.
     pub fn admit(
         host: &Rc<BalancerHost>,
         class: ClassId,
         time_left: Duration,
-        cost: Option<Duration>,
+        work_hint: Option<Duration>,
     ) -> Self {
-        // The module asks for ids that are never used twice, which a terminal's word does not ensure.
-        let id = RequestId(host.next_request.get());
-        host.next_request.set(id.0 + 1);
-        let (mailbox, steps) = mpsc::channel(host.limits.max_queued_actions);
-        host.action_senders.borrow_mut().insert(id, mailbox);
-        let owed = Self {
+        let (id, actions) = host.register_request();
+        let request = Self {
             host: Rc::clone(host),
             id,
-            actions: steps,
+            actions,
             open_attempts: Vec::new(),
             attempts_started: 0,
             has_final_response: false,
         };
         host.counters.requests_accepted.add();
-        let time_left = time_left.as_micros() as Micros;
-        let size_hint = cost.map(|cost| cost.as_micros() as Micros);
         host.handle_event(Event::RequestArrived(IncomingRequest {
             id,
             class,
-            time_left,
-            work_hint: size_hint,
+            time_left: micros(time_left),
+            work_hint: work_hint.map(micros),
         }));
-        owed
+        request
     }
 
-    /// Waits for the module's next step; a final one closes the transaction.
+    /// Waits for the balancer's next action; after a final one the request has ended.
     pub async fn next_action(&mut self) -> RequestAction {
-        // The core holds the sending end until this transaction is dropped.
-        let step = self.actions.recv().await.unwrap_or(RequestAction::Fail);
-        self.has_final_response |=
-            matches!(step, RequestAction::Reject { .. } | RequestAction::Fail);
-        step
+        // The dispatcher keeps the sending end until this request is dropped.
+        let action = self.actions.recv().await.unwrap_or(RequestAction::Fail);
+        self.has_final_response |= action.is_final();
+        action
     }
 
-    /// Counts a send and gives its number.
+    /// Records an attempt that starts now and gives its number.
     pub fn on_attempt_started(&mut self, server: ServerId) -> u32 {
-        let attempt = self.attempts_started;
-        self.attempts_started += 1;
-        self.open_attempts.push(OpenAttempt {
-            attempt,
-            server,
-            sent: self.host.now(),
-        });
+        let open = self.next_attempt(server);
+        let attempt = open.attempt;
+        self.open_attempts.push(open);
         attempt
     }
 
-    /// Tells the module how a routed task ended. Being served finishes the transaction.
+    /// Reports how an attempt ended. One that was served ends the request.
     pub fn on_attempt_ended(&mut self, attempt: u32, outcome: Outcome, report: Option<LoadReport>) {
-        let Some(at) = self.open_attempts.iter().position(|o| o.attempt == attempt) else {
+        let is_it = |open: &OpenAttempt| open.attempt == attempt;
+        let Some(index) = self.open_attempts.iter().position(is_it) else {
             return;
         };
-        let out = self.open_attempts.swap_remove(at);
+        let ended = self.open_attempts.swap_remove(index);
         self.has_final_response |= outcome == Outcome::Served;
-        self.report(&out, outcome, report);
+        self.report(&ended, outcome, report);
     }
 
-    /// Closes a transaction that the module has let run to its terminal's last moment.
+    /// Ends a request that the balancer has not decided by the last moment for a response.
     pub fn on_overdue(&mut self) {
-        self.has_final_response = true;
         self.host.counters.responses_overdue.add();
+        self.on_client_gone();
+    }
+
+    fn on_client_gone(&mut self) {
+        self.has_final_response = true;
         self.host
             .handle_event(Event::ClientDisconnected { request: self.id });
     }
 
-    fn report(&self, out: &OpenAttempt, outcome: Outcome, report: Option<LoadReport>) {
+    fn next_attempt(&mut self, server: ServerId) -> OpenAttempt {
+        let attempt = self.attempts_started;
+        self.attempts_started += 1;
+        OpenAttempt {
+            attempt,
+            server,
+            started_at: self.host.now(),
+        }
+    }
+
+    fn report(&self, ended: &OpenAttempt, outcome: Outcome, report: Option<LoadReport>) {
         self.host.counters.on_attempt_ended(outcome);
         self.host.handle_event(Event::AttemptEnded(AttemptEnd {
             request: self.id,
-            attempt: out.attempt,
-            server: out.server,
+            attempt: ended.attempt,
+            server: ended.server,
             outcome,
             finished: self.has_final_response,
-            elapsed: self.host.now().saturating_sub(out.sent),
+            elapsed: self.host.now().saturating_sub(ended.started_at),
             load_report: report,
         }));
     }
+
+    /// Reports the sends that the balancer has queued and that were never started.
+    fn report_unsent(&mut self) {
+        while let Ok(action) = self.actions.try_recv() {
+            if let RequestAction::Send { server, .. } = action {
+                let unsent = self.next_attempt(server);
+                self.report(&unsent, Outcome::NotSent, None);
+            }
+        }
+    }
 }
 
 impl Drop for InFlightRequest {
-    /// Guards against a module that waits for outcomes of a transaction that is over: the terminal may
-    /// leave at any point, which drops the whole transaction, and each send must still get its one outcome.
+    /// Guards against a balancer that waits for results of a request that is over: its client may disconnect at any
+    /// point, which drops the request, and each send must still get its one result.
     fn drop(&mut self) {
         if !self.has_final_response {
-            self.has_final_response = true;
             self.host.counters.clients_disconnected.add();
-            self.host
-                .handle_event(Event::ClientDisconnected { request: self.id });
+            self.on_client_gone();
         }
-        self.host.action_senders.borrow_mut().remove(&self.id);
-        for out in std::mem::take(&mut self.open_attempts) {
-            self.report(&out, Outcome::Cancelled, None);
-        }
-        while let Ok(step) = self.actions.try_recv() {
-            if let RequestAction::Send { server, .. } = step {
-                let attempt = self.attempts_started;
-                self.attempts_started += 1;
-                let unsent = OpenAttempt {
-                    attempt,
-                    server,
-                    sent: self.host.now(),
-                };
-                self.report(&unsent, Outcome::NotSent, None);
-            }
+        self.host.unregister_request(self.id);
+        for open in std::mem::take(&mut self.open_attempts) {
+            self.report(&open, Outcome::Cancelled, None);
         }
+        self.report_unsent();
     }
 }
--- /dev/null
+++ b/crates/sidecar/src/host/request_ids.rs
@@ -0,0 +1,35 @@
+//! The request ids that clients have given to the requests in flight. The balancer's own numbers for requests are not
+//! here.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+
+/// The request ids that are in use.
+#[derive(Default)]
+pub struct OpenRequestIds(RefCell<HashSet<Rc<str>>>);
+
+impl OpenRequestIds {
+    /// Takes an id until the guard is dropped; `None` where it is in use. Guards against two requests that servers
+    /// cannot tell apart: one would be taken for a retry of the other.
+    pub fn reserve(self: &Rc<Self>, id: &str) -> Option<RequestIdGuard> {
+        let id: Rc<str> = id.into();
+        let is_new = self.0.borrow_mut().insert(Rc::clone(&id));
+        is_new.then(|| RequestIdGuard {
+            open: Rc::clone(self),
+            id,
+        })
+    }
+}
+
+/// A request id that is in use until this is dropped.
+pub struct RequestIdGuard {
+    open: Rc<OpenRequestIds>,
+    id: Rc<str>,
+}
+
+impl Drop for RequestIdGuard {
+    fn drop(&mut self) {
+        self.open.0.borrow_mut().remove(&self.id);
+    }
+}
--- a/crates/sidecar/src/host/server_registry.rs
+++ b/crates/sidecar/src/host/server_registry.rs
@@ -1,27 +1,35 @@
-//! The servers that lists have named: numbers for their names, addresses, drains.
+//! The servers that endpoint lists have named: their numbers towards the balancer, by name and back.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::server::Server;
-use crate::discovery::EndpointList;
 use arrowstand_balancer::{Endpoint, EndpointStatus, Micros, ServerId, UpdateKind};
 use arrowstand_control::{MachineCatalogue, stable_hash};
 
-/// All of them, by name and by number.
+use super::server::Server;
+use crate::discovery::EndpointList;
+
+const MICROS_PER_MS: f64 = 1_000.0;
+/// What a list has for the start time of a server that started long ago.
+const UNKNOWN_START_MS: f64 = 0.0;
+
+/// Every server that is not forgotten, by the name that lists have for it and by its number.
 #[derive(Default)]
 pub struct ServerRegistry {
     by_name: HashMap<String, Rc<Server>>,
     by_id: BTreeMap<ServerId, Rc<Server>>,
-    /// Numbers are never used twice: a new job server must not pass for one that has gone.
+    /// Numbers are never used twice: a new server must not pass for one that has been removed.
     next_id: u32,
+    /// Zones by their numbers: those of the configuration, then others in the order of the lists.
     zones: Vec<String>,
     machines: MachineCatalogue,
     has_listed_ready: bool,
 }
 
 impl ServerRegistry {
+    /// A registry without servers, with the zones and the machine types of the configuration.
     pub fn new(zones: Vec<String>, machines: MachineCatalogue) -> Self {
         Self {
             zones,
@@ -35,66 +43,82 @@
         self.has_listed_ready
     }
 
+    /// The server of that number; `None` once it is forgotten.
     pub fn get(&self, id: ServerId) -> Option<Rc<Server>> {
         self.by_id.get(&id).cloned()
     }
 
-    /// Takes in a list; tells what the module is to know of each entry.
+    /// Takes in a list and gives its entries as the balancer gets them. A server is forgotten once its removal, or the
+    /// drain before it, has been known for the retention time.
     pub(super) fn apply(
         &mut self,
         kind: UpdateKind,
         list: &EndpointList,
-        forget: Duration,
+        retention: Duration,
     ) -> Vec<Endpoint> {
-        // Guards against names and numbers that grow without end where job servers are replaced all the time.
-        self.by_name.retain(|_, server| {
-            !(server.is_removed() && server.drain_age().is_some_and(|known| known >= forget))
-        });
-        self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
+        self.forget_removed(retention);
         if kind != UpdateKind::Incremental {
-            let named = |uid: &str| list.endpoints.iter().any(|l| l.uid == uid);
-            for (_, server) in self.by_name.iter().filter(|(uid, _)| !named(uid)) {
-                server.on_listed(EndpointStatus::Removed, 0.0);
-            }
+            self.on_full_list(list);
         }
-        self.has_listed_ready |= list
-            .endpoints
-            .iter()
-            .any(|l| l.condition == EndpointStatus::Ready);
-        let mut entries = Vec::with_capacity(list.endpoints.len());
-        for line in &list.endpoints {
-            let server = match self.by_name.get(&line.uid) {
-                Some(known) => Rc::clone(known),
-                None => {
-                    let id = ServerId(self.next_id);
-                    self.next_id += 1;
-                    let new = Rc::new(Server::new(id, line.address));
-                    self.by_id.insert(id, Rc::clone(&new));
-                    self.by_name.insert(line.uid.clone(), Rc::clone(&new));
-                    new
-                }
-            };
-            server.on_address_listed(line.address);
-            server.on_listed(line.condition, line.boot_ms);
-            let zone = self
-                .zones
-                .iter()
-                .position(|z| *z == line.zone)
-                .unwrap_or_else(|| {
-                    self.zones.push(line.zone.clone());
-                    self.zones.len() - 1
-                });
-            entries.push(Endpoint {
+        let mut endpoints = Vec::with_capacity(list.endpoints.len());
+        for entry in &list.endpoints {
+            self.has_listed_ready |= entry.condition == EndpointStatus::Ready;
+            let server = self.find_or_add(&entry.uid, entry.address);
+            server.on_address_listed(entry.address);
+            server.on_listed(entry.condition, entry.boot_ms);
+            let has_start = entry.boot_ms > UNKNOWN_START_MS;
+            endpoints.push(Endpoint {
                 server: server.id,
-                stable_hash: stable_hash(&line.uid),
-                status: line.condition,
-                incarnation: (line.boot_ms > 0.0).then_some((line.boot_ms * 1_000.0) as Micros),
-                zone: zone as u32,
-                cell: line.cell,
-                machine_type: self.machines.lookup(&line.model),
+                stable_hash: stable_hash(&entry.uid),
+                status: entry.condition,
+                incarnation: has_start.then_some((entry.boot_ms * MICROS_PER_MS) as Micros),
+                zone: self.zone(&entry.zone),
+                cell: entry.cell,
+                machine_type: self.machines.lookup(&entry.model),
             });
         }
-        entries
+        endpoints
+    }
+
+    /// Guards against names and numbers that grow without end where servers are replaced all the time.
+    fn forget_removed(&mut self, retention: Duration) {
+        self.by_name.retain(|_, server| {
+            let is_over = server.drain_age().is_some_and(|age| age >= retention);
+            !(server.is_removed() && is_over)
+        });
+        // Whatever still has the server, an attempt for instance, keeps its number.
+        self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
+    }
+
+    /// What a full list leaves out has been removed.
+    fn on_full_list(&self, list: &EndpointList) {
+        let is_named = |name: &str| list.endpoints.iter().any(|entry| entry.uid == name);
+        for (_, server) in self.by_name.iter().filter(|(name, _)| !is_named(name)) {
+            server.on_listed(EndpointStatus::Removed, UNKNOWN_START_MS);
+        }
+    }
+
+    /// The server of that name; one that is new gets the next number.
+    fn find_or_add(&mut self, name: &str, address: SocketAddr) -> Rc<Server> {
+        if let Some(known) = self.by_name.get(name) {
+            return Rc::clone(known);
+        }
+        let id = ServerId(self.next_id);
+        self.next_id += 1;
+        let server = Rc::new(Server::new(id, address));
+        self.by_id.insert(id, Rc::clone(&server));
+        self.by_name.insert(name.to_owned(), Rc::clone(&server));
+        server
+    }
+
+    /// The number of a zone; a zone that is new gets the next one.
+    fn zone(&mut self, name: &str) -> u32 {
+        let known = self.zones.iter().position(|zone| zone == name);
+        let index = known.unwrap_or_else(|| {
+            self.zones.push(name.to_owned());
+            self.zones.len() - 1
+        });
+        index as u32
     }
 }
 
--- a/crates/sidecar/src/host/server_registry/tests.rs
+++ b/crates/sidecar/src/host/server_registry/tests.rs
@@ -1,13 +1,11 @@
-use std::net::SocketAddr;
-
 use super::*;
 use crate::discovery::Endpoint;
 
-/// A day of replaced job servers, each at the address of the one before: too long to record.
+/// A day of replaced servers, each at the address of the one before: too long to record.
 #[test]
-fn what_has_gone_is_forgotten_and_its_number_is_not_used_again() {
-    let (mut directory, mut numbers) = (ServerRegistry::default(), Vec::new());
-    let line = |n: u32, condition| Endpoint {
+fn a_removed_server_is_forgotten_and_its_number_is_not_used_again() {
+    let (mut registry, mut numbers) = (ServerRegistry::default(), Vec::new());
+    let entry = |n: u32, condition| Endpoint {
         uid: format!("s{n}"),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: "z".to_owned(),
@@ -18,16 +16,16 @@
     };
     for n in 1..100 {
         let endpoints = vec![
-            line(n - 1, EndpointStatus::Removed),
-            line(n, EndpointStatus::Ready),
+            entry(n - 1, EndpointStatus::Removed),
+            entry(n, EndpointStatus::Ready),
         ];
-        let table = EndpointList {
+        let list = EndpointList {
             endpoints,
             ..EndpointList::default()
         };
-        let members = directory.apply(UpdateKind::Incremental, &table, Duration::ZERO);
-        numbers.push(members[1].server);
+        let listed = registry.apply(UpdateKind::Incremental, &list, Duration::ZERO);
+        numbers.push(listed[1].server);
     }
-    assert!(directory.by_name.len() <= 3 && directory.by_id.len() <= 3);
+    assert!(registry.by_name.len() <= 3 && registry.by_id.len() <= 3);
     assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
 }
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -76,7 +76,7 @@
     let limits = Rc::clone(&host.limits);
     let counters = Rc::clone(&host.counters);
     let ask = Rc::new(ask);
-    let Some(_claim) = host.claim_request_id(&ask.id) else {
+    let Some(_claim) = host.reserve_request_id(&ask.id) else {
         return ProxyResponse::DuplicateId;
     };
     // Guards against a final answer that comes after the terminal has given up, should the module be late.
