--- /dev/null
+++ b/crates/sidecar/src/proxy/retry_window/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+
+const WINDOW: Duration = Duration::from_secs(10);
+const MARGIN: Duration = Duration::from_millis(50);
+const STEP: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_first_attempt_has_no_bound() {
+    let mut window = RetryWindow::new(Some(WINDOW), MARGIN);
+    assert_eq!(window.on_attempt_started(Instant::now()), None);
+}
+
+#[test]
+fn a_retry_without_an_idempotency_key_has_no_bound() {
+    let mut window = RetryWindow::new(None, MARGIN);
+    let start = Instant::now();
+    window.on_attempt_started(start);
+    assert_eq!(window.on_attempt_started(start + STEP), None);
+}
+
+#[test]
+fn a_retry_starts_within_the_window_of_the_first_attempt_that_may_have_been_executed() {
+    let mut window = RetryWindow::new(Some(WINDOW), MARGIN);
+    let start = Instant::now();
+    window.on_attempt_started(start);
+    window.on_attempt_ended(0, Outcome::Reset);
+    let bound = Some(start + WINDOW - MARGIN);
+    assert_eq!(window.on_attempt_started(start + STEP), bound);
+    assert_eq!(window.on_attempt_started(start + 2 * STEP), bound);
+}
+
+#[test]
+fn an_attempt_that_was_never_executed_opens_no_window() {
+    let mut window = RetryWindow::new(Some(WINDOW), MARGIN);
+    let start = Instant::now();
+    window.on_attempt_started(start);
+    window.on_attempt_ended(0, Outcome::Rejected);
+    assert_eq!(window.on_attempt_started(start + STEP), None);
+    let bound = Some(start + STEP + WINDOW - MARGIN);
+    assert_eq!(window.on_attempt_started(start + 2 * STEP), bound);
+}
+
+#[test]
+fn an_end_of_an_unknown_attempt_changes_nothing() {
+    let mut window = RetryWindow::new(Some(WINDOW), MARGIN);
+    window.on_attempt_ended(3, Outcome::NotSent);
+    assert_eq!(window.on_attempt_started(Instant::now()), None);
+}
