--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -1,4 +1,5 @@
-//! What the sidecar took in, sent and answered, by kind.
+//! The counters of the process: requests, attempts, clients, servers, health checks and endpoint
+//! lists. Their names are printed and are part of the interface.
 
 use std::cell::Cell;
 use std::fmt;
@@ -9,13 +10,13 @@
 
 macro_rules! counters {
     ($($name:ident: $text:literal,)*) => {
-        /// One cell a kind; printed on request and at exit.
+        /// One count of each kind since the start; printed on request and at exit.
         #[derive(Default)]
         pub struct Counters { $(#[doc = $text] pub $name: Count,)* }
 
         impl fmt::Display for Counters {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                $(writeln!(f, "{} {}", stringify!($name), self.$name.get())?;)*
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(writeln!(formatter, "{} {}", stringify!($name), self.$name.get())?;)*
                 Ok(())
             }
         }
@@ -27,51 +28,54 @@
 pub struct Count(Cell<u64>);
 
 impl Count {
+    /// Counts one more.
     pub fn add(&self) {
         self.0.set(self.0.get() + 1);
     }
 
+    /// How many there were since the start.
     pub fn get(&self) -> u64 {
         self.0.get()
     }
 }
 
 counters! {
-    requests_accepted: "Transactions handed to the module.",
-    requests_malformed: "Requests answered with a 4xx.",
-    requests_over_capacity: "Requests turned away because too many terminals were connected.",
-    clients_timed_out: "Terminals closed for saying nothing, or never ending what they say.",
-    responses_served: "Answers of a job server passed on.",
-    responses_rejected: "Short-on-capacity replies that the module decided on.",
-    responses_failed: "Transactions that failed.",
-    responses_overdue: "Failures that the module had not decided in time.",
-    clients_disconnected: "Transactions whose terminal left first.",
-    attempts_started: "Routed tasks begun.",
-    attempts_served: "Routed tasks that were served.",
-    attempts_error: "Routed tasks that ended in an error.",
-    attempts_rejected: "Routed tasks that a job server turned away.",
-    attempts_timed_out: "Routed tasks without an answer in time.",
-    attempts_connect_failed: "Routed tasks that were never written whole.",
-    attempts_reset: "Routed tasks whose connection broke.",
-    attempts_cancelled: "Routed tasks that were called off.",
-    attempts_blocked_client_left: "Routed tasks not begun, since the client had left.",
-    attempts_blocked_no_time: "Routed tasks not begun for want of time.",
-    attempts_blocked_window_over: "Repeats not begun, since the window for them was over.",
-    attempts_blocked_server_draining: "Routed tasks not begun, since the job server drains or has moved.",
-    attempts_blocked_list_stale: "Routed tasks not begun, since the list was too old to show a drain.",
-    health_checks_sent: "Probes begun.",
-    health_checks_failed: "Probes that failed.",
-    connections_opened: "Connections to job servers opened.",
-    endpoint_updates: "Lists of endpoints and changes read.",
-    endpoint_lines_skipped: "Lines of them that could not be read.",
+    requests_accepted: "Requests handed to the balancer.",
+    requests_malformed: "Requests that got a 4xx response.",
+    requests_over_capacity: "Requests rejected because too many clients were connected.",
+    clients_timed_out: "Client connections closed because no request came, or one that was not complete in time.",
+    responses_served: "Responses of a server that were passed on.",
+    responses_rejected: "Overload rejections that the balancer decided.",
+    responses_failed: "Requests that the balancer decided to fail.",
+    responses_overdue: "Requests that failed because the balancer had not decided in time.",
+    clients_disconnected: "Requests whose client disconnected before the response.",
+    attempts_started: "Attempts started.",
+    attempts_served: "Attempts that were served.",
+    attempts_error: "Attempts that ended in an error response.",
+    attempts_rejected: "Attempts that a server rejected unprocessed.",
+    attempts_timed_out: "Attempts without a response in time.",
+    attempts_connect_failed: "Attempts whose request was never written completely.",
+    attempts_reset: "Attempts without a complete response once the request was written.",
+    attempts_cancelled: "Attempts that were cancelled, or never sent.",
+    attempts_blocked_client_left: "Attempts not sent because the client had left.",
+    attempts_blocked_no_time: "Attempts not sent because no time was left.",
+    attempts_blocked_window_over: "Retries not sent because the deduplication window was over.",
+    attempts_blocked_server_draining: "Attempts not sent because the server was draining or had moved.",
+    attempts_blocked_list_stale: "Attempts not sent because the endpoint list was too old to show a drain.",
+    health_checks_sent: "Health checks started.",
+    health_checks_failed: "Health checks that failed.",
+    connections_opened: "Connections to servers opened.",
+    endpoint_updates: "Endpoint lists and changes to them that were read.",
+    endpoint_lines_skipped: "Entries and lines of an endpoint list that could not be read.",
     cost_headers_skipped: "Estimates of a request's work that could not be read.",
-    timeout_headers_skipped: "Times that a terminal waits that could not be read, or were not told.",
+    timeout_headers_skipped: "Requests whose client timeout was missing or could not be read.",
     load_reports_skipped: "Load reports that could not be read.",
 }
 
 impl Counters {
+    /// An attempt is not sent, for this reason.
     pub fn on_attempt_blocked(&self, blocked: SendBlocked) {
-        let cell = match blocked {
+        let counter = match blocked {
             SendBlocked::ClientLeft => &self.attempts_blocked_client_left,
             SendBlocked::NoTime => &self.attempts_blocked_no_time,
             SendBlocked::WindowOver => &self.attempts_blocked_window_over,
@@ -80,11 +84,12 @@
             }
             SendBlocked::ListStale => &self.attempts_blocked_list_stale,
         };
-        cell.add();
+        counter.add();
     }
 
+    /// An attempt has ended like this.
     pub fn on_attempt_ended(&self, outcome: Outcome) {
-        let cell = match outcome {
+        let counter = match outcome {
             Outcome::Served => &self.attempts_served,
             Outcome::ServerError => &self.attempts_error,
             Outcome::Rejected => &self.attempts_rejected,
@@ -93,6 +98,6 @@
             Outcome::Reset => &self.attempts_reset,
             Outcome::Cancelled | Outcome::NotSent => &self.attempts_cancelled,
         };
-        cell.add();
+        counter.add();
     }
 }
--- a/crates/sidecar/src/host/action_dispatch.rs
+++ b/crates/sidecar/src/host/action_dispatch.rs
@@ -1,5 +1,5 @@
-//! Hands the balancer's actions to the tasks that execute them: requests in flight, the health checker and the watch on
-//! discovery. Keeps the balancer's numbers for requests.
+//! Hands the balancer's actions to the tasks that execute them: requests in flight, the health
+//! checker and the watch on discovery. Keeps the balancer's numbers for requests.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -30,8 +30,8 @@
         (dispatcher, servers_to_check)
     }
 
-    /// Gives a request a number and a queue of its actions. The balancer needs numbers that are never used twice, which
-    /// the ids that clients choose are not.
+    /// Gives a request a number and a queue of its actions. The balancer needs numbers that are
+    /// never used twice, which the ids that clients choose are not.
     pub fn register_request(
         &self,
         max_queued_actions: usize,
@@ -48,9 +48,9 @@
         self.requests.borrow_mut().remove(&id);
     }
 
-    /// Queues an action for its request. A request that has ended has no use for it: what was in flight of it is
-    /// reported when it is dropped.
-    pub fn to_request(&self, id: RequestId, action: RequestAction) {
+    /// Queues an action for its request. A request that has ended has no use for it: what was in
+    /// flight of it is reported when it is dropped.
+    pub fn dispatch_to_request(&self, id: RequestId, action: RequestAction) {
         let requests = self.requests.borrow();
         let Some(sender) = requests.get(&id) else {
             return;
@@ -61,17 +61,20 @@
     }
 
     /// Queues a health check; false where too many are waiting.
-    pub fn to_health_checks(&self, server: ServerId) -> bool {
+    pub fn enqueue_health_check(&self, server: ServerId) -> bool {
         self.health_checks.try_send(server).is_ok()
     }
 
-    /// Asks for a call to discovery.
+    /// Has discovery polled.
     pub fn request_poll(&self) {
         self.poll_wanted.notify_one();
     }
 
-    /// Waits until a call to discovery is wanted.
+    /// Waits until discovery is to be polled.
     pub async fn poll_requested(&self) {
         self.poll_wanted.notified().await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/host/balancer_host.rs
+++ b/crates/sidecar/src/host/balancer_host.rs
@@ -1,4 +1,5 @@
-//! The one balancer of the process: events in, actions out. What an action needs is in parts of their own.
+//! The one balancer of the process: hands it events and executes its actions. The clock, timers,
+//! request ids, classes, servers and the queues of actions are parts with files of their own.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -25,7 +26,7 @@
 use crate::discovery::EndpointList;
 use crate::limits::Limits;
 
-/// The balancer and all that it decides by. There is one, and it runs on one thread.
+/// The balancer and the parts that run it. There is one, and it stays on one thread.
 pub struct BalancerHost {
     balancer: RefCell<WorkAwareBalancer>,
     servers: RefCell<ServerRegistry>,
@@ -44,7 +45,7 @@
 }
 
 impl BalancerHost {
-    /// Hosts this balancer; also gives the servers whose health is to be checked, as the balancer asks for it.
+    /// Hosts this balancer; the receiver yields the servers whose health is to be checked.
     pub fn new(
         balancer: WorkAwareBalancer,
         names: Names,
@@ -97,12 +98,14 @@
         self.classes.default_client_timeout(class)
     }
 
-    /// For how long servers drop retries of a request by its idempotency key; `None` for a class without keys.
+    /// For how long servers drop retries of a request by its idempotency key; `None` for a class
+    /// without keys.
     pub fn deduplication_window(&self, class: ClassId) -> Option<Duration> {
         self.classes.deduplication_window(class)
     }
 
-    /// Becomes true where the process is about to end: every request in flight gets its response at once.
+    /// Becomes true where the process is about to end: every request in flight gets its response at
+    /// once.
     pub fn forced_shutdown(&self) -> watch::Receiver<bool> {
         self.forced_shutdown.subscribe()
     }
@@ -112,7 +115,8 @@
         self.forced_shutdown.send_replace(true);
     }
 
-    /// Records what the age of the endpoint list follows from; `update` also gets the balancer's clock.
+    /// Records what the age of the endpoint list follows from; `update` also gets the balancer's
+    /// clock.
     pub fn update_list_freshness(&self, update: impl FnOnce(&mut ListFreshness, Micros)) {
         let mut freshness = self.freshness.get();
         update(&mut freshness, self.now());
@@ -134,12 +138,12 @@
         self.servers.borrow().get(id)
     }
 
-    /// Takes a client's request id for as long as its request is in flight; `None` where it is in use.
+    /// Reserves a client's request id until the guard is dropped; `None` where it is in use.
     pub fn reserve_request_id(&self, id: &str) -> Option<RequestIdGuard> {
         self.request_ids.reserve(id)
     }
 
-    /// Waits until the balancer asks for the endpoint list.
+    /// Waits until the balancer wants the endpoint list polled.
     pub async fn poll_requested(&self) {
         self.actions.poll_requested().await;
     }
@@ -152,7 +156,8 @@
         }
     }
 
-    /// Hands an endpoint list, or a change to it, to the balancer, under a version that never falls.
+    /// Hands an endpoint list, or a change to it, to the balancer, under a version that never
+    /// falls.
     pub fn update_endpoints(&self, kind: UpdateKind, version: u64, list: &EndpointList) {
         self.counters.endpoint_updates.add();
         for message in &list.skipped {
@@ -168,7 +173,7 @@
         });
     }
 
-    /// Hands an event to the balancer and has the actions executed that it answers with.
+    /// Hands an event to the balancer and executes the actions that result.
     pub fn handle_event(&self, event: Event) {
         let mut actions = Vec::new();
         self.balancer
@@ -178,7 +183,8 @@
             .into_iter()
             .filter_map(|action| self.execute(action))
             .collect();
-        // Guards against a server whose health is never checked again because the balancer waits for this check.
+        // Guards against a server whose health is never checked again because the balancer waits
+        // for this check.
         for server in unsent_health_checks {
             self.handle_event(Event::HealthCheckEnded {
                 server,
@@ -199,9 +205,10 @@
         self.actions.unregister_request(id);
     }
 
-    /// Hands an action to the task that executes it; returns the server of a health check that cannot be made.
+    /// Hands an action to the task that executes it; returns the server of a health check that
+    /// cannot be made.
     fn execute(&self, action: Action) -> Option<ServerId> {
-        let to_request = |request, action| self.actions.to_request(request, action);
+        let to_request = |request, action| self.actions.dispatch_to_request(request, action);
         match action {
             Action::Send {
                 request,
@@ -218,7 +225,7 @@
             Action::Fail { request } => to_request(request, RequestAction::Fail),
             Action::SetTimer { token, after } => self.timers.schedule(self.now() + after, token),
             Action::HealthCheck { server } => {
-                return (!self.actions.to_health_checks(server)).then_some(server);
+                return (!self.actions.enqueue_health_check(server)).then_some(server);
             }
             Action::PollEndpoints => self.actions.request_poll(),
             // There is no channel between sidecars, and the balancer's settings say so.
--- a/crates/sidecar/src/host/class_table.rs
+++ b/crates/sidecar/src/host/class_table.rs
@@ -1,4 +1,5 @@
-//! What the configuration says of each request class, by the number under which the balancer knows it.
+//! What the configuration says of each request class, by the number under which the balancer knows
+//! it.
 
 use std::time::Duration;
 
@@ -17,7 +18,8 @@
 pub struct ClassTable(Vec<Class>);
 
 impl ClassTable {
-    /// Reads the classes from the configuration's names; a value that a class does not have counts as none.
+    /// Reads the classes from the configuration's names; a value that a class does not have counts
+    /// as none.
     pub fn new(names: &Names) -> Self {
         let classes = names.classes.iter().enumerate();
         let class = |(index, name): (usize, &String)| Class {
@@ -48,7 +50,8 @@
             .unwrap_or_default()
     }
 
-    /// For how long servers drop retries of a request by its idempotency key; `None` for a class without keys.
+    /// For how long servers drop retries of a request by its idempotency key; `None` for a class
+    /// without keys.
     pub fn deduplication_window(&self, class: ClassId) -> Option<Duration> {
         self.get(class)
             .filter(|class| class.requires_idempotency_key)
@@ -59,3 +62,6 @@
         self.0.get(usize::from(class.0))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/sidecar/src/host/class_table/tests.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+const UNKNOWN: ClassId = ClassId(9);
+
+fn table() -> ClassTable {
+    ClassTable::new(&Names {
+        classes: vec!["query".to_owned(), "payment".to_owned()],
+        keyed: vec![false, true],
+        deadlines: vec![SECOND, 2 * SECOND],
+        windows: vec![3 * SECOND, 4 * SECOND],
+        ..Names::default()
+    })
+}
+
+#[test]
+fn a_class_is_found_by_its_name() {
+    assert_eq!(table().id("payment"), Some(ClassId(1)));
+    assert_eq!(table().id("refund"), None);
+}
+
+#[test]
+fn only_a_class_with_keys_has_a_deduplication_window() {
+    let (table, query, payment) = (table(), ClassId(0), ClassId(1));
+    assert!(!table.requires_idempotency_key(query));
+    assert_eq!(table.deduplication_window(query), None);
+    assert!(table.requires_idempotency_key(payment));
+    assert_eq!(table.deduplication_window(payment), Some(4 * SECOND));
+}
+
+#[test]
+fn an_unknown_class_has_neither_key_nor_window_nor_timeout() {
+    assert_eq!(table().default_client_timeout(ClassId(1)), 2 * SECOND);
+    assert_eq!(table().default_client_timeout(UNKNOWN), Duration::ZERO);
+    assert_eq!(table().deduplication_window(UNKNOWN), None);
+    assert!(!table().requires_idempotency_key(UNKNOWN));
+}
--- a/crates/sidecar/src/host/clock.rs
+++ b/crates/sidecar/src/host/clock.rs
@@ -5,8 +5,8 @@
 use arrowstand_balancer::Micros;
 use tokio::time::Instant;
 
-/// Gives the time in Unix microseconds. Guards against steps of the wall clock, which must not move a timer, while the
-/// start times of servers in the endpoint list can still be compared with it.
+/// Gives the time in Unix microseconds. Guards against steps of the wall clock, which must not move
+/// a timer, while the start times of servers in the endpoint list can still be compared with it.
 pub struct BalancerClock {
     started_at: Instant,
     unix_time_at_start: Micros,
--- a/crates/sidecar/src/host/in_flight_request.rs
+++ b/crates/sidecar/src/host/in_flight_request.rs
@@ -1,5 +1,5 @@
-//! One request towards the balancer: the actions that it gets, and one result for each attempt. Owns what is in flight
-//! of the request; does not know how an attempt is made.
+//! One request towards the balancer: the actions that it gets, and one result for each attempt.
+//! Owns what is in flight of the request; does not know how an attempt is made.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,8 +30,8 @@
 }
 
 impl InFlightRequest {
-    /// Hands a request to the balancer. `time_left` is until its client gives up, `work_hint` its work on a usual
-    /// server where the client gave an estimate.
+    /// Hands a request to the balancer. `time_left` is until its client gives up, `work_hint` its
+    /// work on a usual server where the client gave an estimate.
     pub fn admit(
         host: &Rc<BalancerHost>,
         class: ClassId,
@@ -131,8 +131,9 @@
 }
 
 impl Drop for InFlightRequest {
-    /// Guards against a balancer that waits for results of a request that is over: its client may disconnect at any
-    /// point, which drops the request, and each send must still get its one result.
+    /// Guards against a balancer that waits for results of a request that is over: its client may
+    /// disconnect at any point, which drops the request, and each send must still get its one
+    /// result.
     fn drop(&mut self) {
         if !self.has_final_response {
             self.host.counters.clients_disconnected.add();
--- a/crates/sidecar/src/host/request_action.rs
+++ b/crates/sidecar/src/host/request_action.rs
@@ -9,7 +9,8 @@
     Send {
         /// The server that gets it.
         server: ServerId,
-        /// When to give it up, in microseconds from now; `None` where only the client's timeout binds.
+        /// When to give it up, in microseconds from now; `None` where only the client's timeout
+        /// binds.
         timeout: Option<Micros>,
     },
     /// Abort an attempt.
--- a/crates/sidecar/src/host/request_ids.rs
+++ b/crates/sidecar/src/host/request_ids.rs
@@ -1,5 +1,5 @@
-//! The request ids that clients have given to the requests in flight. The balancer's own numbers for requests are not
-//! here.
+//! The request ids that clients have given to the requests in flight. The balancer's own numbers
+//! for requests are not here.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -10,8 +10,8 @@
 pub struct OpenRequestIds(RefCell<HashSet<Rc<str>>>);
 
 impl OpenRequestIds {
-    /// Takes an id until the guard is dropped; `None` where it is in use. Guards against two requests that servers
-    /// cannot tell apart: one would be taken for a retry of the other.
+    /// Reserves an id until the guard is dropped; `None` where it is in use. Guards against two
+    /// requests that servers cannot tell apart: one would pass for a retry of the other.
     pub fn reserve(self: &Rc<Self>, id: &str) -> Option<RequestIdGuard> {
         let id: Rc<str> = id.into();
         let is_new = self.0.borrow_mut().insert(Rc::clone(&id));
@@ -33,3 +33,6 @@
         self.open.0.borrow_mut().remove(&self.id);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/host/server.rs
+++ b/crates/sidecar/src/host/server.rs
@@ -14,7 +14,7 @@
     Ready,
     /// Draining since a list first said so.
     Draining { notified_at: Instant },
-    /// Removed, or left out of a full list; a drain that was known before keeps its time.
+    /// Removed, or missing from a full list; a drain that was known before keeps its time.
     Removed { notified_at: Instant },
 }
 
@@ -27,8 +27,8 @@
         }
     }
 
-    /// What a list entry makes of it. Guards against an old list that takes a drain back while a connection comes
-    /// up: only a later incarnation, or a removal in between, ends a drain.
+    /// What a list entry makes of it. Guards against an old list that takes a drain back while a
+    /// connection comes up: only a later incarnation, or a removal in between, ends a drain.
     fn after_listing(self, status: EndpointStatus, is_newer_incarnation: bool) -> Self {
         let notified_at = || self.drain_notified_at().unwrap_or_else(Instant::now);
         match (self, status) {
@@ -44,7 +44,8 @@
     }
 }
 
-/// A server as the endpoint list names it. Shared by the registry and by the attempts that are in flight.
+/// A server as the endpoint list names it. Shared by the registry and by the attempts that are in
+/// flight.
 pub struct Server {
     /// Its number towards the balancer, never used for another server.
     pub id: ServerId,
@@ -84,7 +85,8 @@
         notified_at.map(|at| at.elapsed())
     }
 
-    /// It has served a request that was sent then (on the balancer's clock), so it accepted work then.
+    /// It has served a request that was sent then (on the balancer's clock), so it accepted work
+    /// then.
     pub fn on_request_served(&self, started: Micros) {
         let latest = self.last_served_start.get().max(Some(started));
         self.last_served_start.set(latest);
@@ -100,7 +102,8 @@
         self.address.set(address);
     }
 
-    /// A list names it with this status and this start, in Unix milliseconds; 0 where the list has no start.
+    /// A list names it with this status and this start, in Unix milliseconds; 0 where the list has
+    /// no start.
     pub fn on_listed(&self, status: EndpointStatus, incarnation_ms: f64) {
         let known_incarnation_ms = self.incarnation_ms.get();
         let is_newer_incarnation = incarnation_ms > known_incarnation_ms;
--- a/crates/sidecar/src/host/server/tests.rs
+++ b/crates/sidecar/src/host/server/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-/// What a list entry must make of a server, and since when its drain was known where it was known before.
+/// What a list entry must make of a server, and since when its drain was known where it was known
+/// before.
 fn expected(
     before: Availability,
     status: EndpointStatus,
--- a/crates/sidecar/src/host/server_registry.rs
+++ b/crates/sidecar/src/host/server_registry.rs
@@ -1,4 +1,5 @@
-//! The servers that endpoint lists have named: their numbers towards the balancer, by name and back.
+//! The servers that endpoint lists have named: their numbers towards the balancer, by name and
+//! back.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -48,8 +49,8 @@
         self.by_id.get(&id).cloned()
     }
 
-    /// Takes in a list and gives its entries as the balancer gets them. A server is forgotten once its removal, or the
-    /// drain before it, has been known for the retention time.
+    /// Applies a list and returns its entries as the balancer gets them. A server is forgotten once
+    /// its removal, or the drain before it, has been known for the retention time.
     pub(super) fn apply(
         &mut self,
         kind: UpdateKind,
@@ -80,7 +81,8 @@
         endpoints
     }
 
-    /// Guards against names and numbers that grow without end where servers are replaced all the time.
+    /// Guards against names and numbers that grow without end where servers are replaced all the
+    /// time.
     fn forget_removed(&mut self, retention: Duration) {
         self.by_name.retain(|_, server| {
             let is_over = server.drain_age().is_some_and(|age| age >= retention);
--- a/crates/sidecar/src/host/timers.rs
+++ b/crates/sidecar/src/host/timers.rs
@@ -47,3 +47,6 @@
         self.timers.borrow().peek().map(|Reverse(timer)| *timer)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -1,5 +1,5 @@
-//! The life of one request, from its last byte to its final response, whatever listener it came by. Knows neither the
-//! client's protocol nor how an attempt is written to a server.
+//! The life of one request, from its last byte to its final response, whatever listener it came by.
+//! Knows neither the client's protocol nor how an attempt is written to a server.
 
 mod attempts;
 mod client_presence;
--- a/crates/sidecar/src/proxy/attempts.rs
+++ b/crates/sidecar/src/proxy/attempts.rs
@@ -1,4 +1,5 @@
-//! The attempts of one request that are in flight, each of which can be aborted. Dropped, it drops them all.
+//! The attempts of one request that are in flight, each of which can be aborted. Dropped, it drops
+//! them all.
 
 use std::future::Future;
 
--- a/crates/sidecar/src/proxy/client_presence.rs
+++ b/crates/sidecar/src/proxy/client_presence.rs
@@ -3,8 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Whether a client is still connected: its connection records that it left, and each attempt checks it before it is
-/// sent.
+/// Whether a client is still connected: its connection records that it left, and each attempt
+/// checks it before it is sent.
 #[derive(Clone, Default)]
 pub struct ClientPresence(Rc<Cell<bool>>);
 
--- a/crates/sidecar/src/proxy/exchange.rs
+++ b/crates/sidecar/src/proxy/exchange.rs
@@ -1,5 +1,5 @@
-//! Drives one request to its final response: executes the balancer's actions for it and reports its attempts. What is
-//! decided is the balancer's.
+//! Drives one request to its final response: executes the balancer's actions for it and reports its
+//! attempts. What is decided is the balancer's.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,8 +13,8 @@
 use crate::host::{BalancerHost, InFlightRequest, RequestAction};
 use crate::upstream::Upstream;
 
-/// Runs a request to its final response. Dropped early, when its client has disconnected, it cancels the attempts that
-/// are in flight.
+/// Runs a request to its final response. Dropped early, when its client has disconnected, it
+/// cancels the attempts that are in flight.
 pub async fn run(
     host: Rc<BalancerHost>,
     upstream: Rc<Upstream>,
@@ -24,7 +24,8 @@
         return ProxyResponse::DuplicateId;
     };
     let mut forced_shutdown = host.forced_shutdown();
-    // Guards against work that starts for a client that has left, or that the end of the process would cut short.
+    // Guards against work that starts for a client that has left, or that the end of the process
+    // would cut short.
     if request.presence.is_disconnected() || *forced_shutdown.borrow() {
         return ProxyResponse::Rejected {
             retry_after: host.limits.default_retry_after,
@@ -33,13 +34,15 @@
     let last_moment = last_moment(&request, host.limits.client.response_margin);
     let mut exchange = Exchange::admit(host, upstream, request);
     loop {
-        // Actions come first: a final one must not lose against the result of an attempt that is as ready.
+        // Actions come first: a final one must not lose against the result of an attempt that is as
+        // ready.
         let response = tokio::select! {
             biased;
             action = exchange.in_flight.next_action() => exchange.execute(action),
             Some(ended) = exchange.attempts.next_ended() => exchange.on_attempt_ended(ended),
             () = tokio::time::sleep_until(last_moment) => Some(exchange.on_overdue()),
-            // Guards against a response that the end of the process would cut off: it is sent while there is time.
+            // Guards against a response that the end of the process would cut off: it is sent while
+            // there is time.
             _ = forced_shutdown.wait_for(|forced| *forced) => Some(exchange.on_overdue()),
         };
         if let Some(response) = response {
@@ -48,8 +51,8 @@
     }
 }
 
-/// When the response is sent at the latest. Guards against a response after the client has given up, should the
-/// balancer be late.
+/// When the response is sent at the latest. Guards against a response after the client has given
+/// up, should the balancer be late.
 fn last_moment(request: &ProxyRequest, margin: Duration) -> Instant {
     request.arrived + request.client_timeout.saturating_sub(margin)
 }
--- a/crates/sidecar/src/proxy/retry_window.rs
+++ b/crates/sidecar/src/proxy/retry_window.rs
@@ -5,8 +5,8 @@
 use arrowstand_balancer::Outcome;
 use tokio::time::Instant;
 
-/// The deduplication window of a request with an idempotency key: it opens with the first attempt that may have been
-/// executed.
+/// The deduplication window of a request with an idempotency key: it opens with the first attempt
+/// that may have been executed.
 pub struct RetryWindow {
     /// How long servers drop duplicates; `None` for a request without an idempotency key.
     window: Option<Duration>,
@@ -16,7 +16,8 @@
 }
 
 impl RetryWindow {
-    /// A window of this length for a request without attempts; retries start by the margin before its end.
+    /// A window of this length for a request without attempts; retries start by the margin before
+    /// its end.
     pub fn new(window: Option<Duration>, margin: Duration) -> Self {
         Self {
             window,
@@ -25,7 +26,8 @@
         }
     }
 
-    /// Records an attempt that starts now; returns until when its first byte may be sent, where that is bounded.
+    /// Records an attempt that starts now; returns until when its first byte may be sent, where
+    /// that is bounded.
     pub fn on_attempt_started(&mut self, now: Instant) -> Option<Instant> {
         let window_start = self.started_at.iter().flatten().next().copied();
         self.started_at.push(Some(now));
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -6,8 +6,9 @@
 use crate::downstream::listener::Listener;
 use crate::host::BalancerHost;
 
-/// Ends in order; `accept` is the task that accepts clients. Guards against requests lost at a planned restart: clients
-/// still connect for a while, and what has been accepted gets its response before the end.
+/// Ends in order; `accept` is the task that accepts clients. Guards against requests lost at a
+/// planned restart: clients still connect for a while, and what has been accepted gets its response
+/// before the end.
 pub async fn shut_down(host: &BalancerHost, listener: &Listener, accept: JoinHandle<()>) {
     let signalled_at = Instant::now();
     let limits = &host.limits.shutdown;
@@ -19,8 +20,8 @@
     tracing::info!("stopped\n{}", host.counters);
 }
 
-/// Waits until each request has its response and each client connection is closed. What is in flight after
-/// `respond_by` gets its response then, whatever its attempts do.
+/// Waits until each request has its response and each client connection is closed. What is in
+/// flight after `respond_by` gets its response then, whatever its attempts do.
 async fn finish_requests(
     host: &BalancerHost,
     listener: &Listener,
--- a/crates/sidecar/src/signals.rs
+++ b/crates/sidecar/src/signals.rs
@@ -4,7 +4,7 @@
 
 use crate::startup_error::StartupError;
 
-/// What a signal asks for.
+/// What a signal requests.
 pub enum SignalEvent {
     /// SIGTERM or SIGINT: end, once what is in flight has its response.
     Stop,
@@ -12,7 +12,8 @@
     Reload,
 }
 
-/// The signals that are listened for. One that comes before [`Signals::next`] is called is kept for it.
+/// The signals that are listened for. One that comes before [`Signals::next`] is called is kept for
+/// it.
 pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -1,5 +1,5 @@
-//! The sidecar in service: starts its parts from a configuration, in the order in which they need each other, moves to
-//! another discovery at a reload, and ends them.
+//! The sidecar in service: starts its parts from a configuration, in the order in which they need
+//! each other, moves to another discovery at a reload, and ends them.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,8 +33,8 @@
     /// Starts to serve clients.
     ///
     /// # Errors
-    /// [`StartupError::Settings`] where the balancer does not take its settings, [`StartupError::Listen`] where the
-    /// address for clients cannot be listened on.
+    /// [`StartupError::Settings`] where the balancer does not take its settings,
+    /// [`StartupError::Listen`] where the address for clients cannot be listened on.
     pub async fn start(config: Config) -> Result<Self, StartupError> {
         let balancer = WorkAwareBalancer::new(config.settings, config.seed)?;
         let limits = Rc::new(config.limits);
@@ -63,8 +63,8 @@
         })
     }
 
-    /// Reads the configuration again and follows discovery to its new address. The rest of a new file is for the next
-    /// start: what is in flight rests on the old settings.
+    /// Reads the configuration again and follows discovery to its new address. The rest of a new
+    /// file is for the next start: what is in flight rests on the old settings.
     pub fn reload(&self) {
         match Config::reload() {
             Ok(config) => self.on_reloaded(config.discovery),
--- a/crates/sidecar/src/startup_error.rs
+++ b/crates/sidecar/src/startup_error.rs
@@ -24,7 +24,8 @@
         /// What the operating system says.
         source: io::Error,
     },
-    /// The environment or the configuration file cannot be used; the message names the variable or the key.
+    /// The environment or the configuration file cannot be used; the message names the variable or
+    /// the key.
     #[error(transparent)]
     Configuration(Box<dyn Error>),
     /// The balancer does not take its settings.
