--- a/crates/sidecar/src/upstream/write_progress/tests.rs
+++ b/crates/sidecar/src/upstream/write_progress/tests.rs
@@ -100,3 +100,115 @@
         Ok(())
     );
 }
+
+/// What the rest of the sidecar sees of a request's progress: started, complete, connection ended, not sent.
+fn observed(progress: &WriteProgress) -> (bool, bool, bool, bool) {
+    (
+        progress.started_at().is_some(),
+        progress.is_complete(),
+        progress.connection_ended(),
+        progress.is_not_sent(),
+    )
+}
+
+const NOT_STARTED: (bool, bool, bool, bool) = (false, false, false, false);
+const PARTLY_WRITTEN: (bool, bool, bool, bool) = (true, false, false, false);
+const COMPLETE: (bool, bool, bool, bool) = (true, true, false, false);
+const CONNECTION_ENDED: (bool, bool, bool, bool) = (true, true, true, false);
+const NOT_SENT: (bool, bool, bool, bool) = (false, false, false, true);
+
+#[test]
+fn a_written_request_passes_through_each_phase_once() {
+    let progress = WriteProgress::new(None, 2);
+    assert_eq!(observed(&progress), NOT_STARTED);
+    progress.on_written(b"");
+    assert_eq!(observed(&progress), NOT_STARTED, "no byte starts nothing");
+    progress.on_connection_ended();
+    assert_eq!(observed(&progress), NOT_STARTED);
+    progress.on_written(b"GET / HTTP/1.1\r\n");
+    assert_eq!(observed(&progress), PARTLY_WRITTEN);
+    let started_at = progress.started_at();
+    progress.on_written(b"\r\na");
+    progress.on_connection_ended();
+    assert_eq!(observed(&progress), PARTLY_WRITTEN);
+    progress.on_written(b"b");
+    assert_eq!(observed(&progress), COMPLETE);
+    progress.on_connection_ended();
+    assert_eq!(observed(&progress), CONNECTION_ENDED);
+    progress.on_connection_ended();
+    assert_eq!(observed(&progress), CONNECTION_ENDED);
+    assert_eq!(progress.started_at(), started_at);
+}
+
+#[test]
+fn a_request_without_a_descriptor_stays_not_sent() {
+    let progress = WriteProgress::new(None, 0);
+    progress.mark_not_sent();
+    assert_eq!(observed(&progress), NOT_SENT);
+    progress.on_connection_ended();
+    assert_eq!(observed(&progress), NOT_SENT);
+    assert_eq!(
+        progress.check_first_byte(&host(std::time::Duration::ZERO).limits),
+        Ok(())
+    );
+    assert_eq!(
+        observed(&progress),
+        NOT_SENT,
+        "a later look takes nothing back"
+    );
+}
+
+#[test]
+fn a_blocked_request_stays_not_sent() {
+    let host = host(std::time::Duration::ZERO);
+    let server = Rc::new(Server::new(
+        ServerId(0),
+        SocketAddr::from(([127, 0, 0, 1], 9)),
+    ));
+    let progress = sending(&host, &server);
+    server.on_listed(EndpointStatus::Draining, 0.0);
+    assert!(progress.check_first_byte(&host.limits).is_err());
+    assert_eq!(observed(&progress), NOT_SENT);
+    progress.on_connection_ended();
+    assert_eq!(observed(&progress), NOT_SENT);
+    server.on_listed(EndpointStatus::Ready, 1.0);
+    assert_eq!(progress.check_first_byte(&host.limits), Ok(()));
+    assert_eq!(
+        observed(&progress),
+        NOT_SENT,
+        "a later look takes nothing back"
+    );
+}
+
+proptest::proptest! {
+    /// However the socket splits a request, and whenever the connection ends, one phase follows from the bytes.
+    #[test]
+    fn the_phase_follows_from_the_bytes_written(
+        head in "[a-z\r\n]{0,12}",
+        body in 0_usize..6,
+        chunks in proptest::collection::vec((0_usize..8, proptest::bool::ANY), 0..12),
+    ) {
+        // The first end-of-head mark ends the head, wherever it comes.
+        let head = format!("{head}\r\n\r\n");
+        let end = head.find("\r\n\r\n").unwrap_or_default() + 4;
+        let request = [&head.as_bytes()[..end], &vec![b'\r'; body]].concat();
+        let progress = WriteProgress::new(None, body);
+        let (mut written, mut ended) = (0, false);
+        for (length, connection_ends) in chunks {
+            let next = (written + length).min(request.len());
+            progress.on_written(&request[written..next]);
+            written = next;
+            if connection_ends {
+                progress.on_connection_ended();
+                ended |= written == request.len();
+            }
+            let expected = match written {
+                0 => NOT_STARTED,
+                _ if written < request.len() => PARTLY_WRITTEN,
+                _ if ended => CONNECTION_ENDED,
+                _ => COMPLETE,
+            };
+            proptest::prop_assert_eq!(observed(&progress), expected);
+        }
+    }
+}
