--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -277,7 +277,7 @@
                 body: body.freeze(),
             };
             if length.is_some() {
-                self.reuse_delay.hold(answer);
+                self.reuse_delay.on_response_finished(answer);
             }
             Some(whole)
         };
@@ -288,7 +288,7 @@
 
     fn client_for(&self, server: &Server) -> Client {
         let now = Instant::now();
-        self.reuse_delay.release(now);
+        self.reuse_delay.release_due(now);
         let mut pools = self.pools.borrow_mut();
         let address = server.address();
         let new = || Pool {
@@ -310,7 +310,7 @@
     pub async fn run_pool_sweeps(self: Rc<Self>) {
         loop {
             tokio::time::sleep(self.limits.upstream.idle_reuse_timeout).await;
-            self.reuse_delay.release(Instant::now());
+            self.reuse_delay.release_due(Instant::now());
             let keep = self.limits.upstream.idle_reuse_timeout;
             self.pools
                 .borrow_mut()
--- a/crates/sidecar/src/upstream/reuse_delay.rs
+++ b/crates/sidecar/src/upstream/reuse_delay.rs
@@ -1,4 +1,7 @@
-//! Connections whose answer has just ended: the pool gets them back once a second answer would have come.
+//! Connections whose response has just been read: the pool gets each back only after the reuse delay.
+//!
+//! Guards against a second response to the same request, which may come some milliseconds late and would be taken for the
+//! response to the next request on that connection. The delay's length is set by the limits.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -9,44 +12,49 @@
 use futures_util::{FutureExt as _, StreamExt as _};
 use tokio::time::Instant;
 
-/// An answer of which all but the end has been asked for: awc gives its connection back at that.
-type Ended = ClientResponse<BoxedPayloadStream>;
+/// A response whose end alone has not been polled for yet: awc returns its connection to the pool at that poll.
+type FinishedResponse = ClientResponse<BoxedPayloadStream>;
 
-/// Guards against connections opened for want of those that rest. Each holds one of the bounded connections, so there
-/// are no more of them. They go back as the next request looks for one: a quiet sidecar is not woken for it.
+/// The finished responses whose connections wait for the reuse delay to pass.
+///
+/// Each holds one of the connections that the limits allow, so there are no more of them. They are released when the
+/// next request looks for a connection: an idle sidecar is not woken for it.
 pub struct ReuseDelay {
-    rest: Duration,
-    held: RefCell<VecDeque<(Instant, Ended)>>,
+    delay: Duration,
+    /// Oldest first, with the time at which each was finished.
+    waiting: RefCell<VecDeque<(Instant, FinishedResponse)>>,
 }
 
 impl ReuseDelay {
-    pub fn new(rest: Duration) -> Self {
+    /// Holds each connection back for `delay` after its response.
+    pub fn new(delay: Duration) -> Self {
         Self {
-            rest,
-            held: RefCell::default(),
+            delay,
+            waiting: RefCell::default(),
         }
     }
 
-    pub fn hold(&self, answer: Ended) {
-        self.held.borrow_mut().push_back((Instant::now(), answer));
+    /// Starts the delay of a response's connection.
+    pub fn on_response_finished(&self, response: FinishedResponse) {
+        self.waiting
+            .borrow_mut()
+            .push_back((Instant::now(), response));
     }
 
-    /// Gives back those that have rested by now.
-    pub fn release(&self, now: Instant) {
-        loop {
-            let mut held = self.held.borrow_mut();
-            let rested = held
-                .front()
-                .is_some_and(|(ended, _)| now.duration_since(*ended) >= self.rest);
-            if !rested {
-                return;
-            }
-            let Some((_, mut answer)) = held.pop_front() else {
-                return;
-            };
-            drop(held);
-            // The end is there without a look at the socket; else the connection is closed.
-            let _ = answer.next().now_or_never();
+    /// Returns those connections to the pool whose delay has passed.
+    pub fn release_due(&self, now: Instant) {
+        while let Some(mut response) = self.take_due(now) {
+            // The end is there without a read from the socket; otherwise the connection is closed.
+            let _ = response.next().now_or_never();
         }
     }
+
+    fn take_due(&self, now: Instant) -> Option<FinishedResponse> {
+        let mut waiting = self.waiting.borrow_mut();
+        let (finished_at, _) = waiting.front()?;
+        if now.duration_since(*finished_at) < self.delay {
+            return None;
+        }
+        waiting.pop_front().map(|(_, response)| response)
+    }
 }
--- a/crates/sidecar/src/upstream/send_guard.rs
+++ b/crates/sidecar/src/upstream/send_guard.rs
@@ -1,37 +1,46 @@
-//! The last look before an attempt's first byte. The module decides early; a slow dial may lie between, or a turn of the
-//! runtime. Pure: times and flags are handed in. What it stops was never sent.
+//! The check before an attempt's first byte: whether the attempt may still begin.
+//!
+//! The balancer decides earlier; a slow connect or a busy event loop may lie between its decision and the first write.
+//! Pure: times and flags are handed in. An attempt that is blocked here counts as not sent.
 
 use std::time::Duration;
 
-/// What is known at the moment in which the first byte would go out.
+/// What is known at the moment in which the first byte would be written.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SendConditions {
-    /// Its client has left.
+    /// The client has closed its connection.
     pub client_left: bool,
-    /// Until the attempt is given up.
+    /// Time until the attempt times out.
     pub time_left: Duration,
-    /// Until a repeat of it may be begun, where that is bounded: none once that is past.
-    pub window_left: Option<Duration>,
-    /// For how long the server's drain has been known.
+    /// Time in which a retry may still begin, zero once that is over; `None` where it is not bounded.
+    pub retry_window_left: Option<Duration>,
+    /// Time since the server's drain was notified; `None` where it is not draining.
     pub drain_age: Option<Duration>,
-    /// The server is at another address by now, and this one may be a successor's.
+    /// The server's address has changed since the attempt was made: another server may have taken the old one.
     pub server_moved: bool,
-    /// A drain of the server's that no list has told may bind by now.
+    /// The endpoint list is so old that the server may be draining without the list showing it.
     pub list_stale: bool,
 }
 
-/// Why an attempt does not begin.
+/// Why an attempt may not begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendBlocked {
+    /// Its client has closed the connection.
     ClientLeft,
+    /// It has timed out before its first byte.
     NoTime,
+    /// It is a retry, and servers may no longer recognise it as one.
     WindowOver,
+    /// The server has been draining for too long.
     ServerDraining,
+    /// The server has another address by now.
     ServerMoved,
+    /// The endpoint list is too old to show a drain.
     ListStale,
 }
 
 impl SendBlocked {
+    /// The text of the I/O error with which the write fails.
     pub fn reason(self) -> &'static str {
         match self {
             Self::ClientLeft => "the client has left",
@@ -44,19 +53,26 @@
     }
 }
 
-/// Guards every rule that time can break between a decision and the wire; `grace` is how long a known drain is borne.
-pub fn check(view: &SendConditions, grace: Duration) -> Result<(), SendBlocked> {
-    if view.client_left {
+/// Checks every rule that may be broken by the time that passes between a decision and the first byte. A server takes
+/// nothing new once its drain is `max_drain_age` old.
+///
+/// # Errors
+/// The first rule that the attempt would break.
+pub fn check(conditions: &SendConditions, max_drain_age: Duration) -> Result<(), SendBlocked> {
+    if conditions.client_left {
         Err(SendBlocked::ClientLeft)
-    } else if view.time_left.is_zero() {
+    } else if conditions.time_left.is_zero() {
         Err(SendBlocked::NoTime)
-    } else if view.window_left.is_some_and(|left| left.is_zero()) {
+    } else if conditions
+        .retry_window_left
+        .is_some_and(|left| left.is_zero())
+    {
         Err(SendBlocked::WindowOver)
-    } else if view.drain_age.is_some_and(|known| known >= grace) {
+    } else if conditions.drain_age.is_some_and(|age| age >= max_drain_age) {
         Err(SendBlocked::ServerDraining)
-    } else if view.server_moved {
+    } else if conditions.server_moved {
         Err(SendBlocked::ServerMoved)
-    } else if view.list_stale {
+    } else if conditions.list_stale {
         Err(SendBlocked::ListStale)
     } else {
         Ok(())
--- a/crates/sidecar/src/upstream/write_progress.rs
+++ b/crates/sidecar/src/upstream/write_progress.rs
@@ -48,15 +48,15 @@
             .host
             .list_freshness()
             .trusted_until(self.server.last_served_start());
-        let view = SendConditions {
+        let conditions = SendConditions {
             client_left: self.presence.is_disconnected(),
             time_left: left(self.attempt_deadline),
-            window_left: self.start_before.map(left),
+            retry_window_left: self.start_before.map(left),
             drain_age: self.server.drain_age(),
             server_moved: self.server.address() != self.address,
             list_stale: trusted.is_some_and(|until| self.host.now() >= until),
         };
-        check(&view, limits.upstream.max_drain_age)
+        check(&conditions, limits.upstream.max_drain_age)
     }
 }
 
