--- a/crates/sidecar/src/upstream/connector.rs
+++ b/crates/sidecar/src/upstream/connector.rs
@@ -64,7 +64,7 @@
             .ok_or_else(|| io::Error::from(io::ErrorKind::InvalidInput))?;
         // Guards against running out of descriptors: a connection too many fails before it is opened.
         if self.open.get() >= self.limits.upstream.max_connections {
-            let _ = CURRENT_WRITE.try_with(|sending| sending.mark_not_sent());
+            let _ = CURRENT_WRITE.try_with(|progress| progress.on_connection_limit_reached());
             return Err(io::Error::other("too many connections"));
         }
         self.open.set(self.open.get() + 1);
--- a/crates/sidecar/src/upstream/write_progress.rs
+++ b/crates/sidecar/src/upstream/write_progress.rs
@@ -1,6 +1,11 @@
-//! What of a request has been written, and the last look before its first byte.
+//! How far a request has been written to its connection, and the check before its first byte.
+//!
+//! Whether a server may have executed a request follows from this alone: awc reports a connection that ended before a
+//! response like one that never came up. The connection's stream reports what the socket has accepted through
+//! [`CURRENT_WRITE`]; whoever sends the request reads the result from its [`WriteProgress`].
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::time::Instant;
@@ -9,133 +14,212 @@
 use crate::host::{BalancerHost, Server};
 use crate::limits::Limits;
 use crate::proxy::ClientPresence;
-use std::net::SocketAddr;
 
 tokio::task_local! {
     /// The request that the current task is sending, whichever connection it got from the pool.
     pub static CURRENT_WRITE: Rc<WriteProgress>;
 }
 
-/// How much of one request the socket has taken, and what its first byte waits for.
+/// What ends a request's head (RFC 9112, section 2.1): the end of its last line and an empty line.
+const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+
+/// How much of one request the socket has accepted, and what is checked before its first byte.
 pub struct WriteProgress {
     guard: Option<SendGuard>,
-    /// Bytes of the end-of-head mark seen in a row.
-    head_end_matched: Cell<usize>,
-    body_left: Cell<usize>,
-    started_at: Cell<Option<Instant>>,
-    not_sent: Cell<bool>,
-    connection_ended: Cell<bool>,
+    /// Bytes of the request's body.
+    body_length: usize,
+    phase: Cell<WritePhase>,
 }
 
-/// What [`judge`] is to look at; probes have none.
+/// The phases of a request's write, in their order. One that is not sent never starts.
+#[derive(Clone, Copy)]
+enum WritePhase {
+    NotStarted,
+    /// The sidecar itself has not let the request out.
+    NotSent,
+    WritingHead {
+        started_at: Instant,
+        /// Bytes of [`HEAD_END`] that have been written in a row.
+        head_end_matched: usize,
+    },
+    WritingBody {
+        started_at: Instant,
+        bytes_left: usize,
+    },
+    Complete {
+        started_at: Instant,
+    },
+    /// The request is complete, and its connection has ended since.
+    ConnectionEnded {
+        started_at: Instant,
+    },
+}
+
+/// What [`check`] looks at before an attempt's first byte. Health checks have none: they are no work, and may go to a
+/// draining server.
 pub struct SendGuard {
+    /// Knows the clock and how fresh the endpoint list is.
     pub host: Rc<BalancerHost>,
+    /// The server that the attempt goes to.
     pub server: Rc<Server>,
-    /// Where it was when the attempt was made.
+    /// The server's address when the attempt was made.
     pub address: SocketAddr,
+    /// Whether the request's client is still connected.
     pub presence: ClientPresence,
-    /// When the attempt is given up.
+    /// When the attempt times out.
     pub attempt_deadline: Instant,
-    /// Until when a repeat may begin.
+    /// The latest time at which a retry may begin, where that is bounded.
     pub start_before: Option<Instant>,
 }
 
 impl SendGuard {
     fn check(&self, limits: &Limits) -> Result<(), SendBlocked> {
+        check(&self.conditions(), limits.upstream.max_drain_age)
+    }
+
+    fn conditions(&self) -> SendConditions {
         let now = Instant::now();
-        let left = |at: Instant| at.saturating_duration_since(now);
-        let trusted = self
+        let time_until = |instant: Instant| instant.saturating_duration_since(now);
+        let trusted_until = self
             .host
             .list_freshness()
             .trusted_until(self.server.last_served_start());
-        let conditions = SendConditions {
+        SendConditions {
             client_left: self.presence.is_disconnected(),
-            time_left: left(self.attempt_deadline),
-            retry_window_left: self.start_before.map(left),
+            time_left: time_until(self.attempt_deadline),
+            retry_window_left: self.start_before.map(time_until),
             drain_age: self.server.drain_age(),
             server_moved: self.server.address() != self.address,
-            list_stale: trusted.is_some_and(|until| self.host.now() >= until),
-        };
-        check(&conditions, limits.upstream.max_drain_age)
+            list_stale: trusted_until.is_some_and(|until| self.host.now() >= until),
+        }
     }
 }
 
-const HEAD_END: &[u8; 4] = b"\r\n\r\n";
-
 impl WriteProgress {
-    /// For a request with so long a body; a gate may forbid the first byte.
-    pub fn new(gate: Option<SendGuard>, body: usize) -> Rc<Self> {
-        let (mark, body_left) = (Cell::new(0), Cell::new(body));
-        let (begun, held_back, cut) = (Cell::new(None), Cell::new(false), Cell::new(false));
+    /// For a request with a body of `body_length` bytes; a guard may block its first byte.
+    pub fn new(guard: Option<SendGuard>, body_length: usize) -> Rc<Self> {
         Rc::new(Self {
-            guard: gate,
-            head_end_matched: mark,
-            body_left,
-            started_at: begun,
-            not_sent: held_back,
-            connection_ended: cut,
+            guard,
+            body_length,
+            phase: Cell::new(WritePhase::NotStarted),
         })
     }
 
-    /// When the socket took the first byte.
+    /// When the socket accepted the first byte.
     pub fn started_at(&self) -> Option<Instant> {
-        self.started_at.get()
+        match self.phase.get() {
+            WritePhase::NotStarted | WritePhase::NotSent => None,
+            WritePhase::WritingHead { started_at, .. }
+            | WritePhase::WritingBody { started_at, .. }
+            | WritePhase::Complete { started_at }
+            | WritePhase::ConnectionEnded { started_at } => Some(started_at),
+        }
     }
 
-    /// True where this sidecar itself did not let the request out: no fault of the job server's.
+    /// True where the sidecar itself has not let the request out: no fault of the server's.
     pub fn is_not_sent(&self) -> bool {
-        self.not_sent.get()
+        matches!(self.phase.get(), WritePhase::NotSent)
     }
 
-    /// Its connection is not opened, for want of a descriptor.
-    pub fn mark_not_sent(&self) {
-        self.not_sent.set(true);
+    /// True once the socket has accepted the last byte: from then on the server may execute the request.
+    pub fn is_complete(&self) -> bool {
+        matches!(
+            self.phase.get(),
+            WritePhase::Complete { .. } | WritePhase::ConnectionEnded { .. }
+        )
     }
 
-    /// The connection has ended while its answer was read.
-    pub fn on_connection_ended(&self) {
-        self.connection_ended.set(self.is_complete());
+    /// True where the connection ended while the response was read.
+    pub fn connection_ended(&self) -> bool {
+        matches!(self.phase.get(), WritePhase::ConnectionEnded { .. })
     }
 
-    /// True where the connection ended while the answer was read.
-    pub fn connection_ended(&self) -> bool {
-        self.connection_ended.get()
+    /// No connection was opened for the request: as many as allowed are open.
+    pub fn on_connection_limit_reached(&self) {
+        self.phase.set(WritePhase::NotSent);
     }
 
-    /// True once the socket has taken the last byte: from then on the job server may run it.
-    pub fn is_complete(&self) -> bool {
-        self.head_end_matched.get() == HEAD_END.len() && self.body_left.get() == 0
+    /// A read from the request's connection found its end, or failed. Without effect on a request that is not complete.
+    pub fn on_connection_ended(&self) {
+        if let WritePhase::Complete { started_at } = self.phase.get() {
+            self.phase.set(WritePhase::ConnectionEnded { started_at });
+        }
     }
 
+    /// Checks whether the request's first byte may be written; later bytes always may.
+    ///
+    /// # Errors
+    /// Why the request is not sent.
     pub fn check_first_byte(&self, limits: &Limits) -> Result<(), SendBlocked> {
-        let gate = self
+        if self.started_at().is_some() {
+            return Ok(());
+        }
+        let checked = self
             .guard
             .as_ref()
-            .filter(|_| self.started_at.get().is_none());
-        let judged = gate.map_or(Ok(()), |gate| gate.check(limits));
-        self.not_sent.set(self.not_sent.get() || judged.is_err());
-        judged
+            .map_or(Ok(()), |guard| guard.check(limits));
+        if checked.is_err() {
+            self.phase.set(WritePhase::NotSent);
+        }
+        checked
     }
 
+    /// The socket has accepted these bytes of the request.
     pub fn on_written(&self, bytes: &[u8]) {
-        if self.started_at.get().is_none() && !bytes.is_empty() {
-            self.started_at.set(Some(Instant::now()));
+        if bytes.is_empty() {
+            return;
         }
+        let phase = match self.phase.get() {
+            WritePhase::NotStarted => self.after_head_bytes(Instant::now(), 0, bytes),
+            WritePhase::WritingHead {
+                started_at,
+                head_end_matched,
+            } => self.after_head_bytes(started_at, head_end_matched, bytes),
+            WritePhase::WritingBody {
+                started_at,
+                bytes_left,
+            } => WritePhase::after_body_bytes(started_at, bytes_left, bytes.len()),
+            last @ (WritePhase::NotSent
+            | WritePhase::Complete { .. }
+            | WritePhase::ConnectionEnded { .. }) => last,
+        };
+        self.phase.set(phase);
+    }
+
+    fn after_head_bytes(
+        &self,
+        started_at: Instant,
+        mut head_end_matched: usize,
+        bytes: &[u8],
+    ) -> WritePhase {
         let mut rest = bytes;
-        while self.head_end_matched.get() < HEAD_END.len() {
+        while let Some(&expected) = HEAD_END.get(head_end_matched) {
             let Some((&byte, after)) = rest.split_first() else {
-                return;
+                return WritePhase::WritingHead {
+                    started_at,
+                    head_end_matched,
+                };
             };
             rest = after;
-            let mark = self.head_end_matched.get();
-            self.head_end_matched.set(if byte == HEAD_END[mark] {
-                mark + 1
+            head_end_matched = if byte == expected {
+                head_end_matched + 1
             } else {
                 usize::from(byte == b'\r')
-            });
+            };
+        }
+        WritePhase::after_body_bytes(started_at, self.body_length, rest.len())
+    }
+}
+
+impl WritePhase {
+    fn after_body_bytes(started_at: Instant, bytes_left: usize, written: usize) -> Self {
+        match bytes_left.saturating_sub(written) {
+            0 => Self::Complete { started_at },
+            bytes_left => Self::WritingBody {
+                started_at,
+                bytes_left,
+            },
         }
-        self.body_left
-            .set(self.body_left.get().saturating_sub(rest.len()));
     }
 }
 
--- a/crates/sidecar/src/upstream/write_progress/tests.rs
+++ b/crates/sidecar/src/upstream/write_progress/tests.rs
@@ -143,7 +143,7 @@
 #[test]
 fn a_request_without_a_descriptor_stays_not_sent() {
     let progress = WriteProgress::new(None, 0);
-    progress.mark_not_sent();
+    progress.on_connection_limit_reached();
     assert_eq!(observed(&progress), NOT_SENT);
     progress.on_connection_ended();
     assert_eq!(observed(&progress), NOT_SENT);
