--- a/crates/sidecar/src/upstream/connector.rs
+++ b/crates/sidecar/src/upstream/connector.rs
@@ -1,6 +1,6 @@
-//! Opens connections to servers and keeps their number within bounds.
+//! Opens connections to servers and makes awc clients that use them. Pools and their lifetime belong to the connection
+//! pool.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,36 +11,38 @@
 use awc::http::Uri;
 use awc::{Client, Connector};
 
+use super::connection_limiter::ConnectionLimiter;
 use super::tracked_stream::TrackedStream;
 use super::write_progress::CURRENT_WRITE;
 use crate::counters::Counters;
 use crate::limits::Limits;
 
-/// Opens connections and keeps their number within bounds.
+/// Opens connections and keeps their number within bounds, over all clients that it has made.
 pub struct BoundedConnector {
-    open: Cell<usize>,
-    pub limits: Rc<Limits>,
-    pub counters: Rc<Counters>,
+    limiter: Rc<ConnectionLimiter>,
+    limits: Rc<Limits>,
+    counters: Rc<Counters>,
 }
 
 impl BoundedConnector {
+    /// A connector without a connection.
     pub fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Rc<Self> {
         Rc::new(Self {
-            open: Cell::new(0),
+            limiter: ConnectionLimiter::new(limits.upstream.max_connections),
             limits,
             counters,
         })
     }
 
-    /// A client with a pool of its own and none of awc's own time-outs, redirects or headers.
+    /// A client with a pool of its own and none of awc's own timeouts, redirects or headers.
     pub fn client(self: &Rc<Self>) -> Client {
         let this = Rc::clone(self);
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let this = Rc::clone(&this);
             async move {
                 let uri = info.request().clone();
-                let socket = this.open(&uri).await.map_err(ConnectError::Io)?;
-                Ok(Connection::new(uri, socket))
+                let stream = this.open(&uri).await.map_err(ConnectError::Io)?;
+                Ok(Connection::new(uri, stream))
             }
         });
         let connector = Connector::new()
@@ -49,38 +51,27 @@
             .conn_keep_alive(self.limits.upstream.idle_reuse_timeout)
             .conn_lifetime(self.limits.client.max_timeout)
             .connector(connect);
-        let client = Client::builder().connector(connector);
-        client
+        Client::builder()
+            .connector(connector)
             .disable_timeout()
             .disable_redirects()
             .no_default_headers()
             .finish()
     }
 
-    async fn open(self: Rc<Self>, uri: &Uri) -> io::Result<TrackedStream> {
+    async fn open(&self, uri: &Uri) -> io::Result<TrackedStream> {
         let address: SocketAddr = uri
             .authority()
-            .and_then(|a| a.as_str().parse().ok())
+            .and_then(|authority| authority.as_str().parse().ok())
             .ok_or_else(|| io::Error::from(io::ErrorKind::InvalidInput))?;
-        // Guards against running out of descriptors: a connection too many fails before it is opened.
-        if self.open.get() >= self.limits.upstream.max_connections {
+        let Some(permit) = self.limiter.try_acquire() else {
             let _ = CURRENT_WRITE.try_with(|progress| progress.on_connection_limit_reached());
             return Err(io::Error::other("too many connections"));
-        }
-        self.open.set(self.open.get() + 1);
+        };
         self.counters.connections_opened.add();
-        let permit = ConnectionPermit(self);
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(TrackedStream::new(stream, permit))
-    }
-}
-
-/// One of the connections that may be open.
-pub struct ConnectionPermit(pub Rc<BoundedConnector>);
-
-impl Drop for ConnectionPermit {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        let (limits, counters) = (Rc::clone(&self.limits), Rc::clone(&self.counters));
+        Ok(TrackedStream::new(stream, permit, limits, counters))
     }
 }
--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -1,8 +1,10 @@
 //! Calls to job servers: routed tasks and probes, the connections they use, and what their ends mean.
 
+mod connection_limiter;
 mod connector;
 mod load_report;
 mod response_framing;
+mod response_head;
 mod reuse_delay;
 pub mod send_guard;
 mod tracked_stream;
--- a/crates/sidecar/src/upstream/response_framing.rs
+++ b/crates/sidecar/src/upstream/response_framing.rs
@@ -1,168 +1,181 @@
-//! What of a connection's bytes is the answer to the request that is out on it.
+//! Which of the bytes that a connection brings belong to the response that is awaited on it (RFC 9112, section 6).
+//!
+//! Guards against servers that send heads that cannot be read or do not end, interim responses, bodies longer than
+//! allowed, and bytes behind a response: awc takes an interim response for the final one, and would reuse a connection
+//! that has brought more than its response.
 
 use std::io;
 
 use bytes::{Buf as _, BytesMut};
 use tokio::io::ReadBuf;
 
+use super::response_head::{BodyEnd, ParsedHead, malformed, parse_head};
 use crate::limits::Limits;
 
-/// Where the reading of an answer stands.
+/// The status that changes the protocol of the connection; nothing here asks for that.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
+/// Where the reading of a response stands.
 #[derive(Default)]
-enum At {
-    /// No request is out.
+enum FramingState {
+    /// No response is awaited: no request is open, or its response has been read.
     #[default]
-    Nothing,
+    Idle,
+    /// The head of the final response is awaited.
     Head,
-    /// So many bytes of the body are to come.
-    Body(usize),
-    /// The body ends by chunks, or with the connection; so many bytes are borne with.
-    Open(usize),
+    /// The body's length is known; so many bytes of it are still to come.
+    SizedBody(usize),
+    /// The body ends by chunks or with the connection; so many bytes are still allowed.
+    UnsizedBody(usize),
 }
 
-/// Guards against job servers that send what cannot be read, heads without end, interim answers, bodies
-/// longer than allowed, and bytes behind an answer: awc takes an interim answer for the final one, and
-/// would use a connection again that has brought more than its answer.
-#[derive(Default)]
-pub struct ResponseFraming {
-    at: At,
-    interim: usize,
-    held: BytesMut,
+/// Whether bytes of a connection belong to the response that is awaited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReceivedBytes {
+    /// All of them do.
+    WithinResponse,
+    /// Some come behind its end: the connection must not be used again.
+    BeyondResponse,
 }
 
-fn spoilt(why: &'static str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, why)
+/// The framing of the response that is awaited on one connection.
+#[derive(Default)]
+pub struct ResponseFraming {
+    state: FramingState,
+    /// Interim responses that have come ahead of the final one.
+    interim_responses: usize,
+    /// What of the response has been received and not been passed on.
+    buffered: BytesMut,
 }
 
 impl ResponseFraming {
-    pub fn awaited() -> Self {
+    /// For a connection on which a request is about to be written.
+    pub fn awaiting_head() -> Self {
         Self {
-            at: At::Head,
+            state: FramingState::Head,
             ..Self::default()
         }
     }
 
-    pub fn in_head(&self) -> bool {
-        matches!(self.at, At::Head)
+    /// True while the head of the final response is awaited.
+    pub fn is_in_head(&self) -> bool {
+        matches!(self.state, FramingState::Head)
+    }
+
+    /// True where no response is awaited.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.state, FramingState::Idle)
     }
 
-    /// True where the body's end is awc's to find.
-    pub fn is_open(&self) -> bool {
-        matches!(self.at, At::Open(_))
+    /// True where the body has no announced length, so that awc finds its end.
+    pub fn is_in_unsized_body(&self) -> bool {
+        matches!(self.state, FramingState::UnsizedBody(_))
     }
 
-    /// How many bytes more of the body may come; nothing where none is awaited.
-    pub fn wanted(&self) -> Option<usize> {
-        match self.at {
-            At::Nothing | At::Head => None,
-            At::Body(left) | At::Open(left) => Some(left),
+    /// How many bytes of the body may still come; `None` where no body is awaited.
+    pub fn body_bytes_left(&self) -> Option<usize> {
+        match self.state {
+            FramingState::Idle | FramingState::Head => None,
+            FramingState::SizedBody(left) | FramingState::UnsizedBody(left) => Some(left),
         }
     }
 
-    /// Gives out what is known to be of the final answer.
-    pub fn hand_on(&mut self, buf: &mut ReadBuf<'_>) -> bool {
-        if self.in_head() || self.held.is_empty() {
+    /// Moves buffered bytes of the final response to `output`; false where there are none.
+    pub fn pass_on_buffered(&mut self, output: &mut ReadBuf<'_>) -> bool {
+        if self.is_in_head() || self.buffered.is_empty() {
             return false;
         }
-        let part = self.held.split_to(self.held.len().min(buf.remaining()));
-        buf.put_slice(&part);
+        let length = self.buffered.len().min(output.remaining());
+        output.put_slice(&self.buffered.split_to(length));
         true
     }
 
-    /// Takes in bytes while the head is awaited; false if some of them belong to no answer.
-    pub fn head(&mut self, bytes: &[u8], limits: &Limits) -> io::Result<bool> {
-        self.held.extend_from_slice(bytes);
+    /// Takes bytes that were read while the head was awaited.
+    ///
+    /// # Errors
+    /// The head cannot be read, is too long, comes behind too many interim responses, or leaves the body's end in doubt.
+    pub fn on_head_bytes(&mut self, bytes: &[u8], limits: &Limits) -> io::Result<ReceivedBytes> {
+        self.buffered.extend_from_slice(bytes);
         loop {
-            let mut headers = [httparse::EMPTY_HEADER; 64];
-            let mut response = httparse::Response::new(&mut headers);
-            let end = match response.parse(&self.held) {
-                Ok(httparse::Status::Complete(end)) => end,
-                Ok(httparse::Status::Partial)
-                    if self.held.len() < limits.upstream.max_response_head_bytes =>
-                {
-                    return Ok(true);
+            match parse_head(&self.buffered, limits)? {
+                ParsedHead::Incomplete => return Ok(ReceivedBytes::WithinResponse),
+                ParsedHead::Interim { length, status } => {
+                    self.on_interim_response(status, limits)?;
+                    self.buffered.advance(length);
                 }
-                _ => return Err(spoilt("the head of an answer cannot be read")),
-            };
-            let status = response.code.unwrap_or_default();
-            if (100..200).contains(&status) {
-                self.interim += 1;
-                if status == 101 || self.interim > limits.upstream.max_interim_responses {
-                    return Err(spoilt("too many interim answers"));
+                ParsedHead::Final { length, body } => {
+                    return Ok(self.on_final_head(length, body, limits));
                 }
-                self.held.advance(end);
-                continue;
             }
-            let (at, framed) = body(&response, limits)?;
-            self.at = at;
-            if !framed {
-                // Guards against an answer that ends with its connection: awc takes one that says neither length
-                // nor chunks for one without a body, except in HTTP/1.0, where it reads to the end of file.
-                let version = self
-                    .held
-                    .iter()
-                    .position(|&b| b == b'/')
-                    .unwrap_or_default();
-                self.held[version..version + 4].copy_from_slice(b"/1.0");
-            }
-            if let At::Body(length) = self.at {
-                let here = self.held.len() - end;
-                let whole = here <= length;
-                self.held.truncate(end + length);
-                self.at = if here >= length {
-                    At::Nothing
-                } else {
-                    At::Body(length - here)
-                };
-                return Ok(whole);
-            }
-            return Ok(true);
         }
     }
 
-    /// Counts bytes of the body that went straight through.
-    pub fn body(&mut self, read: usize) -> io::Result<()> {
-        self.at = match self.at {
-            At::Body(left) if left > read => At::Body(left - read),
-            At::Open(left) if left > read => At::Open(left - read),
-            At::Open(_) => return Err(spoilt("an answer does not end")),
-            At::Nothing | At::Head | At::Body(_) => At::Nothing,
-        };
+    fn on_interim_response(&mut self, status: u16, limits: &Limits) -> io::Result<()> {
+        self.interim_responses += 1;
+        let too_many = self.interim_responses > limits.upstream.max_interim_responses;
+        if status == SWITCHING_PROTOCOLS || too_many {
+            return Err(malformed("too many interim answers"));
+        }
         Ok(())
     }
-}
 
-/// How the body of a final answer ends, where its head leaves no doubt of it; false if with the connection.
-fn body(response: &httparse::Response<'_, '_>, limits: &Limits) -> io::Result<(At, bool)> {
-    let named = |name: &'static str| {
-        response
-            .headers
-            .iter()
-            .filter(move |h| h.name.eq_ignore_ascii_case(name))
-    };
-    let mut lengths = named("content-length");
-    let mut codings = named("transfer-encoding");
-    let (coding, further) = (codings.next(), codings.next());
-    match (lengths.next(), lengths.next(), coding) {
-        (Some(length), None, None) => {
-            let digits = length.value.iter().all(u8::is_ascii_digit);
-            let length = std::str::from_utf8(length.value).ok().filter(|_| digits);
-            let length = length
-                .and_then(|text| text.parse().ok())
-                .filter(|&n: &usize| n <= limits.max_body_bytes);
-            let length = length.ok_or_else(|| spoilt("an answer's length is none, or too long"))?;
-            Ok((At::Body(length), true))
+    fn on_final_head(
+        &mut self,
+        head_length: usize,
+        body: BodyEnd,
+        limits: &Limits,
+    ) -> ReceivedBytes {
+        match body {
+            BodyEnd::Length(length) => return self.on_sized_body(head_length, length),
+            BodyEnd::Chunks => {}
+            BodyEnd::ConnectionClose => self.set_version_1_0(),
         }
-        (None, None, None) if matches!(response.code, Some(204 | 304)) => Ok((At::Body(0), true)),
-        (None, None, None) => Ok((At::Open(limits.upstream.max_unsized_response_bytes), false)),
-        (None, None, Some(coding)) => {
-            // Guards against an end that only one side sees: HTTP/1.0 knows no chunks, and nothing else is undone.
-            let known = coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked");
-            if !known || further.is_some() || response.version != Some(1) {
-                return Err(spoilt("an answer's transfer coding is not chunked"));
-            }
-            Ok((At::Open(limits.upstream.max_unsized_response_bytes), true))
+        self.state = FramingState::UnsizedBody(limits.upstream.max_unsized_response_bytes);
+        ReceivedBytes::WithinResponse
+    }
+
+    /// Drops what is buffered behind the body's end.
+    fn on_sized_body(&mut self, head_length: usize, body_length: usize) -> ReceivedBytes {
+        let received = self.buffered.len() - head_length;
+        self.buffered.truncate(head_length + body_length);
+        self.state = if received >= body_length {
+            FramingState::Idle
+        } else {
+            FramingState::SizedBody(body_length - received)
+        };
+        if received <= body_length {
+            ReceivedBytes::WithinResponse
+        } else {
+            ReceivedBytes::BeyondResponse
         }
-        _ => Err(spoilt("an answer's length is given twice")),
+    }
+
+    /// Guards against a response that ends with its connection: awc takes one that has neither a length nor chunks for
+    /// one without a body, except in HTTP/1.0, where it reads to the end of the connection.
+    fn set_version_1_0(&mut self) {
+        let version = self
+            .buffered
+            .iter()
+            .position(|&byte| byte == b'/')
+            .unwrap_or_default();
+        self.buffered[version..version + 4].copy_from_slice(b"/1.0");
+    }
+
+    /// Counts bytes of the body that were passed on without being buffered.
+    ///
+    /// # Errors
+    /// A body without an announced length is longer than allowed.
+    pub fn on_body_bytes(&mut self, count: usize) -> io::Result<()> {
+        self.state = match self.state {
+            FramingState::SizedBody(left) if left > count => FramingState::SizedBody(left - count),
+            FramingState::UnsizedBody(left) if left > count => {
+                FramingState::UnsizedBody(left - count)
+            }
+            FramingState::UnsizedBody(_) => return Err(malformed("an answer does not end")),
+            FramingState::Idle | FramingState::Head | FramingState::SizedBody(_) => {
+                FramingState::Idle
+            }
+        };
+        Ok(())
     }
 }
--- /dev/null
+++ b/crates/sidecar/src/upstream/response_head.rs
@@ -0,0 +1,97 @@
+//! Parses the head of a response and finds out how its body ends (RFC 9112, section 6.3). Keeps nothing between calls.
+
+use std::io;
+
+use crate::limits::Limits;
+
+/// Headers that a response may have; one with more cannot be read.
+const MAX_RESPONSE_HEADERS: usize = 64;
+
+/// How the body of a final response ends.
+#[derive(Clone, Copy)]
+pub enum BodyEnd {
+    /// After so many bytes.
+    Length(usize),
+    /// By its last chunk.
+    Chunks,
+    /// With the connection.
+    ConnectionClose,
+}
+
+/// What the bytes received so far amount to.
+pub enum ParsedHead {
+    /// The head's end has not come yet.
+    Incomplete,
+    /// The head of an interim (1xx) response, `length` bytes long.
+    Interim { length: usize, status: u16 },
+    /// The head of the final response, `length` bytes long.
+    Final { length: usize, body: BodyEnd },
+}
+
+/// The error with which the read of a response fails that breaks the protocol or a limit.
+pub fn malformed(reason: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, reason)
+}
+
+/// Parses the first head among the bytes received.
+///
+/// # Errors
+/// The head cannot be read, is too long, or leaves the body's end in doubt.
+pub fn parse_head(received: &[u8], limits: &Limits) -> io::Result<ParsedHead> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_RESPONSE_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let length = match response.parse(received) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial)
+            if received.len() < limits.upstream.max_response_head_bytes =>
+        {
+            return Ok(ParsedHead::Incomplete);
+        }
+        _ => return Err(malformed("the head of an answer cannot be read")),
+    };
+    let status = response.code.unwrap_or_default();
+    if (100..200).contains(&status) {
+        return Ok(ParsedHead::Interim { length, status });
+    }
+    let body = body_end(&response, limits)?;
+    Ok(ParsedHead::Final { length, body })
+}
+
+/// How the body of a final response ends, where its head leaves no doubt of it.
+fn body_end(response: &httparse::Response<'_, '_>, limits: &Limits) -> io::Result<BodyEnd> {
+    let named = |name: &'static str| {
+        response
+            .headers
+            .iter()
+            .filter(move |header| header.name.eq_ignore_ascii_case(name))
+    };
+    let mut lengths = named("content-length");
+    let mut codings = named("transfer-encoding");
+    let (coding, further_coding) = (codings.next(), codings.next());
+    match (lengths.next(), lengths.next(), coding) {
+        (Some(length), None, None) => {
+            content_length(length.value, limits.max_body_bytes).map(BodyEnd::Length)
+        }
+        (None, None, None) if matches!(response.code, Some(204 | 304)) => Ok(BodyEnd::Length(0)),
+        (None, None, None) => Ok(BodyEnd::ConnectionClose),
+        (None, None, Some(coding)) => {
+            // Guards against an end that only one side sees: HTTP/1.0 has no chunks, and no other coding is undone.
+            let chunked = coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked");
+            if !chunked || further_coding.is_some() || response.version != Some(1) {
+                return Err(malformed("an answer's transfer coding is not chunked"));
+            }
+            Ok(BodyEnd::Chunks)
+        }
+        _ => Err(malformed("an answer's length is given twice")),
+    }
+}
+
+fn content_length(value: &[u8], max_length: usize) -> io::Result<usize> {
+    let only_digits = value.iter().all(u8::is_ascii_digit);
+    std::str::from_utf8(value)
+        .ok()
+        .filter(|_| only_digits)
+        .and_then(|text| text.parse().ok())
+        .filter(|&length: &usize| length <= max_length)
+        .ok_or_else(|| malformed("an answer's length is none, or too long"))
+}
--- a/crates/sidecar/src/upstream/tracked_stream.rs
+++ b/crates/sidecar/src/upstream/tracked_stream.rs
@@ -1,4 +1,7 @@
-//! A connection to a server: it tells what of a request has been written, and hands on its answer alone.
+//! A connection to a server as awc sees it: writes are counted for the request, reads end with its response.
+//!
+//! Owns one socket. Guards against bytes that belong to no response, and against the reuse of a connection on which some
+//! may still come: the next request finds such a connection closed, and gets another one from the pool.
 
 use std::io;
 use std::pin::Pin;
@@ -9,109 +12,156 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
-use super::connector::ConnectionPermit;
-use super::response_framing::ResponseFraming;
+use super::connection_limiter::ConnectionPermit;
+use super::response_framing::{ReceivedBytes, ResponseFraming};
 use super::write_progress::CURRENT_WRITE;
+use crate::counters::Counters;
+use crate::limits::Limits;
 
-/// Bytes read at a time while the head of an answer is awaited.
-const READ: usize = 1024;
+/// Bytes read at a time while the head of a response is awaited: most heads fit, and it is on the stack.
+const HEAD_READ_BYTES: usize = 1024;
 
-/// A connection that tells the current task's request what was written of it, and hands on its answer alone.
+/// A connection that reports to the current task's request what was written of it, and passes on its response alone.
 pub struct TrackedStream {
-    /// Gone once it has brought bytes that belong to no answer.
+    /// `None` once the connection must not be used any more; reads then find its end.
     stream: Option<TcpStream>,
-    answer: ResponseFraming,
-    /// When its last answer was whole.
-    ended: Option<Instant>,
-    permit: ConnectionPermit,
+    framing: ResponseFraming,
+    /// When its last response was complete.
+    response_ended_at: Option<Instant>,
+    limits: Rc<Limits>,
+    counters: Rc<Counters>,
+    _permit: ConnectionPermit,
 }
 
 impl std::fmt::Debug for TrackedStream {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.stream.fmt(f)
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.stream.fmt(formatter)
     }
 }
 
 impl TrackedStream {
-    pub fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
+    /// For a connection that has just come up; it counts as open until it is dropped.
+    pub fn new(
+        stream: TcpStream,
+        permit: ConnectionPermit,
+        limits: Rc<Limits>,
+        counters: Rc<Counters>,
+    ) -> Self {
         Self {
             stream: Some(stream),
-            answer: ResponseFraming::default(),
-            ended: None,
-            permit,
+            framing: ResponseFraming::default(),
+            response_ended_at: None,
+            limits,
+            counters,
+            _permit: permit,
         }
     }
 
-    fn note_end(&mut self) {
-        if !self.answer.in_head() && self.answer.wanted().is_none() {
-            self.ended = Some(Instant::now());
+    /// Whether the next request may be written to the connection.
+    ///
+    /// Guards against another request's response: whether more came behind a body without a length is not known here,
+    /// and within the reuse delay a second response may still be on its way. Guards against a server that closes the
+    /// connection as idle, too: the pool counts from the time at which it got the connection back.
+    fn is_reusable(&self) -> bool {
+        let upstream = &self.limits.upstream;
+        let too_early_or_late = self.response_ended_at.is_some_and(|ended_at| {
+            let idle = ended_at.elapsed();
+            idle < upstream.reuse_delay || idle > upstream.reuse_delay + upstream.idle_reuse_timeout
+        });
+        !self.framing.is_in_unsized_body() && !too_early_or_late
+    }
+
+    fn note_response_end(&mut self) {
+        if self.framing.is_idle() {
+            self.response_ended_at = Some(Instant::now());
         }
     }
 
-    /// Reads on until there is something of the answer to hand on.
-    fn poll_answer(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let next = CURRENT_WRITE
-            .try_with(|sending| sending.started_at().is_none())
-            .unwrap_or(false);
-        let limits = &self.permit.0.limits;
-        let rests = self
-            .ended
-            .is_some_and(|ended| ended.elapsed() < limits.upstream.reuse_delay);
-        let old = self.ended.is_some_and(|ended| {
-            ended.elapsed() > limits.upstream.reuse_delay + limits.upstream.idle_reuse_timeout
-        });
-        if next && (self.answer.is_open() || rests || old) {
-            // Guards against another request's answer: whether more came behind an open one is not known here, and a
-            // second answer may still be on its way. And against a server that closes it as idle: the pool counts from
-            // when it got the connection back. The next request gets another one.
+    /// Reads on until there is something of the response to pass on.
+    fn poll_response(
+        &mut self,
+        context: &mut Context<'_>,
+        output: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if is_next_request_unwritten() && !self.is_reusable() {
             self.stream = None;
         }
         loop {
-            if self.answer.hand_on(buf) {
+            if self.framing.pass_on_buffered(output) {
                 return Poll::Ready(Ok(()));
             }
             let Some(stream) = &mut self.stream else {
                 return Poll::Ready(Ok(()));
             };
-            if self.answer.in_head() {
-                let mut bytes = [0; READ];
-                let mut head = ReadBuf::new(&mut bytes);
-                ready!(Pin::new(stream).poll_read(cx, &mut head))?;
-                if head.filled().is_empty()
-                    || !self.answer.head(head.filled(), &self.permit.0.limits)?
-                {
-                    self.stream = None;
-                }
-                self.note_end();
+            if self.framing.is_in_head() {
+                ready!(self.poll_head(context))?;
                 continue;
             }
-            let Some(most) = self.answer.wanted() else {
-                // No answer is awaited: what comes all the same tells the pool not to use the connection.
-                return Pin::new(stream).poll_read(cx, buf);
+            return match self.framing.body_bytes_left() {
+                Some(bytes_left) => self.poll_body(context, output, bytes_left),
+                // No response is awaited: what comes all the same makes the pool drop the connection.
+                None => Pin::new(stream).poll_read(context, output),
             };
-            let room = buf.remaining().min(most);
-            let mut body = ReadBuf::new(buf.initialize_unfilled_to(room));
-            ready!(Pin::new(stream).poll_read(cx, &mut body))?;
-            let read = body.filled().len();
-            buf.advance(read);
-            self.answer.body(read)?;
-            self.note_end();
+        }
+    }
+
+    /// Reads a part of the head; closes the connection that has ended, or that brings more than its response.
+    fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(stream) = &mut self.stream else {
             return Poll::Ready(Ok(()));
+        };
+        let mut bytes = [0; HEAD_READ_BYTES];
+        let mut head = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(stream).poll_read(context, &mut head))?;
+        let usable = !head.filled().is_empty()
+            && self.framing.on_head_bytes(head.filled(), &self.limits)?
+                == ReceivedBytes::WithinResponse;
+        if !usable {
+            self.stream = None;
         }
+        self.note_response_end();
+        Poll::Ready(Ok(()))
+    }
+
+    /// Reads a part of the body straight into the output, and nothing behind the body's end.
+    fn poll_body(
+        &mut self,
+        context: &mut Context<'_>,
+        output: &mut ReadBuf<'_>,
+        bytes_left: usize,
+    ) -> Poll<io::Result<()>> {
+        let Some(stream) = &mut self.stream else {
+            return Poll::Ready(Ok(()));
+        };
+        let length = output.remaining().min(bytes_left);
+        let mut body = ReadBuf::new(output.initialize_unfilled_to(length));
+        ready!(Pin::new(stream).poll_read(context, &mut body))?;
+        let count = body.filled().len();
+        output.advance(count);
+        self.framing.on_body_bytes(count)?;
+        self.note_response_end();
+        Poll::Ready(Ok(()))
     }
 }
 
+/// True where the current task is about to send a request: awc then reads to see whether the connection is still open.
+fn is_next_request_unwritten() -> bool {
+    CURRENT_WRITE
+        .try_with(|progress| progress.started_at().is_none())
+        .unwrap_or(false)
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
+        context: &mut Context<'_>,
+        output: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = self.poll_answer(cx, buf);
-        let more = matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() > before;
-        if read.is_ready() && !more {
-            let _ = CURRENT_WRITE.try_with(|sending| sending.on_connection_ended());
+        let filled_before = output.filled().len();
+        let read = self.poll_response(context, output);
+        let any_read = matches!(read, Poll::Ready(Ok(()))) && output.filled().len() > filled_before;
+        if read.is_ready() && !any_read {
+            let _ = CURRENT_WRITE.try_with(|progress| progress.on_connection_ended());
         }
         read
     }
@@ -120,55 +170,54 @@
 impl AsyncWrite for TrackedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
+        context: &mut Context<'_>,
+        bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let sending = CURRENT_WRITE.try_with(Rc::clone).ok();
-        if let Some(Err(stop)) = sending
-            .as_ref()
-            .map(|s| s.check_first_byte(&self.permit.0.limits))
-        {
-            self.permit.0.counters.on_attempt_blocked(stop);
-            return Poll::Ready(Err(io::Error::other(stop.reason())));
-        }
-        if sending.as_ref().is_some_and(|s| s.started_at().is_none()) {
-            self.answer = ResponseFraming::awaited();
+        let progress = CURRENT_WRITE.try_with(Rc::clone).ok();
+        if let Some(progress) = &progress {
+            if let Err(blocked) = progress.check_first_byte(&self.limits) {
+                self.counters.on_attempt_blocked(blocked);
+                return Poll::Ready(Err(io::Error::other(blocked.reason())));
+            }
+            if progress.started_at().is_none() {
+                self.framing = ResponseFraming::awaiting_head();
+            }
         }
         let Some(stream) = &mut self.stream else {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         };
-        let wrote = Pin::new(stream).poll_write(cx, buf);
-        if let (Poll::Ready(Ok(n)), Some(sending)) = (&wrote, sending) {
-            sending.on_written(buf.get(..*n).unwrap_or(buf));
+        let wrote = Pin::new(stream).poll_write(context, bytes);
+        if let (Poll::Ready(Ok(count)), Some(progress)) = (&wrote, progress) {
+            progress.on_written(bytes.get(..*count).unwrap_or(bytes));
         }
         wrote
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream
-            .as_mut()
-            .map_or(Poll::Ready(Ok(())), |s| Pin::new(s).poll_flush(cx))
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream.as_mut().map_or(Poll::Ready(Ok(())), |stream| {
+            Pin::new(stream).poll_flush(context)
+        })
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream
-            .as_mut()
-            .map_or(Poll::Ready(Ok(())), |s| Pin::new(s).poll_shutdown(cx))
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream.as_mut().map_or(Poll::Ready(Ok(())), |stream| {
+            Pin::new(stream).poll_shutdown(context)
+        })
     }
 }
 
 impl ActixStream for TrackedStream {
-    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         let closed = || Poll::Ready(Ok(Ready::READ_CLOSED));
-        self.stream
-            .as_ref()
-            .map_or_else(closed, |s| ActixStream::poll_read_ready(s, cx))
+        self.stream.as_ref().map_or_else(closed, |stream| {
+            ActixStream::poll_read_ready(stream, context)
+        })
     }
 
-    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
         let closed = || Poll::Ready(Ok(Ready::WRITE_CLOSED));
-        self.stream
-            .as_ref()
-            .map_or_else(closed, |s| ActixStream::poll_write_ready(s, cx))
+        self.stream.as_ref().map_or_else(closed, |stream| {
+            ActixStream::poll_write_ready(stream, context)
+        })
     }
 }
