--- /dev/null
+++ b/crates/sidecar/src/upstream/attempt.rs
@@ -0,0 +1,175 @@
+//! One attempt: a client's request sent to one server once, and what came of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use arrowstand_balancer::{LoadReport, Outcome};
+use awc::ClientRequest;
+use awc::http::StatusCode;
+use awc::http::header::{HeaderName, HeaderValue};
+use tokio::time::{self, Instant};
+
+use super::connection_pool::ConnectionPools;
+use super::exchange::{CompleteResponse, ExchangeFailed, exchange, outcome_without_response};
+use super::load_report::read_report;
+use super::write_progress::{SendGuard, WriteProgress};
+use crate::host::{BalancerHost, Server};
+use crate::proxy::{FORWARDED_HEADERS, Payload, ProxyRequest};
+
+/// The client's id of the request.
+const REQUEST_ID: &str = "x-request-id";
+/// How long the sidecar waits for the response, in microseconds with the unit `u`.
+const TIMEOUT: &str = "x-timeout";
+/// By this servers recognise a retry of what they have executed.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The server's load report, in its response.
+const SERVER_LOAD: &str = "x-server-load";
+/// With the value [`NOT_PROCESSED_TRUE`] in a response: the server has not executed the request.
+const NOT_PROCESSED: &str = "x-not-processed";
+const NOT_PROCESSED_TRUE: &str = "1";
+
+/// How an attempt ended.
+pub struct AttemptResult {
+    /// What the balancer is to know of the attempt's end.
+    pub outcome: Outcome,
+    /// The load report that came with the response.
+    pub load_report: Option<LoadReport>,
+    /// The response's body and forwarded headers, where the request was served.
+    pub payload: Option<Payload>,
+}
+
+impl AttemptResult {
+    /// An attempt of which no response came.
+    pub fn without_response(outcome: Outcome) -> Self {
+        Self::without_payload(outcome, None)
+    }
+
+    fn without_payload(outcome: Outcome, load_report: Option<LoadReport>) -> Self {
+        Self {
+            outcome,
+            load_report,
+            payload: None,
+        }
+    }
+}
+
+/// An attempt that is about to be made.
+pub struct Attempt<'a> {
+    /// Knows the clock, the limits and how fresh the endpoint list is.
+    pub host: &'a Rc<BalancerHost>,
+    /// Where the connection comes from.
+    pub pools: &'a ConnectionPools,
+    /// The server that it goes to.
+    pub server: Rc<Server>,
+    /// What is sent.
+    pub request: &'a ProxyRequest,
+    /// From now to the end of the response at most this long.
+    pub timeout: Duration,
+    /// The latest time at which a retry may begin, where that is bounded.
+    pub start_before: Option<Instant>,
+}
+
+impl Attempt<'_> {
+    /// Sends the request and waits for the response.
+    pub async fn run(self) -> AttemptResult {
+        let Some(http_request) = self.http_request() else {
+            return AttemptResult::without_response(Outcome::NotSent);
+        };
+        let body = self.request.payload.body.clone();
+        let progress = WriteProgress::new(Some(self.send_guard()), body.len());
+        let max_body_bytes = self.host.limits.max_body_bytes;
+        let exchange = exchange(self.pools, http_request, body, &progress, max_body_bytes);
+        match time::timeout(self.timeout, exchange).await {
+            Ok(Ok(response)) => self.on_response(response, &progress),
+            Ok(Err(ExchangeFailed)) => on_exchange_failed(&progress),
+            Err(_elapsed) => on_timed_out(&progress),
+        }
+    }
+
+    /// The request with the headers that servers understand; `None` where its method is none.
+    fn http_request(&self) -> Option<ClientRequest> {
+        let request = self.request;
+        let uri = format!("http://{}{}", self.server.address(), request.target);
+        let method = request.method.parse().ok()?;
+        let timeout = format!("{}u", self.timeout.as_micros());
+        let mut http_request = self.pools.client_for(&self.server).request(method, uri);
+        insert_header(&mut http_request, REQUEST_ID, &request.id);
+        insert_header(&mut http_request, TIMEOUT, &timeout);
+        if let Some(key) = &request.idempotency_key {
+            insert_header(&mut http_request, IDEMPOTENCY_KEY, key);
+        }
+        for (name, value) in &request.payload.headers {
+            insert_header(&mut http_request, name, value);
+        }
+        Some(http_request)
+    }
+
+    fn send_guard(&self) -> SendGuard {
+        SendGuard {
+            host: Rc::clone(self.host),
+            server: Rc::clone(&self.server),
+            address: self.server.address(),
+            presence: self.request.presence.clone(),
+            attempt_deadline: Instant::now() + self.timeout,
+            start_before: self.start_before,
+        }
+    }
+
+    fn on_response(&self, response: CompleteResponse, progress: &WriteProgress) -> AttemptResult {
+        let load_report = response.header(SERVER_LOAD).and_then(read_report);
+        let not_processed = response.header(NOT_PROCESSED) == Some(NOT_PROCESSED_TRUE);
+        match response.status {
+            StatusCode::OK => self.on_served(response, load_report, progress),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_processed => {
+                AttemptResult::without_payload(Outcome::Rejected, load_report)
+            }
+            // A response that does not prove the contrary may come of a request that was executed.
+            _ => AttemptResult::without_payload(Outcome::ServerError, load_report),
+        }
+    }
+
+    fn on_served(
+        &self,
+        response: CompleteResponse,
+        load_report: Option<LoadReport>,
+        progress: &WriteProgress,
+    ) -> AttemptResult {
+        if let Some(started_at) = progress.started_at() {
+            let started_at = self.host.micros_at(started_at);
+            self.server.on_request_served(started_at);
+        }
+        let headers = FORWARDED_HEADERS
+            .into_iter()
+            .filter_map(|name| Some((name, response.header(name)?.to_owned())))
+            .collect();
+        let payload = Payload {
+            body: response.body,
+            headers,
+        };
+        AttemptResult {
+            outcome: Outcome::Served,
+            load_report,
+            payload: Some(payload),
+        }
+    }
+}
+
+/// A request of which the last byte was never written cannot have been executed; the others may have been.
+fn on_timed_out(progress: &WriteProgress) -> AttemptResult {
+    AttemptResult::without_response(outcome_without_response(progress, Outcome::TimedOut))
+}
+
+/// awc reports a connection that ended before a response as one that never came up, and a failure before the last byte
+/// like one after it: only what the socket accepted counts here.
+fn on_exchange_failed(progress: &WriteProgress) -> AttemptResult {
+    AttemptResult::without_response(outcome_without_response(progress, Outcome::Reset))
+}
+
+/// Guards against a panic: a value that cannot be a header's is left out.
+fn insert_header(request: &mut ClientRequest, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        request
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/upstream/health_check.rs
@@ -0,0 +1,117 @@
+//! Health checks: asks servers for their load when the balancer requests it.
+
+use std::rc::Rc;
+
+use arrowstand_balancer::{Event, LoadReport, Outcome, ServerId};
+use awc::http::StatusCode;
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use super::connection_pool::ConnectionPools;
+use super::exchange::{CompleteResponse, ExchangeFailed, exchange, outcome_without_response};
+use super::load_report::read_report;
+use super::write_progress::WriteProgress;
+use crate::host::{BalancerHost, Server};
+
+/// Where a server reports its load.
+const LOAD_PATH: &str = "/status/load";
+
+/// How a health check ended.
+struct HealthCheckResult {
+    outcome: Outcome,
+    load_report: Option<LoadReport>,
+}
+
+impl HealthCheckResult {
+    fn without_report(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            load_report: None,
+        }
+    }
+}
+
+/// Executes health checks and reports how they ended: exactly once for each that the balancer requests, since it waits
+/// for that before it checks the server again.
+pub struct HealthChecker {
+    host: Rc<BalancerHost>,
+    pools: Rc<ConnectionPools>,
+}
+
+impl HealthChecker {
+    /// Reports to `host`; takes connections from `pools`.
+    pub fn new(host: Rc<BalancerHost>, pools: Rc<ConnectionPools>) -> Rc<Self> {
+        Rc::new(Self { host, pools })
+    }
+
+    /// Starts each health check as it is requested, without waiting for the ones before, until the channel is closed.
+    pub async fn run(self: Rc<Self>, mut requested: mpsc::Receiver<ServerId>) {
+        while let Some(id) = requested.recv().await {
+            match self.host.server(id) {
+                Some(server) => Rc::clone(&self).start(server),
+                None => self.report(id, HealthCheckResult::without_report(Outcome::NotSent)),
+            }
+        }
+    }
+
+    fn start(self: Rc<Self>, server: Rc<Server>) {
+        self.host.counters.health_checks_sent.add();
+        actix_rt::spawn(async move {
+            let result = self.check(&server).await;
+            if result.outcome != Outcome::Served {
+                self.host.counters.health_checks_failed.add();
+            }
+            self.report(server.id, result);
+        });
+    }
+
+    async fn check(&self, server: &Server) -> HealthCheckResult {
+        let uri = format!("http://{}{LOAD_PATH}", server.address());
+        let request = self.pools.client_for(server).get(uri);
+        // No guard: a health check is no work, and may go to a draining server.
+        let progress = WriteProgress::new(None, 0);
+        let limits = &self.host.limits;
+        let max_body_bytes = limits.max_body_bytes;
+        let exchange = exchange(
+            &self.pools,
+            request,
+            Bytes::new(),
+            &progress,
+            max_body_bytes,
+        );
+        match time::timeout(limits.upstream.health_check_timeout, exchange).await {
+            Ok(Ok(response)) => self.on_response(&response),
+            Ok(Err(ExchangeFailed)) => on_exchange_failed(&progress),
+            Err(_elapsed) => HealthCheckResult::without_report(Outcome::TimedOut),
+        }
+    }
+
+    fn on_response(&self, response: &CompleteResponse) -> HealthCheckResult {
+        let text = std::str::from_utf8(&response.body).unwrap_or_default();
+        let load_report = read_report(text);
+        if load_report.is_none() && !text.trim().is_empty() {
+            self.host.counters.load_reports_skipped.add();
+        }
+        let outcome = match response.status {
+            StatusCode::OK => Outcome::Served,
+            _ => Outcome::Rejected,
+        };
+        HealthCheckResult {
+            outcome,
+            load_report,
+        }
+    }
+
+    fn report(&self, server: ServerId, result: HealthCheckResult) {
+        self.host.handle_event(Event::HealthCheckEnded {
+            server,
+            outcome: result.outcome,
+            load_report: result.load_report,
+        });
+    }
+}
+
+fn on_exchange_failed(progress: &WriteProgress) -> HealthCheckResult {
+    HealthCheckResult::without_report(outcome_without_response(progress, Outcome::Reset))
+}
--- a/crates/sidecar/src/upstream/reuse_delay.rs
+++ b/crates/sidecar/src/upstream/reuse_delay.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 /// A response whose end alone has not been polled for yet: awc returns its connection to the pool at that poll.
-type FinishedResponse = ClientResponse<BoxedPayloadStream>;
+pub type FinishedResponse = ClientResponse<BoxedPayloadStream>;
 
 /// The finished responses whose connections wait for the reuse delay to pass.
 ///
