--- a/crates/sidecar/src/discovery/line_decoder.rs
+++ b/crates/sidecar/src/discovery/line_decoder.rs
@@ -1,4 +1,6 @@
-//! The framing of a watch: one object a line, or indented over several.
+//! The framing of a watch: one JSON object a line, or one indented over several lines.
+//!
+//! Cuts bytes into objects; whether an object is an endpoint list is not checked here.
 
 use bytes::BytesMut;
 
@@ -6,51 +8,69 @@
 
 /// Cuts a watch's bytes into objects and empty lines, however they were split over chunks.
 pub struct LineDecoder {
-    held: BytesMut,
+    /// Bytes that are not decoded yet.
+    undecoded: BytesMut,
     /// The lines of an object that is not closed yet.
-    open: Vec<u8>,
-    most: usize,
-    depth_most: usize,
+    open_object: Vec<u8>,
+    max_object_bytes: usize,
+    max_json_depth: usize,
+}
+
+/// An object exceeds the decoder's bound.
+#[derive(Debug, PartialEq, thiserror::Error)]
+#[error("an object is longer than {max_object_bytes} bytes")]
+pub struct ObjectTooLong {
+    max_object_bytes: usize,
 }
 
 impl LineDecoder {
-    /// Objects of so many bytes and so deep at most.
-    pub fn new(most: usize, depth_most: usize) -> Self {
+    /// A decoder of objects of so many bytes and so many levels of JSON at most.
+    pub fn new(max_object_bytes: usize, max_json_depth: usize) -> Self {
         Self {
-            held: BytesMut::new(),
-            open: Vec::new(),
-            most,
-            depth_most,
+            undecoded: BytesMut::new(),
+            open_object: Vec::new(),
+            max_object_bytes,
+            max_json_depth,
         }
     }
 
-    /// The next object, readable or not, or an empty line.
-    pub fn take(&mut self) -> Option<Vec<u8>> {
+    /// The next object, readable or not, or an empty line; nothing until more bytes are pushed.
+    pub fn next_object(&mut self) -> Option<Vec<u8>> {
         loop {
-            let end = self.held.iter().position(|&b| b == b'\n')?;
-            let blank = self.held[..end].trim_ascii().is_empty();
-            // Guards against half an object that takes in all that follows it: what is indented goes on, the next
-            // object and an empty line do not.
-            if !self.open.is_empty() && (blank || self.held[0] == b'{') {
-                return Some(std::mem::take(&mut self.open));
+            let line_end = self.undecoded.iter().position(|&byte| byte == b'\n')?;
+            if self.is_object_cut_off_at(line_end) {
+                return Some(std::mem::take(&mut self.open_object));
             }
-            let line = self.held.split_to(end + 1);
-            self.open.extend_from_slice(&line);
-            let depth = json::depth(&self.open);
+            let line = self.undecoded.split_to(line_end + 1);
+            self.open_object.extend_from_slice(&line);
+            let depth = json::depth(&self.open_object);
             // What is nested too deep cannot be read, whatever follows.
-            if depth == 0 || depth > self.depth_most {
-                return Some(std::mem::take(&mut self.open));
+            if depth == 0 || depth > self.max_json_depth {
+                return Some(std::mem::take(&mut self.open_object));
             }
         }
     }
 
-    pub fn add(&mut self, chunk: &[u8]) -> Result<(), String> {
-        if self.held.len() + self.open.len() + chunk.len() > self.most {
-            return Err(format!("an object is longer than {} bytes", self.most));
+    /// Adds a chunk.
+    ///
+    /// # Errors
+    /// If what is not returned yet would exceed the bound on an object.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<(), ObjectTooLong> {
+        if self.undecoded.len() + self.open_object.len() + chunk.len() > self.max_object_bytes {
+            return Err(ObjectTooLong {
+                max_object_bytes: self.max_object_bytes,
+            });
         }
-        self.held.extend_from_slice(chunk);
+        self.undecoded.extend_from_slice(chunk);
         Ok(())
     }
+
+    /// Guards against half an object that swallows all that follows it: an indented line belongs to it, the start of
+    /// the next object and an empty line do not.
+    fn is_object_cut_off_at(&self, line_end: usize) -> bool {
+        let is_blank = self.undecoded[..line_end].trim_ascii().is_empty();
+        !self.open_object.is_empty() && (is_blank || self.undecoded[0] == b'{')
+    }
 }
 
 #[cfg(test)]
--- a/crates/sidecar/src/discovery/line_decoder/tests.rs
+++ b/crates/sidecar/src/discovery/line_decoder/tests.rs
@@ -7,9 +7,9 @@
     let mut sizes = sizes.iter().cycle();
     while at < text.len() {
         let end = (at + sizes.next().copied().unwrap_or(1).max(1)).min(text.len());
-        lines.add(&text[at..end]).expect("short");
+        lines.push(&text[at..end]).expect("short");
         at = end;
-        while let Some(line) = lines.take() {
+        while let Some(line) = lines.next_object() {
             found.push(String::from_utf8(line).expect("text"));
         }
     }
@@ -21,7 +21,7 @@
     "{\n  \"rev\": 2,\n  \"targets\": [\n    {\n      \"uid\": \"b\"\n    }\n  ]\n}\n";
 
 #[test]
-fn half_an_object_takes_nothing_with_it() {
+fn truncated_object_swallows_nothing_that_follows() {
     let half = "{\"rev\":3,\n";
     let found = all(
         format!("{half}{PLAIN}{half}\n{INDENTED}no object\n").as_bytes(),
@@ -31,19 +31,19 @@
 }
 
 #[test]
-fn an_object_without_end_is_refused() {
+fn object_without_end_is_rejected() {
     let mut lines = LineDecoder::new(1_000, 2_000);
-    let refused = (0..100).any(|_| {
-        let full = lines.add(b" [[[[[[[[[[[[[[[[[[\n").is_err();
-        full || lines.take().is_some()
+    let rejected = (0..100).any(|_| {
+        let full = lines.push(b" [[[[[[[[[[[[[[[[[[\n").is_err();
+        full || lines.next_object().is_some()
     });
-    assert!(refused && lines.open.len() <= 1_000);
+    assert!(rejected && lines.open_object.len() <= 1_000);
 }
 
 proptest! {
-    /// However bytes are split and objects are laid out, each comes out whole and once.
+    /// However bytes are split and objects are laid out, each is returned complete and once.
     #[test]
-    fn objects_come_out_whole(
+    fn objects_are_returned_complete_however_their_bytes_are_split(
         order in prop::collection::vec(prop::sample::select(vec![PLAIN, INDENTED, "\n"]), 0..12),
         sizes in prop::collection::vec(1..40_usize, 1..8),
     ) {
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -1,8 +1,13 @@
-//! Discovery's list of endpoints: its form, the watch that turns it into events, and when it is called.
+//! Service discovery: the endpoint list, the watch that delivers it, and when discovery is polled.
+//!
+//! Owns the connection to discovery and the position in its numbering of changes. What an endpoint
+//! list means for the servers is the host's and the balancer's business.
 
 mod endpoint;
 mod line_decoder;
 mod watch;
+mod watch_cursor;
+mod watch_error;
 mod watcher;
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/sidecar/src/discovery/watch_cursor.rs
@@ -0,0 +1,55 @@
+//! The position in discovery's numbering of its changes, kept from one watch to the next.
+
+use std::cell::Cell;
+
+use super::EndpointList;
+
+/// The last revision that came, and how it maps to the versions that the balancer gets.
+pub struct WatchCursor {
+    /// Discovery's number of the last list; 0 asks for the whole list.
+    revision: Cell<u64>,
+    /// The balancer's versions are this much higher than revisions, so that they only rise.
+    version_offset: Cell<u64>,
+    /// No list has come on this watch yet.
+    awaiting_first_list: Cell<bool>,
+}
+
+impl WatchCursor {
+    /// A cursor behind the list of that revision; 0 where there is none.
+    pub fn new(revision: u64) -> Self {
+        Self {
+            revision: Cell::new(revision),
+            version_offset: Cell::new(0),
+            awaiting_first_list: Cell::new(true),
+        }
+    }
+
+    /// The revision after which a poll asks for changes.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// A new watch begins: its first list may be of a discovery that counts from lower down.
+    pub fn on_poll_started(&self) {
+        self.awaiting_first_list.set(true);
+    }
+
+    /// A list came; returns its version for the balancer.
+    pub fn on_list_received(&self, list: &EndpointList) -> u64 {
+        // Guards against a discovery that counts from lower down, a new one or one that was restarted: it was
+        // polled for changes after the cursor and sent the whole list instead, so that list is no old one.
+        let is_first = self.awaiting_first_list.replace(false);
+        if is_first && list.all && list.rev < self.revision.get() {
+            self.version_offset
+                .set(self.version_offset.get() + self.revision.get());
+        }
+        self.revision.set(list.rev);
+        self.version_offset.get() + list.rev
+    }
+
+    /// An object was unreadable. Guards against changes that are lost with it: the next list would move the cursor
+    /// past them, so the next poll asks for the whole list.
+    pub fn on_object_unreadable(&self) {
+        self.revision.set(0);
+    }
+}
--- a/crates/sidecar/src/discovery/watcher.rs
+++ b/crates/sidecar/src/discovery/watcher.rs
@@ -1,90 +1,184 @@
-//! When discovery is called.
+//! When discovery is polled: for each poll that the balancer asks for, and at once where discovery was relocated or where
+//! the endpoint list would otherwise count as stale.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use arrowstand_balancer::{Event, UpdateKind};
-use tokio::sync::watch as channel;
+use awc::error::{ConnectError, SendRequestError};
+use tokio::sync::watch::Receiver;
 use tokio::time::sleep;
 
-use super::watch::{WatchCursor, WatchEnd, watch};
+use super::watch::watch;
+use super::watch_cursor::WatchCursor;
+use super::watch_error::WatchError;
 use crate::host::BalancerHost;
 use crate::limits::Limits;
 
-/// Follows discovery for as long as the program runs: one call for each time the module asks, and one at once where
-/// discovery has moved. Where news count as told though none came, calls do not wait for the module.
+/// An early poll comes after at least this part of the retry delay; the rest is drawn, so that many sidecars do not poll
+/// in step.
+const MIN_RETRY_DELAY_FACTOR: f64 = 0.25;
+
+/// Follows discovery for as long as the program runs. `discovery` is where it is, `revision` that of the cached endpoint
+/// list, 0 if there is none; `seed` is of the delays of early polls.
 pub async fn follow(
     host: Rc<BalancerHost>,
-    mut discovery: channel::Receiver<SocketAddr>,
-    rev: u64,
+    discovery: Receiver<SocketAddr>,
+    revision: u64,
     limits: Rc<Limits>,
     seed: u64,
 ) {
-    let client = awc::Client::builder()
-        .connector(
-            awc::Connector::new()
-                .timeout(limits.discovery.poll_timeout)
-                .conn_lifetime(limits.client.max_timeout),
-        )
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .finish();
-    let at = WatchCursor::new(rev);
-    let mut chance = fastrand::Rng::with_seed(seed);
-    host.poll_requested().await;
-    // A call that the module has not asked for yet is on.
-    let mut ahead = false;
+    let mut watcher = Watcher {
+        client: http_client(&limits),
+        host,
+        discovery,
+        cursor: WatchCursor::new(revision),
+        limits,
+        random: fastrand::Rng::with_seed(seed),
+    };
+    watcher.host.poll_requested().await;
+    let mut reason = PollReason::Requested;
     loop {
-        let address = *discovery.borrow_and_update();
-        let call = watch(&host, &client, address, &at, &limits);
-        tokio::pin!(call);
-        let again = loop {
-            tokio::select! {
-            fault = &mut call => {
-                tracing::warn!("discovery: {}", fault.text);
-                host.update_list_freshness(|freshness, now| match fault.end {
-                    WatchEnd::Silent { heard } => freshness.on_watch_silent(host.micros_at(heard), now),
-                    WatchEnd::Refused => freshness.on_poll_refused(now),
-                    WatchEnd::Broken => freshness.on_watch_ended(now),
-                    WatchEnd::Unanswered => freshness.on_poll_abandoned(),
-                });
-                host.handle_event(Event::EndpointsUpdated { kind: UpdateKind::Lost, version: 0, endpoints: Vec::new() });
-                break false;
+        reason = match watcher.watch_until_interrupted(reason).await {
+            WatchExit::Ended(error) => {
+                watcher.on_watch_ended(&error);
+                watcher.next_poll().await
+            }
+            WatchExit::Superseded => {
+                watcher.on_watch_superseded();
+                PollReason::Requested
             }
-            // Guards against a call that loses its turn at a crowded discovery: the one that is on is the one asked for.
-            () = host.poll_requested(), if ahead => ahead = false,
-            // The module asks anew while a call or a watch is on: that one is ended.
-            () = host.poll_requested(), if !ahead => { host.update_list_freshness(|freshness, _| freshness.on_poll_abandoned()); break true }
-            // Guards against changes missed while the old address goes on or fails: the watch moves at once.
-            () = relocated(&mut discovery) => { moved(&host); break true }
+            WatchExit::Relocated => {
+                watcher.on_discovery_relocated();
+                PollReason::Requested
             }
         };
-        ahead = false;
-        if !again {
-            // Guards against a pause of the module's that outlasts the grace of what counts as told meanwhile; drawn, so
-            // that many sidecars do not call in step.
-            let hurry = host.list_freshness().needs_immediate_poll();
-            let pause = limits
-                .discovery
-                .poll_retry_delay
-                .mul_f64(0.25 + 0.75 * chance.f64());
+    }
+}
+
+/// Why discovery is polled.
+#[derive(Clone, Copy, PartialEq)]
+enum PollReason {
+    /// The balancer asked for it, or the poll replaces one that it had asked for.
+    Requested,
+    /// The balancer has not asked for it yet.
+    Early,
+}
+
+/// Why a watch is over.
+enum WatchExit {
+    Ended(WatchError),
+    /// The balancer asked for another poll meanwhile.
+    Superseded,
+    /// Discovery is at another address.
+    Relocated,
+}
+
+struct Watcher {
+    host: Rc<BalancerHost>,
+    client: awc::Client,
+    discovery: Receiver<SocketAddr>,
+    cursor: WatchCursor,
+    limits: Rc<Limits>,
+    random: fastrand::Rng,
+}
+
+impl Watcher {
+    /// Polls and watches until the watch ends or another one is to replace it.
+    async fn watch_until_interrupted(&mut self, mut reason: PollReason) -> WatchExit {
+        let address = *self.discovery.borrow_and_update();
+        let host = &self.host;
+        let watch = watch(host, &self.client, address, &self.cursor, &self.limits);
+        tokio::pin!(watch);
+        loop {
             tokio::select! {
-                () = host.poll_requested() => {}
-                () = relocated(&mut discovery) => { moved(&host); ahead = true }
-                () = sleep(pause), if hurry => ahead = true,
+                error = &mut watch => return WatchExit::Ended(error),
+                // Guards against an early poll that loses its turn at a crowded discovery: it is the one asked for.
+                () = host.poll_requested(), if reason == PollReason::Early => {
+                    reason = PollReason::Requested;
+                }
+                () = host.poll_requested(), if reason == PollReason::Requested => {
+                    return WatchExit::Superseded;
+                }
+                // Guards against changes missed while the old address goes on or fails: the watch moves at once.
+                () = relocated(&mut self.discovery) => return WatchExit::Relocated,
+            }
+        }
+    }
+
+    /// Waits until discovery is to be polled again after a watch has ended.
+    async fn next_poll(&mut self) -> PollReason {
+        // Guards against a backoff of the balancer's that outlasts the grace in which the list still counts as fresh.
+        let needs_immediate_poll = self.host.list_freshness().needs_immediate_poll();
+        let delay =
+            self.limits.discovery.poll_retry_delay.mul_f64(
+                MIN_RETRY_DELAY_FACTOR + (1.0 - MIN_RETRY_DELAY_FACTOR) * self.random.f64(),
+            );
+        tokio::select! {
+            () = self.host.poll_requested() => PollReason::Requested,
+            () = relocated(&mut self.discovery) => {
+                self.on_discovery_relocated();
+                PollReason::Early
             }
+            () = sleep(delay), if needs_immediate_poll => PollReason::Early,
         }
     }
+
+    fn on_watch_ended(&self, error: &WatchError) {
+        tracing::warn!("discovery: {error}");
+        self.host
+            .update_list_freshness(|freshness, now| match error {
+                WatchError::WatchSilent { last_received_at } => {
+                    freshness.on_watch_silent(self.host.micros_at(*last_received_at), now);
+                }
+                WatchError::PollFailed(error) if is_connection_refused(error) => {
+                    freshness.on_poll_refused(now);
+                }
+                WatchError::PollTimedOut => freshness.on_poll_abandoned(),
+                _ => freshness.on_watch_ended(now),
+            });
+        self.host.handle_event(Event::EndpointsUpdated {
+            kind: UpdateKind::Lost,
+            version: 0,
+            endpoints: Vec::new(),
+        });
+    }
+
+    fn on_watch_superseded(&self) {
+        self.host
+            .update_list_freshness(|freshness, _| freshness.on_poll_abandoned());
+    }
+
+    /// From now on the list counts as fresh for a bounded time, whether or not a poll gets through by then.
+    fn on_discovery_relocated(&self) {
+        self.host
+            .update_list_freshness(|freshness, now| freshness.on_discovery_relocated(now));
+    }
+}
+
+fn http_client(limits: &Limits) -> awc::Client {
+    let connector = awc::Connector::new()
+        .timeout(limits.discovery.poll_timeout)
+        .conn_lifetime(limits.client.max_timeout);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
 }
 
-/// What a new discovery has counts as told after a time, whether or not a call got through by then.
-fn moved(host: &BalancerHost) {
-    host.update_list_freshness(|freshness, now| freshness.on_discovery_relocated(now));
+/// True where nobody listens at discovery's address.
+fn is_connection_refused(error: &SendRequestError) -> bool {
+    matches!(
+        error,
+        SendRequestError::Connect(ConnectError::Io(error))
+            if error.kind() == std::io::ErrorKind::ConnectionRefused
+    )
 }
 
-/// Waits until discovery is somewhere else.
-async fn relocated(discovery: &mut channel::Receiver<SocketAddr>) {
+/// Waits until discovery is at another address; forever once no configuration can come.
+async fn relocated(discovery: &mut Receiver<SocketAddr>) {
     if discovery.changed().await.is_err() {
         std::future::pending().await
     }
