--- a/crates/sidecar/src/downstream/connection.rs
+++ b/crates/sidecar/src/downstream/connection.rs
@@ -253,3 +253,6 @@
 fn peek(socket: &TcpStream) -> io::Result<usize> {
     socket2::SockRef::from(socket).peek(&mut [std::mem::MaybeUninit::uninit()])
 }
+
+#[cfg(test)]
+mod tests;
