--- a/crates/sidecar/src/downstream/bounded_stream.rs
+++ b/crates/sidecar/src/downstream/bounded_stream.rs
@@ -1,5 +1,7 @@
-//! A client's socket in the hands of the protocol: it tells the client's state what comes in, gives out no more at a time
-//! than the protocol can hold, and goes back when dropped, so that no library closes it over unread bytes.
+//! A client's socket as the protocol uses it: it reports to the connection what comes in, and passes on no more at a time
+//! than the protocol can buffer.
+//!
+//! Returns the socket to the connection when dropped, so that no library closes it over unread bytes.
 
 use std::io;
 use std::pin::Pin;
@@ -12,32 +14,40 @@
 use super::connection::ClientConnection;
 use crate::limits::Limits;
 
+/// Bytes of input that are thrown away by one read.
+const DISCARD_BUFFER_BYTES: usize = 2048;
+/// Reads of input to throw away, until other tasks get their turn.
+const DISCARD_READS_PER_POLL: usize = 8;
+
+/// A client's socket, in use by the protocol.
 pub struct BoundedStream {
     socket: Option<TcpStream>,
     client: Rc<ClientConnection>,
     limits: Rc<Limits>,
-    /// Bytes given out since the protocol last looked at what it has, and the most of them. Guards against memory: it
-    /// reads all requests that it holds at once, and keeps each, so it holds little more than one.
-    given: usize,
-    most: usize,
+    /// Bytes passed on since the protocol last processed its buffer, and the most of them. Guards against memory: it
+    /// reads all that it can before it looks at one request, and keeps each request, so it gets little more than one.
+    chunk_bytes: usize,
+    max_chunk_bytes: usize,
 }
 
 impl BoundedStream {
-    pub fn new(socket: TcpStream, client: Rc<ClientConnection>, limits: Rc<Limits>) -> Self {
-        Self {
-            socket: Some(socket),
-            client,
-            limits,
-            given: 0,
-            most: 0,
-        }
+    /// Takes the client's socket for the protocol; none where the connection is at its end.
+    pub fn take(client: &Rc<ClientConnection>, limits: &Rc<Limits>) -> Option<Self> {
+        Some(Self {
+            socket: Some(client.take_socket()?),
+            client: Rc::clone(client),
+            limits: Rc::clone(limits),
+            chunk_bytes: 0,
+            max_chunk_bytes: 0,
+        })
     }
 
+    /// The connection that the socket is of.
     pub fn client(&self) -> &Rc<ClientConnection> {
         &self.client
     }
 
-    /// Waits for the first byte, or the end. Guards against memory taken for clients that say nothing.
+    /// Waits for the first byte, or the end. Guards against memory taken for clients that send nothing.
     pub async fn first_byte(&self) {
         if let Some(socket) = &self.socket {
             let _ = socket.readable().await;
@@ -52,25 +62,57 @@
             .ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
 
-    /// Reads up to so many bytes; none are the end.
-    fn read(
+    /// Reads the next part of a chunk for the protocol.
+    fn poll_chunk(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.chunk_bytes == 0 {
+            let limits = &self.limits.client;
+            let body_bytes = self.client.announced_body_bytes();
+            self.max_chunk_bytes =
+                limits.read_chunk_bytes + body_bytes.min(limits.body_chunk_bytes);
+        }
+        let room = self.max_chunk_bytes.saturating_sub(self.chunk_bytes);
+        if room == 0 {
+            return self.yield_to_other_tasks(cx);
+        }
+        let read = self.poll_receive(cx, buf, room);
+        self.chunk_bytes = if let Poll::Ready(Ok(bytes)) = read {
+            self.chunk_bytes + bytes
+        } else {
+            0
+        };
+        read.map_ok(drop)
+    }
+
+    /// Throws input away. Guards against a flood behind a request in flight: the protocol would stop reading, and not
+    /// see the client leave. What is over the bound is of no request that can be served.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut discarded = [0; DISCARD_BUFFER_BYTES];
+        for _ in 0..DISCARD_READS_PER_POLL {
+            let mut buf = ReadBuf::new(&mut discarded);
+            if ready!(self.poll_receive(cx, &mut buf, DISCARD_BUFFER_BYTES))? == 0 {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        self.yield_to_other_tasks(cx)
+    }
+
+    /// Guards against a client that sends without end and gets all the time there is.
+    fn yield_to_other_tasks(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.chunk_bytes = 0;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    /// Reads up to so many bytes and reports to the connection what came; none are the end of file.
+    fn poll_receive(
         &mut self,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
-        most: usize,
+        max_bytes: usize,
     ) -> Poll<io::Result<usize>> {
-        let before = buf.filled().len();
-        // Room is cleared before it is lent in part, so a body, which may take all of it, is read without that.
-        let read = if buf.remaining() <= most {
-            self.socket()?.poll_read(cx, buf)
-        } else {
-            let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
-            let read = self.socket()?.poll_read(cx, &mut part);
-            let bytes = part.filled().len();
-            buf.advance(bytes);
-            read
-        };
-        let bytes = buf.filled().len() - before;
+        let filled_before = buf.filled().len();
+        let read = poll_read_at_most(self.socket()?, cx, buf, max_bytes);
+        let bytes = buf.filled().len() - filled_before;
         match read {
             Poll::Pending => {
                 self.client.on_input_drained();
@@ -84,9 +126,26 @@
     }
 }
 
+fn poll_read_at_most(
+    socket: Pin<&mut TcpStream>,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+    max_bytes: usize,
+) -> Poll<io::Result<()>> {
+    // A part of a buffer has to be cleared to be read into; a body, which may take all of it, is read without that.
+    if buf.remaining() <= max_bytes {
+        return socket.poll_read(cx, buf);
+    }
+    let mut part = ReadBuf::new(buf.initialize_unfilled_to(max_bytes));
+    let read = socket.poll_read(cx, &mut part);
+    let bytes = part.filled().len();
+    buf.advance(bytes);
+    read
+}
+
 impl Drop for BoundedStream {
     fn drop(&mut self) {
-        self.client.return_stream(self.socket.take());
+        self.client.on_socket_returned(self.socket.take());
     }
 }
 
@@ -96,42 +155,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        // Guards against a request that is taken after the last answer: to the protocol it is the end of file.
+        // Guards against a request that is read behind the last response: to the protocol it is the end of file.
         if self.client.sent_last_response() {
             return Poll::Ready(Ok(()));
         }
-        if !self.client.is_pipeline_full(&self.limits) {
-            if self.given == 0 {
-                self.most = self.limits.client.read_chunk_bytes
-                    + self
-                        .client
-                        .announced_body_bytes()
-                        .min(self.limits.client.body_chunk_bytes);
-            }
-            let room = self.most.saturating_sub(self.given);
-            if room > 0 {
-                let read = self.read(cx, buf, room);
-                self.given = if let Poll::Ready(Ok(bytes)) = read {
-                    self.given + bytes
-                } else {
-                    0
-                };
-                return read.map_ok(drop);
-            }
-        } else {
-            // Guards against a flood behind an open request: the protocol would stop reading, and not see the client
-            // leave. What is over the bound is of no request that can be served, and is thrown away.
-            let mut bytes = [0; 2048];
-            for _ in 0..8 {
-                if ready!(self.read(cx, &mut ReadBuf::new(&mut bytes), 2048))? == 0 {
-                    return Poll::Ready(Ok(()));
-                }
-            }
+        if self.client.is_pipeline_full(&self.limits) {
+            self.client.on_input_discarded();
+            return self.poll_discard(cx);
         }
-        // Guards against a client that sends without end and gets all the time there is.
-        self.given = 0;
-        cx.waker().wake_by_ref();
-        Poll::Pending
+        self.poll_chunk(cx, buf)
     }
 }
 
@@ -152,7 +184,7 @@
         flushed
     }
 
-    /// Nothing: the write side is shut in one place, by `linger.rs`, whatever ended the protocol.
+    /// Does nothing: the write side is shut in one place, by `lingering_close`, whatever ended the protocol.
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- /dev/null
+++ b/crates/sidecar/src/downstream/client_permits.rs
@@ -0,0 +1,109 @@
+//! How many clients are connected, and which of them gives way to a new one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+use super::connection::ClientConnection;
+use crate::limits::ClientLimits;
+
+/// Counts client connections and lends permits to those that are served.
+#[derive(Default)]
+pub struct ClientPermits {
+    /// Connections that hold a descriptor, with a permit or without.
+    open_connections: Cell<usize>,
+    /// Those with a permit, by the order in which they came.
+    permitted: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
+    next_number: Cell<u64>,
+    connection_closed: Notify,
+}
+
+impl ClientPermits {
+    /// True where no further connection is to be accepted until one closes.
+    pub fn is_accept_bound_reached(&self, limits: &ClientLimits) -> bool {
+        self.open_connections.get() >= limits.max_accepted_connections
+    }
+
+    /// True where a new client gets a permit. Guards against silent clients that fill all permits: the new one gets that
+    /// of the idlest, which is closed.
+    pub fn make_room(&self, limits: &ClientLimits) -> bool {
+        let mut permitted = self.permitted.borrow_mut();
+        if permitted.len() < limits.max_connections {
+            return true;
+        }
+        let idlest = permitted
+            .iter()
+            .filter_map(|(&number, client)| Some((client.idle_rank()?, number)))
+            .min();
+        let Some(client) = idlest.and_then(|(_, number)| permitted.remove(&number)) else {
+            return false;
+        };
+        client.begin_close();
+        true
+    }
+
+    /// Counts a connection, which is served if it is permitted and rejected otherwise.
+    pub fn admit(
+        self: &Rc<Self>,
+        client: &Rc<ClientConnection>,
+        is_permitted: bool,
+    ) -> ClientPermit {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        self.open_connections.set(self.open_connections.get() + 1);
+        if is_permitted {
+            self.permitted
+                .borrow_mut()
+                .insert(number, Rc::clone(client));
+        }
+        ClientPermit {
+            permits: Rc::clone(self),
+            number,
+        }
+    }
+
+    /// Closes the connections on which no request is begun and no response unwritten.
+    pub fn close_idle(&self) {
+        self.permitted
+            .borrow()
+            .values()
+            .filter(|client| client.idle_rank().is_some())
+            .for_each(|client| client.begin_close());
+    }
+
+    /// Waits for the next connection that closes.
+    pub async fn connection_closed(&self) {
+        self.connection_closed.notified().await;
+    }
+
+    /// Waits until no connection is open.
+    pub async fn all_closed(&self) {
+        while self.open_connections.get() > 0 {
+            self.connection_closed().await;
+        }
+    }
+}
+
+/// One client connection within the bounds; its descriptor counts until this is dropped.
+pub struct ClientPermit {
+    permits: Rc<ClientPermits>,
+    number: u64,
+}
+
+impl ClientPermit {
+    /// The connection takes no more requests: another client may get its permit.
+    pub fn on_served(&self) {
+        self.permits.permitted.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Drop for ClientPermit {
+    fn drop(&mut self) {
+        self.on_served();
+        let open_connections = &self.permits.open_connections;
+        open_connections.set(open_connections.get() - 1);
+        self.permits.connection_closed.notify_waiters();
+    }
+}
--- a/crates/sidecar/src/downstream/connection/tests.rs
+++ b/crates/sidecar/src/downstream/connection/tests.rs
@@ -186,7 +186,7 @@
     }
     Effect {
         request_complete,
-        close_requested: client.close_requested.notified().now_or_never().is_some(),
+        close_requested: client.close.requested().now_or_never().is_some(),
     }
 }
 
@@ -202,7 +202,7 @@
 
 fn assert_same(client: &ClientConnection, model: &mut Model, limits: &Limits, times: &Times) {
     assert_eq!(
-        client.is_first_since_response(),
+        client.has_received_since_response(),
         model.received_since_response
     );
     assert_eq!(client.is_closing(), model.closing);
@@ -226,10 +226,11 @@
     };
     let deadline_step = model.idle_since.and(set_by);
     assert_set_at(client.deadline(limits), deadline_step, timeout, times);
-    assert_eq!(
-        client.is_pipeline_full(limits),
-        model.is_pipeline_full(limits)
-    );
+    let is_pipeline_full = client.is_pipeline_full(limits);
+    assert_eq!(is_pipeline_full, model.is_pipeline_full(limits));
+    if is_pipeline_full {
+        client.on_input_discarded();
+    }
 }
 
 /// Plays one order up to the first step that the protocol cannot take.
@@ -237,7 +238,7 @@
     let mut times = Times::new();
     let before = Instant::now();
     let client = ClientConnection::new(None);
-    client.announce_body(BODY_BYTES);
+    client.on_body_announced(BODY_BYTES);
     times.push((before, Instant::now()));
     let mut model = Model::NEW;
     assert_same(&client, &mut model, limits, &times);
@@ -300,10 +301,10 @@
     assert_eq!(client.on_request_read(&limits).now_or_never(), Some(true));
     assert!(client.deadline(&limits).is_none(), "in flight");
     client.begin_close();
-    let _ = client.close_requested.notified().now_or_never();
+    let _ = client.close.requested().now_or_never();
     client.on_response_written();
     assert!(
-        client.close_requested.notified().now_or_never().is_some(),
+        client.close.requested().now_or_never().is_some(),
         "its earlier response was unwritten until now"
     );
     assert!(client.is_closing() && !client.sent_last_response());
--- /dev/null
+++ b/crates/sidecar/src/downstream/input_accounting.rs
@@ -0,0 +1,69 @@
+//! Counts a client's input, so that it can be bounded. What is done at a bound is not decided here.
+
+use std::cell::Cell;
+
+/// The bytes that came from a client, by what bounds them.
+#[derive(Default)]
+pub struct InputAccounting {
+    /// Bytes since there was last nothing to read.
+    burst_bytes: Cell<usize>,
+    /// Bytes that came behind the request in flight.
+    pipelined_bytes: Cell<usize>,
+    /// Bytes of a body that are announced and have not come.
+    announced_body_bytes: Cell<usize>,
+    /// Some input was discarded, so what follows it cannot be read.
+    is_discarded: Cell<bool>,
+}
+
+impl InputAccounting {
+    /// Bytes came, behind a request in flight or not.
+    pub fn on_received(&self, bytes: usize, behind_request: bool) {
+        self.burst_bytes.set(self.burst_bytes.get() + bytes);
+        self.announced_body_bytes
+            .set(self.announced_body_bytes.get().saturating_sub(bytes));
+        if behind_request {
+            self.pipelined_bytes.set(self.pipelined_bytes.get() + bytes);
+        }
+    }
+
+    /// There is nothing more to read for now.
+    pub fn on_drained(&self) {
+        self.burst_bytes.set(0);
+    }
+
+    /// A request's head announced a body of so many bytes.
+    pub fn on_body_announced(&self, bytes: usize) {
+        self.announced_body_bytes.set(bytes);
+    }
+
+    /// A request was read to its end: what comes now is pipelined behind it.
+    pub fn on_request_read(&self) {
+        self.pipelined_bytes.set(0);
+        self.announced_body_bytes.set(0);
+    }
+
+    /// Input is thrown away.
+    pub fn on_discarded(&self) {
+        self.is_discarded.set(true);
+    }
+
+    /// Bytes since there was last nothing to read.
+    pub fn burst_bytes(&self) -> usize {
+        self.burst_bytes.get()
+    }
+
+    /// Bytes that came behind the request in flight.
+    pub fn pipelined_bytes(&self) -> usize {
+        self.pipelined_bytes.get()
+    }
+
+    /// Bytes of a body that are announced and have not come.
+    pub fn announced_body_bytes(&self) -> usize {
+        self.announced_body_bytes.get()
+    }
+
+    /// True once input was thrown away.
+    pub fn is_discarded(&self) -> bool {
+        self.is_discarded.get()
+    }
+}
--- a/crates/sidecar/src/downstream/lingering_close.rs
+++ b/crates/sidecar/src/downstream/lingering_close.rs
@@ -1,5 +1,7 @@
-//! The one end of a client's connection, whatever the reason: all answers are with the machine and nothing more is taken;
-//! the write side is shut, what still comes is thrown away until the client ends its side or a bound, then it closes.
+//! The one end of a client's connection, whatever the reason.
+//!
+//! All responses are with the operating system and no request is read any more: the write side is shut, and what still
+//! comes is thrown away until the client ends its side or a bound is reached; then the socket closes.
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -7,26 +9,31 @@
 
 use crate::limits::Limits;
 
-/// Guards against a close over unread bytes: that is a reset, which takes the end of the last answer with it. `wanted`
-/// ends it early, where its descriptor is needed for a new client.
-pub async fn lingering_close(mut socket: TcpStream, limits: &Limits, wanted: &Notify) {
+/// Bytes that are thrown away by one read.
+const DISCARD_BUFFER_BYTES: usize = 4096;
+
+/// Closes a socket. Guards against a close over unread bytes: that is a reset, which takes the end of the last response
+/// with it. `descriptor_wanted` ends it early, where a new client needs the descriptor.
+pub async fn lingering_close(mut socket: TcpStream, limits: &Limits, descriptor_wanted: &Notify) {
     if socket.shutdown().await.is_err() {
         return;
     }
-    let read = async {
-        let mut left = limits.client.max_lingering_bytes;
-        let mut bytes = vec![0; 4096];
-        while let Ok(read @ 1..) = socket.read(&mut bytes).await {
-            // Guards against a flood that is read for nothing until the time is over.
-            let Some(rest) = left.checked_sub(read) else {
-                return;
-            };
-            left = rest;
-        }
-    };
     tokio::select! {
-        () = read => {}
+        () = discard_input(&mut socket, limits.client.max_lingering_bytes) => {}
         () = tokio::time::sleep(limits.client.lingering_close_timeout) => {}
-        () = wanted.notified() => {}
+        () = descriptor_wanted.notified() => {}
+    }
+}
+
+/// Reads up to the end of file, or to more than so many bytes. Guards against a flood that is read for nothing until the
+/// time is over.
+async fn discard_input(socket: &mut TcpStream, max_bytes: usize) {
+    let mut remaining_bytes = max_bytes;
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    while let Ok(bytes @ 1..) = socket.read(&mut buffer).await {
+        let Some(remaining) = remaining_bytes.checked_sub(bytes) else {
+            return;
+        };
+        remaining_bytes = remaining;
     }
 }
--- /dev/null
+++ b/crates/sidecar/src/downstream/request_handler.rs
@@ -0,0 +1,112 @@
+//! One request, from its head to its response: the sidecar's own paths, and all others by the proxy.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use actix_http::{ConnectionType, Request, StatusCode};
+
+use super::connection::ClientConnection;
+use super::malformed_request::MalformedRequest;
+use super::request::read_request;
+use super::response::{self, ClientResponse, plain_text};
+use crate::host::BalancerHost;
+use crate::proxy;
+use crate::upstream::Upstream;
+
+/// Responds to requests; shared by all connections of a listener.
+pub struct RequestHandler {
+    host: Rc<BalancerHost>,
+    upstream: Rc<Upstream>,
+    is_shutting_down: Cell<bool>,
+}
+
+impl RequestHandler {
+    /// A handler that forwards by the upstream.
+    pub fn new(host: Rc<BalancerHost>, upstream: Rc<Upstream>) -> Rc<Self> {
+        Rc::new(Self {
+            host,
+            upstream,
+            is_shutting_down: Cell::new(false),
+        })
+    }
+
+    /// What decides where requests go, and counts them.
+    pub fn host(&self) -> &BalancerHost {
+        &self.host
+    }
+
+    /// From now on no response leaves its connection open.
+    pub fn on_shutdown(&self) {
+        self.is_shutting_down.set(true);
+    }
+
+    /// True once no response leaves its connection open.
+    pub fn is_shutting_down(&self) -> bool {
+        self.is_shutting_down.get()
+    }
+
+    /// Responds to a request of a client that holds a permit.
+    pub async fn handle(&self, request: Request) -> ClientResponse {
+        let client = connection(&request).unwrap_or_else(|| ClientConnection::new(None));
+        let mut response = self.respond(request, &client).await;
+        if self.is_shutting_down() || client.is_closing() {
+            response = response::last_on_connection(response);
+        }
+        let is_last = response.head().connection_type() == ConnectionType::Close;
+        client.on_response_made(is_last);
+        response
+    }
+
+    /// Rejects a request of a client past the bound on connections. Guards against a full descriptor table: such a
+    /// client gets its response at once.
+    pub fn reject_over_capacity(&self, request: &Request) -> ClientResponse {
+        self.host.counters.requests_over_capacity.add();
+        let response = response::over_capacity(self.host.limits.default_retry_after);
+        if let Some(client) = connection(request) {
+            client.on_response_made(true);
+        }
+        response
+    }
+
+    async fn respond(&self, request: Request, client: &ClientConnection) -> ClientResponse {
+        match request.path() {
+            "/ready" => self.readiness(),
+            "/counters" => plain_text(StatusCode::OK, self.host.counters.to_string()),
+            _ => match self.forward(request, client).await {
+                Ok(response) => response,
+                Err(error) => self.reject(&error),
+            },
+        }
+    }
+
+    fn readiness(&self) -> ClientResponse {
+        if self.host.is_ready() {
+            plain_text(StatusCode::OK, "ready\n")
+        } else {
+            plain_text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no job server is known yet\n",
+            )
+        }
+    }
+
+    async fn forward(
+        &self,
+        request: Request,
+        client: &ClientConnection,
+    ) -> Result<ClientResponse, MalformedRequest> {
+        let request = read_request(&self.host, request, client).await?;
+        let (host, upstream) = (Rc::clone(&self.host), Rc::clone(&self.upstream));
+        response::from_proxy(proxy::run(host, upstream, request).await)
+    }
+
+    fn reject(&self, error: &MalformedRequest) -> ClientResponse {
+        self.host.counters.requests_malformed.add();
+        response::malformed(error)
+    }
+}
+
+/// The connection that a request came by, as `http` attached it.
+fn connection(request: &Request) -> Option<Rc<ClientConnection>> {
+    request.conn_data::<Rc<ClientConnection>>().cloned()
+}
