--- a/crates/sidecar/src/discovery/watcher.rs
+++ b/crates/sidecar/src/discovery/watcher.rs
@@ -67,6 +67,7 @@
 
 /// Why a watch is over.
 enum WatchExit {
+    /// It could not be opened, or it ended or failed.
     Ended(WatchError),
     /// The balancer asked for another poll meanwhile.
     Superseded,
--- a/crates/sidecar/src/downstream/connection/tests.rs
+++ b/crates/sidecar/src/downstream/connection/tests.rs
@@ -1,165 +1,21 @@
-//! Plays all short orders of events against a connection and a model of twelve independent fields, and lists the
+//! Plays all short orders of events against a connection and a model of independent fields, and lists the
 //! combinations of those fields that occur.
 
+mod model;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use futures_util::FutureExt as _;
 
+use model::{BODY_BYTES, Combination, Effect, Model, RECEIVED_BYTES, STEPS, Step};
+
 use super::*;
 use crate::limits::Basis;
 
+/// Steps of an order: enough to reach each combination, and few enough to play all orders.
 const ORDER_LENGTH: usize = 6;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Step {
-    Received,
-    InputDrained,
-    RequestRead,
-    ResponseMade { last: bool },
-    ResponseWritten,
-    BeginClose,
-    Disconnected,
-}
-
-const STEPS: [Step; 8] = [
-    Step::Received,
-    Step::InputDrained,
-    Step::RequestRead,
-    Step::ResponseMade { last: false },
-    Step::ResponseMade { last: true },
-    Step::ResponseWritten,
-    Step::BeginClose,
-    Step::Disconnected,
-];
-
-/// The fields of a connection, each on its own; a time is the number of the step that set it.
-#[derive(Clone, Copy)]
-struct Model {
-    idle_since: Option<usize>,
-    request_started: Option<usize>,
-    received_since_response: bool,
-    has_been_answered: bool,
-    response_unwritten: bool,
-    closing: bool,
-    sent_last_response: bool,
-    pipelined_bytes: usize,
-    discarded_input: bool,
-    burst_bytes: usize,
-    announced_body_bytes: usize,
-    disconnected: bool,
-}
-
-/// What of the fields excludes each other, or does not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Combination {
-    idle: bool,
-    started: bool,
-    received: bool,
-}
-
-/// What a step does beside the state.
-#[derive(Debug, PartialEq)]
-struct Effect {
-    /// Whether all input of a request was read; nothing while that is open.
-    request_complete: Option<bool>,
-    close_requested: bool,
-}
-
-impl Model {
-    const NEW: Self = Self {
-        idle_since: Some(0),
-        request_started: None,
-        received_since_response: false,
-        has_been_answered: false,
-        response_unwritten: false,
-        closing: false,
-        sent_last_response: false,
-        pipelined_bytes: 0,
-        discarded_input: false,
-        burst_bytes: 0,
-        announced_body_bytes: BODY_BYTES,
-        disconnected: false,
-    };
-
-    /// True for steps that the protocol can take: input is not read behind the last response, and a request is begun
-    /// only where bytes came since the last response and no other is in flight.
-    fn allows(&self, step: Step) -> bool {
-        match step {
-            Step::Received => !self.sent_last_response,
-            Step::RequestRead => self.received_since_response && self.idle_since.is_some(),
-            _ => true,
-        }
-    }
-
-    fn take(&mut self, step: Step, number: usize, limits: &Limits) -> Effect {
-        let mut effect = Effect {
-            request_complete: None,
-            close_requested: false,
-        };
-        match step {
-            Step::Received => {
-                self.received_since_response = true;
-                self.burst_bytes += RECEIVED_BYTES;
-                self.announced_body_bytes =
-                    self.announced_body_bytes.saturating_sub(RECEIVED_BYTES);
-                if self.idle_since.is_none() {
-                    self.pipelined_bytes += RECEIVED_BYTES;
-                }
-                self.request_started.get_or_insert(number);
-            }
-            Step::InputDrained => self.burst_bytes = 0,
-            Step::RequestRead => {
-                self.idle_since = None;
-                self.pipelined_bytes = 0;
-                self.announced_body_bytes = 0;
-                effect.request_complete = match self.burst_bytes {
-                    0 => Some(true),
-                    bytes if bytes >= limits.client.max_burst_bytes => Some(false),
-                    _ => self.disconnected.then_some(false),
-                };
-            }
-            Step::ResponseMade { last } => {
-                self.idle_since = Some(number);
-                self.request_started = None;
-                self.received_since_response = false;
-                self.has_been_answered = true;
-                self.response_unwritten = true;
-                self.sent_last_response |= last;
-                self.closing |= self.discarded_input;
-            }
-            Step::ResponseWritten => {
-                effect.close_requested = self.response_unwritten && self.closing;
-                self.response_unwritten = false;
-            }
-            Step::BeginClose => {
-                self.closing = true;
-                effect.close_requested = true;
-            }
-            Step::Disconnected => self.disconnected = true,
-        }
-        effect
-    }
-
-    fn is_pipeline_full(&mut self, limits: &Limits) -> bool {
-        let full =
-            self.idle_since.is_none() && self.pipelined_bytes >= limits.client.max_pipelined_bytes;
-        self.discarded_input |= full;
-        full
-    }
-
-    fn combination(&self) -> Combination {
-        Combination {
-            idle: self.idle_since.is_some(),
-            started: self.request_started.is_some(),
-            received: self.received_since_response,
-        }
-    }
-}
-
-const RECEIVED_BYTES: usize = 10;
-const BODY_BYTES: usize = 25;
-
 fn limits() -> Limits {
     let mut limits = Limits::derive(&Basis {
         sockets: 64,
@@ -309,3 +165,39 @@
     );
     assert!(client.is_closing() && !client.sent_last_response());
 }
+
+/// True where the connection is to end within a moment.
+async fn times_out(client: &ClientConnection, limits: &Limits) -> bool {
+    tokio::time::timeout(Duration::from_millis(50), client.timed_out(limits))
+        .await
+        .is_ok()
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn closing_connection_stays_until_its_response_is_written() {
+    let limits = Limits::derive(&Basis {
+        sockets: 64,
+        ..Default::default()
+    });
+    let client = ClientConnection::new(None);
+    client.begin_close();
+    assert!(times_out(&client, &limits).await, "idle");
+    client.begin_close();
+    client.on_received(1);
+    assert!(!times_out(&client, &limits).await, "a request has begun");
+    client.on_input_drained();
+    assert!(
+        client.on_request_read(&limits).await,
+        "nothing more is to be read"
+    );
+    client.begin_close();
+    assert!(!times_out(&client, &limits).await, "a request is in flight");
+    client.on_response_made(false);
+    client.begin_close();
+    assert!(
+        !times_out(&client, &limits).await,
+        "its response is not written"
+    );
+    client.on_response_written();
+    assert!(times_out(&client, &limits).await, "its response is written");
+}
--- a/crates/sidecar/src/downstream/lifecycle.rs
+++ b/crates/sidecar/src/downstream/lifecycle.rs
@@ -8,10 +8,15 @@
 #[derive(Clone, Copy)]
 pub enum Lifecycle {
     /// No byte of a request came since it connected, or since its last response was made.
-    Idle { since: Instant },
+    Idle {
+        /// When it connected or was answered.
+        since: Instant,
+    },
     /// A part of a request came.
     Reading {
+        /// When it connected or was answered.
         idle_since: Instant,
+        /// When the request's first byte came.
         started_at: Instant,
     },
     /// Its request was read to the end; the response is not made.
--- a/crates/sidecar/src/downstream/malformed_request.rs
+++ b/crates/sidecar/src/downstream/malformed_request.rs
@@ -12,6 +12,7 @@
     /// A header that the proxy needs is empty, too long or no text.
     #[error("a header cannot be read")]
     HeaderUnreadable,
+    /// The request has no id.
     #[error("X-Request-ID is missing")]
     RequestIdMissing,
     /// The class is missing or not configured.
@@ -20,13 +21,16 @@
     /// The class requires a key, by which servers drop repeated requests.
     #[error("Idempotency-Key is missing")]
     IdempotencyKeyMissing,
+    /// The method is none that servers take.
     #[error("the method is not GET or POST")]
     MethodNotAllowed,
     /// The target has no path that could be sent to a server.
     #[error("the target is not a path")]
     TargetNotPath,
+    /// The path and query have more characters than the bound.
     #[error("the target is too long")]
     TargetTooLong,
+    /// The body has more bytes than the bound, or is announced to have.
     #[error("the body is too large")]
     BodyTooLarge,
     /// The body's framing is broken, or the client left within it.
@@ -55,3 +59,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/downstream/mod.rs
+++ b/crates/sidecar/src/downstream/mod.rs
@@ -24,5 +24,3 @@
 mod request_headers;
 mod response;
 mod socket_slot;
-#[cfg(test)]
-mod tests;
--- a/crates/sidecar/src/downstream/request_headers.rs
+++ b/crates/sidecar/src/downstream/request_headers.rs
@@ -23,8 +23,11 @@
 
 /// What a request's headers say, beside those that are forwarded.
 pub struct RequestHeaders {
+    /// The client's name of the request.
     pub id: String,
+    /// By which servers drop repeated requests.
     pub idempotency_key: Option<String>,
+    /// The priority class, one that is configured.
     pub class: ClassId,
     /// How long the client waits, from the request's last byte.
     pub client_timeout: Duration,
@@ -128,3 +131,6 @@
         .contains(&micros)
         .then(|| Duration::from_micros(micros as u64))
 }
+
+#[cfg(test)]
+mod tests;
