--- a/crates/sidecar/src/discovery/watch_cursor.rs
+++ b/crates/sidecar/src/discovery/watch_cursor.rs
@@ -36,8 +36,9 @@
 
     /// A list came; returns its version for the balancer.
     pub fn on_list_received(&self, list: &EndpointList) -> u64 {
-        // Guards against a discovery that counts from lower down, a new one or one that was restarted: it was
-        // polled for changes after the cursor and sent the whole list instead, so that list is no old one.
+        // Guards against a discovery that counts from lower down, a new one or one that was
+        // restarted: it was polled for changes after the cursor and sent the whole list instead, so
+        // that list is no old one.
         let is_first = self.awaiting_first_list.replace(false);
         if is_first && list.all && list.rev < self.revision.get() {
             self.version_offset
@@ -47,8 +48,8 @@
         self.version_offset.get() + list.rev
     }
 
-    /// An object was unreadable. Guards against changes that are lost with it: the next list would move the cursor
-    /// past them, so the next poll asks for the whole list.
+    /// An object was unreadable. Guards against changes that are lost with it: the next list would
+    /// move the cursor past them, so the next poll asks for the whole list.
     pub fn on_object_unreadable(&self) {
         self.revision.set(0);
     }
--- a/crates/sidecar/src/discovery/watcher.rs
+++ b/crates/sidecar/src/discovery/watcher.rs
@@ -1,5 +1,5 @@
-//! When discovery is polled: for each poll that the balancer asks for, and at once where discovery was relocated or where
-//! the endpoint list would otherwise count as stale.
+//! When discovery is polled: for each poll that the balancer asks for, and at once where discovery
+//! was relocated or where the endpoint list would otherwise count as stale.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,12 +15,12 @@
 use crate::host::BalancerHost;
 use crate::limits::Limits;
 
-/// An early poll comes after at least this part of the retry delay; the rest is drawn, so that many sidecars do not poll
-/// in step.
+/// An early poll comes after at least this part of the retry delay; the rest is drawn, so that many
+/// sidecars do not poll in step.
 const MIN_RETRY_DELAY_FACTOR: f64 = 0.25;
 
-/// Follows discovery for as long as the program runs. `discovery` is where it is, `revision` that of the cached endpoint
-/// list, 0 if there is none; `seed` is of the delays of early polls.
+/// Follows discovery for as long as the program runs. `discovery` is where it is, `revision` that
+/// of the cached endpoint list, 0 if there is none; `seed` is of the delays of early polls.
 pub async fn follow(
     host: Rc<BalancerHost>,
     discovery: Receiver<SocketAddr>,
@@ -94,14 +94,16 @@
         loop {
             tokio::select! {
                 error = &mut watch => return WatchExit::Ended(error),
-                // Guards against an early poll that loses its turn at a crowded discovery: it is the one asked for.
+                // Guards against an early poll that loses its turn at a crowded discovery: it is
+                // the one asked for.
                 () = host.poll_requested(), if reason == PollReason::Early => {
                     reason = PollReason::Requested;
                 }
                 () = host.poll_requested(), if reason == PollReason::Requested => {
                     return WatchExit::Superseded;
                 }
-                // Guards against changes missed while the old address goes on or fails: the watch moves at once.
+                // Guards against changes missed while the old address goes on or fails: the watch
+                // moves at once.
                 () = relocated(&mut self.discovery) => return WatchExit::Relocated,
             }
         }
@@ -109,7 +111,8 @@
 
     /// Waits until discovery is to be polled again after a watch has ended.
     async fn next_poll(&mut self) -> PollReason {
-        // Guards against a backoff of the balancer's that outlasts the grace in which the list still counts as fresh.
+        // Guards against a backoff of the balancer's that outlasts the grace in which the list
+        // still counts as fresh.
         let needs_immediate_poll = self.host.list_freshness().needs_immediate_poll();
         let delay =
             self.limits.discovery.poll_retry_delay.mul_f64(
@@ -150,7 +153,8 @@
             .update_list_freshness(|freshness, _| freshness.on_poll_abandoned());
     }
 
-    /// From now on the list counts as fresh for a bounded time, whether or not a poll gets through by then.
+    /// From now on the list counts as fresh for a bounded time, whether or not a poll gets through
+    /// by then.
     fn on_discovery_relocated(&self) {
         self.host
             .update_list_freshness(|freshness, now| freshness.on_discovery_relocated(now));
--- a/crates/sidecar/src/downstream/bounded_stream.rs
+++ b/crates/sidecar/src/downstream/bounded_stream.rs
@@ -1,7 +1,8 @@
-//! A client's socket as the protocol uses it: it reports to the connection what comes in, and passes on no more at a time
-//! than the protocol can buffer.
+//! A client's socket as the protocol uses it: it reports to the connection what comes in, and
+//! passes on no more at a time than the protocol can buffer.
 //!
-//! Returns the socket to the connection when dropped, so that no library closes it over unread bytes.
+//! Returns the socket to the connection when dropped, so that no library closes it over unread
+//! bytes.
 
 use std::io;
 use std::pin::Pin;
@@ -24,8 +25,9 @@
     socket: Option<TcpStream>,
     client: Rc<ClientConnection>,
     limits: Rc<Limits>,
-    /// Bytes passed on since the protocol last processed its buffer, and the most of them. Guards against memory: it
-    /// reads all that it can before it looks at one request, and keeps each request, so it gets little more than one.
+    /// Bytes passed on since the protocol last processed its buffer, and the most of them. Bounds
+    /// memory: the protocol reads all that it can before it processes one request, and keeps each,
+    /// so it gets little more than one.
     chunk_bytes: usize,
     max_chunk_bytes: usize,
 }
@@ -47,7 +49,8 @@
         &self.client
     }
 
-    /// Waits for the first byte, or the end. Guards against memory taken for clients that send nothing.
+    /// Waits for the first byte, or the end. Guards against memory that the protocol takes for
+    /// clients that send nothing.
     pub async fn first_byte(&self) {
         if let Some(socket) = &self.socket {
             let _ = socket.readable().await;
@@ -83,8 +86,9 @@
         read.map_ok(drop)
     }
 
-    /// Throws input away. Guards against a flood behind a request in flight: the protocol would stop reading, and not
-    /// see the client leave. What is over the bound is of no request that can be served.
+    /// Throws input away. Guards against a flood behind a request in flight: the protocol would
+    /// stop reading, and not see the client leave. What is over the bound is of no request that can
+    /// be served.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut discarded = [0; DISCARD_BUFFER_BYTES];
         for _ in 0..DISCARD_READS_PER_POLL {
@@ -132,7 +136,8 @@
     buf: &mut ReadBuf<'_>,
     max_bytes: usize,
 ) -> Poll<io::Result<()>> {
-    // A part of a buffer has to be cleared to be read into; a body, which may take all of it, is read without that.
+    // A part of a buffer has to be cleared to be read into; a body, which may take all of it, is
+    // read without that.
     if buf.remaining() <= max_bytes {
         return socket.poll_read(cx, buf);
     }
@@ -155,7 +160,8 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        // Guards against a request that is read behind the last response: to the protocol it is the end of file.
+        // Guards against a request that is read behind the last response: to the protocol it is the
+        // end of file.
         if self.client.sent_last_response() {
             return Poll::Ready(Ok(()));
         }
@@ -184,7 +190,8 @@
         flushed
     }
 
-    /// Does nothing: the write side is shut in one place, by `lingering_close`, whatever ended the protocol.
+    /// Does nothing: the write side is shut in one place, by `lingering_close`, whatever ended the
+    /// protocol.
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/crates/sidecar/src/downstream/client_permits.rs
+++ b/crates/sidecar/src/downstream/client_permits.rs
@@ -26,8 +26,8 @@
         self.open_connections.get() >= limits.max_accepted_connections
     }
 
-    /// True where a new client gets a permit. Guards against silent clients that fill all permits: the new one gets that
-    /// of the idlest, which is closed.
+    /// True where a new client gets a permit. Guards against silent clients that fill all permits:
+    /// the new one gets that of the idlest, which is closed.
     pub fn make_room(&self, limits: &ClientLimits) -> bool {
         let mut permitted = self.permitted.borrow_mut();
         if permitted.len() < limits.max_connections {
--- a/crates/sidecar/src/downstream/close_state.rs
+++ b/crates/sidecar/src/downstream/close_state.rs
@@ -1,7 +1,7 @@
 //! Whether a connection is to close, and what is still to be written before it does.
 //!
-//! The flags exclude nothing and so are no enum: a close may be requested before, during and after the last response,
-//! and a response may end the connection though no close was requested.
+//! The flags exclude nothing and so are no enum: a close may be requested before, during and after
+//! the last response, and a response may end the connection though no close was requested.
 
 use std::cell::Cell;
 
@@ -26,7 +26,8 @@
         self.close_requested.notify_one();
     }
 
-    /// A response was made; the last where it says so. Closes behind it where no further request can be read.
+    /// A response was made; the last where it says so. Closes behind it where no further request
+    /// can be read.
     pub fn on_response_made(&self, last: bool, input_unreadable: bool) {
         self.response_unwritten.set(true);
         self.sent_last_response
--- a/crates/sidecar/src/downstream/connection.rs
+++ b/crates/sidecar/src/downstream/connection.rs
@@ -1,6 +1,8 @@
-//! One client's connection: what the client is doing, how much it sent, until when it may go on, and its socket.
+//! One client's connection: what the client is doing, how much it sent, until when it may go on,
+//! and its socket.
 //!
-//! Owns the state, not the reading (`bounded_stream`) and not the end of the socket (`lingering_close`).
+//! Owns the state, not the reading (`bounded_stream`) and not the end of the socket
+//! (`lingering_close`).
 
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -17,14 +19,15 @@
 use crate::limits::Limits;
 use crate::proxy::ClientPresence;
 
-/// While a request is in flight there is no deadline, and it is looked for again so often in an idle timeout.
+/// While a request is in flight there is no deadline, and it is looked for again so often in an
+/// idle timeout.
 const DEADLINE_CHECKS_PER_IDLE_TIMEOUT: u32 = 4;
 
 /// What is known of a client, shared by its connection and by the requests on it.
 pub struct ClientConnection {
     lifecycle: Cell<Lifecycle>,
-    /// A response was made before.
-    has_been_answered: Cell<bool>,
+    /// A response was made on this connection before.
+    has_had_response: Cell<bool>,
     input: InputAccounting,
     close: CloseState,
     presence: ClientPresence,
@@ -37,7 +40,7 @@
     pub fn new(socket: Option<TcpStream>) -> Rc<Self> {
         Rc::new(Self {
             lifecycle: Cell::new(Lifecycle::idle_now()),
-            has_been_answered: Cell::new(false),
+            has_had_response: Cell::new(false),
             input: InputAccounting::default(),
             close: CloseState::default(),
             presence: ClientPresence::default(),
@@ -45,7 +48,8 @@
         })
     }
 
-    /// Takes the socket, for the protocol or for the connection's end; none while the protocol uses it.
+    /// Takes the socket, for the protocol or for the connection's end; none while the protocol uses
+    /// it.
     pub fn take_socket(&self) -> Option<TcpStream> {
         self.socket.take()
     }
@@ -55,7 +59,8 @@
         self.socket.put_back(socket);
     }
 
-    /// True where bytes lie unread in a socket on which no request was begun: they came as it was chosen for closing.
+    /// True where bytes lie unread in a socket on which no request was begun: they came as it was
+    /// chosen for closing.
     pub fn has_unread_request(&self) -> bool {
         self.idle_rank().is_some()
             && !self.close.sent_last_response()
@@ -95,7 +100,8 @@
         self.input.announced_body_bytes()
     }
 
-    /// False for a request of which no byte came since the last response: a client sends one at a time.
+    /// False for a request of which no byte came since the last response: a client sends one at a
+    /// time.
     pub fn has_received_since_response(&self) -> bool {
         self.lifecycle.get().has_input()
     }
@@ -111,8 +117,9 @@
         self.input.on_discarded();
     }
 
-    /// A request was read to its end; waits until nothing more is to be read, and returns whether that came to be.
-    /// Guards against a start for a client that has left: its end of file lies behind all that it sent.
+    /// A request was read to its end; waits until nothing more is to be read, and returns whether
+    /// that came to be. Guards against a start for a client that has left: its end of file lies
+    /// behind all that it sent.
     pub async fn on_request_read(&self, limits: &Limits) -> bool {
         self.lifecycle.set(Lifecycle::InFlight);
         self.input.on_request_read();
@@ -129,7 +136,7 @@
     /// A response was made; the last one where it says so.
     pub fn on_response_made(&self, last: bool) {
         self.lifecycle.set(Lifecycle::idle_now());
-        self.has_been_answered.set(true);
+        self.has_had_response.set(true);
         self.close.on_response_made(last, self.input.is_discarded());
     }
 
@@ -153,21 +160,21 @@
         self.close.is_closing()
     }
 
-    /// Which connection gives way first where permits are short, the lowest rank ahead; none while it is in use. Those
-    /// with a response go first, since they send further requests on a new connection, then those idle for longest.
-    /// Guards first requests against a crowd that sends nothing: a client that has connected ahead of its request would
-    /// lose that with its permit.
+    /// Which connection gives way first where permits are short, the lowest rank ahead; none while
+    /// it is in use. Those with a response go first, since they send further requests on a new
+    /// connection, then those idle for longest. Guards first requests against a crowd that sends
+    /// nothing: a client that has connected ahead of its request would lose that with its permit.
     pub fn idle_rank(&self) -> Option<(bool, Instant)> {
         match self.lifecycle.get() {
             Lifecycle::Idle { since } if !self.close.is_response_unwritten() => {
-                Some((!self.has_been_answered.get(), since))
+                Some((!self.has_had_response.get(), since))
             }
             _ => None,
         }
     }
 
-    /// Waits until the connection is to end: its deadline has passed, or it is closing and idle. Guards against permits
-    /// of clients that send nothing, or never end what they send.
+    /// Waits until the connection is to end: its deadline has passed, or it is closing and idle.
+    /// Guards against permits of clients that send nothing, or never end what they send.
     pub async fn timed_out(&self, limits: &Limits) {
         let recheck = limits.client.idle_timeout / DEADLINE_CHECKS_PER_IDLE_TIMEOUT;
         loop {
@@ -184,8 +191,9 @@
         }
     }
 
-    /// Guards against a request that the operating system has and this program has not read yet: the sockets are polled
-    /// once more before "idle" counts, and a request that is read gets its response.
+    /// Guards against a request that the operating system has and this program has not read yet:
+    /// the sockets are polled once more before "idle" counts, and a request that is read gets its
+    /// response.
     async fn is_still_idle(&self) -> bool {
         tokio::task::yield_now().await;
         self.idle_rank().is_some()
@@ -199,7 +207,7 @@
     fn deadline(&self, limits: &Limits) -> Option<Instant> {
         self.lifecycle
             .get()
-            .deadline(self.has_been_answered.get(), &limits.client)
+            .deadline(self.has_had_response.get(), &limits.client)
     }
 }
 
--- a/crates/sidecar/src/downstream/connection/tests.rs
+++ b/crates/sidecar/src/downstream/connection/tests.rs
@@ -1,5 +1,5 @@
-//! Plays all short orders of events against a connection and a model of independent fields, and lists the
-//! combinations of those fields that occur.
+//! Plays all short orders of events against a connection and a model of independent fields, and
+//! lists the combinations of those fields that occur.
 
 mod model;
 
@@ -74,10 +74,10 @@
         Duration::ZERO,
         times,
     );
-    assert!(rank.is_none_or(|(first, _)| first != model.has_been_answered));
+    assert!(rank.is_none_or(|(first, _)| first != model.has_had_response));
     let (set_by, timeout) = match model.request_started {
         None => (model.idle_since, limits.client.idle_timeout),
-        started if model.has_been_answered => (started, limits.client.request_read_timeout),
+        started if model.has_had_response => (started, limits.client.request_read_timeout),
         started => (started, limits.client.first_request_timeout),
     };
     let deadline_step = model.idle_since.and(set_by);
@@ -144,7 +144,8 @@
     );
 }
 
-/// A response that is still being written, the last response and a requested close exclude nothing: they stay flags.
+/// A response that is still being written, the last response and a requested close exclude nothing:
+/// they stay flags.
 #[test]
 fn unwritten_response_goes_with_idle_and_reading_and_in_flight() {
     let limits = limits();
--- a/crates/sidecar/src/downstream/connection/tests/model.rs
+++ b/crates/sidecar/src/downstream/connection/tests/model.rs
@@ -1,4 +1,5 @@
-//! A connection's state as independent fields, and the steps that change it: the reference for the tests.
+//! A connection's state as independent fields, and the steps that change it: the reference for the
+//! tests.
 
 use crate::limits::Limits;
 
@@ -37,7 +38,7 @@
     pub idle_since: Option<usize>,
     pub request_started: Option<usize>,
     pub received_since_response: bool,
-    pub has_been_answered: bool,
+    pub has_had_response: bool,
     pub response_unwritten: bool,
     pub closing: bool,
     pub sent_last_response: bool,
@@ -70,7 +71,7 @@
         idle_since: Some(0),
         request_started: None,
         received_since_response: false,
-        has_been_answered: false,
+        has_had_response: false,
         response_unwritten: false,
         closing: false,
         sent_last_response: false,
@@ -81,8 +82,8 @@
         disconnected: false,
     };
 
-    /// True for steps that the protocol can take: input is not read behind the last response, and a request is begun
-    /// only where bytes came since the last response and no other is in flight.
+    /// True for steps that the protocol can take: input is not read behind the last response, and a
+    /// request is begun only where bytes came since the last response and no other is in flight.
     pub fn allows(&self, step: Step) -> bool {
         match step {
             Step::Received => !self.sent_last_response,
@@ -98,36 +99,10 @@
             close_requested: false,
         };
         match step {
-            Step::Received => {
-                self.received_since_response = true;
-                self.burst_bytes += RECEIVED_BYTES;
-                self.announced_body_bytes =
-                    self.announced_body_bytes.saturating_sub(RECEIVED_BYTES);
-                if self.idle_since.is_none() {
-                    self.pipelined_bytes += RECEIVED_BYTES;
-                }
-                self.request_started.get_or_insert(number);
-            }
+            Step::Received => self.on_received(number),
             Step::InputDrained => self.burst_bytes = 0,
-            Step::RequestRead => {
-                self.idle_since = None;
-                self.pipelined_bytes = 0;
-                self.announced_body_bytes = 0;
-                effect.request_complete = match self.burst_bytes {
-                    0 => Some(true),
-                    bytes if bytes >= limits.client.max_burst_bytes => Some(false),
-                    _ => self.disconnected.then_some(false),
-                };
-            }
-            Step::ResponseMade { last } => {
-                self.idle_since = Some(number);
-                self.request_started = None;
-                self.received_since_response = false;
-                self.has_been_answered = true;
-                self.response_unwritten = true;
-                self.sent_last_response |= last;
-                self.closing |= self.discarded_input;
-            }
+            Step::RequestRead => effect.request_complete = self.on_request_read(limits),
+            Step::ResponseMade { last } => self.on_response_made(last, number),
             Step::ResponseWritten => {
                 effect.close_requested = self.response_unwritten && self.closing;
                 self.response_unwritten = false;
@@ -141,6 +116,37 @@
         effect
     }
 
+    fn on_received(&mut self, number: usize) {
+        self.received_since_response = true;
+        self.burst_bytes += RECEIVED_BYTES;
+        self.announced_body_bytes = self.announced_body_bytes.saturating_sub(RECEIVED_BYTES);
+        if self.idle_since.is_none() {
+            self.pipelined_bytes += RECEIVED_BYTES;
+        }
+        self.request_started.get_or_insert(number);
+    }
+
+    fn on_request_read(&mut self, limits: &Limits) -> Option<bool> {
+        self.idle_since = None;
+        self.pipelined_bytes = 0;
+        self.announced_body_bytes = 0;
+        match self.burst_bytes {
+            0 => Some(true),
+            bytes if bytes >= limits.client.max_burst_bytes => Some(false),
+            _ => self.disconnected.then_some(false),
+        }
+    }
+
+    fn on_response_made(&mut self, last: bool, number: usize) {
+        self.idle_since = Some(number);
+        self.request_started = None;
+        self.received_since_response = false;
+        self.has_had_response = true;
+        self.response_unwritten = true;
+        self.sent_last_response |= last;
+        self.closing |= self.discarded_input;
+    }
+
     /// Whether the protocol is to get no more; if so, input is discarded.
     pub fn is_pipeline_full(&mut self, limits: &Limits) -> bool {
         let full =
--- a/crates/sidecar/src/downstream/http.rs
+++ b/crates/sidecar/src/downstream/http.rs
@@ -32,7 +32,8 @@
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     };
     HttpService::build()
-        // The client's own bounds, `ClientConnection::timed_out`, cover each request, not just the first.
+        // The client's own bounds, `ClientConnection::timed_out`, cover each request, not just the
+        // first.
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         // Guards against requests that run on for a client that has left.
--- a/crates/sidecar/src/downstream/lifecycle.rs
+++ b/crates/sidecar/src/downstream/lifecycle.rs
@@ -9,12 +9,12 @@
 pub enum Lifecycle {
     /// No byte of a request came since it connected, or since its last response was made.
     Idle {
-        /// When it connected or was answered.
+        /// When it connected or its last response was made.
         since: Instant,
     },
     /// A part of a request came.
     Reading {
-        /// When it connected or was answered.
+        /// When it connected or its last response was made.
         idle_since: Instant,
         /// When the request's first byte came.
         started_at: Instant,
@@ -53,15 +53,16 @@
     }
 
     /// When the connection times out; never while a request is in flight.
-    pub fn deadline(self, has_been_answered: bool, limits: &ClientLimits) -> Option<Instant> {
+    pub fn deadline(self, has_had_response: bool, limits: &ClientLimits) -> Option<Instant> {
         match self {
             Self::Idle { since } => Some(since + limits.idle_timeout),
             Self::Reading {
                 idle_since,
                 started_at,
             } => {
-                // A client's first request has a bound of its own: it counts against the time since the connect.
-                let read_timeout = if has_been_answered {
+                // A client's first request has a bound of its own: it counts against the time since
+                // the connect.
+                let read_timeout = if has_had_response {
                     limits.request_read_timeout
                 } else {
                     limits.first_request_timeout
--- a/crates/sidecar/src/downstream/lingering_close.rs
+++ b/crates/sidecar/src/downstream/lingering_close.rs
@@ -1,7 +1,8 @@
 //! The one end of a client's connection, whatever the reason.
 //!
-//! All responses are with the operating system and no request is read any more: the write side is shut, and what still
-//! comes is thrown away until the client ends its side or a bound is reached; then the socket closes.
+//! All responses are with the operating system and no request is read any more: the write side is
+//! shut, and what still comes is thrown away until the client ends its side or a bound is reached;
+//! then the socket closes.
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -12,8 +13,9 @@
 /// Bytes that are thrown away by one read.
 const DISCARD_BUFFER_BYTES: usize = 4096;
 
-/// Closes a socket. Guards against a close over unread bytes: that is a reset, which takes the end of the last response
-/// with it. `descriptor_wanted` ends it early, where a new client needs the descriptor.
+/// Closes a socket. Guards against a close over unread bytes: that is a reset, which takes the end
+/// of the last response with it. `descriptor_wanted` ends it early, where a new client needs the
+/// descriptor.
 pub async fn lingering_close(mut socket: TcpStream, limits: &Limits, descriptor_wanted: &Notify) {
     if socket.shutdown().await.is_err() {
         return;
@@ -25,8 +27,8 @@
     }
 }
 
-/// Reads up to the end of file, or to more than so many bytes. Guards against a flood that is read for nothing until the
-/// time is over.
+/// Reads up to the end of file, or to more than so many bytes. Guards against a flood that is read
+/// for nothing until the time is over.
 async fn discard_input(socket: &mut TcpStream, max_bytes: usize) {
     let mut remaining_bytes = max_bytes;
     let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts clients within the bounds, serves each connection, and brings it to its end.
 //!
-//! Which connections are open is `client_permits`' business, what is responded that of the `request_handler`.
+//! Which connections are open is `client_permits`' business, what is responded that of the
+//! `request_handler`.
 
 use std::io;
 use std::rc::Rc;
@@ -21,7 +22,8 @@
 use crate::limits::Limits;
 use crate::upstream::Upstream;
 
-/// After an accept that failed, the next one waits this long. Guards against a busy loop while descriptors are short.
+/// After an accept that failed, the next one waits this long. Guards against a busy loop while
+/// descriptors are short.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// The listening side of the sidecar.
@@ -61,7 +63,8 @@
         })
     }
 
-    /// Accepts clients until [`Listener::close`], and then those that the operating system has accepted by then.
+    /// Accepts clients until [`Listener::close`], and then those that the operating system has
+    /// accepted by then.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let Some(permitted) = permitted_service(Rc::clone(&self.handler)).await else {
             return;
@@ -92,7 +95,8 @@
     /// Waits until a connection may be accepted; false if none will be.
     async fn wait_for_descriptor(&self) -> bool {
         while self.permits.is_accept_bound_reached(&self.limits.client) {
-            // Guards against a crowd at the shutdown that takes the descriptors of requests in flight.
+            // Guards against a crowd at the shutdown that takes the descriptors of requests in
+            // flight.
             if self.handler.is_shutting_down() {
                 return false;
             }
@@ -105,8 +109,8 @@
         true
     }
 
-    /// Guards against requests on connections that the operating system has accepted and this program has not: the last
-    /// of them are accepted before the listener goes.
+    /// Guards against requests on connections that the operating system has accepted and this
+    /// program has not: the last of them are accepted before the listener goes.
     async fn accept_next(&self, listener: &TcpListener) -> Accepted {
         let is_shutting_down = self.handler.is_shutting_down();
         tokio::select! {
@@ -165,7 +169,8 @@
                 }
                 () = client.timed_out(&self.limits) => {}
             }
-            // Guards against a request that came as its connection was chosen for closing: nothing of it was read.
+            // Guards against a request that came as its connection was chosen for closing: nothing
+            // of it was read.
             if !client.has_unread_request() {
                 counters.clients_timed_out.add();
                 return;
@@ -173,7 +178,8 @@
         }
     }
 
-    /// Ends the accepting, closes idle connections, and waits until all requests in flight have their responses.
+    /// Ends the accepting, closes idle connections, and waits until all requests in flight have
+    /// their responses.
     pub async fn close(&self, accept: JoinHandle<()>) {
         self.handler.on_shutdown();
         self.shutdown_begun.notify_one();
--- a/crates/sidecar/src/downstream/malformed_request.rs
+++ b/crates/sidecar/src/downstream/malformed_request.rs
@@ -1,9 +1,10 @@
-//! Why a request is answered with a 4xx and goes no further.
+//! Why a request gets a 4xx response and is not forwarded.
 
 use actix_http::StatusCode;
 use actix_http::error::PayloadError;
 
-/// Why a request is answered with a 4xx and goes no further. Each message is the text of the response.
+/// Why a request gets a 4xx response and is not forwarded. Each message is the text of the
+/// response.
 #[derive(Debug, thiserror::Error)]
 pub enum MalformedRequest {
     /// The client sent it, or more behind it, before the previous response.
--- a/crates/sidecar/src/downstream/mod.rs
+++ b/crates/sidecar/src/downstream/mod.rs
@@ -1,13 +1,19 @@
-//! The downstream side: client connections with their bounds and their ends, and the protocol on them.
+//! The downstream side: client connections with their bounds and their ends, and the protocol on
+//! them.
 //!
-//! What a request means and where it is forwarded to is not decided here. Modules use those above them only:
-//! - `lifecycle`, `input_accounting`, `close_state`, `socket_slot`: one concern of a connection each;
+//! What a request means and where it is forwarded to is not decided here. Modules use those above
+//! them only:
+//! - `lifecycle`, `input_accounting`, `close_state`, `socket_slot`: one concern of a connection
+//!   each;
 //! - `connection`: the state of one client connection;
-//! - `bounded_stream`: its socket as the protocol reads and writes it; `lingering_close`: the socket's end;
-//! - `malformed_request`, `request_headers`, `request`, `response`: between HTTP and the proxy's types;
+//! - `bounded_stream`: its socket as the protocol reads and writes it; `lingering_close`: the
+//!   socket's end;
+//! - `malformed_request`, `request_headers`, `request`, `response`: between HTTP and the proxy's
+//!   types;
 //! - `request_handler`: one request, from its head to its response;
 //! - `http`: the protocol's services, which run the handler;
-//! - `client_permits`: how many clients are connected; `listener`: accepts them and serves them to their end.
+//! - `client_permits`: how many clients are connected; `listener`: accepts them and serves them to
+//!   their end.
 
 mod bounded_stream;
 mod client_permits;
--- a/crates/sidecar/src/downstream/request.rs
+++ b/crates/sidecar/src/downstream/request.rs
@@ -27,7 +27,7 @@
     if !client.has_received_since_response() {
         return Err(MalformedRequest::Pipelined);
     }
-    let said = RequestHeaders::parse(host, request.headers())?;
+    let parsed = RequestHeaders::parse(host, request.headers())?;
     let method = method(&request)?;
     let target = target(&request, limits.client.max_target_chars)?;
     let announced_bytes = announced_body_bytes(&request, limits.max_body_bytes)?;
@@ -45,13 +45,13 @@
     Ok(ProxyRequest {
         method,
         target,
-        id: said.id,
-        idempotency_key: said.idempotency_key,
-        class: said.class,
+        id: parsed.id,
+        idempotency_key: parsed.idempotency_key,
+        class: parsed.class,
         payload: Payload { body, headers },
         arrived: Instant::now(),
-        client_timeout: said.client_timeout,
-        work_hint: said.work_hint,
+        client_timeout: parsed.client_timeout,
+        work_hint: parsed.work_hint,
         presence: client.presence(),
     })
 }
--- a/crates/sidecar/src/downstream/request_handler.rs
+++ b/crates/sidecar/src/downstream/request_handler.rs
@@ -1,4 +1,5 @@
-//! One request, from its head to its response: the sidecar's own paths, and all others by the proxy.
+//! One request, from its head to its response: the sidecar's own paths, and all others by the
+//! proxy.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -57,8 +58,8 @@
         response
     }
 
-    /// Rejects a request of a client past the bound on connections. Guards against a full descriptor table: such a
-    /// client gets its response at once.
+    /// Rejects a request of a client past the bound on connections. Guards against a full
+    /// descriptor table: such a client gets its response at once.
     pub fn reject_over_capacity(&self, request: &Request) -> ClientResponse {
         self.host.counters.requests_over_capacity.add();
         let response = response::over_capacity(self.host.limits.default_retry_after);
--- a/crates/sidecar/src/downstream/request_headers.rs
+++ b/crates/sidecar/src/downstream/request_headers.rs
@@ -17,11 +17,11 @@
 const COST: &str = "x-cost";
 
 const MICROS_PER_MILLISECOND: f64 = 1_000.0;
-/// The work that is believed, in microseconds: up to a minute. What is beyond that is no estimate of a request that is
-/// answered in seconds.
+/// The work that is believed, in microseconds: up to a minute. What is beyond that is no estimate
+/// of a request whose response takes seconds.
 const WORK_HINT_MICROS: RangeInclusive<f64> = 1.0..=6e7;
 
-/// What a request's headers say, beside those that are forwarded.
+/// A request's headers, beside those that are forwarded.
 pub struct RequestHeaders {
     /// The client's name of the request.
     pub id: String,
--- a/crates/sidecar/src/downstream/response.rs
+++ b/crates/sidecar/src/downstream/response.rs
@@ -42,8 +42,8 @@
     last_on_connection(retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after))
 }
 
-/// The rejection of a malformed request; the last response on its connection, since what is left of the request's body
-/// is not read.
+/// The rejection of a malformed request; the last response on its connection, since what is left of
+/// the request's body is not read.
 pub fn malformed(error: &MalformedRequest) -> ClientResponse {
     last_on_connection(plain_text(error.status(), format!("{error}\n")))
 }
