--- /dev/null
+++ b/crates/testbed/src/scenario/key_path.rs
@@ -0,0 +1,45 @@
+//! Paths of keys, such as `fault[2].at_s`: how messages, `--set` and experiments name a key.
+//!
+//! Knows nothing of which keys there are; see `renamed_keys` for those that changed their names.
+
+use std::fmt;
+
+/// The path of a key from the top of a scenario: names of keys and indexes into lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct KeyPath(Vec<String>);
+
+impl KeyPath {
+    /// Reads `fault[2].at_s` as `fault`, `2`, `at_s`.
+    pub(super) fn parse(path: &str) -> Self {
+        let dotted = path.replace('[', ".").replace(']', "");
+        Self(dotted.split('.').map(str::to_owned).collect())
+    }
+
+    /// A path of these parts.
+    pub(super) fn of(parts: Vec<String>) -> Self {
+        Self(parts)
+    }
+
+    /// The parts from the top, indexes as decimal numbers.
+    pub(super) fn parts(&self) -> &[String] {
+        &self.0
+    }
+}
+
+impl fmt::Display for KeyPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, part) in self.0.iter().enumerate() {
+            match (index(part), position) {
+                (Some(index), _) => write!(f, "[{index}]")?,
+                (None, 0) => f.write_str(part)?,
+                (None, _) => write!(f, ".{part}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The index that a part stands for; nothing where it is a name.
+pub(super) fn index(part: &str) -> Option<usize> {
+    part.parse().ok()
+}
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -4,11 +4,17 @@
 //! `check.rs`. Every key is described, with unit and default, in `docs/scenario.md`.
 
 mod check;
+mod error;
+mod key_path;
 mod read;
+mod renamed_keys;
+mod set_key;
+mod source_lines;
 
 use serde::{Deserialize, Serialize};
 
-pub use read::{ScenarioError, ScenarioErrors, ScenarioFile};
+pub use error::{ScenarioError, ScenarioErrors};
+pub use read::ScenarioFile;
 
 /// Microseconds on the lab's clock.
 pub type Micros = u64;
@@ -46,24 +52,18 @@
         /// Seed of every stream of chance.
         seed: u64 = 1,
         network: Network = Network::default(),
-        #[serde(alias = "kind")]
         machine_type: Vec<MachineType> = Vec::new(),
         servers: Vec<Servers> = Vec::new(),
         sidecars: Sidecars = Sidecars::default(),
         class: Vec<Class> = Vec::new(),
-        #[serde(alias = "shop")]
         tenant: Vec<Tenant> = Vec::new(),
         load: Load = Load::default(),
-        #[serde(alias = "terminals")]
         clients: Clients = Clients::default(),
         discovery: Discovery = Discovery::default(),
-        #[serde(alias = "allow")]
         permissions: Permissions = Permissions::default(),
-        #[serde(alias = "reports")]
         load_reports: Reports = Reports::default(),
         rules: Rules = Rules::default(),
         prices: Prices = Prices::default(),
-        #[serde(alias = "trouble")]
         fault: Vec<Fault> = Vec::new(),
         expect: Expect = Expect::default(),
     }
@@ -99,10 +99,8 @@
         /// Requests that may wait.
         queue: usize = 800,
         /// Share of its capacity that it starts with.
-        #[serde(alias = "cold_from")]
         cold_capacity_share: f64 = 0.2,
         /// Time until it is warm, at the latest.
-        #[serde(alias = "cold_s")]
         slow_start_s: f64 = 18.0,
         /// Served requests that warm it as well; 0 where only time does.
         warm_requests: u64 = 0,
@@ -117,10 +115,8 @@
         /// Round trips before a new connection carries its first request.
         handshake_rtts: f64 = 2.5,
         /// Work of a probe.
-        #[serde(alias = "probe_ms")]
         health_check_ms: f64 = 0.12,
         /// Probes a second that it answers; 0 for no cap. Further ones get a short-on-capacity reply.
-        #[serde(alias = "probes_per_s")]
         health_checks_per_s: f64 = 0.0,
         /// Whether calling off a routed task also stops one that runs.
         cancel: Cancel = Cancel::Queued,
@@ -159,7 +155,6 @@
 section! {
     /// So many job servers of a kind.
     Servers {
-        #[serde(alias = "kind")]
         machine_type: String = "std".into(),
         count: usize = 1,
         /// Their zone; spread over all where it is absent.
@@ -176,7 +171,6 @@
         /// How unevenly traffic falls on them: coefficient of variation of their parts.
         skew: f64 = 0.0,
         /// They are told what each kind of job server can do, as by an operator's table.
-        #[serde(alias = "knows_kinds")]
         knows_machine_types: bool = false,
         memory_mb: u64 = 192,
         sockets: u64 = 1_024,
@@ -224,19 +218,13 @@
         cv: f64 = 1.0,
         /// How far the work of two attempts differs: standard deviation of its logarithm.
         noise: f64 = 0.0,
-        #[serde(alias = "aim_ms")]
         latency_objective_ms: f64 = 400.0,
         deadline_ms: f64 = 1_500.0,
-        #[serde(alias = "worth")]
         priority_weight: f64 = 1.0,
         /// Share of the worth that an answer after the aim and before the deadline keeps.
-        #[serde(alias = "late_worth")]
         late_value: f64 = 0.0,
-        #[serde(alias = "effect")]
         idempotency: Effect = Effect::Safe,
-        #[serde(alias = "group")]
         deduplication_scope: DeduplicationGroup = DeduplicationGroup::All,
-        #[serde(alias = "window_ms")]
         deduplication_window_ms: f64 = 10_000.0,
     }
 }
@@ -280,13 +268,10 @@
         low: f64 = 0.9,
         high: f64 = 1.05,
         /// Terminals tell the work of a request, off by a factor whose logarithm has this standard deviation.
-        #[serde(alias = "hints")]
         work_hints: Option<f64> = None,
         /// Worth is counted for each unit of work: a class's worth is that of its mean work.
-        #[serde(alias = "worth_by_work")]
         weight_by_work: bool = false,
         /// Open transactions at which further arrivals are not played but counted as choked off.
-        #[serde(alias = "open_most")]
         max_open_requests: usize = 200_000,
     }
 }
@@ -297,14 +282,11 @@
         /// Most tries after the first.
         retries: u32 = 1,
         /// A try is given up after a share of the deadline between these.
-        #[serde(alias = "patience")]
         timeout_share: [f64; 2] = [0.7, 1.0],
         backoff_ms: [f64; 2] = [20.0, 160.0],
         /// Share that keeps to the pause of a refusal.
-        #[serde(alias = "honour")]
         honour_retry_after: f64 = 0.25,
         /// Share that leaves early, at a random moment.
-        #[serde(alias = "leave")]
         disconnect_share: f64 = 0.0,
     }
 }
@@ -330,20 +312,14 @@
 section! {
     /// What the site lets sidecars do.
     Permissions {
-        #[serde(alias = "probes")]
         health_checks: bool = true,
-        #[serde(alias = "cancel")]
         cancellation: bool = true,
-        #[serde(alias = "second_copies")]
         hedging: bool = true,
         max_attempts: u32 = 5,
-        #[serde(alias = "idle_s")]
         idle_timeout_s: f64 = 5.0,
         connect_timeout_ms: f64 = 200.0,
-        #[serde(alias = "probe_timeout_ms")]
         health_check_timeout_ms: f64 = 250.0,
         max_retry_after_ms: f64 = 2_000.0,
-        #[serde(alias = "ask_every_ms")]
         max_poll_interval_ms: f64 = 10_000.0,
     }
 }
@@ -373,18 +349,13 @@
     /// The figures of the four rules.
     Rules {
         drain_grace_ms: f64 = 2_000.0,
-        #[serde(alias = "fall_multiple")]
         cold_overload_factor: f64 = 2.5,
-        #[serde(alias = "fall_ms")]
         cold_overload_window_ms: f64 = 1_500.0,
         /// Time after the deadline in which an answer still counts.
-        #[serde(alias = "answer_grace_ms")]
         response_grace_ms: f64 = 20.0,
         /// Sockets' allowance on every time limit.
-        #[serde(alias = "stage_extra_ms")]
         emulator_extra_ms: f64 = 50.0,
         /// Worth of a request beyond its shop's share.
-        #[serde(alias = "over_share_worth")]
         over_share_weight: f64 = 0.2,
         /// What shops are entitled to together, as a share of capacity.
         quota_of_capacity: f64 = 0.9,
@@ -396,7 +367,6 @@
     Prices {
         cross_zone: f64 = 0.015,
         waste: f64 = 0.022,
-        #[serde(alias = "probe")]
         health_check: f64 = 0.0021,
         handshake: f64 = 0.0,
         late_fail: f64 = 0.05,
@@ -442,7 +412,6 @@
 section! {
     /// One line of the timetable.
     Fault {
-        #[serde(alias = "what")]
         kind: FaultKind = FaultKind::Pause,
         at_s: f64 = 0.0,
         for_s: f64 = 10.0,
@@ -453,7 +422,6 @@
         /// Only those of this zone.
         zone: Option<String> = None,
         /// How many times slower or dearer.
-        #[serde(alias = "times")]
         factor: f64 = 4.0,
         /// Share of requests concerned.
         share: f64 = 1.0,
--- /dev/null
+++ b/crates/testbed/src/scenario/renamed_keys/tests.rs
@@ -0,0 +1,92 @@
+use super::{KeyPath, RENAMED_KEYS, Table, present_path, with_present_names, written_path};
+use crate::scenario::{Class, Fault, MachineType, Scenario, Servers};
+
+fn table(text: &str) -> Table {
+    text.parse().expect("TOML")
+}
+
+/// A section as it is written today, with all its keys but those without a value.
+fn section(name: &str) -> Table {
+    let scenario = Scenario {
+        machine_type: vec![MachineType::default()],
+        servers: vec![Servers::default()],
+        class: vec![Class::default()],
+        fault: vec![Fault::default()],
+        load: crate::scenario::Load {
+            work_hints: Some(0.1),
+            ..Default::default()
+        },
+        ..Scenario::default()
+    };
+    let all = Table::try_from(scenario).expect("a table");
+    match all.get(name) {
+        None if name.is_empty() => all,
+        Some(toml::Value::Array(items)) => items[0].as_table().expect("a table").clone(),
+        Some(section) => section.as_table().expect("a table").clone(),
+        None => panic!("there is no section {name:?}"),
+    }
+}
+
+#[test]
+fn each_present_name_is_a_key_of_its_section_and_no_former_name_is() {
+    for renamed in &RENAMED_KEYS {
+        let section = section(renamed.section);
+        assert!(section.contains_key(renamed.present), "{}", renamed.present);
+        assert!(!section.contains_key(renamed.former), "{}", renamed.former);
+    }
+}
+
+#[test]
+fn a_table_with_former_names_gets_the_present_ones_at_every_depth() {
+    let former = table(
+        "kind = [{ name = 'a', cold_s = 1.0 }]\n[terminals]\nleave = 0.5\n[[trouble]]\nwhat = 'slow'",
+    );
+    let present = table(
+        "machine_type = [{ name = 'a', slow_start_s = 1.0 }]\n[clients]\ndisconnect_share = 0.5\n\
+         [[fault]]\nkind = 'slow'",
+    );
+    assert_eq!(with_present_names(former), Ok(present.clone()));
+    assert_eq!(with_present_names(present.clone()), Ok(present));
+}
+
+#[test]
+fn a_key_under_both_names_is_an_error_that_names_the_former() {
+    let cases = [
+        (
+            "[[class]]\naim_ms = 1.0\nlatency_objective_ms = 1.0",
+            "class[0].aim_ms",
+        ),
+        ("[allow]\n[permissions]", "allow"),
+        (
+            "[[trouble]]\n[[trouble]]\ntimes = 2.0\nfactor = 2.0",
+            "trouble[1].times",
+        ),
+        (
+            "[terminals]\nleave = 0.1\ndisconnect_share = 0.1",
+            "terminals.leave",
+        ),
+    ];
+    for (text, key) in cases {
+        let error = with_present_names(table(text)).expect_err(key);
+        assert_eq!(error.former, key);
+    }
+}
+
+#[test]
+fn paths_are_brought_to_present_names_and_back_to_those_of_the_file() {
+    let file = table("[[trouble]]\ntimes = 2.0\n[[class]]\nlatency_objective_ms = 1.0");
+    for (written, present) in [
+        ("trouble[0].times", "fault[0].factor"),
+        (
+            "class[0].latency_objective_ms",
+            "class[0].latency_objective_ms",
+        ),
+        ("load.rate", "load.rate"),
+    ] {
+        let path = present_path(&KeyPath::parse(written));
+        assert_eq!(path.to_string(), present);
+        assert_eq!(written_path(&file, &path).to_string(), written);
+    }
+    let absent = KeyPath::parse("clients.disconnect_share");
+    assert_eq!(written_path(&file, &absent), absent);
+}
