--- /dev/null
+++ b/crates/testbed/src/scenario/capacity.rs
@@ -0,0 +1,65 @@
+//! What a scenario's fleet is made of, where it stands, and how much work it can do.
+
+use super::{MachineType, Scenario, Servers};
+
+impl Scenario {
+    /// Machine type and group of each server, in the order of the servers' names. Groups of unknown machine
+    /// types are left out.
+    pub fn fleet(&self) -> Vec<(&MachineType, &Servers)> {
+        let with_type = |group| Some((self.machine_type_of(group)?, group));
+        let groups = self.servers.iter().filter_map(with_type);
+        groups
+            .flat_map(|(machine_type, group)| {
+                std::iter::repeat_n((machine_type, group), group.count)
+            })
+            .collect()
+    }
+
+    fn machine_type_of(&self, group: &Servers) -> Option<&MachineType> {
+        self.machine_type
+            .iter()
+            .find(|machine_type| machine_type.name == group.machine_type)
+    }
+
+    /// A machine type as balancers see it: its number, cores and speed where sidecars know machine types, and
+    /// nothing where they do not.
+    pub fn advertised_machine_type(
+        &self,
+        machine_type: &MachineType,
+    ) -> arrowstand_balancer::MachineType {
+        if !self.sidecars.knows_machine_types {
+            return arrowstand_balancer::MachineType::default();
+        }
+        let position = self
+            .machine_type
+            .iter()
+            .position(|other| other.name == machine_type.name);
+        arrowstand_balancer::MachineType {
+            id: position.map_or(0, |position| position as u32 + 1),
+            cores: f64::from(machine_type.cores),
+            speed: machine_type.speed,
+        }
+    }
+
+    /// Work that the warm fleet does in a second, in seconds of a standard core.
+    pub fn capacity(&self) -> f64 {
+        self.fleet()
+            .iter()
+            .map(|(machine_type, _)| f64::from(machine_type.cores) * machine_type.speed)
+            .sum()
+    }
+
+    /// Zone of a server by its number and group.
+    pub fn server_zone(&self, group: &Servers, number: usize) -> u32 {
+        let named = group
+            .zone
+            .as_ref()
+            .and_then(|zone| self.network.zones.iter().position(|name| name == zone));
+        named.map_or(self.spread_zone(number), |zone| zone as u32)
+    }
+
+    /// Zone of a server or sidecar by its number where no zone is named: spread in turn.
+    pub fn spread_zone(&self, number: usize) -> u32 {
+        (number % self.network.zones.len().max(1)) as u32
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/scenario/check/mod.rs
@@ -0,0 +1,66 @@
+//! What one key alone cannot show: ranges, names that must exist, and a schedule that contradicts itself.
+//!
+//! One file for each part of a scenario; this one has the collector of errors, and the order of the checks.
+
+mod faults;
+mod fleet;
+mod settings;
+mod traffic;
+
+use std::collections::BTreeSet;
+
+use super::{Scenario, ScenarioError};
+
+/// Collects what is wrong, in the order of the checks.
+#[derive(Default)]
+struct Checker {
+    errors: Vec<ScenarioError>,
+}
+
+impl Checker {
+    /// Notes an error at a key unless the condition holds.
+    fn require(&mut self, holds: bool, key: impl Into<String>, why: impl Into<String>) {
+        if !holds {
+            self.errors.push(ScenarioError::at_key(key, why));
+        }
+    }
+
+    fn positive(&mut self, value: f64, key: impl Into<String>) {
+        let holds = value.is_finite() && value > 0.0;
+        self.require(holds, key, "must be above zero");
+    }
+
+    fn not_negative(&mut self, value: f64, key: impl Into<String>) {
+        let holds = value.is_finite() && value >= 0.0;
+        self.require(holds, key, "must not be negative");
+    }
+
+    fn share(&mut self, value: f64, key: impl Into<String>) {
+        let holds = (0.0..=1.0).contains(&value);
+        self.require(holds, key, "must lie between 0 and 1");
+    }
+
+    /// Names of a list's items: none may be empty or given twice.
+    fn unique_names<'a>(&mut self, names: impl Iterator<Item = &'a str>, list: &str) {
+        let mut seen = BTreeSet::new();
+        for (i, name) in names.enumerate() {
+            let key = format!("{list}[{i}].name");
+            self.require(!name.is_empty(), key.as_str(), "must not be empty");
+            let why = format!("{name:?} is there twice");
+            self.require(seen.insert(name), key, why);
+        }
+    }
+}
+
+impl Scenario {
+    /// Everything that is wrong with it; keys have their present names, and lines are not known.
+    pub fn check(&self) -> Vec<ScenarioError> {
+        let mut checker = Checker::default();
+        checker.positive(self.seconds, "seconds");
+        self.check_fleet(&mut checker);
+        self.check_traffic(&mut checker);
+        self.check_settings(&mut checker);
+        self.check_faults(&mut checker);
+        checker.errors
+    }
+}
--- a/crates/testbed/src/simulator/discovery.rs
+++ b/crates/testbed/src/simulator/discovery.rs
@@ -242,7 +242,7 @@
             let zone = self.servers[server as usize].zone;
             let machine = self
                 .day
-                .told_machine(self.servers[server as usize].machine.kind());
+                .advertised_machine_type(self.servers[server as usize].machine.kind());
             members.push(Endpoint {
                 server: ServerId(server),
                 stable_hash: stable_hash(&format!("s{server}")),
--- a/crates/testbed/src/workload.rs
+++ b/crates/testbed/src/workload.rs
@@ -53,14 +53,6 @@
     parts.into_iter().map(|p| p / sum).collect()
 }
 
-impl Fault {
-    /// True while it goes on.
-    pub fn is_on(&self, at: Micros) -> bool {
-        let from = from_s(self.at_s);
-        (from..from + from_s(self.for_s)).contains(&at)
-    }
-}
-
 impl ArrivalStream {
     /// The wishes at the sidecar of that number, which gets that part of the traffic.
     pub fn new(day: &Scenario, number: usize, part: f64) -> Self {
