--- a/crates/testbed/src/event_log/mod.rs
+++ b/crates/testbed/src/event_log/mod.rs
@@ -7,6 +7,9 @@
 mod reader;
 mod writer;
 
+#[cfg(test)]
+mod tests;
+
 pub use event::{ListedStatus, LogEvent, LogRecord, ProcessState, RequestOutcome, ServerState};
 pub use reader::{EventLogError, read};
 pub use writer::{EventLog, Tee, Writer};
--- /dev/null
+++ b/crates/testbed/src/event_log/tests.rs
@@ -0,0 +1,198 @@
+//! Stored logs of earlier versions are read, and what is written reads back.
+
+use std::collections::BTreeMap;
+
+use super::{
+    EventLog as _, ListedStatus, LogEvent, LogRecord, ProcessState, RequestOutcome, ServerState,
+    Writer, read,
+};
+
+/// The first 200 lines of a calm run, and one of every other kind in it.
+const OLD_LOG: &str = include_str!("../../tests/data/records/calm-1.ledger");
+/// One line of each kind with each state and outcome that stored logs hold.
+const OLD_EVERY_KIND: &str = include_str!("../../tests/data/records/every-kind.ledger");
+
+fn kind(event: &LogEvent) -> String {
+    let value = serde_json::to_value(event).expect("written");
+    value["what"].as_str().expect("a kind").to_owned()
+}
+
+fn written(records: &[LogRecord]) -> String {
+    let mut bytes = Vec::new();
+    let mut writer = Writer::new(&mut bytes);
+    records.iter().for_each(|record| writer.note(record));
+    writer.finish().expect("written");
+    String::from_utf8(bytes).expect("text")
+}
+
+#[test]
+fn an_old_log_is_read_whole_with_the_present_names() {
+    let records = read(OLD_LOG).expect("read");
+    let mut counts = BTreeMap::new();
+    for record in &records {
+        *counts.entry(kind(&record.event)).or_insert(0) += 1;
+    }
+    let expected = [
+        ("arrival_ended", 1),
+        ("arrival_started", 11),
+        ("attempt_received", 8),
+        ("attempt_started", 8),
+        ("connection_opened", 29),
+        ("discovery_polled", 5),
+        ("endpoint_listed", 70),
+        ("health_checked", 37),
+        ("request_accepted", 11),
+        ("response_received", 1),
+        ("server_gauge", 1),
+        ("server_state_changed", 14),
+        ("sidecar_state_changed", 5),
+        ("work_done", 2),
+    ];
+    assert_eq!(counts, expected.map(|(k, n)| (k.to_owned(), n)).into());
+}
+
+#[test]
+fn an_old_line_of_each_kind_says_what_it_said() {
+    let records = read(OLD_EVERY_KIND).expect("read");
+    assert_eq!(records.len(), 33);
+    let event = |at| records.iter().find(|r| r.at == at).expect("there").event;
+    let expected = [
+        (
+            4_419,
+            LogEvent::ArrivalStarted {
+                arrival: 1,
+                sidecar: 2,
+                class: 2,
+                tenant: 0,
+                within_share: true,
+                work: 9_873.518_844_543_214,
+            },
+        ),
+        (
+            21_712,
+            LogEvent::AttemptStarted {
+                request: 8,
+                sidecar: 3,
+                server: 0,
+                cross_zone: false,
+            },
+        ),
+        (
+            22_031,
+            LogEvent::AttemptReceived {
+                request: 8,
+                server: 0,
+                work: 19_654.795_076_852_744,
+                capacity: 2.996_052_179_303_716_5,
+                cold: false,
+            },
+        ),
+        (
+            2_032_496,
+            LogEvent::AttemptRejected {
+                request: 920,
+                server: 0,
+            },
+        ),
+        (
+            37_226,
+            LogEvent::WorkDone {
+                request: 14,
+                server: 13,
+                work: 6_476.019_318_328_092,
+            },
+        ),
+        (
+            481_543,
+            LogEvent::ResponseReceived {
+                request: 88,
+                outcome: RequestOutcome::Rejected,
+            },
+        ),
+        (
+            28_915_071,
+            LogEvent::ArrivalEnded {
+                arrival: 12_304,
+                outcome: RequestOutcome::Unanswered,
+                requests: 2,
+            },
+        ),
+        (
+            3_522_082,
+            LogEvent::EndpointListed {
+                sidecar: 2,
+                server: 0,
+                status: ListedStatus::Draining,
+                incarnation: 0,
+            },
+        ),
+        (
+            59_652_895,
+            LogEvent::ServerStateChanged {
+                server: 7,
+                zone: 1,
+                state: ServerState::Fallen,
+            },
+        ),
+        (
+            60_000_000,
+            LogEvent::SidecarStateChanged {
+                sidecar: 0,
+                state: ProcessState::Killed,
+            },
+        ),
+        (
+            1_000_000,
+            LogEvent::ServerGauge {
+                server: 0,
+                in_flight: 3,
+                connections: 14,
+            },
+        ),
+        (11_294, LogEvent::ConnectionOpened { server: 7 }),
+    ];
+    for (at, expected) in expected {
+        assert_eq!(event(at), expected, "at {at}");
+    }
+}
+
+/// Names that no stored log at hand holds, and that earlier versions wrote all the same.
+#[test]
+fn rarer_old_names_are_read_too() {
+    let read_one = |line: &str| read(line).expect("read")[0].event;
+    assert_eq!(
+        read_one(r#"{"at":1,"what":"left","tx":2}"#),
+        LogEvent::ClientDisconnected { request: 2 }
+    );
+    for (name, state) in [
+        ("ending", ProcessState::Ending),
+        ("ended", ProcessState::Ended),
+    ] {
+        let line = format!(r#"{{"at":1,"what":"sidecar","sidecar":2,"life":"{name}"}}"#);
+        let expected = LogEvent::SidecarStateChanged { sidecar: 2, state };
+        assert_eq!(read_one(&line), expected);
+    }
+    for (name, outcome) in [
+        ("wrong", RequestOutcome::Mismatched),
+        ("left", RequestOutcome::Disconnected),
+        ("choked_off", RequestOutcome::NotPlayed),
+    ] {
+        let line = format!(r#"{{"at":1,"what":"closed","ask":2,"how":"{name}","tries":3}}"#);
+        let expected = LogEvent::ArrivalEnded {
+            arrival: 2,
+            outcome,
+            requests: 3,
+        };
+        assert_eq!(read_one(&line), expected);
+    }
+}
+
+#[test]
+fn an_old_log_written_anew_reads_back_the_same() {
+    for old in [OLD_LOG, OLD_EVERY_KIND] {
+        let records = read(old).expect("read");
+        let new = written(&records);
+        assert_ne!(new, old, "the present names are written");
+        assert_eq!(read(&new).expect("read"), records);
+    }
+}
--- a/crates/testbed/src/experiment/mod.rs
+++ b/crates/testbed/src/experiment/mod.rs
@@ -6,6 +6,9 @@
 mod results;
 mod runner;
 
+#[cfg(test)]
+mod tests;
+
 pub use plan::{Axis, Plan};
 pub use results::{Cell, Results, mean};
 pub use runner::ExperimentError;
--- a/crates/testbed/src/report/mod.rs
+++ b/crates/testbed/src/report/mod.rs
@@ -7,6 +7,9 @@
 mod figures;
 mod text;
 
+#[cfg(test)]
+mod tests;
+
 use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::audit::Auditor;
--- a/crates/testbed/tests/cli.rs
+++ b/crates/testbed/tests/cli.rs
@@ -30,7 +30,7 @@
     );
     let [j, s, l] = [&json, &svg, &ledger].map(|p| p.to_str().expect("text"));
     let run = lab(&[
-        "run",
+        "simulate",
         &scenario("try.toml"),
         "--seed",
         "3",
@@ -38,7 +38,7 @@
         j,
         "--svg",
         s,
-        "--ledger",
+        "--event-log",
         l,
     ]);
     assert_eq!(
@@ -70,7 +70,7 @@
 #[test]
 fn an_expectation_that_is_missed_ends_with_1() {
     let run = lab(&[
-        "run",
+        "simulate",
         &scenario("try.toml"),
         "--set",
         "expect.service=1.0",
@@ -85,7 +85,11 @@
 fn bad_input_ends_with_2_and_names_the_key() {
     let bad = temporary("bad.toml", "seconds = 1.0\n[load]\nspeed = 3\n");
     let path = bad.to_str().expect("text");
-    for words in [vec!["run", path], vec!["stage", path], vec!["check", path]] {
+    for words in [
+        vec!["simulate", path],
+        vec!["emulate", path],
+        vec!["check", path],
+    ] {
         let run = lab(&words);
         let said = String::from_utf8_lossy(&run.stderr).into_owned();
         assert_eq!(run.status.code(), Some(2), "{said}");
@@ -94,7 +98,12 @@
             "{said}"
         );
     }
-    let run = lab(&["run", &scenario("try.toml"), "--set", "sidecars.count=-1"]);
+    let run = lab(&[
+        "simulate",
+        &scenario("try.toml"),
+        "--set",
+        "sidecars.count=-1",
+    ]);
     assert_eq!(run.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&run.stderr).contains("sidecars.count"));
     std::fs::remove_file(bad).expect("removed");
@@ -146,3 +155,45 @@
         .iter()
         .for_each(|p| std::fs::remove_file(p).expect("removed"));
 }
+
+#[test]
+fn verbs_and_flags_of_earlier_versions_do_the_same_and_are_not_shown() {
+    let scenario = scenario("try.toml");
+    let (old, new) = (temporary("old.events", ""), temporary("new.events", ""));
+    let play = |verb: &str, flag: &str, file: &PathBuf| {
+        let run = lab(&[
+            verb,
+            &scenario,
+            "--set",
+            "seconds=2.0",
+            flag,
+            file.to_str().expect("text"),
+        ]);
+        assert_eq!(run.status.code(), Some(0));
+        run.stdout
+    };
+    let said = play("run", "--ledger", &old);
+    assert_eq!(said, play("simulate", "--event-log", &new));
+    let events = |file: &PathBuf| std::fs::read_to_string(file).expect("there");
+    assert!(events(&new).lines().count() > 100);
+    assert_eq!(events(&old), events(&new));
+    [old, new]
+        .iter()
+        .for_each(|p| std::fs::remove_file(p).expect("removed"));
+
+    let help = |words: &[&str]| String::from_utf8(lab(words).stdout).expect("text");
+    let (verbs, flags) = (help(&["--help"]), help(&["simulate", "--help"]));
+    assert!(
+        verbs.contains("simulate") && verbs.contains("emulate"),
+        "{verbs}"
+    );
+    assert!(
+        !verbs.contains("\n  run") && !verbs.contains("\n  stage"),
+        "{verbs}"
+    );
+    assert!(
+        flags.contains("--event-log") && !flags.contains("ledger"),
+        "{flags}"
+    );
+    assert!(help(&["stage", "--help"]).contains("emulator"));
+}
