--- a/crates/balancer/src/action.rs
+++ b/crates/balancer/src/action.rs
@@ -4,6 +4,9 @@
 use crate::event::RequestId;
 use crate::time::Micros;
 
+/// Where actions are pushed.
+pub(crate) type Actions = Vec<Action>;
+
 /// Something the host is asked to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- /dev/null
+++ b/crates/balancer/src/estimators/estimates.rs
@@ -0,0 +1,108 @@
+//! Load, service time and value as estimated at one moment, from all estimators together.
+
+use crate::estimators::Estimators;
+use crate::state::decaying_rate::decay;
+use crate::state::{InFlightAttempt, RequestState, ServerState};
+use crate::{Micros, Settings};
+
+/// Half-life of what others have at a server, in microseconds.
+const ELSEWHERE_HALF_LIFE: f64 = 4_000_000.0;
+/// A server with this queue depth or more has a queue.
+const MIN_QUEUE_DEPTH: f64 = 1.5;
+/// Least divisors of a latency, against samples that a small request makes enormous.
+const MIN_MEAN_DEPTH: f64 = 0.05;
+const MIN_REPORTED_DEPTH: f64 = 0.2;
+
+/// Estimates of load and service time at one moment.
+pub(crate) struct Estimates<'a> {
+    /// The settings.
+    pub(crate) settings: &'a Settings,
+    /// The moment.
+    pub(crate) now: Micros,
+    /// What the estimators have learnt.
+    pub(crate) estimators: &'a Estimators,
+    /// Load reports of health checks are current and can be believed.
+    pub(crate) load_reports_trusted: bool,
+}
+
+impl Estimates<'_> {
+    /// Requests at a server with one more: this balancer's and what was last seen of others'.
+    pub(crate) fn queue_depth(&self, server: &ServerState) -> f64 {
+        let load = &server.load;
+        if self.settings.load_from_responses() {
+            let elsewhere = load.in_flight_elsewhere(decay(self.now, load.updated_at(), ELSEWHERE_HALF_LIFE));
+            return server.in_flight().len() as f64 + elsewhere + 1.0;
+        }
+        let age = self.now.saturating_sub(load.updated_at()) as f64;
+        let freshness = (1.0 - age / (2.0 * self.estimators.latency.mean_service_time())).max(0.0);
+        let own: f64 = server.in_flight().iter().map(|attempt| attempt.relative_work).sum();
+        own + load.in_flight_elsewhere(freshness) + 1.0
+    }
+
+    /// Requests in flight, in the time that this server takes.
+    pub(crate) fn load(&self, server: &ServerState) -> f64 {
+        self.queue_depth(server) * self.relative_service_time(server)
+    }
+
+    /// Microseconds that a server is expected to take for one more request. Where several run at a time each
+    /// slows all others, so a server's load multiplies the request's own work.
+    pub(crate) fn expected_service_time(&self, server: &ServerState, relative_work: f64) -> f64 {
+        if self.settings.load_from_responses() {
+            return self.load(server) * relative_work * self.estimators.latency.mean_service_time();
+        }
+        (self.load(server) + (relative_work - 1.0) * self.relative_service_time(server))
+            * self.estimators.latency.mean_service_time()
+    }
+
+    /// How much longer than the fleet a server takes for the same load. Where nothing tells the queue of a
+    /// server in slow start, it is spared by how seldom it is drawn, and not twice over.
+    pub(crate) fn relative_service_time(&self, server: &ServerState) -> f64 {
+        let load_known = self.load_reports_trusted || self.settings.load_from_responses();
+        let slow_start = if load_known { server.slow_start.factor(self.now, self.settings) } else { 1.0 };
+        self.latency_factor(server) / slow_start / (1.0 - server.failures.failure_rate())
+    }
+
+    /// The latency factor of a server.
+    pub(crate) fn latency_factor(&self, server: &ServerState) -> f64 {
+        self.estimators.latency.latency_factor(&server.latency, self.machine_latency_factor(server), self.now)
+    }
+
+    /// The latency factor of a server's machine type; 1 where servers are asked for their load before a send,
+    /// and so speak for themselves.
+    pub(crate) fn machine_latency_factor(&self, server: &ServerState) -> f64 {
+        if self.settings.load_checks_enabled() {
+            return 1.0;
+        }
+        self.estimators.latency.machine_latency_factor(server.endpoint().machine_type)
+    }
+
+    /// True where a request would wait at a server. Guards against an estimate that rejects all and so is never
+    /// corrected: an idle server takes a request. One in slow start does not, as one large request may be all
+    /// that it bears; others of its machine type correct its estimate.
+    pub(crate) fn has_queue(&self, server: &ServerState) -> bool {
+        server.slow_start.is_active() || self.queue_depth(server) >= MIN_QUEUE_DEPTH
+    }
+
+    /// The service time on an otherwise idle server that a response shows, in microseconds.
+    pub(crate) fn observed_service_time(
+        &self,
+        server: &ServerState,
+        attempt: &InFlightAttempt,
+        latency: f64,
+    ) -> f64 {
+        if self.settings.load_from_responses() {
+            // The queue on the way lies between that at both ends, and slow start does not make a server slow.
+            let mean_depth = (attempt.queue_depth + self.queue_depth(server)) / 2.0;
+            return latency * server.slow_start.factor(self.now, self.settings)
+                / (mean_depth * attempt.relative_work).max(MIN_MEAN_DEPTH);
+        }
+        latency / (attempt.queue_depth - 1.0 + attempt.relative_work).max(MIN_REPORTED_DEPTH)
+    }
+
+    /// Priority weight of a request for its work, against that of a usual one.
+    pub(crate) fn value_density(&self, request: &RequestState) -> f64 {
+        let relative_work = if self.settings.weight_by_work { 1.0 } else { request.relative_work() };
+        let priority_weight = self.settings.class(request.class()).priority_weight;
+        self.estimators.workload.value_density(priority_weight, relative_work)
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/estimators/fleet_error_rate.rs
@@ -0,0 +1,30 @@
+//! How many attempts fail over the whole fleet.
+
+/// Weight of a new sample.
+const ERROR_WEIGHT: f64 = 0.02;
+/// Failures are never taken to be rarer than this.
+const MIN_ERROR_RATE: f64 = 0.01;
+
+/// Share of attempts that fail, where a run of failures at one server counts once. Failures that are spread
+/// over the servers are bad requests, or the network's.
+#[derive(Default)]
+pub(crate) struct FleetErrorRate {
+    rate: f64,
+}
+
+impl FleetErrorRate {
+    /// An attempt was served.
+    pub(crate) fn on_served(&mut self) {
+        self.rate -= ERROR_WEIGHT * self.rate;
+    }
+
+    /// A server failed for the first time since it served.
+    pub(crate) fn on_first_failure(&mut self) {
+        self.rate += ERROR_WEIGHT * (1.0 - self.rate);
+    }
+
+    /// Negative logarithm of the chance that a sound server fails so often in a row.
+    pub(crate) fn run_improbability(&self, failures: u32) -> f64 {
+        f64::from(failures) * -self.rate.max(MIN_ERROR_RATE).ln()
+    }
+}
--- a/crates/balancer/src/estimators/latency.rs
+++ b/crates/balancer/src/estimators/latency.rs
@@ -1,67 +1,76 @@
-//! How long servers take, against each other and by kind of machine.
+//! How long servers take, against each other and by machine type.
 
-use super::*;
+use std::collections::BTreeMap;
 
-/// Weight of a new sample in the moving means, and in the pace of one server, which sees fewer.
-pub(crate) const FLEET_WEIGHT: f64 = 0.05;
-pub(crate) const SERVER_WEIGHT: f64 = 0.15;
-/// A pace is forgotten by half in this time: neighbours come and go in seconds.
-pub(crate) const LATENCY_FACTOR_HALF_LIFE: f64 = 3_000_000.0;
+use crate::estimators::{FLEET_WEIGHT, SERVER_WEIGHT};
+use crate::state::decaying_rate::decay;
+use crate::{MachineType, Micros};
 
-impl Balancer {
-    pub(crate) fn latency_factor(&self, server: &ServerState) -> f64 {
-        let usual = self.machine_latency_factor(server);
-        usual
-            + (server.latency_factor - usual)
-                * self.decay(server.latency_factor_updated_at, LATENCY_FACTOR_HALF_LIFE)
+/// Half-life of a server's latency factor, in microseconds: neighbours on its machine come and go in seconds.
+const LATENCY_FACTOR_HALF_LIFE: f64 = 3_000_000.0;
+/// A server counts as at most this many times faster or slower than the fleet.
+const MAX_LATENCY_FACTOR: f64 = 4.0;
+/// The first mean service time, as a share of the shortest latency objective.
+const INITIAL_SERVICE_TIME_SHARE: f64 = 1.0 / 8.0;
+
+/// The latency of one server against the fleet's: 2 where it takes twice as long for the same load.
+pub(crate) struct ServerLatency {
+    factor: f64,
+    updated_at: Micros,
+}
+
+impl ServerLatency {
+    /// A server of which only its machine type is known.
+    pub(crate) fn new(machine: MachineType) -> Self {
+        Self { factor: 1.0 / machine.speed, updated_at: 0 }
     }
+}
 
-    /// The pace of a server's kind. Guards against learning that comes too late where a balancer sends each
-    /// server next to nothing: what one server shows tells of all machines like it. Servers that are asked
-    /// before a send speak for themselves.
-    fn machine_latency_factor(&self, server: &ServerState) -> f64 {
-        let machine = server.endpoint.machine_type;
-        if self.load_checks_enabled() {
-            return 1.0;
-        }
-        self.latency_by_machine_type.get(&machine.id).copied().unwrap_or(1.0 / machine.speed)
+/// Service times of the fleet and of each machine type.
+pub(crate) struct LatencyEstimator {
+    mean_service_time: f64,
+    latency_by_machine_type: BTreeMap<u32, f64>,
+}
+
+impl LatencyEstimator {
+    /// An estimator that has seen no response; `shortest_objective` is in microseconds.
+    pub(crate) fn new(shortest_objective: f64) -> Self {
+        let mean_service_time = shortest_objective * INITIAL_SERVICE_TIME_SHARE;
+        Self { mean_service_time, latency_by_machine_type: BTreeMap::new() }
+    }
+
+    /// Mean service time of a usual request on an otherwise idle server, in microseconds.
+    pub(crate) fn mean_service_time(&self) -> f64 {
+        self.mean_service_time
     }
 
-    /// Moves the latencies of the fleet, and the pace of the server against them.
-    pub(crate) fn record_latency(&mut self, i: usize, elapsed: f64, own: &InFlightAttempt) {
-        if let Some(request) = self.requests.get(&own.request) {
-            self.record_latency_share((elapsed / (request.objective_at - request.arrived) as f64).min(1.0));
-        }
-        let unit = if self.load_from_responses() {
-            // What it held on the way stands between what it held at both ends, and a cold one is not slow.
-            let held = (own.queue_depth + self.queue_depth(&self.servers[i])) / 2.0;
-            elapsed * self.slow_start_factor(&self.servers[i]) / (held * own.relative_work).max(0.05)
-        } else {
-            elapsed / (own.queue_depth - 1.0 + own.relative_work).max(0.2)
-        };
-        let pace = (unit / self.mean_service_time).clamp(0.25, 4.0);
-        let old = self.latency_factor(&self.servers[i]);
-        let server = &mut self.servers[i];
-        (server.latency_factor, server.latency_factor_updated_at) =
-            (old + SERVER_WEIGHT * (pace - old), self.now);
-        let (machine, usual) =
-            (self.servers[i].endpoint.machine_type, self.machine_latency_factor(&self.servers[i]));
-        self.latency_by_machine_type.insert(machine.id, usual + FLEET_WEIGHT * (pace - usual));
-        self.mean_service_time +=
-            FLEET_WEIGHT * (unit.min(4.0 * self.mean_service_time) - self.mean_service_time);
-        let off = elapsed.max(1.0).ln() - self.log_latency_mean;
-        self.log_latency_mean += FLEET_WEIGHT * off;
-        self.log_latency_variance =
-            (self.log_latency_variance + FLEET_WEIGHT * (off * off - self.log_latency_variance)).max(0.1);
+    /// The latency factor of a server, which decays to that of its machine type.
+    pub(crate) fn latency_factor(&self, server: &ServerLatency, usual: f64, now: Micros) -> f64 {
+        usual + (server.factor - usual) * decay(now, server.updated_at, LATENCY_FACTOR_HALF_LIFE)
+    }
+
+    /// The latency factor of a machine type. Guards against learning that comes too late where a balancer sends
+    /// each server next to nothing: what one server shows tells of all machines like it.
+    pub(crate) fn machine_latency_factor(&self, machine: MachineType) -> f64 {
+        self.latency_by_machine_type.get(&machine.id).copied().unwrap_or(1.0 / machine.speed)
     }
 
-    /// Worth for the work of a request, against that of a usual one: in a full fleet what earns little for
-    /// its work must not fill the queues that what earns more would still have passed in time.
-    pub(crate) fn value_density(&self, request: &RequestState) -> f64 {
-        if self.mean_work == 0.0 {
-            return 1.0;
-        }
-        let work = if self.settings.weight_by_work { 1.0 } else { request.relative_work };
-        self.class(request).priority_weight / work / self.mean_priority_weight.max(f64::MIN_POSITIVE)
+    /// A server responded; `usual` is the latency factor of its machine type, `service_time` in microseconds.
+    pub(crate) fn on_response(
+        &mut self,
+        server: &mut ServerLatency,
+        machine: MachineType,
+        usual: f64,
+        service_time: f64,
+        now: Micros,
+    ) {
+        let factor =
+            (service_time / self.mean_service_time).clamp(1.0 / MAX_LATENCY_FACTOR, MAX_LATENCY_FACTOR);
+        let before = self.latency_factor(server, usual, now);
+        server.factor = before + SERVER_WEIGHT * (factor - before);
+        server.updated_at = now;
+        self.latency_by_machine_type.insert(machine.id, usual + FLEET_WEIGHT * (factor - usual));
+        let bounded = service_time.min(MAX_LATENCY_FACTOR * self.mean_service_time);
+        self.mean_service_time += FLEET_WEIGHT * (bounded - self.mean_service_time);
     }
 }
--- a/crates/balancer/src/estimators/saturation.rs
+++ b/crates/balancer/src/estimators/saturation.rs
@@ -1,18 +1,35 @@
-//! How much of the time that is wanted answers take, where nothing else tells how full the fleet is.
+//! How full the fleet is, from the time that responses take, where nothing else tells.
 
-use super::*;
+use crate::Micros;
+use crate::state::decaying_rate::decay;
 
-/// Weight of a new sample; forgotten by half in this time, so that some work always finds out.
+/// Weight of a new sample.
 const SATURATION_WEIGHT: f64 = 0.1;
+/// Half-life in microseconds, so that some requests always find out.
 const SATURATION_HALF_LIFE: f64 = 3_000_000.0;
 
-impl Balancer {
-    pub(crate) fn saturation(&self) -> f64 {
-        self.saturation * self.decay(self.saturation_updated_at, SATURATION_HALF_LIFE)
+/// Mean share of the latency objective that responses take; a rejection counts as all of it.
+#[derive(Default)]
+pub(crate) struct SaturationEstimator {
+    saturation: f64,
+    updated_at: Micros,
+}
+
+impl SaturationEstimator {
+    /// The share, from 0 to 1.
+    pub(crate) fn saturation(&self, now: Micros) -> f64 {
+        self.saturation * decay(now, self.updated_at, SATURATION_HALF_LIFE)
+    }
+
+    /// A response took this share of the latency objective.
+    pub(crate) fn on_response(&mut self, objective_share: f64, now: Micros) {
+        let before = self.saturation(now);
+        self.saturation = before + SATURATION_WEIGHT * (objective_share - before);
+        self.updated_at = now;
     }
 
-    pub(crate) fn record_latency_share(&mut self, share: f64) {
-        let old = self.saturation();
-        (self.saturation, self.saturation_updated_at) = (old + SATURATION_WEIGHT * (share - old), self.now);
+    /// A server rejected an attempt.
+    pub(crate) fn on_rejected(&mut self, now: Micros) {
+        self.on_response(1.0, now);
     }
 }
--- a/crates/balancer/src/estimators/slow_start.rs
+++ b/crates/balancer/src/estimators/slow_start.rs
@@ -1,30 +1,103 @@
-//! What servers that have just started can do, and what a warm one gets.
+//! The capacity of servers that have just started, and what a warm server gets.
 
-use super::*;
+use std::collections::VecDeque;
 
-/// A warm server's part is measured anew while at least this share of the servers' capacity is there: what all
-/// send to the few that are warm in a release says little of one server's usual part.
+use crate::state::decaying_rate::DecayingRate;
+use crate::{Micros, Settings};
+
+/// Half-life of the rate at which work is sent, in microseconds.
+const WORK_RATE_HALF_LIFE: f64 = 5_000_000.0;
+/// A warm server's quota is measured anew while at least this share of the servers' capacity is there: what
+/// all send to the few that are warm in a release says little of one server's usual quota.
 const MIN_WARM_SHARE: f64 = 0.7;
 
-impl Balancer {
+/// Work sent to a server in slow start.
+struct SentWork {
+    at: Micros,
+    relative_work: f64,
+}
+
+/// The slow start of one server.
+#[derive(Default)]
+pub(crate) struct SlowStartRecord {
+    since: Option<Micros>,
+    sent: VecDeque<SentWork>,
+}
+
+impl SlowStartRecord {
+    /// True from a start until the server was found warm.
+    pub(crate) fn is_active(&self) -> bool {
+        self.since.is_some()
+    }
+
     /// Share of its capacity that a server is assumed to have: from the cold share up to all of it.
-    pub(crate) fn slow_start_factor(&self, server: &ServerState) -> f64 {
-        let Some(since) = server.cold_since else { return 1.0 };
-        let age = self.now.saturating_sub(since) as f64 / self.settings.slow_start_time.max(1) as f64;
-        (self.settings.cold_capacity_share + (1.0 - self.settings.cold_capacity_share) * age).min(1.0)
-    }
-
-    /// What a warm server gets of the work that this balancer sends, as size a microsecond.
-    pub(crate) fn update_warm_server_quota(&mut self) {
-        let part = self
-            .subset_order
-            .iter()
-            .map(|&i| &self.servers[i])
-            .filter(|s| self.is_ready(s))
-            .take(self.subset_size());
-        let (count, warm) = part.fold((0.0, 0.0), |(n, warm), s| (n + 1.0, warm + self.slow_start_factor(s)));
+    pub(crate) fn factor(&self, now: Micros, settings: &Settings) -> f64 {
+        let Some(since) = self.since else { return 1.0 };
+        let age = now.saturating_sub(since) as f64 / settings.slow_start_time.max(1) as f64;
+        (settings.cold_capacity_share + (1.0 - settings.cold_capacity_share) * age).min(1.0)
+    }
+
+    /// The server started at this time; a start that is long ago changes nothing.
+    pub(crate) fn on_started(&mut self, started_at: Micros, now: Micros, slow_start_time: Micros) {
+        if now < started_at + slow_start_time {
+            self.since = Some(started_at.min(now));
+        }
+    }
+
+    /// The server came back from silence, and may have restarted.
+    pub(crate) fn on_silence_ended(&mut self, now: Micros) {
+        self.since = Some(now);
+    }
+
+    /// The server was found warm.
+    pub(crate) fn on_warmed_up(&mut self) {
+        self.since = None;
+        self.sent.clear();
+    }
+
+    /// Work was sent to the server.
+    pub(crate) fn on_work_sent(&mut self, relative_work: f64, now: Micros) {
+        if self.since.is_some() {
+            self.sent.push_back(SentWork { at: now, relative_work });
+        }
+    }
+
+    /// Work sent within the last `window` microseconds; what is older is forgotten.
+    pub(crate) fn work_sent_within(&mut self, window: Micros, now: Micros) -> f64 {
+        while self.sent.front().is_some_and(|sent| sent.at + window < now) {
+            self.sent.pop_front();
+        }
+        self.sent.iter().map(|sent| sent.relative_work).sum()
+    }
+}
+
+/// What a warm server gets of the work that this balancer sends.
+pub(crate) struct WarmServerQuota {
+    work_rate: DecayingRate,
+    per_microsecond: f64,
+}
+
+impl WarmServerQuota {
+    /// A quota of which nothing is known.
+    pub(crate) fn new() -> Self {
+        Self { work_rate: DecayingRate::new(WORK_RATE_HALF_LIFE), per_microsecond: 0.0 }
+    }
+
+    /// The quota, in relative work per microsecond.
+    pub(crate) fn per_microsecond(&self) -> f64 {
+        self.per_microsecond
+    }
+
+    /// Work was sent to some server.
+    pub(crate) fn on_work_sent(&mut self, relative_work: f64, now: Micros) {
+        self.work_rate.add(relative_work, now);
+    }
+
+    /// Measures the quota anew; `factors` are the slow start factors of the servers in use.
+    pub(crate) fn update(&mut self, factors: impl Iterator<Item = f64>, now: Micros) {
+        let (count, warm) = factors.fold((0.0, 0.0), |(count, warm), factor| (count + 1.0, warm + factor));
         if warm > MIN_WARM_SHARE * count {
-            self.warm_server_quota = self.work_rate.get(self.now, REQUEST_RATE_HALF_LIFE) / warm;
+            self.per_microsecond = self.work_rate.per_microsecond(now) / warm;
         }
     }
 }
--- /dev/null
+++ b/crates/balancer/src/estimators/utilization.rs
@@ -0,0 +1,35 @@
+//! How full the fleet is, from load reports.
+
+use crate::estimators::FLEET_WEIGHT;
+
+/// The estimate before the first load report.
+const INITIAL_UTILIZATION: f64 = 0.5;
+/// A fleet above this utilization is filling up.
+const FULL_UTILIZATION: f64 = 0.8;
+
+/// Mean share of the servers that hold a request, from load reports.
+pub(crate) struct UtilizationEstimator {
+    utilization: f64,
+}
+
+impl UtilizationEstimator {
+    /// An estimator that has seen no load report.
+    pub(crate) fn new() -> Self {
+        Self { utilization: INITIAL_UTILIZATION }
+    }
+
+    /// The share, from 0 to 1.
+    pub(crate) fn utilization(&self) -> f64 {
+        self.utilization
+    }
+
+    /// From 0 to 1 as the fleet fills up.
+    pub(crate) fn fullness(&self) -> f64 {
+        ((self.utilization - FULL_UTILIZATION) / (1.0 - FULL_UTILIZATION)).clamp(0.0, 1.0)
+    }
+
+    /// A server reported the requests it holds.
+    pub(crate) fn on_load_report(&mut self, in_flight: f64) {
+        self.utilization += FLEET_WEIGHT * (in_flight.min(1.0) - self.utilization);
+    }
+}
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -43,11 +43,14 @@
 mod settings;
 mod state;
 mod time;
+mod weighted_choice;
 
 pub use action::Action;
+pub(crate) use action::Actions;
 pub use endpoint::{Endpoint, EndpointStatus, MachineType, ServerId, UpdateKind};
 pub use event::{AttemptEnd, Event, IncomingRequest, LoadReport, Outcome, RequestId};
+pub use policy::Balancer;
 pub use request_class::{ClassId, DeduplicationScope, Idempotency, RequestClass};
 pub use settings::{Settings, SettingsError};
-pub use state::Balancer;
+
 pub use time::Micros;
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -1,5 +1,7 @@
-//! Passes each event to the policy that decides about it. The policies are the files of `policy/`; the
-//! ordinary path is that of `docs/design.md`, and each departure says what it guards.
+//! [`Balancer`] holds the components and passes each event to the policy that decides about it.
+//!
+//! The policies are the files of `policy/`; no other file reaches the components. The ordinary path is that of
+//! `docs/design.md`, and each departure from it says what it guards against.
 
 mod attempt_result;
 mod dispatch;
@@ -14,44 +16,153 @@
 mod slow_start;
 mod subset;
 
-use std::collections::{BTreeMap, BTreeSet};
+use crate::estimators::Estimators;
+use crate::estimators::estimates::Estimates;
+use crate::policy::endpoints::INITIAL_POLL_BACKOFF;
+use crate::policy::health_check::MIN_HEALTH_CHECK_INTERVAL;
+use crate::policy::retry::RetryBudget;
+use crate::state::{
+    EndpointPoller, EndpointTable, GossipQueue, HealthCheckSchedule, InFlightAttempt, RequestTable,
+    SubsetOrder,
+};
+use crate::{Action, Actions, Event, Micros, Outcome, RequestId, Settings, SettingsError};
 
-use crate::estimators::*;
-pub(crate) use crate::policy::endpoints::INITIAL_POLL_BACKOFF;
-use crate::policy::failure_detector::SUSPECT_CHECK_INTERVAL;
-use crate::policy::health_check::*;
-pub(crate) use crate::policy::retry::*;
-use crate::state::*;
-use crate::*;
+/// Time between two ticks, in microseconds: well below any latency objective.
+const TICK_INTERVAL: Micros = 25_000;
+/// Token of the timer that ticks.
+const TICK_TOKEN: u64 = 0;
+/// Token of the timers of requests.
+const REQUEST_TIMER_TOKEN: u64 = 1;
+
+/// Decides for one sidecar. Instances share nothing.
+pub struct Balancer {
+    settings: Settings,
+    rng: fastrand::Rng,
+    now: Micros,
+    started: bool,
+    endpoints: EndpointTable,
+    poller: EndpointPoller,
+    subset_order: SubsetOrder,
+    requests: RequestTable,
+    retry_budget: RetryBudget,
+    health_checks: HealthCheckSchedule,
+    gossip: GossipQueue,
+    estimators: Estimators,
+}
 
 impl Balancer {
-    /// Takes in one event and pushes what is to be done about it.
-    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Actions) {
+    /// A balancer that knows nothing yet; equal seeds and events give equal actions.
+    ///
+    /// # Errors
+    /// Names the first setting that is out of range.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let objectives = settings.classes.iter().map(|class| class.latency_objective);
+        let shortest_objective = objectives.min().unwrap_or(1) as f64;
+        Ok(Self {
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            now: 0,
+            started: false,
+            endpoints: EndpointTable::default(),
+            poller: EndpointPoller::new(INITIAL_POLL_BACKOFF),
+            subset_order: SubsetOrder::default(),
+            requests: RequestTable::default(),
+            retry_budget: RetryBudget::new(),
+            health_checks: HealthCheckSchedule::default(),
+            gossip: GossipQueue::default(),
+            estimators: Estimators::new(shortest_objective),
+        })
+    }
+
+    /// Takes in one event and pushes what is to be done about it. `now` is in microseconds; a time before
+    /// that of an earlier event counts as the earlier one's.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         if !self.started {
-            self.started = true;
-            self.next_health_check_at = now + self.rng.u64(0..MIN_HEALTH_CHECK_INTERVAL);
-            actions.push(Action::SetTimer { token: TICK_TOKEN, after: TICK_INTERVAL });
-            if self.settings.poll_endpoints {
-                self.poll_endpoints(actions);
-            }
+            self.on_first_event(now, actions);
         }
         match event {
-            Event::EndpointsUpdated { kind, version, endpoints: entries } => {
-                self.on_endpoints_updated(kind, version, entries, actions)
-            }
-            Event::RequestArrived(call) => self.on_request_arrived(call, actions),
-            Event::ResponseStarted { request } => {
-                self.requests.entry(request).and_modify(|r| r.streaming = true);
+            Event::EndpointsUpdated { kind, version, endpoints } => {
+                self.on_endpoints_updated(kind, version, endpoints, actions);
             }
-            Event::AttemptEnded(end) => self.on_attempt_ended(end, actions),
+            Event::RequestArrived(request) => self.on_request_arrived(&request, actions),
+            Event::ResponseStarted { request } => self.on_response_started(request),
+            Event::AttemptEnded(end) => self.on_attempt_ended(&end, actions),
             Event::ClientDisconnected { request } => self.finish(request, actions),
             Event::TimerFired { token: TICK_TOKEN } => self.on_tick(actions),
             Event::TimerFired { .. } => self.on_request_timer(actions),
-            Event::HealthCheckEnded { server, outcome, load_report: report } => {
-                self.on_health_check_ended(server, outcome == Outcome::Served, report, actions);
+            Event::HealthCheckEnded { server, outcome, load_report } => {
+                self.on_health_check_ended(server, outcome == Outcome::Served, load_report, actions);
             }
             Event::GossipReceived { from, message } => self.on_gossip_received(from, &message, actions),
         }
     }
+
+    fn on_first_event(&mut self, now: Micros, actions: &mut Actions) {
+        self.started = true;
+        self.health_checks.on_started(now + self.rng.u64(0..MIN_HEALTH_CHECK_INTERVAL));
+        actions.push(Action::SetTimer { token: TICK_TOKEN, after: TICK_INTERVAL });
+        if self.settings.poll_endpoints {
+            self.poll_endpoints(actions);
+        }
+    }
+
+    fn on_tick(&mut self, actions: &mut Actions) {
+        actions.push(Action::SetTimer { token: TICK_TOKEN, after: TICK_INTERVAL });
+        self.update_warm_server_quota();
+        for server_index in 0..self.endpoints.len() {
+            self.check_suspicion(server_index, actions);
+        }
+        if self.settings.health_checks && self.health_checks.is_due(self.now) {
+            self.run_scheduled_health_check(actions);
+        }
+        if self.poller.is_due(self.now) {
+            self.poll_endpoints(actions);
+        }
+    }
+
+    fn on_response_started(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.on_response_started();
+        }
+    }
+
+    /// Dispatches the requests whose timers are due.
+    fn on_request_timer(&mut self, actions: &mut Actions) {
+        while let Some(id) = self.requests.take_due(self.now) {
+            self.dispatch(id, actions);
+        }
+    }
+
+    /// Dispatches a request after this time, unless it is sent before.
+    fn set_request_timer(&mut self, id: RequestId, after: Micros, actions: &mut Actions) {
+        self.requests.set_timer(id, self.now + after);
+        actions.push(Action::SetTimer { token: REQUEST_TIMER_TOKEN, after });
+    }
+
+    /// A server responded to an attempt, or timed out although it serves others.
+    fn on_response(&mut self, server_index: usize, attempt: &InFlightAttempt) {
+        let objective = self.requests.get(attempt.request).map(|request| request.objective());
+        let server = &mut self.endpoints[server_index];
+        self.estimators.on_response(server, attempt, objective, self.now, &self.settings);
+    }
+
+    /// Measures what a warm server of the subset gets.
+    fn update_warm_server_quota(&mut self) {
+        let ready = self.subset_order.iter().filter(|&index| self.is_ready(&self.endpoints[index]));
+        let subset: Vec<usize> = ready.take(self.subset_size()).collect();
+        let factor = |index: usize| self.endpoints[index].slow_start.factor(self.now, &self.settings);
+        self.estimators.warm_server_quota.update(subset.into_iter().map(factor), self.now);
+    }
+
+    /// Estimates of load, service time and value as of now.
+    fn estimates(&self) -> Estimates<'_> {
+        Estimates {
+            settings: &self.settings,
+            now: self.now,
+            estimators: &self.estimators,
+            load_reports_trusted: self.load_reports_trusted(),
+        }
+    }
 }
--- a/crates/balancer/src/policy/attempt_result.rs
+++ b/crates/balancer/src/policy/attempt_result.rs
@@ -1,83 +1,68 @@
-//! What the end of an attempt tells of its server.
+//! What the end of an attempt tells of its server, and what becomes of its request.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::state::SuspicionCause;
+use crate::{Actions, AttemptEnd, Outcome};
 
-/// Failures in a row raise a suspicion once they are as unlikely as this, as a negative logarithm, where
+/// Failures in a row raise a suspicion once they are as improbable as this, as a negative logarithm, where
 /// other servers fail as often as they do: two of them where failures are rare.
 const MAX_FAILURE_IMPROBABILITY: f64 = 9.0;
-const MIN_FLEET_ERROR_RATE: f64 = 0.01;
-const FLEET_ERROR_WEIGHT: f64 = 0.02;
-/// A server that fails part of its work is taken for so much slower, and no more than if it failed this part.
-const MAX_FAILURE_RATE: f64 = 0.8;
 
 impl Balancer {
-    pub(super) fn on_attempt_ended(&mut self, end: AttemptEnd, actions: &mut Actions) {
-        if let Some(i) = self.find(end.server) {
-            self.record_attempt_result(i, &end, actions);
-        }
-        let Some(request) = self.requests.get_mut(&end.request) else { return };
-        if let Some(attempt) = request.attempts.get_mut(end.attempt as usize) {
-            attempt.state = if end.outcome.never_executed() {
-                AttemptState::NeverExecuted
-            } else {
-                AttemptState::MayHaveExecuted
-            };
+    /// An attempt ended: its request is finished, waits for another attempt, is retried or fails.
+    pub(super) fn on_attempt_ended(&mut self, end: &AttemptEnd, actions: &mut Actions) {
+        if let Some(server_index) = self.endpoints.find(end.server) {
+            self.record_result(server_index, end, actions);
         }
+        let Some(request) = self.requests.get_mut(end.request) else { return };
+        request.on_attempt_ended(end.attempt, end.outcome.never_executed());
         if end.finished {
             self.finish(end.request, actions);
-            return;
-        }
-        if request.attempts.iter().any(|a| a.state == AttemptState::InFlight) {
-            return;
-        }
-        if !self.retry(end.request, actions) {
+        } else if request.in_flight_count() == 0 && !self.retry(end.request, actions) {
             self.reject_or_fail(end.request, actions);
         }
     }
 
-    fn record_attempt_result(&mut self, i: usize, end: &AttemptEnd, actions: &mut Actions) {
-        self.on_load_report(i, end.load_report);
-        let (now, server) = (self.now, &mut self.servers[i]);
-        let own = server.in_flight.iter().position(|o| (o.request, o.attempt) == (end.request, end.attempt));
-        let Some(own) = own.map(|at| server.in_flight.swap_remove(at)) else { return };
-        let elapsed = now.saturating_sub(own.sent) as f64;
+    fn record_result(&mut self, server_index: usize, end: &AttemptEnd, actions: &mut Actions) {
+        self.on_load_report(server_index, end.load_report);
+        let (now, server) = (self.now, &mut self.endpoints[server_index]);
+        let Some(attempt) = server.on_attempt_ended(end.request, end.attempt) else { return };
+        let served_since = server.failures.last_served_at() > attempt.sent_at;
+        let serves_others = served_since && !server.suspicion.is_suspected();
         match end.outcome {
             Outcome::Served => {
-                (server.last_served_at, server.consecutive_failures) = (now, 0);
-                server.failure_rate -= SERVER_WEIGHT * server.failure_rate;
-                self.record_latency(i, elapsed, &own);
-                self.fleet_error_rate -= FLEET_ERROR_WEIGHT * self.fleet_error_rate;
-                self.readmit(i, actions);
-            }
-            Outcome::TimedOut if server.suspicion.is_none() && server.last_served_at > own.sent => {
-                self.record_latency(i, elapsed, &own);
+                server.failures.on_served(now);
+                self.on_response(server_index, &attempt);
+                self.estimators.fleet_error_rate.on_served();
+                self.readmit(server_index, actions);
             }
+            Outcome::TimedOut if serves_others => self.on_response(server_index, &attempt),
             Outcome::Cancelled | Outcome::NotSent => {}
             Outcome::Rejected => {
-                // A full server is no broken one, but it holds more than we knew.
-                server.in_flight_elsewhere = server.in_flight_elsewhere.max(own.queue_depth + 1.0);
-                server.load_updated_at = now;
                 // Guards against a drain that the list cannot tell, which binds all the same after a time.
-                server.possibly_draining = self.settings.poll_endpoints && !self.subscribed;
-                self.record_latency_share(1.0);
+                let may_drain = self.settings.poll_endpoints && !self.poller.is_subscribed();
+                // A full server is not broken, but it holds more than was known.
+                server.on_rejected(attempt.queue_depth, may_drain, now);
+                self.estimators.saturation.on_rejected(now);
             }
-            _ => {
-                // Guards against fast failures that look idle, and dead processes; yet failures that are
-                // spread over the servers are bad requests, or the network's. A run at one counts once there.
-                server.consecutive_failures += 1;
-                server.failure_rate += SERVER_WEIGHT * (MAX_FAILURE_RATE - server.failure_rate);
-                let count = server.consecutive_failures;
-                if count == 1 && end.outcome != Outcome::TimedOut {
-                    self.fleet_error_rate += FLEET_ERROR_WEIGHT * (1.0 - self.fleet_error_rate);
-                }
-                let usual = self.fleet_error_rate.max(MIN_FLEET_ERROR_RATE);
-                self.check_soon(end.server);
-                if f64::from(count) * -usual.ln() >= MAX_FAILURE_IMPROBABILITY
-                    && end.outcome != Outcome::TimedOut
-                {
-                    self.eject(i, SuspicionCause::Attempts, actions);
-                }
+            Outcome::TimedOut | Outcome::ServerError | Outcome::ConnectFailed | Outcome::Reset => {
+                self.on_attempt_failed(server_index, end.outcome, actions);
             }
         }
     }
+
+    /// Guards against fast failures that look idle, and dead processes.
+    fn on_attempt_failed(&mut self, server_index: usize, outcome: Outcome, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        let (id, failures) = (server.id(), server.failures.on_failed());
+        let timed_out = outcome == Outcome::TimedOut;
+        if failures == 1 && !timed_out {
+            self.estimators.fleet_error_rate.on_first_failure();
+        }
+        self.check_soon(id);
+        let improbability = self.estimators.fleet_error_rate.run_improbability(failures);
+        if improbability >= MAX_FAILURE_IMPROBABILITY && !timed_out {
+            self.eject(server_index, SuspicionCause::Attempts, actions);
+        }
+    }
 }
--- a/crates/balancer/src/policy/dispatch.rs
+++ b/crates/balancer/src/policy/dispatch.rs
@@ -1,127 +1,81 @@
-//! A request on its way: first sends and the end.
+//! The path of a request: arrival, first attempt and end.
 
-use super::*;
+use crate::policy::{Balancer, TICK_INTERVAL};
+use crate::state::{InFlightAttempt, RequestState, RetryScope};
+use crate::{Action, Actions, IncomingRequest, Micros, RequestId};
 
-/// Work that carries no hint is not started with less time than this share of a usual service.
+/// A request without a work hint is not sent with less time than this share of the mean service time.
 const MIN_WORK_SHARE: f64 = 0.5;
-/// Share of the objective that a request may wait for a first server to be known.
+/// Share of the latency objective that a request may wait for a first server to be known.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
 impl Balancer {
-    pub(super) fn on_request_arrived(&mut self, call: IncomingRequest, actions: &mut Actions) {
-        let now = self.now;
-        let Some(class) = self.settings.classes.get(usize::from(call.class.0)) else {
-            actions.push(Action::Reject { request: call.id, retry_after: None });
+    /// A request arrived: it is sent, waits for load checks or for a server, or is rejected.
+    pub(super) fn on_request_arrived(&mut self, incoming: &IncomingRequest, actions: &mut Actions) {
+        let Some(class) = self.settings.classes.get(usize::from(incoming.class.0)) else {
+            actions.push(Action::Reject { request: incoming.id, retry_after: None });
             return;
         };
-        let hint = call.work_hint.unwrap_or(0) as f64;
-        if hint > 0.0 {
-            let first = if self.mean_work > 0.0 { self.mean_work } else { hint };
-            self.mean_work = first + FLEET_WEIGHT * (hint.min(4.0 * first) - first);
-        }
-        let first =
-            if self.mean_priority_weight > 0.0 { self.mean_priority_weight } else { class.priority_weight };
-        self.mean_priority_weight = first + FLEET_WEIGHT * (class.priority_weight - first);
-        self.request_rate.count(now, REQUEST_RATE_HALF_LIFE);
-        let size = if hint > 0.0 { hint / self.mean_work } else { 1.0 };
-        let objective = class.latency_objective + (class.objective_per_work * hint) as Micros;
-        let request = RequestState {
-            class: call.class,
-            arrived: now,
-            objective_at: now + objective.min(class.deadline).min(call.time_left),
-            deadline_at: now + call.time_left,
-            relative_work: size,
-            ..RequestState::default()
-        };
-        let needed = if hint > 0.0 { hint } else { self.mean_service_time * MIN_WORK_SHARE };
-        let hopeless = class.late_value == 0.0 && needed > (request.objective_at - now) as f64;
-        self.requests.insert(call.id, request);
-        self.retry_budget = (self.retry_budget + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
-        if hopeless || call.time_left == 0 {
-            self.reject_or_fail(call.id, actions);
-            return;
-        }
-        if self.load_checks_enabled() {
-            self.start_load_checks(call.id, actions);
+        let hint = incoming.work_hint.unwrap_or(0) as f64;
+        let relative_work = self.estimators.workload.on_request_arrived(class, hint, self.now);
+        let request = RequestState::new(incoming, class, relative_work, self.now);
+        let work =
+            if hint > 0.0 { hint } else { self.estimators.latency.mean_service_time() * MIN_WORK_SHARE };
+        let hopeless = class.late_value == 0.0 && work > request.objective() as f64;
+        self.requests.on_request_arrived(incoming.id, request);
+        self.retry_budget.on_request_arrived();
+        if hopeless || incoming.time_left == 0 {
+            self.reject_or_fail(incoming.id, actions);
+        } else if self.settings.load_checks_enabled() {
+            self.start_load_checks(incoming.id, actions);
         } else {
-            self.dispatch(call.id, actions);
-        }
-    }
-
-    pub(super) fn set_request_timer(&mut self, id: RequestId, after: Micros, actions: &mut Actions) {
-        let at = self.now + after;
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.wake_at = at;
-        }
-        self.request_timers.insert((at, id));
-        actions.push(Action::SetTimer { token: REQUEST_TIMER_TOKEN, after });
-    }
-
-    pub(super) fn on_request_timer(&mut self, actions: &mut Actions) {
-        while let Some(&(at, id)) = self.request_timers.first().filter(|a| a.0 <= self.now) {
-            self.request_timers.remove(&(at, id));
-            let held = |r: &&mut RequestState| r.wake_at == at && r.attempts.is_empty();
-            if let Some(request) = self.requests.get_mut(&id).filter(held) {
-                request.awaited_load_checks.clear();
-                self.dispatch(id, actions);
-            }
+            self.dispatch(incoming.id, actions);
         }
     }
 
+    /// Sends the first attempt of a request, has it wait for a server, or rejects it.
     pub(super) fn dispatch(&mut self, id: RequestId, actions: &mut Actions) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let (arrived, give_up, asked) = (request.arrived, request.deadline_at, request.load_checked.clone());
-        let patience = ((request.objective_at - arrived) as f64 * MAX_WAIT_SHARE) as Micros;
-        let picked = self.pick(RetryScope::Anywhere, &[], &asked, arrived, id);
-        let late = picked.is_some_and(|i| self.should_reject_as_late(i, id));
-        let missed =
-            late || self.load_from_responses() && picked.is_some_and(|i| self.misses_objective(i, id));
-        self.missed_objective_rate +=
-            FLEET_WEIGHT * (f64::from(u8::from(missed)) - self.missed_objective_rate);
+        let Some(request) = self.requests.get(id) else { return };
+        let max_wait = (request.objective() as f64 * MAX_WAIT_SHARE) as Micros;
+        let wait_until = request.deadline_at().min(request.arrived_at() + max_wait);
+        let load_checked = self.load_checked_servers(request);
+        let picked = self.pick(id, RetryScope::Anywhere, &[], load_checked);
+        let late = picked.is_some_and(|server_index| self.is_too_late(server_index, id));
+        let missed = late || picked.is_some_and(|server_index| self.expects_miss(server_index, id));
+        self.estimators.missed_objectives.on_server_picked(missed);
         match picked {
-            Some(i) if !late && !self.should_shed(id) => self.send(id, i, actions),
-            None if self.now + 2 * TICK_INTERVAL < give_up.min(arrived + patience) => {
-                self.set_request_timer(id, TICK_INTERVAL, actions)
+            Some(server_index) if !late && !self.should_shed(id) => self.send(id, server_index, actions),
+            None if self.now + 2 * TICK_INTERVAL < wait_until => {
+                self.set_request_timer(id, TICK_INTERVAL, actions);
             }
             _ => self.reject_or_fail(id, actions),
         }
     }
 
-    pub(super) fn send(&mut self, id: RequestId, i: usize, actions: &mut Actions) {
-        let now = self.now;
-        let load = self.queue_depth(&self.servers[i]);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let class = &self.settings.classes[usize::from(request.class.0)];
-        let server = &mut self.servers[i];
-        // A late answer that is worth nothing is not waited for.
-        let aim = request.objective_at.saturating_sub(2 * self.settings.step);
-        let until = if class.late_value == 0.0 { aim.min(request.deadline_at) } else { request.deadline_at };
-        let timeout = until.saturating_sub(now).max(1);
-        actions.push(Action::Send { request: id, server: server.endpoint.server, timeout: Some(timeout) });
-        let attempt = request.attempts.len() as u32;
-        let (zone, cell, state) = (server.endpoint.zone, server.endpoint.cell, AttemptState::InFlight);
-        request.attempts.push(Attempt { server: server.endpoint.server, sent: now, zone, cell, state });
-        let size = request.relative_work;
-        self.work_rate.add(size, now, REQUEST_RATE_HALF_LIFE);
-        if server.cold_since.is_some() {
-            server.cold_sent.push_back((now, size));
-        }
-        server.in_flight.push(InFlightAttempt {
-            request: id,
-            attempt,
-            sent: now,
-            relative_work: size,
-            queue_depth: load,
-        });
+    /// Sends an attempt of a request to a server.
+    pub(super) fn send(&mut self, id: RequestId, server_index: usize, actions: &mut Actions) {
+        let (now, queue_depth) = (self.now, self.estimates().queue_depth(&self.endpoints[server_index]));
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let (server, relative_work) = (&mut self.endpoints[server_index], request.relative_work());
+        // A late response that is worth nothing is not waited for.
+        let worthless_late = self.settings.class(request.class()).late_value == 0.0;
+        let objective_at = request.objective_at().saturating_sub(2 * self.settings.step);
+        let deadline_at = request.deadline_at();
+        let until = if worthless_late { objective_at.min(deadline_at) } else { deadline_at };
+        let timeout = Some(until.saturating_sub(now).max(1));
+        actions.push(Action::Send { request: id, server: server.id(), timeout });
+        let attempt = request.on_attempt_sent(server.endpoint(), now);
+        self.estimators.warm_server_quota.on_work_sent(relative_work, now);
+        let sent = InFlightAttempt { request: id, attempt, sent_at: now, relative_work, queue_depth };
+        server.on_attempt_sent(sent);
     }
 
-    /// Forgets a request that has its final answer and calls off what is still out for it.
+    /// Forgets a request that has its final response and cancels its attempts in flight.
     pub(super) fn finish(&mut self, id: RequestId, actions: &mut Actions) {
-        let Some(request) = self.requests.remove(&id) else { return };
-        if !self.settings.cancellation || request.streaming {
-            return;
+        let Some(request) = self.requests.on_request_finished(id) else { return };
+        if self.settings.cancellation && !request.is_streaming() {
+            let cancel = |attempt| Action::Cancel { request: id, attempt };
+            actions.extend(request.in_flight_attempts().map(cancel));
         }
-        let out = request.attempts.iter().zip(0..).filter(|(a, _)| a.state == AttemptState::InFlight);
-        actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
     }
 }
--- a/crates/balancer/src/policy/endpoints.rs
+++ b/crates/balancer/src/policy/endpoints.rs
@@ -1,76 +1,69 @@
-//! Following the list.
+//! Following the endpoint list: when to poll for it, and which servers it leaves.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::{Action, Actions, Endpoint, Micros, UpdateKind};
 
-/// First pause before the list is asked for again, and its growth, up to half the time allowed. Guards
-/// against many balancers that keep a full discovery full: it handles a few calls a second, whoever asks.
-pub(crate) const INITIAL_POLL_BACKOFF: Micros = 200_000;
-pub(crate) const POLL_BACKOFF_GROWTH: Micros = 3;
+/// First pause before the list is polled again, and its growth, up to half the longest interval. Guards
+/// against many balancers that keep discovery saturated: it handles a few calls a second, whoever polls.
+pub(super) const INITIAL_POLL_BACKOFF: Micros = 200_000;
+const POLL_BACKOFF_GROWTH: Micros = 3;
 
 impl Balancer {
+    /// Polls the endpoint list; without any response it is polled again in good time.
     pub(super) fn poll_endpoints(&mut self, actions: &mut Actions) {
         actions.push(Action::PollEndpoints);
-        // Should no answer come at all, ask again in good time.
-        self.next_poll_at = Some(self.now + self.settings.max_poll_interval * 3 / 4);
+        self.poller.on_polled(self.now + self.settings.max_poll_interval * 3 / 4);
     }
 
+    fn on_list_lost(&mut self, actions: &mut Actions) {
+        if self.poller.is_subscribed() {
+            actions.push(Action::Log { text: "list lost".into(), server: None });
+        }
+        let backoff = self.poller.backoff();
+        let next_poll_at = self.now + backoff / 2 + self.rng.u64(0..=backoff);
+        let next_backoff = (POLL_BACKOFF_GROWTH * backoff).min(self.settings.max_poll_interval / 2);
+        self.poller.on_list_lost(next_poll_at, next_backoff);
+    }
+
+    /// An update of the endpoint list came, or was lost.
     pub(super) fn on_endpoints_updated(
         &mut self,
         kind: UpdateKind,
         version: u64,
-        entries: Vec<Endpoint>,
+        endpoints: Vec<Endpoint>,
         actions: &mut Actions,
     ) {
         if kind == UpdateKind::Lost {
-            if self.subscribed {
-                actions.push(Action::Log { text: "list lost".into(), server: None });
-            }
-            self.subscribed = false;
-            self.next_poll_at = Some(self.now + self.poll_backoff / 2 + self.rng.u64(0..=self.poll_backoff));
-            self.poll_backoff =
-                (POLL_BACKOFF_GROWTH * self.poll_backoff).min(self.settings.max_poll_interval / 2);
+            self.on_list_lost(actions);
             return;
         }
         if kind != UpdateKind::Cached {
-            (self.subscribed, self.poll_backoff, self.next_poll_at) = (true, INITIAL_POLL_BACKOFF, None);
-            self.servers.iter_mut().for_each(|s| s.possibly_draining = false);
+            self.poller.on_list_received(INITIAL_POLL_BACKOFF);
+            self.endpoints.on_list_received();
         }
-        if version < self.version {
+        if !self.endpoints.accept_version(version) {
             return;
         }
-        self.version = version;
         if kind != UpdateKind::Incremental {
-            let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
-            for server in self.servers.iter_mut().filter(|s| !named.contains(&s.endpoint.server)) {
-                server.endpoint.status = EndpointStatus::Removed;
-            }
-        }
-        for entry in entries {
-            self.on_endpoint(entry, actions);
+            self.endpoints.on_full_list(&endpoints);
         }
-        let keep = self.settings.only_draining_binds;
-        let gone = |s: &ServerState| s.endpoint.status == EndpointStatus::Removed && s.in_flight.is_empty();
-        self.servers.retain(|s| !gone(s) || (keep && !s.dead && !s.drained));
-        self.rebuild_subset_order();
+        self.merge(endpoints, actions);
+        let keep_removed = self.settings.only_draining_binds;
+        self.endpoints.retain(|server| {
+            let gone = server.is_removed() && server.in_flight().is_empty();
+            !gone || (keep_removed && !server.suspicion.is_dead() && !server.is_drain_listed())
+        });
+        self.subset_order.on_endpoints_updated(&self.endpoints, self.settings.balancer_index);
     }
 
-    fn on_endpoint(&mut self, entry: Endpoint, actions: &mut Actions) {
-        let now = self.now;
-        let Some(i) = self.find(entry.server) else {
-            let fresh = entry.incarnation.filter(|&at| now < at + self.settings.slow_start_time);
-            let cold_since = fresh.map(|at| at.min(now));
-            self.index_by_id.insert(entry.server, self.servers.len());
-            self.servers.push(ServerState { cold_since, ..ServerState::new(entry) });
-            return;
-        };
-        let server = &mut self.servers[i];
-        let newer = entry.incarnation.unwrap_or(0) > server.incarnation();
-        let launched = if newer { entry.incarnation } else { server.endpoint.incarnation };
-        server.endpoint = Endpoint { incarnation: launched, ..entry };
-        if newer {
-            self.on_restart(i, actions);
+    /// A stale list never restores a draining server: only a restart does.
+    fn merge(&mut self, endpoints: Vec<Endpoint>, actions: &mut Actions) {
+        for endpoint in endpoints {
+            let merged = self.endpoints.merge(endpoint, self.now, self.settings.slow_start_time);
+            if merged.restarted {
+                self.on_restart(merged.server_index, actions);
+            }
+            self.endpoints[merged.server_index].on_status_listed(endpoint.status);
         }
-        // A stale list never restores a drain: only a newer start does.
-        self.servers[i].drained |= entry.status == EndpointStatus::Draining;
     }
 }
--- a/crates/balancer/src/policy/failure_detector.rs
+++ b/crates/balancer/src/policy/failure_detector.rs
@@ -1,113 +1,115 @@
 //! Which servers are suspected, and when that ends.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::state::{Suspicion, SuspicionCause};
+use crate::{Action, Actions, Micros, RequestId};
 
-/// Time without a sign of life after which a suspect is dead, and the least between two probes of it.
-pub(crate) const DEAD_AFTER: Micros = 8_000_000;
-pub(crate) const SUSPECT_CHECK_INTERVAL: Micros = 400_000;
-/// Outstanding work raises a suspicion once its silence is as surprising as this, as the negative
-/// logarithm of its probability on a sound server: one in a million, as answers of one server hang together.
+/// Time without a sign of life after which a suspect is dead, and the least between two health checks of it.
+const DEAD_AFTER: Micros = 8_000_000;
+pub(super) const SUSPECT_CHECK_INTERVAL: Micros = 400_000;
+/// Attempts in flight raise a suspicion once their silence is as improbable as this, as the negative
+/// logarithm of its probability on a sound server: one in a million, as one server's responses hang together.
 const MAX_SILENCE_IMPROBABILITY: f64 = 14.0;
-/// A suspicion raised by work outlives good probes for this long, doubled each time it returns.
+/// A suspicion that attempts raised outlives good health checks for this long, doubled each time it returns.
 const BASE_EJECTION_TIME: Micros = 500_000;
 const MAX_EJECTION_TIME: Micros = 8_000_000;
+const MAX_EJECTION_DOUBLINGS: u32 = 8;
 /// After this long without a new suspicion, earlier ones are forgotten.
 const EJECTION_MEMORY: Micros = 20_000_000;
 
 impl Balancer {
-    pub(super) fn check_suspicion(&mut self, i: usize, actions: &mut Actions) {
-        let now = self.now;
-        let server = &mut self.servers[i];
-        if server.confirm_at.is_some_and(|at| now >= at) {
-            server.confirm_at = None;
-            if self.settings.has_peers() {
-                let gossip = !server.confirmed_alive;
-                if self.eject(i, SuspicionCause::HealthChecks, actions) && gossip {
-                    self.queue_suspicion(i);
-                }
-            } else {
-                server.confirmed_alive = false;
-                self.start_health_check(i, actions);
-            }
+    /// Confirms a failed health check, ends or hardens a suspicion, or raises one over silent attempts.
+    pub(super) fn check_suspicion(&mut self, server_index: usize, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        if server.health_check.take_due_confirmation(self.now) {
+            self.confirm_failed_health_check(server_index, actions);
+        } else if let Some(suspicion) = server.suspicion.current() {
+            self.review_suspicion(server_index, suspicion, actions);
+        } else if self.is_improbably_silent(server_index) {
+            self.eject(server_index, SuspicionCause::Attempts, actions);
+        }
+    }
+
+    /// Guards against servers that answer health checks but not attempts: all attempts there are silent for
+    /// longer than the fleet's latencies explain. General slowness raises no suspicion.
+    fn is_improbably_silent(&self, server_index: usize) -> bool {
+        let server = &self.endpoints[server_index];
+        let improbability = self.estimators.latency_distribution.silence_improbability(server, self.now);
+        improbability > MAX_SILENCE_IMPROBABILITY
+    }
+
+    fn confirm_failed_health_check(&mut self, server_index: usize, actions: &mut Actions) {
+        let health_check = &mut self.endpoints[server_index].health_check;
+        if !self.settings.has_peers() {
+            health_check.on_failed();
+            self.start_health_check(server_index, actions);
             return;
         }
-        match server.suspicion {
-            Some(suspicion) => {
-                if !server.dead && now >= suspicion.since + DEAD_AFTER {
-                    server.dead = true;
-                    actions.push(Action::Log { text: "dead".into(), server: Some(server.endpoint.server) });
-                }
-                let lie = suspicion.cause != SuspicionCause::Attempts && self.health_checks_unreliable();
-                if lie || !self.settings.health_checks && now >= suspicion.since + suspicion.ejection_time {
-                    self.readmit(i, actions);
-                }
-            }
-            None => {
-                // Guards against servers that answer probes but not work: all that is out there is silent for
-                // longer than the fleet's latencies explain. General slowness raises no suspicion.
-                let silent =
-                    |o: &InFlightAttempt| now.saturating_sub(o.sent.max(server.last_served_at)).max(1) as f64;
-                let z = |o: &InFlightAttempt| {
-                    (silent(o).ln() - self.log_latency_mean) / self.log_latency_variance.sqrt()
-                };
-                let sum: f64 = server.in_flight.iter().map(|o| tail_improbability(z(o))).sum();
-                if sum > MAX_SILENCE_IMPROBABILITY {
-                    self.eject(i, SuspicionCause::Attempts, actions);
-                }
-            }
+        let unreached = !health_check.is_confirmed_alive();
+        if self.eject(server_index, SuspicionCause::HealthChecks, actions) && unreached {
+            self.queue_suspicion(server_index);
         }
     }
 
-    pub(super) fn eject(&mut self, i: usize, cause: SuspicionCause, actions: &mut Actions) -> bool {
-        let lie = cause != SuspicionCause::Attempts && self.health_checks_unreliable();
-        let turn = self.subset_size() as f64 / self.own_request_rate();
-        let (now, server) = (self.now, &mut self.servers[i]);
-        if server.suspicion.is_some() || lie {
+    fn review_suspicion(&mut self, server_index: usize, suspicion: Suspicion, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        if !server.suspicion.is_dead() && self.now >= suspicion.since + DEAD_AFTER {
+            server.suspicion.on_declared_dead();
+            actions.push(Action::Log { text: "dead".into(), server: Some(server.id()) });
+        }
+        let unfounded = suspicion.cause != SuspicionCause::Attempts && self.health_checks_unreliable();
+        if unfounded || !self.settings.health_checks && suspicion.has_aged(self.now) {
+            self.readmit(server_index, actions);
+        }
+    }
+
+    /// Suspects a server and retries its attempts elsewhere; false where it is suspected already, or the
+    /// cause cannot be believed.
+    pub(super) fn eject(
+        &mut self,
+        server_index: usize,
+        cause: SuspicionCause,
+        actions: &mut Actions,
+    ) -> bool {
+        let unfounded = cause != SuspicionCause::Attempts && self.health_checks_unreliable();
+        let mean_pause = self.subset_size() as f64 / self.estimators.workload.request_rate(self.now);
+        let (now, server) = (self.now, &mut self.endpoints[server_index]);
+        if server.suspicion.is_suspected() || unfounded {
             return false;
         }
-        server.ejections =
-            if now > server.last_ejected_at + EJECTION_MEMORY { 0 } else { server.ejections + 1 };
-        server.last_ejected_at = now;
-        // A balancer so quiet that the server's turn comes later than the hold would learn nothing from it.
-        let ejection_time =
-            ((BASE_EJECTION_TIME << server.ejections.min(8)).max(turn as Micros)).min(MAX_EJECTION_TIME);
-        server.suspicion = Some(Suspicion { cause, since: now, ejection_time });
-        actions.push(Action::Log { text: cause.text().into(), server: Some(server.endpoint.server) });
-        // What is out there may be rescued elsewhere, where that is legal.
-        let stuck: Vec<RequestId> = server.in_flight.iter().map(|o| o.request).collect();
+        let ejections = server.suspicion.ejections_before(now, EJECTION_MEMORY);
+        // A balancer so quiet that it sends to the server more seldom would learn nothing from the ejection.
+        let doubled = BASE_EJECTION_TIME << ejections.min(MAX_EJECTION_DOUBLINGS);
+        let ejection_time = doubled.max(mean_pause as Micros).min(MAX_EJECTION_TIME);
+        server.suspicion.on_ejected(Suspicion { cause, since: now, ejection_time }, ejections);
+        actions.push(Action::Log { text: cause.text().into(), server: Some(server.id()) });
+        let stuck: Vec<RequestId> = server.in_flight().iter().map(|attempt| attempt.request).collect();
         for request in stuck {
             self.retry(request, actions);
         }
         true
     }
 
-    pub(super) fn readmit(&mut self, i: usize, actions: &mut Actions) {
-        let (now, server) = (self.now, &mut self.servers[i]);
-        let Some(suspicion) = server.suspicion.take() else { return };
-        server.consecutive_failures = 0;
-        // Guards against restarts that the list is silent about: what comes back from silence is cold.
+    /// Ends the suspicion of a server, if any.
+    pub(super) fn readmit(&mut self, server_index: usize, actions: &mut Actions) {
+        let (now, server) = (self.now, &mut self.endpoints[server_index]);
+        let Some(suspicion) = server.suspicion.on_readmitted() else { return };
+        server.failures.on_readmitted();
+        // Guards against restarts that the list is silent about: what comes back from silence starts slowly.
         if suspicion.cause != SuspicionCause::Attempts && now > suspicion.since + 2 * SUSPECT_CHECK_INTERVAL {
-            server.cold_since = Some(now);
+            server.slow_start.on_silence_ended(now);
         }
-        server.dead = false;
-        server.confirmed_alive = true;
-        actions.push(Action::Log { text: "cleared".into(), server: Some(server.endpoint.server) });
+        server.health_check.on_confirmed_alive();
+        actions.push(Action::Log { text: "cleared".into(), server: Some(server.id()) });
     }
 
-    /// A newer start time: alive for it overrides suspicion of anything older.
-    pub(super) fn on_restart(&mut self, i: usize, actions: &mut Actions) {
-        let now = self.now;
-        let server = &mut self.servers[i];
-        let launched = server.endpoint.incarnation.unwrap_or(0);
-        let flapping = server.ejections > 0 && now < server.last_ejected_at + EJECTION_MEMORY;
-        (server.drained, server.in_flight_elsewhere, server.reported_in_flight, server.own_in_flight) =
-            (false, 0.0, 0.0, 0.0);
-        if now < launched + self.settings.slow_start_time {
-            server.cold_since = Some(launched.min(now));
-        }
-        // A server that keeps restarting does not earn trust by its new start time alone.
-        if !flapping {
-            self.readmit(i, actions);
+    /// The list names a newer incarnation: that it is alive overrides suspicion of anything older.
+    pub(super) fn on_restart(&mut self, server_index: usize, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        server.on_restarted(self.now, self.settings.slow_start_time);
+        // A server that keeps restarting does not earn trust by its new incarnation alone.
+        if !server.suspicion.is_flapping(self.now, EJECTION_MEMORY) {
+            self.readmit(server_index, actions);
         }
     }
 }
--- a/crates/balancer/src/policy/gossip.rs
+++ b/crates/balancer/src/policy/gossip.rs
@@ -1,58 +1,86 @@
-//! What balancers that may talk tell each other.
+//! What balancers tell each other: suspicions, and indirect health checks.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::state::{GossipKind, GossipMessage, ServerState, SuspicionCause};
+use crate::{Action, Actions, Micros};
 
-/// Suspicions told in one message: as many as fit.
+/// Suspicions in one message: as many as fit.
 const MAX_SUSPICIONS_PER_MESSAGE: usize = 15;
-/// Peers asked to confirm a failed probe.
+/// Balancers asked to confirm a failed health check.
 const INDIRECT_CHECKERS: usize = 3;
-/// A served request within this time outweighs a suspicion heard from a peer.
+/// An attempt served within this time outweighs another balancer's suspicion.
 const SERVED_OUTWEIGHS_GOSSIP: Micros = 500_000;
 
 impl Balancer {
-    pub(super) fn request_indirect_checks(&mut self, i: usize, actions: &mut Actions) {
-        for _ in 0..INDIRECT_CHECKERS {
-            let to = self.random_peer();
-            if to.is_some() {
-                actions.push(Action::SendGossip { to, message: say(SAY_ASK, &self.servers[i]) });
-            }
-        }
+    /// Asks some balancers to check a server.
+    pub(super) fn request_indirect_checks(&mut self, server_index: usize, actions: &mut Actions) {
+        let message = self.endpoints[server_index].gossip(GossipKind::IndirectCheckRequest).encode();
+        let checkers = (0..INDIRECT_CHECKERS).filter_map(|_| self.random_peer());
+        actions.extend(checkers.map(|to| Action::SendGossip { to: Some(to), message: message.clone() }));
+    }
+
+    /// Tells the balancers that asked for it of a successful health check; they wait no longer in any case.
+    pub(super) fn answer_requesters(&mut self, server_index: usize, succeeded: bool, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        let requesters = server.health_check.take_requesters();
+        let message = server.gossip(GossipKind::ConfirmedAlive);
+        let answer = |to| Action::SendGossip { to: Some(to), message: message.encode() };
+        actions.extend(requesters.into_iter().filter(|_| succeeded).map(answer));
+    }
+
+    /// Queues the suspicion of a server for about log N datagrams, which reach all balancers.
+    pub(super) fn queue_suspicion(&mut self, server_index: usize) {
+        let datagrams = u32::BITS - self.settings.balancer_count.leading_zeros() + 1;
+        self.gossip.push(&self.endpoints[server_index].gossip(GossipKind::Suspected), datagrams);
+    }
+
+    /// Another balancer, drawn at random.
+    fn random_peer(&mut self) -> Option<u32> {
+        let peer = self.settings.has_peers().then(|| self.rng.u32(0..self.settings.balancer_count - 1))?;
+        Some(if peer >= self.settings.balancer_index { peer + 1 } else { peer })
     }
 
-    /// One message to a random peer with each own probe, however much is suspected.
+    /// One message to a random balancer with each scheduled health check, however many servers are suspected.
     pub(super) fn send_gossip(&mut self, actions: &mut Actions) {
         let to = self.random_peer();
-        if to.is_none() || self.gossip.is_empty() {
-            return;
+        if to.is_some() && !self.gossip.is_empty() {
+            let message = self.gossip.next_datagram(MAX_SUSPICIONS_PER_MESSAGE);
+            actions.push(Action::SendGossip { to, message });
         }
-        actions.push(Action::SendGossip { to, message: self.gossip.next(MAX_SUSPICIONS_PER_MESSAGE) });
     }
 
-    pub(super) fn on_gossip_received(&mut self, from: u32, message: &[u8], actions: &mut Actions) {
+    /// Another balancer sent a message; what it says of unknown servers is ignored.
+    pub(super) fn on_gossip_received(&mut self, from: u32, datagram: &[u8], actions: &mut Actions) {
         if from >= self.settings.balancer_count {
             return;
         }
-        for (what, name, incarnation) in unpack(message) {
-            let named = |s: &ServerState| s.endpoint.stable_hash == name;
-            let Some(i) = self.servers.iter().position(named) else { continue };
-            let (now, server) = (self.now, &mut self.servers[i]);
-            let id = server.endpoint.server;
-            match what {
-                SAY_ASK if server.indirect_check_requesters.len() < INDIRECT_CHECKERS => {
-                    server.indirect_check_requesters.push(from);
-                    self.check_load(i, actions);
-                }
-                SAY_REACHED => server.confirmed_alive = true,
-                SAY_SUSPECT if incarnation >= server.incarnation() && server.suspicion.is_none() => {
-                    // One mistaken peer must not empty the fleet: own served work outweighs it.
-                    let doubt = now < server.last_served_at + SERVED_OUTWEIGHS_GOSSIP;
-                    if !doubt && self.eject(i, SuspicionCause::Gossip, actions) {
-                        self.queue_suspicion(i);
-                    }
-                    self.check_soon(id);
+        for message in GossipMessage::decode(datagram) {
+            let named = |server: &ServerState| server.endpoint().stable_hash == message.stable_hash;
+            let Some(server_index) = self.endpoints.iter().position(named) else { continue };
+            let health_check = &mut self.endpoints[server_index].health_check;
+            match message.kind {
+                GossipKind::IndirectCheckRequest if health_check.requester_count() < INDIRECT_CHECKERS => {
+                    health_check.on_indirect_check_requested(from);
+                    self.check_load(server_index, actions);
                 }
-                _ => {}
+                GossipKind::IndirectCheckRequest => {}
+                GossipKind::ConfirmedAlive => health_check.on_confirmed_alive(),
+                GossipKind::Suspected => self.on_suspicion(server_index, message.incarnation, actions),
             }
         }
     }
+
+    fn on_suspicion(&mut self, server_index: usize, incarnation: Micros, actions: &mut Actions) {
+        let server = &self.endpoints[server_index];
+        if incarnation < server.incarnation() || server.suspicion.is_suspected() {
+            return;
+        }
+        let id = server.id();
+        // One mistaken balancer must not empty the fleet: this one's own served attempts outweigh it.
+        let doubtful = self.now < server.failures.last_served_at() + SERVED_OUTWEIGHS_GOSSIP;
+        if !doubtful && self.eject(server_index, SuspicionCause::Gossip, actions) {
+            self.queue_suspicion(server_index);
+        }
+        self.check_soon(id);
+    }
 }
--- a/crates/balancer/src/policy/health_check.rs
+++ b/crates/balancer/src/policy/health_check.rs
@@ -1,144 +1,132 @@
-//! Which server is probed, when, and what its answer tells.
+//! Which server is checked, when, and what the result tells.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::policy::failure_detector::SUSPECT_CHECK_INTERVAL;
+use crate::state::{RetryScope, SuspicionCause};
+use crate::{Action, Actions, LoadReport, Micros, ServerId};
 
-/// How often the balancer looks around, in microseconds: well under any time an answer is wanted in.
-pub(crate) const TICK_INTERVAL: Micros = 25_000;
-/// Time between random probes: what keeps their fee under the last figure at own traffic, within these two;
-/// while a server is suspected they come so many times as often, every other one for a suspect.
-pub(crate) const MIN_HEALTH_CHECK_INTERVAL: Micros = 1_000_000;
-pub(crate) const MAX_HEALTH_CHECK_INTERVAL: Micros = 5_000_000;
-pub(crate) const SUSPECTED_SPEEDUP: Micros = 4;
-pub(crate) const MAX_HEALTH_CHECK_COST: f64 = 0.001;
-/// Pause before a failed probe is confirmed, by a second probe or by what intermediates say.
+/// Time between health checks of random servers: what keeps their fee under the last figure at the request
+/// rate, within these two; while a server is suspected they come so many times as often, every other one for
+/// a suspect.
+pub(super) const MIN_HEALTH_CHECK_INTERVAL: Micros = 1_000_000;
+const MAX_HEALTH_CHECK_INTERVAL: Micros = 5_000_000;
+const SUSPECTED_SPEEDUP: Micros = 4;
+const MAX_HEALTH_CHECK_COST: f64 = 0.001;
+/// Pause before a failed health check is confirmed, by a second one or by what other balancers say.
 const CONFIRMATION_DELAY: Micros = 150_000;
-/// Where more than this share of the servers in use fail their probes, the trouble is with the probes.
+/// Where more than this share of the servers in use fail their health checks, these are at fault.
 const UNRELIABLE_CHECK_SHARE: f64 = 0.3;
 
 impl Balancer {
-    pub(super) fn on_tick(&mut self, actions: &mut Actions) {
-        let now = self.now;
-        actions.push(Action::SetTimer { token: TICK_TOKEN, after: TICK_INTERVAL });
-        self.update_warm_server_quota();
-        for i in 0..self.servers.len() {
-            self.check_suspicion(i, actions);
+    /// Checks the server whose turn it is, and sends gossip along.
+    pub(super) fn run_scheduled_health_check(&mut self, actions: &mut Actions) {
+        let interval = self.health_check_interval();
+        self.health_checks.on_check_due(self.now, interval);
+        if let Some(server_index) = self.next_server_to_check() {
+            self.start_health_check(server_index, actions);
+            self.endpoints[server_index].health_check.on_full_check_requested();
         }
-        if self.settings.health_checks && now >= self.next_health_check_at {
-            self.next_health_check_at = now + self.health_check_interval();
-            self.last_health_check_at = now;
-            if let Some(i) = self.next_server_to_check() {
-                self.start_health_check(i, actions);
-                self.servers[i].load_only = false;
-            }
-            self.send_gossip(actions);
-        }
-        if self.next_poll_at.is_some_and(|at| now >= at) {
-            self.poll_endpoints(actions);
-        }
-    }
-
-    /// Own requests a microsecond, above zero.
-    pub(super) fn own_request_rate(&self) -> f64 {
-        self.request_rate.get(self.now, REQUEST_RATE_HALF_LIFE).max(f64::MIN_POSITIVE)
+        self.send_gossip(actions);
     }
 
-    /// Guards against probes that together cost more than they tell: one schedule serves them all.
+    /// Guards against health checks that together cost more than they tell: one schedule serves all servers.
     fn health_check_interval(&self) -> Micros {
-        let affordable =
-            (self.settings.health_check_fee / (MAX_HEALTH_CHECK_COST * self.own_request_rate())) as Micros;
-        let period = affordable.clamp(MIN_HEALTH_CHECK_INTERVAL, MAX_HEALTH_CHECK_INTERVAL);
-        let suspected = self.servers.iter().any(|s| s.suspicion.is_some());
-        if suspected { period / SUSPECTED_SPEEDUP } else { period }
+        let cost_per_interval = MAX_HEALTH_CHECK_COST * self.estimators.workload.request_rate(self.now);
+        let affordable = (self.settings.health_check_fee / cost_per_interval) as Micros;
+        let interval = affordable.clamp(MIN_HEALTH_CHECK_INTERVAL, MAX_HEALTH_CHECK_INTERVAL);
+        let suspected = self.endpoints.iter().any(|server| server.suspicion.is_suspected());
+        if suspected { interval / SUSPECTED_SPEEDUP } else { interval }
     }
 
-    /// By turns the suspect that waits longest and one whose attempt failed, else a random ready one.
+    /// By turns the suspect that waits longest and a server that failed, else a random ready one.
     fn next_server_to_check(&mut self) -> Option<usize> {
-        let due = |s: &ServerState| {
-            s.suspicion.is_some() && self.now >= s.last_health_check_at + SUSPECT_CHECK_INTERVAL
-        };
-        let suspects = (0..self.servers.len()).filter(|&i| due(&self.servers[i]));
-        let suspect = suspects.min_by_key(|&i| self.servers[i].last_health_check_at);
+        let last_started_at = |index: &usize| self.endpoints[*index].health_check.last_started_at();
+        let is_suspected = |index: &usize| self.endpoints[*index].suspicion.is_suspected();
+        let is_due = |index: &usize| self.now >= last_started_at(index) + SUSPECT_CHECK_INTERVAL;
+        let suspects = (0..self.endpoints.len()).filter(|index| is_suspected(index) && is_due(index));
+        let suspect = suspects.min_by_key(last_started_at);
         // Guards against suspects that wait for ever where attempts fail all the time.
-        self.suspect_is_next = !self.suspect_is_next;
-        if suspect.is_some() && self.suspect_is_next {
+        if self.health_checks.take_suspect_turn() && suspect.is_some() {
             return suspect;
         }
-        if let Some(i) = self.health_check_queue.pop().and_then(|id| self.find(id)) {
-            return Some(i);
+        if let Some(server_index) = self.health_checks.pop().and_then(|id| self.endpoints.find(id)) {
+            return Some(server_index);
         }
-        let pool = self.candidates(RetryScope::Anywhere, &[], true);
-        self.rng.choice(pool)
+        let candidates = self.candidates(RetryScope::Anywhere, &[], true);
+        self.rng.choice(candidates)
     }
 
-    /// Makes a server the next to be probed, and soon.
+    /// Makes a server the next to be checked, and soon.
     pub(super) fn check_soon(&mut self, id: ServerId) {
-        if !self.health_check_queue.contains(&id) {
-            self.health_check_queue.push(id);
-            let soon = self.last_health_check_at + MIN_HEALTH_CHECK_INTERVAL / SUSPECTED_SPEEDUP;
-            self.next_health_check_at = self.next_health_check_at.min(soon.max(self.now));
-        }
+        self.health_checks.push(id, MIN_HEALTH_CHECK_INTERVAL / SUSPECTED_SPEEDUP, self.now);
     }
 
-    pub(super) fn start_health_check(&mut self, i: usize, actions: &mut Actions) {
-        let server = &mut self.servers[i];
-        if self.settings.health_checks && server.health_check_started_at.is_none() {
-            server.health_check_started_at = Some(self.now);
-            server.last_health_check_at = self.now;
-            actions.push(Action::HealthCheck { server: server.endpoint.server });
+    /// Checks a server, unless a health check of it is in progress.
+    pub(super) fn start_health_check(&mut self, server_index: usize, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        if self.settings.health_checks && server.health_check.started_at().is_none() {
+            server.health_check.on_started(self.now);
+            actions.push(Action::HealthCheck { server: server.id() });
         }
     }
 
-    /// A probe out of turn. Guards against floods: its failure is not confirmed, the server waits its turn.
-    pub(super) fn check_load(&mut self, i: usize, actions: &mut Actions) {
-        self.servers[i].load_only |= self.servers[i].health_check_started_at.is_none();
-        self.start_health_check(i, actions);
+    /// Checks a server out of turn. Guards against floods: a failure is not confirmed, but waits its turn.
+    pub(super) fn check_load(&mut self, server_index: usize, actions: &mut Actions) {
+        self.endpoints[server_index].health_check.on_load_check_requested();
+        self.start_health_check(server_index, actions);
     }
 
+    /// A health check ended.
     pub(super) fn on_health_check_ended(
         &mut self,
         id: ServerId,
-        good: bool,
+        succeeded: bool,
         report: Option<LoadReport>,
         actions: &mut Actions,
     ) {
-        let Some(i) = self.find(id) else { return };
-        self.on_load_report(i, report);
-        let (now, server) = (self.now, &mut self.servers[i]);
-        server.health_check_started_at = None;
-        let was_mute = std::mem::replace(&mut server.last_health_check_failed, !good);
-        self.failed_health_checks = self.failed_health_checks + usize::from(!good) - usize::from(was_mute);
-        let glance = std::mem::take(&mut server.load_only);
-        for asker in std::mem::take(&mut server.indirect_check_requesters).into_iter().filter(|_| good) {
-            actions.push(Action::SendGossip { to: Some(asker), message: say(SAY_REACHED, server) });
-        }
-        if good {
-            (server.confirm_at, server.confirmed_alive) = (None, true);
-            if let Some(suspicion) = server.suspicion {
-                // A good probe proves little where work raised the suspicion: it must age first.
-                if suspicion.cause != SuspicionCause::Attempts
-                    || now >= suspicion.since + suspicion.ejection_time
-                {
-                    self.readmit(i, actions);
-                }
-            }
-        } else if glance {
+        let Some(server_index) = self.endpoints.find(id) else { return };
+        self.on_load_report(server_index, report);
+        let load_only = self.endpoints.on_health_check_ended(server_index, succeeded);
+        self.answer_requesters(server_index, succeeded, actions);
+        if succeeded {
+            self.on_health_check_succeeded(server_index, actions);
+        } else if load_only {
             self.check_soon(id);
-        } else if server.suspicion.is_none() && server.confirm_at.is_none() {
-            let confirming = std::mem::replace(&mut server.confirmed_alive, false);
-            if self.settings.has_peers() || confirming {
-                server.confirm_at = Some(now + CONFIRMATION_DELAY);
-                self.request_indirect_checks(i, actions);
-            } else {
-                self.eject(i, SuspicionCause::HealthChecks, actions);
-            }
+        } else {
+            self.on_health_check_failed(server_index, actions);
         }
         self.on_load_check_ended(id, actions);
     }
 
-    /// Guards against probes that fail while servers serve: then work alone is believed, and a deployment
-    /// with reports does as one without. Servers that are really gone fail work as well.
+    /// A success proves little where attempts raised the suspicion: that must age first.
+    fn on_health_check_succeeded(&mut self, server_index: usize, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        server.health_check.on_succeeded();
+        let Some(suspicion) = server.suspicion.current() else { return };
+        if suspicion.cause != SuspicionCause::Attempts || suspicion.has_aged(self.now) {
+            self.readmit(server_index, actions);
+        }
+    }
+
+    /// A first failure is to be confirmed, by a second health check or by other balancers.
+    fn on_health_check_failed(&mut self, server_index: usize, actions: &mut Actions) {
+        let server = &mut self.endpoints[server_index];
+        if server.suspicion.is_suspected() || server.health_check.is_confirming() {
+            return;
+        }
+        let first = server.health_check.on_failed();
+        if self.settings.has_peers() || first {
+            server.health_check.on_confirmation_scheduled(self.now + CONFIRMATION_DELAY);
+            self.request_indirect_checks(server_index, actions);
+        } else {
+            self.eject(server_index, SuspicionCause::HealthChecks, actions);
+        }
+    }
+
+    /// Guards against health checks that fail while servers serve: then attempts alone are believed, and load
+    /// reports are not used. Servers that are really gone fail attempts as well.
     pub(super) fn health_checks_unreliable(&self) -> bool {
-        let mute = self.failed_health_checks as f64;
-        mute > 0.0 && mute > UNRELIABLE_CHECK_SHARE * (self.subset_size() as f64 + mute)
+        let failed = self.endpoints.failed_health_checks() as f64;
+        failed > 0.0 && failed > UNRELIABLE_CHECK_SHARE * (self.subset_size() as f64 + failed)
     }
 }
--- a/crates/balancer/src/policy/load_check.rs
+++ b/crates/balancer/src/policy/load_check.rs
@@ -1,57 +1,79 @@
-//! Asking for load before a send.
+//! Load reports: which are believed, and which servers are asked for one before a request is sent.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::state::RetryScope;
+use crate::{Actions, LoadReport, Micros, RequestId, ServerId, Settings};
 
 /// Most servers asked for their load before a send; fewer while the chance to miss an idle one is low.
+const MIN_LOAD_CHECKS: f64 = 2.0;
 const MAX_LOAD_CHECKS: f64 = 8.0;
 const IDLE_MISS_CHANCE: f64 = 0.05;
-/// Highest fee for one probe per request at which servers are asked before each send.
+/// Highest fee for one health check per request at which servers are asked before each send.
 const MAX_LOAD_CHECK_FEE: f64 = 0.005;
-/// Share of the objective that may pass in asking.
+/// Share of the latency objective that load checks may take.
 const LOAD_CHECK_WAIT_SHARE: f64 = 0.02;
+/// A report may fall this far below the attempts that are known to be in flight.
+const REPORT_TOLERANCE: f64 = 0.5;
+
+impl Settings {
+    /// True where servers are asked for their load before a send. Guards against trust in reports that nobody
+    /// fetches: where health checks are dear, what is known of queues is seconds old.
+    pub(crate) fn load_checks_enabled(&self) -> bool {
+        self.load_reports && self.health_checks && self.health_check_fee <= MAX_LOAD_CHECK_FEE
+    }
+
+    /// True where responses tell of load and nobody asks before a send.
+    pub(crate) fn load_from_responses(&self) -> bool {
+        self.load_reports_in_responses && !self.load_checks_enabled()
+    }
+}
 
 impl Balancer {
-    pub(crate) fn load_reports_trusted(&self) -> bool {
-        self.load_checks_enabled() && !self.health_checks_unreliable()
+    /// True where load reports of health checks are current and can be believed.
+    pub(super) fn load_reports_trusted(&self) -> bool {
+        self.settings.load_checks_enabled() && !self.health_checks_unreliable()
     }
 
-    /// True where a request may ask for load before it is sent. Guards against trust in reports that nobody
-    /// fetches: where probes are dear, what is known of queues is seconds old, and answers have to tell.
-    pub(crate) fn load_checks_enabled(&self) -> bool {
-        self.settings.load_reports
-            && self.settings.health_checks
-            && self.settings.health_check_fee <= MAX_LOAD_CHECK_FEE
+    /// A load report came. Guards against reports that are frozen or wrong: one that falls below what was in
+    /// flight when the health check started.
+    pub(super) fn on_load_report(&mut self, server_index: usize, report: Option<LoadReport>) {
+        let from_responses = self.settings.load_from_responses();
+        let server = &mut self.endpoints[server_index];
+        let check_started_at = server.health_check.started_at();
+        let in_flight = server.in_flight();
+        let known =
+            in_flight.iter().filter(|attempt| Some(attempt.sent_at) < check_started_at).count() as f64;
+        let believable = |reported: &f64| from_responses || *reported + REPORT_TOLERANCE >= known;
+        let valid = |reported: &f64| reported.is_finite() && *reported >= 0.0 && believable(reported);
+        let Some(reported) = report.map(|report| report.in_flight).filter(valid) else { return };
+        server.on_load_report(reported, from_responses, self.now);
+        self.estimators.utilization.on_load_report(reported);
     }
 
-    /// Asks a few random servers for their load, which own requests tell little of where others send too.
+    /// Asks a few random servers for their load, which a balancer's own attempts tell little of where others
+    /// send too.
     pub(super) fn start_load_checks(&mut self, id: RequestId, actions: &mut Actions) {
-        let mut open = self.candidates(RetryScope::Anywhere, &[], true);
-        self.rng.shuffle(&mut open);
-        let looks = IDLE_MISS_CHANCE.ln() / self.utilization.clamp(0.01, 0.99).ln();
-        open.truncate(looks.clamp(2.0, MAX_LOAD_CHECKS) as usize);
-        let names: Vec<ServerId> = open.iter().map(|&i| self.servers[i].endpoint.server).collect();
-        open.into_iter().for_each(|i| self.check_load(i, actions));
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.load_checked = names.clone();
-        request.awaited_load_checks = names;
-        // Guards against answers that are overdue because the client had less time than the asking takes.
-        let wait = ((request.objective_at - request.arrived) as f64 * LOAD_CHECK_WAIT_SHARE) as Micros;
-        if request.awaited_load_checks.is_empty() {
+        let mut candidates = self.candidates(RetryScope::Anywhere, &[], true);
+        self.rng.shuffle(&mut candidates);
+        let checks = IDLE_MISS_CHANCE.ln() / self.estimators.utilization.utilization().clamp(0.01, 0.99).ln();
+        candidates.truncate(checks.clamp(MIN_LOAD_CHECKS, MAX_LOAD_CHECKS) as usize);
+        let servers: Vec<ServerId> = candidates.iter().map(|&index| self.endpoints[index].id()).collect();
+        candidates.into_iter().for_each(|server_index| self.check_load(server_index, actions));
+        let Some(request) = self.requests.get_mut(id) else { return };
+        if servers.is_empty() {
             self.dispatch(id, actions);
-        } else {
-            self.set_request_timer(id, wait, actions);
+            return;
         }
+        // Guards against responses that are overdue because the client had less time than the checks take.
+        let max_wait = (request.objective() as f64 * LOAD_CHECK_WAIT_SHARE) as Micros;
+        request.on_load_checks_started(servers);
+        self.set_request_timer(id, max_wait, actions);
     }
 
+    /// A health check ended: requests that awaited nothing else are dispatched.
     pub(super) fn on_load_check_ended(&mut self, server: ServerId, actions: &mut Actions) {
-        let waiting = self.requests.iter_mut().filter(|(_, r)| r.awaited_load_checks.contains(&server));
-        let mut done = Vec::new();
-        for (&id, request) in waiting {
-            request.awaited_load_checks.retain(|&s| s != server);
-            if request.awaited_load_checks.is_empty() {
-                done.push(id);
-            }
+        for id in self.requests.on_load_check_ended(server) {
+            self.dispatch(id, actions);
         }
-        done.into_iter().for_each(|id| self.dispatch(id, actions));
     }
 }
--- a/crates/balancer/src/policy/pick.rs
+++ b/crates/balancer/src/policy/pick.rs
@@ -1,74 +1,96 @@
 //! Which server a request goes to.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::state::{RequestState, RetryScope};
+use crate::weighted_choice::weighted_choice;
+use crate::{RequestId, ServerId};
+
+/// A server whose load is within this of the least loaded one's counts as equally loaded.
+const LOAD_TOLERANCE: f64 = 0.25;
+/// Exponent of a server's success rate in its chance to be drawn: a failure costs the whole request, so a
+/// server that fails gets less than what is left of it.
+const SUCCESS_EXPONENT: i32 = 3;
 
 impl Balancer {
-    /// One of the servers; where they are not asked, each as often as its machine can do more than others.
-    fn draw(&mut self, open: &[usize]) -> Option<usize> {
-        if self.load_checks_enabled() {
-            return self.rng.choice(open).copied();
-        }
-        let part = |&i: &usize| {
-            let server = &self.servers[i];
-            // A failure costs the whole request, so a server that fails gets less than what is left of it.
-            server.endpoint.machine_type.cores * (1.0 - server.failure_rate).powi(3)
-                / self.latency_factor(server)
+    /// The least loaded of the servers whose load was checked for a request; `None` where none was checked.
+    pub(super) fn load_checked_servers(&self, request: &RequestState) -> Option<Vec<usize>> {
+        let since = request.arrived_at();
+        let reported = |&index: &usize| {
+            let server = &self.endpoints[index];
+            server.load.updated_at() >= since && !server.suspicion.is_suspected() && self.is_ready(server)
         };
-        let parts: Vec<f64> = open.iter().map(part).collect();
-        let mut at = self.rng.f64() * parts.iter().sum::<f64>();
-        let place = parts.iter().position(|part| {
-            at -= part;
-            at < 0.0
-        });
-        place.map_or_else(|| open.last(), |place| open.get(place)).copied()
-    }
-
-    /// What two drawn servers are compared by: where they are not asked, what is known to be out, against
-    /// what the machine can do, as its share of the draws stands for the rest already.
-    fn compared_load(&self, server: &ServerState) -> f64 {
-        let load = self.load(server);
-        if self.load_checks_enabled() || self.load_from_responses() {
-            load
-        } else {
-            (load - self.relative_service_time(server)) / server.endpoint.machine_type.cores
-        }
+        let checked = request.load_checked();
+        let known = checked.iter().filter_map(|&id| self.endpoints.find(id));
+        let mut servers: Vec<usize> = known.filter(reported).collect();
+        let estimates = self.estimates();
+        let load = |index: usize| estimates.load(&self.endpoints[index]);
+        let least = servers.iter().map(|&index| load(index)).fold(f64::MAX, f64::min);
+        // Where health checks are unreliable, a server that reports to be idle is believed, but no other is
+        // preferred for its silence.
+        let unreliable = self.health_checks_unreliable();
+        let max_load = if unreliable { 1.0 + self.estimators.utilization.utilization() } else { f64::MAX };
+        servers.retain(|&index| load(index) < max_load.min(least + LOAD_TOLERANCE));
+        (!checked.is_empty()).then_some(servers)
     }
 
-    /// Two random servers of the open ones; the one with less in flight wins. Where servers were asked for
-    /// their load, the draw is among those that said least since; one that said nothing is passed over.
+    /// Draws two random servers and picks the one with the lower load, among those whose load was checked if
+    /// there are any, else among all candidates.
     pub(super) fn pick(
         &mut self,
-        reach: RetryScope,
-        avoid: &[ServerId],
-        asked: &[ServerId],
-        since: Micros,
         id: RequestId,
+        scope: RetryScope,
+        tried: &[ServerId],
+        load_checked: Option<Vec<usize>>,
     ) -> Option<usize> {
-        let fresh = |&i: &usize| {
-            let server = &self.servers[i];
-            server.load_updated_at >= since && server.suspicion.is_none() && self.is_ready(server)
-        };
-        let mut open: Vec<usize> = asked.iter().filter_map(|&id| self.find(id)).filter(fresh).collect();
-        let least = open.iter().map(|&i| self.load(&self.servers[i])).fold(f64::MAX, f64::min);
-        // Where probes lie, a server that says it is idle is taken at its word, but no other for its silence.
-        let unknown = if self.health_checks_unreliable() { 1.0 + self.utilization } else { f64::MAX };
-        open.retain(|&i| self.load(&self.servers[i]) < unknown.min(least + 0.25));
-        if open.is_empty() {
-            open = self.candidates(reach, avoid, true);
+        let any_checked = load_checked.is_some();
+        let mut candidates = load_checked.unwrap_or_default();
+        if candidates.is_empty() {
+            candidates = self.candidates(scope, tried, true);
+        }
+        if candidates.is_empty() {
+            candidates = self.candidates(scope, tried, false);
         }
-        if open.is_empty() {
-            open = self.candidates(reach, avoid, false);
+        let candidates = self.prefer_in_time(id, candidates);
+        let (first, second) = (self.draw(&candidates)?, self.draw(&candidates)?);
+        // A server in slow start looks idle to all at once: it is taken where drawn first, never for its low
+        // load.
+        let is_cold = |index: usize| self.endpoints[index].slow_start.is_active();
+        let keep_first = !any_checked && (is_cold(first) || is_cold(second));
+        let second_is_less_loaded = !keep_first && self.compared_load(second) < self.compared_load(first);
+        Some(if second_is_less_loaded { second } else { first })
+    }
+
+    /// Guards against a rejection by two full servers while others have capacity.
+    fn prefer_in_time(&self, id: RequestId, candidates: Vec<usize>) -> Vec<usize> {
+        let in_time = |index: &usize| !self.expects_miss(*index, id);
+        let preferred: Vec<usize> = candidates.iter().copied().filter(in_time).collect();
+        if preferred.is_empty() { candidates } else { preferred }
+    }
+
+    /// One of the servers; without load checks, each as often as its machine can do more than others.
+    fn draw(&mut self, candidates: &[usize]) -> Option<usize> {
+        if self.settings.load_checks_enabled() {
+            return self.rng.choice(candidates).copied();
         }
-        if self.load_from_responses() {
-            // Guards against a refusal by two full servers while others have room.
-            let fits: Vec<usize> = open.iter().copied().filter(|&i| !self.misses_objective(i, id)).collect();
-            open = if fits.is_empty() { open } else { fits };
+        let estimates = self.estimates();
+        let weight = |&index: &usize| {
+            let server = &self.endpoints[index];
+            let success_rate = 1.0 - server.failures.failure_rate();
+            let capacity = server.endpoint().machine_type.cores * success_rate.powi(SUCCESS_EXPONENT);
+            capacity / estimates.latency_factor(server)
+        };
+        let weights: Vec<f64> = candidates.iter().map(weight).collect();
+        weighted_choice(&weights, &mut self.rng).map(|position| candidates[position])
+    }
+
+    /// What two drawn servers are compared by: where nothing reports load, the attempts in flight against
+    /// what the machine can do, as its share of the draws stands for the rest already.
+    fn compared_load(&self, server_index: usize) -> f64 {
+        let (server, estimates) = (&self.endpoints[server_index], self.estimates());
+        let load = estimates.load(server);
+        if self.settings.load_checks_enabled() || self.settings.load_from_responses() {
+            return load;
         }
-        let (a, b) = (self.draw(&open)?, self.draw(&open)?);
-        // A cold server looks idle to all at once: it is taken where drawn first, never for its low load.
-        let cold = [a, b].iter().any(|&i| self.servers[i].cold_since.is_some());
-        let compared_load = |i: usize| self.compared_load(&self.servers[i]);
-        let less = !(cold && asked.is_empty()) && compared_load(b) < compared_load(a);
-        Some(if less { b } else { a })
+        (load - estimates.relative_service_time(server)) / server.endpoint().machine_type.cores
     }
 }
--- a/crates/balancer/src/policy/retry.rs
+++ b/crates/balancer/src/policy/retry.rs
@@ -1,69 +1,91 @@
-//! Whether a request goes out once more.
+//! Whether and where a request is sent again.
 
-use super::*;
+use crate::policy::Balancer;
+use crate::state::{RequestState, RetryScope};
+use crate::{Actions, DeduplicationScope, Idempotency, Micros, RequestId};
 
-/// Further attempts earned by each request, what one costs where none has run, and the most saved up: a
-/// fleet that turns work away must not get each request several times, and cold servers get none of these.
-pub(crate) const RETRY_TOKENS_PER_REQUEST: f64 = 0.05;
-pub(crate) const NEVER_EXECUTED_RETRY_COST: f64 = 0.25;
-pub(crate) const MAX_RETRY_TOKENS: f64 = 10.0;
-pub(crate) const INITIAL_RETRY_BUDGET: f64 = MAX_RETRY_TOKENS / 2.0;
-/// Safety margin before the window in which repeats are dropped closes.
+/// Tokens earned by each request, what a retry costs, less where no attempt can have executed, and the most
+/// saved up: a fleet that rejects must not get each request several times.
+const RETRY_TOKENS_PER_REQUEST: f64 = 0.05;
+const RETRY_COST: f64 = 1.0;
+const NEVER_EXECUTED_RETRY_COST: f64 = 0.25;
+const MAX_RETRY_TOKENS: f64 = 10.0;
+const INITIAL_RETRY_TOKENS: f64 = MAX_RETRY_TOKENS / 2.0;
+/// Safety margin before the deduplication window closes.
 const WINDOW_MARGIN: Micros = 50_000;
 
+/// Tokens for retries.
+pub(super) struct RetryBudget {
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// A budget for the first retries.
+    pub(super) fn new() -> Self {
+        Self { tokens: INITIAL_RETRY_TOKENS }
+    }
+
+    /// A request arrived, and earns a share of a retry.
+    pub(super) fn on_request_arrived(&mut self) {
+        self.tokens = (self.tokens + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
+    }
+
+    fn covers(&self, cost: f64) -> bool {
+        self.tokens >= cost
+    }
+
+    fn on_retry(&mut self, cost: f64) {
+        self.tokens -= cost;
+    }
+}
+
 impl Balancer {
-    /// Where a further attempt of a request may go now, if anywhere: the one judge of legality.
+    /// Where a request may be sent again now, if anywhere. Nothing else decides that.
     fn retry_scope(&self, request: &RequestState) -> Option<RetryScope> {
-        let class = self.class(request);
-        let out = request.attempts.iter().any(|a| a.state == AttemptState::InFlight);
-        if request.streaming
-            || request.attempts.len() >= self.settings.max_attempts as usize
-            || self.now >= request.deadline_at
-            || (out && !self.settings.hedging)
+        let class = self.settings.class(request.class());
+        if request.is_streaming()
+            || request.attempt_count() >= self.settings.max_attempts as usize
+            || self.now >= request.deadline_at()
+            || (request.in_flight_count() > 0 && !self.settings.hedging)
         {
             return None;
         }
-        let Some(first) = request.attempts.iter().find(|a| a.state != AttemptState::NeverExecuted) else {
-            return Some(RetryScope::Anywhere);
-        };
+        let Some(first) = request.first_possible_execution() else { return Some(RetryScope::Anywhere) };
+        let deduplicated_until = first.sent_at() + class.deduplication_window;
         match class.idempotency {
             Idempotency::Idempotent => Some(RetryScope::Anywhere),
             Idempotency::NonIdempotent => None,
-            Idempotency::IdempotencyKey
-                if self.now + WINDOW_MARGIN >= first.sent + class.deduplication_window =>
-            {
-                None
-            }
+            Idempotency::IdempotencyKey if self.now + WINDOW_MARGIN >= deduplicated_until => None,
             Idempotency::IdempotencyKey => Some(match class.deduplication_scope {
                 DeduplicationScope::All => RetryScope::Anywhere,
-                DeduplicationScope::Zone => RetryScope::Zone(first.zone),
-                DeduplicationScope::Cell => RetryScope::Cell(first.cell),
+                DeduplicationScope::Zone => RetryScope::Zone(first.zone()),
+                DeduplicationScope::Cell => RetryScope::Cell(first.cell()),
             }),
         }
     }
 
-    /// Sends a request once more, as a retry or a rescue, where it is legal, useful and affordable.
+    /// Sends a request again, as a retry or a hedge, where that is permitted, useful and affordable.
     pub(super) fn retry(&mut self, id: RequestId, actions: &mut Actions) -> bool {
-        let Some(request) = self.requests.get(&id) else { return false };
-        let Some(reach) = self.retry_scope(request) else { return false };
-        let out = request.attempts.iter().filter(|a| a.state == AttemptState::InFlight).count();
-        let ran = request.attempts.iter().any(|a| a.state != AttemptState::NeverExecuted);
-        let cost = if ran { 1.0 } else { NEVER_EXECUTED_RETRY_COST };
-        // Guards against attempts that end as they begin: a late answer worth nothing is not waited for.
-        let class = self.class(request);
-        let over = class.late_value == 0.0 && self.now + 2 * self.settings.step >= request.objective_at;
-        if out > 1 || over || self.retry_budget < cost {
+        let Some(request) = self.requests.get(id) else { return false };
+        let Some(scope) = self.retry_scope(request) else { return false };
+        let may_have_executed = request.first_possible_execution().is_some();
+        let cost = if may_have_executed { RETRY_COST } else { NEVER_EXECUTED_RETRY_COST };
+        // Guards against attempts that end as they begin: a late response worth nothing is not waited for.
+        let worthless_late = self.settings.class(request.class()).late_value == 0.0;
+        let out_of_time = self.now + 2 * self.settings.step >= request.objective_at();
+        let useless = request.in_flight_count() > 1 || (worthless_late && out_of_time);
+        if useless || !self.retry_budget.covers(cost) {
             return false;
         }
-        let tried: Vec<ServerId> = request.attempts.iter().map(|a| a.server).collect();
-        let Some(i) = self.pick(reach, &tried, &[], self.now, id) else { return false };
-        let server = &self.servers[i];
-        let unsure = server.suspicion.is_some() || server.possibly_draining || server.cold_since.is_some();
-        if unsure || self.should_reject_as_late(i, id) {
+        let tried = request.tried_servers();
+        let Some(server_index) = self.pick(id, scope, &tried, None) else { return false };
+        let server = &self.endpoints[server_index];
+        let doubtful = server.suspicion.is_suspected() || server.is_possibly_draining();
+        if doubtful || server.slow_start.is_active() || self.is_too_late(server_index, id) {
             return false;
         }
-        self.retry_budget -= cost;
-        self.send(id, i, actions);
+        self.retry_budget.on_retry(cost);
+        self.send(id, server_index, actions);
         true
     }
 }
--- a/crates/balancer/src/policy/slow_start.rs
+++ b/crates/balancer/src/policy/slow_start.rs
@@ -1,25 +1,22 @@
 //! Servers that have just started.
 
-use super::*;
+use crate::policy::Balancer;
 
 impl Balancer {
-    /// Guards against a cold server pushed over by all balancers together: it is admitted to a draw with the
-    /// chance of its warmth. Nothing is saved up; together they send its warmth times a warm server's part.
-    /// The draws hold that in the mean; within the span of the rule, the bound on what was sent holds it.
-    pub(super) fn admit_to_draw(&mut self, i: usize) -> bool {
-        let warmth = self.slow_start_factor(&self.servers[i]);
-        let (now, span) = (self.now, self.settings.cold_overload_window);
-        let server = &mut self.servers[i];
-        if warmth >= 1.0 {
-            server.cold_since = None;
-            server.cold_sent.clear();
+    /// Guards against a cold server that all balancers together overload: it is admitted to a draw with the
+    /// chance of its slow start factor. Nothing is saved up; together they send that factor times a warm
+    /// server's quota. The draws hold that in the mean; the bound holds it within the overload window.
+    pub(super) fn admit_to_draw(&mut self, server_index: usize) -> bool {
+        let (now, window) = (self.now, self.settings.cold_overload_window);
+        let slow_start = &mut self.endpoints[server_index].slow_start;
+        let factor = slow_start.factor(now, &self.settings);
+        if factor >= 1.0 {
+            slow_start.on_warmed_up();
             return true;
         }
-        while server.cold_sent.front().is_some_and(|&(at, _)| at + span < now) {
-            server.cold_sent.pop_front();
-        }
-        let sent: f64 = server.cold_sent.iter().map(|&(_, size)| size).sum();
-        let most = self.settings.cold_overload_factor * warmth * self.warm_server_quota * span as f64;
-        (sent == 0.0 || sent < most) && self.rng.f64() < warmth
+        let sent = slow_start.work_sent_within(window, now);
+        let quota = self.estimators.warm_server_quota.per_microsecond();
+        let max_work = self.settings.cold_overload_factor * factor * quota * window as f64;
+        (sent == 0.0 || sent < max_work) && self.rng.f64() < factor
     }
 }
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::request_class::RequestClass;
+use crate::request_class::{ClassId, RequestClass};
 use crate::time::Micros;
 
 /// What a deployment tells its balancers at start.
@@ -149,4 +149,24 @@
         check(fees, "probe_fee, connection_fee or cross_zone_fee", "must be finite")?;
         check(self.max_poll_interval > 0, "ask_every", "must be above zero")
     }
+
+    /// The class of a request that has arrived.
+    ///
+    /// # Panics
+    /// Where no such class exists; requests of unknown classes are rejected on arrival.
+    pub(crate) fn class(&self, id: ClassId) -> &RequestClass {
+        &self.classes[usize::from(id.0)]
+    }
+
+    /// Where a class stands between the least priority weight (0) and the greatest (1).
+    pub(crate) fn priority_rank(&self, class: &RequestClass) -> f64 {
+        let weights = || self.classes.iter().map(|class| class.priority_weight);
+        let (least, most) = (weights().fold(f64::MAX, f64::min), weights().fold(0.0, f64::max));
+        (class.priority_weight - least) / (most - least).max(f64::MIN_POSITIVE)
+    }
+
+    /// True where there are other balancers to message.
+    pub(crate) fn has_peers(&self) -> bool {
+        self.gossip && self.balancer_count > 1
+    }
 }
--- /dev/null
+++ b/crates/balancer/src/state/decaying_rate.rs
@@ -0,0 +1,39 @@
+//! Rates and weights that decay exponentially with time.
+
+use std::f64::consts::LN_2;
+
+use crate::Micros;
+
+/// Weight left of something learnt at `since`, where half of it is lost in each `half_life` (microseconds).
+pub(crate) fn decay(now: Micros, since: Micros, half_life: f64) -> f64 {
+    0.5_f64.powf(now.saturating_sub(since) as f64 / half_life)
+}
+
+/// An amount per microsecond, averaged with exponential decay.
+pub(crate) struct DecayingRate {
+    half_life: f64,
+    amount: f64,
+    updated_at: Micros,
+}
+
+impl DecayingRate {
+    /// A rate of zero that forgets half of what it saw in each `half_life` (microseconds).
+    pub(crate) fn new(half_life: f64) -> Self {
+        Self { half_life, amount: 0.0, updated_at: 0 }
+    }
+
+    /// Adds an amount that came at this moment.
+    pub(crate) fn add(&mut self, amount: f64, now: Micros) {
+        self.amount = amount + self.remaining(now);
+        self.updated_at = now;
+    }
+
+    /// The rate, per microsecond.
+    pub(crate) fn per_microsecond(&self, now: Micros) -> f64 {
+        self.remaining(now) * LN_2 / self.half_life
+    }
+
+    fn remaining(&self, now: Micros) -> f64 {
+        self.amount * decay(now, self.updated_at, self.half_life)
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/state/endpoint_table.rs
@@ -0,0 +1,110 @@
+//! The servers by index and id, merged from endpoint lists.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::{Index, IndexMut};
+
+use crate::state::server_state::ServerState;
+use crate::{Endpoint, Micros, ServerId};
+
+/// Where an entry of a list went.
+pub(crate) struct MergedEndpoint {
+    /// Index of the server.
+    pub(crate) server_index: usize,
+    /// The server was known and has restarted since.
+    pub(crate) restarted: bool,
+}
+
+/// The servers. An index is valid until [`EndpointTable::retain`] is called.
+#[derive(Default)]
+pub(crate) struct EndpointTable {
+    servers: Vec<ServerState>,
+    index_by_id: BTreeMap<ServerId, usize>,
+    version: u64,
+    failed_health_checks: usize,
+}
+
+impl EndpointTable {
+    /// The index of a server.
+    pub(crate) fn find(&self, id: ServerId) -> Option<usize> {
+        self.index_by_id.get(&id).copied()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    pub(crate) fn iter(&self) -> std::slice::Iter<'_, ServerState> {
+        self.servers.iter()
+    }
+
+    /// Number of servers whose last health check failed.
+    pub(crate) fn failed_health_checks(&self) -> usize {
+        self.failed_health_checks
+    }
+
+    /// Takes in the version of a list; false where a newer one came before.
+    pub(crate) fn accept_version(&mut self, version: u64) -> bool {
+        let current = version >= self.version;
+        self.version = self.version.max(version);
+        current
+    }
+
+    /// An endpoint list came after which no server is doubted any more.
+    pub(crate) fn on_list_received(&mut self) {
+        self.servers.iter_mut().for_each(ServerState::on_endpoint_list_received);
+    }
+
+    /// A full list came: what it does not name is removed.
+    pub(crate) fn on_full_list(&mut self, endpoints: &[Endpoint]) {
+        let listed: BTreeSet<ServerId> = endpoints.iter().map(|endpoint| endpoint.server).collect();
+        let unlisted = |server: &&mut ServerState| !listed.contains(&server.id());
+        self.servers.iter_mut().filter(unlisted).for_each(ServerState::on_unlisted);
+    }
+
+    /// Takes in an entry of a list. The entry's status is left to [`ServerState::on_status_listed`].
+    pub(crate) fn merge(
+        &mut self,
+        endpoint: Endpoint,
+        now: Micros,
+        slow_start_time: Micros,
+    ) -> MergedEndpoint {
+        if let Some(server_index) = self.find(endpoint.server) {
+            let restarted = self.servers[server_index].on_listed(endpoint);
+            return MergedEndpoint { server_index, restarted };
+        }
+        let server_index = self.servers.len();
+        self.index_by_id.insert(endpoint.server, server_index);
+        self.servers.push(ServerState::new(endpoint, now, slow_start_time));
+        MergedEndpoint { server_index, restarted: false }
+    }
+
+    /// Forgets all servers but these.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&ServerState) -> bool) {
+        self.servers.retain(keep);
+        let failed = |server: &&ServerState| server.health_check.last_failed();
+        self.failed_health_checks = self.servers.iter().filter(failed).count();
+        self.index_by_id = self.servers.iter().zip(0..).map(|(server, index)| (server.id(), index)).collect();
+    }
+
+    /// A server's health check ended; true where it was only for the load.
+    pub(crate) fn on_health_check_ended(&mut self, server_index: usize, succeeded: bool) -> bool {
+        let health_check = &mut self.servers[server_index].health_check;
+        self.failed_health_checks -= usize::from(health_check.last_failed());
+        self.failed_health_checks += usize::from(!succeeded);
+        health_check.on_ended(succeeded)
+    }
+}
+
+impl Index<usize> for EndpointTable {
+    type Output = ServerState;
+
+    fn index(&self, server_index: usize) -> &ServerState {
+        &self.servers[server_index]
+    }
+}
+
+impl IndexMut<usize> for EndpointTable {
+    fn index_mut(&mut self, server_index: usize) -> &mut ServerState {
+        &mut self.servers[server_index]
+    }
+}
--- /dev/null
+++ b/crates/balancer/src/state/health_check_schedule.rs
@@ -0,0 +1,50 @@
+//! When the next health check is due, and which servers are next.
+
+use crate::{Micros, ServerId};
+
+/// The schedule. How long intervals are is decided in `policy/health_check.rs`.
+#[derive(Default)]
+pub(crate) struct HealthCheckSchedule {
+    queue: Vec<ServerId>,
+    next_at: Micros,
+    last_at: Micros,
+    suspect_turn: bool,
+}
+
+impl HealthCheckSchedule {
+    /// The balancer started; the first health check comes at this time.
+    pub(crate) fn on_started(&mut self, first_at: Micros) {
+        self.next_at = first_at;
+    }
+
+    /// True where a health check is due.
+    pub(crate) fn is_due(&self, now: Micros) -> bool {
+        now >= self.next_at
+    }
+
+    /// A scheduled health check starts; the next one follows after the interval.
+    pub(crate) fn on_check_due(&mut self, now: Micros, interval: Micros) {
+        self.next_at = now + interval;
+        self.last_at = now;
+    }
+
+    /// Makes a server the next one, at the latest this long after the last health check.
+    pub(crate) fn push(&mut self, id: ServerId, interval: Micros, now: Micros) {
+        if !self.queue.contains(&id) {
+            self.queue.push(id);
+            let soon = self.last_at + interval;
+            self.next_at = self.next_at.min(soon.max(now));
+        }
+    }
+
+    /// Takes the server that was made the next one last.
+    pub(crate) fn pop(&mut self) -> Option<ServerId> {
+        self.queue.pop()
+    }
+
+    /// True every other time: then a suspected server comes first.
+    pub(crate) fn take_suspect_turn(&mut self) -> bool {
+        self.suspect_turn = !self.suspect_turn;
+        self.suspect_turn
+    }
+}
