--- a/crates/balancer/src/estimators/estimates.rs
+++ b/crates/balancer/src/estimators/estimates.rs
@@ -1,7 +1,8 @@
 //! Load, service time and value as estimated at one moment, from all estimators together.
 
-use crate::estimators::Estimators;
-use crate::state::decaying_rate::decay;
+use crate::estimators::decaying_rate::decay;
+use crate::estimators::latency::LatencyEstimator;
+use crate::estimators::workload::WorkloadEstimator;
 use crate::state::{InFlightAttempt, RequestState, ServerState};
 use crate::{Micros, Settings};
 
@@ -19,8 +20,10 @@
     pub(crate) settings: &'a Settings,
     /// The moment.
     pub(crate) now: Micros,
-    /// What the estimators have learnt.
-    pub(crate) estimators: &'a Estimators,
+    /// Service times so far.
+    pub(crate) latency: &'a LatencyEstimator,
+    /// The requests so far.
+    pub(crate) workload: &'a WorkloadEstimator,
     /// Load reports of health checks are current and can be believed.
     pub(crate) load_reports_trusted: bool,
 }
@@ -34,7 +37,7 @@
             return server.in_flight().len() as f64 + elsewhere + 1.0;
         }
         let age = self.now.saturating_sub(load.updated_at()) as f64;
-        let freshness = (1.0 - age / (2.0 * self.estimators.latency.mean_service_time())).max(0.0);
+        let freshness = (1.0 - age / (2.0 * self.latency.mean_service_time())).max(0.0);
         let own: f64 = server.in_flight().iter().map(|attempt| attempt.relative_work).sum();
         own + load.in_flight_elsewhere(freshness) + 1.0
     }
@@ -48,10 +51,10 @@
     /// slows all others, so a server's load multiplies the request's own work.
     pub(crate) fn expected_service_time(&self, server: &ServerState, relative_work: f64) -> f64 {
         if self.settings.load_from_responses() {
-            return self.load(server) * relative_work * self.estimators.latency.mean_service_time();
+            return self.load(server) * relative_work * self.latency.mean_service_time();
         }
         (self.load(server) + (relative_work - 1.0) * self.relative_service_time(server))
-            * self.estimators.latency.mean_service_time()
+            * self.latency.mean_service_time()
     }
 
     /// How much longer than the fleet a server takes for the same load. Where nothing tells the queue of a
@@ -64,7 +67,7 @@
 
     /// The latency factor of a server.
     pub(crate) fn latency_factor(&self, server: &ServerState) -> f64 {
-        self.estimators.latency.latency_factor(&server.latency, self.machine_latency_factor(server), self.now)
+        self.latency.latency_factor(&server.latency, self.machine_latency_factor(server), self.now)
     }
 
     /// The latency factor of a server's machine type; 1 where servers are asked for their load before a send,
@@ -73,7 +76,7 @@
         if self.settings.load_checks_enabled() {
             return 1.0;
         }
-        self.estimators.latency.machine_latency_factor(server.endpoint().machine_type)
+        self.latency.machine_latency_factor(server.endpoint().machine_type)
     }
 
     /// True where a request would wait at a server. Guards against an estimate that rejects all and so is never
@@ -103,6 +106,6 @@
     pub(crate) fn value_density(&self, request: &RequestState) -> f64 {
         let relative_work = if self.settings.weight_by_work { 1.0 } else { request.relative_work() };
         let priority_weight = self.settings.class(request.class()).priority_weight;
-        self.estimators.workload.value_density(priority_weight, relative_work)
+        self.workload.value_density(priority_weight, relative_work)
     }
 }
--- a/crates/balancer/src/estimators/failure_rate.rs
+++ b/crates/balancer/src/estimators/failure_rate.rs
@@ -1,7 +1,7 @@
 //! How many of a server's attempts fail.
 
 use crate::Micros;
-use crate::estimators::SERVER_WEIGHT;
+use crate::estimators::weights::SERVER_WEIGHT;
 
 /// A server whose attempts fail is taken for so much slower; this is the most that its rate can come to.
 const MAX_FAILURE_RATE: f64 = 0.8;
--- /dev/null
+++ b/crates/balancer/src/estimators/fleet.rs
@@ -0,0 +1,77 @@
+//! The estimators of the fleet together.
+
+use crate::estimators::estimates::Estimates;
+use crate::estimators::fleet_error_rate::FleetErrorRate;
+use crate::estimators::latency::LatencyEstimator;
+use crate::estimators::latency_distribution::LatencyDistribution;
+use crate::estimators::missed_objective::MissedObjectiveRate;
+use crate::estimators::saturation::SaturationEstimator;
+use crate::estimators::slow_start::WarmServerQuota;
+use crate::estimators::utilization::UtilizationEstimator;
+use crate::estimators::workload::WorkloadEstimator;
+use crate::state::{InFlightAttempt, ServerState};
+use crate::{Micros, Settings};
+
+/// The estimators of the fleet; those of each server are in [`ServerState`].
+pub(crate) struct Estimators {
+    /// The requests of this balancer.
+    pub(crate) workload: WorkloadEstimator,
+    /// Service times.
+    pub(crate) latency: LatencyEstimator,
+    /// How latencies are distributed.
+    pub(crate) latency_distribution: LatencyDistribution,
+    /// Failures of attempts.
+    pub(crate) fleet_error_rate: FleetErrorRate,
+    /// How full the fleet is, from load reports.
+    pub(crate) utilization: UtilizationEstimator,
+    /// How full the fleet is, from latencies.
+    pub(crate) saturation: SaturationEstimator,
+    /// Requests that the fleet has no time for.
+    pub(crate) missed_objectives: MissedObjectiveRate,
+    /// What a warm server gets.
+    pub(crate) warm_server_quota: WarmServerQuota,
+}
+
+impl Estimators {
+    /// Estimators that have seen nothing; `shortest_objective` is in microseconds.
+    pub(crate) fn new(shortest_objective: f64) -> Self {
+        Self {
+            workload: WorkloadEstimator::new(),
+            latency: LatencyEstimator::new(shortest_objective),
+            latency_distribution: LatencyDistribution::new(shortest_objective),
+            fleet_error_rate: FleetErrorRate::default(),
+            utilization: UtilizationEstimator::new(),
+            saturation: SaturationEstimator::default(),
+            missed_objectives: MissedObjectiveRate::default(),
+            warm_server_quota: WarmServerQuota::new(),
+        }
+    }
+
+    /// A server responded to an attempt; `objective` is the request's, `None` where it is finished.
+    pub(crate) fn on_response(
+        &mut self,
+        server: &mut ServerState,
+        attempt: &InFlightAttempt,
+        objective: Option<Micros>,
+        now: Micros,
+        settings: &Settings,
+    ) {
+        let latency = now.saturating_sub(attempt.sent_at) as f64;
+        if let Some(objective) = objective {
+            self.saturation.on_response((latency / objective as f64).min(1.0), now);
+        }
+        // Whether reports are trusted does not bear on what a response shows.
+        let estimates = Estimates {
+            settings,
+            now,
+            latency: &self.latency,
+            workload: &self.workload,
+            load_reports_trusted: false,
+        };
+        let service_time = estimates.observed_service_time(server, attempt, latency);
+        let usual = estimates.machine_latency_factor(server);
+        let machine = server.endpoint().machine_type;
+        self.latency.on_response(&mut server.latency, machine, usual, service_time, now);
+        self.latency_distribution.on_response(latency);
+    }
+}
--- a/crates/balancer/src/estimators/latency.rs
+++ b/crates/balancer/src/estimators/latency.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::estimators::{FLEET_WEIGHT, SERVER_WEIGHT};
-use crate::state::decaying_rate::decay;
+use crate::estimators::decaying_rate::decay;
+use crate::estimators::weights::{FLEET_WEIGHT, SERVER_WEIGHT};
 use crate::{MachineType, Micros};
 
 /// Half-life of a server's latency factor, in microseconds: neighbours on its machine come and go in seconds.
--- a/crates/balancer/src/estimators/latency_distribution.rs
+++ b/crates/balancer/src/estimators/latency_distribution.rs
@@ -1,7 +1,7 @@
 //! The distribution of the fleet's latencies, taken as log-normal.
 
 use crate::Micros;
-use crate::estimators::FLEET_WEIGHT;
+use crate::estimators::weights::FLEET_WEIGHT;
 use crate::state::{InFlightAttempt, ServerState};
 
 /// The first mean, as a share of the shortest latency objective.
--- a/crates/balancer/src/estimators/load.rs
+++ b/crates/balancer/src/estimators/load.rs
@@ -1,7 +1,7 @@
 //! How many requests of others a server holds, as far as load reports and rejections tell.
 
 use crate::Micros;
-use crate::state::decaying_rate::decay;
+use crate::estimators::decaying_rate::decay;
 
 /// Half-life of the means over load reports, in microseconds. Reports that come with responses were taken some
 /// hundred milliseconds before, and what came and went since is unknown: only a mean over many of them tells
--- a/crates/balancer/src/estimators/missed_objective.rs
+++ b/crates/balancer/src/estimators/missed_objective.rs
@@ -1,6 +1,6 @@
 //! How many requests the fleet has no time for.
 
-use crate::estimators::FLEET_WEIGHT;
+use crate::estimators::weights::FLEET_WEIGHT;
 
 /// Share of the requests for which the server picked would respond late.
 #[derive(Default)]
--- a/crates/balancer/src/estimators/mod.rs
+++ b/crates/balancer/src/estimators/mod.rs
@@ -3,8 +3,10 @@
 //! Each estimator owns its figures and is updated by what happened. Nothing here decides: decisions are in
 //! `policy/`.
 
-pub(crate) mod estimates;
+mod decaying_rate;
+mod estimates;
 pub(crate) mod failure_rate;
+mod fleet;
 pub(crate) mod fleet_error_rate;
 pub(crate) mod latency;
 pub(crate) mod latency_distribution;
@@ -13,78 +15,8 @@
 pub(crate) mod saturation;
 pub(crate) mod slow_start;
 pub(crate) mod utilization;
+mod weights;
 pub(crate) mod workload;
 
-use crate::estimators::estimates::Estimates;
-use crate::estimators::fleet_error_rate::FleetErrorRate;
-use crate::estimators::latency::LatencyEstimator;
-use crate::estimators::latency_distribution::LatencyDistribution;
-use crate::estimators::missed_objective::MissedObjectiveRate;
-use crate::estimators::saturation::SaturationEstimator;
-use crate::estimators::slow_start::WarmServerQuota;
-use crate::estimators::utilization::UtilizationEstimator;
-use crate::estimators::workload::WorkloadEstimator;
-use crate::state::{InFlightAttempt, ServerState};
-use crate::{Micros, Settings};
-
-/// Weight of a new sample in the moving means over the fleet.
-const FLEET_WEIGHT: f64 = 0.05;
-/// Weight of a new sample in the moving means of one server, which sees fewer.
-const SERVER_WEIGHT: f64 = 0.15;
-
-/// The estimators of the fleet; those of each server are in [`ServerState`].
-pub(crate) struct Estimators {
-    /// The requests of this balancer.
-    pub(crate) workload: WorkloadEstimator,
-    /// Service times.
-    pub(crate) latency: LatencyEstimator,
-    /// How latencies are distributed.
-    pub(crate) latency_distribution: LatencyDistribution,
-    /// Failures of attempts.
-    pub(crate) fleet_error_rate: FleetErrorRate,
-    /// How full the fleet is, from load reports.
-    pub(crate) utilization: UtilizationEstimator,
-    /// How full the fleet is, from latencies.
-    pub(crate) saturation: SaturationEstimator,
-    /// Requests that the fleet has no time for.
-    pub(crate) missed_objectives: MissedObjectiveRate,
-    /// What a warm server gets.
-    pub(crate) warm_server_quota: WarmServerQuota,
-}
-
-impl Estimators {
-    /// Estimators that have seen nothing; `shortest_objective` is in microseconds.
-    pub(crate) fn new(shortest_objective: f64) -> Self {
-        Self {
-            workload: WorkloadEstimator::new(),
-            latency: LatencyEstimator::new(shortest_objective),
-            latency_distribution: LatencyDistribution::new(shortest_objective),
-            fleet_error_rate: FleetErrorRate::default(),
-            utilization: UtilizationEstimator::new(),
-            saturation: SaturationEstimator::default(),
-            missed_objectives: MissedObjectiveRate::default(),
-            warm_server_quota: WarmServerQuota::new(),
-        }
-    }
-
-    /// A server responded to an attempt; `objective` is the request's, `None` where it is finished.
-    pub(crate) fn on_response(
-        &mut self,
-        server: &mut ServerState,
-        attempt: &InFlightAttempt,
-        objective: Option<Micros>,
-        now: Micros,
-        settings: &Settings,
-    ) {
-        let latency = now.saturating_sub(attempt.sent_at) as f64;
-        if let Some(objective) = objective {
-            self.saturation.on_response((latency / objective as f64).min(1.0), now);
-        }
-        let estimates = Estimates { settings, now, estimators: self, load_reports_trusted: false };
-        let service_time = estimates.observed_service_time(server, attempt, latency);
-        let usual = estimates.machine_latency_factor(server);
-        let machine = server.endpoint().machine_type;
-        self.latency.on_response(&mut server.latency, machine, usual, service_time, now);
-        self.latency_distribution.on_response(latency);
-    }
-}
+pub(crate) use estimates::Estimates;
+pub(crate) use fleet::Estimators;
--- a/crates/balancer/src/estimators/saturation.rs
+++ b/crates/balancer/src/estimators/saturation.rs
@@ -1,7 +1,7 @@
 //! How full the fleet is, from the time that responses take, where nothing else tells.
 
 use crate::Micros;
-use crate::state::decaying_rate::decay;
+use crate::estimators::decaying_rate::decay;
 
 /// Weight of a new sample.
 const SATURATION_WEIGHT: f64 = 0.1;
--- a/crates/balancer/src/estimators/slow_start.rs
+++ b/crates/balancer/src/estimators/slow_start.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::state::decaying_rate::DecayingRate;
+use crate::estimators::decaying_rate::DecayingRate;
 use crate::{Micros, Settings};
 
 /// Half-life of the rate at which work is sent, in microseconds.
--- a/crates/balancer/src/estimators/utilization.rs
+++ b/crates/balancer/src/estimators/utilization.rs
@@ -1,6 +1,6 @@
 //! How full the fleet is, from load reports.
 
-use crate::estimators::FLEET_WEIGHT;
+use crate::estimators::weights::FLEET_WEIGHT;
 
 /// The estimate before the first load report.
 const INITIAL_UTILIZATION: f64 = 0.5;
--- a/crates/balancer/src/estimators/workload.rs
+++ b/crates/balancer/src/estimators/workload.rs
@@ -1,7 +1,7 @@
 //! The requests that this balancer gets: their rate, work and priority weight.
 
-use crate::estimators::FLEET_WEIGHT;
-use crate::state::decaying_rate::DecayingRate;
+use crate::estimators::decaying_rate::DecayingRate;
+use crate::estimators::weights::FLEET_WEIGHT;
 use crate::{Micros, RequestClass};
 
 /// Half-life of the request rate, in microseconds.
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -13,14 +13,12 @@
 mod load_shedding;
 mod pick;
 mod retry;
+mod retry_budget;
 mod slow_start;
 mod subset;
 
-use crate::estimators::Estimators;
-use crate::estimators::estimates::Estimates;
-use crate::policy::endpoints::INITIAL_POLL_BACKOFF;
-use crate::policy::health_check::MIN_HEALTH_CHECK_INTERVAL;
-use crate::policy::retry::RetryBudget;
+use crate::estimators::{Estimates, Estimators};
+use crate::policy::retry_budget::RetryBudget;
 use crate::state::{
     EndpointPoller, EndpointTable, GossipQueue, HealthCheckSchedule, InFlightAttempt, RequestTable,
     SubsetOrder,
@@ -65,7 +63,7 @@
             now: 0,
             started: false,
             endpoints: EndpointTable::default(),
-            poller: EndpointPoller::new(INITIAL_POLL_BACKOFF),
+            poller: EndpointPoller::default(),
             subset_order: SubsetOrder::default(),
             requests: RequestTable::default(),
             retry_budget: RetryBudget::new(),
@@ -101,7 +99,7 @@
 
     fn on_first_event(&mut self, now: Micros, actions: &mut Actions) {
         self.started = true;
-        self.health_checks.on_started(now + self.rng.u64(0..MIN_HEALTH_CHECK_INTERVAL));
+        self.schedule_first_health_check(now);
         actions.push(Action::SetTimer { token: TICK_TOKEN, after: TICK_INTERVAL });
         if self.settings.poll_endpoints {
             self.poll_endpoints(actions);
@@ -161,7 +159,8 @@
         Estimates {
             settings: &self.settings,
             now: self.now,
-            estimators: &self.estimators,
+            latency: &self.estimators.latency,
+            workload: &self.estimators.workload,
             load_reports_trusted: self.load_reports_trusted(),
         }
     }
--- a/crates/balancer/src/policy/endpoints.rs
+++ b/crates/balancer/src/policy/endpoints.rs
@@ -5,7 +5,7 @@
 
 /// First pause before the list is polled again, and its growth, up to half the longest interval. Guards
 /// against many balancers that keep discovery saturated: it handles a few calls a second, whoever polls.
-pub(super) const INITIAL_POLL_BACKOFF: Micros = 200_000;
+const INITIAL_POLL_BACKOFF: Micros = 200_000;
 const POLL_BACKOFF_GROWTH: Micros = 3;
 
 impl Balancer {
@@ -19,7 +19,7 @@
         if self.poller.is_subscribed() {
             actions.push(Action::Log { text: "list lost".into(), server: None });
         }
-        let backoff = self.poller.backoff();
+        let backoff = self.poller.backoff().unwrap_or(INITIAL_POLL_BACKOFF);
         let next_poll_at = self.now + backoff / 2 + self.rng.u64(0..=backoff);
         let next_backoff = (POLL_BACKOFF_GROWTH * backoff).min(self.settings.max_poll_interval / 2);
         self.poller.on_list_lost(next_poll_at, next_backoff);
@@ -38,7 +38,7 @@
             return;
         }
         if kind != UpdateKind::Cached {
-            self.poller.on_list_received(INITIAL_POLL_BACKOFF);
+            self.poller.on_list_received();
             self.endpoints.on_list_received();
         }
         if !self.endpoints.accept_version(version) {
--- a/crates/balancer/src/policy/health_check.rs
+++ b/crates/balancer/src/policy/health_check.rs
@@ -8,7 +8,7 @@
 /// Time between health checks of random servers: what keeps their fee under the last figure at the request
 /// rate, within these two; while a server is suspected they come so many times as often, every other one for
 /// a suspect.
-pub(super) const MIN_HEALTH_CHECK_INTERVAL: Micros = 1_000_000;
+const MIN_HEALTH_CHECK_INTERVAL: Micros = 1_000_000;
 const MAX_HEALTH_CHECK_INTERVAL: Micros = 5_000_000;
 const SUSPECTED_SPEEDUP: Micros = 4;
 const MAX_HEALTH_CHECK_COST: f64 = 0.001;
@@ -18,6 +18,11 @@
 const UNRELIABLE_CHECK_SHARE: f64 = 0.3;
 
 impl Balancer {
+    /// The first health check comes at a random time within one interval.
+    pub(super) fn schedule_first_health_check(&mut self, now: Micros) {
+        self.health_checks.on_started(now + self.rng.u64(0..MIN_HEALTH_CHECK_INTERVAL));
+    }
+
     /// Checks the server whose turn it is, and sends gossip along.
     pub(super) fn run_scheduled_health_check(&mut self, actions: &mut Actions) {
         let interval = self.health_check_interval();
--- a/crates/balancer/src/policy/retry.rs
+++ b/crates/balancer/src/policy/retry.rs
@@ -4,41 +4,9 @@
 use crate::state::{RequestState, RetryScope};
 use crate::{Actions, DeduplicationScope, Idempotency, Micros, RequestId};
 
-/// Tokens earned by each request, what a retry costs, less where no attempt can have executed, and the most
-/// saved up: a fleet that rejects must not get each request several times.
-const RETRY_TOKENS_PER_REQUEST: f64 = 0.05;
-const RETRY_COST: f64 = 1.0;
-const NEVER_EXECUTED_RETRY_COST: f64 = 0.25;
-const MAX_RETRY_TOKENS: f64 = 10.0;
-const INITIAL_RETRY_TOKENS: f64 = MAX_RETRY_TOKENS / 2.0;
 /// Safety margin before the deduplication window closes.
 const WINDOW_MARGIN: Micros = 50_000;
 
-/// Tokens for retries.
-pub(super) struct RetryBudget {
-    tokens: f64,
-}
-
-impl RetryBudget {
-    /// A budget for the first retries.
-    pub(super) fn new() -> Self {
-        Self { tokens: INITIAL_RETRY_TOKENS }
-    }
-
-    /// A request arrived, and earns a share of a retry.
-    pub(super) fn on_request_arrived(&mut self) {
-        self.tokens = (self.tokens + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
-    }
-
-    fn covers(&self, cost: f64) -> bool {
-        self.tokens >= cost
-    }
-
-    fn on_retry(&mut self, cost: f64) {
-        self.tokens -= cost;
-    }
-}
-
 impl Balancer {
     /// Where a request may be sent again now, if anywhere. Nothing else decides that.
     fn retry_scope(&self, request: &RequestState) -> Option<RetryScope> {
@@ -69,12 +37,11 @@
         let Some(request) = self.requests.get(id) else { return false };
         let Some(scope) = self.retry_scope(request) else { return false };
         let may_have_executed = request.first_possible_execution().is_some();
-        let cost = if may_have_executed { RETRY_COST } else { NEVER_EXECUTED_RETRY_COST };
         // Guards against attempts that end as they begin: a late response worth nothing is not waited for.
         let worthless_late = self.settings.class(request.class()).late_value == 0.0;
         let out_of_time = self.now + 2 * self.settings.step >= request.objective_at();
         let useless = request.in_flight_count() > 1 || (worthless_late && out_of_time);
-        if useless || !self.retry_budget.covers(cost) {
+        if useless || !self.retry_budget.covers_retry(may_have_executed) {
             return false;
         }
         let tried = request.tried_servers();
@@ -84,7 +51,7 @@
         if doubtful || server.slow_start.is_active() || self.is_too_late(server_index, id) {
             return false;
         }
-        self.retry_budget.on_retry(cost);
+        self.retry_budget.on_retry(may_have_executed);
         self.send(id, server_index, actions);
         true
     }
--- a/crates/balancer/src/state/endpoint_poller.rs
+++ b/crates/balancer/src/state/endpoint_poller.rs
@@ -3,25 +3,21 @@
 use crate::Micros;
 
 /// The subscription to the endpoint list, and the backoff while there is none.
+#[derive(Default)]
 pub(crate) struct EndpointPoller {
     subscribed: bool,
     next_poll_at: Option<Micros>,
-    backoff: Micros,
+    backoff: Option<Micros>,
 }
 
 impl EndpointPoller {
-    /// A poller without a list.
-    pub(crate) fn new(initial_backoff: Micros) -> Self {
-        Self { subscribed: false, next_poll_at: None, backoff: initial_backoff }
-    }
-
     /// True while changes of the list arrive by themselves.
     pub(crate) fn is_subscribed(&self) -> bool {
         self.subscribed
     }
 
-    /// The pause that the next loss of the list starts from.
-    pub(crate) fn backoff(&self) -> Micros {
+    /// The backoff at the next loss of the list; `None` at the first one since a list came.
+    pub(crate) fn backoff(&self) -> Option<Micros> {
         self.backoff
     }
 
@@ -36,12 +32,12 @@
     }
 
     /// A list or a change of it came.
-    pub(crate) fn on_list_received(&mut self, initial_backoff: Micros) {
-        *self = Self { subscribed: true, next_poll_at: None, backoff: initial_backoff };
+    pub(crate) fn on_list_received(&mut self) {
+        *self = Self { subscribed: true, next_poll_at: None, backoff: None };
     }
 
     /// A poll failed or the subscription broke.
-    pub(crate) fn on_list_lost(&mut self, next_poll_at: Micros, backoff: Micros) {
-        *self = Self { subscribed: false, next_poll_at: Some(next_poll_at), backoff };
+    pub(crate) fn on_list_lost(&mut self, next_poll_at: Micros, next_backoff: Micros) {
+        *self = Self { subscribed: false, next_poll_at: Some(next_poll_at), backoff: Some(next_backoff) };
     }
 }
--- a/crates/balancer/src/state/mod.rs
+++ b/crates/balancer/src/state/mod.rs
@@ -3,7 +3,6 @@
 //! Each file owns one piece of state, with everything that changes it. Decisions are in `policy/`, estimates
 //! in `estimators/`.
 
-pub(crate) mod decaying_rate;
 mod endpoint_poller;
 mod endpoint_table;
 mod gossip_message;
