--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -56,51 +56,108 @@
     );
 }
 
+/// Events of an attached instance that cannot be handled, and the message on each.
+const BAD_EVENTS: [(&str, &str); 16] = [
+    (
+        r#"{"msg":"sing","i":"sidecar/1"}"#,
+        r#"unknown instance "sidecar/1""#,
+    ),
+    (
+        r#"{"msg":"sing","i":"sidecar/0"}"#,
+        r#"unknown message "sing""#,
+    ),
+    (r#"{"msg":"wakeup"}"#, "wakeup: field i is missing"),
+    (
+        r#"{"msg":"wakeup","i":"sidecar/0"}"#,
+        "wakeup: field cookie is missing",
+    ),
+    (
+        r#"{"msg":"dropped","i":"sidecar/0"}"#,
+        "dropped: field txn is missing",
+    ),
+    (
+        r#"{"msg":"dropped","i":"sidecar/0","txn":"xyz"}"#,
+        r#"dropped: txn "xyz" is not a request id"#,
+    ),
+    (
+        r#"{"msg":"request","i":"sidecar/0","txn":"1","grade":"put"}"#,
+        r#"request: unknown grade "put""#,
+    ),
+    (
+        r#"{"msg":"request","i":"sidecar/0","txn":"1"}"#,
+        "request: field grade is missing",
+    ),
+    (
+        r#"{"msg":"response","i":"sidecar/0","txn":"1","n":0,"server":"s"}"#,
+        "response: field rc is missing",
+    ),
+    (
+        r#"{"msg":"health","i":"sidecar/0","server":"s","rc":"fine"}"#,
+        r#"unknown rc "fine""#,
+    ),
+    (
+        r#"{"msg":"roster-change","i":"sidecar/0","kind":"some"}"#,
+        r#"roster-change: unknown kind "some""#,
+    ),
+    (
+        r#"{"msg":"roster-change","i":"sidecar/0","kind":"total"}"#,
+        "roster-change: field table is missing",
+    ),
+    (
+        r#"{"msg":"roster-change","i":"sidecar/0","kind":"total","table":7}"#,
+        "roster-change: no roster 7",
+    ),
+    (
+        r#"{"msg":"roster","table":0}"#,
+        "roster: field members-list is missing",
+    ),
+    (
+        r#"{"msg":"roster","table":0,"members-list":[{"condition":"lost","server":"s"}]}"#,
+        r#"roster: unknown condition "lost""#,
+    ),
+    (
+        r#"{"msg":"whisper","i":"sidecar/0","by":1,"contents":"?"}"#,
+        "contents is not base64: Invalid symbol 63, offset 0.",
+    ),
+];
+
+/// The only line on the standard error.
+fn error_of(input: &str) -> String {
+    let output = run(input);
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success(), "{input}");
+    assert_eq!(errors.lines().count(), 1, "{errors}");
+    let message = errors.trim_end().strip_prefix("arrowstand-adapter: ");
+    message.expect("the program's name").to_owned()
+}
+
 #[test]
-fn bad_input_gets_one_plain_line_and_a_failure() {
-    let cases = [
-        ("not json\n".to_owned(), "bad batch"),
-        (
-            batch(1.0, &[r#"{"msg":"sing","i":"sidecar/0"}"#]),
-            "unknown instance",
-        ),
-        (
-            batch(1.0, &[ATTACH, r#"{"msg":"sing","i":"sidecar/0"}"#]),
-            "unknown message",
-        ),
-        (
-            batch(
-                1.0,
-                &[r#"{"msg":"attach","i":"sidecar/0","random-seed":1}"#],
-            ),
-            "conf is missing",
-        ),
-        (
-            batch(1.0, &[ATTACH, r#"{"msg":"wakeup","i":"sidecar/0"}"#]),
-            "cookie is missing",
-        ),
-        (
-            batch(
-                1.0,
-                &[ATTACH, r#"{"msg":"dropped","i":"sidecar/0","txn":"xyz"}"#],
-            ),
-            "not a request id",
-        ),
-    ];
-    for (input, expected) in cases {
-        let output = run(&input);
-        let errors = String::from_utf8_lossy(&output.stderr).into_owned();
-        assert!(!output.status.success(), "{input}");
-        assert_eq!(errors.lines().count(), 1, "{errors}");
-        assert!(errors.contains(expected), "{errors}");
+fn a_bad_event_gets_one_plain_line_and_a_failure() {
+    for (event, expected) in BAD_EVENTS {
+        assert_eq!(error_of(&batch(1.0, &[ATTACH, event])), expected);
     }
 }
 
+#[test]
+fn a_bad_batch_gets_one_plain_line_and_a_failure() {
+    let error = error_of("not json\n");
+    assert_eq!(error, "bad batch: expected ident at line 1 column 2");
+}
+
+#[test]
+fn an_attach_without_settings_or_seed_is_an_error() {
+    let attach = r#"{"msg":"attach","i":"sidecar/0","random-seed":1}"#;
+    let error = error_of(&batch(1.0, &[attach]));
+    assert_eq!(error, "attach: field conf is missing");
+    let attach = r#"{"msg":"attach","i":"sidecar/0","conf":{"request-classes":[]}}"#;
+    let error = error_of(&batch(1.0, &[attach]));
+    assert_eq!(error, "attach: field random-seed is missing");
+}
+
 #[test]
 fn invalid_settings_are_named() {
     let attach =
         r#"{"msg":"attach","i":"sidecar/0","random-seed":3,"conf":{"request-classes":[]}}"#;
-    let output = run(&batch(1.0, &[attach]));
-    assert!(!output.status.success());
-    assert!(String::from_utf8_lossy(&output.stderr).contains("setting classes"));
+    let error = error_of(&batch(1.0, &[attach]));
+    assert_eq!(error, "setting classes: at least one class is needed");
 }
