--- /dev/null
+++ b/crates/adapter/src/host/action_encoder.rs
@@ -0,0 +1,81 @@
+//! Writes the balancer's actions in the simulator's form. Owns the names of the actions and their fields.
+
+use arrowstand_balancer::{Action, ServerId};
+
+use super::instance::Names;
+use crate::reply::Reply;
+
+/// Number that stands for all peers of a gossip message.
+const ALL_PEERS: i64 = -1;
+
+/// Appends an action of the instance of that name to the reply.
+pub(super) fn encode(action: &Action, instance: &str, names: &Names, reply: &mut Reply) {
+    reply.begin(message(action), instance);
+    encode_fields(action, names, reply);
+    reply.end();
+}
+
+/// The simulator's name for the kind of action.
+fn message(action: &Action) -> &'static str {
+    match action {
+        Action::Send { .. } => "transmit",
+        Action::Cancel { .. } => "revoke",
+        Action::Reject { .. } => "turn-away",
+        Action::Fail { .. } => "give-up",
+        Action::SetTimer { .. } => "wake-at",
+        Action::HealthCheck { .. } => "sound-out",
+        Action::SendGossip { .. } => "share",
+        Action::PollEndpoints => "observe",
+        Action::Log { .. } => "journal-line",
+    }
+}
+
+fn encode_fields(action: &Action, names: &Names, reply: &mut Reply) {
+    match action {
+        Action::Send {
+            request,
+            server,
+            timeout,
+        } => {
+            reply.id(request.0);
+            reply.text("server", names.server_name(*server));
+            reply.optional_millis("within-ms", *timeout);
+        }
+        Action::Cancel { request, attempt } => {
+            reply.id(request.0).number("n", attempt);
+        }
+        Action::Reject {
+            request,
+            retry_after,
+        } => {
+            reply.id(request.0);
+            reply.optional_millis("pause-ms", *retry_after);
+        }
+        Action::Fail { request } => {
+            reply.id(request.0);
+        }
+        Action::SetTimer { token, after } => {
+            reply.number("cookie", token).millis("from-now-ms", *after);
+        }
+        Action::HealthCheck { server } => {
+            reply.text("server", names.server_name(*server));
+        }
+        Action::SendGossip { to, message } => {
+            let to = to.map_or(ALL_PEERS, i64::from);
+            reply.number("to", to).payload(message);
+        }
+        Action::PollEndpoints => {
+            reply.number("want", true);
+        }
+        Action::Log { text, server } => encode_log(text, *server, names, reply),
+    }
+}
+
+/// A log line ends with the name of the server that it is about.
+fn encode_log(text: &str, server: Option<ServerId>, names: &Names, reply: &mut Reply) {
+    let server = server.map_or("", |id| names.server_name(id));
+    reply.text("what", format!("{text} {server}").trim_end());
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/adapter/src/host/action_encoder/tests.rs
@@ -0,0 +1,95 @@
+use arrowstand_balancer::{Action, RequestId, ServerId};
+
+use super::encode;
+use crate::host::instance::Names;
+use crate::reply::Reply;
+
+const REQUEST: RequestId = RequestId(0xab);
+const SERVER: ServerId = ServerId(0);
+
+/// Checks what is written of an action, without the braces of its reply.
+fn assert_encoded(action: &Action, expected: &str) {
+    let mut names = Names::default();
+    names.server_id("10.0.0.1:80");
+    let mut reply = Reply::new();
+    encode(action, "sidecar/0", &names, &mut reply);
+    let expected = format!("{{\"out\":[{{{expected}}}]}}\n");
+    assert_eq!(reply.line(), expected);
+}
+
+fn send(timeout: Option<u64>) -> Action {
+    let (request, server) = (REQUEST, SERVER);
+    Action::Send {
+        request,
+        server,
+        timeout,
+    }
+}
+
+#[test]
+fn a_send_carries_request_server_and_timeout_if_any() {
+    let sent =
+        r#""msg":"transmit","i":"sidecar/0","txn":"00000000000000ab","server":"10.0.0.1:80""#;
+    assert_encoded(&send(None), sent);
+    let timeout = r#","within-ms":1234.005"#;
+    assert_encoded(&send(Some(1_234_005)), &format!("{sent}{timeout}"));
+}
+
+#[test]
+fn a_cancel_carries_the_number_of_the_attempt() {
+    let action = Action::Cancel {
+        request: REQUEST,
+        attempt: 2,
+    };
+    let expected = r#""msg":"revoke","i":"sidecar/0","txn":"00000000000000ab","n":2"#;
+    assert_encoded(&action, expected);
+}
+
+#[test]
+fn a_final_action_carries_the_request_and_a_rejection_its_retry_after_if_any() {
+    let reject = |retry_after| Action::Reject {
+        request: REQUEST,
+        retry_after,
+    };
+    let rejected = r#""msg":"turn-away","i":"sidecar/0","txn":"00000000000000ab""#;
+    assert_encoded(&reject(None), rejected);
+    assert_encoded(&reject(Some(70)), &format!("{rejected},\"pause-ms\":0.070"));
+    let failed = r#""msg":"give-up","i":"sidecar/0","txn":"00000000000000ab""#;
+    assert_encoded(&Action::Fail { request: REQUEST }, failed);
+}
+
+#[test]
+fn timers_health_checks_and_polls_carry_their_fields() {
+    let timer = Action::SetTimer {
+        token: 9,
+        after: 5_000,
+    };
+    let expected = r#""msg":"wake-at","i":"sidecar/0","cookie":9,"from-now-ms":5.000"#;
+    assert_encoded(&timer, expected);
+    let expected = r#""msg":"sound-out","i":"sidecar/0","server":"10.0.0.1:80""#;
+    assert_encoded(&Action::HealthCheck { server: SERVER }, expected);
+    let expected = r#""msg":"observe","i":"sidecar/0","want":true"#;
+    assert_encoded(&Action::PollEndpoints, expected);
+}
+
+#[test]
+fn gossip_carries_its_receiver_and_its_payload_in_base64() {
+    let gossip = |to, message| Action::SendGossip { to, message };
+    let expected = r#""msg":"share","i":"sidecar/0","to":-1,"contents":"AQI=""#;
+    assert_encoded(&gossip(None, vec![1, 2]), expected);
+    let expected = r#""msg":"share","i":"sidecar/0","to":4,"contents":"""#;
+    assert_encoded(&gossip(Some(4), vec![]), expected);
+}
+
+#[test]
+fn a_log_line_ends_with_the_server_if_it_is_known() {
+    let log = |server| Action::Log {
+        text: "ejected".to_owned(),
+        server,
+    };
+    let without = r#""msg":"journal-line","i":"sidecar/0","what":"ejected""#;
+    assert_encoded(&log(None), without);
+    assert_encoded(&log(Some(ServerId(1))), without);
+    let with = r#""msg":"journal-line","i":"sidecar/0","what":"ejected 10.0.0.1:80""#;
+    assert_encoded(&log(Some(SERVER)), with);
+}
--- /dev/null
+++ b/crates/adapter/src/host/endpoint_table.rs
@@ -0,0 +1,61 @@
+//! The endpoint tables of the simulator: lists that are sent once and then named by number, as all instances share
+//! them.
+
+use std::collections::HashMap;
+
+use arrowstand_balancer::{EndpointStatus, Micros};
+use arrowstand_platform::micros_from_ms;
+
+use crate::error::EventError;
+use crate::wire::{Arrival, Entry};
+
+/// One server of a table.
+pub(super) struct TableEntry {
+    pub(super) server: String,
+    pub(super) status: EndpointStatus,
+    /// Time of the latest start; `None` if long ago.
+    pub(super) launched_at: Option<Micros>,
+    pub(super) cell: u32,
+    pub(super) zone: String,
+    pub(super) model: String,
+}
+
+/// The tables by number; a table is kept until its number is used again.
+#[derive(Default)]
+pub(super) struct EndpointTables(HashMap<usize, Vec<TableEntry>>);
+
+impl EndpointTables {
+    /// Keeps the table that an event brings.
+    pub(super) fn on_table(&mut self, event: &Arrival) -> Result<(), EventError> {
+        let number = event.required(event.table, "table")?;
+        let entries = event.required(event.members_list.as_ref(), "members-list")?;
+        let table: Result<Vec<TableEntry>, EventError> = entries
+            .iter()
+            .map(|entry| read_entry(event, entry))
+            .collect();
+        self.0.insert(number, table?);
+        Ok(())
+    }
+
+    /// The table of that number, if there is one.
+    pub(super) fn get(&self, number: usize) -> Option<&[TableEntry]> {
+        self.0.get(&number).map(Vec::as_slice)
+    }
+}
+
+fn read_entry(event: &Arrival, entry: &Entry) -> Result<TableEntry, EventError> {
+    let status = match entry.condition {
+        "in_service" => EndpointStatus::Ready,
+        "terminating" => EndpointStatus::Draining,
+        "terminated" => EndpointStatus::Removed,
+        other => return Err(event.unknown_value("condition", other)),
+    };
+    Ok(TableEntry {
+        server: entry.server.to_owned(),
+        status,
+        launched_at: entry.launched_ms.map(micros_from_ms).filter(|&at| at > 0),
+        cell: entry.pod.unwrap_or(0),
+        zone: entry.area.unwrap_or("").to_owned(),
+        model: entry.model.unwrap_or("").to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/adapter/src/host/event_decoder.rs
@@ -0,0 +1,135 @@
+//! Turns the simulator's events into the balancer's. Owns the names of the kinds of events and their values.
+
+use arrowstand_balancer::{
+    AttemptEnd, Event, IncomingRequest, Outcome, RequestId, ServerId, UpdateKind,
+};
+use arrowstand_platform::micros_from_ms;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+
+use super::endpoint_table::EndpointTables;
+use super::instance::Names;
+use crate::error::EventError;
+use crate::wire::Arrival;
+
+/// Request ids are hexadecimal numbers.
+const REQUEST_ID_RADIX: u32 = 16;
+
+/// Decodes an event of an instance; names that it brings are interned.
+///
+/// # Errors
+/// The kind is unknown, a field that it needs is absent, or a value is unknown.
+pub(super) fn decode(
+    event: &Arrival,
+    names: &mut Names,
+    tables: &EndpointTables,
+) -> Result<Event, EventError> {
+    match event.msg {
+        "roster-change" => endpoints_updated(event, names, tables),
+        "request" => request_arrived(event, names),
+        "ack-first" => Ok(Event::ResponseStarted {
+            request: request_id(event)?,
+        }),
+        "response" => attempt_ended(event, names),
+        "dropped" => Ok(Event::ClientDisconnected {
+            request: request_id(event)?,
+        }),
+        "wakeup" => Ok(Event::TimerFired {
+            token: event.required(event.cookie, "cookie")?,
+        }),
+        "health" => Ok(Event::HealthCheckEnded {
+            server: server_id(event, names)?,
+            outcome: outcome(event)?,
+            load_report: names.load_report(event.stats.as_deref()),
+        }),
+        "whisper" => Ok(Event::GossipReceived {
+            from: event.required(event.by, "by")?,
+            message: STANDARD.decode(event.required(event.contents, "contents")?)?,
+        }),
+        other => Err(EventError::UnknownMessage(other.to_owned())),
+    }
+}
+
+fn endpoints_updated(
+    event: &Arrival,
+    names: &mut Names,
+    tables: &EndpointTables,
+) -> Result<Event, EventError> {
+    let kind = match event.required(event.kind, "kind")? {
+        "incr" => UpdateKind::Incremental,
+        "total" => UpdateKind::Full,
+        "warm_copy" => UpdateKind::Cached,
+        "lost" => UpdateKind::Lost,
+        other => return Err(event.unknown_value("kind", other)),
+    };
+    let mut endpoints = Vec::new();
+    if kind != UpdateKind::Lost {
+        let number = event.required(event.table, "table")?;
+        let table = tables.get(number).ok_or_else(|| EventError::UnknownTable {
+            message: event.msg.to_owned(),
+            number,
+        })?;
+        endpoints.extend(table.iter().map(|entry| names.endpoint(entry)));
+    }
+    Ok(Event::EndpointsUpdated {
+        kind,
+        version: event.r#gen.unwrap_or(0),
+        endpoints,
+    })
+}
+
+fn request_arrived(event: &Arrival, names: &Names) -> Result<Event, EventError> {
+    let class_name = event.required(event.grade, "grade")?;
+    let class = names
+        .class_id(class_name)
+        .ok_or_else(|| event.unknown_value("grade", class_name))?;
+    Ok(Event::RequestArrived(IncomingRequest {
+        id: request_id(event)?,
+        class,
+        time_left: micros_from_ms(event.left_ms.unwrap_or(0.0)),
+        work_hint: event.size_hint_ms.map(micros_from_ms),
+    }))
+}
+
+fn attempt_ended(event: &Arrival, names: &mut Names) -> Result<Event, EventError> {
+    Ok(Event::AttemptEnded(AttemptEnd {
+        request: request_id(event)?,
+        attempt: event.required(event.n, "n")?,
+        server: server_id(event, names)?,
+        outcome: outcome(event)?,
+        finished: event.required(event.finished, "finished")?,
+        elapsed: micros_from_ms(event.time_taken_ms.unwrap_or(0.0)),
+        load_report: names.load_report(event.stats.as_deref()),
+    }))
+}
+
+fn request_id(event: &Arrival) -> Result<RequestId, EventError> {
+    let text = event.required(event.txn, "txn")?;
+    u64::from_str_radix(text, REQUEST_ID_RADIX)
+        .map(RequestId)
+        .map_err(|_| EventError::InvalidRequestId {
+            message: event.msg.to_owned(),
+            text: text.to_owned(),
+        })
+}
+
+fn server_id(event: &Arrival, names: &mut Names) -> Result<ServerId, EventError> {
+    Ok(names.server_id(event.required(event.server, "server")?))
+}
+
+fn outcome(event: &Arrival) -> Result<Outcome, EventError> {
+    match event.required(event.rc, "rc")? {
+        "served" => Ok(Outcome::Served),
+        "server_error" => Ok(Outcome::ServerError),
+        "turned_away" => Ok(Outcome::Rejected),
+        "no_answer" => Ok(Outcome::TimedOut),
+        "no_connection" => Ok(Outcome::ConnectFailed),
+        "connection_lost" => Ok(Outcome::Reset),
+        "called_off" => Ok(Outcome::Cancelled),
+        "not_sent" => Ok(Outcome::NotSent),
+        other => Err(EventError::UnknownOutcome(other.to_owned())),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/adapter/src/host/tests.rs
+++ b/crates/adapter/src/host/settings/tests.rs
@@ -17,8 +17,8 @@
    {"name": "look", "semantics": "side_effect", "objective-ms": 150, "deadline-ms": 600}]}"#;
 
 fn read_settings(text: &str) -> Settings {
-    let conf: crate::wire::Conf = serde_json::from_str(text).expect("settings");
-    super::settings(&conf).expect("settings").0
+    let conf = serde_json::from_str(text).expect("JSON");
+    super::read(&conf).expect("settings").balancer
 }
 
 fn assert_settings(text: &str, expected: &Settings) {
@@ -87,3 +87,23 @@
     };
     assert_settings(ONE_CLASS, &expected);
 }
+
+#[test]
+fn a_bad_key_is_named_by_its_path() {
+    for (good, bad, expected) in [
+        (
+            "\"side_effect\"",
+            "\"tidy\"",
+            "request-classes[0].semantics: unknown value \"tidy\"",
+        ),
+        (
+            "\"objective-ms\"",
+            "\"objective\"",
+            "request-classes[0].objective-ms: is missing",
+        ),
+    ] {
+        let conf = serde_json::from_str(&ONE_CLASS.replace(good, bad)).expect("JSON");
+        let error = super::read(&conf).expect_err("a bad key");
+        assert_eq!(error.to_string(), expected);
+    }
+}
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,38 +1,47 @@
-//! Runs arrowstand_balancer balancers on the simulator's line protocol: one batch in, one reply out.
+//! Runs the balancers of simulated sidecars on the simulator's line protocol: one batch of events in, one reply of
+//! actions out, until the input ends.
 
+mod error;
 mod host;
+mod reply;
 mod wire;
 
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
+use error::AdapterError;
 use host::Host;
-use wire::{Batch, Reply};
+use reply::Reply;
+use wire::Batch;
 
-fn run() -> Result<(), String> {
+fn run() -> Result<(), AdapterError> {
     let (mut input, mut output) = (io::stdin().lock(), io::stdout().lock());
-    let (mut host, mut reply, mut line) = (Host::default(), Reply::new(), Vec::new());
+    let mut host = Host::default();
+    let mut reply = Reply::new();
+    let mut line = Vec::new();
     loop {
         line.clear();
-        let read = input.read_until(b'\n', &mut line);
-        if read.map_err(|e| format!("cannot read: {e}"))? == 0 {
+        let bytes_read = input
+            .read_until(b'\n', &mut line)
+            .map_err(AdapterError::Read)?;
+        if bytes_read == 0 {
             return Ok(());
         }
-        let batch: Batch = serde_json::from_slice(&line).map_err(|e| format!("bad batch: {e}"))?;
+        let batch: Batch = serde_json::from_slice(&line).map_err(AdapterError::Batch)?;
         reply.clear();
         host.run(&batch, &mut reply)?;
-        let written = output
+        output
             .write_all(reply.line().as_bytes())
-            .and_then(|()| output.flush());
-        written.map_err(|e| format!("cannot write: {e}"))?;
+            .and_then(|()| output.flush())
+            .map_err(AdapterError::Write)?;
     }
 }
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            eprintln!("arrowstand-adapter: {problem}");
+        Err(error) => {
+            eprintln!("arrowstand-adapter: {error}");
             ExitCode::FAILURE
         }
     }
