--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -18,8 +18,8 @@
 use crate::limits::{LimitInputs, Limits};
 use crate::machine_table;
 
-pub use error::ConfigError;
-pub use names::Names;
+pub(crate) use error::ConfigError;
+pub(crate) use names::Names;
 
 /// Bound on the nesting of the file's JSON; guards the stack.
 const MAX_JSON_DEPTH: usize = 64;
@@ -33,23 +33,23 @@
 const SEED_RADIX: u32 = 16;
 
 /// What this sidecar was configured with at its start.
-pub struct Config {
+pub(crate) struct Config {
     /// Name of this sidecar, for the log.
-    pub name: String,
+    pub(crate) name: String,
     /// Where clients connect.
-    pub listen: SocketAddr,
+    pub(crate) listen: SocketAddr,
     /// Where discovery listens.
-    pub discovery: SocketAddr,
+    pub(crate) discovery: SocketAddr,
     /// Seed of all random draws.
-    pub seed: u64,
+    pub(crate) seed: u64,
     /// Settings of the balancer, validated.
-    pub settings: Settings,
+    pub(crate) settings: Settings,
     /// Bounds of the network code.
-    pub limits: Limits,
+    pub(crate) limits: Limits,
     /// Names behind the balancer's numbers.
-    pub names: Names,
+    pub(crate) names: Names,
     /// The endpoint list as this sidecar last had it.
-    pub known: Option<EndpointList>,
+    pub(crate) known: Option<EndpointList>,
 }
 
 impl Config {
@@ -57,7 +57,7 @@
     ///
     /// # Errors
     /// One line that names the variable or the key; see [`ConfigError`].
-    pub fn from_environment() -> Result<Self, String> {
+    pub(crate) fn from_environment() -> Result<Self, String> {
         Ok(Self::load(environment_variable)?)
     }
 
@@ -66,7 +66,7 @@
     ///
     /// # Errors
     /// As for [`from_environment`](Self::from_environment).
-    pub fn reload() -> Result<Self, String> {
+    pub(crate) fn reload() -> Result<Self, String> {
         Ok(Self::load(|name| match name {
             "NODE_DISCOVERY" => None,
             _ => environment_variable(name),
--- a/crates/sidecar/src/config/error.rs
+++ b/crates/sidecar/src/config/error.rs
@@ -10,7 +10,7 @@
 
 /// A configuration that this sidecar cannot start with. The message is one line that names the variable or the key.
 #[derive(Debug, Error)]
-pub enum ConfigError {
+pub(crate) enum ConfigError {
     /// No file is named.
     #[error("NODE_CONFIG: is not set; it names the JSON file")]
     NoFile,
--- a/crates/sidecar/src/config/names.rs
+++ b/crates/sidecar/src/config/names.rs
@@ -9,24 +9,24 @@
 /// Names of request classes, zones and machine types, and what requests of a class are allowed. Each list that
 /// describes classes has one entry for each, in the balancer's numbering.
 #[derive(Clone, Debug, Default)]
-pub struct Names {
+pub(crate) struct Names {
     /// Names of the classes.
-    pub classes: Vec<String>,
+    pub(crate) classes: Vec<String>,
     /// Whether requests of the class carry an idempotency key.
-    pub keyed: Vec<bool>,
+    pub(crate) keyed: Vec<bool>,
     /// Timeout of a client that states none.
-    pub deadlines: Vec<Duration>,
+    pub(crate) deadlines: Vec<Duration>,
     /// For how long servers drop repeats with the same idempotency key.
-    pub windows: Vec<Duration>,
+    pub(crate) windows: Vec<Duration>,
     /// Names of the zones.
-    pub zones: Vec<String>,
+    pub(crate) zones: Vec<String>,
     /// The machine types and their capacity.
-    pub machines: MachineCatalogue,
+    pub(crate) machines: MachineCatalogue,
 }
 
 impl Names {
     /// Collects what the settings and the operator's machine table name.
-    pub fn new(platform: &PlatformSettings, machines: MachineCatalogue) -> Self {
+    pub(crate) fn new(platform: &PlatformSettings, machines: MachineCatalogue) -> Self {
         let classes = &platform.balancer.classes;
         Self {
             classes: platform.class_names.clone(),
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -12,14 +12,14 @@
 
 use arrowstand_platform::endpoint_list::MaxDepth;
 
-pub use client::ClientLimits;
-pub use discovery::DiscoveryLimits;
-pub use inputs::LimitInputs;
+pub(crate) use client::ClientLimits;
+pub(crate) use discovery::DiscoveryLimits;
+pub(crate) use inputs::LimitInputs;
 /// The former name of [`LimitInputs`], for tests of other modules.
 #[cfg(test)]
-pub use inputs::LimitInputs as Basis;
-pub use shutdown::ShutdownLimits;
-pub use upstream::UpstreamLimits;
+pub(crate) use inputs::LimitInputs as Basis;
+pub(crate) use shutdown::ShutdownLimits;
+pub(crate) use upstream::UpstreamLimits;
 
 /// Bytes of a request's or a response's body (the protocol page).
 const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -30,26 +30,26 @@
 
 /// Every bound of the network code. Filled by [`Limits::derive`] from the configuration and handed down from there.
 #[derive(Clone, Debug)]
-pub struct Limits {
+pub(crate) struct Limits {
     /// Bounds on clients.
-    pub client: ClientLimits,
+    pub(crate) client: ClientLimits,
     /// Bounds on servers.
-    pub upstream: UpstreamLimits,
+    pub(crate) upstream: UpstreamLimits,
     /// Bounds on discovery.
-    pub discovery: DiscoveryLimits,
+    pub(crate) discovery: DiscoveryLimits,
     /// Bounds on the end of the program.
-    pub shutdown: ShutdownLimits,
+    pub(crate) shutdown: ShutdownLimits,
     /// Bytes of a request's or a response's body.
-    pub max_body_bytes: usize,
+    pub(crate) max_body_bytes: usize,
     /// Actions of one request that may wait to be executed.
-    pub max_queued_actions: usize,
+    pub(crate) max_queued_actions: usize,
     /// Retry-After of a rejection for which the balancer names none.
-    pub default_retry_after: Duration,
+    pub(crate) default_retry_after: Duration,
 }
 
 impl Limits {
     /// Derives all limits.
-    pub fn derive(inputs: &LimitInputs) -> Self {
+    pub(crate) fn derive(inputs: &LimitInputs) -> Self {
         Self {
             client: ClientLimits::derive(inputs),
             upstream: UpstreamLimits::derive(inputs),
--- a/crates/sidecar/src/limits/client.rs
+++ b/crates/sidecar/src/limits/client.rs
@@ -39,37 +39,37 @@
 
 /// Bounds on client connections and on what they send.
 #[derive(Clone, Debug)]
-pub struct ClientLimits {
+pub(crate) struct ClientLimits {
     /// Connections that are served; further ones get an overload rejection.
-    pub max_connections: usize,
+    pub(crate) max_connections: usize,
     /// Connections that are accepted at all: those above the first bound only to be rejected.
-    pub max_accepted_connections: usize,
+    pub(crate) max_accepted_connections: usize,
     /// Characters of a request id or an idempotency key.
-    pub max_token_chars: usize,
+    pub(crate) max_token_chars: usize,
     /// Characters of a request's path and query.
-    pub max_target_chars: usize,
+    pub(crate) max_target_chars: usize,
     /// A connection without an open request is kept for this long.
-    pub idle_timeout: Duration,
+    pub(crate) idle_timeout: Duration,
     /// From a request's first byte to its last a client may take this long.
-    pub request_read_timeout: Duration,
+    pub(crate) request_read_timeout: Duration,
     /// The same for a client's first request: with the idle time, it is closed within 3 s of connecting.
-    pub first_request_timeout: Duration,
+    pub(crate) first_request_timeout: Duration,
     /// The longest client timeout that is believed.
-    pub max_timeout: Duration,
+    pub(crate) max_timeout: Duration,
     /// A response is sent this long before its client's timeout, whatever happens.
-    pub response_margin: Duration,
+    pub(crate) response_margin: Duration,
     /// Bytes that are given to the protocol at a time.
-    pub read_chunk_bytes: usize,
+    pub(crate) read_chunk_bytes: usize,
     /// So many bytes more are given to it of a body that is announced.
-    pub body_chunk_bytes: usize,
+    pub(crate) body_chunk_bytes: usize,
     /// Bytes that come behind an open request and are still read: enough to show that the client does not wait.
-    pub max_pipelined_bytes: usize,
+    pub(crate) max_pipelined_bytes: usize,
     /// More bytes than any request has, head and body: a client that sends so many at once does not wait either.
-    pub max_burst_bytes: usize,
+    pub(crate) max_burst_bytes: usize,
     /// What a client sends after its last response is read and discarded for this long,
-    pub lingering_close_timeout: Duration,
+    pub(crate) lingering_close_timeout: Duration,
     /// and up to so many bytes.
-    pub max_lingering_bytes: usize,
+    pub(crate) max_lingering_bytes: usize,
 }
 
 impl ClientLimits {
--- a/crates/sidecar/src/limits/discovery.rs
+++ b/crates/sidecar/src/limits/discovery.rs
@@ -26,21 +26,21 @@
 
 /// Bounds on calls to discovery and on its endpoint list.
 #[derive(Clone, Debug)]
-pub struct DiscoveryLimits {
+pub(crate) struct DiscoveryLimits {
     /// Bytes of one line.
-    pub max_line_bytes: usize,
+    pub(crate) max_line_bytes: usize,
     /// Nesting of JSON that is read; guards the stack.
-    pub max_json_depth: usize,
+    pub(crate) max_json_depth: usize,
     /// The head of the response must come within this. Guards against a drain that is learnt too late to be kept: from
     /// the last event of a watch that dies to the end of the call that replaces it, no more passes than the time after
     /// which a change counts as notified and the grace of a drain.
-    pub poll_timeout: Duration,
+    pub(crate) poll_timeout: Duration,
     /// A watch that is silent for this long is lost.
-    pub watch_silence_timeout: Duration,
+    pub(crate) watch_silence_timeout: Duration,
     /// A list that is late is polled again after about this long, until it is there.
-    pub poll_retry_delay: Duration,
+    pub(crate) poll_retry_delay: Duration,
     /// When what the list does not show counts as notified; half of the grace is left for what is on its way.
-    pub staleness: StalenessBounds,
+    pub(crate) staleness: StalenessBounds,
 }
 
 impl DiscoveryLimits {
--- a/crates/sidecar/src/limits/inputs.rs
+++ b/crates/sidecar/src/limits/inputs.rs
@@ -7,34 +7,34 @@
 
 /// The parts of the configuration that limits follow from.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct LimitInputs {
+pub(crate) struct LimitInputs {
     /// File descriptors that the process may hold.
-    pub sockets: usize,
+    pub(crate) sockets: usize,
     /// Memory that it may use, in MiB.
-    pub memory_mib: usize,
+    pub(crate) memory_mib: usize,
     /// `permissions.connect-timeout-ms`.
-    pub connect_timeout: Duration,
+    pub(crate) connect_timeout: Duration,
     /// `permissions.idle-close-ms`.
-    pub idle_timeout: Duration,
+    pub(crate) idle_timeout: Duration,
     /// `safety.drain-grace-ms`.
-    pub drain_grace: Duration,
+    pub(crate) drain_grace: Duration,
     /// `permissions.max-retry-after-ms`.
-    pub max_retry_after: Duration,
+    pub(crate) max_retry_after: Duration,
     /// `permissions.max-attempts`.
-    pub max_attempts: usize,
+    pub(crate) max_attempts: usize,
     /// The longest deadline of a request class.
-    pub longest_deadline: Duration,
+    pub(crate) longest_deadline: Duration,
     /// `step-ms`.
-    pub step: Duration,
+    pub(crate) step: Duration,
     /// `safety.ask-every-ms`.
-    pub max_poll_interval: Duration,
+    pub(crate) max_poll_interval: Duration,
     /// `membership-mode` is `pushed`: changes count as notified, whether or not a watch is open.
-    pub pushed: bool,
+    pub(crate) pushed: bool,
 }
 
 impl LimitInputs {
     /// Collects the inputs from the process's own limits and from the settings.
-    pub fn new(
+    pub(crate) fn new(
         sockets: usize,
         memory_mib: usize,
         transport: &TransportSettings,
--- a/crates/sidecar/src/limits/shutdown.rs
+++ b/crates/sidecar/src/limits/shutdown.rs
@@ -16,13 +16,13 @@
 
 /// What follows a SIGTERM, each counted from the signal.
 #[derive(Clone, Debug)]
-pub struct ShutdownLimits {
+pub(crate) struct ShutdownLimits {
     /// Connections are accepted for this long.
-    pub accept_for: Duration,
+    pub(crate) accept_for: Duration,
     /// What is still open is answered at once after this long.
-    pub answer_after: Duration,
+    pub(crate) answer_after: Duration,
     /// The longest time until the program ends.
-    pub exit_after: Duration,
+    pub(crate) exit_after: Duration,
 }
 
 impl ShutdownLimits {
--- a/crates/sidecar/src/limits/upstream.rs
+++ b/crates/sidecar/src/limits/upstream.rs
@@ -26,30 +26,30 @@
 
 /// Bounds on connections to servers and on what they send.
 #[derive(Clone, Debug)]
-pub struct UpstreamLimits {
+pub(crate) struct UpstreamLimits {
     /// Connections to servers, busy and idle.
-    pub max_connections: usize,
+    pub(crate) max_connections: usize,
     /// Bytes of a response's head.
-    pub max_response_head_bytes: usize,
+    pub(crate) max_response_head_bytes: usize,
     /// Interim (1xx) responses ahead of the final one.
-    pub max_interim_responses: usize,
+    pub(crate) max_interim_responses: usize,
     /// Bytes of a response whose length is not announced, its framing included.
-    pub max_unsized_response_bytes: usize,
+    pub(crate) max_unsized_response_bytes: usize,
     /// A connection must be up within this.
-    pub connect_timeout: Duration,
+    pub(crate) connect_timeout: Duration,
     /// An idle connection is used again within this, counted from the end of its reuse delay.
-    pub idle_reuse_timeout: Duration,
+    pub(crate) idle_reuse_timeout: Duration,
     /// After a response a connection is left alone for this long: a second response may come some milliseconds late.
-    pub reuse_delay: Duration,
+    pub(crate) reuse_delay: Duration,
     /// A health check must be answered within this.
-    pub health_check_timeout: Duration,
+    pub(crate) health_check_timeout: Duration,
     /// Nothing new starts to a server this long after its drain was notified.
-    pub max_drain_age: Duration,
+    pub(crate) max_drain_age: Duration,
     /// A server that has been gone for this long is forgotten: longer than any attempt to it runs.
-    pub server_retention: Duration,
+    pub(crate) server_retention: Duration,
     /// A retry that carries an idempotency key begins this long before its deduplication window ends, so that it is
     /// there when it does.
-    pub deduplication_margin: Duration,
+    pub(crate) deduplication_margin: Duration,
 }
 
 impl UpstreamLimits {
--- a/crates/sidecar/src/machine_table.rs
+++ b/crates/sidecar/src/machine_table.rs
@@ -16,7 +16,7 @@
 
 /// A machine table that cannot be used. The message is one line that names file, entry and key.
 #[derive(Debug, Error)]
-pub enum MachineTableError {
+pub(crate) enum MachineTableError {
     /// The file cannot be read.
     #[error("ARROWSTAND_MACHINES: {path}: {source}")]
     Unreadable {
@@ -39,7 +39,7 @@
 ///
 /// # Errors
 /// The file cannot be read, or is no machine table.
-pub fn load(path: &str) -> Result<MachineCatalogue, MachineTableError> {
+pub(crate) fn load(path: &str) -> Result<MachineCatalogue, MachineTableError> {
     let text = std::fs::read_to_string(path).map_err(|source| MachineTableError::Unreadable {
         path: path.to_owned(),
         source,
--- a/crates/sidecar/src/upstream/load_report.rs
+++ b/crates/sidecar/src/upstream/load_report.rs
@@ -1,3 +1,3 @@
 //! The load reports in servers' responses; their format is read by `arrowstand-platform`.
 
-pub use arrowstand_platform::load_report::read_report;
+pub(crate) use arrowstand_platform::load_report::read_report;
