--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts the balancers of many simulated sidecars in one process.
 //!
-//! Owns the attached instances and the endpoint tables that they share. The fields of events and actions are known by
-//! the decoder and the encoder, the decisions by the balancers.
+//! Owns the attached instances and the endpoint tables that they share. The fields of events and
+//! actions are known by the decoder and the encoder, the decisions by the balancers.
 
 mod action_encoder;
 mod endpoint_table;
--- a/crates/adapter/src/host/action_encoder.rs
+++ b/crates/adapter/src/host/action_encoder.rs
@@ -1,4 +1,5 @@
-//! Writes the balancer's actions in the simulator's form. Owns the names of the actions and their fields.
+//! Writes the balancer's actions in the simulator's form. Owns the names of the actions and their
+//! fields.
 
 use arrowstand_balancer::{Action, ServerId};
 
--- a/crates/adapter/src/host/endpoint_table.rs
+++ b/crates/adapter/src/host/endpoint_table.rs
@@ -1,5 +1,5 @@
-//! The endpoint tables of the simulator: lists that are sent once and then named by number, as all instances share
-//! them.
+//! The endpoint tables of the simulator: lists that are sent once and then named by number, as all
+//! instances share them.
 
 use std::collections::HashMap;
 
--- a/crates/adapter/src/host/event_decoder.rs
+++ b/crates/adapter/src/host/event_decoder.rs
@@ -1,4 +1,5 @@
-//! Turns the simulator's events into the balancer's. Owns the names of the kinds of events and their values.
+//! Turns the simulator's events into the balancer's. Owns the names of the kinds of events and
+//! their values.
 
 use arrowstand_balancer::{
     AttemptEnd, Event, IncomingRequest, Outcome, RequestId, ServerId, UpdateKind,
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,5 +1,5 @@
-//! Runs the balancers of simulated sidecars on the simulator's line protocol: one batch of events in, one reply of
-//! actions out, until the input ends.
+//! Runs the balancers of simulated sidecars on the simulator's line protocol: one batch of events
+//! in, one reply of actions out, until the input ends.
 
 mod error;
 mod host;
--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -1,4 +1,5 @@
-//! The output of the line protocol: the actions of one reply, written as JSON into one reused buffer.
+//! The output of the line protocol: the actions of one reply, written as JSON into one reused
+//! buffer.
 //!
 //! Owns the syntax; the fields of each action are known by the host's encoder.
 
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! The input of the line protocol: batches of events, borrowed from their line.
 //!
-//! Owns the names of the fields. What an event means is known by the host; the settings of an instance are read by
-//! `arrowstand-platform`.
+//! Owns the names of the fields. What an event means is known by the host; the settings of an
+//! instance are read by `arrowstand-platform`.
 
 use serde::Deserialize;
 
@@ -18,8 +18,8 @@
     pub(crate) arrivals: Vec<Arrival<'a>>,
 }
 
-/// One event. All kinds share this shape, since a tagged enum would copy each event first: of the fields behind `msg`,
-/// each kind has its own.
+/// One event. All kinds share this shape, since a tagged enum would copy each event first: of the
+/// fields behind `msg`, each kind has its own.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) struct Arrival<'a> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,6 @@
-//! Control decisions outside the balancer: work estimates, machine types and the freshness of the endpoint
-//! list. No I/O and no clock: events and times are passed in, and verdicts are returned. Nothing here depends
-//! on a protocol.
+//! Control decisions outside the balancer: work estimates, machine types and the freshness of the
+//! endpoint list. No I/O and no clock: events and times are passed in, and verdicts are returned.
+//! Nothing here depends on a protocol.
 
 pub mod list_freshness;
 mod machine_catalogue;
@@ -14,8 +14,8 @@
 pub use machine_catalogue::MachineCatalogue;
 pub use work_aware_balancer::WorkAwareBalancer;
 
-/// Hash of a server's name that every instance computes alike, whatever its version: 64-bit FNV-1a of the
-/// UTF-8 bytes. It identifies servers in gossip, so it must never change.
+/// Hash of a server's name that every instance computes alike, whatever its version: 64-bit FNV-1a
+/// of the UTF-8 bytes. It identifies servers in gossip, so it must never change.
 pub fn stable_hash(text: &str) -> u64 {
     let mut hasher = FnvHasher::default();
     hasher.write(text.as_bytes());
--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -1,8 +1,9 @@
-//! How long the endpoint list may be trusted: until when an attempt may be sent although the list may hide that
-//! its server is draining. Owns that one instant; the endpoints themselves are owned by the balancer.
+//! How long the endpoint list may be trusted: until when an attempt may be sent although the list
+//! may hide that its server is draining. Owns that one instant; the endpoints themselves are owned
+//! by the balancer.
 //!
-//! A drain counts as notified at a time that the platform states, whether or not the notification arrived. From
-//! then on the server accepts requests for the drain grace only.
+//! A drain counts as notified at a time that the platform states, whether or not the notification
+//! arrived. From then on the server accepts requests for the drain grace only.
 
 use arrowstand_balancer::Micros;
 
@@ -15,10 +16,11 @@
     pub max_poll_interval: Micros,
     /// What a silent watch misses counts as notified this long after its last event.
     pub watch_silence: Micros,
-    /// What a relocated discovery has to say counts as notified this long after the relocation was configured.
+    /// What a relocated discovery has to say counts as notified this long after the relocation was
+    /// configured.
     pub relocation_delay: Micros,
-    /// The part of the drain grace that may pass before an attempt's first byte; the rest is for bytes that are
-    /// on their way.
+    /// The part of the drain grace that may pass before an attempt's first byte; the rest is for
+    /// bytes that are on their way.
     pub drain_slack: Micros,
 }
 
@@ -28,8 +30,8 @@
     bounds: StalenessBounds,
     /// Where lists are pushed: until then only what the list shows counts as notified.
     known_until: Micros,
-    /// Set when a watch falls silent or discovery is relocated, cleared by the next watch event: when a drain that
-    /// the list hides may take effect.
+    /// Set when a watch falls silent or discovery is relocated, cleared by the next watch event:
+    /// when a drain that the list hides may take effect.
     silent_from: Option<Micros>,
     /// The same for a poll that is not answered yet.
     unanswered_from: Option<Micros>,
@@ -69,16 +71,18 @@
 
     /// A watch or a call ended, other than by silence.
     pub fn on_watch_ended(&mut self, now: Micros) {
-        // Guards against an outage that stops all service: a call that fails at once shows that discovery is down,
-        // and then there is nothing to be notified of. One that failed after its time shows that discovery is there
-        // and overloaded. Where lists are polled, a failed call keeps the old list valid for four times as long.
+        // Guards against an outage that stops all service: a call that fails at once shows that
+        // discovery is down, and then there is nothing to be notified of. One that failed after its
+        // time shows that discovery is there and overloaded. Where lists are polled, a failed call
+        // keeps the old list valid for four times as long.
         if !self.bounds.pushed || self.unanswered_from.is_some_and(|from| now < from) {
             self.unanswered_from = None;
         }
         self.known_until = self.known_until.max(now);
     }
 
-    /// A call was abandoned unanswered. Where lists are pushed that proves nothing: discovery may be there.
+    /// A call was abandoned unanswered. Where lists are pushed that proves nothing: discovery may
+    /// be there.
     pub fn on_poll_abandoned(&mut self) {
         if !self.bounds.pushed {
             self.unanswered_from = None;
@@ -100,7 +104,8 @@
         self.limit_silence(self.known_until + self.bounds.drain_slack);
     }
 
-    /// The connection to discovery was refused: a process that is absent after a relocation has nothing to say.
+    /// The connection to discovery was refused: a process that is absent after a relocation has
+    /// nothing to say.
     pub fn on_poll_refused(&mut self, now: Micros) {
         if self.relocated {
             self.silent_from = None;
@@ -108,14 +113,15 @@
         self.on_watch_ended(now);
     }
 
-    /// True while the list may hide a drain, now or later: polls are then repeated without the balancer's backoff.
+    /// True while the list may hide a drain, now or later: polls are then repeated without the
+    /// balancer's backoff.
     pub fn needs_immediate_poll(&self) -> bool {
         self.bounds.pushed || self.silent_from.is_some()
     }
 
-    /// The time from which no attempt may be sent to a server, or `None` while the list is what discovery has.
-    /// `last_served_begin` is when the latest attempt began that the server served, which proves that it was not
-    /// draining then.
+    /// The time from which no attempt may be sent to a server, or `None` while the list is what
+    /// discovery has. `last_served_begin` is when the latest attempt began that the server served,
+    /// which proves that it was not draining then.
     pub fn trusted_until(&self, last_served_begin: Option<Micros>) -> Option<Micros> {
         let from = [self.silent_from, self.unanswered_from]
             .into_iter()
--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -20,8 +20,8 @@
 
 const SILENCE_TIMEOUT: Micros = 3_000_000;
 
-/// The platform's protocol page on when a drain counts as notified, written down a second time: a reference model
-/// that shares nothing with the code under test.
+/// The platform's protocol page on when a drain counts as notified, written down a second time: a
+/// reference model that shares nothing with the code under test.
 struct ReferenceModel {
     bounds: StalenessBounds,
     /// Since when nothing has come, and why.
@@ -38,8 +38,8 @@
 }
 
 impl ReferenceModel {
-    /// When a drain that began at `drained_at`, unseen, counts as notified at the earliest; `None` where the page
-    /// names no time.
+    /// When a drain that began at `drained_at`, unseen, counts as notified at the earliest; `None`
+    /// where the page names no time.
     fn notified_at(&self, drained_at: Micros) -> Option<Micros> {
         let (since, reason) = self.blind?;
         let last_call = self.calls.last().copied().filter(|&at| at >= since);
@@ -67,8 +67,9 @@
 }
 
 proptest! {
-    /// Whatever happens to the watch: with a call pending that nobody answers, no attempt begins later than the drain
-    /// grace after the drain counts as notified, in both modes, at any grace and any poll interval.
+    /// Whatever happens to the watch: with a call pending that nobody answers, no attempt begins
+    /// later than the drain grace after the drain counts as notified, in both modes, at any grace
+    /// and any poll interval.
     #[test]
     fn no_attempt_begins_after_the_grace_of_a_hidden_drain(
         pushed in any::<bool>(),
@@ -91,7 +92,8 @@
                     reference.blind = None;
                     continue;
                 }
-                // A call that fails while blind shows that discovery is down, or replaces the last call.
+                // A call that fails while blind shows that discovery is down, or replaces the last
+                // call.
                 Step::Ended => {
                     freshness.on_watch_ended(now);
                     if reference.blind.is_none_or(|(_, reason)| reason == BlindReason::Lost) {
--- a/crates/control/src/machine_catalogue.rs
+++ b/crates/control/src/machine_catalogue.rs
@@ -1,12 +1,13 @@
-//! The machine types of the fleet and their capacity. Types in the operator's table have the capacity stated
-//! there. Any other type counts as the mean of the table and gets an id of its own, so that what is learnt of
-//! one machine applies to all of its type.
+//! The machine types of the fleet and their capacity. Types in the operator's table have the
+//! capacity stated there. Any other type counts as the mean of the table and gets an id of its own,
+//! so that what is learnt of one machine applies to all of its type.
 //!
 //! Owns the numbering of the types; the format of the operator's table is read by the sidecar.
 
 use arrowstand_balancer::MachineType;
 
-/// Machine types that get an id of their own. Guards against memory that grows with the endpoint list.
+/// Machine types that get an id of their own. Guards against memory that grows with the endpoint
+/// list.
 const MAX_MACHINE_TYPES: usize = 256;
 /// Id of machines without a type of their own.
 const NO_TYPE_ID: u32 = 0;
@@ -20,9 +21,9 @@
 }
 
 impl MachineCatalogue {
-    /// Builds the catalogue from the operator's table: model name, cores (requests that run at a time) and
-    /// speed (work per time of one core, relative to an average one), both above zero. A type that the table
-    /// does not name counts as the mean of the table.
+    /// Builds the catalogue from the operator's table: model name, cores (requests that run at a
+    /// time) and speed (work per time of one core, relative to an average one), both above zero. A
+    /// type that the table does not name counts as the mean of the table.
     pub fn from_table(table: impl IntoIterator<Item = (String, f64, f64)>) -> Self {
         let mut catalogue = Self::default();
         for (model, cores, speed) in table {
@@ -62,8 +63,8 @@
         machine
     }
 
-    /// The machine type of a model name. An unknown name becomes a type of its own, up to a bound; an empty
-    /// name has none.
+    /// The machine type of a model name. An unknown name becomes a type of its own, up to a bound;
+    /// an empty name has none.
     pub fn lookup(&mut self, model: &str) -> MachineType {
         let known = self.types.iter().find(|(name, _)| name == model);
         match known {
--- a/crates/control/src/tests.rs
+++ b/crates/control/src/tests.rs
@@ -1,7 +1,7 @@
 use super::stable_hash;
 
-/// Instances of different versions compare these numbers: they were computed by the FNV-1a that was written
-/// out here before the `fnv` crate took its place.
+/// Instances of different versions compare these numbers: they were computed by the FNV-1a that was
+/// written out here before the `fnv` crate took its place.
 #[test]
 fn stable_hash_is_the_same_number_in_every_version() {
     for (text, expected) in [
--- a/crates/control/src/work_aware_balancer.rs
+++ b/crates/control/src/work_aware_balancer.rs
@@ -1,6 +1,7 @@
-//! The balancer together with the work estimator: the work of requests is learnt from the events that pass,
-//! and each arriving request gets the expected work of its class as a hint. Every host (sidecar, adapter,
-//! testbed) runs this type in place of a bare [`Balancer`], so that all of them run the same code.
+//! The balancer together with the work estimator: the work of requests is learnt from the events
+//! that pass, and each arriving request gets the expected work of its class as a hint. Every host
+//! (sidecar, adapter, testbed) runs this type in place of a bare [`Balancer`], so that all of them
+//! run the same code.
 //!
 //! Owns the link between requests, their attempts and the samples; the estimates are owned by
 //! [`WorkEstimator`], the decisions by [`Balancer`].
@@ -14,13 +15,15 @@
 
 use crate::work_estimator::{SendSample, WorkEstimator};
 
-/// Fraction of the mean work of a class that becomes the work hint of a request. Hints are compared with each
-/// other, so the fraction changes only one decision: the balancer rejects a request at once whose hint exceeds
-/// its time left. Guards against rejecting requests with little time left of which many would have been
-/// served, as most works lie far below the mean: of exponential ones a fifth lie below a quarter of it.
+/// Fraction of the mean work of a class that becomes the work hint of a request. Hints are compared
+/// with each other, so the fraction changes only one decision: the balancer rejects a request at
+/// once whose hint exceeds its time left. Guards against rejecting requests with little time left
+/// of which many would have been served, as most works lie far below the mean: of exponential ones
+/// a fifth lie below a quarter of it.
 const WORK_HINT_FRACTION: f64 = 0.25;
 
-/// A request without a final response: its class, and a sample for each attempt in the order of the sends.
+/// A request without a final response: its class, and a sample for each attempt in the order of the
+/// sends.
 struct OpenRequest {
     class: ClassId,
     attempts: Vec<SendSample>,
@@ -47,7 +50,8 @@
         })
     }
 
-    /// Handles one event and appends the resulting actions. `now` never falls from one call to the next.
+    /// Handles one event and appends the resulting actions. `now` never falls from one call to the
+    /// next.
     pub fn handle(&mut self, now: Micros, mut event: Event, actions: &mut Vec<Action>) {
         self.before_balancer(now, &mut event);
         let already_there = actions.len();
--- a/crates/control/src/work_aware_balancer/tests.rs
+++ b/crates/control/src/work_aware_balancer/tests.rs
@@ -47,8 +47,8 @@
     (balancer, now + 100_000)
 }
 
-/// Lets a request arrive, answers the health checks with an idle server, and returns whether the request was
-/// sent.
+/// Lets a request arrive, answers the health checks with an idle server, and returns whether the
+/// request was sent.
 fn is_sent(balancer: &mut WorkAwareBalancer, now: Micros, id: u64, time_left: Micros) -> bool {
     let mut actions = Vec::new();
     let request = IncomingRequest {
--- a/crates/control/src/work_estimator.rs
+++ b/crates/control/src/work_estimator.rs
@@ -1,10 +1,10 @@
 //! Estimates the work of each request class and the relative latency of each server.
 //!
-//! The response time of a request that had to queue says little about its work. Therefore only attempts count
-//! that went to a server whose latest load report showed an empty queue. The work of a class is the mean
-//! response time of those attempts, each divided by the latency factor of its server; the latency factor of a
-//! server is the mean ratio of response time to the work of the class. Both means are robust: one sample
-//! counts as at most a few times the expected value.
+//! The response time of a request that had to queue says little about its work. Therefore only
+//! attempts count that went to a server whose latest load report showed an empty queue. The work of
+//! a class is the mean response time of those attempts, each divided by the latency factor of its
+//! server; the latency factor of a server is the mean ratio of response time to the work of the
+//! class. Both means are robust: one sample counts as at most a few times the expected value.
 //!
 //! This module owns these estimates. Which requests and attempts exist is tracked by
 //! [`WorkAwareBalancer`](crate::WorkAwareBalancer).
@@ -13,7 +13,8 @@
 
 use arrowstand_balancer::{ClassId, LoadReport, Micros, ServerId};
 
-/// A load report describes a server for this many microseconds. Queues change within tens of milliseconds.
+/// A load report describes a server for this many microseconds. Queues change within tens of
+/// milliseconds.
 const MAX_REPORT_AGE: Micros = 20_000;
 /// Requests in the queue below which a server counts as idle: less than one, as reports are noisy.
 const MAX_IDLE_QUEUE: f64 = 0.5;
@@ -25,8 +26,8 @@
 const WORK_SAMPLE_WEIGHT: f64 = 0.01;
 /// Weight of a new sample in the latency factor of a server: servers change faster than classes do.
 const LATENCY_SAMPLE_WEIGHT: f64 = 0.05;
-/// One sample counts as at most this multiple of the expected value: a costly request in fifty, 26 times the
-/// usual work, then moves the mean by a few per cent and not by half.
+/// One sample counts as at most this multiple of the expected value: a costly request in fifty, 26
+/// times the usual work, then moves the mean by a few per cent and not by half.
 const MAX_SAMPLE_RATIO: f64 = 4.0;
 /// Smallest latency factor that is divided by. Guards against an estimate that grows without bound.
 const MIN_LATENCY_FACTOR: f64 = 0.05;
@@ -89,8 +90,8 @@
 pub struct WorkEstimator {
     work_by_class: Vec<BoundedMean>,
     servers: BTreeMap<ServerId, ServerEstimate>,
-    /// Mean latency factor of the servers that served the counted attempts. Guards against drift: work that
-    /// rises while all latency factors fall would fit every sample equally well.
+    /// Mean latency factor of the servers that served the counted attempts. Guards against drift:
+    /// work that rises while all latency factors fall would fit every sample equally well.
     mean_latency_factor: BoundedMean,
 }
 
@@ -176,8 +177,8 @@
         }
     }
 
-    /// Expected work of a request of a class, in microseconds on an average server. `None` until every class
-    /// has enough samples, as the works of classes are compared with each other.
+    /// Expected work of a request of a class, in microseconds on an average server. `None` until
+    /// every class has enough samples, as the works of classes are compared with each other.
     pub fn expected_work(&self, class: ClassId) -> Option<Micros> {
         let work = self.work_by_class.get(usize::from(class.0))?;
         let all_known = self
--- a/crates/platform/src/endpoint_list.rs
+++ b/crates/platform/src/endpoint_list.rs
@@ -1,6 +1,7 @@
 //! The endpoint list of discovery: the servers with address, zone and state, whole or as a change.
 //!
-//! Owns the format; the calls to discovery belong to the sidecar, the merged table to its server registry.
+//! Owns the format; the calls to discovery belong to the sidecar, the merged table to its server
+//! registry.
 
 use std::net::SocketAddr;
 
@@ -9,8 +10,8 @@
 use crate::error::{KeyError, KeyProblem, ReadError};
 use crate::json::{self, Node};
 
-/// The latest start time that is believed, in Unix milliseconds: the year 5138. Guards against a start time that
-/// overflows the balancer's clock once a duration is added to it.
+/// The latest start time that is believed, in Unix milliseconds: the year 5138. Guards against a
+/// start time that overflows the balancer's clock once a duration is added to it.
 const MAX_BOOT_MS: f64 = 1e14;
 
 /// One server in an endpoint list.
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -1,4 +1,5 @@
-//! Errors of the readers. Their messages are one line and name the key, so that an operator can mend the file.
+//! Errors of the readers. Their messages are one line and name the key, so that an operator can
+//! mend the file.
 
 use thiserror::Error;
 
--- a/crates/platform/src/json.rs
+++ b/crates/platform/src/json.rs
@@ -1,4 +1,5 @@
-//! JSON by tinyjson: a parser with a bound on nesting, and typed access to keys with errors that name the key.
+//! JSON by tinyjson: a parser with a bound on nesting, and typed access to keys with errors that
+//! name the key.
 
 use std::collections::HashMap;
 
@@ -27,8 +28,8 @@
     depths(text).last().unwrap_or_default()
 }
 
-/// Parses a text whose nesting is at most `max_depth`. Guards against input nested so deep that tinyjson, which
-/// recurses, would overflow the stack.
+/// Parses a text whose nesting is at most `max_depth`. Guards against input nested so deep that
+/// tinyjson, which recurses, would overflow the stack.
 ///
 /// # Errors
 /// The text is nested deeper, or is not JSON.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,8 +1,10 @@
-//! The platform's formats: the settings of a deployment, the endpoint list of discovery and the load reports of
-//! servers. Each format is read here and nowhere else, for the sidecar and for the simulator's adapter alike.
+//! The platform's formats: the settings of a deployment, the endpoint list of discovery and the
+//! load reports of servers. Each format is read here and nowhere else, for the sidecar and for the
+//! simulator's adapter alike.
 //!
-//! Owns the names of the keys, the defaults of missing ones and the messages on bad ones. No I/O: callers pass
-//! text or parsed JSON. What a host does in spite of its settings is the host's own matter.
+//! Owns the names of the keys, the defaults of missing ones and the messages on bad ones. No I/O:
+//! callers pass text or parsed JSON. What a host does in spite of its settings is the host's own
+//! matter.
 
 pub mod endpoint_list;
 mod error;
--- a/crates/platform/src/load_report.rs
+++ b/crates/platform/src/load_report.rs
@@ -1,7 +1,8 @@
-//! The load reports of servers, in the two forms that the platform has: a header or body of a server's response,
-//! and a row of numbers in the simulator.
+//! The load reports of servers, in the two forms that the platform has: a header or body of a
+//! server's response, and a row of numbers in the simulator.
 //!
-//! Owns the names of the fields. When a report was taken and what follows from it is not known here.
+//! Owns the names of the fields. When a report was taken and what follows from it is not known
+//! here.
 
 use arrowstand_balancer::LoadReport;
 
@@ -17,8 +18,8 @@
 /// The settings' name for [`QUEUED`]; servers may use it too.
 const QUEUED_IN_SETTINGS: &str = "waiting";
 
-/// Reads a report such as `inflight=7,queue=2,eps=0.5`; `None` where a part cannot be read or the requests in flight
-/// are absent. Unknown fields are skipped, and an absent queue counts as empty.
+/// Reads a report such as `inflight=7,queue=2,eps=0.5`; `None` where a part cannot be read or the
+/// requests in flight are absent. Unknown fields are skipped, and an absent queue counts as empty.
 pub fn read_report(text: &str) -> Option<LoadReport> {
     let (mut in_flight, mut queued) = (None, 0.0);
     for part in text.trim().split(',') {
@@ -50,8 +51,8 @@
 }
 
 impl LoadReportLayout {
-    /// Reads the settings' list of field names. Unknown names are skipped; of one that is there twice the first
-    /// counts.
+    /// Reads the settings' list of field names. Unknown names are skipped; of one that is there
+    /// twice the first counts.
     ///
     /// # Errors
     /// The value is not an array of texts.
@@ -68,7 +69,8 @@
         Ok(layout)
     }
 
-    /// Extracts a report from a row; `None` where it has no requests in flight. An absent queue counts as empty.
+    /// Extracts a report from a row; `None` where it has no requests in flight. An absent queue
+    /// counts as empty.
     pub fn extract(&self, row: &[Option<f64>]) -> Option<LoadReport> {
         let at = |position: Option<usize>| row.get(position?).copied().flatten();
         Some(LoadReport {
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,9 +1,10 @@
-//! The settings of a deployment: what the balancer is configured with, and the names behind its numbers.
+//! The settings of a deployment: what the balancer is configured with, and the names behind its
+//! numbers.
 //!
-//! Owns the keys, their defaults and the units. The keys come in three groups, as hosts differ in what they can do:
-//! [`PlatformSettings`] is read by every host, [`TransportSettings`] by those that open connections, and
-//! [`SimulatorFeatures`] by those in the simulator. A host ignores the keys of a group that it does not read,
-//! whatever their values.
+//! Owns the keys, their defaults and the units. The keys come in three groups, as hosts differ in
+//! what they can do: [`PlatformSettings`] is read by every host, [`TransportSettings`] by those
+//! that open connections, and [`SimulatorFeatures`] by those in the simulator. A host ignores the
+//! keys of a group that it does not read, whatever their values.
 
 mod request_class;
 mod simulator;
@@ -37,8 +38,9 @@
 }
 
 impl PlatformSettings {
-    /// Reads the settings object. `default_max_retry_after` applies where the settings name no longest Retry-After,
-    /// in which hosts differ: in the simulator such a client waits for no time at all.
+    /// Reads the settings object. `default_max_retry_after` applies where the settings name no
+    /// longest Retry-After, in which hosts differ: in the simulator such a client waits for no time
+    /// at all.
     ///
     /// # Errors
     /// Names the first key whose value cannot be used. Ranges are left to [`Settings::validate`].
--- a/crates/platform/src/settings/transport.rs
+++ b/crates/platform/src/settings/transport.rs
@@ -68,7 +68,8 @@
         })
     }
 
-    /// Checks that no timeout is zero. `conf` is the object that was read, for the path in the error.
+    /// Checks that no timeout is zero. `conf` is the object that was read, for the path in the
+    /// error.
     ///
     /// # Errors
     /// Names the first key whose value is zero.
--- a/crates/platform/src/units.rs
+++ b/crates/platform/src/units.rs
@@ -6,8 +6,8 @@
 
 const MICROS_PER_MILLISECOND: f64 = 1_000.0;
 
-/// Milliseconds, possibly fractional, as whole microseconds, rounded. Negative numbers and NaN become zero, numbers
-/// that do not fit become the largest time.
+/// Milliseconds, possibly fractional, as whole microseconds, rounded. Negative numbers and NaN
+/// become zero, numbers that do not fit become the largest time.
 pub fn micros_from_ms(milliseconds: f64) -> Micros {
     (milliseconds * MICROS_PER_MILLISECOND).round() as Micros
 }
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -1,5 +1,5 @@
-//! The configuration of this sidecar: read from the file that `NODE_CONFIG` names and from environment variables,
-//! which take precedence.
+//! The configuration of this sidecar: read from the file that `NODE_CONFIG` names and from
+//! environment variables, which take precedence.
 //!
 //! Owns the keys outside `settings` and the variables; the settings of the deployment are read by
 //! `arrowstand-platform`, and what network code may use is derived by [`Limits`].
@@ -61,8 +61,8 @@
         Ok(Self::load(environment_variable)?)
     }
 
-    /// Reads the file again. The environment of a running process cannot be changed by its operator, so the address of
-    /// discovery comes from the new file alone.
+    /// Reads the file again. The environment of a running process cannot be changed by its
+    /// operator, so the address of discovery comes from the new file alone.
     ///
     /// # Errors
     /// As for [`from_environment`](Self::from_environment).
@@ -80,8 +80,8 @@
         Self::read(&text, variable)
     }
 
-    /// Reads the text of the file; `variable` looks up an environment variable. The order of the reads decides which
-    /// error is reported.
+    /// Reads the text of the file; `variable` looks up an environment variable. The order of the
+    /// reads decides which error is reported.
     fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let value = json::parse(text, MAX_JSON_DEPTH).map_err(ConfigError::NotJson)?;
         let root = Node::root(&value);
@@ -136,9 +136,9 @@
 fn apply_socket_overrides(settings: &mut Settings) {
     // There is no channel between sidecars in this program.
     settings.gossip = false;
-    // `permissions.retry-after` says whether the simulator hands its clients the Retry-After of a rejection. On
-    // sockets the header is part of the response whoever reads it, and it keeps a client from retrying at once, so
-    // the balancer is always asked for it; see the README.
+    // `permissions.retry-after` says whether the simulator hands its clients the Retry-After of a
+    // rejection. On sockets the header is part of the response regardless, and it keeps a
+    // client from retrying at once, so the balancer is always asked for it; see the README.
     settings.retry_after = true;
     // Discovery answers only when polled.
     settings.poll_endpoints = true;
--- a/crates/sidecar/src/config/error.rs
+++ b/crates/sidecar/src/config/error.rs
@@ -8,7 +8,8 @@
 
 use crate::machine_table::MachineTableError;
 
-/// A configuration that this sidecar cannot start with. The message is one line that names the variable or the key.
+/// A configuration that this sidecar cannot start with. The message is one line that names the
+/// variable or the key.
 #[derive(Debug, Error)]
 pub(crate) enum ConfigError {
     /// No file is named.
--- a/crates/sidecar/src/config/names.rs
+++ b/crates/sidecar/src/config/names.rs
@@ -6,8 +6,8 @@
 use arrowstand_control::MachineCatalogue;
 use arrowstand_platform::PlatformSettings;
 
-/// Names of request classes, zones and machine types, and what requests of a class are allowed. Each list that
-/// describes classes has one entry for each, in the balancer's numbering.
+/// Names of request classes, zones and machine types, and what requests of a class are allowed.
+/// Each list that describes classes has one entry for each, in the balancer's numbering.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Names {
     /// Names of the classes.
--- a/crates/sidecar/src/config/tests.rs
+++ b/crates/sidecar/src/config/tests.rs
@@ -85,7 +85,8 @@
     Config::read(text, |_| None).map_err(|error| error.to_string())
 }
 
-/// A configuration with these faults. One key may be spoilt in two ways: the first fault of it counts.
+/// A configuration with these faults. One key may be spoilt in two ways: the first fault of it
+/// counts.
 fn spoilt(faults: &[(&str, &str)]) -> String {
     let mut text = CONFIGURATION.to_owned();
     for (good, bad) in faults {
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -1,6 +1,8 @@
-//! Every size, count and time that the network code keeps to, derived once at the start of the program.
+//! Every size, count and time that the network code keeps to, derived once at the start of the
+//! program.
 //!
-//! Owns the numbers and the reasons for them; the settings that they follow from come as [`LimitInputs`].
+//! Owns the numbers and the reasons for them; the settings that they follow from come as
+//! [`LimitInputs`].
 
 mod client;
 mod discovery;
@@ -28,7 +30,8 @@
 /// Actions of a request beside those of its attempts: the final one, and some to spare.
 const ACTIONS_PER_REQUEST: usize = 4;
 
-/// Every bound of the network code. Filled by [`Limits::derive`] from the configuration and handed down from there.
+/// Every bound of the network code. Filled by [`Limits::derive`] from the configuration and handed
+/// down from there.
 #[derive(Clone, Debug)]
 pub(crate) struct Limits {
     /// Bounds on clients.
--- a/crates/sidecar/src/limits/client.rs
+++ b/crates/sidecar/src/limits/client.rs
@@ -6,7 +6,8 @@
 use super::inputs::LimitInputs;
 
 const BYTES_PER_MIB: usize = 1024 * 1024;
-/// Bodies that are reckoned for each client: its own, and one for each of two connections to servers.
+/// Bodies that are reckoned for each client: its own, and one for each of two connections to
+/// servers.
 const BODIES_PER_CONNECTION: usize = 3;
 /// Even the smallest memory limit allows this many connections.
 const MIN_CONNECTIONS_BY_MEMORY: usize = 8;
@@ -52,7 +53,8 @@
     pub(crate) idle_timeout: Duration,
     /// From a request's first byte to its last a client may take this long.
     pub(crate) request_read_timeout: Duration,
-    /// The same for a client's first request: with the idle time, it is closed within 3 s of connecting.
+    /// The same for a client's first request: with the idle time, it is closed within 3 s of
+    /// connecting.
     pub(crate) first_request_timeout: Duration,
     /// The longest client timeout that is believed.
     pub(crate) max_timeout: Duration,
@@ -62,9 +64,11 @@
     pub(crate) read_chunk_bytes: usize,
     /// So many bytes more are given to it of a body that is announced.
     pub(crate) body_chunk_bytes: usize,
-    /// Bytes that come behind an open request and are still read: enough to show that the client does not wait.
+    /// Bytes that come behind an open request and are still read: enough to show that the client
+    /// does not wait.
     pub(crate) max_pipelined_bytes: usize,
-    /// More bytes than any request has, head and body: a client that sends so many at once does not wait either.
+    /// More bytes than any request has, head and body: a client that sends so many at once does not
+    /// wait either.
     pub(crate) max_burst_bytes: usize,
     /// What a client sends after its last response is read and discarded for this long,
     pub(crate) lingering_close_timeout: Duration,
@@ -73,8 +77,8 @@
 }
 
 impl ClientLimits {
-    /// Guards against the operator's limits: well under a full table of file descriptors, and a memory limit that
-    /// has room for the bodies of each connection in half of it.
+    /// Guards against the operator's limits: well under a full table of file descriptors, and a
+    /// memory limit that has room for the bodies of each connection in half of it.
     pub(super) fn derive(inputs: &LimitInputs) -> Self {
         let bodies_bytes = inputs.memory_mib * BYTES_PER_MIB / 2;
         let by_memory = (bodies_bytes / (BODIES_PER_CONNECTION * MAX_BODY_BYTES))
--- a/crates/sidecar/src/limits/discovery.rs
+++ b/crates/sidecar/src/limits/discovery.rs
@@ -7,14 +7,15 @@
 
 use super::inputs::LimitInputs;
 
-/// A change of the endpoint list counts as notified after this long, whether or not it arrived (the protocol page).
+/// A change of the endpoint list counts as notified after this long, whether or not it arrived (the
+/// protocol page).
 pub(super) const CHANGE_NOTIFIED_AFTER: Duration = Duration::from_secs(6);
 /// After a new configuration it counts as notified this much later (the protocol page).
 const RELOCATION_NOTIFIED_AFTER: Duration = Duration::from_secs(4);
 /// One and a half of the heartbeat's 2 s: a watch that is silent for longer is lost.
 const WATCH_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
-/// The balancer's longest first backoff before it polls again (one and a half of its `REASK`), and what a busy machine
-/// adds to it.
+/// The balancer's longest first backoff before it polls again (one and a half of its `REASK`), and
+/// what a busy machine adds to it.
 pub(super) const MAX_POLL_PAUSE: Duration = Duration::from_millis(500);
 /// Bytes of one line: guards memory against an object that does not end.
 const MAX_LINE_BYTES: usize = 512 * 1024;
@@ -31,15 +32,17 @@
     pub(crate) max_line_bytes: usize,
     /// Nesting of JSON that is read; guards the stack.
     pub(crate) max_json_depth: usize,
-    /// The head of the response must come within this. Guards against a drain that is learnt too late to be kept: from
-    /// the last event of a watch that dies to the end of the call that replaces it, no more passes than the time after
-    /// which a change counts as notified and the grace of a drain.
+    /// The head of the response must come within this. Guards against a drain that is learnt too
+    /// late to be kept: from the last event of a watch that dies to the end of the call that
+    /// replaces it, no more passes than the time after which a change counts as notified and the
+    /// grace of a drain.
     pub(crate) poll_timeout: Duration,
     /// A watch that is silent for this long is lost.
     pub(crate) watch_silence_timeout: Duration,
     /// A list that is late is polled again after about this long, until it is there.
     pub(crate) poll_retry_delay: Duration,
-    /// When what the list does not show counts as notified; half of the grace is left for what is on its way.
+    /// When what the list does not show counts as notified; half of the grace is left for what is
+    /// on its way.
     pub(crate) staleness: StalenessBounds,
 }
 
--- a/crates/sidecar/src/limits/shutdown.rs
+++ b/crates/sidecar/src/limits/shutdown.rs
@@ -4,8 +4,8 @@
 
 use super::inputs::LimitInputs;
 
-/// SIGKILL comes no earlier than the longest deadline, taken as this where it is longer, and 0.7 s after SIGTERM (the
-/// protocol page).
+/// SIGKILL comes no earlier than the longest deadline, taken as this where it is longer, and 0.7 s
+/// after SIGTERM (the protocol page).
 const MAX_SHUTDOWN_DEADLINE: Duration = Duration::from_secs(3);
 /// New connections come for 0.4 s after SIGTERM (the protocol page).
 const ACCEPT_FOR: Duration = Duration::from_millis(500);
--- a/crates/sidecar/src/limits/upstream.rs
+++ b/crates/sidecar/src/limits/upstream.rs
@@ -13,11 +13,11 @@
 const MAX_INTERIM_RESPONSES: usize = 8;
 /// A body whose length is not announced, with its framing, in bytes: as much again for the framing.
 const MAX_UNSIZED_RESPONSE_BYTES: usize = 2 * MAX_BODY_BYTES;
-/// Second responses came 1.3 to 5.9 ms after the first where they were measured (docs/crossings.md); the page says some
-/// milliseconds.
+/// Second responses came 1.3 to 5.9 ms after the first where they were measured
+/// (docs/crossings.md); the page says some milliseconds.
 const REUSE_DELAY: Duration = Duration::from_millis(8);
-/// The shortest time for which an idle connection is kept. The sweep of the pool pauses for part of it, so it must not
-/// be zero.
+/// The shortest time for which an idle connection is kept. The sweep of the pool pauses for part of
+/// it, so it must not be zero.
 const MIN_IDLE_REUSE_TIMEOUT: Duration = Duration::from_millis(1);
 /// A server is remembered for this much longer than any attempt to it can run.
 const SERVER_RETENTION_MARGIN: Duration = Duration::from_secs(5);
@@ -39,7 +39,8 @@
     pub(crate) connect_timeout: Duration,
     /// An idle connection is used again within this, counted from the end of its reuse delay.
     pub(crate) idle_reuse_timeout: Duration,
-    /// After a response a connection is left alone for this long: a second response may come some milliseconds late.
+    /// After a response a connection is left alone for this long: a second response may come some
+    /// milliseconds late.
     pub(crate) reuse_delay: Duration,
     /// A health check must be answered within this.
     pub(crate) health_check_timeout: Duration,
@@ -47,8 +48,8 @@
     pub(crate) max_drain_age: Duration,
     /// A server that has been gone for this long is forgotten: longer than any attempt to it runs.
     pub(crate) server_retention: Duration,
-    /// A retry that carries an idempotency key begins this long before its deduplication window ends, so that it is
-    /// there when it does.
+    /// A retry that carries an idempotency key begins this long before its deduplication window
+    /// ends, so that it is there when it does.
     pub(crate) deduplication_margin: Duration,
 }
 
--- a/crates/sidecar/src/machine_table.rs
+++ b/crates/sidecar/src/machine_table.rs
@@ -1,4 +1,5 @@
-//! The operator's table of machine types: the platform names the types and does not state their capacity.
+//! The operator's table of machine types: the platform names the types and does not state their
+//! capacity.
 //!
 //! Owns the table's format and its errors; the types themselves are kept by [`MachineCatalogue`].
 
