--- a/crates/sidecar/src/upstream/response_framing.rs
+++ b/crates/sidecar/src/upstream/response_framing.rs
@@ -179,3 +179,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/upstream/write_progress/tests.rs
+++ b/crates/sidecar/src/upstream/write_progress/tests.rs
@@ -23,8 +23,9 @@
     BalancerHost::new(balancer, Names::default(), limits, Rc::default()).0
 }
 
-fn sending(host: &Rc<BalancerHost>, server: &Rc<Server>) -> Rc<WriteProgress> {
-    let gate = SendGuard {
+/// The progress of an attempt to the server that has just been made.
+fn progress_to(host: &Rc<BalancerHost>, server: &Rc<Server>) -> Rc<WriteProgress> {
+    let guard = SendGuard {
         host: Rc::clone(host),
         server: Rc::clone(server),
         address: server.address(),
@@ -32,45 +33,47 @@
         attempt_deadline: Instant::now() + std::time::Duration::from_secs(9),
         start_before: None,
     };
-    WriteProgress::new(Some(gate), 2)
+    WriteProgress::new(Some(guard), 2)
 }
 
-/// A drain told between the decision and a slow connect: loopback connects too fast to record it.
+/// A drain that is notified between the decision and a slow connect: loopback connects too fast to record it.
 #[test]
-fn a_drain_stops_the_first_byte_but_no_later_one() {
+fn a_drain_blocks_the_first_byte_but_no_later_one() {
     let host = host(std::time::Duration::ZERO);
     let server = Rc::new(Server::new(
         ServerId(0),
         SocketAddr::from(([127, 0, 0, 1], 9)),
     ));
-    let (late, begun) = (sending(&host, &server), sending(&host, &server));
-    begun.on_written(b"POST / HTTP/1.1\r\n\r");
+    let (blocked, started) = (progress_to(&host, &server), progress_to(&host, &server));
+    started.on_written(b"POST / HTTP/1.1\r\n\r");
     server.on_listed(EndpointStatus::Draining, 0.0);
     assert_eq!(
-        late.check_first_byte(&host.limits),
+        blocked.check_first_byte(&host.limits),
         Err(SendBlocked::ServerDraining)
     );
     assert!(
-        late.is_not_sent() && begun.check_first_byte(&host.limits).is_ok() && !begun.is_complete()
+        blocked.is_not_sent()
+            && started.check_first_byte(&host.limits).is_ok()
+            && !started.is_complete()
     );
-    begun.on_written(b"\nab");
-    assert!(begun.is_complete() && !begun.is_not_sent());
+    started.on_written(b"\nab");
+    assert!(started.is_complete() && !started.is_not_sent());
     server.on_listed(EndpointStatus::Ready, 0.0);
     assert_eq!(
-        late.check_first_byte(&host.limits),
+        blocked.check_first_byte(&host.limits),
         Err(SendBlocked::ServerDraining),
         "an old list ends no drain"
     );
     server.on_listed(EndpointStatus::Ready, 1.0);
     assert_eq!(
-        sending(&host, &server).check_first_byte(&host.limits),
+        progress_to(&host, &server).check_first_byte(&host.limits),
         Ok(())
     );
 }
 
-/// A list that may hide a drain: only a server that took work since is known to be no part of it.
+/// A stale list may hide a drain; only a server that has served a request since then is known not to be draining.
 #[test]
-fn a_list_too_old_stops_what_no_answer_speaks_for() {
+fn a_stale_list_blocks_servers_that_have_served_nothing_since() {
     let host = host(std::time::Duration::from_secs(2));
     let server = Rc::new(Server::new(
         ServerId(0),
@@ -78,24 +81,24 @@
     ));
     host.update_list_freshness(|list, now| list.on_watch_silent(now, now));
     assert_eq!(
-        sending(&host, &server).check_first_byte(&host.limits),
+        progress_to(&host, &server).check_first_byte(&host.limits),
         Ok(()),
-        "it does not bind yet"
+        "the list is not stale yet"
     );
     host.update_list_freshness(|list, now| list.on_watch_silent(now - 9_000_000, now));
     server.on_request_served(host.now() - host.limits.discovery.staleness.drain_slack);
     assert_eq!(
-        sending(&host, &server).check_first_byte(&host.limits),
+        progress_to(&host, &server).check_first_byte(&host.limits),
         Err(SendBlocked::ListStale)
     );
     server.on_request_served(host.now());
     assert_eq!(
-        sending(&host, &server).check_first_byte(&host.limits),
+        progress_to(&host, &server).check_first_byte(&host.limits),
         Ok(())
     );
     host.update_list_freshness(|list, _| list.on_watch_event());
     assert_eq!(
-        sending(&host, &Rc::new(Server::new(ServerId(1), server.address())))
+        progress_to(&host, &Rc::new(Server::new(ServerId(1), server.address())))
             .check_first_byte(&host.limits),
         Ok(())
     );
@@ -165,7 +168,7 @@
         ServerId(0),
         SocketAddr::from(([127, 0, 0, 1], 9)),
     ));
-    let progress = sending(&host, &server);
+    let progress = progress_to(&host, &server);
     server.on_listed(EndpointStatus::Draining, 0.0);
     assert!(progress.check_first_byte(&host.limits).is_err());
     assert_eq!(observed(&progress), NOT_SENT);
