--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -1,28 +1,29 @@
-//! Plays the recorded exchanges of `tests/exchanges/*.txt` against the program and compares what it said.
+//! Plays the recorded exchanges of `tests/exchanges/*.txt` against the sidecar and compares what it
+//! sent.
 //!
-//! A recording names its parties: terminals (T1, T2 ...), connections that the program opens to job servers
-//! (S1, S2 ... in the order they come), to discovery (D1 ...) and to where it moves (E1 ...), and the program (P). Nothing is
-//! measured: every wait ends with what is awaited, or fails the test. A pause only lets a time-out of the program pass.
+//! A recording names its parties: clients (T1, T2 ...), connections that the sidecar opens to
+//! servers (S1, S2 ... in the order they come), to discovery (D1 ...) and to where it moves (E1
+//! ...), and the sidecar's process (P). Nothing is measured: every wait ends with what is awaited,
+//! or fails the test. A pause only lets a time-out of the sidecar pass.
 
-mod stage;
+mod support;
 
-use std::fmt::Write as _;
 use std::fs;
 use std::process::Command;
 
-use stage::Stage;
+use support::Harness;
 
 fn play(name: &str) -> String {
     let path = format!("{}/tests/exchanges/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let script = fs::read_to_string(path).expect("a recording");
-    let (first, steps) = script.split_once("\n@ ").expect("steps");
-    let mut stage = Stage::start(name, first);
+    let (first_line, steps) = script.split_once("\n@ ").expect("steps");
+    let mut harness = Harness::start(name, first_line);
     for step in steps.split("\n@ ") {
         let (words, text) = step.split_once('\n').unwrap_or((step, ""));
         let (party, verb) = words.trim().split_once(' ').expect("a party and a verb");
-        stage.step(party, verb, text);
+        harness.step(party, verb, text);
     }
-    stage.transcript()
+    harness.take_transcript()
 }
 
 macro_rules! exchanges {
@@ -48,12 +49,28 @@
     stop_answers_what_is_not_accepted stop_answers_what_is_half_read reload_to_where_nobody_listens
 }
 
+/// The sidecar's exit code and message for a configuration.
+fn run_with_config(number: usize, config: &str) -> String {
+    let path = std::env::temp_dir().join(format!(
+        "arrowstand-bad-{number}-{}.json",
+        std::process::id()
+    ));
+    fs::write(&path, config).expect("written");
+    let run = Command::new(env!("CARGO_BIN_EXE_arrowstand"))
+        .env("NODE_CONFIG", &path)
+        .output()
+        .expect("the program starts");
+    fs::remove_file(path).expect("removed");
+    let message = String::from_utf8_lossy(&run.stderr);
+    format!("{:?} {message}", run.status.code())
+}
+
 #[test]
 fn bad_configuration_names_the_key() {
     let good = include_str!("exchanges/config.json")
         .replace("{targets}", "")
-        .replace("\"{idle}\"", "1");
-    let good = good.replace("\"{memory}\"", "64");
+        .replace("\"{idle}\"", "1")
+        .replace("\"{memory}\"", "64");
     let cases = [
         ("\"objective-ms\":15000", "\"objective-ms\":\"soon\""),
         ("\"semantics\":\"pure\"", "\"semantics\":\"tidy\""),
@@ -64,24 +81,10 @@
         ("\"settings\"", "\"setting\""),
         ("{", "["),
     ];
-    let mut said = String::new();
-    for (i, (from, to)) in cases.iter().enumerate() {
-        assert!(good.contains(from), "{from}");
-        let path =
-            std::env::temp_dir().join(format!("arrowstand-bad-{i}-{}.json", std::process::id()));
-        fs::write(&path, good.replacen(from, to, 1)).expect("written");
-        let run = Command::new(env!("CARGO_BIN_EXE_arrowstand"))
-            .env("NODE_CONFIG", &path)
-            .output();
-        let run = run.expect("the program starts");
-        fs::remove_file(path).expect("removed");
-        write!(
-            said,
-            "{:?} {}",
-            run.status.code(),
-            String::from_utf8_lossy(&run.stderr)
-        )
-        .expect("written");
+    let mut transcript = String::new();
+    for (number, (good_part, bad_part)) in cases.iter().enumerate() {
+        assert!(good.contains(good_part), "{good_part}");
+        transcript += &run_with_config(number, &good.replacen(good_part, bad_part, 1));
     }
-    insta::assert_snapshot!(said);
+    insta::assert_snapshot!(transcript);
 }
--- a/crates/sidecar/tests/stage/servers.rs
+++ b/crates/sidecar/tests/support/slow_server.rs
@@ -1,16 +1,20 @@
-//! Servers whose connections come up late: the machine drops the program's first packet, and lets the second in.
+//! A server whose connections come up late: the operating system drops the sidecar's first packet,
+//! and lets a later one in.
 
+use std::fs;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
 use socket2::{Domain, Socket, Type};
 
-pub struct Slow {
+/// A server with a queue for one connection, which is full until it is admitted.
+pub struct SlowServer {
     listener: TcpListener,
-    /// Takes the one place in the queue until it is let go.
+    /// Fills the queue.
     filler: Option<TcpStream>,
 }
 
-impl Slow {
+impl SlowServer {
+    /// A server that lets no connection come up yet.
     pub fn new() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         socket
@@ -19,38 +23,39 @@
         socket.listen(0).expect("listening");
         socket.set_nonblocking(true).expect("not blocking");
         let listener = TcpListener::from(socket);
-        let filler =
-            TcpStream::connect(listener.local_addr().expect("bound")).expect("the one place");
+        let filler = fill_queue(&listener);
         Self {
             listener,
             filler: Some(filler),
         }
     }
 
+    /// Where it listens.
     pub fn address(&self) -> String {
         self.listener.local_addr().expect("bound").to_string()
     }
 
-    /// True once the program has asked for a connection that does not come up.
-    pub fn dialled(&self) -> bool {
+    /// True while the sidecar waits for a connection that does not come up.
+    pub fn is_dialled(&self) -> bool {
         let port = self.listener.local_addr().expect("bound").port();
-        let asking = format!(":{port:04X} 02 ");
-        std::fs::read_to_string("/proc/net/tcp").is_ok_and(|table| table.contains(&asking))
+        let syn_sent = format!(":{port:04X} 02 ");
+        fs::read_to_string("/proc/net/tcp").is_ok_and(|table| table.contains(&syn_sent))
     }
 
-    /// Frees the place: the next packet of a dial gets through.
+    /// Empties the queue: the next packet of a connection attempt gets through.
     pub fn admit(&mut self) {
         if self.filler.take().is_some() {
             drop(self.listener.accept());
         }
     }
 
-    /// Takes the place again: the next dial does not come up.
+    /// Fills the queue again: the next connection does not come up.
     pub fn refill(&mut self) {
-        let filler = TcpStream::connect(self.listener.local_addr().expect("bound"));
-        self.filler.get_or_insert(filler.expect("the one place"));
+        let filler = fill_queue(&self.listener);
+        self.filler.get_or_insert(filler);
     }
 
+    /// The next connection that came up.
     pub fn accept(&self) -> Option<TcpStream> {
         if self.filler.is_some() {
             return None;
@@ -58,3 +63,7 @@
         self.listener.accept().ok().map(|(stream, _)| stream)
     }
 }
+
+fn fill_queue(listener: &TcpListener) -> TcpStream {
+    TcpStream::connect(listener.local_addr().expect("bound")).expect("the one place")
+}
--- /dev/null
+++ b/crates/sidecar/tests/support/steps/expectations.rs
@@ -0,0 +1,105 @@
+//! Steps that wait for something from the sidecar, check it, or record it in the transcript.
+
+use std::fmt::Write as _;
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::time::Instant;
+
+use super::parse_milliseconds;
+use crate::support::message::read_message;
+use crate::support::slow_server::SlowServer;
+use crate::support::{Harness, until};
+
+/// The operating system's number of "connection reset by peer".
+const ECONNRESET: i32 = 104;
+
+impl Harness {
+    /// Records the next message.
+    pub(super) fn record_message(&mut self, party: &str) {
+        let message = read_message(self.connection(party));
+        self.record(&format!("{party} got:\n{message}"));
+    }
+
+    /// Waits until the sidecar knows servers.
+    pub(super) fn wait_until_ready(&self) {
+        until("ready", || {
+            let mut connection =
+                TcpStream::connect(&self.listen_address).expect("the program accepts");
+            connection
+                .write_all(b"GET /ready HTTP/1.1\r\nHost: n\r\n\r\n")
+                .expect("sent");
+            read_message(&mut connection)
+                .starts_with("HTTP/1.1 200")
+                .then_some(())
+        });
+    }
+
+    /// Waits until the sidecar is connecting to a slow server.
+    pub(super) fn wait_until_dialled(&self) {
+        until("a dial", || {
+            self.slow_servers
+                .iter()
+                .any(SlowServer::is_dialled)
+                .then_some(())
+        });
+    }
+
+    /// Checks that a connection ends without a further byte, by an end of file or a reset.
+    pub(super) fn expect_close_or_reset(&mut self, party: &str) {
+        let read = self.connection(party).read(&mut [0; 64]);
+        assert!(
+            matches!(read, Ok(0))
+                || read.is_err_and(|error| error.raw_os_error() == Some(ECONNRESET)),
+            "{party}"
+        );
+        self.record(&format!("{party} closed"));
+    }
+
+    /// Records how a connection ends: an end of file and nothing else, since a reset would take what
+    /// was not read yet with it.
+    pub(super) fn record_end_of_file(&mut self, party: &str) {
+        let read = self
+            .connection(party)
+            .read(&mut [0; 64])
+            .map_err(|error| error.to_string());
+        self.record(&format!("{party} ended with {read:?}"));
+    }
+
+    /// Records that a connection comes up, and how many bytes come on it until its end.
+    pub(super) fn record_end_without_bytes(&mut self, party: &str) {
+        let read = self
+            .connection(party)
+            .read_to_end(&mut Vec::new())
+            .map_err(|error| error.to_string());
+        self.record(&format!("{party} ended with {read:?} bytes"));
+    }
+
+    /// Records whether nothing lies unread on a connection at this moment.
+    pub(super) fn record_nothing_unread(&mut self, party: &str) {
+        let connection = self.connection(party);
+        connection.set_nonblocking(true).expect("not blocking");
+        let unread = connection.peek(&mut [0]).ok();
+        connection.set_nonblocking(false).expect("blocking");
+        let is_nothing = unread.is_none_or(|bytes| bytes == 0);
+        self.record(&format!("{party} got nothing more: {is_nothing}"));
+    }
+
+    /// Records whether the sidecar connects within a time.
+    pub(super) fn record_connection_within(&mut self, party: &str, text: &str) {
+        let longest = parse_milliseconds(text);
+        let start = Instant::now();
+        self.connection(party);
+        let is_within = start.elapsed() <= longest;
+        self.record(&format!("{party} came within {longest:?}: {is_within}"));
+    }
+
+    /// Records whether no server has got a further connection by this moment.
+    pub(super) fn record_no_further_connection(&mut self, party: &str) {
+        let is_none = self.accept_at_servers().is_none();
+        self.record(&format!("{party} no further connection: {is_none}"));
+    }
+
+    pub(super) fn record(&mut self, line: &str) {
+        writeln!(self.transcript, "{line}").expect("written");
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/support/steps/sending.rs
@@ -0,0 +1,71 @@
+//! Steps by which a peer sends something or ends its connection.
+
+use std::io::Write as _;
+use std::time::Duration;
+
+use crate::support::Harness;
+use crate::support::network::address_of;
+use crate::support::slow_server::SlowServer;
+
+/// What `{long}` stands for: more characters than a request's target may have.
+const LONG_CHARS: usize = 9_000;
+/// Bytes of a repeated text: more than the sidecar reads at once.
+const REPEATED_BYTES: usize = 70_000;
+
+impl Harness {
+    /// Sends a message whose head has its line ends put right.
+    pub(super) fn send_message(&mut self, party: &str, text: &str) {
+        let text = &text.replace("{long}", &"x".repeat(LONG_CHARS));
+        let (head, body) = text.split_once("\n\n").unwrap_or((text, ""));
+        let head = head.trim_end().replace('\n', "\r\n");
+        self.send(party, format!("{head}\r\n\r\n{body}").as_bytes());
+    }
+
+    /// Sends a part of a message, byte for byte.
+    pub(super) fn send_part(&mut self, party: &str, text: &str) {
+        self.send(party, unescape(text).as_bytes());
+    }
+
+    /// Sends a text again and again; discovery does in one chunk.
+    pub(super) fn send_repeatedly(&mut self, party: &str, text: &str) {
+        let text = unescape(text);
+        let repeated = text.repeat(REPEATED_BYTES / text.len());
+        let is_discovery = party.starts_with('D');
+        let connection = self.connection(party);
+        // A client's connection may be closed by now: that is the sidecar's right.
+        let _ = if is_discovery {
+            write!(connection, "{:x}\r\n{repeated}\r\n", repeated.len())
+        } else {
+            connection.write_all(repeated.as_bytes())
+        };
+    }
+
+    /// Sends a chunk in which names of servers stand for their addresses.
+    pub(super) fn send_chunk(&mut self, party: &str, text: &str) {
+        let first = self.servers.first().map(address_of).unwrap_or_default();
+        let last = self.servers.last().map(address_of).unwrap_or_default();
+        let slow = self.slow_servers.first().map(SlowServer::address);
+        let text = text
+            .replace("{S}", &first)
+            .replace("{spare}", &last)
+            .replace("{slow}", &slow.unwrap_or_default())
+            .replace("\\n", "\n");
+        self.send(party, format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+    }
+
+    /// Ends a connection by a reset.
+    pub(super) fn reset(&mut self, party: &str) {
+        let connection = self.connections.remove(party).expect("there");
+        socket2::SockRef::from(&connection)
+            .set_linger(Some(Duration::ZERO))
+            .expect("no lingering");
+    }
+
+    fn send(&mut self, party: &str, bytes: &[u8]) {
+        self.connection(party).write_all(bytes).expect("sent");
+    }
+}
+
+fn unescape(text: &str) -> String {
+    text.trim_end().replace("\\r", "\r").replace("\\n", "\n")
+}
