--- a/crates/testbed/src/simulator/client.rs
+++ b/crates/testbed/src/simulator/client.rs
@@ -1,183 +1,191 @@
-//! The model's terminals: what they ask for, how long they wait, and when they try again.
+//! The simulator's clients: what they ask for, how long they wait, and when they retry.
+//!
+//! What a sidecar makes of a request is `sidecar`'s.
 
-use super::*;
-use crate::scenario::Effect;
-
-/// A wish of a terminal, with all its tries.
-pub struct Ask {
-    pub number: u64,
-    sidecar: u32,
-    class: u16,
-    work: f64,
-    hint: Option<Micros>,
-    deadline: Micros,
-    tries: u32,
-    honours: bool,
-}
+use super::Simulator;
+use super::event::{ClientResponse, SidecarProcess, SimulatorEvent};
+use super::request::{ArrivalKey, OpenArrival, Request, RequestKey};
+use crate::event_log::{LogEvent, RequestOutcome};
+use crate::scenario::{Effect, Micros, from_ms};
+use crate::workload::Arrival;
 
 impl Simulator<'_> {
-    pub(super) fn next_arrival(&mut self, number: u32) {
-        if let Some(wish) = self.sidecars[number as usize].wishes.next() {
-            self.at(wish.at, Happening::Arrival(number, wish));
+    pub(super) fn schedule_next_arrival(&mut self, sidecar: u32) {
+        if let Some(arrival) = self.sidecars[sidecar as usize].arrivals.next() {
+            let event = SimulatorEvent::Arrival(sidecar, arrival);
+            self.timeline.at(arrival.at, event);
         }
     }
 
-    pub(super) fn arrival(&mut self, number: u32, wish: Arrival) {
-        let (ask_number, now) = (self.number(), self.now);
-        let Arrival {
-            class,
-            shop,
-            work,
-            hint,
-            honours,
-            ..
-        } = wish;
-        let within = self
-            .quotas
-            .get_mut(usize::from(shop))
-            .is_none_or(|quota| quota.take(now));
-        self.note(LogEvent::ArrivalStarted {
-            arrival: ask_number,
-            sidecar: number,
-            class,
-            tenant: shop,
-            within_share: within,
-            work,
+    pub(super) fn on_arrival(&mut self, sidecar: u32, arrival: Arrival) {
+        let number = self.take_number();
+        let within_share = self.takes_quota(arrival.shop);
+        self.record(LogEvent::ArrivalStarted {
+            arrival: number,
+            sidecar,
+            class: arrival.class,
+            tenant: arrival.shop,
+            within_share,
+            work: arrival.work,
         });
-        let deadline = now + from_ms(self.day.class[usize::from(class)].deadline_ms);
-        let ask = Ask {
-            number: ask_number,
-            sidecar: number,
-            class,
-            work,
-            hint,
-            deadline,
-            tries: 0,
-            honours,
-        };
-        let full = self.tries.len() >= self.day.load.max_open_requests;
-        let key = self.asks.insert(ask);
-        if full {
-            self.choked_off += 1;
-            self.close_ask(key, RequestOutcome::NotPlayed);
+        let class = &self.scenario.class[usize::from(arrival.class)];
+        let key = self.arrivals.insert(OpenArrival {
+            number,
+            sidecar,
+            class: arrival.class,
+            work: arrival.work,
+            work_hint: arrival.hint,
+            deadline: self.timeline.now() + from_ms(class.deadline_ms),
+            requests: 0,
+            honours_retry_after: arrival.honours,
+        });
+        if self.requests.len() >= self.scenario.load.max_open_requests {
+            self.effort.choked_off += 1;
+            self.close_arrival(key, RequestOutcome::NotPlayed);
         } else {
-            self.attempt(key);
+            self.send_request(key);
         }
-        self.next_arrival(number);
+        self.schedule_next_arrival(sidecar);
+    }
+
+    /// Whether an arrival lies within its tenant's share; without tenants all do.
+    fn takes_quota(&mut self, tenant: u16) -> bool {
+        let now = self.timeline.now();
+        self.quotas
+            .get_mut(usize::from(tenant))
+            .is_none_or(|quota| quota.take(now))
     }
 
-    /// One try, the first or a further one.
-    pub(super) fn attempt(&mut self, key: AskKey) {
-        let number = self.number();
-        let day = self.day;
-        let Some(ask) = self.asks.get_mut(key) else {
+    /// Sends the first request of an arrival, or a retry.
+    pub(super) fn send_request(&mut self, key: ArrivalKey) {
+        let number = self.take_number();
+        let now = self.timeline.now();
+        let clients = &self.scenario.clients;
+        let Some(arrival) = self.arrivals.get_mut(key) else {
             return;
         };
-        ask.tries += 1;
-        let sidecar = &mut self.sidecars[ask.sidecar as usize];
-        let [least, most] = day.clients.timeout_share;
-        let full = from_ms(day.class[usize::from(ask.class)].deadline_ms) as f64;
-        let patience = (full * sidecar.terminals.between(least, most)) as Micros;
-        let due = (self.now + patience).min(ask.deadline);
-        let leaves = sidecar.terminals.chance(day.clients.disconnect_share);
-        let leaves_at = self.now + (sidecar.terminals.unit() * patience as f64) as Micros;
-        let (of, life) = (ask.sidecar, sidecar.life);
-        let (class, work, hint) = (ask.class, ask.work, ask.hint);
-        let new = Try {
+        arrival.requests += 1;
+        let sidecar = &mut self.sidecars[arrival.sidecar as usize];
+        let random = &mut sidecar.client_random;
+        let class = &self.scenario.class[usize::from(arrival.class)];
+        let [shortest, longest] = clients.timeout_share;
+        let deadline = from_ms(class.deadline_ms) as f64;
+        let timeout = (deadline * random.between(shortest, longest)) as Micros;
+        let due = (now + timeout).min(arrival.deadline);
+        // The moment is drawn whether or not it counts, so that the share moves no other draw.
+        let disconnects = random.chance(clients.disconnect_share);
+        let disconnects_at = now + (random.unit() * timeout as f64) as Micros;
+        let request = self.requests.insert(Request {
             number,
-            ask: key,
-            sidecar: of,
-            life,
-            class,
-            work,
-            hint,
+            arrival: key,
+            process: SidecarProcess {
+                sidecar: arrival.sidecar,
+                incarnation: sidecar.incarnation(),
+            },
+            class: arrival.class,
+            work: arrival.work,
+            work_hint: arrival.work_hint,
             due,
-            tasks: Vec::new(),
+            attempts: Vec::new(),
             answered: false,
-        };
-        let new = self.tries.insert(new);
-        self.after(from_ms(day.network.client_ms), Happening::Reached(new));
-        self.at(due, Happening::GivenUp(new));
-        if leaves {
-            self.at(leaves_at, Happening::Leaves(new));
+        });
+        self.schedule_request(request, due, disconnects.then_some(disconnects_at));
+    }
+
+    fn schedule_request(&mut self, key: RequestKey, due: Micros, disconnects_at: Option<Micros>) {
+        let way = from_ms(self.scenario.network.client_ms);
+        let timeline = &mut self.timeline;
+        timeline.after(way, SimulatorEvent::RequestAtSidecar(key));
+        timeline.at(due, SimulatorEvent::ClientTimeout(key));
+        if let Some(at) = disconnects_at {
+            timeline.at(at, SimulatorEvent::ClientDisconnect(key));
         }
     }
 
-    /// The final answer is at the terminal.
-    pub(super) fn told(&mut self, key: TryKey, how: RequestOutcome, pause: u32) {
-        let Some(of) = self.tries.remove(key) else {
+    pub(super) fn on_response_at_client(&mut self, response: &ClientResponse) {
+        let outcome = response.outcome;
+        let Some(request) = self.requests.remove(response.request) else {
             return;
         };
-        if how != RequestOutcome::Unreachable {
-            self.note(LogEvent::ResponseReceived {
-                request: of.number,
-                outcome: how,
+        if outcome != RequestOutcome::Unreachable {
+            self.record(LogEvent::ResponseReceived {
+                request: request.number,
+                outcome,
             });
         }
-        self.ended_try(of.ask, how, Micros::from(pause));
+        self.on_request_ended(request.arrival, outcome, response.retry_after.into());
     }
 
-    /// A terminal's patience is over.
-    pub(super) fn given_up(&mut self, key: TryKey) {
-        // What has been answered is on its way and comes within the grace.
-        if self.tries.get(key).is_none_or(|t| t.answered) {
-            return;
-        }
-        self.abandoned(key);
-        if let Some(of) = self.tries.remove(key) {
-            self.ended_try(of.ask, RequestOutcome::Unanswered, 0);
+    pub(super) fn on_client_timeout(&mut self, key: RequestKey) {
+        if self.awaits_response(key) {
+            self.abandon_request(key);
+            if let Some(request) = self.requests.remove(key) {
+                self.on_request_ended(request.arrival, RequestOutcome::Unanswered, 0);
+            }
         }
     }
 
-    pub(super) fn leaves(&mut self, key: TryKey) {
-        if self.tries.get(key).is_none_or(|t| t.answered) {
-            return;
-        }
-        let number = self.tries.get(key).map_or(0, |t| t.number);
-        self.note(LogEvent::ClientDisconnected { request: number });
-        self.abandoned(key);
-        if let Some(of) = self.tries.remove(key) {
-            self.close_ask(of.ask, RequestOutcome::Disconnected);
+    pub(super) fn on_client_disconnect(&mut self, key: RequestKey) {
+        if self.awaits_response(key) {
+            let number = self.requests.get(key).map_or(0, |request| request.number);
+            self.record(LogEvent::ClientDisconnected { request: number });
+            self.abandon_request(key);
+            if let Some(request) = self.requests.remove(key) {
+                self.close_arrival(request.arrival, RequestOutcome::Disconnected);
+            }
         }
     }
 
-    fn ended_try(&mut self, key: AskKey, how: RequestOutcome, pause: Micros) {
-        let day = self.day;
-        let Some(ask) = self.asks.get(key) else {
+    /// False once the sidecar has responded: its response is on its way and comes within the grace.
+    fn awaits_response(&self, key: RequestKey) -> bool {
+        self.requests
+            .get(key)
+            .is_some_and(|request| !request.answered)
+    }
+
+    /// Retries an arrival whose request has ended, or closes it.
+    fn on_request_ended(&mut self, key: ArrivalKey, outcome: RequestOutcome, retry_after: Micros) {
+        let scenario = self.scenario;
+        let Some(arrival) = self.arrivals.get(key) else {
             return;
         };
-        let class = &day.class[usize::from(ask.class)];
-        let anywhere = class.idempotency == Effect::Safe;
-        let again = match how {
-            RequestOutcome::Rejected | RequestOutcome::Unreachable => true,
-            RequestOutcome::Failed
-            | RequestOutcome::ConnectionLost
-            | RequestOutcome::Unanswered => anywhere,
-            _ => false,
-        };
-        let chance = &mut self.sidecars[ask.sidecar as usize].terminals;
-        let [least, most] = day.clients.backoff_ms;
-        let backoff = from_ms(chance.between(least, most));
-        let wait = if ask.honours && how == RequestOutcome::Rejected {
-            pause.max(1)
+        let class = &scenario.class[usize::from(arrival.class)];
+        let random = &mut self.sidecars[arrival.sidecar as usize].client_random;
+        let [shortest, longest] = scenario.clients.backoff_ms;
+        // Drawn whether or not it counts, so that an outcome moves no other draw.
+        let backoff = from_ms(random.between(shortest, longest));
+        let wait = if arrival.honours_retry_after && outcome == RequestOutcome::Rejected {
+            retry_after.max(1)
         } else {
             backoff
         };
-        if again && ask.tries <= day.clients.retries && self.now + wait < ask.deadline {
-            self.after(wait, Happening::Again(key));
+        let in_time = self.timeline.now() + wait < arrival.deadline;
+        let retries_left = arrival.requests <= scenario.clients.retries;
+        if may_retry(outcome, class.idempotency) && retries_left && in_time {
+            self.timeline.after(wait, SimulatorEvent::RetryDue(key));
         } else {
-            self.close_ask(key, how);
+            self.close_arrival(key, outcome);
         }
     }
 
-    fn close_ask(&mut self, key: AskKey, how: RequestOutcome) {
-        let Some(ask) = self.asks.remove(key) else {
-            return;
-        };
-        self.note(LogEvent::ArrivalEnded {
-            arrival: ask.number,
-            outcome: how,
-            requests: ask.tries,
-        });
+    fn close_arrival(&mut self, key: ArrivalKey, outcome: RequestOutcome) {
+        if let Some(arrival) = self.arrivals.remove(key) {
+            self.record(LogEvent::ArrivalEnded {
+                arrival: arrival.number,
+                outcome,
+                requests: arrival.requests,
+            });
+        }
+    }
+}
+
+/// Whether a client may repeat a request: where it has certainly not run, or where running twice does no harm.
+fn may_retry(outcome: RequestOutcome, idempotency: Effect) -> bool {
+    match outcome {
+        RequestOutcome::Rejected | RequestOutcome::Unreachable => true,
+        RequestOutcome::Failed | RequestOutcome::ConnectionLost | RequestOutcome::Unanswered => {
+            idempotency == Effect::Safe
+        }
+        _ => false,
     }
 }
--- /dev/null
+++ b/crates/testbed/src/simulator/discovery/endpoints.rs
@@ -0,0 +1,131 @@
+//! The endpoint list at a sidecar: what it knows of it, and how its balancer learns of changes.
+
+use std::collections::BTreeMap;
+
+use arrowstand_balancer::{Endpoint, EndpointStatus, Event as BalancerEvent, ServerId, UpdateKind};
+use arrowstand_control::stable_hash;
+
+use crate::event_log::{ListedStatus, LogEvent};
+use crate::scenario::Micros;
+use crate::simulator::{EPOCH, Simulator};
+
+/// An entry of a list that is given to a sidecar.
+#[derive(Clone, Copy)]
+pub(in crate::simulator) struct ListedEndpoint {
+    pub(in crate::simulator) server: u32,
+    pub(in crate::simulator) status: ListedStatus,
+    /// Start of the server's process; 0 where it was there before the run.
+    pub(in crate::simulator) incarnation: Micros,
+}
+
+/// The list as a sidecar had it last, which outlives its process.
+pub(in crate::simulator) struct KnownEndpoints {
+    version: u64,
+    endpoints: BTreeMap<u32, (ListedStatus, Micros)>,
+}
+
+impl KnownEndpoints {
+    pub(super) fn new(version: u64, endpoints: BTreeMap<u32, (ListedStatus, Micros)>) -> Self {
+        Self { version, endpoints }
+    }
+
+    /// The list's version.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn entries(&self) -> Vec<ListedEndpoint> {
+        let entry = |(&server, &(status, incarnation))| ListedEndpoint {
+            server,
+            status,
+            incarnation,
+        };
+        self.endpoints.iter().map(entry).collect()
+    }
+
+    fn on_listed(&mut self, endpoint: ListedEndpoint) {
+        if endpoint.status == ListedStatus::Gone {
+            self.endpoints.remove(&endpoint.server);
+        } else {
+            let entry = (endpoint.status, endpoint.incarnation);
+            self.endpoints.insert(endpoint.server, entry);
+        }
+    }
+}
+
+impl Simulator<'_> {
+    /// Gives a new balancer the list that its sidecar had last.
+    pub(in crate::simulator) fn restore_endpoints(&mut self, number: u32) {
+        let known = &self.sidecars[number as usize].endpoints;
+        let (version, entries) = (known.version, known.entries());
+        self.give_endpoints(number, UpdateKind::Cached, version, &entries);
+    }
+
+    /// Gives a balancer changes of the list.
+    pub(super) fn update_endpoints(
+        &mut self,
+        number: u32,
+        version: u64,
+        changes: &[ListedEndpoint],
+    ) {
+        self.give_endpoints(number, UpdateKind::Incremental, version, changes);
+    }
+
+    /// Tells a balancer that its list can no longer be followed.
+    pub(super) fn lose_endpoints(&mut self, number: u32) {
+        self.sidecars[number as usize].watches = false;
+        let lost = BalancerEvent::EndpointsUpdated {
+            kind: UpdateKind::Lost,
+            version: 0,
+            endpoints: Vec::new(),
+        };
+        self.handle_balancer_event(number, lost);
+    }
+
+    fn give_endpoints(
+        &mut self,
+        number: u32,
+        kind: UpdateKind,
+        version: u64,
+        listed: &[ListedEndpoint],
+    ) {
+        let mut endpoints = Vec::with_capacity(listed.len());
+        for &endpoint in listed {
+            self.record(LogEvent::EndpointListed {
+                sidecar: number,
+                server: endpoint.server,
+                status: endpoint.status,
+                incarnation: endpoint.incarnation,
+            });
+            let known = &mut self.sidecars[number as usize].endpoints;
+            known.on_listed(endpoint);
+            endpoints.push(self.balancer_endpoint(endpoint));
+        }
+        self.sidecars[number as usize].endpoints.version = version;
+        let update = BalancerEvent::EndpointsUpdated {
+            kind,
+            version,
+            endpoints,
+        };
+        self.handle_balancer_event(number, update);
+    }
+
+    /// A list entry as balancers take it.
+    fn balancer_endpoint(&self, listed: ListedEndpoint) -> Endpoint {
+        let server = &self.servers[listed.server as usize];
+        let launched = (listed.incarnation > 0).then_some(EPOCH + listed.incarnation);
+        Endpoint {
+            server: ServerId(listed.server),
+            stable_hash: stable_hash(&format!("s{}", listed.server)),
+            status: match listed.status {
+                ListedStatus::Ready => EndpointStatus::Ready,
+                ListedStatus::Draining => EndpointStatus::Draining,
+                ListedStatus::Gone => EndpointStatus::Removed,
+            },
+            incarnation: launched,
+            zone: server.zone,
+            cell: server.zone,
+            machine_type: self.scenario.advertised_machine_type(server.machine.kind()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/event.rs
@@ -0,0 +1,136 @@
+//! What happens in the simulator at a moment: arrivals, messages that reach their end, timeouts, faults.
+//!
+//! Only the types; each is handled in the file of whom it reaches.
+
+use arrowstand_balancer::Outcome;
+
+use super::request::{ArrivalKey, AttemptKey, RequestKey};
+use crate::event_log::RequestOutcome;
+use crate::scenario::Micros;
+use crate::workload::Arrival;
+
+/// An event on the timeline.
+pub(super) enum SimulatorEvent {
+    /// A client of this sidecar wants something.
+    Arrival(u32, Arrival),
+    /// A client's backoff is over.
+    RetryDue(ArrivalKey),
+    /// A request's last byte is at its sidecar.
+    RequestAtSidecar(RequestKey),
+    /// A timer of a balancer fires.
+    BalancerTimer(BalancerTimer),
+    /// The last moment at which a sidecar can respond in time.
+    ResponseDue(RequestKey),
+    /// A client's timeout is over.
+    ClientTimeout(RequestKey),
+    /// A client disconnects early.
+    ClientDisconnect(RequestKey),
+    /// The response is at the client.
+    ResponseAtClient(ClientResponse),
+    /// A new connection's first packet is at the server.
+    ConnectAtServer(AttemptKey),
+    /// The sidecar knows that its connection is open.
+    ConnectionOpen(AttemptKey),
+    /// An attempt's last byte is at the server.
+    AttemptAtServer(AttemptKey),
+    /// The end of an attempt is at its sidecar.
+    ResultAtSidecar(AttemptKey, Outcome),
+    /// An attempt's time is over, or the time in which its connection must be open.
+    AttemptTimeout(AttemptKey),
+    /// A server notices that an attempt's connection was closed.
+    CancellationAtServer(Cancellation),
+    /// A server has something to do by itself; the number tells stale events from the present one.
+    ServerDue(u32, u32),
+    /// A health check is at its server.
+    HealthCheckAtServer(HealthCheck),
+    /// The end of a health check is at its sidecar.
+    HealthCheckResult(HealthCheckResult),
+    /// The answer to a poll of the endpoint list is at its sidecar, or its loss is noticed.
+    PollResult(PollResult),
+    /// A change of the endpoint list has reached a sidecar's watch.
+    WatchNotification(SidecarProcess),
+    /// Discovery notices the change of this number about a server.
+    ListChange { server: u32, change: usize },
+    /// The fault of this index starts, or ends.
+    Fault { index: usize, starts: bool },
+    /// A sidecar is to be restarted.
+    SidecarRestart(SidecarRestart),
+    /// A sidecar is up again.
+    SidecarUp(u32),
+    /// Gauges are recorded, and idle connections closed.
+    GaugeTick,
+}
+
+/// One process of a sidecar: events for an earlier one are void.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) struct SidecarProcess {
+    pub(super) sidecar: u32,
+    /// Counts the sidecar's processes.
+    pub(super) incarnation: u32,
+}
+
+/// A timer of a balancer.
+pub(super) struct BalancerTimer {
+    pub(super) process: SidecarProcess,
+    /// The balancer's own name for it.
+    pub(super) token: u64,
+}
+
+/// A sidecar's final response to a request.
+pub(super) struct ClientResponse {
+    pub(super) request: RequestKey,
+    pub(super) outcome: RequestOutcome,
+    /// Retry-After in microseconds.
+    pub(super) retry_after: u32,
+}
+
+/// An attempt whose connection was closed by its sidecar.
+pub(super) struct Cancellation {
+    pub(super) server: u32,
+    /// The server's start that the connection belongs to.
+    pub(super) server_start: u32,
+    pub(super) job: u64,
+}
+
+/// A health check on its way.
+pub(super) struct HealthCheck {
+    pub(super) process: SidecarProcess,
+    pub(super) server: u32,
+    /// One way to the server, in microseconds.
+    pub(super) delay: u32,
+    /// Whether it opens a connection of its own.
+    pub(super) fresh: bool,
+}
+
+/// How a health check ended.
+pub(super) struct HealthCheckResult {
+    pub(super) process: SidecarProcess,
+    pub(super) server: u32,
+    pub(super) outcome: Outcome,
+    pub(super) load: Option<ReportedLoad>,
+}
+
+/// What a response to a health check reports.
+#[derive(Clone, Copy)]
+pub(super) struct ReportedLoad {
+    pub(super) in_flight: u32,
+    pub(super) queued: u32,
+}
+
+/// How a poll of the endpoint list ended.
+pub(super) struct PollResult {
+    pub(super) process: SidecarProcess,
+    /// The sidecar's number of the poll: results of earlier ones are void.
+    pub(super) poll: u32,
+    /// Whether it failed, or the watch that followed was cut.
+    pub(super) lost: bool,
+}
+
+/// A restart of a sidecar.
+pub(super) struct SidecarRestart {
+    pub(super) sidecar: u32,
+    /// How long it is down, in microseconds.
+    pub(super) down_time: Micros,
+    /// Whether it is killed; else it responds first to what it has accepted.
+    pub(super) kill: bool,
+}
--- a/crates/testbed/src/simulator/event_queue.rs
+++ b/crates/testbed/src/simulator/event_queue.rs
@@ -1,7 +1,7 @@
-//! What is to happen, in order: a wheel of short slices of time, of which only the present one is kept sorted.
+//! The queue of events: a wheel of short slices of time, of which only the present one is kept sorted.
 //!
-//! A day of a thousand sidecars has hundreds of thousands of time-outs ahead, most of which never matter; one
-//! heap of them all took a quarter of the model's time in cache misses.
+//! A run of a thousand sidecars has hundreds of thousands of timeouts ahead, most of which never matter; one
+//! heap of them all took a quarter of the simulator's time in cache misses.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -9,14 +9,15 @@
 use crate::scenario::Micros;
 
 /// Microseconds of a slice, as a power of two.
-const SLICE: u32 = 11;
+const SLICE_BITS: u32 = 11;
 /// Slices on the wheel: some 8 s; what lies beyond is kept by its slice.
-const WHEEL: u64 = 4_096;
+const WHEEL_SLICES: u64 = 4_096;
 
 struct Queued<T> {
     at: Micros,
+    /// Counts all pushes: orders events of one moment.
     turn: u64,
-    what: T,
+    event: T,
 }
 
 impl<T> PartialEq for Queued<T> {
@@ -40,19 +41,24 @@
     }
 }
 
-/// Gives back what was put in, by time, and within one moment in the order it was put in.
-pub struct Queue<T> {
+/// Gives back events by time, and within one moment in the order of their push.
+pub(super) struct EventQueue<T> {
+    /// The present slice.
     slice: u64,
+    /// Events of the present slice, sorted.
     near: BinaryHeap<Queued<T>>,
+    /// Events of the slices on the wheel, unsorted.
     wheel: Vec<Vec<Queued<T>>>,
+    /// Events beyond the wheel by slice, unsorted.
     far: BTreeMap<u64, Vec<Queued<T>>>,
     turn: u64,
     count: usize,
 }
 
-impl<T> Queue<T> {
-    pub fn new() -> Self {
-        let wheel = (0..WHEEL).map(|_| Vec::new()).collect();
+impl<T> EventQueue<T> {
+    /// An empty queue.
+    pub(super) fn new() -> Self {
+        let wheel = (0..WHEEL_SLICES).map(|_| Vec::new()).collect();
         Self {
             slice: 0,
             near: BinaryHeap::new(),
@@ -63,64 +69,42 @@
         }
     }
 
-    pub fn push(&mut self, at: Micros, what: T) {
+    /// Adds an event; `at` must not lie before the event that was popped last.
+    pub(super) fn push(&mut self, at: Micros, event: T) {
         self.turn += 1;
         self.count += 1;
-        let (slice, queued) = (
-            at >> SLICE,
-            Queued {
-                at,
-                turn: self.turn,
-                what,
-            },
-        );
+        let turn = self.turn;
+        let queued = Queued { at, turn, event };
+        let slice = at >> SLICE_BITS;
         match slice.saturating_sub(self.slice) {
             0 => self.near.push(queued),
-            ahead if ahead < WHEEL => self.wheel[(slice % WHEEL) as usize].push(queued),
+            ahead if ahead < WHEEL_SLICES => {
+                self.wheel[(slice % WHEEL_SLICES) as usize].push(queued);
+            }
             _ => self.far.entry(slice).or_default().push(queued),
         }
     }
 
-    pub fn pop(&mut self) -> Option<(Micros, T)> {
+    /// Takes the next event with its time; nothing where the queue is empty.
+    pub(super) fn pop(&mut self) -> Option<(Micros, T)> {
         while self.near.is_empty() {
             if self.count == 0 {
                 return None;
             }
-            self.slice += 1;
-            let mut next = std::mem::take(&mut self.wheel[(self.slice % WHEEL) as usize]);
-            next.extend(self.far.remove(&self.slice).into_iter().flatten());
-            self.near = next.into();
+            self.advance_slice();
         }
         self.count -= 1;
-        self.near.pop().map(|queued| (queued.at, queued.what))
+        self.near.pop().map(|queued| (queued.at, queued.event))
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        /// Whatever is put in while time goes on comes out as from one sorted list.
-        #[test]
-        fn comes_out_by_time_and_turn(spans in prop::collection::vec((0u64..40_000_000, any::<bool>()), 1..200)) {
-            let (mut queue, mut list, mut now) = (Queue::new(), Vec::new(), 0);
-            for (turn, (span, pop)) in spans.into_iter().enumerate() {
-                queue.push(now + span, turn);
-                list.push((now + span, turn));
-                if pop {
-                    list.sort_unstable();
-                    let first = list.remove(0);
-                    prop_assert_eq!(queue.pop(), Some(first));
-                    now = first.0;
-                }
-            }
-            list.sort_unstable();
-            for first in list {
-                prop_assert_eq!(queue.pop(), Some(first));
-            }
-            prop_assert!(queue.pop().is_none());
-        }
+    fn advance_slice(&mut self) {
+        self.slice += 1;
+        let on_wheel = &mut self.wheel[(self.slice % WHEEL_SLICES) as usize];
+        let mut events = std::mem::take(on_wheel);
+        events.extend(self.far.remove(&self.slice).into_iter().flatten());
+        self.near = events.into();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/testbed/src/simulator/event_queue/tests.rs
@@ -0,0 +1,26 @@
+use proptest::prelude::*;
+
+use super::EventQueue;
+
+proptest! {
+    /// Whatever is put in while time goes on comes out as from one sorted list.
+    #[test]
+    fn events_come_out_by_time_and_within_a_moment_in_the_order_of_their_push(spans in prop::collection::vec((0u64..40_000_000, any::<bool>()), 1..200)) {
+        let (mut queue, mut list, mut now) = (EventQueue::new(), Vec::new(), 0);
+        for (turn, (span, pop)) in spans.into_iter().enumerate() {
+            queue.push(now + span, turn);
+            list.push((now + span, turn));
+            if pop {
+                list.sort_unstable();
+                let first = list.remove(0);
+                prop_assert_eq!(queue.pop(), Some(first));
+                now = first.0;
+            }
+        }
+        list.sort_unstable();
+        for first in list {
+            prop_assert_eq!(queue.pop(), Some(first));
+        }
+        prop_assert!(queue.pop().is_none());
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/faults/mod.rs
@@ -0,0 +1,64 @@
+//! Whom a scenario's faults hit, and when; alike for simulator and emulator.
+//!
+//! What a fault does in the simulator is `schedule` and `servers`.
+
+mod schedule;
+mod servers;
+
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Fault, Micros, Scenario, from_s};
+
+/// The servers that the fault of this index hits: those named, or a part of them, drawn. `zones` has each
+/// server's zone.
+pub fn targets(scenario: &Scenario, index: usize, zones: &[u32]) -> Vec<u32> {
+    let fault = &scenario.fault[index];
+    if !fault.aims_at_servers() {
+        return Vec::new();
+    }
+    if !fault.servers.is_empty() {
+        let number = |name: &String| name.strip_prefix('s').and_then(|n| n.parse().ok());
+        return fault.servers.iter().filter_map(number).collect();
+    }
+    let zone = fault
+        .zone
+        .as_ref()
+        .and_then(|zone| scenario.network.zones.iter().position(|name| name == zone));
+    let is_in_zone =
+        |&server: &u32| zone.is_none_or(|zone| zones.get(server as usize) == Some(&(zone as u32)));
+    let mut servers: Vec<u32> = (0..zones.len() as u32).filter(is_in_zone).collect();
+    let hit = (servers.len() as f64 * part(fault)).round() as usize;
+    let count = hit.clamp(1, servers.len().max(1));
+    draw(scenario, index, &mut servers, count)
+}
+
+/// When each sidecar goes down in a roll, in microseconds from its start: batch after batch over its length.
+pub fn roll(scenario: &Scenario, index: usize) -> Vec<(u32, Micros)> {
+    let fault = &scenario.fault[index];
+    let all = scenario.sidecars.count;
+    let count = ((all as f64 * part(fault)).round() as usize).clamp(1, all);
+    let mut sidecars = (0..all as u32).collect();
+    let drawn = draw(scenario, index, &mut sidecars, count);
+    let batch = ((all as f64 * fault.batch).floor() as usize).max(1);
+    let batches = drawn.len().div_ceil(batch);
+    let interval = from_s(fault.for_s) / batches.max(1) as Micros;
+    let in_turn = drawn.iter().enumerate();
+    in_turn
+        .map(|(turn, &sidecar)| (sidecar, (turn / batch) as Micros * interval))
+        .collect()
+}
+
+/// The part of the candidates that a fault hits; all of them where none is given.
+fn part(fault: &Fault) -> f64 {
+    if fault.part > 0.0 { fault.part } else { 1.0 }
+}
+
+/// So many of the candidates, drawn by the fault's own stream, in order.
+fn draw(scenario: &Scenario, index: usize, candidates: &mut Vec<u32>, count: usize) -> Vec<u32> {
+    let mut random = RandomStream::new(scenario.seed, StreamId::Troubles, index);
+    let mut drawn = Vec::with_capacity(count);
+    while drawn.len() < count && !candidates.is_empty() {
+        drawn.push(candidates.swap_remove(random.below(candidates.len())));
+    }
+    drawn.sort_unstable();
+    drawn
+}
--- a/crates/testbed/src/simulator/mod.rs
+++ b/crates/testbed/src/simulator/mod.rs
@@ -1,396 +1,184 @@
-//! The model: virtual time, one thread, no sockets. Real `arrowstand_balancer` balancers, one for each sidecar, against
-//! machines, network, discovery and terminals as the scenario draws them up.
+//! The simulator: virtual time, one thread, no sockets. Real `arrowstand_balancer` balancers, one for each sidecar,
+//! against servers, network, discovery and clients as the scenario describes them.
 //!
-//! Everything happens in the order of the queue, and chance comes from one stream for each cause, so the same
-//! day and seed give the same record to the last entry.
+//! Everything happens in the order of the queue, and each cause draws from a random stream of its own, so the
+//! same scenario and seed give the same event log to the last entry. Servers' behaviour is `server_model`'s, and
+//! what is asked for is `workload`'s.
 
 mod client;
 mod discovery;
+mod error;
+mod event;
 mod event_queue;
 pub mod faults;
+mod request;
+mod run;
 mod server;
 mod sidecar;
+mod timeline;
 
-use slotmap::{SlotMap, new_key_type};
+use arrowstand_balancer::Action;
+use slotmap::SlotMap;
 
-use crate::audit::Auditor;
-use crate::event_log::{EventLog, LogEvent, LogRecord, RequestOutcome, Tee};
+use crate::event_log::{EventLog, LogEvent, LogRecord};
 use crate::random::{RandomStream, StreamId};
-use crate::report::Report;
 use crate::scenario::{Micros, Scenario, from_ms, from_s};
-use crate::server_model::Report as Load;
-use crate::statistics::Statistics;
-use crate::workload::{Arrival, ArrivalStream, TenantQuota, parts, quotas};
+use crate::server_model::Event as ServerModelEvent;
+use crate::workload::{TenantQuota, quotas};
 
-use client::Ask;
 use discovery::Discovery;
-use event_queue::Queue;
+use event::SimulatorEvent;
+use request::{ArrivalKey, Attempt, AttemptKey, OpenArrival, Request, RequestKey};
 use server::Server;
 use sidecar::Sidecar;
+use timeline::Timeline;
 
-/// Where the module's clock stands when the day begins: start times count from here.
-const EPOCH: Micros = 1_000_000_000_000;
-/// How long after the last arrival the day is played on at most.
-const REST_MOST: Micros = 120_000_000;
-
-new_key_type! {
-    struct TryKey;
-    struct TaskKey;
-    struct AskKey;
-}
-
-/// One try of a wish: a transaction.
-struct Try {
-    number: u64,
-    ask: AskKey,
-    sidecar: u32,
-    life: u32,
-    class: u16,
-    /// Work in microseconds of a standard core.
-    work: f64,
-    hint: Option<Micros>,
-    due: Micros,
-    tasks: Vec<TaskKey>,
-    /// The sidecar has given its final answer, which may still be on its way.
-    answered: bool,
-}
-
-/// One routed task.
-struct Task {
-    of: TryKey,
-    tx: u64,
-    attempt: u32,
-    sidecar: u32,
-    server: u32,
-    /// Unique on its machine.
-    job: u64,
-    sent: Micros,
-    until: Micros,
-    work: f64,
-    /// One way to the job server.
-    delay: Micros,
-    /// It has a connection, and the job server's start that this belongs to.
-    connection: Option<u32>,
-    fresh: bool,
-    /// Its last byte is written.
-    written: bool,
-    ended: bool,
-    /// Its connection will break instead of bringing the answer.
-    doomed: bool,
-    /// What its answer tells of the load.
-    report: Option<usize>,
-}
-
-/// How a routed task ended, as its sidecar sees it.
-type Outcome = arrowstand_balancer::Outcome;
-
-enum Happening {
-    Arrival(u32, Arrival),
-    Again(AskKey),
-    Reached(TryKey),
-    Timer {
-        sidecar: u32,
-        life: u32,
-        token: u64,
-    },
-    Last(TryKey),
-    GivenUp(TryKey),
-    Leaves(TryKey),
-    Told {
-        of: TryKey,
-        how: RequestOutcome,
-        pause: u32,
-    },
-    Knocks(TaskKey),
-    Connected(TaskKey),
-    Arrives(TaskKey),
-    Back(TaskKey, Outcome),
-    Late(TaskKey),
-    CalledOff {
-        server: u32,
-        start: u32,
-        job: u64,
-    },
-    ServerModel {
-        server: u32,
-        turn: u32,
-    },
-    ProbeArrives {
-        sidecar: u32,
-        life: u32,
-        server: u32,
-        delay: u32,
-        fresh: bool,
-    },
-    ProbeBack {
-        sidecar: u32,
-        life: u32,
-        server: u32,
-        outcome: Outcome,
-        load: Option<(u32, u32)>,
-    },
-    List {
-        sidecar: u32,
-        life: u32,
-        call: u32,
-        lost: bool,
-    },
-    Heard {
-        sidecar: u32,
-        life: u32,
-    },
-    Notice {
-        server: u32,
-        news: u32,
-    },
-    Fault {
-        index: u32,
-        starts: bool,
-    },
-    Restart {
-        sidecar: u32,
-        down: Micros,
-        kill: bool,
-    },
-    Up(u32),
-    Second,
-}
+pub use error::SimulatorError;
+pub use run::{Effort, run};
 
-/// A day being played.
-pub struct Simulator<'a> {
-    day: &'a Scenario,
-    now: Micros,
-    end: Micros,
-    queue: Queue<Happening>,
-    ledger: &'a mut dyn EventLog,
+/// Where the balancers' clock stands when the run begins: servers' incarnations count from here.
+const EPOCH: Micros = 1_000_000_000_000;
+/// How long after the last arrival the run goes on at most, in microseconds.
+const MAX_RUN_OUT: Micros = 120_000_000;
+/// Between two gauges, in microseconds.
+const GAUGE_INTERVAL: Micros = 1_000_000;
+
+/// A scenario being simulated. Owns all that is open; sidecars, servers and discovery own their state.
+struct Simulator<'a> {
+    scenario: &'a Scenario,
+    timeline: Timeline,
+    log: &'a mut dyn EventLog,
     sidecars: Vec<Sidecar>,
     servers: Vec<Server>,
     discovery: Discovery,
-    asks: SlotMap<AskKey, Ask>,
-    tries: SlotMap<TryKey, Try>,
-    tasks: SlotMap<TaskKey, Task>,
+    arrivals: SlotMap<ArrivalKey, OpenArrival>,
+    requests: SlotMap<RequestKey, Request>,
+    attempts: SlotMap<AttemptKey, Attempt>,
+    /// The next number of an arrival or a request.
     next_number: u64,
     next_job: u64,
-    machines: RandomStream,
+    /// Draws resets and malformed responses.
+    server_random: RandomStream,
     quotas: Vec<TenantQuota>,
-    targets: Vec<Vec<u32>>,
-    events: Vec<crate::server_model::Event>,
-    actions: Vec<arrowstand_balancer::Action>,
-    /// Happenings played.
-    pub played: u64,
-    /// Wishes that were not played, as too much was open.
-    pub choked_off: u64,
+    /// Servers that each fault hits.
+    fault_targets: Vec<Vec<u32>>,
+    /// Buffer of what a server did, until it is carried out.
+    server_events: Vec<ServerModelEvent>,
+    /// Buffer of what a balancer asks for.
+    actions: Vec<Action>,
+    effort: Effort,
 }
 
 impl<'a> Simulator<'a> {
-    /// Sets the day up.
-    ///
-    /// # Errors
-    /// What the decision module says of the settings.
-    pub fn new(day: &'a Scenario, ledger: &'a mut dyn EventLog) -> Result<Self, String> {
-        let mut model = Self {
-            day,
-            now: 0,
-            end: from_s(day.seconds),
-            queue: Queue::new(),
-            ledger,
+    /// Builds servers and sidecars, and schedules the first arrivals and the faults.
+    fn new(scenario: &'a Scenario, log: &'a mut dyn EventLog) -> Result<Self, SimulatorError> {
+        let mut simulator = Self {
+            scenario,
+            timeline: Timeline::new(),
+            log,
             sidecars: Vec::new(),
             servers: Vec::new(),
-            discovery: Discovery::new(day),
-            asks: SlotMap::with_key(),
-            tries: SlotMap::with_key(),
-            tasks: SlotMap::with_key(),
+            discovery: Discovery::new(scenario),
+            arrivals: SlotMap::with_key(),
+            requests: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
             next_number: 1,
             next_job: 1,
-            machines: RandomStream::new(day.seed, StreamId::Machines, 0),
-            quotas: quotas(day),
-            targets: Vec::new(),
-            events: Vec::new(),
+            server_random: RandomStream::new(scenario.seed, StreamId::Machines, 0),
+            quotas: quotas(scenario),
+            fault_targets: Vec::new(),
+            server_events: Vec::new(),
             actions: Vec::new(),
-            played: 0,
-            choked_off: 0,
+            effort: Effort::default(),
         };
-        model.build_servers();
-        model.build_sidecars()?;
-        model.plan_troubles();
-        model.after(1_000_000, Happening::Second);
-        Ok(model)
+        simulator.build_servers();
+        simulator.build_sidecars()?;
+        simulator.schedule_faults();
+        simulator
+            .timeline
+            .after(GAUGE_INTERVAL, SimulatorEvent::GaugeTick);
+        Ok(simulator)
     }
 
-    /// Plays it to its end.
-    pub fn play(&mut self) {
-        while let Some((at, what)) = self.queue.pop() {
-            let over = at > self.end && self.asks.is_empty();
-            if over || at > self.end + REST_MOST {
+    /// Plays until nothing is open after the last arrival, or the run has gone on for too long.
+    fn play(&mut self) {
+        let last_arrival = from_s(self.scenario.seconds);
+        while let Some(event) = self.timeline.next(last_arrival + MAX_RUN_OUT) {
+            if self.timeline.now() > last_arrival && self.arrivals.is_empty() {
                 return;
             }
-            self.now = at;
-            self.played += 1;
-            self.happen(what);
+            self.effort.happenings += 1;
+            self.handle(event);
         }
     }
 
-    fn happen(&mut self, what: Happening) {
-        match what {
-            Happening::Arrival(sidecar, wish) => self.arrival(sidecar, wish),
-            Happening::Again(ask) => self.attempt(ask),
-            Happening::Reached(of) => self.reached(of),
-            Happening::Timer {
-                sidecar,
-                life,
-                token,
-            } => self.timer(sidecar, life, token),
-            Happening::Last(of) => self.last(of),
-            Happening::GivenUp(of) => self.given_up(of),
-            Happening::Leaves(of) => self.leaves(of),
-            Happening::Told { of, how, pause } => self.told(of, how, pause),
-            Happening::Knocks(task) => self.knocks(task),
-            Happening::Connected(task) => self.connected(task),
-            Happening::Arrives(task) => self.arrives(task),
-            Happening::Back(task, outcome) => self.back(task, outcome),
-            Happening::Late(task) => self.late(task),
-            Happening::CalledOff { server, start, job } => self.called_off(server, start, job),
-            Happening::ServerModel { server, turn } => self.machine(server, turn),
-            Happening::ProbeArrives {
-                sidecar,
-                life,
-                server,
-                delay,
-                fresh,
-            } => {
-                self.probe_arrives((sidecar, life), server, delay, fresh);
-            }
-            Happening::ProbeBack {
-                sidecar,
-                life,
-                server,
-                outcome,
-                load,
-            } => {
-                self.probe_back(sidecar, life, server, outcome, load);
-            }
-            Happening::List {
-                sidecar,
-                life,
-                call,
-                lost,
-            } => self.list(sidecar, life, call, lost),
-            Happening::Heard { sidecar, life } => self.heard(sidecar, life),
-            Happening::Notice { server, news } => self.notice(server, news),
-            Happening::Fault { index, starts } => self.trouble(index as usize, starts),
-            Happening::Restart {
-                sidecar,
-                down,
-                kill,
-            } => self.restart(sidecar, down, kill),
-            Happening::Up(sidecar) => self.start_sidecar(sidecar),
-            Happening::Second => self.second(),
+    fn handle(&mut self, event: SimulatorEvent) {
+        use SimulatorEvent as E;
+        match event {
+            E::Arrival(sidecar, arrival) => self.on_arrival(sidecar, arrival),
+            E::RetryDue(arrival) => self.send_request(arrival),
+            E::RequestAtSidecar(request) => self.on_request_at_sidecar(request),
+            E::BalancerTimer(timer) => self.on_balancer_timer(&timer),
+            E::ResponseDue(request) => self.on_response_due(request),
+            E::ClientTimeout(request) => self.on_client_timeout(request),
+            E::ClientDisconnect(request) => self.on_client_disconnect(request),
+            E::ResponseAtClient(response) => self.on_response_at_client(&response),
+            E::ConnectAtServer(attempt) => self.on_connect_at_server(attempt),
+            E::ConnectionOpen(attempt) => self.on_connection_open(attempt),
+            E::AttemptAtServer(attempt) => self.on_attempt_at_server(attempt),
+            E::ResultAtSidecar(attempt, outcome) => self.on_result_at_sidecar(attempt, outcome),
+            E::AttemptTimeout(attempt) => self.on_attempt_timeout(attempt),
+            E::CancellationAtServer(cancellation) => self.on_cancellation(&cancellation),
+            E::ServerDue(server, turn) => self.on_server_due(server, turn),
+            E::HealthCheckAtServer(check) => self.on_health_check_at_server(&check),
+            E::HealthCheckResult(result) => self.on_health_check_result(&result),
+            E::PollResult(result) => self.on_poll_result(&result),
+            E::WatchNotification(process) => self.on_watch_notification(process),
+            E::ListChange { server, change } => self.on_list_change(server, change),
+            E::Fault { index, starts } => self.on_fault(index, starts),
+            E::SidecarRestart(restart) => self.on_sidecar_restart(&restart),
+            E::SidecarUp(sidecar) => self.start_sidecar(sidecar),
+            E::GaugeTick => self.on_gauge_tick(),
         }
     }
 
-    fn at(&mut self, at: Micros, what: Happening) {
-        self.queue.push(at.max(self.now), what);
-    }
-
-    fn after(&mut self, span: Micros, what: Happening) {
-        self.at(self.now + span, what);
+    fn record(&mut self, event: LogEvent) {
+        let at = self.timeline.now();
+        self.log.note(&LogRecord { at, event });
     }
 
-    fn note(&mut self, entry: LogEvent) {
-        self.ledger.note(&LogRecord {
-            at: self.now,
-            event: entry,
-        });
-    }
-
-    fn number(&mut self) -> u64 {
+    /// A number for an arrival or a request.
+    fn take_number(&mut self) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
         number
     }
 
-    /// One way between two zones, drawn by a sidecar's stream.
-    fn delay(&mut self, sidecar: u32, server: u32) -> Micros {
-        let network = &self.day.network;
+    /// One way between a sidecar and a server in microseconds, drawn by the sidecar's stream.
+    fn draw_delay(&mut self, sidecar: u32, server: u32) -> Micros {
+        let network = &self.scenario.network;
         let sidecar = &mut self.sidecars[sidecar as usize];
-        let same = sidecar.zone == self.servers[server as usize].zone;
-        let base = if same {
+        let base_ms = if sidecar.zone == self.servers[server as usize].zone {
             network.same_ms
         } else {
             network.cross_ms
         };
-        from_ms(base * (1.0 + network.jitter * sidecar.network.unit()))
+        from_ms(base_ms * (1.0 + network.jitter * sidecar.network_random.unit()))
     }
 
-    /// Once a second: gauges and idle connections.
-    fn second(&mut self) {
+    /// Records gauges of all servers, and closes idle connections.
+    fn on_gauge_tick(&mut self) {
         for number in 0..self.servers.len() {
             let machine = &self.servers[number].machine;
-            let (held, connections) = (machine.held() as u32, machine.connections() as u32);
-            self.note(LogEvent::ServerGauge {
+            let gauge = LogEvent::ServerGauge {
                 server: number as u32,
-                in_flight: held,
-                connections,
-            });
+                in_flight: machine.held() as u32,
+                connections: machine.connections() as u32,
+            };
+            self.record(gauge);
         }
-        self.sweep();
-        self.after(1_000_000, Happening::Second);
-    }
-}
-
-/// What a run of the model took, beside its report.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Effort {
-    pub happenings: u64,
-    pub choked_off: u64,
-}
-
-/// Plays a day in the model and sums it up; `further` readers see the record too.
-///
-/// # Errors
-/// What the decision module says of the settings.
-pub fn run(day: &Scenario, further: Option<&mut dyn EventLog>) -> Result<(Report, Effort), String> {
-    let (mut auditor, mut tally) = (Auditor::new(day, 0), Statistics::new(day));
-    let mut readers = Tee {
-        first: &mut auditor,
-        second: &mut tally,
-        further,
-    };
-    let mut model = Simulator::new(day, &mut readers)?;
-    model.play();
-    let effort = Effort {
-        happenings: model.played,
-        choked_off: model.choked_off,
-    };
-    let choked = model
-        .servers
-        .iter()
-        .filter(|s| s.machine.choked() > 0)
-        .count();
-    let held = model
-        .servers
-        .iter()
-        .map(|s| s.machine.done.held_most)
-        .max()
-        .unwrap_or(0);
-    auditor.finish();
-    let mut report = tally.report("model", day.seed);
-    report.audited(&auditor);
-    report.expect(&day.expect);
-    report.remarks.push(format!(
-        "{choked} job servers were choked for a time; one held {held} at most"
-    ));
-    if effort.choked_off > 0 {
-        let most = day.load.max_open_requests;
-        let n = effort.choked_off;
-        report.remarks.push(format!(
-            "{n} wishes were choked off: load.open_most is {most}"
-        ));
+        self.close_idle_connections();
+        self.timeline
+            .after(GAUGE_INTERVAL, SimulatorEvent::GaugeTick);
     }
-    Ok((report, effort))
-}
-
-/// What a probe tells, as the module takes it.
-fn load(load: Load) -> (u32, u32) {
-    (load.inflight as u32, load.queue as u32)
 }
--- /dev/null
+++ b/crates/testbed/src/simulator/request.rs
@@ -0,0 +1,76 @@
+//! What is open in the simulator: arrivals, their requests, and the requests' attempts.
+
+use slotmap::new_key_type;
+
+use super::event::SidecarProcess;
+use crate::scenario::Micros;
+
+new_key_type! {
+    pub(super) struct ArrivalKey;
+    pub(super) struct RequestKey;
+    pub(super) struct AttemptKey;
+}
+
+/// What a client wants, with all its requests.
+pub(super) struct OpenArrival {
+    pub(super) number: u64,
+    pub(super) sidecar: u32,
+    pub(super) class: u16,
+    /// Work in microseconds of a standard core.
+    pub(super) work: f64,
+    /// What the client hints of the work, in microseconds of a standard core.
+    pub(super) work_hint: Option<Micros>,
+    pub(super) deadline: Micros,
+    /// Requests sent so far.
+    pub(super) requests: u32,
+    /// Whether the client keeps to a Retry-After.
+    pub(super) honours_retry_after: bool,
+}
+
+/// One request of a client to its sidecar: the first of an arrival or a retry.
+pub(super) struct Request {
+    pub(super) number: u64,
+    pub(super) arrival: ArrivalKey,
+    /// The process that it was sent to.
+    pub(super) process: SidecarProcess,
+    pub(super) class: u16,
+    /// Work in microseconds of a standard core.
+    pub(super) work: f64,
+    pub(super) work_hint: Option<Micros>,
+    /// When its client gives up.
+    pub(super) due: Micros,
+    pub(super) attempts: Vec<AttemptKey>,
+    /// The sidecar has given its final response, which may still be on its way.
+    pub(super) answered: bool,
+}
+
+/// One attempt of a sidecar at a server.
+pub(super) struct Attempt {
+    pub(super) request: RequestKey,
+    pub(super) request_number: u64,
+    /// Counts the request's attempts from 0.
+    pub(super) index: u32,
+    pub(super) sidecar: u32,
+    pub(super) server: u32,
+    /// Its number at the server's model.
+    pub(super) job: u64,
+    pub(super) sent_at: Micros,
+    /// When its sidecar gives up.
+    pub(super) due: Micros,
+    /// Work in microseconds of a standard core.
+    pub(super) work: f64,
+    /// One way to the server, in microseconds.
+    pub(super) delay: Micros,
+    /// Its connection, by the server's start that this belongs to.
+    pub(super) connection: Option<u32>,
+    /// Whether it opens a connection of its own.
+    pub(super) fresh: bool,
+    /// Its last byte is written.
+    pub(super) written: bool,
+    /// Its sidecar knows how it ended.
+    pub(super) ended: bool,
+    /// Its connection will be reset before the response.
+    pub(super) reset_pending: bool,
+    /// Requests in flight that its response reports.
+    pub(super) reported_in_flight: Option<usize>,
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/run.rs
@@ -0,0 +1,63 @@
+//! Plays a scenario to its end and sums it up.
+
+use super::{Simulator, SimulatorError};
+use crate::audit::Auditor;
+use crate::event_log::{EventLog, Tee};
+use crate::report::Report;
+use crate::scenario::Scenario;
+use crate::statistics::Statistics;
+
+/// What a simulation took, beside its report.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Effort {
+    /// Events played.
+    pub happenings: u64,
+    /// Arrivals that were not played, as too many requests were open.
+    pub choked_off: u64,
+}
+
+/// Simulates a scenario and sums it up; `further` readers see the event log too.
+///
+/// # Errors
+/// Settings that the balancer refuses.
+pub fn run(
+    scenario: &Scenario,
+    further: Option<&mut dyn EventLog>,
+) -> Result<(Report, Effort), SimulatorError> {
+    let mut auditor = Auditor::new(scenario, 0);
+    let mut statistics = Statistics::new(scenario);
+    let mut readers = Tee {
+        first: &mut auditor,
+        second: &mut statistics,
+        further,
+    };
+    let mut simulator = Simulator::new(scenario, &mut readers)?;
+    simulator.play();
+    let effort = simulator.effort;
+    let overload = overload_remark(&simulator);
+    auditor.finish();
+    let mut report = statistics.report("model", scenario.seed);
+    report.audited(&auditor);
+    report.expect(&scenario.expect);
+    report.remarks.push(overload);
+    if effort.choked_off > 0 {
+        report.remarks.push(choked_off_remark(scenario, effort));
+    }
+    Ok((report, effort))
+}
+
+fn overload_remark(simulator: &Simulator<'_>) -> String {
+    let models = || simulator.servers.iter().map(|server| &server.machine);
+    let choked = models().filter(|model| model.choked() > 0).count();
+    let held = models()
+        .map(|model| model.done.held_most)
+        .max()
+        .unwrap_or(0);
+    format!("{choked} job servers were choked for a time; one held {held} at most")
+}
+
+fn choked_off_remark(scenario: &Scenario, effort: Effort) -> String {
+    let most = scenario.load.max_open_requests;
+    let n = effort.choked_off;
+    format!("{n} wishes were choked off: load.open_most is {most}")
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/server/attempts.rs
@@ -0,0 +1,262 @@
+//! An attempt's way to its server: connection, request, admission.
+
+use std::collections::VecDeque;
+
+use arrowstand_balancer::{Event as BalancerEvent, Outcome};
+
+use super::Reachability;
+use crate::event_log::LogEvent;
+use crate::scenario::{Micros, from_ms};
+use crate::server_model::Job;
+use crate::simulator::Simulator;
+use crate::simulator::event::{Cancellation, SimulatorEvent};
+use crate::simulator::request::{Attempt, AttemptKey, Request, RequestKey};
+
+impl Simulator<'_> {
+    /// Sends an attempt of a request; `timeout` is cut to the time that the request has left.
+    pub(in crate::simulator) fn send_attempt(
+        &mut self,
+        request_key: RequestKey,
+        server: u32,
+        timeout: Option<Micros>,
+        events: &mut VecDeque<BalancerEvent>,
+    ) {
+        let request = self.requests.get(request_key);
+        let Some(request) = request.filter(|request| !request.answered) else {
+            return;
+        };
+        let class = request.class;
+        let now = self.timeline.now();
+        let mut attempt = new_attempt(request_key, request, server, timeout, now);
+        let sidecar = attempt.sidecar;
+        attempt.job = self.take_job();
+        let is_known = self.servers.get(server as usize).is_some();
+        if is_known {
+            attempt.delay = self.draw_delay(sidecar, server);
+        }
+        attempt.work = self.draw_attempt_work(sidecar, class, attempt.work);
+        if is_known {
+            attempt.connection = self.reuse_connection(sidecar, server);
+        }
+        attempt.fresh = attempt.connection.is_none();
+        attempt.written = !attempt.fresh;
+        let key = self.attempts.insert(attempt);
+        if let Some(request) = self.requests.get_mut(request_key) {
+            request.attempts.push(key);
+        }
+        if is_known {
+            self.schedule_attempt(key);
+        } else {
+            self.end_attempt(key, Outcome::NotSent, events);
+        }
+    }
+
+    fn take_job(&mut self) -> u64 {
+        let job = self.next_job;
+        self.next_job += 1;
+        job
+    }
+
+    /// Work of one attempt, which differs from the request's by its class's noise.
+    fn draw_attempt_work(&mut self, sidecar: u32, class: u16, work: f64) -> f64 {
+        let class = self.scenario.class.get(usize::from(class));
+        let noise = class.map_or(0.0, |class| class.noise);
+        if noise > 0.0 {
+            let random = &mut self.sidecars[sidecar as usize].network_random;
+            work * (noise * random.normal() - noise * noise / 2.0).exp()
+        } else {
+            work
+        }
+    }
+
+    fn schedule_attempt(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        let (delay, due) = (attempt.delay, attempt.due);
+        if attempt.fresh {
+            let connect_timeout = from_ms(self.scenario.permissions.connect_timeout_ms);
+            let connect_due = self.timeline.now() + connect_timeout;
+            let timeline = &mut self.timeline;
+            timeline.after(delay, SimulatorEvent::ConnectAtServer(key));
+            timeline.at(due.min(connect_due), SimulatorEvent::AttemptTimeout(key));
+        } else {
+            self.on_attempt_written(key);
+            let timeline = &mut self.timeline;
+            timeline.after(delay, SimulatorEvent::AttemptAtServer(key));
+            timeline.at(due, SimulatorEvent::AttemptTimeout(key));
+        }
+    }
+
+    fn on_attempt_written(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        attempt.written = true;
+        let (sidecar, server) = (attempt.sidecar, attempt.server);
+        let sidecar_zone = self.sidecars[sidecar as usize].zone;
+        let started = LogEvent::AttemptStarted {
+            request: attempt.request_number,
+            sidecar,
+            server,
+            cross_zone: sidecar_zone != self.servers[server as usize].zone,
+        };
+        self.record(started);
+    }
+
+    /// A new connection's first packet is at the server.
+    pub(in crate::simulator) fn on_connect_at_server(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let server = &mut self.servers[attempt.server as usize];
+        if server.reachability == Reachability::Silent {
+            return;
+        }
+        if attempt.ended {
+            self.attempts.remove(key);
+            return;
+        }
+        let accepted = server.reachability == Reachability::Open && server.machine.connect();
+        let answer = if accepted {
+            attempt.connection = Some(server.start);
+            SimulatorEvent::ConnectionOpen(key)
+        } else {
+            SimulatorEvent::ResultAtSidecar(key, Outcome::ConnectFailed)
+        };
+        self.timeline.after(attempt.delay, answer);
+    }
+
+    /// The sidecar knows that its connection is open, and writes the request.
+    pub(in crate::simulator) fn on_connection_open(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        if attempt.ended {
+            self.attempts.remove(key);
+            return;
+        }
+        let (due, delay) = (attempt.due, attempt.delay);
+        let machine = &self.servers[attempt.server as usize].machine;
+        let further_round_trips = (machine.kind().handshake_rtts - 1.0).max(0.0);
+        self.on_attempt_written(key);
+        let timeline = &mut self.timeline;
+        timeline.at(due, SimulatorEvent::AttemptTimeout(key));
+        let handshake = (further_round_trips * 2.0 * delay as f64) as Micros;
+        timeline.after(delay + handshake, SimulatorEvent::AttemptAtServer(key));
+    }
+
+    /// An attempt's last byte is at the server.
+    pub(in crate::simulator) fn on_attempt_at_server(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        // Its connection was closed before all of it had arrived.
+        if attempt.ended && attempt.fresh {
+            self.attempts.remove(key);
+            return;
+        }
+        let server = &mut self.servers[attempt.server as usize];
+        let open_start = server.open_start();
+        if server.reachability == Reachability::Silent {
+            server.lost.push(key);
+        } else if open_start.is_none() || attempt.connection.is_some_and(|c| c != server.start) {
+            let reset = SimulatorEvent::ResultAtSidecar(key, Outcome::Reset);
+            self.timeline.after(attempt.delay, reset);
+        } else {
+            self.offer_attempt(key);
+        }
+    }
+
+    /// Offers an attempt to the server, which takes it or rejects it.
+    fn offer_attempt(&mut self, key: AttemptKey) {
+        let now = self.timeline.now();
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let number = attempt.server;
+        let server = &mut self.servers[number as usize];
+        let (capacity, cold) = (server.machine.capacity(now), server.machine.is_cold(now));
+        attempt.reset_pending = self.server_random.chance(server.reset_share);
+        if attempt.fresh {
+            server.machine.handshake(now, &mut self.server_events);
+        }
+        let job = Job {
+            id: attempt.job,
+            work: attempt.work,
+            until: attempt.due,
+        };
+        let taken = !server.draining && server.machine.offer(now, job, &mut self.server_events);
+        if taken {
+            server.jobs.insert(job.id, key);
+        }
+        let (request, delay, work) = (attempt.request_number, attempt.delay, attempt.work);
+        if attempt.fresh {
+            self.record(LogEvent::ConnectionOpened { server: number });
+        }
+        self.record(LogEvent::AttemptReceived {
+            request,
+            server: number,
+            work,
+            capacity,
+            cold,
+        });
+        if !taken {
+            self.record(LogEvent::AttemptRejected {
+                request,
+                server: number,
+            });
+            let rejected = SimulatorEvent::ResultAtSidecar(key, Outcome::Rejected);
+            self.timeline.after(delay, rejected);
+        }
+        self.settle_server(number);
+    }
+
+    /// Closes an attempt's connection; the server notices what it has of it after the way there.
+    pub(in crate::simulator) fn close_attempt_connection(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let Some(server_start) = attempt.connection.take() else {
+            return;
+        };
+        self.servers[attempt.server as usize].close_connection(server_start);
+        if attempt.written {
+            let noticed = SimulatorEvent::CancellationAtServer(Cancellation {
+                server: attempt.server,
+                server_start,
+                job: attempt.job,
+            });
+            self.timeline.after(attempt.delay, noticed);
+        }
+    }
+}
+
+/// An attempt before its delay, its work and its connection are known.
+fn new_attempt(
+    key: RequestKey,
+    request: &Request,
+    server: u32,
+    timeout: Option<Micros>,
+    now: Micros,
+) -> Attempt {
+    let time_left = request.due.saturating_sub(now);
+    Attempt {
+        request: key,
+        request_number: request.number,
+        index: request.attempts.len() as u32,
+        sidecar: request.process.sidecar,
+        server,
+        job: 0,
+        sent_at: now,
+        due: now + timeout.map_or(time_left, |timeout| timeout.min(time_left)),
+        work: request.work,
+        delay: 0,
+        connection: None,
+        fresh: true,
+        written: false,
+        ended: false,
+        reset_pending: false,
+        reported_in_flight: None,
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/server/health_checks.rs
@@ -0,0 +1,116 @@
+//! A health check's way to its server and back.
+
+use arrowstand_balancer::Outcome;
+
+use super::{Reachability, Server};
+use crate::event_log::LogEvent;
+use crate::scenario::{Micros, from_ms};
+use crate::server_model::{Report, State};
+use crate::simulator::Simulator;
+use crate::simulator::event::{HealthCheck, HealthCheckResult, ReportedLoad, SimulatorEvent};
+
+/// Ways between sidecar and server until a health check on a new connection has arrived.
+const WAYS_OF_NEW_CONNECTION: Micros = 3;
+
+impl Simulator<'_> {
+    pub(in crate::simulator) fn send_health_check(&mut self, sidecar: u32, server: u32) {
+        self.record(LogEvent::HealthChecked { sidecar, server });
+        let process = self.process(sidecar);
+        let delay = self.draw_delay(sidecar, server);
+        let fresh = self.reuse_connection(sidecar, server).is_none();
+        let way = if fresh {
+            WAYS_OF_NEW_CONNECTION * delay
+        } else {
+            delay
+        };
+        let check = SimulatorEvent::HealthCheckAtServer(HealthCheck {
+            process,
+            server,
+            delay: delay as u32,
+            fresh,
+        });
+        self.timeline.after(way, check);
+    }
+
+    pub(in crate::simulator) fn on_health_check_at_server(&mut self, check: &HealthCheck) {
+        let delay = Micros::from(check.delay);
+        let server = &mut self.servers[check.server as usize];
+        if server.refuses(check) {
+            let refused = result(check, Outcome::ConnectFailed, None);
+            self.timeline.after(delay, refused);
+        } else if !server.answers_health_checks() {
+            server.on_unanswered_health_check();
+            let timeout = from_ms(self.scenario.permissions.health_check_timeout_ms);
+            let timed_out = result(check, Outcome::TimedOut, None);
+            self.timeline
+                .after(timeout.saturating_sub(2 * delay), timed_out);
+        } else {
+            self.answer_health_check(check);
+        }
+    }
+
+    fn answer_health_check(&mut self, check: &HealthCheck) {
+        let (now, delay) = (self.timeline.now(), Micros::from(check.delay));
+        let (sidecar, number) = (check.process.sidecar, check.server);
+        let server = &mut self.servers[number as usize];
+        if check.fresh {
+            server.machine.handshake(now, &mut self.server_events);
+        }
+        let start = server.start;
+        let report = server.machine.probe(now, &mut self.server_events);
+        let outcome = if report.is_some() {
+            Outcome::Served
+        } else {
+            Outcome::Rejected
+        };
+        let answer = result(check, outcome, report.map(reported_load));
+        self.timeline.after(delay, answer);
+        if check.fresh {
+            self.record(LogEvent::ConnectionOpened { server: number });
+        }
+        if self.is_current(check.process) {
+            self.keep_connection(sidecar, number, now + delay, start);
+        } else {
+            self.servers[number as usize].close_connection(start);
+        }
+        self.settle_server(number);
+    }
+}
+
+impl Server {
+    /// Whether a health check's connection is refused; one that is accepted takes a place.
+    fn refuses(&mut self, check: &HealthCheck) -> bool {
+        match self.reachability {
+            Reachability::Refusing => true,
+            Reachability::Open => check.fresh && !self.machine.connect(),
+            Reachability::Silent => false,
+        }
+    }
+
+    fn answers_health_checks(&self) -> bool {
+        self.reachability != Reachability::Silent && self.machine.state() == State::Up
+    }
+
+    /// The health check's connection is closed, where there is anybody to close it.
+    fn on_unanswered_health_check(&mut self) {
+        if self.reachability == Reachability::Open {
+            self.machine.disconnect();
+        }
+    }
+}
+
+fn result(check: &HealthCheck, outcome: Outcome, load: Option<ReportedLoad>) -> SimulatorEvent {
+    SimulatorEvent::HealthCheckResult(HealthCheckResult {
+        process: check.process,
+        server: check.server,
+        outcome,
+        load,
+    })
+}
+
+fn reported_load(report: Report) -> ReportedLoad {
+    ReportedLoad {
+        in_flight: report.inflight as u32,
+        queued: report.queue as u32,
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/server/mod.rs
@@ -0,0 +1,169 @@
+//! The simulator's servers, and everything on the way to them and back.
+//!
+//! This file owns a server's state. `attempts` is an attempt's way to the server, `results` its way back,
+//! `machine` what the server model does by itself, `health_checks` the way of a health check.
+
+mod attempts;
+mod health_checks;
+mod machine;
+mod results;
+
+use std::collections::BTreeMap;
+
+use super::Simulator;
+use super::request::AttemptKey;
+use crate::event_log::{LogEvent, ServerState};
+use crate::scenario::{MachineType, Micros, Scenario};
+use crate::server_model::{Event as ServerModelEvent, ServerModel, State};
+
+/// How the network answers for a server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reachability {
+    /// Its process answers.
+    Open,
+    /// Its process is gone: connections are refused.
+    Refusing,
+    /// Its machine is gone: nothing is answered.
+    Silent,
+}
+
+/// A server: its model, and what the network does for it.
+pub(super) struct Server {
+    pub(super) machine: ServerModel,
+    pub(super) zone: u32,
+    reachability: Reachability,
+    /// Counts its starts: connections belong to one.
+    start: u32,
+    /// When its process started; 0 where it was there before the run.
+    pub(super) launched: Micros,
+    /// It rejects what is new.
+    draining: bool,
+    /// Attempts that it works on, by their jobs.
+    jobs: BTreeMap<u64, AttemptKey>,
+    /// Attempts that went into silence.
+    lost: Vec<AttemptKey>,
+    /// Share of its responses that is malformed.
+    malformed_share: f64,
+    /// Share of its connections that is reset amid a request.
+    reset_share: f64,
+    /// Counts the plans for its model: only the last one counts.
+    turn: u32,
+    /// When its model has something to do by itself.
+    planned: Option<Micros>,
+}
+
+impl Server {
+    /// A server of a machine type, its speed drawn; a cold one has been started now.
+    pub(super) fn new(
+        scenario: &Scenario,
+        machine_type: &MachineType,
+        number: usize,
+        zone: u32,
+        now: Micros,
+        cold: bool,
+    ) -> Self {
+        Self {
+            machine: ServerModel::drawn(scenario, machine_type, number, now, cold),
+            zone,
+            reachability: Reachability::Open,
+            start: 0,
+            launched: if cold { now.max(1) } else { 0 },
+            draining: false,
+            jobs: BTreeMap::new(),
+            lost: Vec::new(),
+            malformed_share: 0.0,
+            reset_share: 0.0,
+            turn: 0,
+            planned: None,
+        }
+    }
+
+    /// The start to which new connections belong; absent where they are refused.
+    pub(super) fn open_start(&self) -> Option<u32> {
+        (self.reachability != Reachability::Refusing).then_some(self.start)
+    }
+
+    /// A connection that belongs to a start is closed; one to an earlier start went with it.
+    pub(super) fn close_connection(&mut self, start: u32) {
+        if start == self.start {
+            self.machine.disconnect();
+        }
+    }
+
+    /// From now on it rejects what is new.
+    pub(super) fn on_drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Sets the share of its responses that is malformed.
+    pub(super) fn set_malformed_share(&mut self, share: f64) {
+        self.malformed_share = share;
+    }
+
+    /// Sets the share of its connections that is reset amid a request.
+    pub(super) fn set_reset_share(&mut self, share: f64) {
+        self.reset_share = share;
+    }
+
+    /// Its process ends with resets; gives back the attempts that it worked on.
+    pub(super) fn on_process_ended(
+        &mut self,
+        now: Micros,
+        events: &mut Vec<ServerModelEvent>,
+    ) -> Vec<AttemptKey> {
+        self.reachability = Reachability::Refusing;
+        self.start += 1;
+        self.machine.set_state(now, State::Down, events);
+        std::mem::take(&mut self.jobs).into_values().collect()
+    }
+
+    /// Its machine vanishes without a reset.
+    pub(super) fn on_machine_vanished(&mut self, now: Micros, events: &mut Vec<ServerModelEvent>) {
+        self.reachability = Reachability::Silent;
+        self.machine.set_state(now, State::Down, events);
+        let held = std::mem::take(&mut self.jobs).into_values();
+        self.lost.extend(held);
+    }
+
+    /// It is back, cold; gives back the attempts that went into silence.
+    pub(super) fn on_restarted(
+        &mut self,
+        now: Micros,
+        events: &mut Vec<ServerModelEvent>,
+    ) -> Vec<AttemptKey> {
+        self.start += 1;
+        self.reachability = Reachability::Open;
+        self.draining = false;
+        self.launched = now;
+        self.machine.set_state(now, State::Up, events);
+        std::mem::take(&mut self.lost)
+    }
+}
+
+impl Simulator<'_> {
+    pub(super) fn build_servers(&mut self) {
+        let scenario = self.scenario;
+        for (number, (machine_type, group)) in scenario.fleet().into_iter().enumerate() {
+            let zone = scenario.server_zone(group, number);
+            let server = Server::new(scenario, machine_type, number, zone, 0, group.cold);
+            let launched = server.launched;
+            self.servers.push(server);
+            let state = if group.cold {
+                ServerState::Cold
+            } else {
+                ServerState::Up
+            };
+            self.record_server_state(number as u32, state);
+            self.discovery.add_initial(number as u32, launched);
+        }
+    }
+
+    pub(super) fn record_server_state(&mut self, server: u32, state: ServerState) {
+        let zone = self.servers[server as usize].zone;
+        self.record(LogEvent::ServerStateChanged {
+            server,
+            zone,
+            state,
+        });
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/sidecar/connections.rs
@@ -0,0 +1,122 @@
+//! A sidecar's idle connections to servers.
+
+use std::collections::VecDeque;
+
+use rustc_hash::FxHashMap;
+
+use crate::scenario::{Micros, from_s};
+use crate::simulator::Simulator;
+
+/// Share of the servers' idle timeout after which a sidecar no longer uses a connection.
+const REUSE_SHARE: f64 = 0.75;
+
+/// A connection that carries nothing.
+#[derive(Clone, Copy)]
+struct IdleConnection {
+    idle_since: Micros,
+    /// The server's start that it belongs to.
+    server_start: u32,
+}
+
+/// Idle connections by server; the one that was used last is used first.
+#[derive(Default)]
+pub(super) struct IdleConnections {
+    pools: FxHashMap<u32, VecDeque<IdleConnection>>,
+}
+
+impl IdleConnections {
+    fn add(&mut self, server: u32, connection: IdleConnection) {
+        self.pools.entry(server).or_default().push_back(connection);
+    }
+
+    /// The connection that was used last, of those to the server's present start; all others are forgotten, as
+    /// the server's process that they belonged to has reset them. `open_start` is absent where it refuses.
+    fn take(&mut self, server: u32, open_start: Option<u32>) -> Option<IdleConnection> {
+        let pool = self.pools.get_mut(&server)?;
+        pool.retain(|connection| Some(connection.server_start) == open_start);
+        pool.pop_back()
+    }
+
+    /// Removes the connections that have been idle since before a moment, and calls `close` for each.
+    fn remove_idle_since(&mut self, before: Micros, mut close: impl FnMut(u32, u32)) {
+        for (&server, pool) in &mut self.pools {
+            pool.retain(|connection| {
+                let expired = connection.idle_since <= before;
+                if expired {
+                    close(server, connection.server_start);
+                }
+                !expired
+            });
+        }
+        self.pools.retain(|_, pool| !pool.is_empty());
+    }
+
+    /// All connections, as server and server's start.
+    pub(super) fn into_connections(self) -> impl Iterator<Item = (u32, u32)> {
+        self.pools.into_iter().flat_map(|(server, pool)| {
+            pool.into_iter()
+                .map(move |connection| (server, connection.server_start))
+        })
+    }
+}
+
+impl Simulator<'_> {
+    /// How long a sidecar uses an idle connection, in microseconds.
+    fn reuse_time(&self) -> Micros {
+        let idle_timeout = from_s(self.scenario.permissions.idle_timeout_s);
+        (idle_timeout as f64 * REUSE_SHARE) as Micros
+    }
+
+    /// Takes an idle connection to a server, as the server's start that it belongs to.
+    pub(in crate::simulator) fn reuse_connection(
+        &mut self,
+        sidecar: u32,
+        server: u32,
+    ) -> Option<u32> {
+        let reuse_time = self.reuse_time();
+        let target = &mut self.servers[server as usize];
+        let connections = &mut self.sidecars[sidecar as usize].connections;
+        let connection = connections.take(server, target.open_start())?;
+        if connection.idle_since + reuse_time > self.timeline.now() {
+            return Some(connection.server_start);
+        }
+        target.close_connection(connection.server_start);
+        None
+    }
+
+    /// Keeps a connection that is idle from a moment on; a sidecar that is down has closed it.
+    pub(in crate::simulator) fn keep_connection(
+        &mut self,
+        sidecar: u32,
+        server: u32,
+        idle_since: Micros,
+        server_start: u32,
+    ) {
+        if self.is_up(sidecar) {
+            let connection = IdleConnection {
+                idle_since,
+                server_start,
+            };
+            let connections = &mut self.sidecars[sidecar as usize].connections;
+            connections.add(server, connection);
+        } else {
+            self.servers[server as usize].close_connection(server_start);
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(in crate::simulator) fn close_idle_connections(&mut self) {
+        let (now, reuse_time) = (self.timeline.now(), self.reuse_time());
+        let Some(before) = now.checked_sub(reuse_time) else {
+            return;
+        };
+        for sidecar in &mut self.sidecars {
+            let servers = &mut self.servers;
+            sidecar
+                .connections
+                .remove_idle_since(before, |server, start| {
+                    servers[server as usize].close_connection(start);
+                });
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/sidecar/host.rs
@@ -0,0 +1,141 @@
+//! Hosts a sidecar's balancer: gives it events, and carries out the actions that it asks for.
+
+use std::collections::VecDeque;
+
+use arrowstand_balancer::{Action, Event as BalancerEvent, LoadReport, RequestId, ServerId};
+
+use crate::event_log::RequestOutcome;
+use crate::scenario::{Micros, from_ms};
+use crate::simulator::event::{BalancerTimer, HealthCheckResult, SimulatorEvent};
+use crate::simulator::request::RequestKey;
+use crate::simulator::{EPOCH, Simulator};
+
+impl Simulator<'_> {
+    /// Gives an event to a balancer and carries out what it asks for, and what follows from that.
+    pub(in crate::simulator) fn handle_balancer_event(
+        &mut self,
+        number: u32,
+        event: BalancerEvent,
+    ) {
+        let now = EPOCH + self.timeline.now();
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            actions.clear();
+            let Some(balancer) = &mut self.sidecars[number as usize].balancer else {
+                return;
+            };
+            balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.execute(number, action, &mut events);
+            }
+            self.actions = actions;
+        }
+    }
+
+    /// Gives a balancer events one after the other, each with all that follows from it.
+    pub(in crate::simulator) fn handle_balancer_events(
+        &mut self,
+        number: u32,
+        events: VecDeque<BalancerEvent>,
+    ) {
+        for event in events {
+            self.handle_balancer_event(number, event);
+        }
+    }
+
+    /// Carries out an action; what the balancer is to learn of it is added to `events`.
+    fn execute(&mut self, number: u32, action: Action, events: &mut VecDeque<BalancerEvent>) {
+        match action {
+            Action::Send {
+                request,
+                server,
+                timeout,
+            } => {
+                if let Some(key) = self.open_request(number, request) {
+                    self.send_attempt(key, server.0, timeout, events);
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                let open = self.open_request(number, request);
+                if let Some(key) = open.and_then(|key| self.attempt_of(key, attempt)) {
+                    self.cancel_attempt(key, events);
+                }
+            }
+            Action::Reject {
+                request,
+                retry_after,
+            } => {
+                let retry_after = retry_after.unwrap_or(self.max_retry_after());
+                self.respond_if_open(
+                    number,
+                    request,
+                    RequestOutcome::Rejected,
+                    retry_after,
+                    events,
+                );
+            }
+            Action::Fail { request } => {
+                let retry_after = self.max_retry_after();
+                self.respond_if_open(number, request, RequestOutcome::Failed, retry_after, events);
+            }
+            Action::SetTimer { token, after } => self.set_balancer_timer(number, token, after),
+            Action::HealthCheck { server } => self.send_health_check(number, server.0),
+            Action::PollEndpoints => self.poll_endpoints(number),
+            Action::SendGossip { .. } | Action::Log { .. } => {}
+        }
+    }
+
+    /// Longest Retry-After, in microseconds.
+    pub(super) fn max_retry_after(&self) -> Micros {
+        from_ms(self.scenario.permissions.max_retry_after_ms)
+    }
+
+    fn open_request(&self, sidecar: u32, request: RequestId) -> Option<RequestKey> {
+        let open = &self.sidecars[sidecar as usize].open;
+        open.get(&request.0).copied()
+    }
+
+    fn respond_if_open(
+        &mut self,
+        sidecar: u32,
+        request: RequestId,
+        outcome: RequestOutcome,
+        retry_after: Micros,
+        events: &mut VecDeque<BalancerEvent>,
+    ) {
+        if let Some(key) = self.open_request(sidecar, request) {
+            self.respond(key, outcome, retry_after, events);
+        }
+    }
+
+    fn set_balancer_timer(&mut self, number: u32, token: u64, after: Micros) {
+        let process = self.process(number);
+        let timer = SimulatorEvent::BalancerTimer(BalancerTimer { process, token });
+        self.timeline.after(after, timer);
+    }
+
+    pub(in crate::simulator) fn on_balancer_timer(&mut self, timer: &BalancerTimer) {
+        if self.is_current(timer.process) {
+            let token = timer.token;
+            let fired = BalancerEvent::TimerFired { token };
+            self.handle_balancer_event(timer.process.sidecar, fired);
+        }
+    }
+
+    pub(in crate::simulator) fn on_health_check_result(&mut self, result: &HealthCheckResult) {
+        if !self.is_current(result.process) {
+            return;
+        }
+        let load_report = result.load.map(|load| LoadReport {
+            in_flight: f64::from(load.in_flight),
+            queued: f64::from(load.queued),
+        });
+        let ended = BalancerEvent::HealthCheckEnded {
+            server: ServerId(result.server),
+            outcome: result.outcome,
+            load_report,
+        };
+        self.handle_balancer_event(result.process.sidecar, ended);
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/sidecar/mod.rs
@@ -0,0 +1,205 @@
+//! The simulator's sidecars: each hosts one balancer as the real program does.
+//!
+//! This file owns a sidecar's state, its start and its restarts. `host` carries out what the balancer asks for,
+//! `requests` is a request's life at the sidecar, `connections` the pool of idle connections.
+
+mod connections;
+mod host;
+mod requests;
+mod settings;
+
+use std::collections::BTreeMap;
+
+use arrowstand_control::WorkAwareBalancer;
+
+use super::discovery::KnownEndpoints;
+use super::event::{ClientResponse, SidecarProcess, SidecarRestart, SimulatorEvent};
+use super::request::RequestKey;
+use super::{Simulator, SimulatorError};
+use crate::event_log::{LogEvent, ProcessState, RequestOutcome};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Micros, Scenario, from_ms};
+use crate::workload::{ArrivalStream, parts};
+
+use connections::IdleConnections;
+use settings::balancer_settings;
+
+/// How long a sidecar goes on responding once it is told to end, in microseconds: the real program accepts for
+/// that long, and drains.
+const SHUTDOWN_GRACE: Micros = 700_000;
+/// Number of the first sidecar's stream for its clients' requests, apart from those for their arrivals.
+const REQUEST_STREAMS: usize = 1 << 30;
+
+/// A sidecar, and all that is its own.
+pub(super) struct Sidecar {
+    pub(super) zone: u32,
+    /// Counts its processes.
+    incarnation: u32,
+    /// Absent while it is down.
+    balancer: Option<WorkAwareBalancer>,
+    /// The endpoint list as it last had it.
+    pub(super) endpoints: KnownEndpoints,
+    /// Whether it watches the list.
+    pub(super) watches: bool,
+    /// Polls of the list so far: only the last one's result counts.
+    pub(super) polls: u32,
+    connections: IdleConnections,
+    /// Open requests by their numbers.
+    open: BTreeMap<u64, RequestKey>,
+    /// What its clients want.
+    pub(super) arrivals: ArrivalStream,
+    /// Draws its clients' timeouts and backoffs.
+    pub(super) client_random: RandomStream,
+    /// Draws delays, and the noise of attempts.
+    pub(super) network_random: RandomStream,
+    /// Draws the seeds of its balancers.
+    seeds: RandomStream,
+}
+
+impl Sidecar {
+    /// A sidecar that is down; `part` is its part of the traffic.
+    fn new(scenario: &Scenario, number: usize, part: f64, endpoints: KnownEndpoints) -> Self {
+        let stream = |cause, number| RandomStream::new(scenario.seed, cause, number);
+        Self {
+            zone: scenario.spread_zone(number),
+            incarnation: 0,
+            balancer: None,
+            endpoints,
+            watches: false,
+            polls: 0,
+            connections: IdleConnections::default(),
+            open: BTreeMap::new(),
+            arrivals: ArrivalStream::new(scenario, number, part),
+            // Requests draw from a stream of their own, so that arrivals stay as they are.
+            client_random: stream(StreamId::Clients, number + REQUEST_STREAMS),
+            network_random: stream(StreamId::Network, number),
+            seeds: stream(StreamId::Seeds, number),
+        }
+    }
+
+    /// Number of its present process.
+    pub(super) fn incarnation(&self) -> u32 {
+        self.incarnation
+    }
+
+    /// Ends its watch and gives the poll's number.
+    pub(super) fn on_poll_started(&mut self) -> u32 {
+        self.watches = false;
+        self.polls += 1;
+        self.polls
+    }
+
+    /// Forgets the process with its connections and requests, and gives these back.
+    fn on_killed(&mut self) -> (IdleConnections, BTreeMap<u64, RequestKey>) {
+        self.balancer = None;
+        self.watches = false;
+        self.incarnation += 1;
+        let connections = std::mem::take(&mut self.connections);
+        (connections, std::mem::take(&mut self.open))
+    }
+}
+
+impl Simulator<'_> {
+    pub(super) fn build_sidecars(&mut self) -> Result<(), SimulatorError> {
+        let scenario = self.scenario;
+        for (number, part) in parts(scenario).into_iter().enumerate() {
+            balancer_settings(scenario, number).validate()?;
+            let endpoints = self.discovery.cached_list();
+            let sidecar = Sidecar::new(scenario, number, part, endpoints);
+            self.sidecars.push(sidecar);
+        }
+        for number in 0..self.sidecars.len() as u32 {
+            self.start_sidecar(number);
+            self.schedule_next_arrival(number);
+        }
+        Ok(())
+    }
+
+    /// Starts a sidecar with nothing but its last endpoint list.
+    pub(super) fn start_sidecar(&mut self, number: u32) {
+        let settings = balancer_settings(self.scenario, number as usize);
+        let sidecar = &mut self.sidecars[number as usize];
+        let seed = sidecar.seeds.number();
+        sidecar.balancer = WorkAwareBalancer::new(settings, seed).ok();
+        sidecar.watches = false;
+        self.record(LogEvent::SidecarStateChanged {
+            sidecar: number,
+            state: ProcessState::Up,
+        });
+        self.restore_endpoints(number);
+    }
+
+    pub(super) fn is_up(&self, number: u32) -> bool {
+        self.sidecars[number as usize].balancer.is_some()
+    }
+
+    /// The present process of a sidecar.
+    pub(super) fn process(&self, number: u32) -> SidecarProcess {
+        SidecarProcess {
+            sidecar: number,
+            incarnation: self.sidecars[number as usize].incarnation,
+        }
+    }
+
+    /// Whether a process has not been killed since.
+    pub(super) fn is_current(&self, process: SidecarProcess) -> bool {
+        self.process(process.sidecar) == process
+    }
+
+    /// Ends a sidecar: what it holds is lost where it is killed, and responded to first where it is told to end.
+    pub(super) fn on_sidecar_restart(&mut self, restart: &SidecarRestart) {
+        if !self.is_up(restart.sidecar) {
+            return;
+        }
+        if restart.kill {
+            self.kill_sidecar(restart.sidecar, restart.down_time);
+            return;
+        }
+        self.record(LogEvent::SidecarStateChanged {
+            sidecar: restart.sidecar,
+            state: ProcessState::Ending,
+        });
+        let kill = SimulatorEvent::SidecarRestart(SidecarRestart {
+            sidecar: restart.sidecar,
+            down_time: restart.down_time.saturating_sub(SHUTDOWN_GRACE),
+            kill: true,
+        });
+        self.timeline.after(SHUTDOWN_GRACE, kill);
+    }
+
+    fn kill_sidecar(&mut self, number: u32, down_time: Micros) {
+        self.record(LogEvent::SidecarStateChanged {
+            sidecar: number,
+            state: ProcessState::Killed,
+        });
+        let (connections, open) = self.sidecars[number as usize].on_killed();
+        for (server, server_start) in connections.into_connections() {
+            self.servers[server as usize].close_connection(server_start);
+        }
+        for request in open.into_values() {
+            self.lose_request(request);
+        }
+        self.timeline
+            .after(down_time, SimulatorEvent::SidecarUp(number));
+    }
+
+    /// Closes the connections of a request whose sidecar is gone.
+    fn lose_request(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let was_answered = std::mem::replace(&mut request.answered, true);
+        for attempt in std::mem::take(&mut request.attempts) {
+            self.close_attempt_connection(attempt);
+        }
+        if !was_answered {
+            let way = from_ms(self.scenario.network.client_ms);
+            let lost = SimulatorEvent::ResponseAtClient(ClientResponse {
+                request: key,
+                outcome: RequestOutcome::ConnectionLost,
+                retry_after: 0,
+            });
+            self.timeline.after(way, lost);
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/simulator/sidecar/settings.rs
@@ -0,0 +1,76 @@
+//! The balancer's settings at a scenario's sidecars, as the real program would read them.
+
+use arrowstand_balancer::{DeduplicationScope, Idempotency, RequestClass, Settings};
+
+use crate::scenario::{
+    Class, DeduplicationGroup, Effect, MachineType, Micros, ReportSource, Scenario, from_ms, from_s,
+};
+
+/// A sidecar responds this long before the client gives up, in microseconds: the real program's `step-ms`.
+pub(super) const RESPONSE_MARGIN: Micros = 5_000;
+
+fn request_class(class: &Class) -> RequestClass {
+    let idempotency = match class.idempotency {
+        Effect::Safe => Idempotency::Idempotent,
+        Effect::Unsafe => Idempotency::NonIdempotent,
+        Effect::Keyed => Idempotency::IdempotencyKey,
+    };
+    let deduplication_scope = match class.deduplication_scope {
+        DeduplicationGroup::Zone => DeduplicationScope::Zone,
+        DeduplicationGroup::All => DeduplicationScope::All,
+    };
+    let objective = from_ms(class.latency_objective_ms);
+    let deadline = from_ms(class.deadline_ms);
+    RequestClass {
+        priority_weight: class.priority_weight,
+        deduplication_scope,
+        deduplication_window: from_ms(class.deduplication_window_ms),
+        late_value: class.late_value,
+        ..RequestClass::new(idempotency, objective, deadline)
+    }
+}
+
+/// The settings of the balancer at a sidecar, by its number.
+pub(super) fn balancer_settings(scenario: &Scenario, number: usize) -> Settings {
+    let (permissions, rules) = (&scenario.permissions, &scenario.rules);
+    let machine_types = &scenario.machine_type;
+    Settings {
+        classes: scenario.class.iter().map(request_class).collect(),
+        zone: scenario.spread_zone(number),
+        balancer_index: number as u32,
+        balancer_count: scenario.sidecars.count as u32,
+        step: RESPONSE_MARGIN,
+        cancellation: permissions.cancellation,
+        health_checks: permissions.health_checks,
+        gossip: false,
+        hedging: permissions.hedging,
+        retry_after: true,
+        max_retry_after: from_ms(permissions.max_retry_after_ms),
+        max_attempts: permissions.max_attempts,
+        health_check_fee: scenario.prices.health_check,
+        handshake_fee: scenario.prices.handshake,
+        idle_timeout: from_s(permissions.idle_timeout_s),
+        connection_fee: 0.0,
+        cross_zone_fee: scenario.prices.cross_zone,
+        load_reports: true,
+        load_reports_in_responses: scenario.load_reports.source == ReportSource::Answers,
+        weight_by_work: scenario.load.weight_by_work,
+        poll_endpoints: true,
+        max_poll_interval: from_ms(permissions.max_poll_interval_ms),
+        only_draining_binds: false,
+        cold_capacity_share: least_cold_capacity_share(machine_types),
+        slow_start_time: longest_slow_start(machine_types),
+        cold_overload_factor: rules.cold_overload_factor,
+        cold_overload_window: from_ms(rules.cold_overload_window_ms),
+    }
+}
+
+fn least_cold_capacity_share(machine_types: &[MachineType]) -> f64 {
+    let shares = machine_types.iter().map(|t| t.cold_capacity_share);
+    shares.fold(1.0, f64::min)
+}
+
+fn longest_slow_start(machine_types: &[MachineType]) -> Micros {
+    let seconds = machine_types.iter().map(|t| t.slow_start_s);
+    from_s(seconds.fold(0.0, f64::max))
+}
