--- /dev/null
+++ b/crates/testbed/src/emulator/client/arrival.rs
@@ -0,0 +1,145 @@
+//! The life of an arrival: its requests, one after the other, until a response ends it or its time is up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Clients;
+use super::request::{OutgoingRequest, Response};
+use crate::event_log::{LogEvent, RequestOutcome};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Effect, Micros, from_ms};
+use crate::workload::Arrival;
+
+/// Numbers of the arrivals' random streams begin here, apart from those of the sidecars' clients.
+const STREAM_OFFSET: usize = 1 << 38;
+/// Arrivals of one sidecar that have streams of their own.
+const STREAM_BITS: usize = 22;
+
+impl Clients {
+    /// Plays an arrival with all its requests; `index` is its number at this sidecar.
+    pub(super) async fn play_arrival(self: Arc<Self>, arrival: Arrival, index: usize) {
+        let number = self.shared.next_id();
+        let within_share = self.within_quota(arrival.shop);
+        self.shared.note_at(
+            arrival.at,
+            LogEvent::ArrivalStarted {
+                arrival: number,
+                sidecar: self.sidecar,
+                class: arrival.class,
+                tenant: arrival.shop,
+                within_share,
+                work: arrival.work,
+            },
+        );
+        let limit = self.shared.scenario.load.max_open_requests;
+        if !self.load.try_open(limit) {
+            self.note_ended(number, RequestOutcome::NotPlayed, 0);
+            return;
+        }
+        let (outcome, requests) = self.send_requests(&arrival, number, index).await;
+        self.note_ended(number, outcome, requests);
+        self.load.on_ended();
+    }
+
+    fn note_ended(&self, arrival: u64, outcome: RequestOutcome, requests: u32) {
+        self.shared.note(LogEvent::ArrivalEnded {
+            arrival,
+            outcome,
+            requests,
+        });
+    }
+
+    /// Sends an arrival's request and its retries; the last outcome, and the number of requests.
+    async fn send_requests(
+        &self,
+        arrival: &Arrival,
+        number: u64,
+        index: usize,
+    ) -> (RequestOutcome, u32) {
+        let scenario = &self.shared.scenario;
+        let stream = STREAM_OFFSET + ((self.sidecar as usize) << STREAM_BITS) + index;
+        let mut random = RandomStream::new(scenario.seed, StreamId::Clients, stream);
+        let time_limit = from_ms(scenario.class[usize::from(arrival.class)].deadline_ms);
+        let deadline = arrival.at + time_limit;
+        let mut from = arrival.at;
+        let mut requests = 0;
+        loop {
+            requests += 1;
+            let request = self.draw_request(&mut random, arrival, number, from, deadline);
+            let response = self.exchange(arrival, &request).await;
+            let outcome = request.outcome(response.outcome);
+            self.note_outcome(request.number, outcome);
+            let pause = self.retry_pause(&mut random, arrival, outcome, response);
+            let too_late = self.shared.clock.now() + pause >= deadline;
+            let retries = scenario.clients.retries;
+            if !self.may_retry(arrival, outcome) || requests > retries || too_late {
+                return (outcome, requests);
+            }
+            tokio::time::sleep(Duration::from_micros(pause)).await;
+            from = self.shared.clock.now();
+        }
+    }
+
+    /// Draws when the client times out, and whether it disconnects before.
+    fn draw_request(
+        &self,
+        random: &mut RandomStream,
+        arrival: &Arrival,
+        number: u64,
+        from: Micros,
+        deadline: Micros,
+    ) -> OutgoingRequest {
+        let clients = &self.shared.scenario.clients;
+        let time_limit = deadline - arrival.at;
+        let [least, most] = clients.timeout_share;
+        let timeout = (time_limit as f64 * random.between(least, most)) as Micros;
+        let due = (from + timeout).min(deadline);
+        let disconnects = random.chance(clients.disconnect_share);
+        let disconnects_at = from + (random.unit() * due.saturating_sub(from) as f64) as Micros;
+        OutgoingRequest {
+            number: self.shared.next_id(),
+            arrival: number,
+            due,
+            disconnects_at: disconnects.then_some(disconnects_at),
+        }
+    }
+
+    fn note_outcome(&self, request: u64, outcome: RequestOutcome) {
+        match outcome {
+            RequestOutcome::Unreachable | RequestOutcome::Unanswered => {}
+            RequestOutcome::Disconnected => {
+                self.shared.note(LogEvent::ClientDisconnected { request });
+            }
+            outcome => self
+                .shared
+                .note(LogEvent::ResponseReceived { request, outcome }),
+        }
+    }
+
+    fn may_retry(&self, arrival: &Arrival, outcome: RequestOutcome) -> bool {
+        let class = &self.shared.scenario.class[usize::from(arrival.class)];
+        match outcome {
+            RequestOutcome::Rejected | RequestOutcome::Unreachable => true,
+            RequestOutcome::Failed
+            | RequestOutcome::ConnectionLost
+            | RequestOutcome::Unanswered => class.idempotency == Effect::Safe,
+            _ => false,
+        }
+    }
+
+    /// The pause before a retry: that of the rejection where the client keeps to it, or a backoff.
+    fn retry_pause(
+        &self,
+        random: &mut RandomStream,
+        arrival: &Arrival,
+        outcome: RequestOutcome,
+        response: Response,
+    ) -> Micros {
+        let [least, most] = self.shared.scenario.clients.backoff_ms;
+        let backoff = from_ms(random.between(least, most));
+        let advised = response
+            .retry_after
+            .filter(|_| arrival.honours && outcome == RequestOutcome::Rejected);
+        advised.map_or(backoff, |pause| pause.max(1))
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/client/request.rs
@@ -0,0 +1,97 @@
+//! A request and its response: their form on the wire, and what they mean.
+
+use crate::emulator::http::Message;
+use crate::event_log::RequestOutcome;
+use crate::scenario::{Effect, Micros, Scenario};
+use crate::workload::Arrival;
+
+/// Longest pause that a rejection may ask for, in seconds.
+const RETRY_AFTER_MAX_S: f64 = 600.0;
+
+/// One request of an arrival.
+pub(super) struct OutgoingRequest {
+    pub(super) number: u64,
+    pub(super) arrival: u64,
+    /// When the client times out.
+    pub(super) due: Micros,
+    /// When it disconnects before, if it does.
+    pub(super) disconnects_at: Option<Micros>,
+}
+
+impl OutgoingRequest {
+    /// The outcome, with that of a client that disconnects told apart from a timeout.
+    pub(super) fn outcome(&self, outcome: RequestOutcome) -> RequestOutcome {
+        if self.disconnects_at.is_some() && outcome == RequestOutcome::Unanswered {
+            RequestOutcome::Disconnected
+        } else {
+            outcome
+        }
+    }
+
+    /// The request on the wire, as it is sent at `now`.
+    pub(super) fn text(&self, scenario: &Scenario, arrival: &Arrival, now: Micros) -> String {
+        let class = &scenario.class[usize::from(arrival.class)];
+        let (id, class_name) = (self.number, &class.name);
+        let timeout = self.due.saturating_sub(now).max(1);
+        let (method, key, body) = match class.idempotency {
+            Effect::Safe => ("GET", String::new(), ""),
+            Effect::Keyed => {
+                let key = format!("Idempotency-Key: k{id:016x}\r\n");
+                ("POST", key, "{\"order\":1}")
+            }
+            Effect::Unsafe => ("POST", String::new(), "{\"slot\":3}"),
+        };
+        let tenant = scenario.tenant.get(usize::from(arrival.shop));
+        let tenant = tenant.map_or("none", |tenant| tenant.name.as_str());
+        let length = if body.is_empty() {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", body.len())
+        };
+        let cost = arrival
+            .hint
+            .map_or(String::new(), |hint| format!("X-Cost: {hint}\r\n"));
+        format!(
+            "{method} /api?w={:.1}&c={} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id:016x}\r\n\
+             X-Priority-Class: {class_name}\r\nX-Tenant-Id: {tenant}\r\nX-Timeout: {timeout}u\r\n\
+             {cost}{key}{length}\r\n{body}",
+            arrival.work, arrival.class
+        )
+    }
+}
+
+/// How a request ended, and the pause that a rejection asks for.
+#[derive(Clone, Copy)]
+pub(super) struct Response {
+    pub(super) outcome: RequestOutcome,
+    pub(super) retry_after: Option<Micros>,
+}
+
+impl Response {
+    /// An end without a response.
+    pub(super) fn none(outcome: RequestOutcome) -> Self {
+        Self {
+            outcome,
+            retry_after: None,
+        }
+    }
+
+    /// What a response says, and whether a server made it for this very request.
+    pub(super) fn of(message: &Message, request: u64) -> Self {
+        let own_body = format!("done {request:016x} at s");
+        let outcome = match message.status {
+            200 if message.body.starts_with(own_body.as_bytes()) => RequestOutcome::Served,
+            200 => RequestOutcome::Mismatched,
+            429 | 503 => RequestOutcome::Rejected,
+            _ => RequestOutcome::Failed,
+        };
+        let seconds = message
+            .header("retry-after")
+            .and_then(|s| s.parse::<f64>().ok());
+        let micros = |seconds: f64| (seconds.clamp(0.0, RETRY_AFTER_MAX_S) * 1e6) as Micros;
+        Self {
+            outcome,
+            retry_after: seconds.map(micros),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/clock.rs
@@ -0,0 +1,58 @@
+//! The emulator's clock: microseconds since the run began.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::scenario::Micros;
+
+/// Spans below the timer's grain, which are not waited for.
+const TIMER_GRAIN: Micros = 500;
+
+/// When the run begins, on the monotonic clock and in Unix time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Clock {
+    start: Instant,
+    start_unix_ms: f64,
+}
+
+impl Clock {
+    /// A clock of a run that begins after `ahead`.
+    pub(super) fn starting_in(ahead: Duration) -> Self {
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            + ahead;
+        Self {
+            start: Instant::now() + ahead,
+            start_unix_ms: unix.as_secs_f64() * 1_000.0,
+        }
+    }
+
+    /// Time since the run began; 0 before.
+    pub(super) fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    pub(super) async fn sleep_until(&self, at: Micros) {
+        tokio::time::sleep_until(self.instant(at)).await;
+    }
+
+    pub(super) fn instant(&self, at: Micros) -> tokio::time::Instant {
+        tokio::time::Instant::from_std(self.start + Duration::from_micros(at))
+    }
+
+    /// Unix milliseconds of a server's start; 0 for one before the run.
+    pub(super) fn unix_ms(&self, started_at: Micros) -> f64 {
+        if started_at == 0 {
+            0.0
+        } else {
+            self.start_unix_ms + started_at as f64 / 1_000.0
+        }
+    }
+}
+
+/// Sleeps for a while, unless it is below the timer's grain.
+pub(super) async fn sleep_for(span: Micros) {
+    if span >= TIMER_GRAIN {
+        tokio::time::sleep(Duration::from_micros(span)).await;
+    }
+}
--- a/crates/testbed/src/emulator/counter_check.rs
+++ b/crates/testbed/src/emulator/counter_check.rs
@@ -1,148 +1,184 @@
-//! Holds the sidecars' counters against what terminals and stand-ins saw, to the last one.
+//! Compares the sidecars' counters with what clients and servers saw, to the last one.
 //!
-//! A routed task that was called off may or may not have arrived; how many were is counted, so the arrivals
-//! must lie within that many. Everything else must be equal.
+//! An attempt that was cancelled may or may not have reached its server; how many were is counted, so what the
+//! servers received must lie within that many. Everything else must be equal.
 
 use std::collections::HashMap;
-use std::sync::atomic::Ordering;
 
-use super::Emulation;
-use super::process::Counted;
+use super::shared::Shared;
+use super::sidecars::FleetCounters;
 use crate::event_log::{LogEvent, LogRecord, RequestOutcome};
 
 /// What the comparison found.
 #[derive(Default)]
-pub struct Compared {
-    pub differences: Vec<String>,
-    pub remarks: Vec<String>,
+pub(super) struct Comparison {
+    /// Lines that fail the run.
+    pub(super) differences: Vec<String>,
+    /// Lines for the reader.
+    pub(super) remarks: Vec<String>,
 }
 
-/// What the stand-ins saw.
+impl Comparison {
+    fn check_equal(&mut self, what: &str, sidecars: u64, emulated: u64) {
+        if sidecars != emulated {
+            self.differences.push(format!(
+                "{what}: sidecars {sidecars}, clients and servers {emulated}"
+            ));
+        }
+    }
+
+    fn check_within(&mut self, what: &str, least: u64, most: u64, servers: u64) {
+        if !(least..=most).contains(&servers) {
+            self.differences.push(format!(
+                "{what}: sidecars {least} to {most}, servers {servers}"
+            ));
+        }
+    }
+}
+
+/// What clients and servers saw.
 #[derive(Default)]
-struct Seen {
-    taken: u64,
-    answers: HashMap<RequestOutcome, u64>,
-    left: u64,
-    began: u64,
-    arrived: u64,
-    turned_away: u64,
-    probed: u64,
+struct Observed {
+    accepted: u64,
+    responses: HashMap<RequestOutcome, u64>,
+    disconnected: u64,
+    attempts: u64,
+    rejected_attempts: u64,
+    health_checks: u64,
 }
 
-fn see(record: &[LogRecord]) -> Seen {
-    let mut seen = Seen::default();
-    for line in record {
-        match line.event {
-            LogEvent::RequestAccepted { .. } => seen.taken += 1,
-            LogEvent::ResponseReceived { outcome: how, .. } => {
-                *seen.answers.entry(how).or_default() += 1
+impl Observed {
+    fn of(records: &[LogRecord]) -> Self {
+        let mut observed = Self::default();
+        for record in records {
+            match record.event {
+                LogEvent::RequestAccepted { .. } => observed.accepted += 1,
+                LogEvent::ResponseReceived { outcome, .. } => {
+                    *observed.responses.entry(outcome).or_default() += 1;
+                }
+                LogEvent::ClientDisconnected { .. } => observed.disconnected += 1,
+                LogEvent::AttemptStarted { .. } => observed.attempts += 1,
+                LogEvent::AttemptRejected { .. } => observed.rejected_attempts += 1,
+                LogEvent::HealthChecked { .. } => observed.health_checks += 1,
+                _ => {}
             }
-            LogEvent::ClientDisconnected { .. } => seen.left += 1,
-            LogEvent::AttemptStarted { .. } => seen.began += 1,
-            LogEvent::AttemptReceived { .. } => seen.arrived += 1,
-            LogEvent::AttemptRejected { .. } => seen.turned_away += 1,
-            LogEvent::HealthChecked { .. } => seen.probed += 1,
-            _ => {}
         }
+        observed
+    }
+
+    fn responses(&self, outcome: RequestOutcome) -> u64 {
+        self.responses.get(&outcome).copied().unwrap_or(0)
+    }
+
+    /// Requests whose client disconnected or timed out.
+    fn abandoned(&self) -> u64 {
+        let unanswered = self.accepted - self.responses.values().sum::<u64>() - self.disconnected;
+        self.disconnected + unanswered
     }
-    seen
 }
 
-/// Compares the two; a life that was killed has told nothing, and then there is nothing to compare.
-pub fn compare(scene: &Emulation, record: &[LogRecord], counted: &Counted) -> Compared {
-    let mut found = Compared::default();
-    if counted.mute > 0 {
+/// Compares the two. The counters of a process that was killed are lost, and then there is nothing to compare.
+pub(super) fn compare(
+    shared: &Shared,
+    records: &[LogRecord],
+    counters: &FleetCounters,
+) -> Comparison {
+    let mut found = Comparison::default();
+    if counters.missing > 0 {
         found.differences.push(format!(
-            "{} sidecars did not tell their counters at their end",
-            counted.mute
+            "{} sidecars printed no counters at their end",
+            counters.missing
         ));
         return found;
     }
-    let seen = see(record);
-    if counted.killed > 0 {
-        let n = counted.killed;
+    if counters.killed > 0 {
         found.remarks.push(format!(
-            "counters not compared: {n} sidecars were killed, and theirs with them"
+            "counters not compared: {} sidecars were killed, and their counters lost",
+            counters.killed
         ));
         return found;
     }
-    let count = |name: &str| counted.sum.get(name).copied().unwrap_or(0);
-    let answers = |how: RequestOutcome| seen.answers.get(&how).copied().unwrap_or(0);
-    let over = count("requests_over_capacity");
-    let mut equal = |what: &str, sidecars: u64, stand_ins: u64| {
-        if sidecars != stand_ins {
-            found.differences.push(format!(
-                "{what}: sidecars {sidecars}, stand-ins {stand_ins}"
-            ));
-        }
-    };
-    equal(
-        "transactions taken",
-        count("requests_accepted") + over,
-        seen.taken,
+    let observed = Observed::of(records);
+    compare_requests(&mut found, counters, &observed);
+    compare_attempts(&mut found, counters, &observed);
+    let sidecars = shared.scenario.sidecars.count as u64;
+    compare_health_checks(&mut found, counters, &observed, sidecars);
+    found.remarks.push(format!(
+        "counters compared: {} requests, {} of {} attempts received ({} in silence), \
+         {} health checks ({} in silence)",
+        observed.accepted,
+        observed.attempts,
+        counters.sum.get("attempts_started"),
+        shared.swallowed_attempts(),
+        observed.health_checks,
+        shared.swallowed_health_checks()
+    ));
+    found
+}
+
+fn compare_requests(found: &mut Comparison, counters: &FleetCounters, observed: &Observed) {
+    let count = |name: &str| counters.sum.get(name);
+    let over_capacity = count("requests_over_capacity");
+    found.check_equal(
+        "requests accepted",
+        count("requests_accepted") + over_capacity,
+        observed.accepted,
     );
-    equal(
-        "answers served",
+    found.check_equal(
+        "responses served",
         count("responses_served"),
-        answers(RequestOutcome::Served),
+        observed.responses(RequestOutcome::Served),
     );
-    equal(
-        "short-on-capacity replies",
-        count("responses_rejected") + over,
-        answers(RequestOutcome::Rejected),
+    found.check_equal(
+        "responses rejected",
+        count("responses_rejected") + over_capacity,
+        observed.responses(RequestOutcome::Rejected),
     );
-    let failed = count("responses_failed") + count("responses_overdue");
-    equal(
-        "transactions failed",
-        failed,
-        answers(RequestOutcome::Failed),
+    found.check_equal(
+        "responses failed",
+        count("responses_failed") + count("responses_overdue"),
+        observed.responses(RequestOutcome::Failed),
     );
-    let unanswered = seen.taken - seen.answers.values().sum::<u64>() - seen.left;
-    equal(
-        "terminals gone",
+    found.check_equal(
+        "clients disconnected",
         count("clients_disconnected"),
-        seen.left + unanswered,
+        observed.abandoned(),
     );
-    let (swallowed, unheard) = (&scene.shared.swallowed, &scene.shared.probes_swallowed);
-    let (swallowed, unheard) = (
-        swallowed.load(Ordering::Relaxed),
-        unheard.load(Ordering::Relaxed),
-    );
-    // What was called off or timed out may not have been written, or may have been turned away all the same.
-    let sure = count("attempts_served") + count("attempts_error") + count("attempts_rejected");
-    let open = count("attempts_cancelled") + count("attempts_timed_out") + count("attempts_reset");
-    let arrived = seen.began;
-    if !(sure..=sure + open).contains(&arrived) {
-        let range = format!("{sure} to {}", sure + open);
-        found.differences.push(format!(
-            "requests arrived: sidecars {range}, stand-ins {arrived}"
-        ));
-    }
+}
+
+/// What was cancelled or timed out may not have been written, or may have been rejected all the same.
+fn compare_attempts(found: &mut Comparison, counters: &FleetCounters, observed: &Observed) {
+    let count = |name: &str| counters.sum.get(name);
     let rejected = count("attempts_rejected");
-    let crossed = count("attempts_cancelled") + count("attempts_timed_out");
-    if !(rejected..=rejected + crossed).contains(&seen.turned_away) {
-        let range = format!("{rejected} to {}", rejected + crossed);
-        found.differences.push(format!(
-            "turned away: sidecars {range}, stand-ins {}",
-            seen.turned_away
-        ));
-    }
-    let (sent, failed) = (count("health_checks_sent"), count("health_checks_failed"));
-    // One each may have been on its way as its sidecar ended.
-    let least = sent.saturating_sub(failed + scene.shared.day.sidecars.count as u64);
-    if !(least..=sent).contains(&seen.probed) {
-        let range = format!("{least} to {sent}");
-        found.differences.push(format!(
-            "probes: sidecars {range}, stand-ins {}",
-            seen.probed
-        ));
-    }
-    found.remarks.push(format!(
-        "counters compared: {} transactions, {arrived} of {} routed tasks arrived ({swallowed} in silence), \
-         {} probes ({unheard} in silence)",
-        seen.taken,
-        count("attempts_started"),
-        seen.probed
-    ));
-    found
+    let received = count("attempts_served") + count("attempts_error") + rejected;
+    let abandoned = count("attempts_cancelled") + count("attempts_timed_out");
+    found.check_within(
+        "attempts received",
+        received,
+        received + (abandoned + count("attempts_reset")),
+        observed.attempts,
+    );
+    found.check_within(
+        "attempts rejected",
+        rejected,
+        rejected + abandoned,
+        observed.rejected_attempts,
+    );
+}
+
+/// One health check of each sidecar may have been on its way as the sidecar ended.
+fn compare_health_checks(
+    found: &mut Comparison,
+    counters: &FleetCounters,
+    observed: &Observed,
+    sidecars: u64,
+) {
+    let sent = counters.sum.get("health_checks_sent");
+    let failed = counters.sum.get("health_checks_failed");
+    found.check_within(
+        "health checks",
+        sent.saturating_sub(failed + sidecars),
+        sent,
+        observed.health_checks,
+    );
 }
--- /dev/null
+++ b/crates/testbed/src/emulator/discovery/endpoint_list.rs
@@ -0,0 +1,117 @@
+//! What discovery lists, by version, and its form on the wire.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use crate::emulator::emulated_server::EmulatedServer;
+use crate::event_log::ListedStatus;
+use crate::scenario::Micros;
+
+const FIRST_VERSION: u64 = 1;
+
+/// One server as it is listed.
+#[derive(Clone, Copy)]
+pub(super) struct Listing {
+    /// Index of the emulated server.
+    pub(super) index: usize,
+    pub(super) status: ListedStatus,
+    /// When it last started; 0 for before the run.
+    pub(super) started_at: Micros,
+    /// Version of the list in which this was new.
+    version: u64,
+}
+
+/// All servers by their numbers.
+pub(super) struct EndpointList {
+    version: u64,
+    listings: BTreeMap<u32, Listing>,
+}
+
+impl EndpointList {
+    /// A list of servers that are ready, from when they started.
+    pub(super) fn of_ready(started_at: impl Iterator<Item = Micros>) -> Self {
+        let listing = |(index, started_at)| {
+            let listing = Listing {
+                index,
+                status: ListedStatus::Ready,
+                started_at,
+                version: FIRST_VERSION,
+            };
+            (index as u32, listing)
+        };
+        Self {
+            version: FIRST_VERSION,
+            listings: started_at.enumerate().map(listing).collect(),
+        }
+    }
+
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Lists a new status; false where a later start of the server is listed already.
+    pub(super) fn set(
+        &mut self,
+        server: u32,
+        index: usize,
+        status: ListedStatus,
+        started_at: Micros,
+    ) -> bool {
+        let listed = self.listings.get(&server);
+        if listed.is_some_and(|listing| listing.started_at > started_at) {
+            return false;
+        }
+        self.version += 1;
+        let listing = Listing {
+            index,
+            status,
+            started_at,
+            version: self.version,
+        };
+        self.listings.insert(server, listing);
+        true
+    }
+
+    /// What is new since a version, or everything that is not gone.
+    pub(super) fn since(&self, version: Option<u64>) -> impl Iterator<Item = (u32, &Listing)> {
+        let wanted = move |listing: &Listing| match version {
+            Some(version) => listing.version > version,
+            None => listing.status != ListedStatus::Gone,
+        };
+        self.listings
+            .iter()
+            .filter(move |(_, listing)| wanted(listing))
+            .map(|(&server, listing)| (server, listing))
+    }
+}
+
+/// The list, or its changes, on the wire.
+pub(super) fn message(version: u64, whole: bool, targets: Vec<Value>) -> Value {
+    json!({"rev": version, "all": whole, "targets": targets})
+}
+
+/// A server on the wire, with its address for a sidecar.
+pub(super) fn target(
+    number: u32,
+    server: &EmulatedServer,
+    sidecar: u32,
+    zone: Option<&String>,
+    status: ListedStatus,
+    boot_ms: f64,
+) -> Value {
+    json!({
+        "uid": format!("s{number}"),
+        "endpoint": server.address(sidecar).map(|address| address.to_string()),
+        "az": zone,
+        "model": server.listed_machine_type(),
+        "pod_group": server.zone(),
+        "state": match status {
+            ListedStatus::Ready => "ready",
+            ListedStatus::Draining => "draining",
+            ListedStatus::Gone => "gone",
+        },
+        "capacity_hint": 1.0,
+        "boot_ms": boot_ms,
+    })
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/discovery/mod.rs
@@ -0,0 +1,199 @@
+//! The emulated discovery service: a list that is updated late, polls handled in turn, and watches on changes.
+//!
+//! This file owns the service's state; `endpoint_list` what is listed, `connection` how it is sent.
+
+mod connection;
+mod endpoint_list;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::emulated_server::EmulatedServer;
+use super::error::EmulatorError;
+use super::ports::free_address;
+use super::shared::{Shared, lock};
+use crate::event_log::{ListedStatus, LogEvent};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Micros, from_ms};
+
+use endpoint_list::{EndpointList, Listing};
+
+/// How the service responds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Mode {
+    /// As it should.
+    Up,
+    /// With errors, and every connection is closed.
+    Down,
+    /// Not at all, and every connection stays.
+    Silent,
+}
+
+/// What a response says of one server: its number, its status, and when it last started.
+pub(super) type Notification = (u32, ListedStatus, Micros);
+
+/// When a poll is responded to, and whether with the list or with an overload rejection.
+struct Turn {
+    at: Micros,
+    rejected: bool,
+}
+
+/// The service; each sidecar has an address of its own at it, which tells the sidecars apart.
+pub(super) struct Discovery {
+    shared: Arc<Shared>,
+    servers: Vec<Arc<EmulatedServer>>,
+    addresses: Vec<SocketAddr>,
+    list: Mutex<EndpointList>,
+    /// Until when earlier polls keep the service busy.
+    busy_until: Mutex<Micros>,
+    random: Mutex<RandomStream>,
+    /// The list's version; watches wait for its change.
+    version: watch::Sender<u64>,
+    mode: watch::Sender<Mode>,
+}
+
+impl Discovery {
+    /// Starts the service with all servers listed as ready.
+    ///
+    /// # Errors
+    /// Where an address is missing or cannot be listened on.
+    pub(super) async fn start(
+        shared: &Arc<Shared>,
+        servers: &[Arc<EmulatedServer>],
+    ) -> Result<Arc<Self>, EmulatorError> {
+        let mut addresses = Vec::new();
+        let mut listeners = Vec::new();
+        for _ in 0..shared.scenario.sidecars.count {
+            let address = free_address()?;
+            let listener = TcpListener::bind(address)
+                .await
+                .map_err(|source| EmulatorError::Listen { address, source })?;
+            listeners.push(listener);
+            addresses.push(address);
+        }
+        let list = EndpointList::of_ready(servers.iter().map(|server| server.started_at()));
+        let seed = shared.scenario.seed;
+        let discovery = Arc::new(Self {
+            shared: Arc::clone(shared),
+            servers: servers.to_vec(),
+            addresses,
+            version: watch::channel(list.version()).0,
+            list: Mutex::new(list),
+            busy_until: Mutex::new(0),
+            random: Mutex::new(RandomStream::new(seed, StreamId::Discovery, 0)),
+            mode: watch::channel(Mode::Up).0,
+        });
+        for (sidecar, listener) in listeners.into_iter().enumerate() {
+            let accepting = Arc::clone(&discovery).accept(listener, sidecar as u32);
+            tokio::spawn(accepting);
+        }
+        Ok(discovery)
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, sidecar: u32) {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(Arc::clone(&self).serve(stream, sidecar));
+        }
+    }
+
+    /// The service's address for a sidecar.
+    pub(super) fn address(&self, sidecar: usize) -> SocketAddr {
+        self.addresses[sidecar]
+    }
+
+    pub(super) fn set_mode(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Lists a server's new status, unless a later start of it is listed already. `index` is that of the emulated
+    /// server, `server` its number in the event log.
+    pub(super) fn set(&self, server: u32, index: usize, status: ListedStatus, started_at: Micros) {
+        let mut list = lock(&self.list);
+        if list.set(server, index, status, started_at) {
+            self.version.send_replace(list.version());
+        }
+    }
+
+    /// The whole list as a sidecar gets it, and what it is notified of by it.
+    pub(super) fn whole_list(&self, sidecar: u32) -> (Value, Vec<Notification>) {
+        let (list, _, notifications) = self.list_since(sidecar, None);
+        (list, notifications)
+    }
+
+    /// What has changed since a version, or the whole list, with its version.
+    fn list_since(&self, sidecar: u32, since: Option<u64>) -> (Value, u64, Vec<Notification>) {
+        let list = lock(&self.list);
+        let mut targets = Vec::new();
+        let mut notifications = Vec::new();
+        for (number, listing) in list.since(since) {
+            let Some(server) = self.servers.get(listing.index) else {
+                continue;
+            };
+            targets.push(self.target(sidecar, number, server, listing));
+            notifications.push((number, listing.status, listing.started_at));
+        }
+        let version = list.version();
+        let value = endpoint_list::message(version, since.is_none(), targets);
+        (value, version, notifications)
+    }
+
+    fn target(
+        &self,
+        sidecar: u32,
+        number: u32,
+        server: &EmulatedServer,
+        listing: &Listing,
+    ) -> Value {
+        let zones = &self.shared.scenario.network.zones;
+        endpoint_list::target(
+            number,
+            server,
+            sidecar,
+            zones.get(server.zone() as usize),
+            listing.status,
+            self.shared.clock.unix_ms(listing.started_at),
+        )
+    }
+
+    /// Records what a sidecar was notified of.
+    pub(super) fn note(&self, sidecar: u32, notifications: &[Notification]) {
+        for &(server, status, incarnation) in notifications {
+            self.shared.note(LogEvent::EndpointListed {
+                sidecar,
+                server,
+                status,
+                incarnation,
+            });
+        }
+    }
+
+    /// Takes the next turn of the service, which handles one poll after the other.
+    fn take_turn(&self) -> Turn {
+        let discovery = &self.shared.scenario.discovery;
+        let now = self.shared.clock.now();
+        let latest_start = now + from_ms(discovery.timeout_ms);
+        let mut busy_until = lock(&self.busy_until);
+        let start = (*busy_until).max(now);
+        if start > latest_start {
+            return Turn {
+                at: latest_start,
+                rejected: true,
+            };
+        }
+        *busy_until = start + (1e6 / discovery.capacity) as Micros;
+        Turn {
+            at: *busy_until,
+            rejected: false,
+        }
+    }
+
+    /// A delay for the notification of a change, drawn for each watch.
+    fn draw_spread(&self) -> Micros {
+        let unit = lock(&self.random).unit();
+        from_ms(self.shared.scenario.discovery.spread_ms * unit)
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/emulated_server/attempt.rs
@@ -0,0 +1,202 @@
+//! The life of an attempt at an emulated server: received, executed or rejected, responded to or lost.
+
+use std::io;
+
+use tokio::sync::oneshot;
+
+use super::EmulatedServer;
+use super::connection::{Incoming, Reply};
+use super::process::{Accepted, Offer, Offered, ResponseDraw};
+use crate::emulator::clock::sleep_for;
+use crate::emulator::http::{HttpConnection, Message, response};
+use crate::emulator::shared::lock;
+use crate::event_log::LogEvent;
+use crate::scenario::Micros;
+
+/// How long an attempt without a timeout may wait: ten minutes, beyond the length of any run.
+const LONGEST_WAIT: Micros = 600_000_000;
+/// A response whose head cannot be parsed; its connection is of no further use.
+const MALFORMED_RESPONSE: &str = "HTTP/1.1 2oo OK\r\nContent-Length: -7\r\n\r\n";
+/// Header field that promises that a rejected attempt was not executed.
+const NOT_PROCESSED: &str = "X-Not-Processed: 1\r\n";
+
+/// An attempt as its request says it.
+struct Attempt {
+    request: u64,
+    /// Expected work.
+    work: f64,
+    /// Index of the request class.
+    class: usize,
+    /// How long it may wait from its first byte.
+    timeout: Option<Micros>,
+}
+
+impl Attempt {
+    fn parse(message: &Message) -> Option<Self> {
+        let id = message.header("x-request-id")?;
+        let class = message.query_parameter("c");
+        let timeout = message.header("x-timeout");
+        Some(Self {
+            request: u64::from_str_radix(id, 16).ok()?,
+            work: message.query_parameter("w")?.parse().ok()?,
+            class: class.and_then(|class| class.parse().ok()).unwrap_or(0),
+            timeout: timeout.and_then(|timeout| timeout.strip_suffix('u')?.parse().ok()),
+        })
+    }
+}
+
+/// How the execution of an attempt ended.
+enum Execution {
+    /// With a response, which is an error or not.
+    Ended { error: bool },
+    /// Dropped without being executed, or gone with the process.
+    Lost,
+    /// Its sidecar closed the connection.
+    ConnectionClosed,
+}
+
+impl EmulatedServer {
+    /// What is to be sent for an attempt.
+    ///
+    /// # Errors
+    /// Where its connection ends.
+    pub(super) async fn on_attempt(
+        &self,
+        connection: &mut HttpConnection,
+        message: &Message,
+        incoming: &Incoming,
+    ) -> io::Result<Reply> {
+        let Some(attempt) = Attempt::parse(message) else {
+            return Ok(Reply::Send(response("400 Bad Request", "", "")));
+        };
+        self.note_started(&attempt, incoming);
+        sleep_for(incoming.delay + self.handshake_delay(incoming)).await;
+        if self.is_silent() {
+            self.shared.on_attempt_swallowed();
+            return Ok(Reply::StaySilent);
+        }
+        let Some(accepted) = self.offer(&attempt, incoming) else {
+            sleep_for(incoming.delay).await;
+            return Ok(Reply::Send(response(
+                "503 Service Unavailable",
+                NOT_PROCESSED,
+                "",
+            )));
+        };
+        let job = accepted.job;
+        match executed(connection, accepted.end).await {
+            Execution::Ended { error } => self.respond(&attempt, error, incoming).await,
+            Execution::Lost => Ok(Reply::StaySilent),
+            Execution::ConnectionClosed => {
+                sleep_for(incoming.delay).await;
+                self.update(|process, now| process.cancel(now, job));
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+        }
+    }
+
+    fn note_started(&self, attempt: &Attempt, incoming: &Incoming) {
+        self.shared.note_at(
+            incoming.first_byte_at,
+            LogEvent::AttemptStarted {
+                request: attempt.request,
+                sidecar: incoming.sidecar,
+                server: incoming.server,
+                cross_zone: !incoming.same_zone,
+            },
+        );
+    }
+
+    /// Round trips of the handshake of a new connection.
+    fn handshake_delay(&self, incoming: &Incoming) -> Micros {
+        if !incoming.new_connection {
+            return 0;
+        }
+        let round_trips = lock(&self.process).machine_type().handshake_rtts;
+        (round_trips * 2.0 * incoming.delay as f64) as Micros
+    }
+
+    /// Offers an attempt to the process; nothing where it is rejected.
+    fn offer(&self, attempt: &Attempt, incoming: &Incoming) -> Option<Accepted> {
+        let classes = &self.shared.scenario.class;
+        let offer = Offer {
+            request: attempt.request,
+            work: attempt.work,
+            noise: classes.get(attempt.class).map_or(0.0, |class| class.noise),
+            new_connection: incoming.new_connection,
+            deadline: incoming
+                .first_byte_at
+                .saturating_add(attempt.timeout.unwrap_or(LONGEST_WAIT)),
+        };
+        self.update(|process, now| {
+            let offered = process.offer(now, offer);
+            self.note_received(now, attempt.request, incoming.server, &offered);
+            offered.accepted
+        })
+    }
+
+    fn note_received(&self, at: Micros, request: u64, server: u32, offered: &Offered) {
+        let received = LogEvent::AttemptReceived {
+            request,
+            server,
+            work: offered.work,
+            capacity: offered.capacity,
+            cold: offered.cold,
+        };
+        self.shared.note_at(at, received);
+        if offered.accepted.is_none() {
+            let rejected = LogEvent::AttemptRejected { request, server };
+            self.shared.note_at(at, rejected);
+        }
+    }
+
+    /// Responds to an attempt that was executed, unless a fault prevents it.
+    async fn respond(
+        &self,
+        attempt: &Attempt,
+        error: bool,
+        incoming: &Incoming,
+    ) -> io::Result<Reply> {
+        let draw = self.update(|process, now| process.draw_response(now));
+        sleep_for(incoming.delay).await;
+        if self.is_silent() {
+            return Ok(Reply::StaySilent);
+        }
+        if draw.reset {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(Reply::Send(final_response(
+            attempt.request,
+            incoming.server,
+            error,
+            &draw,
+        )))
+    }
+}
+
+/// The response to an attempt that was executed.
+fn final_response(request: u64, server: u32, error: bool, draw: &ResponseDraw) -> String {
+    if draw.malformed {
+        return MALFORMED_RESPONSE.to_owned();
+    }
+    let load = draw.reported_in_flight.map_or(String::new(), |in_flight| {
+        format!("X-Server-Load: inflight={in_flight}\r\n")
+    });
+    if error {
+        return response("500 Internal Server Error", &load, "");
+    }
+    let headers = format!("Content-Type: text/plain\r\n{load}");
+    let body = format!("done {request:016x} at s{server}\n");
+    response("200 OK", &headers, &body)
+}
+
+/// Waits for the end of an execution, or of its connection.
+async fn executed(connection: &mut HttpConnection, end: oneshot::Receiver<bool>) -> Execution {
+    tokio::select! {
+        ended = end => match ended {
+            Ok(error) => Execution::Ended { error },
+            Err(_) => Execution::Lost,
+        },
+        () = connection.closed() => Execution::ConnectionClosed,
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/emulated_server/connection.rs
@@ -0,0 +1,107 @@
+//! The connections of an emulated server, and the requests that come on them.
+
+use std::future::pending;
+use std::io;
+use std::sync::Arc;
+
+use tokio::net::TcpStream;
+
+use super::EmulatedServer;
+use crate::emulator::http::HttpConnection;
+use crate::emulator::shared::lock;
+use crate::event_log::LogEvent;
+use crate::scenario::Micros;
+
+/// Target of the health checks.
+const HEALTH_CHECK_TARGET: &str = "/status/load";
+
+/// What a server does about a request.
+pub(super) enum Reply {
+    /// Sends a response.
+    Send(String),
+    /// Sends nothing more, and leaves the connection open.
+    StaySilent,
+}
+
+/// A request as it comes in.
+pub(super) struct Incoming {
+    /// Number of the server that receives it.
+    pub(super) server: u32,
+    /// The sidecar that sends it.
+    pub(super) sidecar: u32,
+    /// Whether the sidecar is in the server's zone.
+    pub(super) same_zone: bool,
+    /// When its first byte came.
+    pub(super) first_byte_at: Micros,
+    /// One-way delay of the network.
+    pub(super) delay: Micros,
+    /// Whether it is the first on its connection.
+    pub(super) new_connection: bool,
+}
+
+impl EmulatedServer {
+    /// Serves a connection until it ends, or is reset with the process.
+    pub(super) async fn serve(self: Arc<Self>, stream: TcpStream, sidecar: u32) {
+        let mut network = self.network.subscribe();
+        let epoch = network.borrow().epoch;
+        let fits = lock(&self.process).connect();
+        let _ = stream.set_zero_linger();
+        if !fits {
+            return;
+        }
+        self.shared.note(LogEvent::ConnectionOpened {
+            server: self.number(),
+        });
+        let mut connection = HttpConnection::new(stream);
+        let reset = async {
+            while network.borrow_and_update().epoch == epoch {
+                if network.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let ended = tokio::select! {
+            ended = self.serve_requests(&mut connection, sidecar) => ended,
+            () = reset => Ok(()),
+        };
+        if let Err(error) = ended {
+            tracing::debug!("server s{}: {error}", self.number());
+        }
+        if self.network.borrow().epoch == epoch {
+            lock(&self.process).disconnect();
+        }
+    }
+
+    async fn serve_requests(
+        &self,
+        connection: &mut HttpConnection,
+        sidecar: u32,
+    ) -> io::Result<()> {
+        let same_zone = self.shared.scenario.spread_zone(sidecar as usize) == self.zone;
+        let mut new_connection = true;
+        while connection.has_next().await? {
+            let first_byte_at = self.shared.clock.now();
+            let message = connection.read_request().await?;
+            let unit = lock(&self.process).random_unit();
+            let incoming = Incoming {
+                server: self.number(),
+                sidecar,
+                same_zone,
+                first_byte_at,
+                delay: self.shared.network_delay(same_zone, unit),
+                new_connection,
+            };
+            let reply = if message.target == HEALTH_CHECK_TARGET {
+                self.on_health_check(&incoming).await
+            } else {
+                self.on_attempt(connection, &message, &incoming).await?
+            };
+            match reply {
+                Reply::Send(response) => connection.write(&response).await?,
+                Reply::StaySilent => pending().await,
+            }
+            new_connection = false;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/emulated_server/faults.rs
@@ -0,0 +1,102 @@
+//! The faults that an emulated server suffers, and its recovery from them.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::{EmulatedServer, NetworkMode};
+use crate::emulator::shared::lock;
+use crate::event_log::ServerState;
+
+/// How often a start tries to listen on the server's addresses, and the pause between: a closed listener's
+/// socket may linger in a process that was being started.
+const LISTEN_ATTEMPTS: usize = 50;
+const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+
+/// What goes wrong with a server's responses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(in crate::emulator) enum ResponseFault {
+    /// They are errors; the share is the machine type's own if absent.
+    Errors(Option<f64>),
+    /// They cannot be parsed.
+    Malformed(f64),
+    /// The connection is reset instead.
+    Reset(f64),
+}
+
+impl EmulatedServer {
+    /// The process or its machine is gone, with all that executed in it.
+    pub(in crate::emulator) async fn stop(self: &Arc<Self>, mode: NetworkMode) {
+        self.network.send_modify(|network| {
+            network.mode = mode;
+            network.epoch += u32::from(mode == NetworkMode::Refusing);
+        });
+        {
+            let mut process = lock(&self.process);
+            process.on_stopped(self.shared.clock.now());
+        }
+        self.listeners.close().await;
+        if mode == NetworkMode::Silent {
+            self.listen_in_silence();
+        }
+    }
+
+    /// Starts it again, cold; under another number where it replaces the one before.
+    pub(in crate::emulator) async fn restart(self: &Arc<Self>, number: Option<u32>) {
+        if let Some(number) = number {
+            self.number.store(number, Ordering::Relaxed);
+        }
+        self.listeners.close().await;
+        let now = self.shared.clock.now();
+        lock(&self.process).on_started(now);
+        self.note_state_at(now, ServerState::Cold);
+        self.network.send_modify(|network| {
+            network.mode = NetworkMode::Open;
+            network.epoch += 1;
+        });
+        self.listen_again().await;
+        self.changed.notify_one();
+    }
+
+    async fn listen_again(self: &Arc<Self>) {
+        for _ in 0..LISTEN_ATTEMPTS {
+            let Err(error) = self.listen().await else {
+                return;
+            };
+            tracing::warn!("an emulated server's address is not free yet: {error}");
+            tokio::time::sleep(LISTEN_PAUSE).await;
+        }
+    }
+
+    pub(in crate::emulator) fn set_paused(&self, paused: bool) {
+        self.update(|process, now| process.set_paused(now, paused));
+        self.note_state(if paused {
+            ServerState::Paused
+        } else {
+            ServerState::Up
+        });
+    }
+
+    /// Serves slower by a factor; 1 for as usual.
+    pub(in crate::emulator) fn set_slowdown(&self, factor: f64) {
+        self.update(|process, now| process.set_slowdown(now, factor));
+        self.note_state(if factor > 1.0 {
+            ServerState::Slow
+        } else {
+            ServerState::Up
+        });
+    }
+
+    pub(in crate::emulator) fn set_draining(&self) {
+        self.update(|process, _| process.set_draining());
+        self.note_state(ServerState::Draining);
+    }
+
+    pub(in crate::emulator) fn set_response_fault(&self, fault: ResponseFault) {
+        self.update(|process, _| match fault {
+            ResponseFault::Errors(share) => process.set_error_share(share),
+            ResponseFault::Malformed(share) => process.set_malformed_share(share),
+            ResponseFault::Reset(share) => process.set_reset_share(share),
+        });
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/emulated_server/health_check.rs
@@ -0,0 +1,43 @@
+//! The response to a health check: a load report.
+
+use std::time::Duration;
+
+use super::EmulatedServer;
+use super::connection::{Incoming, Reply};
+use crate::emulator::clock::sleep_for;
+use crate::emulator::http::response;
+use crate::emulator::shared::lock;
+use crate::event_log::LogEvent;
+
+/// How often a health check looks whether a process that stands still goes on.
+const PAUSE_POLL: Duration = Duration::from_millis(20);
+
+impl EmulatedServer {
+    pub(super) async fn on_health_check(&self, incoming: &Incoming) -> Reply {
+        self.shared.note(LogEvent::HealthChecked {
+            sidecar: incoming.sidecar,
+            server: incoming.server,
+        });
+        sleep_for(incoming.delay).await;
+        // A process that stands still responds once it goes on.
+        while lock(&self.process).is_paused() {
+            tokio::time::sleep(PAUSE_POLL).await;
+        }
+        if self.is_silent() {
+            self.shared.on_health_check_swallowed();
+            return Reply::StaySilent;
+        }
+        let report = self.update(|process, now| process.health_check(now));
+        sleep_for(incoming.delay).await;
+        Reply::Send(match report {
+            Some(load) => {
+                let body = format!(
+                    "inflight={},eps={:.2},queue={}",
+                    load.inflight, load.eps, load.queue
+                );
+                response("200 OK", "", &body)
+            }
+            None => response("503 Service Unavailable", "", ""),
+        })
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/emulated_server/listeners.rs
@@ -0,0 +1,89 @@
+//! The listeners of an emulated server: one for each sidecar, or none that ever accepts.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::AbortHandle;
+
+use super::EmulatedServer;
+use crate::emulator::error::EmulatorError;
+use crate::emulator::shared::lock;
+
+/// How often, and how long at most, the end of the listeners' tasks is waited for.
+const CLOSE_POLL: Duration = Duration::from_millis(1);
+const CLOSE_POLLS_MAX: usize = 200;
+/// Backlog of a listener that holds one connection and accepts none.
+const FULL_BACKLOG: u32 = 0;
+
+/// The tasks that listen.
+#[derive(Default)]
+pub(super) struct Listeners {
+    tasks: Mutex<Vec<AbortHandle>>,
+}
+
+impl Listeners {
+    fn replace(&self, tasks: Vec<AbortHandle>) {
+        *lock(&self.tasks) = tasks;
+    }
+
+    /// Ends the tasks without waiting for their end.
+    pub(super) fn abort(&self) -> Vec<AbortHandle> {
+        let tasks = std::mem::take(&mut *lock(&self.tasks));
+        tasks.iter().for_each(AbortHandle::abort);
+        tasks
+    }
+
+    /// Ends the tasks and waits until their sockets are closed.
+    pub(super) async fn close(&self) {
+        let tasks = self.abort();
+        for _ in 0..CLOSE_POLLS_MAX {
+            if tasks.iter().all(AbortHandle::is_finished) {
+                return;
+            }
+            tokio::time::sleep(CLOSE_POLL).await;
+        }
+    }
+}
+
+impl EmulatedServer {
+    /// Listens on all addresses and serves what connects.
+    pub(super) async fn listen(self: &Arc<Self>) -> Result<(), EmulatorError> {
+        let mut tasks = Vec::new();
+        for (sidecar, &address) in self.addresses.iter().enumerate() {
+            let listener = TcpListener::bind(address)
+                .await
+                .map_err(|source| EmulatorError::Listen { address, source })?;
+            let server = Arc::clone(self);
+            let task = tokio::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(Arc::clone(&server).serve(stream, sidecar as u32));
+                }
+            });
+            tasks.push(task.abort_handle());
+        }
+        self.listeners.replace(tasks);
+        Ok(())
+    }
+
+    /// Listens with a full backlog: further connections never open, as with a machine that has vanished.
+    pub(super) fn listen_in_silence(&self) {
+        let tasks = self.addresses.iter().filter_map(|&a| occupy(a));
+        self.listeners.replace(tasks.collect());
+    }
+}
+
+/// Listens on an address and fills the backlog; nothing where the address cannot be bound.
+fn occupy(address: SocketAddr) -> Option<AbortHandle> {
+    let socket = TcpSocket::new_v4().ok()?;
+    let _ = socket.set_reuseaddr(true);
+    socket.bind(address).ok()?;
+    let listener = socket.listen(FULL_BACKLOG).ok()?;
+    let task = tokio::spawn(async move {
+        let filling = TcpStream::connect(address).await;
+        std::future::pending::<()>().await;
+        drop((listener, filling));
+    });
+    Some(task.abort_handle())
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/emulated_server/process.rs
@@ -0,0 +1,251 @@
+//! The process of an emulated server: its model, and the attempts that execute in it.
+
+use std::collections::HashMap;
+
+use tokio::sync::oneshot;
+
+use crate::random::RandomStream;
+use crate::scenario::{MachineType, Micros};
+use crate::server_model::{Event, Job, Report, ServerModel, State};
+
+/// An attempt in the model.
+struct Execution {
+    request: u64,
+    work: f64,
+    /// Gets whether it ended in an error; dropped if it never ends.
+    end: oneshot::Sender<bool>,
+}
+
+/// An attempt as it is offered to the process.
+pub(super) struct Offer {
+    pub(super) request: u64,
+    /// Expected work.
+    pub(super) work: f64,
+    /// Spread of the actual work around it, as the standard deviation of its logarithm.
+    pub(super) noise: f64,
+    /// Whether it came on a new connection, which costs a handshake.
+    pub(super) new_connection: bool,
+    /// When it is given up if it has not begun.
+    pub(super) deadline: Micros,
+}
+
+/// An attempt that was accepted: its number in the model, and its end.
+pub(super) struct Accepted {
+    pub(super) job: u64,
+    pub(super) end: oneshot::Receiver<bool>,
+}
+
+/// What came of an offer.
+pub(super) struct Offered {
+    /// The actual work.
+    pub(super) work: f64,
+    /// Work that the server could do per microsecond.
+    pub(super) capacity: f64,
+    pub(super) cold: bool,
+    /// Nothing where the attempt was rejected.
+    pub(super) accepted: Option<Accepted>,
+}
+
+/// What is drawn for a response as its attempt ends.
+pub(super) struct ResponseDraw {
+    /// Whether the response cannot be parsed.
+    pub(super) malformed: bool,
+    /// Whether the connection is reset instead.
+    pub(super) reset: bool,
+    /// Attempts in flight that the response reports, if it does.
+    pub(super) reported_in_flight: Option<usize>,
+}
+
+/// The process.
+pub(super) struct ServerProcess {
+    model: ServerModel,
+    started_at: Micros,
+    draining: bool,
+    malformed_share: f64,
+    reset_share: f64,
+    /// By number in the model.
+    executions: HashMap<u64, Execution>,
+    next_job: u64,
+    random: RandomStream,
+    /// What the model did and was not yet handed on.
+    events: Vec<Event>,
+}
+
+impl ServerProcess {
+    pub(super) fn new(model: ServerModel, cold: bool, random: RandomStream) -> Self {
+        Self {
+            model,
+            started_at: u64::from(cold),
+            draining: false,
+            malformed_share: 0.0,
+            reset_share: 0.0,
+            executions: HashMap::new(),
+            next_job: 1,
+            random,
+            events: Vec::new(),
+        }
+    }
+
+    pub(super) fn started_at(&self) -> Micros {
+        self.started_at
+    }
+
+    pub(super) fn machine_type(&self) -> &MachineType {
+        self.model.kind()
+    }
+
+    pub(super) fn is_paused(&self) -> bool {
+        self.model.state() == State::Paused
+    }
+
+    /// Attempts in flight, and open connections.
+    pub(super) fn gauge(&self) -> (u32, u32) {
+        (self.model.held() as u32, self.model.connections() as u32)
+    }
+
+    /// A random number from 0 to 1.
+    pub(super) fn random_unit(&mut self) -> f64 {
+        self.random.unit()
+    }
+
+    pub(super) fn next_event_at(&self) -> Option<Micros> {
+        self.model.next()
+    }
+
+    pub(super) fn advance(&mut self, now: Micros) {
+        self.model.advance(now, &mut self.events);
+    }
+
+    /// Hands on what the model did; true if it was overloaded and is gone. `on_work_done` gets the request and
+    /// the work of each execution that ended.
+    pub(super) fn settle(&mut self, mut on_work_done: impl FnMut(u64, f64)) -> bool {
+        let mut overloaded = false;
+        for event in std::mem::take(&mut self.events) {
+            match event {
+                Event::Began(_) => {}
+                Event::Ended { id, error } => {
+                    if let Some(execution) = self.executions.remove(&id) {
+                        on_work_done(execution.request, execution.work);
+                        let _ = execution.end.send(error);
+                    }
+                }
+                Event::Dropped(id) => drop(self.executions.remove(&id)),
+                Event::Fell => overloaded = true,
+            }
+        }
+        overloaded
+    }
+
+    /// False where no further connection fits.
+    pub(super) fn connect(&mut self) -> bool {
+        self.model.connect()
+    }
+
+    pub(super) fn disconnect(&mut self) {
+        self.model.disconnect();
+    }
+
+    /// The load report of a health check; nothing where it is rejected.
+    pub(super) fn health_check(&mut self, now: Micros) -> Option<Report> {
+        self.model.probe(now, &mut self.events)
+    }
+
+    pub(super) fn offer(&mut self, now: Micros, offer: Offer) -> Offered {
+        let work = self.draw_work(offer.work, offer.noise);
+        let (capacity, cold) = (self.model.capacity(now), self.model.is_cold(now));
+        if offer.new_connection {
+            self.model.handshake(now, &mut self.events);
+        }
+        let id = self.next_job;
+        self.next_job += 1;
+        let (sender, end) = oneshot::channel();
+        let execution = Execution {
+            request: offer.request,
+            work,
+            end: sender,
+        };
+        self.executions.insert(id, execution);
+        let job = Job {
+            id,
+            work,
+            until: offer.deadline,
+        };
+        let accepted = !self.draining && self.model.offer(now, job, &mut self.events);
+        if !accepted {
+            self.executions.remove(&id);
+        }
+        Offered {
+            work,
+            capacity,
+            cold,
+            accepted: accepted.then_some(Accepted { job: id, end }),
+        }
+    }
+
+    /// The draw is made also without noise, so that noise moves no other draw.
+    fn draw_work(&mut self, expected: f64, noise: f64) -> f64 {
+        let factor = noise * self.random.normal() - noise * noise / 2.0;
+        if noise > 0.0 {
+            expected * factor.exp()
+        } else {
+            expected
+        }
+    }
+
+    /// Cancels an attempt whose connection was closed, unless it must run to its end.
+    pub(super) fn cancel(&mut self, now: Micros, job: u64) {
+        if self.model.cancel(now, job, &mut self.events) {
+            self.executions.remove(&job);
+        }
+    }
+
+    pub(super) fn draw_response(&mut self, now: Micros) -> ResponseDraw {
+        let reported_in_flight = self.model.answer_report(now);
+        ResponseDraw {
+            malformed: self.random.chance(self.malformed_share),
+            reset: self.random.chance(self.reset_share),
+            reported_in_flight,
+        }
+    }
+
+    /// The process is gone, with all that executed in it.
+    pub(super) fn on_stopped(&mut self, now: Micros) {
+        self.model.set_state(now, State::Down, &mut self.events);
+        self.executions.clear();
+    }
+
+    /// The process starts anew.
+    pub(super) fn on_started(&mut self, now: Micros) {
+        self.model.set_state(now, State::Up, &mut self.events);
+        self.draining = false;
+        self.started_at = now;
+    }
+
+    pub(super) fn set_paused(&mut self, now: Micros, paused: bool) {
+        let state = if paused { State::Paused } else { State::Up };
+        if self.model.state() != State::Down {
+            self.model.set_state(now, state, &mut self.events);
+        }
+    }
+
+    pub(super) fn set_slowdown(&mut self, now: Micros, factor: f64) {
+        self.model.set_slower(now, factor, &mut self.events);
+    }
+
+    pub(super) fn set_draining(&mut self) {
+        self.draining = true;
+    }
+
+    /// `share` of the attempts end in an error; the machine type's own share if absent.
+    pub(super) fn set_error_share(&mut self, share: Option<f64>) {
+        self.model.set_errors(share);
+    }
+
+    pub(super) fn set_malformed_share(&mut self, share: f64) {
+        self.malformed_share = share;
+    }
+
+    pub(super) fn set_reset_share(&mut self, share: f64) {
+        self.reset_share = share;
+    }
+}
--- a/crates/testbed/src/emulator/fault_schedule.rs
+++ b/crates/testbed/src/emulator/fault_schedule.rs
@@ -1,164 +1,203 @@
-//! The timetable on the stage: does to the stand-ins and sidecars what the model does to its own.
+//! The faults of a scenario, played on time: does to emulated servers, discovery and sidecars what the simulator
+//! does to its own.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
+use tokio::task::JoinSet;
+
+use super::Emulation;
 use super::discovery::{Discovery, Mode};
-use super::emulated_server::{EmulatedServer, Net};
-use super::{Clock, Emulation};
+use super::emulated_server::{EmulatedServer, NetworkMode, ResponseFault};
+use super::shared::Shared;
 use crate::event_log::{ListedStatus, ServerState};
-use crate::scenario::{Fault, FaultKind, Micros, Scenario, from_ms, from_s};
+use crate::scenario::{Fault, FaultKind, Micros, from_ms, from_s};
 use crate::simulator::faults::{roll, targets};
 
-/// Plays the troubles of the day.
-pub async fn play(scene: &Emulation) {
-    let day = Arc::clone(&scene.shared.day);
-    let zones: Vec<u32> = scene.stand_ins.iter().map(|s| s.zone).collect();
-    let next = Arc::new(AtomicU32::new(scene.stand_ins.len() as u32));
-    let mut all = tokio::task::JoinSet::new();
-    for (index, trouble) in day.fault.iter().enumerate() {
-        let (at, length) = (from_s(trouble.at_s), from_s(trouble.for_s));
-        let clock = scene.shared.clock;
-        match trouble.kind {
+/// Plays the faults of the scenario to their ends.
+pub(super) async fn play(emulation: &Emulation) {
+    let first_replacement = emulation.servers.len() as u32;
+    let next_number = Arc::new(AtomicU32::new(first_replacement));
+    let mut tasks = JoinSet::new();
+    for (index, fault) in emulation.shared.scenario.fault.iter().enumerate() {
+        match fault.kind {
+            // These change the load, as it is drawn.
             FaultKind::Burst | FaultKind::Costly => {}
             FaultKind::Roll | FaultKind::RestartAll => {
-                let everybody = || (0..day.sidecars.count as u32).map(|s| (s, 0)).collect();
-                let when = if trouble.kind == FaultKind::Roll {
-                    roll(&day, index)
-                } else {
-                    everybody()
-                };
-                for (sidecar, later) in when {
-                    let sidecars = Arc::clone(&scene.sidecars);
-                    let (down, kill) = (from_s(trouble.down_s), trouble.kill);
-                    all.spawn(async move {
-                        until(clock, at + later).await;
-                        sidecars.restart(sidecar as usize, down, kill).await;
-                    });
-                }
+                restart_sidecars(emulation, index, fault, &mut tasks);
             }
-            FaultKind::DiscoveryDown | FaultKind::DiscoverySilent => {
-                let discovery = Arc::clone(&scene.discovery);
-                let mode = if trouble.kind == FaultKind::DiscoveryDown {
-                    Mode::Down
-                } else {
-                    Mode::Silent
-                };
-                all.spawn(async move {
-                    until(clock, at).await;
-                    discovery.set_mode(mode);
-                    until(clock, at + length).await;
-                    discovery.set_mode(Mode::Up);
-                });
+            FaultKind::DiscoveryDown => {
+                tasks.spawn(disturb_discovery(emulation, fault, Mode::Down));
             }
-            _ => {
-                for server in targets(&day, index, &zones) {
-                    let Some(stand_in) = scene.stand_ins.get(server as usize) else {
-                        continue;
-                    };
-                    let concerned = Concerned {
-                        stand_in: Arc::clone(stand_in),
-                        at: server as usize,
-                        discovery: Arc::clone(&scene.discovery),
-                        day: Arc::clone(&day),
-                        clock,
-                        next: Arc::clone(&next),
-                    };
-                    all.spawn(concerned.suffer(trouble.clone(), at, length));
-                }
+            FaultKind::DiscoverySilent => {
+                tasks.spawn(disturb_discovery(emulation, fault, Mode::Silent));
             }
+            _ => disturb_servers(emulation, index, fault, &next_number, &mut tasks),
         }
     }
-    while all.join_next().await.is_some() {}
+    while tasks.join_next().await.is_some() {}
+}
+
+/// Plays the faults, and then waits for ever.
+pub(super) async fn play_for_ever(emulation: &Emulation) {
+    play(emulation).await;
+    pending().await
+}
+
+fn restart_sidecars(emulation: &Emulation, index: usize, fault: &Fault, tasks: &mut JoinSet<()>) {
+    let scenario = &emulation.shared.scenario;
+    let restarts = if fault.kind == FaultKind::Roll {
+        roll(scenario, index)
+    } else {
+        let all = 0..scenario.sidecars.count as u32;
+        all.map(|sidecar| (sidecar, 0)).collect()
+    };
+    let (at, down, kill) = (from_s(fault.at_s), from_s(fault.down_s), fault.kill);
+    for (sidecar, delay) in restarts {
+        let sidecars = Arc::clone(&emulation.sidecars);
+        let clock = emulation.shared.clock;
+        tasks.spawn(async move {
+            clock.sleep_until(at + delay).await;
+            sidecars.restart(sidecar as usize, down, kill).await;
+        });
+    }
 }
 
-/// Plays the troubles, and then holds everything up.
-pub async fn play_for_ever(scene: &Emulation) {
-    play(scene).await;
-    std::future::pending().await
+/// Sets discovery to a mode for as long as the fault lasts.
+fn disturb_discovery(
+    emulation: &Emulation,
+    fault: &Fault,
+    mode: Mode,
+) -> impl Future<Output = ()> + Send + 'static {
+    let discovery = Arc::clone(&emulation.discovery);
+    let clock = emulation.shared.clock;
+    let (at, length) = (from_s(fault.at_s), from_s(fault.for_s));
+    async move {
+        clock.sleep_until(at).await;
+        discovery.set_mode(mode);
+        clock.sleep_until(at + length).await;
+        discovery.set_mode(Mode::Up);
+    }
 }
 
-async fn until(clock: Clock, at: Micros) {
-    tokio::time::sleep_until(clock.instant(at)).await;
+fn disturb_servers(
+    emulation: &Emulation,
+    index: usize,
+    fault: &Fault,
+    next_number: &Arc<AtomicU32>,
+    tasks: &mut JoinSet<()>,
+) {
+    let zones: Vec<u32> = emulation.servers.iter().map(|s| s.zone()).collect();
+    for target in targets(&emulation.shared.scenario, index, &zones) {
+        let index = target as usize;
+        let Some(server) = emulation.servers.get(index) else {
+            continue;
+        };
+        let server_fault = ServerFault {
+            shared: Arc::clone(&emulation.shared),
+            discovery: Arc::clone(&emulation.discovery),
+            server: Arc::clone(server),
+            index,
+            fault: fault.clone(),
+            next_number: Arc::clone(next_number),
+        };
+        tasks.spawn(server_fault.play());
+    }
 }
 
-/// A job server in trouble, and those who will hear of it.
-struct Concerned {
-    stand_in: Arc<EmulatedServer>,
-    at: usize,
+/// A fault at one server.
+struct ServerFault {
+    shared: Arc<Shared>,
     discovery: Arc<Discovery>,
-    day: Arc<Scenario>,
-    clock: Clock,
-    next: Arc<AtomicU32>,
+    server: Arc<EmulatedServer>,
+    /// Index of the server.
+    index: usize,
+    fault: Fault,
+    /// Number of the next server that replaces another.
+    next_number: Arc<AtomicU32>,
 }
 
-impl Concerned {
-    /// Discovery will have noticed after a while.
-    fn announce(&self, server: u32, listing: ListedStatus, after_ms: f64) {
-        let (discovery, at, launched) = (
-            Arc::clone(&self.discovery),
-            self.at,
-            self.stand_in.launched(),
-        );
-        let after = std::time::Duration::from_micros(from_ms(after_ms));
-        tokio::spawn(async move {
-            tokio::time::sleep(after).await;
-            discovery.set(server, at, listing, launched);
-        });
+impl ServerFault {
+    async fn play(self) {
+        let (at, length) = (from_s(self.fault.at_s), from_s(self.fault.for_s));
+        self.shared.clock.sleep_until(at).await;
+        let number = self.server.number();
+        self.begin(number).await;
+        self.shared.clock.sleep_until(at + length).await;
+        self.end(number).await;
     }
 
-    async fn suffer(self, trouble: Fault, at: Micros, length: Micros) {
-        until(self.clock, at).await;
-        let (notice, add) = (self.day.discovery.notice_ms, self.day.discovery.add_ms);
-        let (stand_in, share) = (&self.stand_in, trouble.share);
-        let old = stand_in.number();
-        match trouble.kind {
-            FaultKind::Pause => stand_in.set_paused(true),
-            FaultKind::Slow => stand_in.set_slower(trouble.factor),
-            FaultKind::Errors => stand_in.set_faults(Some(Some(share)), None, None),
-            FaultKind::Spoilt => stand_in.set_faults(None, Some(share), None),
-            FaultKind::Resets => stand_in.set_faults(None, None, Some(share)),
+    async fn begin(&self, number: u32) {
+        let (server, share) = (&self.server, self.fault.share);
+        let discovery = &self.shared.scenario.discovery;
+        match self.fault.kind {
+            FaultKind::Pause => server.set_paused(true),
+            FaultKind::Slow => server.set_slowdown(self.fault.factor),
+            FaultKind::Errors => server.set_response_fault(ResponseFault::Errors(Some(share))),
+            FaultKind::Spoilt => server.set_response_fault(ResponseFault::Malformed(share)),
+            FaultKind::Resets => server.set_response_fault(ResponseFault::Reset(share)),
             FaultKind::Crash => {
-                stand_in.fate(ServerState::Down);
-                stand_in.vanish(Net::Refusing).await;
-                self.announce(old, ListedStatus::Gone, notice);
+                server.note_state(ServerState::Down);
+                server.stop(NetworkMode::Refusing).await;
+                self.list_later(number, ListedStatus::Gone, discovery.notice_ms);
             }
             FaultKind::Silence => {
-                stand_in.fate(ServerState::Silent);
-                stand_in.vanish(Net::Silent).await;
-                self.announce(old, ListedStatus::Gone, self.day.discovery.silent_notice_ms);
+                server.note_state(ServerState::Silent);
+                server.stop(NetworkMode::Silent).await;
+                self.list_later(number, ListedStatus::Gone, discovery.silent_notice_ms);
             }
             FaultKind::Drain | FaultKind::Replace => {
-                stand_in.set_draining();
-                self.announce(old, ListedStatus::Draining, notice);
+                server.set_draining();
+                self.list_later(number, ListedStatus::Draining, discovery.notice_ms);
             }
             _ => {}
         }
-        until(self.clock, at + length).await;
-        match trouble.kind {
-            FaultKind::Pause => stand_in.set_paused(false),
-            FaultKind::Slow => stand_in.set_slower(1.0),
-            FaultKind::Errors => stand_in.set_faults(Some(None), None, None),
-            FaultKind::Spoilt => stand_in.set_faults(None, Some(0.0), None),
-            FaultKind::Resets => stand_in.set_faults(None, None, Some(0.0)),
+    }
+
+    async fn end(&self, number: u32) {
+        let server = &self.server;
+        let add_ms = self.shared.scenario.discovery.add_ms;
+        match self.fault.kind {
+            FaultKind::Pause => server.set_paused(false),
+            FaultKind::Slow => server.set_slowdown(1.0),
+            FaultKind::Errors => server.set_response_fault(ResponseFault::Errors(None)),
+            FaultKind::Spoilt => server.set_response_fault(ResponseFault::Malformed(0.0)),
+            FaultKind::Resets => server.set_response_fault(ResponseFault::Reset(0.0)),
             FaultKind::Crash | FaultKind::Silence => {
-                stand_in.comes_back(None).await;
-                self.announce(old, ListedStatus::Ready, add);
+                server.restart(None).await;
+                self.list_later(number, ListedStatus::Ready, add_ms);
             }
             FaultKind::Drain => {
-                stand_in.vanish(Net::Refusing).await;
-                stand_in.comes_back(None).await;
-                self.announce(old, ListedStatus::Ready, add);
-            }
-            FaultKind::Replace => {
-                stand_in.vanish(Net::Refusing).await;
-                stand_in.fate(ServerState::Down);
-                self.announce(old, ListedStatus::Gone, notice);
-                let new = self.next.fetch_add(1, Ordering::Relaxed);
-                stand_in.comes_back(Some(new)).await;
-                self.announce(new, ListedStatus::Ready, add);
+                server.stop(NetworkMode::Refusing).await;
+                server.restart(None).await;
+                self.list_later(number, ListedStatus::Ready, add_ms);
             }
+            FaultKind::Replace => self.replace(number).await,
             _ => {}
         }
     }
+
+    /// Stops the server, and starts another one at its addresses.
+    async fn replace(&self, number: u32) {
+        let discovery = &self.shared.scenario.discovery;
+        self.server.stop(NetworkMode::Refusing).await;
+        self.server.note_state(ServerState::Down);
+        self.list_later(number, ListedStatus::Gone, discovery.notice_ms);
+        let replacement = self.next_number.fetch_add(1, Ordering::Relaxed);
+        self.server.restart(Some(replacement)).await;
+        self.list_later(replacement, ListedStatus::Ready, discovery.add_ms);
+    }
+
+    /// Has discovery list a status once it has noticed.
+    fn list_later(&self, number: u32, status: ListedStatus, delay_ms: f64) {
+        let discovery = Arc::clone(&self.discovery);
+        let (index, started_at): (usize, Micros) = (self.index, self.server.started_at());
+        let delay = Duration::from_micros(from_ms(delay_ms));
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            discovery.set(number, index, status, started_at);
+        });
+    }
 }
--- a/crates/testbed/src/emulator/http.rs
+++ b/crates/testbed/src/emulator/http.rs
@@ -1,35 +1,39 @@
-//! The little of HTTP/1.1 that stand-ins need, byte by byte, since they also have to misbehave.
+//! The part of HTTP/1.1 that emulated clients, servers and discovery need, byte by byte, since they also have to
+//! misbehave.
 
 use std::io;
 
 use bytes::{Buf as _, BytesMut};
-use tokio::io::AsyncReadExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
-/// Bytes of a head or body beyond which a stand-in gives up.
-const MOST: usize = 256 * 1024;
+/// Bytes of a head or body beyond which reading fails: far more than any message of an emulation.
+const MESSAGE_BYTES_MAX: usize = 256 * 1024;
+/// Header fields of a message beyond which reading fails.
+const HEADERS_MAX: usize = 64;
 
-/// A message, read whole.
+/// A message, read to its last byte.
 #[derive(Debug, Default)]
-pub struct Message {
+pub(super) struct Message {
     /// Target of a request.
-    pub target: String,
-    /// Status of an answer.
-    pub status: u16,
+    pub(super) target: String,
+    /// Status of a response.
+    pub(super) status: u16,
     headers: Vec<(String, String)>,
-    pub body: BytesMut,
+    pub(super) body: BytesMut,
 }
 
 impl Message {
-    pub fn header(&self, name: &str) -> Option<&str> {
+    /// The value of a header field; names are compared without case.
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
         self.headers
             .iter()
-            .find(|(n, _)| n.eq_ignore_ascii_case(name))
-            .map(|(_, v)| v.as_str())
+            .find(|(field, _)| field.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
-    /// A field of the target's query.
-    pub fn field(&self, name: &str) -> Option<&str> {
+    /// The value of a parameter of the target's query.
+    pub(super) fn query_parameter(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
         query
             .split('&')
@@ -37,161 +41,181 @@
     }
 }
 
-/// A connection and what was read of it and not yet used.
-pub struct Wire {
-    pub stream: TcpStream,
-    held: BytesMut,
+/// Which messages a connection is read for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Request,
+    Response,
 }
 
-fn bad(why: &str) -> io::Error {
+/// A connection, with what was read of it and not yet used.
+pub(super) struct HttpConnection {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+fn invalid(why: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, why)
 }
 
-impl Wire {
-    pub fn new(stream: TcpStream) -> Self {
+impl HttpConnection {
+    pub(super) fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
         Self {
             stream,
-            held: BytesMut::new(),
+            buffer: BytesMut::new(),
         }
     }
 
-    /// Waits for a first byte of something new; false at the end of the connection.
-    pub async fn heard(&mut self) -> io::Result<bool> {
-        Ok(!self.held.is_empty() || self.stream.read_buf(&mut self.held).await? > 0)
+    pub(super) async fn write(&mut self, text: &str) -> io::Result<()> {
+        self.stream.write_all(text.as_bytes()).await
     }
 
-    async fn more(&mut self) -> io::Result<()> {
-        if self.held.len() > MOST {
-            return Err(bad("too long"));
-        }
-        match self.stream.read_buf(&mut self.held).await? {
-            0 => Err(io::ErrorKind::UnexpectedEof.into()),
-            _ => Ok(()),
-        }
+    /// Waits for the first byte of a next message; false at the end of the connection.
+    pub(super) async fn has_next(&mut self) -> io::Result<bool> {
+        Ok(!self.buffer.is_empty() || self.stream.read_buf(&mut self.buffer).await? > 0)
+    }
+
+    /// Waits until the peer closes, or sends what it should not.
+    pub(super) async fn closed(&mut self) {
+        let _ = self.stream.read_buf(&mut self.buffer).await;
     }
 
     /// Reads a request to its last byte.
-    pub async fn request(&mut self) -> io::Result<Message> {
+    pub(super) async fn read_request(&mut self) -> io::Result<Message> {
         loop {
-            let mut headers = [httparse::EMPTY_HEADER; 64];
-            let mut request = httparse::Request::new(&mut headers);
-            if let httparse::Status::Complete(end) =
-                request.parse(&self.held).map_err(|_| bad("no request"))?
-            {
-                let target = request.path.unwrap_or_default().to_owned();
-                let headers = owned(request.headers);
-                return self
-                    .rest(
-                        end,
-                        Message {
-                            target,
-                            headers,
-                            ..Message::default()
-                        },
-                        false,
-                    )
-                    .await;
+            if let Some((head_length, message)) = parse_request_head(&self.buffer)? {
+                return self.read_body(head_length, message, Kind::Request).await;
             }
-            self.more().await?;
+            self.read_more().await?;
         }
     }
 
-    /// Reads an answer to its last byte.
-    pub async fn answer(&mut self) -> io::Result<Message> {
+    /// Reads a response to its last byte.
+    pub(super) async fn read_response(&mut self) -> io::Result<Message> {
         loop {
-            let mut headers = [httparse::EMPTY_HEADER; 64];
-            let mut response = httparse::Response::new(&mut headers);
-            if let httparse::Status::Complete(end) =
-                response.parse(&self.held).map_err(|_| bad("no answer"))?
-            {
-                let status = response.code.unwrap_or_default();
-                let headers = owned(response.headers);
-                return self
-                    .rest(
-                        end,
-                        Message {
-                            status,
-                            headers,
-                            ..Message::default()
-                        },
-                        true,
-                    )
-                    .await;
+            if let Some((head_length, message)) = parse_response_head(&self.buffer)? {
+                return self.read_body(head_length, message, Kind::Response).await;
             }
-            self.more().await?;
+            self.read_more().await?;
         }
     }
 
-    async fn rest(
+    async fn read_more(&mut self) -> io::Result<()> {
+        if self.buffer.len() > MESSAGE_BYTES_MAX {
+            return Err(invalid("too long"));
+        }
+        match self.stream.read_buf(&mut self.buffer).await? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
+    }
+
+    async fn read_body(
         &mut self,
-        end: usize,
+        head_length: usize,
         mut message: Message,
-        answer: bool,
+        kind: Kind,
     ) -> io::Result<Message> {
-        self.held.advance(end);
+        self.buffer.advance(head_length);
         let chunked = message.header("transfer-encoding").is_some();
         let length = message
             .header("content-length")
-            .map(|l| l.parse::<usize>().map_err(|_| bad("length")));
+            .map(|length| length.parse::<usize>().map_err(|_| invalid("length")));
         match (length.transpose()?, chunked) {
-            (_, true) => self.chunks(&mut message.body).await?,
-            (Some(length), false) if length <= MOST => {
-                while self.held.len() < length {
-                    self.more().await?;
-                }
-                message.body = self.held.split_to(length);
+            (_, true) => self.read_chunks(&mut message.body).await?,
+            (Some(length), false) if length <= MESSAGE_BYTES_MAX => {
+                message.body = self.read_exactly(length).await?;
             }
-            (Some(_), false) => return Err(bad("too long")),
-            (None, false) if answer && message.status == 200 => {
-                return Err(bad("an answer without a length"));
+            (Some(_), false) => return Err(invalid("too long")),
+            (None, false) if kind == Kind::Response && message.status == 200 => {
+                return Err(invalid("a response without a length"));
             }
             (None, false) => {}
         }
         Ok(message)
     }
 
-    async fn chunks(&mut self, body: &mut BytesMut) -> io::Result<()> {
+    async fn read_exactly(&mut self, length: usize) -> io::Result<BytesMut> {
+        while self.buffer.len() < length {
+            self.read_more().await?;
+        }
+        Ok(self.buffer.split_to(length))
+    }
+
+    async fn read_chunks(&mut self, body: &mut BytesMut) -> io::Result<()> {
         loop {
-            let line = loop {
-                match self.held.windows(2).position(|w| w == b"\r\n") {
-                    Some(at) => break self.held.split_to(at + 2),
-                    None => self.more().await?,
-                }
-            };
+            let line = self.read_line().await?;
             let digits = std::str::from_utf8(&line).unwrap_or_default().trim();
-            let length =
-                usize::from_str_radix(digits, 16).map_err(|_| bad("a chunk without a length"))?;
-            if body.len() + length > MOST {
-                return Err(bad("too long"));
-            }
-            while self.held.len() < length + 2 {
-                self.more().await?;
+            let length = usize::from_str_radix(digits, 16)
+                .map_err(|_| invalid("a chunk without a length"))?;
+            if body.len().saturating_add(length) > MESSAGE_BYTES_MAX {
+                return Err(invalid("too long"));
             }
-            body.extend_from_slice(&self.held.split_to(length));
-            self.held.advance(2);
+            let chunk = self.read_exactly(length + 2).await?;
+            body.extend_from_slice(&chunk[..length]);
             if length == 0 {
                 return Ok(());
             }
         }
     }
 
-    /// Waits until the other side closes or sends what it should not.
-    pub async fn gone(&mut self) {
-        let _ = self.stream.read_buf(&mut self.held).await;
+    async fn read_line(&mut self) -> io::Result<BytesMut> {
+        loop {
+            match self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                Some(end) => return Ok(self.buffer.split_to(end + 2)),
+                None => self.read_more().await?,
+            }
+        }
     }
 }
 
+/// The head of a request and its length in bytes; nothing while it is not complete.
+fn parse_request_head(buffer: &[u8]) -> io::Result<Option<(usize, Message)>> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request
+        .parse(buffer)
+        .map_err(|_| invalid("not a request"))?;
+    let httparse::Status::Complete(length) = status else {
+        return Ok(None);
+    };
+    let message = Message {
+        target: request.path.unwrap_or_default().to_owned(),
+        headers: owned(request.headers),
+        ..Message::default()
+    };
+    Ok(Some((length, message)))
+}
+
+/// As [`parse_request_head`], of a response.
+fn parse_response_head(buffer: &[u8]) -> io::Result<Option<(usize, Message)>> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut response = httparse::Response::new(&mut headers);
+    let status = response
+        .parse(buffer)
+        .map_err(|_| invalid("not a response"))?;
+    let httparse::Status::Complete(length) = status else {
+        return Ok(None);
+    };
+    let message = Message {
+        status: response.code.unwrap_or_default(),
+        headers: owned(response.headers),
+        ..Message::default()
+    };
+    Ok(Some((length, message)))
+}
+
 fn owned(headers: &[httparse::Header<'_>]) -> Vec<(String, String)> {
     let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
     headers
         .iter()
-        .map(|h| (h.name.to_owned(), text(h.value)))
+        .map(|header| (header.name.to_owned(), text(header.value)))
         .collect()
 }
 
-/// A whole answer.
-pub fn answer(status: &str, headers: &str, body: &str) -> String {
+/// A complete response as text; each line of `headers` ends in CRLF.
+pub(super) fn response(status: &str, headers: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}",
         body.len()
--- /dev/null
+++ b/crates/testbed/src/emulator/shared.rs
@@ -0,0 +1,90 @@
+//! What all parts of an emulation share: the scenario, the clock, the event record and the counts of what was
+//! swallowed in silence.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use super::clock::Clock;
+use super::recorder::Recorder;
+use super::timeliness::Timeliness;
+use crate::event_log::LogEvent;
+use crate::scenario::{Micros, Scenario, from_ms};
+
+/// Locks a mutex, also a poisoned one: what a task that panicked has recorded is still what happened.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// Shared by all tasks of an emulation.
+pub(super) struct Shared {
+    pub(super) scenario: Arc<Scenario>,
+    pub(super) clock: Clock,
+    pub(super) recorder: Recorder,
+    pub(super) timeliness: Timeliness,
+    next_id: AtomicU64,
+    swallowed_attempts: AtomicU64,
+    swallowed_health_checks: AtomicU64,
+}
+
+impl Shared {
+    pub(super) fn new(scenario: &Scenario, clock: Clock) -> Self {
+        Self {
+            scenario: Arc::new(scenario.clone()),
+            clock,
+            recorder: Recorder::default(),
+            timeliness: Timeliness::default(),
+            next_id: AtomicU64::new(1),
+            swallowed_attempts: AtomicU64::new(0),
+            swallowed_health_checks: AtomicU64::new(0),
+        }
+    }
+
+    pub(super) fn note_at(&self, at: Micros, event: LogEvent) {
+        self.recorder.note(at, event);
+    }
+
+    pub(super) fn note(&self, event: LogEvent) {
+        self.note_at(self.clock.now(), event);
+    }
+
+    /// Records that something due at `due` is done now.
+    pub(super) fn on_done(&self, due: Micros) {
+        self.timeliness.on_done(due, self.clock.now());
+    }
+
+    /// A number for an arrival or a request, never given twice.
+    pub(super) fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// One-way delay between a sidecar and a server; `unit` is a random draw from 0 to 1.
+    pub(super) fn network_delay(&self, same_zone: bool, unit: f64) -> Micros {
+        let network = &self.scenario.network;
+        let base = if same_zone {
+            network.same_ms
+        } else {
+            network.cross_ms
+        };
+        from_ms(base * (1.0 + network.jitter * unit))
+    }
+
+    /// An attempt reached a server that is silent.
+    pub(super) fn on_attempt_swallowed(&self) {
+        self.swallowed_attempts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A health check reached a server that is silent.
+    pub(super) fn on_health_check_swallowed(&self) {
+        self.swallowed_health_checks.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn swallowed_attempts(&self) -> u64 {
+        self.swallowed_attempts.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn swallowed_health_checks(&self) -> u64 {
+        self.swallowed_health_checks.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/emulator/sidecars/restart.rs
@@ -0,0 +1,63 @@
+//! The restart of a sidecar: killed outright, or notified and waited for.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use tokio::time::Instant;
+
+use super::start::READY_LIMIT;
+use super::{Sidecars, read_log};
+use crate::event_log::ProcessState;
+use crate::scenario::{Micros, from_ms};
+
+/// A sidecar that shuts down is given the longest deadline, this at least, and what follows.
+const LEAST_DEADLINE_MS: f64 = 3_000.0;
+const SHUTDOWN_MARGIN: Micros = 900_000;
+
+impl Sidecars {
+    /// Restarts a sidecar so that it is back after `down`, or later where its end takes longer.
+    pub(in crate::emulator) async fn restart(&self, number: usize, down: Micros, kill: bool) {
+        let back_at = Instant::now() + Duration::from_micros(down);
+        if kill {
+            self.kill(number).await;
+        } else {
+            self.shut_down(number).await;
+        }
+        tokio::time::sleep_until(back_at).await;
+        if let Err(error) = self.start(number) {
+            let name = &self.sidecars[number].name;
+            tracing::error!("{name} did not start again: {error}");
+        }
+    }
+
+    async fn kill(&self, number: usize) {
+        let sidecar = &self.sidecars[number];
+        sidecar.count_kill();
+        self.note_state(number, ProcessState::Killed);
+        sidecar.on_kill_started();
+        sidecar.signal(Signal::SIGKILL);
+        sidecar.wait(READY_LIMIT).await;
+        // What came between the signal and its effect was lost by the same kill.
+        self.note_state(number, ProcessState::Killed);
+        sidecar.on_kill_ended();
+    }
+
+    async fn shut_down(&self, number: usize) {
+        let sidecar = &self.sidecars[number];
+        self.note_state(number, ProcessState::Ending);
+        let log = self.log(number);
+        sidecar.signal(Signal::SIGTERM);
+        sidecar.wait(self.shutdown_limit()).await;
+        sidecar.on_ended();
+        self.note_state(number, ProcessState::Ended);
+        sidecar.add_counters_of(&read_log(&log));
+    }
+
+    fn shutdown_limit(&self) -> Duration {
+        let classes = self.shared.scenario.class.iter();
+        let longest_ms = classes
+            .map(|class| class.deadline_ms)
+            .fold(LEAST_DEADLINE_MS, f64::max);
+        Duration::from_micros(from_ms(longest_ms) + SHUTDOWN_MARGIN)
+    }
+}
