--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -31,8 +31,6 @@
 //! balancer.handle(21_000, Event::AttemptEnded(served), &mut actions);
 //! assert!(!actions.iter().any(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })));
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 mod action;
 mod endpoint;
--- /dev/null
+++ b/crates/balancer/tests/balancer/common/fixtures.rs
@@ -0,0 +1,41 @@
+//! Settings, endpoints and constants of the tests.
+
+use arrowstand_balancer::{
+    DeduplicationScope, Endpoint, Event, Idempotency, Micros, RequestClass, ServerId, Settings, UpdateKind,
+};
+
+/// A millisecond.
+pub(crate) const MS: Micros = 1_000;
+/// Token of the timer that ticks.
+pub(crate) const TICK_TOKEN: u64 = 0;
+
+/// A class with an objective of 250 ms; keys are dropped within a cell for 4 s.
+pub(crate) fn class(idempotency: Idempotency) -> RequestClass {
+    let scope = DeduplicationScope::Cell;
+    RequestClass {
+        deduplication_scope: scope,
+        deduplication_window: 4_000 * MS,
+        ..RequestClass::new(idempotency, 250 * MS, 600 * MS)
+    }
+}
+
+/// One class of each idempotency, in the order of the enum.
+pub(crate) fn settings() -> Settings {
+    let kinds = [Idempotency::Idempotent, Idempotency::IdempotencyKey, Idempotency::NonIdempotent];
+    Settings { classes: kinds.into_iter().map(class).collect(), ..Settings::default() }
+}
+
+/// A ready server; two share a cell, four a zone.
+pub(crate) fn endpoint(n: u32) -> Endpoint {
+    Endpoint { cell: n / 2, zone: n / 4, ..Endpoint::ready(ServerId(n), u64::from(n) + 100) }
+}
+
+/// An update of one line of the list.
+pub(crate) fn endpoint_changed(endpoint: Endpoint) -> Event {
+    Event::EndpointsUpdated { kind: UpdateKind::Incremental, version: u64::MAX, endpoints: vec![endpoint] }
+}
+
+/// The same with four balancers that gossip.
+pub(crate) fn settings_with_peers() -> Settings {
+    Settings { gossip: true, balancer_count: 4, ..settings() }
+}
--- /dev/null
+++ b/crates/balancer/tests/balancer/failure_detector.rs
@@ -0,0 +1,116 @@
+//! Suspicions that attempts raise, and how they end.
+
+use crate::common::{Driver, MS, endpoint, endpoint_changed, has_log, sent_to, settings};
+use arrowstand_balancer::{Endpoint, Outcome, ServerId, Settings};
+
+#[test]
+fn restart_ends_a_suspicion_unless_the_server_is_flapping() {
+    let mut driver = Driver::new(settings(), 4);
+    driver.fail_health_checks(ServerId(0));
+    assert!(has_log(
+        &driver.handle(endpoint_changed(Endpoint { incarnation: Some(9), ..endpoint(0) })),
+        "cleared"
+    ));
+    driver.fail_health_checks(ServerId(0));
+    assert!(!has_log(
+        &driver.handle(endpoint_changed(Endpoint { incarnation: Some(10), ..endpoint(0) })),
+        "cleared"
+    ));
+}
+
+#[test]
+fn silent_attempts_raise_a_suspicion_that_a_health_check_does_not_end_at_once() {
+    let mut driver = Driver::new(Settings { hedging: false, ..settings() }, 4);
+    driver.servers_in_use();
+    let mut stuck = Vec::new();
+    for _ in 0..1_000 {
+        if stuck.len() == 4 {
+            break;
+        }
+        let (id, actions) = driver.request(2);
+        let server = sent_to(&actions).expect("sent");
+        if server == ServerId(0) {
+            stuck.push(id);
+        } else {
+            driver.now += MS;
+            driver.end_attempt(id, 0, server, Outcome::Served);
+        }
+    }
+    let mut suspected = false;
+    for _ in 0..40 {
+        suspected |= has_log(&driver.advance(25 * MS), "suspected: work");
+        driver.end_health_check(ServerId(0), Outcome::Served);
+        if suspected {
+            break;
+        }
+    }
+    assert!(suspected);
+    assert_eq!(driver.servers_in_use(), [1, 2, 3]);
+    assert!(has_log(&driver.end_attempt(stuck[0], 0, ServerId(0), Outcome::Served), "cleared"));
+}
+
+#[test]
+fn fast_failures_eject_their_server() {
+    let mut driver = Driver::new(settings(), 4);
+    for _ in 0..60 {
+        let (id, actions) = driver.request(2);
+        let server = sent_to(&actions).expect("sent");
+        let outcome = if server == ServerId(0) { Outcome::ServerError } else { Outcome::Served };
+        driver.now += 5 * MS;
+        driver.end_attempt(id, 0, server, outcome);
+    }
+    assert_eq!(driver.servers_in_use(), [1, 2, 3]);
+}
+
+#[test]
+fn errors_spread_over_all_servers_eject_hardly_any() {
+    let mut driver = Driver::new(settings(), 6);
+    let mut suspected = 0;
+    for n in 0..300 {
+        let (id, actions) = driver.request(2);
+        let server = sent_to(&actions).expect("sent");
+        driver.now += 5 * MS;
+        let outcome = if n % 5 < 2 { Outcome::ServerError } else { Outcome::Served };
+        suspected += usize::from(has_log(&driver.end_attempt(id, 0, server, outcome), "suspected"));
+    }
+    assert!(suspected <= 2, "{suspected}");
+}
+
+#[test]
+fn resets_spread_over_all_servers_eject_hardly_any() {
+    let (mut driver, mut dice, mut suspected) = (Driver::new(settings(), 10), fastrand::Rng::with_seed(1), 0);
+    for _ in 0..2_000 {
+        let (id, actions) = driver.request(2);
+        let server = sent_to(&actions).expect("sent");
+        driver.now += 5 * MS;
+        let outcome = if dice.u8(0..100) < 10 { Outcome::Reset } else { Outcome::Served };
+        suspected += usize::from(has_log(&driver.end_attempt(id, 0, server, outcome), "suspected"));
+    }
+    assert!(suspected <= 5, "{suspected}");
+}
+
+#[test]
+fn quiet_balancer_ejects_a_server_until_its_turn_would_come() {
+    let mut driver = Driver::new(settings(), 4);
+    driver.servers_in_use_slowly();
+    let mut failing = None;
+    for _ in 0..60 {
+        driver.now += 1_000 * MS;
+        let (id, actions) = driver.request(2);
+        let server = sent_to(&actions).expect("sent");
+        let outcome = if server == ServerId(3) { Outcome::ConnectFailed } else { Outcome::Served };
+        let actions = driver.end_attempt(id, 0, server, outcome);
+        if let Some(next) = sent_to(&actions) {
+            driver.end_attempt(id, 1, next, Outcome::Served);
+        }
+        if has_log(&actions, "suspected: work") {
+            failing = Some(server);
+            break;
+        }
+    }
+    assert_eq!(failing, Some(ServerId(3)));
+    driver.now += 1_500 * MS;
+    assert!(!has_log(&driver.end_health_check(ServerId(3), Outcome::Served), "cleared"));
+    driver.now += 8_000 * MS;
+    assert!(has_log(&driver.end_health_check(ServerId(3), Outcome::Served), "cleared"));
+}
--- /dev/null
+++ b/crates/balancer/tests/balancer/gossip.rs
@@ -0,0 +1,74 @@
+//! Messages between balancers.
+
+use crate::common::{
+    Driver, MS, endpoint, endpoint_changed, gossip_messages, has_log, health_checks, settings_with_peers,
+};
+use arrowstand_balancer::{Endpoint, Event, Micros, Outcome, ServerId, Settings, UpdateKind};
+
+/// What a balancer says to its peers once it has confirmed that server 0 is out of reach.
+fn suspicion_message(launched: Option<Micros>) -> Vec<u8> {
+    let mut driver = Driver::new(settings_with_peers(), 6);
+    driver.handle(endpoint_changed(Endpoint { incarnation: launched, ..endpoint(0) }));
+    let asked = gossip_messages(&driver.end_health_check(ServerId(0), Outcome::TimedOut));
+    gossip_messages(&driver.advance(3_000 * MS)).into_iter().find(|m| m[0] != asked[0][0]).expect("gossip")
+}
+
+#[test]
+fn one_message_with_each_health_check_carries_many_suspicions() {
+    let mut driver = Driver::new(Settings { health_check_fee: 0.0, ..settings_with_peers() }, 60);
+    (0..8).for_each(|n| drop(driver.fail_health_checks(ServerId(n))));
+    let told = gossip_messages(&driver.advance(5_000 * MS));
+    assert!(!told.is_empty() && told.len() <= 20 + 3 * 20);
+    assert!(told.iter().any(|m| m.len() > 17 && m.len() <= 256));
+}
+
+#[test]
+fn suspicion_stays_local_where_indirect_checks_succeed() {
+    let reached = {
+        let mut peer = Driver::new(Settings { balancer_index: 1, ..settings_with_peers() }, 6);
+        let mut asker = Driver::new(settings_with_peers(), 6);
+        let ask = gossip_messages(&asker.end_health_check(ServerId(0), Outcome::TimedOut)).remove(0);
+        let asked = peer.handle(Event::GossipReceived { from: 0, message: ask });
+        assert_eq!(health_checks(&asked), [ServerId(0)]);
+        gossip_messages(&peer.end_health_check(ServerId(0), Outcome::Served)).remove(0)
+    };
+    let mut driver = Driver::new(settings_with_peers(), 6);
+    driver.end_health_check(ServerId(0), Outcome::TimedOut);
+    driver.handle(Event::GossipReceived { from: 1, message: reached });
+    let later = driver.advance(400 * MS);
+    assert!(has_log(&later, "suspected"));
+    assert!(gossip_messages(&later).is_empty());
+}
+
+#[test]
+fn suspicion_of_an_older_incarnation_is_ignored() {
+    // Incarnation held, incarnation suspected by a peer, and whether the suspicion holds.
+    let table =
+        [(None, None, true), (Some(5), Some(5), true), (Some(5), Some(7), true), (Some(7), Some(5), false)];
+    for (held, suspected, holds) in table {
+        let message = suspicion_message(suspected);
+        let mut driver = Driver::new(settings_with_peers(), 6);
+        driver.handle(endpoint_changed(Endpoint { incarnation: held, ..endpoint(0) }));
+        let actions = driver.handle(Event::GossipReceived { from: 2, message });
+        assert_eq!(has_log(&actions, "suspected"), holds, "{held:?} {suspected:?}");
+    }
+}
+
+#[test]
+fn own_served_attempt_outweighs_a_gossiped_suspicion() {
+    let mut driver = Driver::new(settings_with_peers(), 1);
+    let entries = (0..6).map(endpoint).collect();
+    driver.handle(Event::EndpointsUpdated { kind: UpdateKind::Full, version: 2, endpoints: entries });
+    driver.servers_in_use();
+    let actions = driver.handle(Event::GossipReceived { from: 2, message: suspicion_message(None) });
+    assert!(!has_log(&actions, "suspected"));
+    assert!(health_checks(&driver.advance(250 * MS)).contains(&ServerId(0)));
+}
+
+#[test]
+fn malformed_gossip_is_ignored() {
+    let mut driver = Driver::new(settings_with_peers(), 4);
+    for message in [vec![], vec![2], vec![2; 16], vec![2; 17], vec![9; 40]] {
+        assert!(driver.handle(Event::GossipReceived { from: 77, message }).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/balancer/tests/balancer/health_check.rs
@@ -0,0 +1,122 @@
+//! Which servers are checked, and what health checks lead to.
+
+use crate::common::{Driver, MS, has_log, health_checks, sent_to, settings};
+use arrowstand_balancer::{Outcome, ServerId, Settings};
+
+#[test]
+fn every_interval_checks_one_random_server() {
+    let mut driver = Driver::new(Settings { health_check_fee: 0.0, ..settings() }, 6);
+    let mut probed = Vec::new();
+    for _ in 0..40 {
+        let asked = health_checks(&driver.advance(1_000 * MS));
+        assert_eq!(asked.len(), 1);
+        driver.end_health_check(asked[0], Outcome::Served);
+        probed.push(asked[0].0);
+    }
+    probed.sort_unstable();
+    probed.dedup();
+    assert_eq!(probed.len(), 6);
+}
+
+#[test]
+fn costly_health_checks_come_seldom_however_many_servers_are_suspected() {
+    let mut driver = Driver::new(Settings { health_check_fee: 0.05, ..settings() }, 60);
+    let calm = health_checks(&driver.advance(40_000 * MS)).len();
+    assert!((6..=9).contains(&calm), "{calm}");
+    (0..25).for_each(|n| drop(driver.fail_health_checks(ServerId(n))));
+    assert!(health_checks(&driver.advance(40_000 * MS)).len() <= 40);
+}
+
+#[test]
+fn failed_attempt_makes_its_server_the_next_to_be_checked() {
+    let mut driver = Driver::new(settings(), 6);
+    let (id, actions) = driver.request(0);
+    let server = sent_to(&actions).expect("sent");
+    driver.end_attempt(id, 0, server, Outcome::Reset);
+    assert_eq!(health_checks(&driver.tick()), [server]);
+}
+
+#[test]
+fn failed_health_check_is_confirmed_by_a_second_before_suspicion() {
+    let mut driver = Driver::new(settings(), 4);
+    assert!(!has_log(&driver.end_health_check(ServerId(0), Outcome::TimedOut), "suspected"));
+    let later = driver.advance(300 * MS);
+    assert!(health_checks(&later).contains(&ServerId(0)));
+    assert!(has_log(&driver.end_health_check(ServerId(0), Outcome::TimedOut), "suspected"));
+    assert_eq!(driver.servers_in_use(), [1, 2, 3]);
+}
+
+#[test]
+fn second_health_check_that_succeeds_raises_no_suspicion() {
+    let mut driver = Driver::new(settings(), 4);
+    driver.end_health_check(ServerId(0), Outcome::TimedOut);
+    driver.advance(300 * MS);
+    driver.end_health_check(ServerId(0), Outcome::Served);
+    assert_eq!(driver.servers_in_use(), [0, 1, 2, 3]);
+}
+
+#[test]
+fn suspected_server_is_declared_dead_still_checked_and_readmitted() {
+    let mut driver = Driver::new(settings(), 4);
+    driver.fail_health_checks(ServerId(0));
+    let mut dead = false;
+    for _ in 0..40 {
+        let actions = driver.advance(250 * MS);
+        dead |= has_log(&actions, "dead");
+        if health_checks(&actions).contains(&ServerId(0)) {
+            driver.end_health_check(ServerId(0), Outcome::TimedOut);
+        }
+    }
+    assert!(dead);
+    assert!(health_checks(&driver.advance(1_500 * MS)).contains(&ServerId(0)));
+    assert!(has_log(&driver.end_health_check(ServerId(0), Outcome::Served), "cleared"));
+}
+
+#[test]
+fn health_checks_that_fail_everywhere_do_not_empty_the_fleet() {
+    let mut driver = Driver::new(settings(), 6);
+    (0..6).for_each(|n| {
+        driver.fail_health_checks(ServerId(n));
+    });
+    assert!(driver.servers_in_use().len() >= 3);
+}
+
+#[test]
+fn suspected_server_is_checked_while_attempts_fail_all_the_time() {
+    let mut driver = Driver::new(settings(), 6);
+    driver.fail_health_checks(ServerId(5));
+    let mut probed = Vec::new();
+    for n in 0..400 {
+        let (id, actions) = driver.request(2);
+        let server = sent_to(&actions).expect("sent");
+        driver.end_attempt(id, 0, server, if n % 4 == 0 { Outcome::Reset } else { Outcome::Served });
+        let asked = health_checks(&driver.advance(25 * MS));
+        for &server in &asked {
+            let outcome = if server.0 == 5 { Outcome::TimedOut } else { Outcome::Served };
+            driver.end_health_check(server, outcome);
+        }
+        probed.extend(asked);
+    }
+    let suspect = probed.iter().filter(|s| s.0 == 5).count();
+    assert!(3 * suspect >= probed.len(), "{probed:?}");
+}
+
+#[test]
+fn attempts_decide_where_most_health_checks_fail() {
+    let mut driver = Driver::new(settings(), 10);
+    for n in 0..7 {
+        driver.end_health_check(ServerId(n), Outcome::TimedOut);
+        driver.end_health_check(ServerId(n), Outcome::TimedOut);
+    }
+    driver.advance(100 * MS);
+    assert!(driver.servers_in_use().len() >= 8);
+    // A server that fails work as well is suspected all the same.
+    for _ in 0..60 {
+        let (id, actions) = driver.request(2);
+        let server = sent_to(&actions).expect("sent");
+        let outcome = if server == ServerId(3) { Outcome::ConnectFailed } else { Outcome::Served };
+        let moved = sent_to(&driver.end_attempt(id, 0, server, outcome));
+        moved.into_iter().for_each(|to| drop(driver.end_attempt(id, 1, to, Outcome::Served)));
+    }
+    assert!(!driver.servers_in_use().contains(&3));
+}
--- a/crates/balancer/tests/answers.rs
+++ b/crates/balancer/tests/balancer/load_from_responses.rs
@@ -1,24 +1,24 @@
-//! Deployments where answers tell of load, requests tell of their work and late answers keep some worth.
+//! Deployments where responses tell of load, requests tell of their work and late responses keep some value.
 
-mod common;
-
-use arrowstand_balancer::*;
-use common::*;
+use crate::common::{Driver, MS, endpoint, endpoint_changed, is_rejected, sent_to, settings};
+use arrowstand_balancer::{
+    AttemptEnd, Endpoint, Event, LoadReport, Micros, Outcome, RequestId, ServerId, Settings,
+};
 
 /// Nothing is asked before a send; a late answer keeps a fifth of its worth.
-fn by_answers() -> Settings {
+fn settings_with_load_in_responses() -> Settings {
     let mut base = settings();
     base.classes.iter_mut().for_each(|c| c.late_value = 0.2);
     Settings { load_reports: true, load_reports_in_responses: true, health_check_fee: 0.01, ..base }
 }
 
 /// A job server of the platform's kind: it works on all that it holds at once, on two cores.
-struct MachineType {
+struct EmulatedServer {
     left: Vec<(RequestId, f64)>,
     speed: f64,
 }
 
-impl MachineType {
+impl EmulatedServer {
     /// Works for a time in milliseconds, and gives what is done.
     fn work(&mut self, ms: f64) -> Vec<RequestId> {
         let each = self.speed * ms * (2.0 / self.left.len().max(1) as f64).min(1.0);
@@ -32,7 +32,7 @@
 /// A balancer before such machines, and what became of the requests.
 struct Fleet {
     driver: Driver,
-    machines: Vec<MachineType>,
+    machines: Vec<EmulatedServer>,
     started: std::collections::BTreeMap<RequestId, (Micros, ServerId)>,
     /// When, to whom and how much was sent.
     sends: Vec<(Micros, ServerId, f64)>,
@@ -44,7 +44,7 @@
 impl Fleet {
     fn new(settings: Settings, machines: u32, seed: u64) -> Self {
         let driver = Driver::seeded(settings, machines, seed);
-        let machines = (0..machines).map(|_| MachineType { left: Vec::new(), speed: 1.0 }).collect();
+        let machines = (0..machines).map(|_| EmulatedServer { left: Vec::new(), speed: 1.0 }).collect();
         Self {
             driver,
             machines,
@@ -62,9 +62,9 @@
     }
 
     fn arrives_hinted(&mut self, work_ms: f64, hint: Option<Micros>) {
-        let (id, actions) = self.driver.hinted(0, hint);
-        self.refused += u32::from(refused(&actions));
-        if let Some(server) = sent(&actions) {
+        let (id, actions) = self.driver.request_with_hint(0, hint);
+        self.refused += u32::from(is_rejected(&actions));
+        if let Some(server) = sent_to(&actions) {
             self.started.insert(id, (self.driver.now, server));
             self.sends.push((self.driver.now, server, work_ms));
             self.machines[server.0 as usize].left.push((id, work_ms));
@@ -95,7 +95,7 @@
                     load_report: report,
                 };
                 assert_eq!(n as u32, server.0);
-                self.driver.tell(Event::AttemptEnded(end));
+                self.driver.handle(Event::AttemptEnded(end));
                 if elapsed <= 250 * MS { self.in_time += 1 } else { self.late += 1 }
             }
         }
@@ -106,7 +106,7 @@
             self.started.remove(&request);
             self.machines[server.0 as usize].left.retain(|(id, _)| *id != request);
             self.late += 1;
-            self.driver.end(request, 0, server, Outcome::TimedOut);
+            self.driver.end_attempt(request, 0, server, Outcome::TimedOut);
         }
     }
 
@@ -133,9 +133,9 @@
 }
 
 #[test]
-fn a_burst_does_not_leave_a_jam_that_feeds_on_itself() {
+fn burst_leaves_no_congestion_behind() {
     for seed in 0..5 {
-        let mut fleet = Fleet::new(by_answers(), 6, seed);
+        let mut fleet = Fleet::new(settings_with_load_in_responses(), 6, seed);
         fleet.load(0.6, 10);
         fleet.counts();
         fleet.load(2.4, 6);
@@ -150,9 +150,9 @@
 }
 
 #[test]
-fn a_fleet_with_room_turns_nothing_away() {
+fn fleet_with_capacity_rejects_hardly_anything() {
     for seed in 0..5 {
-        let mut fleet = Fleet::new(by_answers(), 6, seed);
+        let mut fleet = Fleet::new(settings_with_load_in_responses(), 6, seed);
         fleet.load(0.7, 15);
         let (in_time, late, refused) = fleet.counts();
         assert!(refused * 100 < in_time && late * 50 < in_time, "{in_time} {late} {refused}");
@@ -162,15 +162,19 @@
 /// All servers start anew at once, cold, in the middle of full load, and now and then a request is as large as all
 /// that one of them bears in the span of the rule.
 #[test]
-fn a_fleet_that_is_wholly_cold_is_not_pushed_over() {
+fn fleet_wholly_in_slow_start_is_not_overloaded() {
     for seed in 0..6 {
-        let settings = Settings { cold_capacity_share: 0.2, slow_start_time: 16_000 * MS, ..by_answers() };
+        let settings = Settings {
+            cold_capacity_share: 0.2,
+            slow_start_time: 16_000 * MS,
+            ..settings_with_load_in_responses()
+        };
         let (multiple, span) = (settings.cold_overload_factor, settings.cold_overload_window);
         let mut fleet = Fleet::new(settings, 6, seed);
         fleet.load(0.8, 10);
         let born = fleet.driver.now;
         for n in 0..fleet.machines.len() as u32 {
-            fleet.driver.tell(changed(Endpoint { incarnation: Some(born), ..member(n) }));
+            fleet.driver.handle(endpoint_changed(Endpoint { incarnation: Some(born), ..endpoint(n) }));
         }
         let warmth = |at: Micros| 0.2 + 0.8 * (at - born) as f64 / (16_000 * MS) as f64;
         fleet.sends.clear();
@@ -195,9 +199,9 @@
 
 /// A quarter of the requests is hinted far too low and a quarter far too high, or not at all.
 #[test]
-fn hints_that_are_wrong_or_missing_jam_nothing() {
+fn wrong_or_missing_work_hints_cause_no_congestion() {
     for wrong in [Some(1), Some(60_000_000), None] {
-        let mut fleet = Fleet::new(by_answers(), 6, 3);
+        let mut fleet = Fleet::new(settings_with_load_in_responses(), 6, 3);
         let mut rng = fastrand::Rng::with_seed(9);
         for _ in 0..15 * 200 {
             // Six machines of two cores do 60 ms of work in 5 ms; a request takes 40.
