--- a/crates/balancer/src/action.rs
+++ b/crates/balancer/src/action.rs
@@ -7,59 +7,59 @@
 /// Where actions are pushed.
 pub(crate) type Actions = Vec<Action>;
 
-/// Something the host is asked to do.
+/// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Begin an attempt.
+    /// Send an attempt of a request to a server.
     Send {
         /// The request.
         request: RequestId,
-        /// Where to.
+        /// The server.
         server: ServerId,
-        /// Time-out; `None` until the client gives up.
+        /// Timeout in microseconds; `None` until the client gives up.
         timeout: Option<Micros>,
     },
-    /// Stop waiting for an attempt.
+    /// Cancel an attempt.
     Cancel {
         /// The request.
         request: RequestId,
-        /// Number of the attempt.
+        /// Number of the attempt, from 0 in the order of the sends.
         attempt: u32,
     },
-    /// Final answer: not done, trying again is harmless.
+    /// Final response: the request did not execute, or may be repeated without harm.
     Reject {
         /// The request.
         request: RequestId,
-        /// When the client should come back.
+        /// Retry-After in microseconds, if any.
         retry_after: Option<Micros>,
     },
-    /// Final answer: failed, with no promise about effects.
+    /// Final response: the request failed, and may have executed.
     Fail {
         /// The request.
         request: RequestId,
     },
-    /// Send [`Event::TimerFired`](crate::Event::TimerFired) later.
+    /// Pass [`Event::TimerFired`](crate::Event::TimerFired) later.
     SetTimer {
-        /// Token to return.
+        /// Token of the event.
         token: u64,
-        /// How much later.
+        /// After this many microseconds.
         after: Micros,
     },
-    /// Probe a server.
+    /// Check the health of a server, and ask for its load.
     HealthCheck {
-        /// Which.
+        /// The server.
         server: ServerId,
     },
-    /// Message one peer, or all.
+    /// Send a message to other balancers.
     SendGossip {
-        /// Its number, or `None` for all.
+        /// Number of the balancer, or `None` for all.
         to: Option<u32>,
-        /// What to send.
+        /// The message.
         message: Vec<u8>,
     },
-    /// Ask for list changes from now on.
+    /// Poll the endpoint list, and subscribe to its changes.
     PollEndpoints,
-    /// A line for the log.
+    /// Write a line to the log.
     Log {
         /// What happened.
         text: String,
--- a/crates/balancer/src/endpoint.rs
+++ b/crates/balancer/src/endpoint.rs
@@ -2,30 +2,30 @@
 
 use crate::time::Micros;
 
-/// A server, as interned by the host for this balancer.
+/// A server, as the host numbers it for this balancer; the number itself has no meaning.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerId(pub u32);
 
-/// How a server stands in the list.
+/// The status of a server in the endpoint list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EndpointStatus {
-    /// In service.
+    /// It takes requests.
     #[default]
     Ready,
-    /// Finishing its work; nothing new may be sent.
+    /// It finishes the requests it has; no new one may be sent.
     Draining,
-    /// Removed.
+    /// It is not in the list.
     Removed,
 }
 
-/// What a machine of some kind can do, as far as the deployment tells.
+/// The capacity of a type of machine, as far as the deployment states it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MachineType {
-    /// The kind's number: what is learnt of one server tells of the others of its kind.
+    /// Number of the type: latencies of one server count for all servers of its type.
     pub id: u32,
-    /// Requests that it runs at a time; above zero.
+    /// Requests that it executes at once; above zero.
     pub cores: f64,
-    /// Work per time of one core, against a usual one; above zero.
+    /// Speed of one core, where 1 is usual; above zero.
     pub speed: f64,
 }
 
@@ -35,22 +35,22 @@
     }
 }
 
-/// One line of the server list.
+/// One entry of the endpoint list.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Endpoint {
     /// The server.
     pub server: ServerId,
-    /// A hash of the server's address, computed alike by every balancer: its name in gossip.
+    /// A hash of the server's address that every balancer computes alike: it names the server in gossip.
     pub stable_hash: u64,
-    /// How it stands.
+    /// Its status.
     pub status: EndpointStatus,
-    /// Time of its most recent start; `None` for long ago. Serves as incarnation.
+    /// Time of its latest start, in microseconds; `None` for long ago.
     pub incarnation: Option<Micros>,
     /// Its zone.
     pub zone: u32,
     /// Its cell.
     pub cell: u32,
-    /// What kind of machine it is.
+    /// The type of its machine.
     pub machine_type: MachineType,
 }
 
@@ -62,7 +62,7 @@
     }
 }
 
-/// What a list event holds.
+/// What an update of the endpoint list contains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpdateKind {
     /// Only the servers that changed.
@@ -71,6 +71,6 @@
     Full,
     /// Every server as last known before a restart, possibly stale.
     Cached,
-    /// Nothing: a call failed, or the subscription broke.
+    /// Nothing: a poll failed, or the subscription broke.
     Lost,
 }
--- a/crates/balancer/src/estimators/slow_start.rs
+++ b/crates/balancer/src/estimators/slow_start.rs
@@ -1,5 +1,8 @@
 //! The capacity of servers that have just started, and what a warm server gets.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::VecDeque;
 
 use crate::estimators::decaying_rate::DecayingRate;
--- a/crates/balancer/src/event.rs
+++ b/crates/balancer/src/event.rs
@@ -4,57 +4,57 @@
 use crate::request_class::ClassId;
 use crate::time::Micros;
 
-/// A request; never used twice within one life of a balancer.
+/// A request, as the host numbers it; no number is used twice by one balancer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
-/// A request as it came from a client.
+/// A request as it arrived from a client.
 #[derive(Clone, Copy, Debug)]
 pub struct IncomingRequest {
     /// Its id.
     pub id: RequestId,
     /// Its class.
     pub class: ClassId,
-    /// How long the client still waits for this try.
+    /// How long its client still waits, in microseconds.
     pub time_left: Micros,
-    /// Expected work, in time on a standard core, where the client can tell.
+    /// Its work in microseconds on a usual core, where the client states it.
     pub work_hint: Option<Micros>,
 }
 
-/// How an attempt or a probe ended.
+/// How an attempt or a health check ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// Answered well.
+    /// The server responded well.
     Served,
-    /// Answered with an error; may have run.
+    /// The server responded with an error; the request may have executed.
     ServerError,
-    /// Rejected unseen; never ran.
+    /// The server rejected the request; it never executed.
     Rejected,
-    /// No answer in time; may have run or still be running.
+    /// No response in time; the request may have executed or be executing.
     TimedOut,
-    /// No connection came about; never ran.
+    /// No connection was established; the request never executed.
     ConnectFailed,
-    /// The connection broke; may have run.
+    /// The connection broke; the request may have executed.
     Reset,
-    /// Cancelled by this balancer; may have run.
+    /// This balancer cancelled the attempt; the request may have executed.
     Cancelled,
-    /// Never left this balancer.
+    /// The request was never sent.
     NotSent,
 }
 
 impl Outcome {
-    /// True where the outcome proves that the attempt had no effect.
+    /// True where the outcome proves that the request did not execute.
     pub fn never_executed(self) -> bool {
         matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
     }
 }
 
-/// What a server says of its load.
+/// The load that a server reports.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadReport {
-    /// Requests it holds, running and waiting.
+    /// Requests in flight at it, executing or queued.
     pub in_flight: f64,
-    /// Those of them that wait.
+    /// Those of them that are queued.
     pub queued: f64,
 }
 
@@ -63,65 +63,65 @@
 pub struct AttemptEnd {
     /// The request.
     pub request: RequestId,
-    /// Number of the attempt, in the order of the sends.
+    /// Number of the attempt, from 0 in the order of the sends.
     pub attempt: u32,
     /// The server it was sent to.
     pub server: ServerId,
     /// How it ended.
     pub outcome: Outcome,
-    /// The request has its final answer, through this outcome or before.
+    /// The request has its final response, through this attempt or before.
     pub finished: bool,
-    /// Time since the send.
+    /// Microseconds since the send.
     pub elapsed: Micros,
-    /// Load report that came along.
+    /// The load report of the response, if any.
     pub load_report: Option<LoadReport>,
 }
 
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// News of the server list.
+    /// The endpoint list changed, or was lost.
     EndpointsUpdated {
-        /// What it holds.
+        /// What the update contains.
         kind: UpdateKind,
-        /// Version of the list.
+        /// Version of the list; updates of an older version are ignored.
         version: u64,
-        /// The servers named.
+        /// The servers that it names.
         endpoints: Vec<Endpoint>,
     },
-    /// A request arrived; it is owed one final answer.
+    /// A request arrived; it gets one final response.
     RequestArrived(IncomingRequest),
-    /// A streamed answer started.
+    /// A response started to stream.
     ResponseStarted {
         /// The request.
         request: RequestId,
     },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
-    /// The client left; nothing more is owed.
+    /// The client left; its request needs no response any more.
     ClientDisconnected {
         /// The request.
         request: RequestId,
     },
-    /// A timer came due.
+    /// A timer fired.
     TimerFired {
         /// The token it was set with.
         token: u64,
     },
-    /// A probe ended.
+    /// A health check ended.
     HealthCheckEnded {
-        /// The server probed.
+        /// The server that was checked.
         server: ServerId,
         /// How it ended.
         outcome: Outcome,
-        /// Load report that came along.
+        /// The load report of the response, if any.
         load_report: Option<LoadReport>,
     },
     /// A message from another balancer.
     GossipReceived {
-        /// Its number.
+        /// Number of the balancer that sent it.
         from: u32,
-        /// What it sent.
+        /// The message; malformed ones are ignored.
         message: Vec<u8>,
     },
 }
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -1,10 +1,23 @@
-//! arrowstand_balancer makes the decisions of a sidecar balancer for service-to-service calls.
+//! Decisions of a sidecar load balancer: which server a request goes to, whether it is retried, what is
+//! rejected, and which servers are checked, suspected and used.
 //!
-//! The library does no I/O and reads no clock. The host passes each [`Event`] with the current
-//! time to [`Balancer::handle`] and carries out the [`Action`]s that it pushes.
+//! The library does no I/O and reads no clock. The host passes each [`Event`] with the current time to
+//! [`Balancer::handle`] and carries out the [`Action`]s that it pushes. Times are whole microseconds on one
+//! clock that only rises; ids are numbers of the host without a meaning, apart from
+//! [`Endpoint::stable_hash`], which all balancers compute alike.
 //!
+//! # Layout
+//! - `settings`, `request_class`, `endpoint`, `event`, `action`: the interface.
+//! - `policy`: [`Balancer`] and every decision.
+//! - `estimators`: what responses and load reports tell of the fleet and of each server.
+//! - `state`: servers, requests and messages, each owned by one type.
+//!
+//! # Example
 //! ```
-//! use arrowstand_balancer::*;
+//! use arrowstand_balancer::{
+//!     Action, AttemptEnd, Balancer, ClassId, Endpoint, Event, Idempotency, IncomingRequest, Outcome,
+//!     RequestClass, RequestId, ServerId, Settings, UpdateKind,
+//! };
 //!
 //! let mut settings = Settings::default();
 //! settings.classes.push(RequestClass::new(Idempotency::Idempotent, 250_000, 600_000));
@@ -16,20 +29,21 @@
 //! let list = Event::EndpointsUpdated { kind: UpdateKind::Full, version: 1, endpoints: vec![endpoint] };
 //! balancer.handle(0, list, &mut actions);
 //!
-//! // A request comes in and is sent to it.
+//! // A request arrives and is sent to it.
 //! actions.clear();
-//! let call = IncomingRequest { id: RequestId(1), class: ClassId(0), time_left: 600_000, work_hint: None };
-//! balancer.handle(1_000, Event::RequestArrived(call), &mut actions);
-//! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(0), .. })));
+//! let request = IncomingRequest { id: RequestId(1), class: ClassId(0), time_left: 600_000, work_hint: None };
+//! balancer.handle(1_000, Event::RequestArrived(request), &mut actions);
+//! assert!(actions.iter().any(|action| matches!(action, Action::Send { server: ServerId(0), .. })));
 //!
-//! // The attempt is served: the host passes the answer on, and nothing more is owed.
+//! // The attempt is served: the host passes the response on, and the request is finished.
 //! actions.clear();
 //! let served = AttemptEnd {
 //!     request: RequestId(1), attempt: 0, server: ServerId(0), outcome: Outcome::Served,
 //!     finished: true, elapsed: 20_000, load_report: None,
 //! };
 //! balancer.handle(21_000, Event::AttemptEnded(served), &mut actions);
-//! assert!(!actions.iter().any(|a| matches!(a, Action::Reject { .. } | Action::Fail { .. })));
+//! let is_final = |action: &Action| matches!(action, Action::Reject { .. } | Action::Fail { .. });
+//! assert!(!actions.iter().any(is_final));
 //! ```
 
 mod action;
--- a/crates/balancer/src/request_class.rs
+++ b/crates/balancer/src/request_class.rs
@@ -6,21 +6,21 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClassId(pub u16);
 
-/// May a request run more than once?
+/// Whether a request may execute more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
-    /// Safe to repeat anywhere.
+    /// It may be retried on any server.
     Idempotent,
-    /// Carries a key by which the servers of one scope drop repeats for a while.
+    /// It carries an idempotency key by which the servers of one scope drop duplicates for a while.
     IdempotencyKey,
-    /// Must never run twice.
+    /// It must never execute twice.
     NonIdempotent,
 }
 
-/// The servers among which repeats of a keyed request are dropped.
+/// The servers that share their idempotency keys, and so drop each other's duplicates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeduplicationScope {
-    /// All of them.
+    /// All servers.
     All,
     /// Those of one zone.
     Zone,
@@ -28,31 +28,31 @@
     Cell,
 }
 
-/// What the balancer knows of a request class.
+/// A request class: what its requests are worth, how long they may take and whether they may be retried.
 #[derive(Clone, Debug)]
 pub struct RequestClass {
-    /// Worth of one request in time.
+    /// Value of one response within the latency objective; finite and not negative.
     pub priority_weight: f64,
-    /// Answers within this time have full worth.
+    /// A response within this time has its full value; above zero.
     pub latency_objective: Micros,
-    /// Time a client waits across all its tries.
+    /// Time that a client waits, over all its tries; not below the latency objective.
     pub deadline: Micros,
-    /// Share of the worth that a late answer keeps.
+    /// Share of its value that a response after the latency objective keeps, from 0 to 1.
     pub late_value: f64,
-    /// The objective grows by this multiple of the request's own work.
+    /// The latency objective grows by this multiple of the request's work hint.
     pub objective_per_work: f64,
-    /// Whether a request may run again.
+    /// Whether a request may execute more than once.
     pub idempotency: Idempotency,
-    /// Where repeats of a keyed request are dropped.
+    /// The servers that drop duplicates of a request with an idempotency key.
     pub deduplication_scope: DeduplicationScope,
-    /// For how long they are dropped, from the first attempt that may have run.
+    /// For how long duplicates are dropped, from the first attempt that may have executed.
     pub deduplication_window: Micros,
-    /// The answer is streamed: it may start before it ends.
+    /// The response is streamed: it may start long before it ends.
     pub streamed: bool,
 }
 
 impl RequestClass {
-    /// A class of worth 1 whose late answers are worth nothing.
+    /// A class of priority weight 1 whose late responses have no value. Times are in microseconds.
     pub fn new(idempotency: Idempotency, latency_objective: Micros, deadline: Micros) -> Self {
         Self {
             priority_weight: 1.0,
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -5,62 +5,63 @@
 use crate::request_class::{ClassId, RequestClass};
 use crate::time::Micros;
 
-/// What a deployment tells its balancers at start.
+/// What a deployment configures for its balancers. Fees are fractions of the deployment's result.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// The request classes.
+    /// The request classes; at least one.
     pub classes: Vec<RequestClass>,
     /// Zone of this balancer, in the numbering of [`Endpoint::zone`](crate::Endpoint::zone).
     pub zone: u32,
-    /// Number of this balancer among its peers.
+    /// Number of this balancer among all, from 0.
     pub balancer_index: u32,
     /// How many balancers there are.
     pub balancer_count: u32,
-    /// Shortest time between two calls of the balancer.
+    /// Shortest time between two calls of the balancer, in microseconds.
     pub step: Micros,
-    /// Attempts can be cancelled.
+    /// The host can cancel attempts.
     pub cancellation: bool,
-    /// Servers can be probed.
+    /// The host can check the health of servers.
     pub health_checks: bool,
-    /// Balancers can message each other.
+    /// Balancers can send each other messages.
     pub gossip: bool,
-    /// A request may have two attempts outstanding.
+    /// A request may have two attempts in flight at once.
     pub hedging: bool,
-    /// Clients hear the retry-after of a refusal.
+    /// Clients receive the Retry-After of a rejection.
     pub retry_after: bool,
-    /// Longest retry-after that clients honour.
+    /// Longest Retry-After that clients honour.
     pub max_retry_after: Micros,
-    /// Most attempts for one request.
+    /// Most attempts for one request; above zero.
     pub max_attempts: u32,
-    /// Price of one probe per request, as a fraction of the result.
+    /// Fee for one health check per request.
     pub health_check_fee: f64,
-    /// Price of one new connection per request, as a fraction of the result.
+    /// Fee for one new connection per request.
     pub handshake_fee: f64,
-    /// A connection that stands idle for this long is closed.
+    /// A connection that is idle for this long is closed.
     pub idle_timeout: Micros,
-    /// Price of a mean of 100 open connections for each server.
+    /// Fee for a mean of 100 open connections to each server.
     pub connection_fee: f64,
-    /// Price of one attempt per request crossing zones.
+    /// Fee for one attempt per request that crosses zones.
     pub cross_zone_fee: f64,
-    /// Load reports carry the requests held and waiting, with probes.
+    /// Health checks return load reports.
     pub load_reports: bool,
-    /// Load reports come with answers too, each as of some time before.
+    /// Responses carry load reports too, each as of some time before.
     pub load_reports_in_responses: bool,
-    /// A request's worth counts for each unit of its work.
+    /// The priority weight counts for each unit of a request's work, not for the request.
     pub weight_by_work: bool,
-    /// The list of servers must be asked for.
+    /// The endpoint list must be polled for.
     pub poll_endpoints: bool,
-    /// Longest time to go without asking for the list.
+    /// Longest time without a poll while there is no subscription; above zero.
     pub max_poll_interval: Micros,
-    /// Only a listed drain binds; a server that is merely gone may be tried.
+    /// Only draining servers must not be sent to; one that is merely removed may be tried.
     pub only_draining_binds: bool,
-    /// A server starts at this share of its capacity or more.
+    /// Share of its capacity that a server has at least when it starts, above 0 and at most 1.
     pub cold_capacity_share: f64,
-    /// And is warm after this time.
+    /// Time after which a server has its full capacity.
     pub slow_start_time: Micros,
-    /// A cold server falls over that is sent more than this many times what it can do,
+    /// A server in slow start fails that gets more than this multiple of its capacity, from all balancers,
+    /// within [`cold_overload_window`](Self::cold_overload_window).
     pub cold_overload_factor: f64,
-    /// for this long, by all balancers together.
+    /// The span over which a server in slow start must not be overloaded.
     pub cold_overload_window: Micros,
 }
 
@@ -98,12 +99,12 @@
     }
 }
 
-/// A setting that the balancer cannot work with.
+/// A setting that is out of range.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError {
-    /// The setting.
+    /// The key of the setting, as operators know it.
     pub setting: String,
-    /// What is wrong with it.
+    /// The range that it must lie in.
     pub reason: &'static str,
 }
 
@@ -116,37 +117,23 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
-    /// Tells whether the balancer can work with these settings.
+    /// Checks that all settings are in range.
     ///
     /// # Errors
-    /// Names the first setting that is out of range.
+    /// Returns the first setting that is out of range.
     pub fn validate(&self) -> Result<(), SettingsError> {
-        let check = |ok: bool, setting: &str, reason: &'static str| {
-            let setting = setting.to_owned();
-            if ok { Ok(()) } else { Err(SettingsError { setting, reason }) }
-        };
         check(!self.classes.is_empty(), "classes", "at least one class is needed")?;
-        for (i, class) in self.classes.iter().enumerate() {
-            let worth = class.priority_weight.is_finite() && class.priority_weight >= 0.0;
-            check(worth, &format!("classes[{i}].worth"), "must be finite and not negative")?;
-            let objective = class.latency_objective > 0;
-            check(objective, &format!("classes[{i}].objective"), "must be above zero")?;
-            let deadline = class.deadline >= class.latency_objective;
-            check(deadline, &format!("classes[{i}].deadline"), "must not be below the objective")?;
-            let late = (0.0..=1.0).contains(&class.late_value);
-            check(late, &format!("classes[{i}].late_value"), "must lie between 0 and 1")?;
-            let stretch = class.objective_per_work.is_finite() && class.objective_per_work >= 0.0;
-            check(stretch, &format!("classes[{i}].stretch"), "must be finite and not negative")?;
+        for (index, class) in self.classes.iter().enumerate() {
+            validate_class(index, class)?;
         }
         check(self.max_attempts > 0, "max_attempts", "at least one attempt is needed")?;
         let share = self.cold_capacity_share > 0.0 && self.cold_capacity_share <= 1.0;
         check(share, "cold_share", "must be above 0 and at most 1")?;
-        let multiple = self.cold_overload_factor > 0.0 && self.cold_overload_factor.is_finite();
-        check(multiple, "cold_multiple", "must be finite and above 0")?;
-        let fees = [self.health_check_fee, self.handshake_fee, self.connection_fee, self.cross_zone_fee]
-            .iter()
-            .all(|f| f.is_finite());
-        check(fees, "probe_fee, connection_fee or cross_zone_fee", "must be finite")?;
+        let factor = self.cold_overload_factor > 0.0 && self.cold_overload_factor.is_finite();
+        check(factor, "cold_multiple", "must be finite and above 0")?;
+        let fees = [self.health_check_fee, self.handshake_fee, self.connection_fee, self.cross_zone_fee];
+        let finite = fees.iter().all(|fee| fee.is_finite());
+        check(finite, "probe_fee, connection_fee or cross_zone_fee", "must be finite")?;
         check(self.max_poll_interval > 0, "ask_every", "must be above zero")
     }
 
@@ -170,3 +157,20 @@
         self.gossip && self.balancer_count > 1
     }
 }
+
+fn validate_class(index: usize, class: &RequestClass) -> Result<(), SettingsError> {
+    let weight = class.priority_weight.is_finite() && class.priority_weight >= 0.0;
+    check(weight, &format!("classes[{index}].worth"), "must be finite and not negative")?;
+    let objective = class.latency_objective > 0;
+    check(objective, &format!("classes[{index}].objective"), "must be above zero")?;
+    let deadline = class.deadline >= class.latency_objective;
+    check(deadline, &format!("classes[{index}].deadline"), "must not be below the objective")?;
+    let late_value = (0.0..=1.0).contains(&class.late_value);
+    check(late_value, &format!("classes[{index}].late_value"), "must lie between 0 and 1")?;
+    let growth = class.objective_per_work.is_finite() && class.objective_per_work >= 0.0;
+    check(growth, &format!("classes[{index}].stretch"), "must be finite and not negative")
+}
+
+fn check(in_range: bool, setting: &str, reason: &'static str) -> Result<(), SettingsError> {
+    if in_range { Ok(()) } else { Err(SettingsError { setting: setting.to_owned(), reason }) }
+}
--- a/crates/balancer/src/state/endpoint_table.rs
+++ b/crates/balancer/src/state/endpoint_table.rs
@@ -1,5 +1,8 @@
 //! The servers by index and id, merged from endpoint lists.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Index, IndexMut};
 
@@ -29,10 +32,12 @@
         self.index_by_id.get(&id).copied()
     }
 
+    /// Number of servers.
     pub(crate) fn len(&self) -> usize {
         self.servers.len()
     }
 
+    /// The servers in the order of their indices.
     pub(crate) fn iter(&self) -> std::slice::Iter<'_, ServerState> {
         self.servers.iter()
     }
--- /dev/null
+++ b/crates/balancer/src/state/endpoint_table/tests.rs
@@ -0,0 +1,62 @@
+use super::EndpointTable;
+use crate::{Endpoint, EndpointStatus, Micros, ServerId};
+
+const SLOW_START_TIME: Micros = 10;
+
+fn table(servers: u32) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    for n in 0..servers {
+        table.merge(Endpoint::ready(ServerId(n), u64::from(n)), 1_000, SLOW_START_TIME);
+    }
+    table
+}
+
+#[test]
+fn merge_reports_a_restart_only_for_a_newer_incarnation() {
+    let mut table = table(2);
+    for (incarnation, restarted) in [(None, false), (Some(5), true), (Some(5), false), (Some(4), false)] {
+        let endpoint = Endpoint { incarnation, ..Endpoint::ready(ServerId(1), 1) };
+        let merged = table.merge(endpoint, 1_000, SLOW_START_TIME);
+        assert_eq!((merged.server_index, merged.restarted), (1, restarted), "{incarnation:?}");
+    }
+    assert_eq!(table[1].incarnation(), 5);
+}
+
+#[test]
+fn older_version_of_the_list_is_not_accepted() {
+    let mut table = EndpointTable::default();
+    assert!(table.accept_version(7) && table.accept_version(7) && !table.accept_version(6));
+    assert!(table.accept_version(8));
+}
+
+#[test]
+fn full_list_marks_servers_it_omits_as_removed() {
+    let mut table = table(3);
+    table.on_full_list(&[Endpoint::ready(ServerId(1), 1)]);
+    let removed: Vec<bool> = table.iter().map(|server| server.is_removed()).collect();
+    assert_eq!(removed, [true, false, true]);
+}
+
+#[test]
+fn retain_renumbers_servers_and_counts_failed_health_checks_anew() {
+    let mut table = table(3);
+    table.on_health_check_ended(0, false);
+    table.on_health_check_ended(2, false);
+    table.on_health_check_ended(2, false);
+    assert_eq!(table.failed_health_checks(), 2);
+    table.retain(|server| server.id() != ServerId(0));
+    assert_eq!(table.failed_health_checks(), 1);
+    assert_eq!([0, 1, 2].map(|n| table.find(ServerId(n))), [None, Some(0), Some(1)]);
+    table.on_health_check_ended(1, true);
+    assert_eq!(table.failed_health_checks(), 0);
+}
+
+#[test]
+fn listed_drain_lasts_until_a_restart() {
+    let mut table = table(1);
+    table[0].on_status_listed(EndpointStatus::Draining);
+    table[0].on_status_listed(EndpointStatus::Ready);
+    assert!(table[0].is_drain_listed());
+    table[0].on_restarted(1_000, SLOW_START_TIME);
+    assert!(!table[0].is_drain_listed());
+}
--- a/crates/balancer/src/state/health_check_schedule.rs
+++ b/crates/balancer/src/state/health_check_schedule.rs
@@ -1,5 +1,8 @@
 //! When the next health check is due, and which servers are next.
 
+#[cfg(test)]
+mod tests;
+
 use crate::{Micros, ServerId};
 
 /// The schedule. How long intervals are is decided in `policy/health_check.rs`.
--- a/crates/balancer/src/state/request_state.rs
+++ b/crates/balancer/src/state/request_state.rs
@@ -1,5 +1,8 @@
 //! A request without a final response yet, and its attempts.
 
+#[cfg(test)]
+mod tests;
+
 use crate::{ClassId, Endpoint, IncomingRequest, Micros, RequestClass, ServerId};
 
 /// Whether an attempt can have had an effect.
@@ -24,14 +27,17 @@
 }
 
 impl Attempt {
+    /// When it was sent.
     pub(crate) fn sent_at(&self) -> Micros {
         self.sent_at
     }
 
+    /// Zone of its server.
     pub(crate) fn zone(&self) -> u32 {
         self.zone
     }
 
+    /// Cell of its server.
     pub(crate) fn cell(&self) -> u32 {
         self.cell
     }
@@ -97,10 +103,12 @@
         }
     }
 
+    /// Its class, which exists.
     pub(crate) fn class(&self) -> ClassId {
         self.class
     }
 
+    /// When it arrived.
     pub(crate) fn arrived_at(&self) -> Micros {
         self.arrived_at
     }
--- a/crates/balancer/src/state/request_table.rs
+++ b/crates/balancer/src/state/request_table.rs
@@ -1,5 +1,8 @@
 //! The requests without a final response, and their timers.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::state::request_state::RequestState;
@@ -13,10 +16,12 @@
 }
 
 impl RequestTable {
+    /// A request without a final response.
     pub(crate) fn get(&self, id: RequestId) -> Option<&RequestState> {
         self.requests.get(&id)
     }
 
+    /// The same, to record what happened to it.
     pub(crate) fn get_mut(&mut self, id: RequestId) -> Option<&mut RequestState> {
         self.requests.get_mut(&id)
     }
--- a/crates/balancer/src/state/server_state.rs
+++ b/crates/balancer/src/state/server_state.rs
@@ -65,10 +65,12 @@
         }
     }
 
+    /// Its number.
     pub(crate) fn id(&self) -> ServerId {
         self.endpoint.server
     }
 
+    /// Its entry of the endpoint list.
     pub(crate) fn endpoint(&self) -> &Endpoint {
         &self.endpoint
     }
--- a/crates/balancer/src/state/subset_order.rs
+++ b/crates/balancer/src/state/subset_order.rs
@@ -1,5 +1,8 @@
 //! The order in which this balancer uses the servers. How many of them it uses is decided in `policy/subset.rs`.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use crate::state::{EndpointTable, ServerState};
--- a/crates/balancer/src/state/suspicion.rs
+++ b/crates/balancer/src/state/suspicion.rs
@@ -1,5 +1,8 @@
 //! Whether a server is suspected, and its record of ejections.
 
+#[cfg(test)]
+mod tests;
+
 use crate::Micros;
 
 /// What raised a suspicion.
@@ -52,10 +55,12 @@
 }
 
 impl SuspicionRecord {
+    /// The suspicion that stands, if any.
     pub(crate) fn current(&self) -> Option<Suspicion> {
         self.current
     }
 
+    /// True where a suspicion stands.
     pub(crate) fn is_suspected(&self) -> bool {
         self.current.is_some()
     }
--- a/crates/balancer/src/time.rs
+++ b/crates/balancer/src/time.rs
@@ -1,4 +1,4 @@
-//! The unit of time of the whole interface.
+//! The unit of time of the whole interface: whole microseconds on one monotonic clock of the host.
 
-/// Microseconds: a point in time or a span.
+/// Microseconds: a point in time on the host's monotonic clock, or a span.
 pub type Micros = u64;
--- a/crates/balancer/src/weighted_choice.rs
+++ b/crates/balancer/src/weighted_choice.rs
@@ -1,5 +1,8 @@
 //! Random choice by weight.
 
+#[cfg(test)]
+mod tests;
+
 /// Position of one of the weights, each drawn as often as its share of the sum; the last one where rounding
 /// leaves none. `None` where there are no weights. Draws one random number in any case.
 pub(crate) fn weighted_choice(weights: &[f64], rng: &mut fastrand::Rng) -> Option<usize> {
