--- a/crates/balancer/tests/balancer/dispatch.rs
+++ b/crates/balancer/tests/balancer/dispatch.rs
@@ -11,7 +11,7 @@
     let mut driver = Driver::new(settings(), 4);
     for class in 0..3 {
         let (_, actions) = driver.request(class);
-        let timeouts = actions.iter().filter_map(|a| match a {
+        let timeouts = actions.iter().filter_map(|action| match action {
             Action::Send { timeout, .. } => *timeout,
             _ => None,
         });
@@ -27,15 +27,15 @@
         driver.now += 25 * MS;
         actions.extend(driver.handle(Event::TimerFired { token: 1 }));
     }
-    assert_eq!(actions.iter().filter(|a| matches!(a, Action::Reject { .. })).count(), 1);
+    assert_eq!(actions.iter().filter(|action| matches!(action, Action::Reject { .. })).count(), 1);
 }
 
 #[test]
 fn request_that_cannot_meet_its_objective_is_rejected_at_once() {
     let mut driver = Driver::new(settings(), 3);
     let (id, class) = (RequestId(9_000), ClassId(0));
-    let call = IncomingRequest { id, class, time_left: 600 * MS, work_hint: Some(900 * MS) };
-    assert!(is_rejected(&driver.handle(Event::RequestArrived(call))));
+    let incoming = IncomingRequest { id, class, time_left: 600 * MS, work_hint: Some(900 * MS) };
+    assert!(is_rejected(&driver.handle(Event::RequestArrived(incoming))));
 }
 
 #[test]
@@ -43,8 +43,8 @@
     let mut sends = 0;
     for seed in 0..800 {
         let mut driver = Driver::seeded(Settings { cold_capacity_share: 0.25, ..settings() }, 3, seed);
-        let launched = Some(driver.now);
-        driver.handle(endpoint_changed(Endpoint { incarnation: launched, ..endpoint(7) }));
+        let incarnation = Some(driver.now);
+        driver.handle(endpoint_changed(Endpoint { incarnation, ..endpoint(7) }));
         sends += u32::from(driver.serve(0) == ServerId(7));
     }
     // A warm server gets two hundred, one that has just started a quarter of that or a little more.
@@ -53,7 +53,7 @@
 
 #[test]
 fn invalid_settings_are_refused_by_name() {
-    let reason = |s: Settings| Balancer::new(s, 0).err().expect("refused").to_string();
+    let reason = |settings: Settings| Balancer::new(settings, 0).err().expect("refused").to_string();
     assert!(reason(Settings::default()).contains("classes"));
     assert!(reason(Settings { cold_capacity_share: 0.0, ..settings() }).contains("cold_share"));
     assert!(reason(Settings { max_attempts: 0, ..settings() }).contains("max_attempts"));
@@ -75,13 +75,15 @@
     assert_eq!(driver.servers_in_use(), [0, 1]);
 }
 
-/// A balancer starts with a list of which most has gone: connections there are refused, and the list says nothing.
+/// A balancer starts with a list of servers most of which are gone: connections to them fail, and no update
+/// comes.
 #[test]
 fn stale_list_of_mostly_gone_servers_costs_few_requests_and_is_soon_known() {
     let (mut early, mut late) = (0, 0);
     for seed in 0..40 {
-        let dear = Settings { handshake_fee: 0.05, balancer_count: 300, balancer_index: seed, ..settings() };
-        let mut driver = Driver::seeded(dear, 60, u64::from(seed));
+        let settings_with_handshake_fee =
+            Settings { handshake_fee: 0.05, balancer_count: 300, balancer_index: seed, ..settings() };
+        let mut driver = Driver::seeded(settings_with_handshake_fee, 60, u64::from(seed));
         for n in 0..120 {
             driver.now += 200 * MS;
             driver.tick();
--- a/crates/balancer/tests/balancer/endpoint_list.rs
+++ b/crates/balancer/tests/balancer/endpoint_list.rs
@@ -13,7 +13,7 @@
     }
 }
 
-/// `crates/sidecar/src/limits.rs` counts on this pause (`LIST_PAUSE`).
+/// `crates/sidecar/src/limits.rs` counts on this pause (`MAX_POLL_PAUSE`).
 #[test]
 fn lost_list_is_first_polled_again_within_a_third_of_a_second() {
     for seed in 0..400 {
@@ -23,8 +23,8 @@
     }
 }
 
-/// Over loads and numbers of servers: one send at most learns of a drain that the list cannot tell, and what is
-/// told to be ready is used again.
+/// Over loads and numbers of servers: at most one request goes to a draining server while the list is lost,
+/// and a server that is listed as ready is used again.
 #[test]
 fn server_that_rejects_while_the_list_is_lost_is_avoided_until_an_update() {
     for (seed, servers, gap) in (0..60).map(|n| (n, 3 + n as u32 % 5, [20, 200, 1_500][n as usize % 3])) {
@@ -46,7 +46,7 @@
         }
         assert!(sends <= 1, "seed {seed}: {sends} sends");
         driver.handle(endpoint_changed(Endpoint { status: EndpointStatus::Draining, ..endpoint(1) }));
-        assert!(driver.servers_in_use().contains(&0), "seed {seed}: told to be ready");
+        assert!(driver.servers_in_use().contains(&0), "seed {seed}: listed as ready");
     }
 }
 
@@ -64,8 +64,8 @@
 #[test]
 fn full_list_removes_servers_it_omits() {
     let mut driver = Driver::new(settings(), 4);
-    let entries = (1..4).map(endpoint).collect();
-    driver.handle(Event::EndpointsUpdated { kind: UpdateKind::Full, version: 2, endpoints: entries });
+    let endpoints = (1..4).map(endpoint).collect();
+    driver.handle(Event::EndpointsUpdated { kind: UpdateKind::Full, version: 2, endpoints });
     assert_eq!(driver.servers_in_use(), [1, 2, 3]);
 }
 
@@ -77,28 +77,29 @@
     assert_eq!(driver.servers_in_use(), [0, 2, 3]);
 }
 
-/// The figure for the fleet: calls in the time that a discovery of four calls a second needs to answer all once.
+/// The figure for the fleet: polls in the time that a discovery of four calls a second needs to respond to
+/// all once.
 #[test]
 fn hundred_balancers_that_lost_their_list_do_not_saturate_discovery() {
-    let (mut calls, mut late) = (0, 0);
+    let (mut polls, mut max_pause) = (0, 0);
     for seed in 0..100 {
         let settings = Settings { poll_endpoints: true, ..settings() };
         let mut driver = Driver::seeded(settings, 4, seed);
         let lost = |driver: &mut Driver| {
-            let (kind, version, entries) = (UpdateKind::Lost, 0, Vec::new());
-            driver.handle(Event::EndpointsUpdated { kind, version, endpoints: entries });
+            let (kind, version, endpoints) = (UpdateKind::Lost, 0, Vec::new());
+            driver.handle(Event::EndpointsUpdated { kind, version, endpoints });
         };
         lost(&mut driver);
         let mut last = driver.now;
         for _ in 0..25_000 / 25 {
             if driver.advance(25 * MS).contains(&Action::PollEndpoints) {
-                late = late.max(driver.now - last);
+                max_pause = max_pause.max(driver.now - last);
                 last = driver.now;
-                calls += 1;
+                polls += 1;
                 lost(&mut driver);
             }
         }
     }
-    // Eight calls each in 25 s, half of them in the first three; nobody waits longer than the time allowed.
-    assert!(calls <= 800 && late <= 10_000 * MS, "{calls} {late}");
+    // Eight polls each in 25 s, half of them in the first three; none waits longer than the longest interval.
+    assert!(polls <= 800 && max_pause <= 10_000 * MS, "{polls} {max_pause}");
 }
--- a/crates/balancer/tests/balancer/failure_detector.rs
+++ b/crates/balancer/tests/balancer/failure_detector.rs
@@ -7,15 +7,10 @@
 fn restart_ends_a_suspicion_unless_the_server_is_flapping() {
     let mut driver = Driver::new(settings(), 4);
     driver.fail_health_checks(ServerId(0));
-    assert!(has_log(
-        &driver.handle(endpoint_changed(Endpoint { incarnation: Some(9), ..endpoint(0) })),
-        "cleared"
-    ));
+    let restart = |at| endpoint_changed(Endpoint { incarnation: Some(at), ..endpoint(0) });
+    assert!(has_log(&driver.handle(restart(9)), "cleared"));
     driver.fail_health_checks(ServerId(0));
-    assert!(!has_log(
-        &driver.handle(endpoint_changed(Endpoint { incarnation: Some(10), ..endpoint(0) })),
-        "cleared"
-    ));
+    assert!(!has_log(&driver.handle(restart(10)), "cleared"));
 }
 
 #[test]
@@ -78,12 +73,12 @@
 
 #[test]
 fn resets_spread_over_all_servers_eject_hardly_any() {
-    let (mut driver, mut dice, mut suspected) = (Driver::new(settings(), 10), fastrand::Rng::with_seed(1), 0);
+    let (mut driver, mut rng, mut suspected) = (Driver::new(settings(), 10), fastrand::Rng::with_seed(1), 0);
     for _ in 0..2_000 {
         let (id, actions) = driver.request(2);
         let server = sent_to(&actions).expect("sent");
         driver.now += 5 * MS;
-        let outcome = if dice.u8(0..100) < 10 { Outcome::Reset } else { Outcome::Served };
+        let outcome = if rng.u8(0..100) < 10 { Outcome::Reset } else { Outcome::Served };
         suspected += usize::from(has_log(&driver.end_attempt(id, 0, server, outcome), "suspected"));
     }
     assert!(suspected <= 5, "{suspected}");
--- a/crates/balancer/tests/balancer/health_check.rs
+++ b/crates/balancer/tests/balancer/health_check.rs
@@ -6,16 +6,16 @@
 #[test]
 fn every_interval_checks_one_random_server() {
     let mut driver = Driver::new(Settings { health_check_fee: 0.0, ..settings() }, 6);
-    let mut probed = Vec::new();
+    let mut checked = Vec::new();
     for _ in 0..40 {
-        let asked = health_checks(&driver.advance(1_000 * MS));
-        assert_eq!(asked.len(), 1);
-        driver.end_health_check(asked[0], Outcome::Served);
-        probed.push(asked[0].0);
+        let started = health_checks(&driver.advance(1_000 * MS));
+        assert_eq!(started.len(), 1);
+        driver.end_health_check(started[0], Outcome::Served);
+        checked.push(started[0].0);
     }
-    probed.sort_unstable();
-    probed.dedup();
-    assert_eq!(probed.len(), 6);
+    checked.sort_unstable();
+    checked.dedup();
+    assert_eq!(checked.len(), 6);
 }
 
 #[test]
@@ -85,20 +85,20 @@
 fn suspected_server_is_checked_while_attempts_fail_all_the_time() {
     let mut driver = Driver::new(settings(), 6);
     driver.fail_health_checks(ServerId(5));
-    let mut probed = Vec::new();
+    let mut checked = Vec::new();
     for n in 0..400 {
         let (id, actions) = driver.request(2);
         let server = sent_to(&actions).expect("sent");
         driver.end_attempt(id, 0, server, if n % 4 == 0 { Outcome::Reset } else { Outcome::Served });
-        let asked = health_checks(&driver.advance(25 * MS));
-        for &server in &asked {
+        let started = health_checks(&driver.advance(25 * MS));
+        for &server in &started {
             let outcome = if server.0 == 5 { Outcome::TimedOut } else { Outcome::Served };
             driver.end_health_check(server, outcome);
         }
-        probed.extend(asked);
+        checked.extend(started);
     }
-    let suspect = probed.iter().filter(|s| s.0 == 5).count();
-    assert!(3 * suspect >= probed.len(), "{probed:?}");
+    let suspect = checked.iter().filter(|server| server.0 == 5).count();
+    assert!(3 * suspect >= checked.len(), "{checked:?}");
 }
 
 #[test]
@@ -110,13 +110,13 @@
     }
     driver.advance(100 * MS);
     assert!(driver.servers_in_use().len() >= 8);
-    // A server that fails work as well is suspected all the same.
+    // A server that fails attempts as well is suspected all the same.
     for _ in 0..60 {
         let (id, actions) = driver.request(2);
         let server = sent_to(&actions).expect("sent");
         let outcome = if server == ServerId(3) { Outcome::ConnectFailed } else { Outcome::Served };
-        let moved = sent_to(&driver.end_attempt(id, 0, server, outcome));
-        moved.into_iter().for_each(|to| drop(driver.end_attempt(id, 1, to, Outcome::Served)));
+        let retried_on = sent_to(&driver.end_attempt(id, 0, server, outcome));
+        retried_on.into_iter().for_each(|to| drop(driver.end_attempt(id, 1, to, Outcome::Served)));
     }
     assert!(!driver.servers_in_use().contains(&3));
 }
--- a/crates/balancer/tests/balancer/load_check.rs
+++ b/crates/balancer/tests/balancer/load_check.rs
@@ -11,11 +11,11 @@
 fn servers_that_report_load_of_others_are_avoided() {
     let mut driver = Driver::new(Settings { load_reports: true, health_check_fee: 0.001, ..settings() }, 4);
     for _ in 0..30 {
-        let (id, asked) = driver.request(0);
+        let (id, arrival) = driver.request(0);
         let mut last = Vec::new();
-        for server in health_checks(&asked) {
-            let held = if server == ServerId(3) { 0.0 } else { 2.0 };
-            let report = Some(LoadReport { in_flight: held, queued: 0.0 });
+        for server in health_checks(&arrival) {
+            let reported = if server == ServerId(3) { 0.0 } else { 2.0 };
+            let report = Some(LoadReport { in_flight: reported, queued: 0.0 });
             last = driver.report_load(server, report);
         }
         assert_eq!(sent_to(&last), Some(ServerId(3)));
@@ -27,49 +27,49 @@
 #[test]
 fn reports_below_the_known_attempts_in_flight_are_not_believed() {
     let mut driver = Driver::new(Settings { load_reports: true, health_check_fee: 0.001, ..settings() }, 4);
-    let mut to_liar = Vec::new();
+    let mut to_idle_reporter = Vec::new();
     for _ in 0..40 {
-        // Server 0 always says that it is idle, and keeps all that it gets; the others hold five each.
-        let (id, asked) = driver.request(2);
+        // Server 0 always reports to be idle, and ends no attempt; the others report five requests each.
+        let (id, arrival) = driver.request(2);
         driver.now += MS;
         let mut last = Vec::new();
-        for server in health_checks(&asked) {
-            let held = if server == ServerId(0) { 0.0 } else { 5.0 };
-            let report = Some(LoadReport { in_flight: held, queued: 0.0 });
+        for server in health_checks(&arrival) {
+            let reported = if server == ServerId(0) { 0.0 } else { 5.0 };
+            let report = Some(LoadReport { in_flight: reported, queued: 0.0 });
             last.extend(driver.report_load(server, report));
         }
         match sent_to(&last) {
-            Some(ServerId(0)) => to_liar.push(id),
+            Some(ServerId(0)) => to_idle_reporter.push(id),
             Some(other) => drop(driver.end_attempt(id, 0, other, Outcome::Served)),
             None => {}
         }
     }
-    assert!((1..5).contains(&to_liar.len()), "{}", to_liar.len());
+    assert!((1..5).contains(&to_idle_reporter.len()), "{}", to_idle_reporter.len());
 }
 
 #[test]
 fn server_whose_load_check_failed_does_not_look_idle() {
     let mut driver = Driver::new(Settings { load_reports: true, health_check_fee: 0.001, ..settings() }, 3);
-    let (_, asked) = driver.request(0);
-    driver.end_health_check(health_checks(&asked)[0], Outcome::ConnectFailed);
+    let (_, arrival) = driver.request(0);
+    driver.end_health_check(health_checks(&arrival)[0], Outcome::ConnectFailed);
     let busy = Some(LoadReport { in_flight: 1.0, queued: 0.0 });
     let mut last = Vec::new();
-    for &server in &health_checks(&asked)[1..] {
+    for &server in &health_checks(&arrival)[1..] {
         last = driver.report_load(server, busy);
     }
-    assert!(sent_to(&last).is_some_and(|server| server != health_checks(&asked)[0]));
+    assert!(sent_to(&last).is_some_and(|server| server != health_checks(&arrival)[0]));
 }
 
 #[test]
 fn client_with_little_time_gets_a_send_or_a_rejection_within_it() {
     let mut driver = Driver::new(Settings { load_reports: true, health_check_fee: 0.0, ..settings() }, 4);
-    let call = |id, time_left| IncomingRequest { id, class: ClassId(0), time_left, work_hint: None };
-    // Less than any service takes: refused at once.
+    let incoming = |id, time_left| IncomingRequest { id, class: ClassId(0), time_left, work_hint: None };
+    // Less than any service takes: rejected at once.
     let (id, short) = (RequestId(9_001), 3 * MS);
-    assert!(is_rejected(&driver.handle(Event::RequestArrived(call(id, short)))));
-    // Enough for a quick one: sent, though no look is answered, well before the client leaves.
+    assert!(is_rejected(&driver.handle(Event::RequestArrived(incoming(id, short)))));
+    // Enough for a quick one: sent, though no load check ends, well before the client leaves.
     let (id, enough) = (RequestId(9_002), 60 * MS);
-    let mut actions = driver.handle(Event::RequestArrived(call(id, enough)));
+    let mut actions = driver.handle(Event::RequestArrived(incoming(id, enough)));
     driver.now += 5 * MS;
     actions.extend(driver.handle(Event::TimerFired { token: 1 }));
     assert!(sent_to(&actions).is_some());
@@ -77,7 +77,7 @@
 
 #[test]
 fn where_most_load_checks_fail_an_idle_report_is_preferred_and_a_busy_one_is_not() {
-    for (held, preferred) in [(0.0, true), (5.0, false)] {
+    for (reported, preferred) in [(0.0, true), (5.0, false)] {
         let mut driver =
             Driver::new(Settings { load_reports: true, health_check_fee: 0.0, ..settings() }, 10);
         (1..10).for_each(|n| drop(driver.end_health_check(ServerId(n), Outcome::TimedOut)));
@@ -86,7 +86,7 @@
             driver.now += 100 * MS;
             let (id, actions) = driver.request(2);
             if health_checks(&actions).contains(&ServerId(0)) {
-                let report = Some(LoadReport { in_flight: held, queued: 0.0 });
+                let report = Some(LoadReport { in_flight: reported, queued: 0.0 });
                 driver.report_load(ServerId(0), report);
             }
             driver.now += 6 * MS;
@@ -95,7 +95,7 @@
             driver.now += 40 * MS;
             driver.end_attempt(id, 0, server, Outcome::Served);
         }
-        assert_eq!(chosen > 60, preferred, "{held} {chosen}");
+        assert_eq!(chosen > 60, preferred, "{reported} {chosen}");
     }
 }
 
@@ -108,18 +108,19 @@
         ..settings_with_peers()
     };
     let mut driver = Driver::new(settings, 60);
-    let mut told = 0;
+    let mut messages = 0;
     for _ in 0..100 {
         let (_, actions) = driver.request(0);
         for server in health_checks(&actions) {
-            told += gossip_messages(&driver.end_health_check(server, Outcome::TimedOut)).len();
+            messages += gossip_messages(&driver.end_health_check(server, Outcome::TimedOut)).len();
         }
         let later = driver.advance(100 * MS);
-        told += gossip_messages(&later).len();
+        messages += gossip_messages(&later).len();
         for server in health_checks(&later) {
-            told += gossip_messages(&driver.end_health_check(server, Outcome::TimedOut)).len();
+            messages += gossip_messages(&driver.end_health_check(server, Outcome::TimedOut)).len();
         }
     }
-    // Ten seconds: at most four scheduled probes a second, each with three intermediates and one message.
-    assert!(told <= 160, "{told}");
+    // Ten seconds: at most four scheduled health checks a second, each with three requests for indirect checks
+    // and one message.
+    assert!(messages <= 160, "{messages}");
 }
--- a/crates/balancer/tests/balancer/load_from_responses.rs
+++ b/crates/balancer/tests/balancer/load_from_responses.rs
@@ -1,25 +1,28 @@
 //! Deployments where responses tell of load, requests tell of their work and late responses keep some value.
 
+use std::collections::BTreeMap;
+
 use crate::common::{Driver, MS, endpoint, endpoint_changed, is_rejected, sent_to, settings};
 use arrowstand_balancer::{
     AttemptEnd, Endpoint, Event, LoadReport, Micros, Outcome, RequestId, ServerId, Settings,
 };
 
-/// Nothing is asked before a send; a late answer keeps a fifth of its worth.
+/// No load checks before a send; a late response keeps a fifth of its value.
 fn settings_with_load_in_responses() -> Settings {
     let mut base = settings();
-    base.classes.iter_mut().for_each(|c| c.late_value = 0.2);
+    base.classes.iter_mut().for_each(|class| class.late_value = 0.2);
     Settings { load_reports: true, load_reports_in_responses: true, health_check_fee: 0.01, ..base }
 }
 
-/// A job server of the platform's kind: it works on all that it holds at once, on two cores.
+/// A server that executes all its requests at once, on two cores.
 struct EmulatedServer {
+    /// Requests in flight and the milliseconds of work left of each.
     left: Vec<(RequestId, f64)>,
     speed: f64,
 }
 
 impl EmulatedServer {
-    /// Works for a time in milliseconds, and gives what is done.
+    /// Executes for some milliseconds and returns the requests that are done.
     fn work(&mut self, ms: f64) -> Vec<RequestId> {
         let each = self.speed * ms * (2.0 / self.left.len().max(1) as f64).min(1.0);
         self.left.iter_mut().for_each(|(_, left)| *left -= each);
@@ -29,45 +32,45 @@
     }
 }
 
-/// A balancer before such machines, and what became of the requests.
+/// A balancer with such servers, and what became of the requests.
 struct Fleet {
     driver: Driver,
-    machines: Vec<EmulatedServer>,
-    started: std::collections::BTreeMap<RequestId, (Micros, ServerId)>,
-    /// When, to whom and how much was sent.
+    servers: Vec<EmulatedServer>,
+    started: BTreeMap<RequestId, (Micros, ServerId)>,
+    /// When, to which server and how many milliseconds of work were sent.
     sends: Vec<(Micros, ServerId, f64)>,
     in_time: u32,
     late: u32,
-    refused: u32,
+    rejected: u32,
 }
 
 impl Fleet {
-    fn new(settings: Settings, machines: u32, seed: u64) -> Self {
-        let driver = Driver::seeded(settings, machines, seed);
-        let machines = (0..machines).map(|_| EmulatedServer { left: Vec::new(), speed: 1.0 }).collect();
+    fn new(settings: Settings, servers: u32, seed: u64) -> Self {
+        let driver = Driver::seeded(settings, servers, seed);
+        let servers = (0..servers).map(|_| EmulatedServer { left: Vec::new(), speed: 1.0 }).collect();
         Self {
             driver,
-            machines,
+            servers,
             started: Default::default(),
             sends: Vec::new(),
             in_time: 0,
             late: 0,
-            refused: 0,
+            rejected: 0,
         }
     }
 
-    /// A request of so much work arrives, and says so.
-    fn arrives(&mut self, work_ms: f64) {
-        self.arrives_hinted(work_ms, Some((work_ms * 1_000.0) as Micros));
+    /// A request of so many milliseconds of work arrives, with a hint of it.
+    fn arrive(&mut self, work_ms: f64) {
+        self.arrive_with_hint(work_ms, Some((work_ms * 1_000.0) as Micros));
     }
 
-    fn arrives_hinted(&mut self, work_ms: f64, hint: Option<Micros>) {
+    fn arrive_with_hint(&mut self, work_ms: f64, hint: Option<Micros>) {
         let (id, actions) = self.driver.request_with_hint(0, hint);
-        self.refused += u32::from(is_rejected(&actions));
+        self.rejected += u32::from(is_rejected(&actions));
         if let Some(server) = sent_to(&actions) {
             self.started.insert(id, (self.driver.now, server));
             self.sends.push((self.driver.now, server, work_ms));
-            self.machines[server.0 as usize].left.push((id, work_ms));
+            self.servers[server.0 as usize].left.push((id, work_ms));
         }
     }
 
@@ -78,56 +81,61 @@
         if now % (25 * MS) == 0 {
             self.driver.tick();
         }
-        for (n, machine) in self.machines.iter_mut().enumerate() {
-            let held = machine.left.len() as f64;
-            for request in machine.work(5.0) {
+        for (n, server_model) in self.servers.iter_mut().enumerate() {
+            let in_flight = server_model.left.len() as f64;
+            for request in server_model.work(5.0) {
                 let (since, server) = self.started.remove(&request).expect("started");
-                let (finished, outcome) = (true, Outcome::Served);
-                let report = Some(LoadReport { in_flight: held, queued: 0.0 });
                 let elapsed = now - since;
                 let end = AttemptEnd {
                     request,
                     attempt: 0,
                     server,
-                    outcome,
-                    finished,
+                    outcome: Outcome::Served,
+                    finished: true,
                     elapsed,
-                    load_report: report,
+                    load_report: Some(LoadReport { in_flight, queued: 0.0 }),
                 };
                 assert_eq!(n as u32, server.0);
                 self.driver.handle(Event::AttemptEnded(end));
                 if elapsed <= 250 * MS { self.in_time += 1 } else { self.late += 1 }
             }
         }
-        // The client gives up.
-        let over = |since: Micros| since + 600 * MS <= now;
-        let gone: Vec<_> = self.started.iter().filter(|(_, s)| over(s.0)).map(|(id, s)| (*id, *s)).collect();
-        for (request, (_, server)) in gone {
+        self.time_out_requests();
+    }
+
+    /// Ends the requests whose clients have given up.
+    fn time_out_requests(&mut self) {
+        let now = self.driver.now;
+        let is_over = |since: Micros| since + 600 * MS <= now;
+        let over = self.started.iter().filter(|(_, (since, _))| is_over(*since));
+        let over: Vec<(RequestId, ServerId)> = over.map(|(id, (_, server))| (*id, *server)).collect();
+        for (request, server) in over {
             self.started.remove(&request);
-            self.machines[server.0 as usize].left.retain(|(id, _)| *id != request);
+            self.servers[server.0 as usize].left.retain(|(id, _)| *id != request);
             self.late += 1;
             self.driver.end_attempt(request, 0, server, Outcome::TimedOut);
         }
     }
 
-    /// Requests of 10 to 70 ms of work come at a share of what the machines can do, for some seconds.
+    /// Requests of 10 to 70 ms of work arrive at a share of the servers' capacity, for some seconds.
     fn load(&mut self, share: f64, seconds: u32) {
-        let step_work = share * 2.0 * 5.0 * self.machines.len() as f64;
-        let (mut owed, mut rng) = (0.0, fastrand::Rng::with_seed(5));
+        let step_work = share * 2.0 * 5.0 * self.servers.len() as f64;
+        let (mut due_work, mut rng) = (0.0, fastrand::Rng::with_seed(5));
         for _ in 0..seconds * 200 {
-            owed += step_work;
-            while owed > 0.0 {
+            due_work += step_work;
+            while due_work > 0.0 {
                 let work = 10.0 + 60.0 * rng.f64();
-                owed -= work;
-                self.arrives(work);
+                due_work -= work;
+                self.arrive(work);
             }
             self.step();
         }
     }
 
+    /// Requests in time, late and rejected since the last call.
     fn counts(&mut self) -> (u32, u32, u32) {
-        let counts = (self.in_time, self.late, self.refused);
-        (self.in_time, self.late, self.refused) = (0, 0, 0);
+        let counts = (self.in_time, self.late, self.rejected);
+        (self.in_time, self.late, self.rejected) = (0, 0, 0);
         counts
     }
 }
@@ -139,13 +147,13 @@
         fleet.load(0.6, 10);
         fleet.counts();
         fleet.load(2.4, 6);
-        let (in_time, late, refused) = fleet.counts();
-        assert!(refused > 0 && in_time > 2 * late, "the burst: {in_time} {late} {refused}");
+        let (in_time, late, rejected) = fleet.counts();
+        assert!(rejected > 0 && in_time > 2 * late, "the burst: {in_time} {late} {rejected}");
         fleet.load(0.6, 2);
         fleet.counts();
         fleet.load(0.6, 5);
-        let (in_time, late, refused) = fleet.counts();
-        assert!(in_time > 20 * (late + refused), "after it: {in_time} {late} {refused}");
+        let (in_time, late, rejected) = fleet.counts();
+        assert!(in_time > 20 * (late + rejected), "after it: {in_time} {late} {rejected}");
     }
 }
 
@@ -154,13 +162,13 @@
     for seed in 0..5 {
         let mut fleet = Fleet::new(settings_with_load_in_responses(), 6, seed);
         fleet.load(0.7, 15);
-        let (in_time, late, refused) = fleet.counts();
-        assert!(refused * 100 < in_time && late * 50 < in_time, "{in_time} {late} {refused}");
+        let (in_time, late, rejected) = fleet.counts();
+        assert!(rejected * 100 < in_time && late * 50 < in_time, "{in_time} {late} {rejected}");
     }
 }
 
-/// All servers start anew at once, cold, in the middle of full load, and now and then a request is as large as all
-/// that one of them bears in the span of the rule.
+/// All servers restart at once under full load, and now and then a request is as large as all that one of
+/// them may get in the overload window.
 #[test]
 fn fleet_wholly_in_slow_start_is_not_overloaded() {
     for seed in 0..6 {
@@ -169,29 +177,30 @@
             slow_start_time: 16_000 * MS,
             ..settings_with_load_in_responses()
         };
-        let (multiple, span) = (settings.cold_overload_factor, settings.cold_overload_window);
+        let (factor, span) = (settings.cold_overload_factor, settings.cold_overload_window);
         let mut fleet = Fleet::new(settings, 6, seed);
         fleet.load(0.8, 10);
-        let born = fleet.driver.now;
-        for n in 0..fleet.machines.len() as u32 {
-            fleet.driver.handle(endpoint_changed(Endpoint { incarnation: Some(born), ..endpoint(n) }));
+        let started_at = fleet.driver.now;
+        for n in 0..fleet.servers.len() as u32 {
+            fleet.driver.handle(endpoint_changed(Endpoint { incarnation: Some(started_at), ..endpoint(n) }));
         }
-        let warmth = |at: Micros| 0.2 + 0.8 * (at - born) as f64 / (16_000 * MS) as f64;
+        let slow_start_factor = |at: Micros| 0.2 + 0.8 * (at - started_at) as f64 / (16_000 * MS) as f64;
         fleet.sends.clear();
         for _ in 0..8 {
-            let speed = warmth(fleet.driver.now);
-            fleet.machines.iter_mut().for_each(|machine| machine.speed = speed);
-            fleet.arrives(1_450.0);
+            let speed = slow_start_factor(fleet.driver.now);
+            fleet.servers.iter_mut().for_each(|server_model| server_model.speed = speed);
+            fleet.arrive(1_450.0);
             fleet.load(0.3, 1);
         }
         for (at, server, _) in &fleet.sends {
-            let within = |s: &&(Micros, ServerId, f64)| s.1 == *server && (*at..at + span).contains(&s.0);
-            let sent: f64 = fleet.sends.iter().filter(within).map(|s| s.2).sum();
-            let bears = multiple * 2.0 * warmth(*at) * span as f64 / 1_000.0;
+            let within =
+                |send: &&(Micros, ServerId, f64)| send.1 == *server && (*at..at + span).contains(&send.0);
+            let sent: f64 = fleet.sends.iter().filter(within).map(|send| send.2).sum();
+            let max_work = factor * 2.0 * slow_start_factor(*at) * span as f64 / 1_000.0;
             assert!(
-                sent <= bears,
-                "seed {seed}, {} ms after the start: {sent} of {bears} ms",
-                (at - born) / MS
+                sent <= max_work,
+                "seed {seed}, {} ms after the start: {sent} of {max_work} ms",
+                (at - started_at) / MS
             );
         }
     }
@@ -204,14 +213,14 @@
         let mut fleet = Fleet::new(settings_with_load_in_responses(), 6, 3);
         let mut rng = fastrand::Rng::with_seed(9);
         for _ in 0..15 * 200 {
-            // Six machines of two cores do 60 ms of work in 5 ms; a request takes 40.
+            // Six servers of two cores do 60 ms of work in 5 ms; a request takes 40.
             if rng.f64() < 0.6 * 60.0 / 40.0 {
                 let hint = if rng.f64() < 0.25 { wrong } else { Some(40_000) };
-                fleet.arrives_hinted(40.0, hint);
+                fleet.arrive_with_hint(40.0, hint);
             }
             fleet.step();
         }
-        let (in_time, late, refused) = fleet.counts();
-        assert!(in_time > 2 * (late + refused), "{wrong:?}: {in_time} {late} {refused}");
+        let (in_time, late, rejected) = fleet.counts();
+        assert!(in_time > 2 * (late + rejected), "{wrong:?}: {in_time} {late} {rejected}");
     }
 }
--- a/crates/balancer/tests/balancer/load_shedding.rs
+++ b/crates/balancer/tests/balancer/load_shedding.rs
@@ -6,73 +6,78 @@
     Settings,
 };
 
-/// First sends of three classes, of 100 each, by a fleet whose answers take 150 of 250 ms.
+/// Requests sent of three classes, of 100 each, to a fleet whose responses take 150 of 250 ms.
 fn sent_under_saturation(settings: Settings) -> [u32; 3] {
     let mut classes = settings.classes;
     classes[0].priority_weight = 3.0;
     (classes[1].priority_weight, classes[2].priority_weight) = (8.0, 8.0);
     let mut driver = Driver::new(Settings { classes, ..settings }, 4);
-    let mut taken = [0, 0, 0];
+    let mut sent = [0, 0, 0];
     for n in 0..300 {
         let class = n % 3;
         let (id, actions) = driver.request(class);
         let Some(server) = sent_to(&actions) else { continue };
-        taken[usize::from(class)] += 1;
+        sent[usize::from(class)] += 1;
         driver.now += 150 * MS;
         driver.end_attempt(id, 0, server, Outcome::Served);
     }
-    taken
+    sent
 }
 
 #[test]
 fn responses_that_take_most_of_the_objective_shed_the_least_priority_first() {
-    let taken = sent_under_saturation(settings());
-    assert!(taken[0] < 60 && taken[1] > 80 && taken[2] > 80, "{taken:?}");
+    let sent = sent_under_saturation(settings());
+    assert!(sent[0] < 60 && sent[1] > 80 && sent[2] > 80, "{sent:?}");
 }
 
-/// A fleet of many small sidecars: servers would report, but a probe for each send costs more than it tells.
+/// Servers would report their load, but a health check for each send costs too much.
 #[test]
 fn costly_health_checks_shed_by_latency_as_without_reports() {
-    let dear = Settings { load_reports: true, health_check_fee: 0.08, ..settings() };
-    assert_eq!(sent_under_saturation(dear), sent_under_saturation(settings()));
+    let costly = Settings { load_reports: true, health_check_fee: 0.08, ..settings() };
+    assert_eq!(sent_under_saturation(costly), sent_under_saturation(settings()));
 }
 
-/// Small and large requests of the same worth come by turns to a fleet of which each server holds so many; tells
-/// whether the last small one and the last large one, which may take longer, were sent.
-fn sent_to_full_fleet(held: u64) -> (bool, bool) {
-    let pure = |objective| RequestClass::new(Idempotency::Idempotent, objective, 1_500 * MS);
-    let classes = vec![pure(400 * MS), pure(600 * MS)];
+/// Small and large requests of equal priority arrive by turns at a fleet of which each server has so many in
+/// flight: whether the last small one and the last large one, which may take longer, were sent.
+fn sent_to_full_fleet(in_flight: u64) -> (bool, bool) {
+    let idempotent = |objective| RequestClass::new(Idempotency::Idempotent, objective, 1_500 * MS);
+    let classes = vec![idempotent(400 * MS), idempotent(600 * MS)];
     let mut driver =
         Driver::new(Settings { classes, load_reports: true, health_check_fee: 0.001, ..settings() }, 6);
-    let mut taken = [false; 2];
+    let mut sent = [false; 2];
     for n in 0..400 {
         driver.now += 10 * MS;
         let (id, class) = (RequestId(10_000 + n), (n % 2) as u16);
-        let size = if class == 0 { 40 * MS } else { 110 * MS };
-        let call =
-            IncomingRequest { id, class: ClassId(class), time_left: 1_500 * MS, work_hint: Some(size) };
-        let mut actions = driver.handle(Event::RequestArrived(call));
+        let work = if class == 0 { 40 * MS } else { 110 * MS };
+        let incoming =
+            IncomingRequest { id, class: ClassId(class), time_left: 1_500 * MS, work_hint: Some(work) };
+        let mut actions = driver.handle(Event::RequestArrived(incoming));
         for server in health_checks(&actions) {
-            let report = Some(LoadReport { in_flight: held as f64, queued: held as f64 - 1.0 });
+            let report = Some(LoadReport { in_flight: in_flight as f64, queued: in_flight as f64 - 1.0 });
             actions.extend(driver.report_load(server, report));
         }
-        taken[usize::from(class)] = sent_to(&actions).is_some();
+        sent[usize::from(class)] = sent_to(&actions).is_some();
         if let Some(server) = sent_to(&actions) {
-            let elapsed = size + held * 75 * MS;
+            let elapsed = work + in_flight * 75 * MS;
             driver.now += elapsed;
-            let (request, outcome, finished, report) = (id, Outcome::Served, true, None);
-            let end =
-                AttemptEnd { request, attempt: 0, server, outcome, finished, elapsed, load_report: report };
-            driver.handle(Event::AttemptEnded(end));
+            driver.handle(Event::AttemptEnded(AttemptEnd {
+                request: id,
+                attempt: 0,
+                server,
+                outcome: Outcome::Served,
+                finished: true,
+                elapsed,
+                load_report: None,
+            }));
         }
     }
-    (taken[0], taken[1])
+    (sent[0], sent[1])
 }
 
 #[test]
 fn full_fleet_rejects_the_least_value_density_first() {
-    let taken: Vec<(bool, bool)> = (1..30).map(sent_to_full_fleet).collect();
-    assert_eq!(taken[0], (true, true), "a free fleet takes both");
-    assert!(taken.contains(&(true, false)), "{taken:?}");
-    assert!(!taken.contains(&(false, true)), "{taken:?}");
+    let sent: Vec<(bool, bool)> = (1..30).map(sent_to_full_fleet).collect();
+    assert_eq!(sent[0], (true, true), "an idle fleet gets both");
+    assert!(sent.contains(&(true, false)), "{sent:?}");
+    assert!(!sent.contains(&(false, true)), "{sent:?}");
 }
--- a/crates/balancer/tests/balancer/random_events.rs
+++ b/crates/balancer/tests/balancer/random_events.rs
@@ -43,7 +43,7 @@
 }
 
 struct Script {
-    dice: fastrand::Rng,
+    rng: fastrand::Rng,
     settings: Settings,
     driver: Driver,
     open: BTreeMap<RequestId, OpenRequest>,
@@ -55,11 +55,11 @@
 
 impl Script {
     fn new(seed: u64) -> Self {
-        let mut dice = fastrand::Rng::with_seed(seed);
-        let (gossip, load_reports) = (dice.bool(), dice.bool());
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (gossip, load_reports) = (rng.bool(), rng.bool());
         let settings = Settings { gossip, load_reports, health_check_fee: 0.001, ..settings() };
         Self {
-            dice,
+            rng,
             driver: Driver::new(settings.clone(), SERVERS as u32),
             settings,
             open: BTreeMap::new(),
@@ -71,8 +71,8 @@
 
     /// One random event, and what has run out of time by then.
     fn step(&mut self) {
-        self.driver.now += self.dice.u64(0..8) * MS;
-        let event = match self.dice.u32(0..10) {
+        self.driver.now += self.rng.u64(0..8) * MS;
+        let event = match self.rng.u32(0..10) {
             0..=2 => self.request_arrived(),
             3..=5 if !self.in_flight.is_empty() => self.attempt_ended(),
             6 => self.health_check_ended(),
@@ -86,8 +86,8 @@
     }
 
     fn request_arrived(&mut self) -> Event {
-        let class = self.dice.u16(0..3);
-        let id = RequestId(1_000_000 + self.dice.u64(..1 << 40));
+        let class = self.rng.u16(0..3);
+        let id = RequestId(1_000_000 + self.rng.u64(..1 << 40));
         let deadline = self.driver.now + CLIENT_TIMEOUT;
         self.open.insert(id, OpenRequest { class: class.into(), deadline, attempts: Vec::new() });
         let class = ClassId(class);
@@ -95,14 +95,14 @@
     }
 
     fn attempt_ended(&mut self) -> Event {
-        let index = self.dice.usize(0..self.in_flight.len());
+        let index = self.rng.usize(0..self.in_flight.len());
         let InFlight { request, attempt, server } = self.in_flight.swap_remove(index);
         let responses = [Outcome::Served, Outcome::Served, Outcome::ServerError, Outcome::Rejected];
         let connection_failures = [Outcome::ConnectFailed, Outcome::Reset];
-        let outcome = if self.dice.bool() {
-            responses[self.dice.usize(0..4)]
+        let outcome = if self.rng.bool() {
+            responses[self.rng.usize(0..4)]
         } else {
-            connection_failures[self.dice.usize(0..2)]
+            connection_failures[self.rng.usize(0..2)]
         };
         self.record_outcome(request, attempt, outcome);
         let finished = !self.open.contains_key(&request) || outcome == Outcome::Served;
@@ -114,19 +114,19 @@
     }
 
     fn health_check_ended(&mut self) -> Event {
-        let server = ServerId(self.dice.u32(0..SERVERS as u32));
-        let outcome = if self.dice.bool() { Outcome::Served } else { Outcome::TimedOut };
-        let reported = self.dice.bool();
-        let load_report = reported.then(|| LoadReport { in_flight: self.dice.f64() * 9.0, queued: 0.0 });
+        let server = ServerId(self.rng.u32(0..SERVERS as u32));
+        let outcome = if self.rng.bool() { Outcome::Served } else { Outcome::TimedOut };
+        let reported = self.rng.bool();
+        let load_report = reported.then(|| LoadReport { in_flight: self.rng.f64() * 9.0, queued: 0.0 });
         Event::HealthCheckEnded { server, outcome, load_report }
     }
 
     fn endpoint_updated(&mut self) -> Event {
-        let n = self.dice.u32(0..SERVERS as u32);
+        let n = self.rng.u32(0..SERVERS as u32);
         let server = n as usize;
         let statuses = [EndpointStatus::Ready, EndpointStatus::Draining, EndpointStatus::Removed];
-        let status = statuses[self.dice.usize(0..3)];
-        let restart = self.dice.bool() && status == EndpointStatus::Ready;
+        let status = statuses[self.rng.usize(0..3)];
+        let restart = self.rng.bool() && status == EndpointStatus::Ready;
         let incarnation = restart.then_some(self.driver.now);
         // Listed anew after it was removed, a server is a new one; a mere drain binds until a restart.
         let back = restart || self.removed[server];
--- a/crates/balancer/tests/balancer/retry.rs
+++ b/crates/balancer/tests/balancer/retry.rs
@@ -7,8 +7,16 @@
     DeduplicationScope, Endpoint, Idempotency, Micros, Outcome, RequestClass, ServerId,
 };
 
-/// After one attempt ended so, is there another, and if not, which final answer?
-fn after(class: RequestClass, outcome: Outcome, wait: Micros) -> (&'static str, bool) {
+/// What the balancer does at the end of an attempt.
+#[derive(Debug, PartialEq)]
+enum Next {
+    Retried { same_cell: bool },
+    Rejected,
+    Failed,
+}
+
+/// What follows a first attempt of this class that ended so end_of_attempt this time.
+fn next_step(class: RequestClass, outcome: Outcome, wait: Micros) -> Next {
     let mut settings = settings();
     settings.classes = vec![class];
     let mut driver = Driver::new(settings, 8);
@@ -16,14 +24,12 @@
     let first = sent_to(&actions).expect("sent");
     driver.now += wait;
     let actions = driver.end_attempt(id, 0, first, outcome);
-    let same_cell = sent_to(&actions).is_some_and(|s| s.0 / 2 == first.0 / 2);
-    let answer = match (sent_to(&actions), is_rejected(&actions), is_failed(&actions)) {
-        (Some(_), false, false) => "again",
-        (None, true, false) => "refused",
-        (None, false, true) => "failed",
+    match (sent_to(&actions), is_rejected(&actions), is_failed(&actions)) {
+        (Some(second), false, false) => Next::Retried { same_cell: second.0 / 2 == first.0 / 2 },
+        (None, true, false) => Next::Rejected,
+        (None, false, true) => Next::Failed,
         other => panic!("not one answer: {other:?}"),
-    };
-    (answer, same_cell)
+    }
 }
 
 #[test]
@@ -32,30 +38,32 @@
     for outcome in [ConnectFailed, Rejected] {
         for idempotency in [Idempotency::Idempotent, Idempotency::IdempotencyKey, Idempotency::NonIdempotent]
         {
-            assert_eq!(after(class(idempotency), outcome, 5 * MS).0, "again", "{idempotency:?} {outcome:?}");
+            let next = next_step(class(idempotency), outcome, 5 * MS);
+            assert!(matches!(next, Next::Retried { .. }), "{idempotency:?} {outcome:?}");
         }
     }
     for outcome in [ServerError, Reset] {
-        assert_eq!(after(class(Idempotency::Idempotent), outcome, 5 * MS).0, "again");
-        assert_eq!(after(class(Idempotency::IdempotencyKey), outcome, 5 * MS), ("again", true));
-        assert_eq!(after(class(Idempotency::NonIdempotent), outcome, 5 * MS).0, "failed");
+        let next = |idempotency| next_step(class(idempotency), outcome, 5 * MS);
+        assert!(matches!(next(Idempotency::Idempotent), Next::Retried { .. }));
+        assert_eq!(next(Idempotency::IdempotencyKey), Next::Retried { same_cell: true });
+        assert_eq!(next(Idempotency::NonIdempotent), Next::Failed);
     }
 }
 
 #[test]
 fn closed_deduplication_window_ends_a_request_with_idempotency_key() {
     let short = RequestClass { deduplication_window: 60 * MS, ..class(Idempotency::IdempotencyKey) };
-    assert_eq!(after(short.clone(), Outcome::Reset, 5 * MS).0, "again");
-    assert_eq!(after(short.clone(), Outcome::Reset, 20 * MS).0, "failed");
+    assert!(matches!(next_step(short.clone(), Outcome::Reset, 5 * MS), Next::Retried { .. }));
+    assert_eq!(next_step(short.clone(), Outcome::Reset, 20 * MS), Next::Failed);
     let everywhere = RequestClass { deduplication_scope: DeduplicationScope::All, ..short };
-    assert_eq!(after(everywhere, Outcome::Reset, 20 * MS).0, "refused");
+    assert_eq!(next_step(everywhere, Outcome::Reset, 20 * MS), Next::Rejected);
 }
 
 #[test]
 fn retries_spare_servers_in_slow_start() {
     let mut driver = Driver::new(settings(), 1);
-    let launched = Some(driver.now);
-    driver.handle(endpoint_changed(Endpoint { incarnation: launched, ..endpoint(7) }));
+    let incarnation = Some(driver.now);
+    driver.handle(endpoint_changed(Endpoint { incarnation, ..endpoint(7) }));
     for _ in 0..20 {
         let (id, actions) = driver.request(0);
         let Some(server) = sent_to(&actions) else { continue };
@@ -67,16 +75,16 @@
 #[test]
 fn fleet_that_rejects_does_not_get_requests_several_times() {
     let mut driver = Driver::new(settings(), 40);
-    let mut further = 0;
+    let mut retries = 0;
     for _ in 0..400 {
         let (id, actions) = driver.request(0);
         let Some(server) = sent_to(&actions) else { continue };
         if let Some(next) = sent_to(&driver.end_attempt(id, 0, server, Outcome::Rejected)) {
             driver.end_attempt(id, 1, next, Outcome::Served);
-            further += 1;
+            retries += 1;
         }
     }
-    assert!(further <= 130, "{further}");
+    assert!(retries <= 130, "{retries}");
 }
 
 #[test]
@@ -84,6 +92,6 @@
     let mut driver = Driver::new(settings(), 4);
     let (id, actions) = driver.request(0);
     driver.now += 248 * MS;
-    let after = driver.end_attempt(id, 0, sent_to(&actions).expect("sent"), Outcome::TimedOut);
-    assert!(sent_to(&after).is_none() && is_rejected(&after));
+    let end_of_attempt = driver.end_attempt(id, 0, sent_to(&actions).expect("sent"), Outcome::TimedOut);
+    assert!(sent_to(&end_of_attempt).is_none() && is_rejected(&end_of_attempt));
 }
--- a/crates/balancer/tests/balancer/subset.rs
+++ b/crates/balancer/tests/balancer/subset.rs
@@ -1,5 +1,7 @@
 //! The subset of the fleet that a balancer uses.
 
+use std::collections::BTreeSet;
+
 use crate::common::{Driver, MS, endpoint, endpoint_changed, settings};
 use arrowstand_balancer::{Micros, ServerId, Settings};
 
@@ -34,7 +36,7 @@
 }
 
 /// Servers in use by a balancer with a request at each pause, before 60 servers.
-fn subset_of_sixty(fee: f64, pause: Micros, seed: u64) -> std::collections::BTreeSet<u32> {
+fn subset_of_sixty(fee: f64, pause: Micros, seed: u64) -> BTreeSet<u32> {
     let fees =
         Settings { handshake_fee: fee, balancer_index: seed as u32, balancer_count: 100, ..settings() };
     let mut driver = Driver::seeded(fees, 60, seed);
@@ -56,8 +58,8 @@
     assert!(subset_of_sixty(0.0, 50 * MS, 1).len() >= 24);
 }
 
-/// The figure for the fleet: connections held open for use, by all sidecars together, at one job server. It follows
-/// the requests that the job server gets, not the number of sidecars, but for the least that each keeps.
+/// The figure for the fleet: connections that all balancers together keep open to one server. It follows the
+/// requests that the server gets, not the number of balancers, but for the smallest subset of each.
 #[test]
 fn hundred_quiet_balancers_spread_their_subsets_over_all_servers() {
     let mut users = [0; 60];
