--- a/crates/balancer/src/estimators/fleet_error_rate.rs
+++ b/crates/balancer/src/estimators/fleet_error_rate.rs
@@ -1,5 +1,8 @@
 //! How many attempts fail over the whole fleet.
 
+#[cfg(test)]
+mod tests;
+
 /// Weight of a new sample.
 const ERROR_WEIGHT: f64 = 0.02;
 /// Failures are never taken to be rarer than this.
--- a/crates/balancer/src/estimators/latency.rs
+++ b/crates/balancer/src/estimators/latency.rs
@@ -1,5 +1,8 @@
 //! How long servers take, against each other and by machine type.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use crate::estimators::decaying_rate::decay;
--- a/crates/balancer/src/estimators/latency_distribution.rs
+++ b/crates/balancer/src/estimators/latency_distribution.rs
@@ -1,5 +1,8 @@
 //! The distribution of the fleet's latencies, taken as log-normal.
 
+#[cfg(test)]
+mod tests;
+
 use crate::Micros;
 use crate::estimators::weights::FLEET_WEIGHT;
 use crate::state::{InFlightAttempt, ServerState};
--- /dev/null
+++ b/crates/balancer/src/estimators/latency_distribution/tests.rs
@@ -0,0 +1,19 @@
+use super::{LatencyDistribution, normal_tail_improbability};
+
+#[test]
+fn tail_improbability_rises_and_is_near_the_normal_distribution() {
+    // Negative logarithms of the upper tail of a normal variable.
+    for (z, expected) in [(0.0, 0.693), (1.0, 1.841), (2.0, 3.783), (3.0, 6.607), (5.0, 15.065)] {
+        let improbability = normal_tail_improbability(z);
+        assert!((improbability / expected - 1.0).abs() < 0.06, "{z}: {improbability}");
+    }
+}
+
+#[test]
+fn latency_is_less_improbable_once_the_fleet_is_slow() {
+    let mut latencies = LatencyDistribution::new(200_000.0);
+    (0..200).for_each(|_| latencies.on_response(50_000.0));
+    let before = latencies.tail_improbability(400_000.0);
+    (0..200).for_each(|_| latencies.on_response(400_000.0));
+    assert!(before > 14.0 && latencies.tail_improbability(400_000.0) < 1.0);
+}
--- a/crates/balancer/src/estimators/load.rs
+++ b/crates/balancer/src/estimators/load.rs
@@ -1,5 +1,8 @@
 //! How many requests of others a server holds, as far as load reports and rejections tell.
 
+#[cfg(test)]
+mod tests;
+
 use crate::Micros;
 use crate::estimators::decaying_rate::decay;
 
--- a/crates/balancer/src/estimators/saturation.rs
+++ b/crates/balancer/src/estimators/saturation.rs
@@ -1,5 +1,8 @@
 //! How full the fleet is, from the time that responses take, where nothing else tells.
 
+#[cfg(test)]
+mod tests;
+
 use crate::Micros;
 use crate::estimators::decaying_rate::decay;
 
--- a/crates/balancer/src/estimators/utilization.rs
+++ b/crates/balancer/src/estimators/utilization.rs
@@ -1,5 +1,8 @@
 //! How full the fleet is, from load reports.
 
+#[cfg(test)]
+mod tests;
+
 use crate::estimators::weights::FLEET_WEIGHT;
 
 /// The estimate before the first load report.
--- a/crates/balancer/src/estimators/workload.rs
+++ b/crates/balancer/src/estimators/workload.rs
@@ -1,5 +1,8 @@
 //! The requests that this balancer gets: their rate, work and priority weight.
 
+#[cfg(test)]
+mod tests;
+
 use crate::estimators::decaying_rate::DecayingRate;
 use crate::estimators::weights::FLEET_WEIGHT;
 use crate::{Micros, RequestClass};
