--- a/crates/balancer/src/endpoint.rs
+++ b/crates/balancer/src/endpoint.rs
@@ -40,7 +40,8 @@
 pub struct Endpoint {
     /// The server.
     pub server: ServerId,
-    /// A hash of the server's address that every balancer computes alike: it names the server in gossip.
+    /// A hash of the server's address that every balancer computes alike: it names the server in
+    /// gossip.
     pub stable_hash: u64,
     /// Its status.
     pub status: EndpointStatus,
--- a/crates/balancer/src/estimators/decaying_rate.rs
+++ b/crates/balancer/src/estimators/decaying_rate.rs
@@ -4,7 +4,8 @@
 
 use crate::Micros;
 
-/// Weight left of something learnt at `since`, where half of it is lost in each `half_life` (microseconds).
+/// Weight left of something learnt at `since`, where half of it is lost in each `half_life`
+/// (microseconds).
 pub(crate) fn decay(now: Micros, since: Micros, half_life: f64) -> f64 {
     0.5_f64.powf(now.saturating_sub(since) as f64 / half_life)
 }
--- a/crates/balancer/src/estimators/estimates.rs
+++ b/crates/balancer/src/estimators/estimates.rs
@@ -47,8 +47,8 @@
         self.queue_depth(server) * self.relative_service_time(server)
     }
 
-    /// Microseconds that a server is expected to take for one more request. Where several run at a time each
-    /// slows all others, so a server's load multiplies the request's own work.
+    /// Microseconds that a server is expected to take for one more request. Where several run at a
+    /// time each slows all others, so a server's load multiplies the request's own work.
     pub(crate) fn expected_service_time(&self, server: &ServerState, relative_work: f64) -> f64 {
         if self.settings.load_from_responses() {
             return self.load(server) * relative_work * self.latency.mean_service_time();
@@ -57,8 +57,8 @@
             * self.latency.mean_service_time()
     }
 
-    /// How much longer than the fleet a server takes for the same load. Where nothing tells the queue of a
-    /// server in slow start, it is spared by how seldom it is drawn, and not twice over.
+    /// How much longer than the fleet a server takes for the same load. Where nothing tells the
+    /// queue of a server in slow start, it is spared by how seldom it is drawn, and not twice over.
     pub(crate) fn relative_service_time(&self, server: &ServerState) -> f64 {
         let load_known = self.load_reports_trusted || self.settings.load_from_responses();
         let slow_start = if load_known { server.slow_start.factor(self.now, self.settings) } else { 1.0 };
@@ -70,8 +70,8 @@
         self.latency.latency_factor(&server.latency, self.machine_latency_factor(server), self.now)
     }
 
-    /// The latency factor of a server's machine type; 1 where servers are asked for their load before a send,
-    /// and so speak for themselves.
+    /// The latency factor of a server's machine type; 1 where servers are asked for their load
+    /// before a send, and so speak for themselves.
     pub(crate) fn machine_latency_factor(&self, server: &ServerState) -> f64 {
         if self.settings.load_checks_enabled() {
             return 1.0;
@@ -79,9 +79,9 @@
         self.latency.machine_latency_factor(server.endpoint().machine_type)
     }
 
-    /// True where a request would wait at a server. Guards against an estimate that rejects all and so is never
-    /// corrected: an idle server takes a request. One in slow start does not, as one large request may be all
-    /// that it bears; others of its machine type correct its estimate.
+    /// True where a request would wait at a server. Guards against an estimate that rejects all and
+    /// so is never corrected: an idle server takes a request. One in slow start does not, as one
+    /// large request may be all that it bears; others of its machine type correct its estimate.
     pub(crate) fn has_queue(&self, server: &ServerState) -> bool {
         server.slow_start.is_active() || self.queue_depth(server) >= MIN_QUEUE_DEPTH
     }
@@ -94,7 +94,8 @@
         latency: f64,
     ) -> f64 {
         if self.settings.load_from_responses() {
-            // The queue on the way lies between that at both ends, and slow start does not make a server slow.
+            // The queue on the way lies between that at both ends, and slow start does not make a
+            // server slow.
             let mean_depth = (attempt.queue_depth + self.queue_depth(server)) / 2.0;
             return latency * server.slow_start.factor(self.now, self.settings)
                 / (mean_depth * attempt.relative_work).max(MIN_MEAN_DEPTH);
--- a/crates/balancer/src/estimators/failure_rate.rs
+++ b/crates/balancer/src/estimators/failure_rate.rs
@@ -3,7 +3,8 @@
 use crate::Micros;
 use crate::estimators::weights::SERVER_WEIGHT;
 
-/// A server whose attempts fail is taken for so much slower; this is the most that its rate can come to.
+/// A server whose attempts fail is taken for so much slower; this is the most that its rate can
+/// come to.
 const MAX_FAILURE_RATE: f64 = 0.8;
 
 /// Results of one server's attempts.
--- a/crates/balancer/src/estimators/fleet_error_rate.rs
+++ b/crates/balancer/src/estimators/fleet_error_rate.rs
@@ -8,8 +8,8 @@
 /// Failures are never taken to be rarer than this.
 const MIN_ERROR_RATE: f64 = 0.01;
 
-/// Share of attempts that fail, where a run of failures at one server counts once. Failures that are spread
-/// over the servers are bad requests, or the network's.
+/// Share of attempts that fail, where a run of failures at one server counts once. Failures that
+/// are spread over the servers are bad requests, or the network's.
 #[derive(Default)]
 pub(crate) struct FleetErrorRate {
     rate: f64,
--- a/crates/balancer/src/estimators/latency.rs
+++ b/crates/balancer/src/estimators/latency.rs
@@ -9,7 +9,8 @@
 use crate::estimators::weights::{FLEET_WEIGHT, SERVER_WEIGHT};
 use crate::{MachineType, Micros};
 
-/// Half-life of a server's latency factor, in microseconds: neighbours on its machine come and go in seconds.
+/// Half-life of a server's latency factor, in microseconds: neighbours on its machine come and go
+/// in seconds.
 const LATENCY_FACTOR_HALF_LIFE: f64 = 3_000_000.0;
 /// A server counts as at most this many times faster or slower than the fleet.
 const MAX_LATENCY_FACTOR: f64 = 4.0;
@@ -52,13 +53,15 @@
         usual + (server.factor - usual) * decay(now, server.updated_at, LATENCY_FACTOR_HALF_LIFE)
     }
 
-    /// The latency factor of a machine type. Guards against learning that comes too late where a balancer sends
-    /// each server next to nothing: what one server shows tells of all machines like it.
+    /// The latency factor of a machine type. Guards against learning that comes too late where a
+    /// balancer sends each server next to nothing: what one server shows tells of all machines like
+    /// it.
     pub(crate) fn machine_latency_factor(&self, machine: MachineType) -> f64 {
         self.latency_by_machine_type.get(&machine.id).copied().unwrap_or(1.0 / machine.speed)
     }
 
-    /// A server responded; `usual` is the latency factor of its machine type, `service_time` in microseconds.
+    /// A server responded; `usual` is the latency factor of its machine type, `service_time` in
+    /// microseconds.
     pub(crate) fn on_response(
         &mut self,
         server: &mut ServerLatency,
--- a/crates/balancer/src/estimators/latency_distribution.rs
+++ b/crates/balancer/src/estimators/latency_distribution.rs
@@ -32,8 +32,8 @@
             .max(MIN_LOG_VARIANCE);
     }
 
-    /// Negative logarithm of the chance that a sound server leaves all attempts at it without a response for so
-    /// long, counted from their send or from its last response.
+    /// Negative logarithm of the chance that a sound server leaves all attempts at it without a
+    /// response for so long, counted from their send or from its last response.
     pub(crate) fn silence_improbability(&self, server: &ServerState, now: Micros) -> f64 {
         let silent_since = |attempt: &InFlightAttempt| attempt.sent_at.max(server.failures.last_served_at());
         let silence = |attempt| now.saturating_sub(silent_since(attempt)).max(1) as f64;
--- a/crates/balancer/src/estimators/load.rs
+++ b/crates/balancer/src/estimators/load.rs
@@ -6,9 +6,9 @@
 use crate::Micros;
 use crate::estimators::decaying_rate::decay;
 
-/// Half-life of the means over load reports, in microseconds. Reports that come with responses were taken some
-/// hundred milliseconds before, and what came and went since is unknown: only a mean over many of them tells
-/// what others have at a server.
+/// Half-life of the means over load reports, in microseconds. Reports that come with responses were
+/// taken some hundred milliseconds before, and what came and went since is unknown: only a mean
+/// over many of them tells what others have at a server.
 const REPORT_MEAN_HALF_LIFE: f64 = 3_000_000.0;
 
 /// What is known of a server's load beside this balancer's attempts.
@@ -37,8 +37,8 @@
         self.updated_at = now;
     }
 
-    /// A response reported the requests in flight some time ago. Guards against old reports set against own
-    /// requests of now: means are compared over the same time.
+    /// A response reported the requests in flight some time ago. Guards against old reports set
+    /// against own requests of now: means are compared over the same time.
     pub(crate) fn on_response_report(&mut self, reported: f64, own: f64, now: Micros) {
         let weight = 1.0 - decay(now, self.updated_at, REPORT_MEAN_HALF_LIFE);
         self.mean_reported += weight * (reported - self.mean_reported);
@@ -47,7 +47,8 @@
         self.updated_at = now;
     }
 
-    /// The server rejected an attempt that was sent at this queue depth: it holds more than was known.
+    /// The server rejected an attempt that was sent at this queue depth: it holds more than was
+    /// known.
     pub(crate) fn on_rejected(&mut self, queue_depth: f64, now: Micros) {
         self.in_flight_elsewhere = self.in_flight_elsewhere.max(queue_depth + 1.0);
         self.updated_at = now;
--- a/crates/balancer/src/estimators/mod.rs
+++ b/crates/balancer/src/estimators/mod.rs
@@ -1,7 +1,7 @@
 //! What responses, load reports and arrivals tell of the fleet and of each server.
 //!
-//! Each estimator owns its figures and is updated by what happened. Nothing here decides: decisions are in
-//! `policy/`.
+//! Each estimator owns its figures and is updated by what happened. Nothing here decides: decisions
+//! are in `policy/`.
 
 mod decaying_rate;
 mod estimates;
--- a/crates/balancer/src/estimators/slow_start.rs
+++ b/crates/balancer/src/estimators/slow_start.rs
@@ -10,8 +10,9 @@
 
 /// Half-life of the rate at which work is sent, in microseconds.
 const WORK_RATE_HALF_LIFE: f64 = 5_000_000.0;
-/// A warm server's quota is measured anew while at least this share of the servers' capacity is there: what
-/// all send to the few that are warm in a release says little of one server's usual quota.
+/// A warm server's quota is measured anew while at least this share of the servers' capacity is
+/// there: what all send to the few that are warm in a release says little of one server's usual
+/// quota.
 const MIN_WARM_SHARE: f64 = 0.7;
 
 /// Work sent to a server in slow start.
--- a/crates/balancer/src/estimators/workload.rs
+++ b/crates/balancer/src/estimators/workload.rs
@@ -26,7 +26,8 @@
         Self { request_rate, mean_work: 0.0, mean_priority_weight: 0.0 }
     }
 
-    /// A request arrived, with a hint of its work or 0; returns its work against that of a usual request.
+    /// A request arrived, with a hint of its work or 0; returns its work against that of a usual
+    /// request.
     pub(crate) fn on_request_arrived(&mut self, class: &RequestClass, work_hint: f64, now: Micros) -> f64 {
         if work_hint > 0.0 {
             let mean = if self.mean_work > 0.0 { self.mean_work } else { work_hint };
@@ -44,8 +45,9 @@
         self.request_rate.per_microsecond(now).max(f64::MIN_POSITIVE)
     }
 
-    /// Priority weight of a request for its work, against that of a usual one: in a full fleet what earns
-    /// little for its work must not fill the queues that what earns more would still have passed in time.
+    /// Priority weight of a request for its work, against that of a usual one: in a full fleet what
+    /// earns little for its work must not fill the queues that what earns more would still have
+    /// passed in time.
     pub(crate) fn value_density(&self, priority_weight: f64, relative_work: f64) -> f64 {
         if self.mean_work == 0.0 {
             return 1.0;
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -1,7 +1,7 @@
 //! [`Balancer`] holds the components and passes each event to the policy that decides about it.
 //!
-//! The policies are the files of `policy/`; no other file reaches the components. The ordinary path is that of
-//! `docs/design.md`, and each departure from it says what it guards against.
+//! The policies are the files of `policy/`; no other file reaches the components. The ordinary path
+//! is that of `docs/design.md`, and each departure from it says what it guards against.
 
 mod attempt_result;
 mod dispatch;
@@ -73,8 +73,8 @@
         })
     }
 
-    /// Takes in one event and pushes what is to be done about it. `now` is in microseconds; a time before
-    /// that of an earlier event counts as the earlier one's.
+    /// Takes in one event and pushes what is to be done about it. `now` is in microseconds; a time
+    /// before that of an earlier event counts as the earlier one's.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
         if !self.started {
--- a/crates/balancer/src/request_class.rs
+++ b/crates/balancer/src/request_class.rs
@@ -28,7 +28,8 @@
     Cell,
 }
 
-/// A request class: what its requests are worth, how long they may take and whether they may be retried.
+/// A request class: what its requests are worth, how long they may take and whether they may be
+/// retried.
 #[derive(Clone, Debug)]
 pub struct RequestClass {
     /// Value of one response within the latency objective; finite and not negative.
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -58,8 +58,8 @@
     pub cold_capacity_share: f64,
     /// Time after which a server has its full capacity.
     pub slow_start_time: Micros,
-    /// A server in slow start fails that gets more than this multiple of its capacity, from all balancers,
-    /// within [`cold_overload_window`](Self::cold_overload_window).
+    /// A server in slow start fails that gets more than this multiple of its capacity, from all
+    /// balancers, within [`cold_overload_window`](Self::cold_overload_window).
     pub cold_overload_factor: f64,
     /// The span over which a server in slow start must not be overloaded.
     pub cold_overload_window: Micros,
--- a/crates/balancer/src/state/endpoint_table.rs
+++ b/crates/balancer/src/state/endpoint_table.rs
@@ -66,7 +66,8 @@
         self.servers.iter_mut().filter(unlisted).for_each(ServerState::on_unlisted);
     }
 
-    /// Takes in an entry of a list. The entry's status is left to [`ServerState::on_status_listed`].
+    /// Takes in an entry of a list. The entry's status is left to
+    /// [`ServerState::on_status_listed`].
     pub(crate) fn merge(
         &mut self,
         endpoint: Endpoint,
--- a/crates/balancer/src/state/gossip_message.rs
+++ b/crates/balancer/src/state/gossip_message.rs
@@ -1,7 +1,8 @@
 //! The wire format of messages between balancers.
 //!
-//! A datagram is a sequence of records of [`RECORD_LEN`] bytes: one byte for the kind, the server's stable hash
-//! and its incarnation, both big-endian. An incomplete record at the end and unknown kinds are ignored.
+//! A datagram is a sequence of records of [`RECORD_LEN`] bytes: one byte for the kind, the server's
+//! stable hash and its incarnation, both big-endian. An incomplete record at the end and unknown
+//! kinds are ignored.
 
 #[cfg(test)]
 mod tests;
--- a/crates/balancer/src/state/health_check_record.rs
+++ b/crates/balancer/src/state/health_check_record.rs
@@ -64,7 +64,8 @@
         self.last_started_at = now;
     }
 
-    /// A load check was requested: unless a full health check is in progress, its failure is not confirmed.
+    /// A load check was requested: unless a full health check is in progress, its failure is not
+    /// confirmed.
     pub(crate) fn on_load_check_requested(&mut self) {
         self.load_only |= self.started_at.is_none();
     }
--- a/crates/balancer/src/state/mod.rs
+++ b/crates/balancer/src/state/mod.rs
@@ -1,7 +1,7 @@
 //! State without decisions: the servers, the requests, and messages between balancers.
 //!
-//! Each file owns one piece of state, with everything that changes it. Decisions are in `policy/`, estimates
-//! in `estimators/`.
+//! Each file owns one piece of state, with everything that changes it. Decisions are in `policy/`,
+//! estimates in `estimators/`.
 
 mod endpoint_poller;
 mod endpoint_table;
--- a/crates/balancer/src/state/request_table.rs
+++ b/crates/balancer/src/state/request_table.rs
@@ -44,7 +44,8 @@
         self.timers.insert((at, id));
     }
 
-    /// The next request whose timer is due and that was not sent yet; its timer and awaited load checks end.
+    /// The next request whose timer is due and that was not sent yet; its timer and awaited load
+    /// checks end.
     pub(crate) fn take_due(&mut self, now: Micros) -> Option<RequestId> {
         while let Some(&(at, id)) = self.timers.first().filter(|timer| timer.0 <= now) {
             self.timers.remove(&(at, id));
--- a/crates/balancer/src/state/server_state.rs
+++ b/crates/balancer/src/state/server_state.rs
@@ -23,8 +23,8 @@
     pub(crate) queue_depth: f64,
 }
 
-/// A server as this balancer knows it: its line of the endpoint list, attempts in flight, and a record for
-/// each policy or estimator that watches it.
+/// A server as this balancer knows it: its line of the endpoint list, attempts in flight, and a
+/// record for each policy or estimator that watches it.
 pub(crate) struct ServerState {
     endpoint: Endpoint,
     drain_listed: bool,
--- a/crates/balancer/src/state/subset_order.rs
+++ b/crates/balancer/src/state/subset_order.rs
@@ -1,4 +1,5 @@
-//! The order in which this balancer uses the servers. How many of them it uses is decided in `policy/subset.rs`.
+//! The order in which this balancer uses the servers. How many of them it uses is decided in
+//! `policy/subset.rs`.
 
 #[cfg(test)]
 mod tests;
@@ -19,8 +20,8 @@
         self.order.iter().copied()
     }
 
-    /// The servers changed. Their order is random, the same at every list, and each cell comes once before any
-    /// comes twice.
+    /// The servers changed. Their order is random, the same at every list, and each cell comes once
+    /// before any comes twice.
     pub(crate) fn on_endpoints_updated(&mut self, endpoints: &EndpointTable, balancer_index: u32) {
         let own = u64::from(balancer_index) << 32;
         let hash =
--- a/crates/balancer/tests/balancer/dispatch.rs
+++ b/crates/balancer/tests/balancer/dispatch.rs
@@ -75,8 +75,8 @@
     assert_eq!(driver.servers_in_use(), [0, 1]);
 }
 
-/// A balancer starts with a list of servers most of which are gone: connections to them fail, and no update
-/// comes.
+/// A balancer starts with a list of servers most of which are gone: connections to them fail, and
+/// no update comes.
 #[test]
 fn stale_list_of_mostly_gone_servers_costs_few_requests_and_is_soon_known() {
     let (mut early, mut late) = (0, 0);
--- a/crates/balancer/tests/balancer/endpoint_list.rs
+++ b/crates/balancer/tests/balancer/endpoint_list.rs
@@ -23,8 +23,8 @@
     }
 }
 
-/// Over loads and numbers of servers: at most one request goes to a draining server while the list is lost,
-/// and a server that is listed as ready is used again.
+/// Over loads and numbers of servers: at most one request goes to a draining server while the list
+/// is lost, and a server that is listed as ready is used again.
 #[test]
 fn server_that_rejects_while_the_list_is_lost_is_avoided_until_an_update() {
     for (seed, servers, gap) in (0..60).map(|n| (n, 3 + n as u32 % 5, [20, 200, 1_500][n as usize % 3])) {
@@ -77,8 +77,8 @@
     assert_eq!(driver.servers_in_use(), [0, 2, 3]);
 }
 
-/// The figure for the fleet: polls in the time that a discovery of four calls a second needs to respond to
-/// all once.
+/// The figure for the fleet: polls in the time that a discovery of four calls a second needs to
+/// respond to all once.
 #[test]
 fn hundred_balancers_that_lost_their_list_do_not_saturate_discovery() {
     let (mut polls, mut max_pause) = (0, 0);
@@ -100,6 +100,7 @@
             }
         }
     }
-    // Eight polls each in 25 s, half of them in the first three; none waits longer than the longest interval.
+    // Eight polls each in 25 s, half of them in the first three; none waits longer than the longest
+    // interval.
     assert!(polls <= 800 && max_pause <= 10_000 * MS, "{polls} {max_pause}");
 }
--- a/crates/balancer/tests/balancer/gossip.rs
+++ b/crates/balancer/tests/balancer/gossip.rs
@@ -45,7 +45,8 @@
 
 #[test]
 fn suspicion_of_an_older_incarnation_is_ignored() {
-    // Incarnation known, incarnation suspected by another balancer, and whether the suspicion is raised.
+    // Incarnation known, incarnation suspected by another balancer, and whether the suspicion is
+    // raised.
     let table =
         [(None, None, true), (Some(5), Some(5), true), (Some(5), Some(7), true), (Some(7), Some(5), false)];
     for (known, suspected, raised) in table {
--- a/crates/balancer/tests/balancer/load_check.rs
+++ b/crates/balancer/tests/balancer/load_check.rs
@@ -29,7 +29,8 @@
     let mut driver = Driver::new(Settings { load_reports: true, health_check_fee: 0.001, ..settings() }, 4);
     let mut to_idle_reporter = Vec::new();
     for _ in 0..40 {
-        // Server 0 always reports to be idle, and ends no attempt; the others report five requests each.
+        // Server 0 always reports to be idle, and ends no attempt; the others report five requests
+        // each.
         let (id, arrival) = driver.request(2);
         driver.now += MS;
         let mut last = Vec::new();
@@ -120,7 +121,7 @@
             messages += gossip_messages(&driver.end_health_check(server, Outcome::TimedOut)).len();
         }
     }
-    // Ten seconds: at most four scheduled health checks a second, each with three requests for indirect checks
-    // and one message.
+    // Ten seconds: at most four scheduled health checks a second, each with three requests for
+    // indirect checks and one message.
     assert!(messages <= 160, "{messages}");
 }
--- a/crates/balancer/tests/balancer/load_from_responses.rs
+++ b/crates/balancer/tests/balancer/load_from_responses.rs
@@ -1,4 +1,5 @@
-//! Deployments where responses tell of load, requests tell of their work and late responses keep some value.
+//! Deployments where responses tell of load, requests tell of their work and late responses keep
+//! some value.
 
 use std::collections::BTreeMap;
 
@@ -117,7 +118,8 @@
         }
     }
 
-    /// Requests of 10 to 70 ms of work arrive at a share of the servers' capacity, for some seconds.
+    /// Requests of 10 to 70 ms of work arrive at a share of the servers' capacity, for some
+    /// seconds.
     fn load(&mut self, share: f64, seconds: u32) {
         let step_work = share * 2.0 * 5.0 * self.servers.len() as f64;
         let (mut due_work, mut rng) = (0.0, fastrand::Rng::with_seed(5));
@@ -167,8 +169,8 @@
     }
 }
 
-/// All servers restart at once under full load, and now and then a request is as large as all that one of
-/// them may get in the overload window.
+/// All servers restart at once under full load, and now and then a request is as large as all that
+/// one of them may get in the overload window.
 #[test]
 fn fleet_wholly_in_slow_start_is_not_overloaded() {
     for seed in 0..6 {
--- a/crates/balancer/tests/balancer/load_shedding.rs
+++ b/crates/balancer/tests/balancer/load_shedding.rs
@@ -37,8 +37,9 @@
     assert_eq!(sent_under_saturation(costly), sent_under_saturation(settings()));
 }
 
-/// Small and large requests of equal priority arrive by turns at a fleet of which each server has so many in
-/// flight: whether the last small one and the last large one, which may take longer, were sent.
+/// Small and large requests of equal priority arrive by turns at a fleet of which each server has
+/// so many in flight: whether the last small one and the last large one, which may take longer,
+/// were sent.
 fn sent_to_full_fleet(in_flight: u64) -> (bool, bool) {
     let idempotent = |objective| RequestClass::new(Idempotency::Idempotent, objective, 1_500 * MS);
     let classes = vec![idempotent(400 * MS), idempotent(600 * MS)];
--- a/crates/balancer/tests/balancer/pick.rs
+++ b/crates/balancer/tests/balancer/pick.rs
@@ -46,7 +46,8 @@
         }));
     }
     let on_large = (0..800).filter(|_| driver.serve(0).0 < 4).count();
-    // At first three to one; as all take equally long, the stated speeds give way to the measured latencies.
+    // At first three to one; as all take equally long, the stated speeds give way to the measured
+    // latencies.
     assert!((480..640).contains(&on_large), "{on_large}");
 }
 
@@ -62,7 +63,8 @@
         for _ in 0..count {
             let (id, actions) = driver.request(0);
             let Some(server) = sent_to(&actions) else { continue };
-            // The first three of the second type take four times as long; the last one never responds.
+            // The first three of the second type take four times as long; the last one never
+            // responds.
             driver.now += if server.0 < 4 { 20 * MS } else { 80 * MS };
             let outcome = if server.0 == 7 { Outcome::Cancelled } else { Outcome::Served };
             driver.end_attempt(id, 0, server, outcome);
--- a/crates/balancer/tests/balancer/random_events.rs
+++ b/crates/balancer/tests/balancer/random_events.rs
@@ -128,7 +128,8 @@
         let status = statuses[self.rng.usize(0..3)];
         let restart = self.rng.bool() && status == EndpointStatus::Ready;
         let incarnation = restart.then_some(self.driver.now);
-        // Listed anew after it was removed, a server is a new one; a mere drain binds until a restart.
+        // Listed anew after it was removed, a server is a new one; a mere drain binds until a
+        // restart.
         let back = restart || self.removed[server];
         self.barred[server] = status != EndpointStatus::Ready || (self.barred[server] && !back);
         self.removed[server] = status == EndpointStatus::Removed;
--- a/crates/balancer/tests/balancer/subset.rs
+++ b/crates/balancer/tests/balancer/subset.rs
@@ -58,8 +58,9 @@
     assert!(subset_of_sixty(0.0, 50 * MS, 1).len() >= 24);
 }
 
-/// The figure for the fleet: connections that all balancers together keep open to one server. It follows the
-/// requests that the server gets, not the number of balancers, but for the smallest subset of each.
+/// The figure for the fleet: connections that all balancers together keep open to one server. It
+/// follows the requests that the server gets, not the number of balancers, but for the smallest
+/// subset of each.
 #[test]
 fn hundred_quiet_balancers_spread_their_subsets_over_all_servers() {
     let mut users = [0; 60];
