--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -54,6 +54,89 @@
     }
 }
 
+/// The code under test and the reference model after the same steps.
+struct History {
+    now: Micros,
+    freshness: ListFreshness,
+    reference: ReferenceModel,
+}
+
+impl History {
+    /// The start of the program: the first call begins, with a list of unknown age.
+    fn new(bounds: StalenessBounds) -> Self {
+        let now = 100_000_000;
+        let mut freshness = ListFreshness::new(bounds, now);
+        freshness.on_poll_started(now);
+        let reference = ReferenceModel {
+            bounds,
+            blind: Some((now, BlindReason::Lost)),
+            calls: vec![now],
+        };
+        Self {
+            now,
+            freshness,
+            reference,
+        }
+    }
+
+    /// Plays a step; what ends a watch or a call is followed by the next call.
+    fn play(&mut self, step: Step) {
+        match step {
+            Step::Event => {
+                self.freshness.on_watch_event();
+                self.reference.blind = None;
+                return;
+            }
+            Step::Ended => self.end_watch(),
+            Step::Silent if self.reference.blind.is_none() => self.fall_silent(),
+            Step::Abandoned if self.reference.blind.is_some() => self.freshness.on_poll_abandoned(),
+            Step::Silent | Step::Abandoned => return,
+            Step::Relocated => self.relocate(),
+        }
+        self.freshness.on_poll_started(self.now);
+        self.reference.calls.push(self.now);
+    }
+
+    fn end_watch(&mut self) {
+        self.freshness.on_watch_ended(self.now);
+        // A call that fails while blind shows that discovery is down, or replaces the last call.
+        let blind = self.reference.blind;
+        if blind.is_none_or(|(_, reason)| reason == BlindReason::Lost) {
+            self.reference.blind = Some((self.now, BlindReason::Lost));
+        }
+    }
+
+    fn fall_silent(&mut self) {
+        let last_event_at = self.now;
+        self.now += SILENCE_TIMEOUT;
+        self.freshness.on_watch_silent(last_event_at, self.now);
+        self.reference.blind = Some((last_event_at, BlindReason::Silent));
+    }
+
+    fn relocate(&mut self) {
+        self.freshness.on_discovery_relocated(self.now);
+        // Whichever of silence and relocation makes a drain count as notified earlier still does.
+        let bounds = &self.reference.bounds;
+        let head_start = bounds.watch_silence - bounds.relocation_delay;
+        let blind = self.reference.blind;
+        if blind.is_none_or(|(since, reason)| {
+            reason == BlindReason::Lost || since + head_start > self.now
+        }) {
+            self.reference.blind = Some((self.now, BlindReason::Relocated));
+        }
+    }
+}
+
+fn bounds(pushed: bool, max_poll_interval: Micros, drain_slack: Micros) -> StalenessBounds {
+    StalenessBounds {
+        pushed,
+        max_poll_interval,
+        watch_silence: 6_000_000,
+        relocation_delay: 4_000_000,
+        drain_slack,
+    }
+}
+
 fn steps() -> impl Strategy<Value = Vec<(Step, Micros)>> {
     use Step::{Abandoned, Ended, Event, Relocated, Silent};
     let step = prop_oneof![
@@ -79,52 +162,20 @@
         drained_after in 0..20_000_000_u64,
         served_before in prop::option::of(0..1_000_000_u64),
     ) {
-        let bounds = StalenessBounds { pushed, max_poll_interval: poll_interval, watch_silence: 6_000_000, relocation_delay: 4_000_000, drain_slack: grace / 2 };
-        let mut now = 100_000_000;
-        let mut freshness = ListFreshness::new(bounds, now);
-        let mut reference = ReferenceModel { bounds, blind: Some((now, BlindReason::Lost)), calls: vec![now] };
-        freshness.on_poll_started(now);
+        let mut history = History::new(bounds(pushed, poll_interval, grace / 2));
         for (step, after) in steps {
-            now += after;
-            match step {
-                Step::Event => {
-                    freshness.on_watch_event();
-                    reference.blind = None;
-                    continue;
-                }
-                // A call that fails while blind shows that discovery is down, or replaces the last
-                // call.
-                Step::Ended => {
-                    freshness.on_watch_ended(now);
-                    if reference.blind.is_none_or(|(_, reason)| reason == BlindReason::Lost) {
-                        reference.blind = Some((now, BlindReason::Lost));
-                    }
-                }
-                Step::Silent if reference.blind.is_none() => {
-                    let last_event_at = now;
-                    now += SILENCE_TIMEOUT;
-                    freshness.on_watch_silent(last_event_at, now);
-                    reference.blind = Some((last_event_at, BlindReason::Silent));
-                }
-                Step::Abandoned if reference.blind.is_some() => freshness.on_poll_abandoned(),
-                Step::Silent | Step::Abandoned => continue,
-                Step::Relocated => {
-                    freshness.on_discovery_relocated(now);
-                    // What counted as notified before still does.
-                    if reference.blind.is_none_or(|(since, reason)| reason == BlindReason::Lost || since + 2_000_000 > now) {
-                        reference.blind = Some((now, BlindReason::Relocated));
-                    }
-                }
-            }
-            freshness.on_poll_started(now);
-            reference.calls.push(now);
+            history.now += after;
+            history.play(step);
         }
+        let History { freshness, reference, .. } = history;
         let Some((since, _)) = reference.blind else {
             prop_assert_eq!(freshness.trusted_until(None), None, "the list is what discovery has");
             return Ok(());
         };
         let drained_at = since + drained_after;
-        let Some(notified_at) = reference.notified_at(drained_at) else { return Ok(()) };
+        let Some(notified_at) = reference.notified_at(drained_at) else {
+            return Ok(());
+        };
         let served = served_before.map(|ago| drained_at.saturating_sub(ago));
         let until = freshness.trusted_until(served);
         prop_assert!(
@@ -136,14 +187,7 @@
 
 #[test]
 fn an_outage_keeps_the_list_trusted_and_an_overloaded_discovery_does_not() {
-    let bounds = StalenessBounds {
-        pushed: true,
-        max_poll_interval: 10_000_000,
-        watch_silence: 6_000_000,
-        relocation_delay: 4_000_000,
-        drain_slack: 250_000,
-    };
-    let mut freshness = ListFreshness::new(bounds, 0);
+    let mut freshness = ListFreshness::new(bounds(true, 10_000_000, 250_000), 0);
     for call in (0..8_000_000).step_by(200_000) {
         freshness.on_poll_started(call);
         freshness.on_watch_ended(call + 1_000);
@@ -167,14 +211,7 @@
 
 #[test]
 fn only_an_attempt_served_recently_extends_the_trust_in_a_server() {
-    let bounds = StalenessBounds {
-        pushed: false,
-        max_poll_interval: 10_000_000,
-        watch_silence: 6_000_000,
-        relocation_delay: 4_000_000,
-        drain_slack: 500_000,
-    };
-    let mut freshness = ListFreshness::new(bounds, 0);
+    let mut freshness = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
     freshness.on_watch_silent(1_000_000, 4_000_000);
     assert!(freshness.needs_immediate_poll());
     assert_eq!(freshness.trusted_until(None), Some(7_500_000));
