--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -9,14 +9,15 @@
 mod request_class;
 mod simulator;
 mod transport;
+mod values;
 
 use arrowstand_balancer::{Micros, Settings};
 
 use crate::error::KeyError;
 use crate::json::Node;
 use crate::load_report::LoadReportLayout;
-use crate::units::micros_from_ms;
 use request_class::read_request_class;
+use values::{count_or, flag, number_or, time_or};
 
 pub use simulator::SimulatorFeatures;
 pub use transport::{MembershipMode, TransportSettings};
@@ -127,23 +128,5 @@
     })
 }
 
-/// A boolean that is false where the key is absent.
-fn flag(node: &Node) -> Result<bool, KeyError> {
-    Ok(node.optional_flag()?.unwrap_or(false))
-}
-
-fn number_or(node: &Node, default: f64) -> Result<f64, KeyError> {
-    Ok(node.optional_number()?.unwrap_or(default))
-}
-
-fn count_or(node: &Node, default: u32) -> Result<u32, KeyError> {
-    Ok(number_or(node, f64::from(default))? as u32)
-}
-
-/// A time in milliseconds; the default is in microseconds.
-fn time_or(node: &Node, default: Micros) -> Result<Micros, KeyError> {
-    Ok(node.optional_number()?.map_or(default, micros_from_ms))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/settings/request_class.rs
+++ b/crates/platform/src/settings/request_class.rs
@@ -2,7 +2,7 @@
 
 use arrowstand_balancer::{DeduplicationScope, Idempotency, RequestClass};
 
-use super::number_or;
+use super::values::number_or;
 use crate::error::{KeyError, KeyProblem};
 use crate::json::Node;
 use crate::units::micros_from_ms;
--- a/crates/platform/src/settings/simulator.rs
+++ b/crates/platform/src/settings/simulator.rs
@@ -2,8 +2,8 @@
 
 use arrowstand_balancer::Settings;
 
-use super::flag;
 use super::transport::MembershipMode;
+use super::values::flag;
 use crate::error::KeyError;
 use crate::json::Node;
 
--- a/crates/platform/src/settings/transport.rs
+++ b/crates/platform/src/settings/transport.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use super::values::duration_or;
 use crate::error::{KeyError, KeyProblem};
 use crate::json::Node;
-use crate::units::duration_from_ms;
 
 /// Time for a connection to be established, where the settings name none.
 const DEFAULT_CONNECT_TIMEOUT_MS: f64 = 200.0;
@@ -92,9 +92,3 @@
 pub(super) fn idle_timeout_key<'a>(conf: &Node<'a>) -> Node<'a> {
     conf.at("permissions").at("idle-close-ms")
 }
-
-fn duration_or(node: &Node, default_ms: f64) -> Result<Duration, KeyError> {
-    Ok(duration_from_ms(
-        node.optional_number()?.unwrap_or(default_ms),
-    ))
-}
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -14,6 +14,8 @@
 
 use arrowstand_platform::endpoint_list::MaxDepth;
 
+use client::MAX_BODY_BYTES;
+
 pub(crate) use client::ClientLimits;
 pub(crate) use discovery::DiscoveryLimits;
 pub(crate) use inputs::LimitInputs;
@@ -23,8 +25,6 @@
 pub(crate) use shutdown::ShutdownLimits;
 pub(crate) use upstream::UpstreamLimits;
 
-/// Bytes of a request's or a response's body (the protocol page).
-const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Actions that an attempt may cause: it is sent, and it ends.
 const ACTIONS_PER_ATTEMPT: usize = 2;
 /// Actions of a request beside those of its attempts: the final one, and some to spare.
--- a/crates/sidecar/src/limits/client.rs
+++ b/crates/sidecar/src/limits/client.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use super::MAX_BODY_BYTES;
 use super::inputs::LimitInputs;
 
+/// Bytes of a request's or a response's body.
+pub(super) const MAX_BODY_BYTES: usize = 64 * 1024;
 const BYTES_PER_MIB: usize = 1024 * 1024;
 /// Bodies that are reckoned for each client: its own, and one for each of two connections to
 /// servers.
--- a/crates/sidecar/src/limits/upstream.rs
+++ b/crates/sidecar/src/limits/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::MAX_BODY_BYTES;
+use super::client::MAX_BODY_BYTES;
 use super::inputs::LimitInputs;
 
 /// Even the smallest table of file descriptors allows this many connections.
