--- a/crates/sidecar/src/host/in_flight_request.rs
+++ b/crates/sidecar/src/host/in_flight_request.rs
@@ -67,7 +67,7 @@
 
     /// Records an attempt that starts now and gives its number.
     pub fn on_attempt_started(&mut self, server: ServerId) -> u32 {
-        let open = self.next_attempt(server);
+        let open = self.new_attempt(server);
         let attempt = open.attempt;
         self.open_attempts.push(open);
         attempt
@@ -96,7 +96,7 @@
             .handle_event(Event::ClientDisconnected { request: self.id });
     }
 
-    fn next_attempt(&mut self, server: ServerId) -> OpenAttempt {
+    fn new_attempt(&mut self, server: ServerId) -> OpenAttempt {
         let attempt = self.attempts_started;
         self.attempts_started += 1;
         OpenAttempt {
@@ -123,7 +123,7 @@
     fn report_unsent(&mut self) {
         while let Ok(action) = self.actions.try_recv() {
             if let RequestAction::Send { server, .. } = action {
-                let unsent = self.next_attempt(server);
+                let unsent = self.new_attempt(server);
                 self.report(&unsent, Outcome::NotSent, None);
             }
         }
--- a/crates/sidecar/src/proxy/exchange.rs
+++ b/crates/sidecar/src/proxy/exchange.rs
@@ -31,7 +31,7 @@
             retry_after: host.limits.default_retry_after,
         };
     }
-    let last_moment = last_moment(&request, host.limits.client.response_margin);
+    let response_deadline = response_deadline(&request, host.limits.client.response_margin);
     let mut exchange = Exchange::admit(host, upstream, request);
     loop {
         // Actions come first: a final one must not lose against the result of an attempt that is as
@@ -40,7 +40,7 @@
             biased;
             action = exchange.in_flight.next_action() => exchange.execute(action),
             Some(ended) = exchange.attempts.next_ended() => exchange.on_attempt_ended(ended),
-            () = tokio::time::sleep_until(last_moment) => Some(exchange.on_overdue()),
+            () = tokio::time::sleep_until(response_deadline) => Some(exchange.on_overdue()),
             // Guards against a response that the end of the process would cut off: it is sent while
             // there is time.
             _ = forced_shutdown.wait_for(|forced| *forced) => Some(exchange.on_overdue()),
@@ -53,11 +53,12 @@
 
 /// When the response is sent at the latest. Guards against a response after the client has given
 /// up, should the balancer be late.
-fn last_moment(request: &ProxyRequest, margin: Duration) -> Instant {
+fn response_deadline(request: &ProxyRequest, margin: Duration) -> Instant {
     request.arrived + request.client_timeout.saturating_sub(margin)
 }
 
-/// A request that the balancer has been given, and its attempts.
+/// One exchange of a request and its response: the request as the balancer knows it, and its
+/// attempts.
 struct Exchange {
     // Dropped before the request in flight, which reports what has not ended as cancelled.
     attempts: Attempts,
@@ -97,11 +98,12 @@
                 self.attempts.abort(attempt);
                 None
             }
-            RequestAction::Reject { retry_after } => Some(self.reject(retry_after)),
-            RequestAction::Fail => Some(self.fail()),
+            RequestAction::Reject { retry_after } => Some(self.on_rejected(retry_after)),
+            RequestAction::Fail => Some(self.on_failed()),
         }
     }
 
+    /// Starts an attempt that ends after the timeout (in microseconds), or with the client's.
     fn start_attempt(&mut self, server: ServerId, timeout: Option<Micros>) {
         let attempt = self.in_flight.on_attempt_started(server);
         let now = Instant::now();
@@ -117,7 +119,8 @@
         });
     }
 
-    fn reject(&self, retry_after: Option<Micros>) -> ProxyResponse {
+    /// The balancer rejects the request; `retry_after` is in microseconds.
+    fn on_rejected(&self, retry_after: Option<Micros>) -> ProxyResponse {
         self.host.counters.responses_rejected.add();
         let advised = retry_after.map(Duration::from_micros);
         ProxyResponse::Rejected {
@@ -125,9 +128,10 @@
         }
     }
 
-    fn fail(&self) -> ProxyResponse {
+    /// The balancer fails the request.
+    fn on_failed(&self) -> ProxyResponse {
         self.host.counters.responses_failed.add();
-        self.failed()
+        self.failure()
     }
 
     /// Reports an attempt that has ended; returns the response where it was served.
@@ -150,10 +154,10 @@
     /// The balancer has not decided in time.
     fn on_overdue(&mut self) -> ProxyResponse {
         self.in_flight.on_overdue();
-        self.failed()
+        self.failure()
     }
 
-    fn failed(&self) -> ProxyResponse {
+    fn failure(&self) -> ProxyResponse {
         ProxyResponse::Failed {
             retry_after: self.host.limits.default_retry_after,
         }
