--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -18,8 +18,7 @@
 pub struct CompleteResponse {
     /// The status of the final response.
     pub status: StatusCode,
-    /// The headers of the final response.
-    pub headers: HeaderMap,
+    headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
--- a/crates/sidecar/src/upstream/send_guard.rs
+++ b/crates/sidecar/src/upstream/send_guard.rs
@@ -1,13 +1,13 @@
 //! The check before an attempt's first byte: whether the attempt may still begin.
 //!
 //! The balancer decides earlier; a slow connect or a busy event loop may lie between its decision
-//! and the first write. Pure: times and flags are handed in. An attempt that is blocked here counts
-//! as not sent.
+//! and the first write. Pure: times and flags are handed in (`write_progress::SendGuard` collects
+//! them). An attempt that is blocked here counts as not sent.
 
 use std::time::Duration;
 
 /// What is known at the moment in which the first byte would be written.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct SendConditions {
     /// The client has closed its connection.
     pub client_left: bool,
--- a/crates/sidecar/src/upstream/tracked_stream.rs
+++ b/crates/sidecar/src/upstream/tracked_stream.rs
@@ -20,8 +20,7 @@
 use crate::counters::Counters;
 use crate::limits::Limits;
 
-/// Bytes read at a time while the head of a response is awaited: most heads fit, and it is on the
-/// stack.
+/// Bytes read at a time while the head of a response is awaited. They are on the stack.
 const HEAD_READ_BYTES: usize = 1024;
 
 /// A connection that reports to the current task's request what was written of it, and passes on
