--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -31,22 +31,73 @@
 }
 
 exchanges! {
-    served_unchanged rejected_goes_elsewhere unsafe_reset_fails unsafe_refused_goes_elsewhere
-    unsafe_error_fails keyed_stays_in_its_zone terminal_leaves cut_length_is_no_answer cut_chunks_are_no_answer
-    bad_requests unread_words_count_as_not_said idle_connection_is_not_reused too_many_terminals watch_names_servers drained_gets_nothing
-    stop_answers_what_is_owed redirect_is_not_followed silent_watch_is_lost
-    silent_terminals_give_way endless_head_is_cut one_request_at_a_time reload_moves_the_watch
-    interim_answers_are_passed_over bytes_behind_an_answer spoilt_answers_fail open_id_is_taken
-    moved_server_leaves_no_connection first_requests_keep_their_places stop_answers_what_is_unread
-    lost_line_asks_for_the_whole_list
-    open_answer_ends_with_its_connection reset_is_no_end
-    stop_ends_before_the_kill stop_keeps_short_deadlines stop_hears_no_second_word stop_sends_on_nothing_late answer_before_unread_bytes_is_whole idle_close_meets_a_request client_leaves_while_its_dial_hangs client_leaves_as_its_dial_comes_up drain_told_while_a_dial_hangs window_ends_while_a_dial_hangs
-    silent_list_holds_back crowded_list_holds_back moved_list_holds_back outage_stops_no_service lost_list_is_asked_for_without_a_pause pooled_connection_ends_as_it_is_taken second_answer_is_nobodys whole_answer_then_reset_is_served server_moves_while_a_dial_hangs client_leaves_behind_a_flood restart_while_discovery_is_down stop_at_the_start stop_closes_what_rests stop_waits_for_no_half_request
-    old_list_ends_no_drain discovery_counts_anew
-    second_answer_comes_late second_answer_behind_an_empty_one client_leaves_with_all_it_sent rested_connection_is_used_again
+    client_disconnect_as_the_connect_completes_forwards_nothing
+    client_disconnect_before_its_request_is_read_forwards_nothing
+    client_disconnect_behind_pipelined_input_forwards_nothing
+    client_disconnect_cancels_its_attempt
+    client_disconnect_during_a_pending_connect_forwards_nothing
+    client_over_capacity_is_rejected_at_once
+    clients_with_a_response_lose_permits_before_new_clients
+    complete_response_before_a_reset_is_served
+    connection_is_reused_after_its_reuse_delay
+    drain_during_a_pending_connect_blocks_the_attempt
+    draining_server_gets_no_new_request
+    duplicate_request_id_in_flight_is_rejected
+    endless_request_head_is_cut_off
+    idle_connection_near_its_end_is_not_reused
     indented_list_is_read
-    stop_ends_with_a_client_that_sends_on
-    stop_answers_what_is_not_accepted stop_answers_what_is_half_read reload_to_where_nobody_listens
+    interim_responses_are_skipped
+    late_second_response_reaches_no_client
+    malformed_requests_are_rejected
+    malformed_responses_fail
+    non_idempotent_error_is_not_retried
+    non_idempotent_refused_connection_is_retried_elsewhere
+    non_idempotent_reset_is_not_retried
+    older_list_does_not_end_a_drain
+    pipelined_request_ends_the_connection
+    pooled_connection_closed_as_it_is_reused_is_replaced
+    queued_poll_blocks_attempts_until_a_list_comes
+    redirect_is_not_followed
+    rejected_attempt_is_retried_elsewhere
+    rejected_polls_do_not_stop_service
+    reload_to_a_refusing_discovery_keeps_the_list
+    reload_with_a_new_discovery_moves_the_watch_at_once
+    relocated_server_has_its_old_connections_closed
+    request_and_response_are_forwarded_unchanged
+    request_at_the_idle_timeout_is_served
+    reset_watch_is_polled_again_without_backoff
+    reset_within_a_response_fails_it
+    response_before_unread_input_is_complete
+    response_with_bytes_behind_it_ends_its_connection
+    restart_while_polls_are_rejected_serves_from_the_cached_list
+    restarted_discovery_with_lower_revisions_is_followed
+    retry_with_idempotency_key_stays_in_its_zone
+    second_response_behind_an_empty_one_reaches_no_client
+    second_response_on_an_idle_connection_reaches_no_client
+    server_relocated_during_a_pending_connect_gets_nothing_at_its_old_address
+    shutdown_before_any_request_is_clean
+    shutdown_closes_idle_connections
+    shutdown_does_not_wait_for_incomplete_requests
+    shutdown_ends_though_a_client_sends_on
+    shutdown_forwards_no_late_request
+    shutdown_ignores_further_signals
+    shutdown_serves_a_connection_not_accepted_yet
+    shutdown_serves_a_half_read_request
+    shutdown_serves_an_unread_request
+    shutdown_serves_requests_in_flight
+    shutdown_with_a_hanging_server_ends_before_sigkill
+    shutdown_with_a_hanging_server_keeps_short_deadlines
+    silent_clients_lose_permits_to_active_ones
+    silent_relocated_discovery_blocks_attempts_until_a_list_comes
+    silent_watch_blocks_attempts_until_a_list_comes
+    silent_watch_is_polled_again
+    truncated_body_is_no_response
+    truncated_chunks_are_no_response
+    unreadable_line_polls_for_the_whole_list
+    unreadable_timeout_and_cost_count_as_absent
+    unsized_response_ends_with_its_connection
+    watch_delivers_servers_and_skips_bad_entries
+    window_ends_while_a_dial_hangs
 }
 
 /// The sidecar's exit code and message for a configuration.
