--- a/crates/sidecar/tests/support/steps/expectations.rs
+++ b/crates/sidecar/tests/support/steps/expectations.rs
@@ -1,7 +1,7 @@
 //! Steps that wait for something from the sidecar, check it, or record it in the transcript.
 
 use std::fmt::Write as _;
-use std::io::{Read as _, Write as _};
+use std::io::{self, Read as _, Write as _};
 use std::net::TcpStream;
 use std::time::Instant;
 
@@ -46,21 +46,22 @@
 
     /// Checks that a connection ends without a further byte, by an end of file or a reset.
     pub(super) fn expect_close_or_reset(&mut self, party: &str) {
-        let read = self.connection(party).read(&mut [0; 64]);
-        assert!(
-            matches!(read, Ok(0))
-                || read.is_err_and(|error| error.raw_os_error() == Some(ECONNRESET)),
-            "{party}"
-        );
+        let mut bytes = [0; 64];
+        match read_uninterrupted(self.connection(party), &mut bytes) {
+            Ok(0) => {}
+            Ok(read) => panic!(
+                "{party} got more: {:?}",
+                String::from_utf8_lossy(&bytes[..read])
+            ),
+            Err(error) => assert_eq!(error.raw_os_error(), Some(ECONNRESET), "{party}: {error}"),
+        }
         self.record(&format!("{party} closed"));
     }
 
     /// Records how a connection ends: an end of file and nothing else, since a reset would take what
     /// was not read yet with it.
     pub(super) fn record_end_of_file(&mut self, party: &str) {
-        let read = self
-            .connection(party)
-            .read(&mut [0; 64])
+        let read = read_uninterrupted(self.connection(party), &mut [0; 64])
             .map_err(|error| error.to_string());
         self.record(&format!("{party} ended with {read:?}"));
     }
@@ -103,3 +104,14 @@
         writeln!(self.transcript, "{line}").expect("written");
     }
 }
+
+/// Reads once. Guards against a signal to the test's process, such as that a child has ended, which
+/// interrupts a read with a time-out and is nothing that the sidecar sent.
+fn read_uninterrupted(connection: &mut TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match connection.read(buffer) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            read => return read,
+        }
+    }
+}
