--- a/crates/testbed/src/simulator/server/attempts.rs
+++ b/crates/testbed/src/simulator/server/attempts.rs
@@ -1,4 +1,4 @@
-//! An attempt's way to its server: connection, request, admission.
+//! An attempt's way to its server: sent, offered, taken or rejected. Its connection is `connecting`'s.
 
 use std::collections::VecDeque;
 
@@ -9,7 +9,7 @@
 use crate::scenario::{Micros, from_ms};
 use crate::server_model::Job;
 use crate::simulator::Simulator;
-use crate::simulator::event::{Cancellation, SimulatorEvent};
+use crate::simulator::event::SimulatorEvent;
 use crate::simulator::request::{Attempt, AttemptKey, Request, RequestKey};
 
 impl Simulator<'_> {
@@ -88,64 +88,6 @@
         }
     }
 
-    fn on_attempt_written(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
-            return;
-        };
-        attempt.written = true;
-        let (sidecar, server) = (attempt.sidecar, attempt.server);
-        let sidecar_zone = self.sidecars[sidecar as usize].zone;
-        let started = LogEvent::AttemptStarted {
-            request: attempt.request_number,
-            sidecar,
-            server,
-            cross_zone: sidecar_zone != self.servers[server as usize].zone,
-        };
-        self.record(started);
-    }
-
-    /// A new connection's first packet is at the server.
-    pub(in crate::simulator) fn on_connect_at_server(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
-            return;
-        };
-        let server = &mut self.servers[attempt.server as usize];
-        if server.reachability == Reachability::Silent {
-            return;
-        }
-        if attempt.ended {
-            self.attempts.remove(key);
-            return;
-        }
-        let accepted = server.reachability == Reachability::Open && server.machine.connect();
-        let answer = if accepted {
-            attempt.connection = Some(server.start);
-            SimulatorEvent::ConnectionOpen(key)
-        } else {
-            SimulatorEvent::ResultAtSidecar(key, Outcome::ConnectFailed)
-        };
-        self.timeline.after(attempt.delay, answer);
-    }
-
-    /// The sidecar knows that its connection is open, and writes the request.
-    pub(in crate::simulator) fn on_connection_open(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else {
-            return;
-        };
-        if attempt.ended {
-            self.attempts.remove(key);
-            return;
-        }
-        let (due, delay) = (attempt.due, attempt.delay);
-        let machine = &self.servers[attempt.server as usize].machine;
-        let further_round_trips = (machine.kind().handshake_rtts - 1.0).max(0.0);
-        self.on_attempt_written(key);
-        let timeline = &mut self.timeline;
-        timeline.at(due, SimulatorEvent::AttemptTimeout(key));
-        let handshake = (further_round_trips * 2.0 * delay as f64) as Micros;
-        timeline.after(delay + handshake, SimulatorEvent::AttemptAtServer(key));
-    }
-
     /// An attempt's last byte is at the server.
     pub(in crate::simulator) fn on_attempt_at_server(&mut self, key: AttemptKey) {
         let Some(attempt) = self.attempts.get(key) else {
@@ -211,25 +153,6 @@
         }
         self.settle_server(number);
     }
-
-    /// Closes an attempt's connection; the server notices what it has of it after the way there.
-    pub(in crate::simulator) fn close_attempt_connection(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
-            return;
-        };
-        let Some(server_start) = attempt.connection.take() else {
-            return;
-        };
-        self.servers[attempt.server as usize].close_connection(server_start);
-        if attempt.written {
-            let noticed = SimulatorEvent::CancellationAtServer(Cancellation {
-                server: attempt.server,
-                server_start,
-                job: attempt.job,
-            });
-            self.timeline.after(attempt.delay, noticed);
-        }
-    }
 }
 
 /// An attempt before its delay, its work and its connection are known.
--- a/crates/testbed/src/simulator/server/mod.rs
+++ b/crates/testbed/src/simulator/server/mod.rs
@@ -1,9 +1,10 @@
 //! The simulator's servers, and everything on the way to them and back.
 //!
-//! This file owns a server's state. `attempts` is an attempt's way to the server, `results` its way back,
+//! This file owns a server's state. `attempts` is an attempt's way to the server, `connecting` its connection, `results` its way back,
 //! `machine` what the server model does by itself, `health_checks` the way of a health check.
 
 mod attempts;
+mod connecting;
 mod health_checks;
 mod machine;
 mod results;
