--- a/crates/testbed/src/server_model/contention.rs
+++ b/crates/testbed/src/server_model/contention.rs
@@ -1,52 +1,84 @@
-//! What a lasting crowd does to a machine.
+//! Lasting overload, which slows a server until it has had a rest.
 
-use super::*;
+use super::ServerModel;
+use crate::scenario::{Choke, Micros, from_s};
 
+/// Whether a server is overloaded, or slowed by it.
+#[derive(Debug, Default)]
+pub(super) struct Contention {
+    /// Since when it holds too many jobs, while it is not slowed.
+    overloaded_since: Option<Micros>,
+    slowed: Option<Slowed>,
+    /// Time for which it was slowed before, in microseconds.
+    slowed_before: Micros,
+}
+
+/// A server is slowed.
 #[derive(Debug)]
-pub(super) struct Choking {
-    pub(super) since: Micros,
-    pub(super) calm: Option<Micros>,
+struct Slowed {
+    since: Micros,
+    /// Since when it holds few enough jobs to recover.
+    calm_since: Option<Micros>,
 }
 
-impl ServerModel {
-    pub(super) fn watch_crowd(&mut self) {
-        let Some(choke) = self.kind.choke.clone() else {
-            return;
-        };
-        let (now, held, cores) = (self.at, self.held() as f64, f64::from(self.kind.cores));
-        if let Some(choking) = &mut self.choking {
+impl Contention {
+    /// The jobs that a server holds, or the time, have changed.
+    fn on_load(&mut self, choke: &Choke, now: Micros, held: f64, cores: f64) {
+        if let Some(slowed) = &mut self.slowed {
             let calm = held < choke.below * cores;
-            choking.calm = if calm {
-                choking.calm.or(Some(now))
-            } else {
-                None
-            };
-            let rested = choking
-                .calm
-                .is_some_and(|at| now >= at + from_s(choke.rest_s));
-            if rested || now >= choking.since + from_s(choke.most_s) {
-                self.done.choked += now - choking.since;
-                self.choking = None;
-                self.crowded = None;
+            slowed.calm_since = calm.then_some(slowed.calm_since.unwrap_or(now));
+            let calm_since = slowed.calm_since;
+            let rested = calm_since.is_some_and(|at| now >= at + from_s(choke.rest_s));
+            if rested || now >= slowed.since + from_s(choke.most_s) {
+                self.slowed_before += now - slowed.since;
+                self.reset();
             }
-            return;
-        }
-        if held <= choke.at * cores {
-            self.crowded = None;
-        } else if now >= *self.crowded.get_or_insert(now) + from_s(choke.over_s) {
-            self.choking = Some(Choking {
+        } else if held <= choke.at * cores {
+            self.overloaded_since = None;
+        } else if now >= *self.overloaded_since.get_or_insert(now) + from_s(choke.over_s) {
+            self.slowed = Some(Slowed {
                 since: now,
-                calm: None,
+                calm_since: None,
             });
         }
     }
 
-    /// Time choked so far, a choking that goes on included.
+    /// Neither overloaded nor slowed any more; the time for which it was slowed stays.
+    pub(super) fn reset(&mut self) {
+        self.overloaded_since = None;
+        self.slowed = None;
+    }
+
+    pub(super) fn is_slowed(&self) -> bool {
+        self.slowed.is_some()
+    }
+
+    /// Whether it changes as time passes.
+    pub(super) fn changes_by_itself(&self) -> bool {
+        self.overloaded_since.is_some() || self.is_slowed()
+    }
+
+    /// How many times slower it makes the server.
+    pub(super) fn slowdown(&self, choke: Option<&Choke>) -> f64 {
+        choke
+            .filter(|_| self.is_slowed())
+            .map_or(1.0, |choke| choke.slower)
+    }
+}
+
+impl ServerModel {
+    pub(super) fn update_contention(&mut self) {
+        let held = self.held() as f64;
+        let cores = f64::from(self.machine_type.cores);
+        if let Some(choke) = &self.machine_type.choke {
+            self.contention.on_load(choke, self.now, held, cores);
+        }
+    }
+
+    /// Time for which contention has slowed it so far, in microseconds, including one that goes on.
     pub fn choked(&self) -> Micros {
-        self.done.choked
-            + self
-                .choking
-                .as_ref()
-                .map_or(0, |c| self.at.saturating_sub(c.since))
+        let slowed = self.contention.slowed.as_ref();
+        let present = slowed.map_or(0, |slowed| self.now.saturating_sub(slowed.since));
+        self.contention.slowed_before + present
     }
 }
--- /dev/null
+++ b/crates/testbed/src/server_model/health_check_limit.rs
@@ -0,0 +1,35 @@
+//! How many health checks a server answers.
+
+use crate::scenario::Micros;
+
+/// A bucket of tokens, one for each health check: as many as come in a second, and one at least.
+#[derive(Debug)]
+pub(super) struct HealthCheckLimit {
+    tokens: f64,
+    refilled_at: Micros,
+}
+
+impl HealthCheckLimit {
+    /// A full bucket; `rate` in health checks a second.
+    pub(super) fn new(rate: f64, now: Micros) -> Self {
+        Self {
+            tokens: rate,
+            refilled_at: now,
+        }
+    }
+
+    /// Whether a health check is answered; without a rate all are.
+    pub(super) fn admits(&mut self, rate: f64, now: Micros) -> bool {
+        if rate <= 0.0 {
+            return true;
+        }
+        let passed_s = now.saturating_sub(self.refilled_at) as f64 / 1e6;
+        self.tokens = (self.tokens + passed_s * rate).min(rate.max(1.0));
+        self.refilled_at = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- a/crates/testbed/src/server_model/load_report.rs
+++ b/crates/testbed/src/server_model/load_report.rs
@@ -1,68 +1,115 @@
-//! What a machine tells of its load, to probes and in answers.
+//! What a server reports of its load, in responses to health checks and in others.
 
-use super::*;
-use crate::scenario::ReportSource;
+use std::collections::VecDeque;
 
-/// The load report is refreshed this often, as the site's are.
-const REPORT: Micros = 3_000;
+use super::{Event, ServerModel};
+use crate::scenario::{Micros, ReportSource, Reports, from_ms};
 
-/// What a probe is told.
+/// The load report for health checks is refreshed this often, as the site's are, in microseconds.
+const REFRESH_INTERVAL: Micros = 3_000;
+/// Span in which errors count for the error rate, in microseconds.
+const ERROR_WINDOW: Micros = 1_000_000;
+
+/// A load report in the response to a health check.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
+    /// Requests that wait and run.
     pub inflight: usize,
+    /// Requests that wait.
     pub queue: usize,
+    /// Errors in the last second.
     pub eps: f64,
 }
 
-impl ServerModel {
-    /// Answers a probe; nothing where it takes no more of them.
-    pub fn probe(&mut self, now: Micros, events: &mut Vec<Event>) -> Option<Report> {
-        self.advance(now, events);
-        let rate = self.kind.health_checks_per_s;
-        if rate > 0.0 {
-            let passed = now.saturating_sub(self.probe_at) as f64 / 1e6;
-            self.probe_tokens = (self.probe_tokens + passed * rate).min(rate.max(1.0));
-            self.probe_at = now;
-            if self.probe_tokens < 1.0 {
-                self.done.probes_turned_away += 1;
-                return None;
-            }
-            self.probe_tokens -= 1.0;
+/// Jobs held at a moment.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: Micros,
+    held: usize,
+}
+
+/// What a server has measured of its load, and reports later.
+#[derive(Debug, Default)]
+pub(super) struct LoadReporter {
+    settings: Reports,
+    /// When jobs ended in errors, within the window.
+    errors: VecDeque<Micros>,
+    report: Report,
+    /// When the report was made; 0 before the first.
+    reported_at: Micros,
+    /// Samples for responses: the one that is reported, and younger ones.
+    samples: VecDeque<Sample>,
+}
+
+impl LoadReporter {
+    pub(super) fn new(settings: Reports) -> Self {
+        Self {
+            settings,
+            ..Self::default()
         }
-        self.done.probes += 1;
-        self.debt += self.kind.health_check_ms * 1_000.0;
-        if now >= self.report.0 + REPORT || self.report.0 == 0 {
-            while self.errors.front().is_some_and(|at| *at + 1_000_000 <= now) {
+    }
+
+    pub(super) fn on_error(&mut self, now: Micros) {
+        self.errors.push_back(now);
+    }
+
+    pub(super) fn on_restarted(&mut self) {
+        self.samples.clear();
+    }
+
+    /// The report for a health check: the last one while it is fresh.
+    fn health_check_report(&mut self, now: Micros, held: usize, queued: usize) -> Report {
+        if now >= self.reported_at + REFRESH_INTERVAL || self.reported_at == 0 {
+            let is_old = |at: &Micros| *at + ERROR_WINDOW <= now;
+            while self.errors.front().is_some_and(is_old) {
                 self.errors.pop_front();
             }
-            let eps = self.errors.len() as f64;
-            self.report = (
-                now,
-                Report {
-                    inflight: self.held(),
-                    queue: self.queue.len(),
-                    eps,
-                },
-            );
+            self.reported_at = now;
+            self.report = Report {
+                inflight: held,
+                queue: queued,
+                eps: self.errors.len() as f64,
+            };
         }
-        Some(self.report.1)
+        self.report
     }
 
-    /// What an answer that goes out now tells of the requests held; nothing where answers don't tell.
-    pub fn answer_report(&mut self, now: Micros) -> Option<usize> {
-        if self.tells.source != ReportSource::Answers {
+    /// The jobs that a response reports: those of the last sample that is old enough.
+    fn response_report(&mut self, now: Micros, held: usize) -> Option<usize> {
+        if self.settings.source != ReportSource::Answers {
             return None;
         }
-        let (every, delay) = (from_ms(self.tells.every_ms), from_ms(self.tells.delay_ms));
-        if self.taken.back().is_none_or(|(at, _)| now >= at + every) {
-            self.taken.push_back((now, self.held()));
+        let interval = from_ms(self.settings.every_ms);
+        let delay = from_ms(self.settings.delay_ms);
+        let last = self.samples.back();
+        if last.is_none_or(|last| now >= last.at + interval) {
+            self.samples.push_back(Sample { at: now, held });
         }
-        while self.taken.get(1).is_some_and(|(at, _)| now >= at + delay) {
-            self.taken.pop_front();
+        let is_reportable = |sample: &Sample| now >= sample.at + delay;
+        while self.samples.get(1).is_some_and(is_reportable) {
+            self.samples.pop_front();
         }
-        self.taken
-            .front()
-            .filter(|(at, _)| now >= at + delay)
-            .map(|(_, held)| *held)
+        let first = self.samples.front().copied();
+        first.filter(is_reportable).map(|sample| sample.held)
+    }
+}
+
+impl ServerModel {
+    /// Answers a health check; nothing where it takes no more of them.
+    pub fn probe(&mut self, now: Micros, events: &mut Vec<Event>) -> Option<Report> {
+        self.advance(now, events);
+        let rate = self.machine_type.health_checks_per_s;
+        if !self.health_checks.admits(rate, now) {
+            return None;
+        }
+        self.side_work += self.machine_type.health_check_ms * 1_000.0;
+        let (held, queued) = (self.held(), self.queue.len());
+        Some(self.load_reports.health_check_report(now, held, queued))
+    }
+
+    /// The requests in flight that a response reports which goes out now; nothing where responses report none.
+    pub fn answer_report(&mut self, now: Micros) -> Option<usize> {
+        let held = self.held();
+        self.load_reports.response_report(now, held)
     }
 }
--- a/crates/testbed/src/server_model/mod.rs
+++ b/crates/testbed/src/server_model/mod.rs
@@ -1,29 +1,36 @@
-//! A job server as a machine: cores, a queue, warm-up, slowdown, choking, failures. No I/O and no clock: both
-//! engines hand the time in, so that the model and the stage's stand-ins are the same machine.
+//! A server as a machine: cores, a queue, slow start, slowdown, contention, failures. No I/O and no clock: both
+//! engines hand the time in, so that simulated and emulated servers are the same machine.
 //!
-//! All running requests progress alike. `progress` is the work that one core has done for a request that has run
-//! all along; a request ends once it has grown by the request's work. Pauses, warm-up and slowdown change only
-//! the speed at which it grows.
+//! All running requests progress alike: [`running_jobs`] has their progress, [`service`] lets it grow with time at
+//! the [`pace`] of the moment. Slow start, contention and load reports each own their state.
 
 mod contention;
+mod health_check_limit;
 mod load_report;
+mod pace;
+mod running_jobs;
 mod service;
 mod slow_start;
 mod state_change;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::VecDeque;
 
 use crate::random::{RandomStream, StreamId};
-use crate::scenario::{Cancel, MachineType, Micros, Reports, Scenario, from_ms, from_s};
+use crate::scenario::{MachineType, Micros, Scenario, from_ms};
+
+use contention::Contention;
+use health_check_limit::HealthCheckLimit;
+use load_report::LoadReporter;
+use running_jobs::RunningJobs;
+use slow_start::{OverloadRule, SlowStart};
 
-use contention::Choking;
 pub use load_report::Report;
 pub use slow_start::budget;
 
-/// Work handed to a machine.
+/// Work handed to a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
-    /// Unique on this machine.
+    /// Unique at this server.
     pub id: u64,
     /// Work in microseconds of a standard core.
     pub work: f64,
@@ -31,181 +38,166 @@
     pub until: Micros,
 }
 
-/// What a machine did by itself.
+/// What a server did by itself; the number is the job's.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event {
-    /// It began to run.
+    /// A job began to run.
     Began(u64),
-    /// It ran to its end; an error if so.
-    Ended { id: u64, error: bool },
-    /// It was dropped from the queue unseen.
+    /// A job ran to its end.
+    Ended {
+        /// The job.
+        id: u64,
+        /// Whether it ended in an error.
+        error: bool,
+    },
+    /// An expired job was dropped from the queue.
     Dropped(u64),
-    /// The cold machine was sent more than it bears and has fallen over.
+    /// The cold server was sent more work than it bears, and went down.
     Fell,
 }
 
-/// What a machine has done since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
-pub struct Done {
-    pub offered: u64,
-    pub turned_away: u64,
-    pub served: u64,
-    pub errors: u64,
+/// What a server has counted since it was built.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counters {
+    /// Expired jobs that were dropped from the queue.
     pub dropped: u64,
-    pub stopped: u64,
-    pub probes: u64,
-    pub probes_turned_away: u64,
-    /// Work done, in microseconds of a standard core, whoever had use of it.
-    pub work: f64,
-    /// Most requests held at once.
+    /// Jobs that were cancelled, waiting or running.
+    pub cancelled: u64,
+    /// Most jobs held at once, waiting and running.
     pub held_most: usize,
-    /// Time spent choked.
-    pub choked: Micros,
 }
 
-/// How it stands.
+/// Whether a server works.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
+    /// It works.
     Up,
-    /// Stands still; takes in and answers nothing until it goes on.
+    /// It stands still; takes in and answers nothing until it goes on.
     Paused,
+    /// It is gone, with all that it held.
     Down,
 }
 
-/// A job server's machine.
+/// A server's machine.
 #[derive(Debug)]
 pub struct ServerModel {
-    kind: MachineType,
+    machine_type: MachineType,
+    /// Work of a warm core in a microsecond, in microseconds of a standard core.
     speed: f64,
     state: State,
-    at: Micros,
-    progress: f64,
-    running: BTreeMap<(u64, u64), Micros>,
-    ends: HashMap<u64, u64>,
+    /// Up to when time has passed here.
+    now: Micros,
+    running: RunningJobs,
     queue: VecDeque<Job>,
-    /// Work that has to be done beside the requests.
-    debt: f64,
-    slower: f64,
+    /// Work to be done beside the jobs, in microseconds of a standard core.
+    side_work: f64,
+    /// How many times slower than usual a fault makes it.
+    slowdown: f64,
     error_rate: f64,
-    cold_since: Option<Micros>,
-    served_cold: u64,
-    crowded: Option<Micros>,
-    choking: Option<Choking>,
+    slow_start: SlowStart,
+    contention: Contention,
     connections: usize,
-    probe_tokens: f64,
-    probe_at: Micros,
-    errors: VecDeque<Micros>,
-    report: (Micros, Report),
-    /// How answers tell of load, and what was held when that was last taken.
-    tells: Reports,
-    taken: VecDeque<(Micros, usize)>,
-    /// What was sent lately, while cold: time and work.
-    pressure: VecDeque<(Micros, f64)>,
-    fall: (f64, Micros),
-    chance: RandomStream,
-    /// Counts.
-    pub done: Done,
+    health_checks: HealthCheckLimit,
+    load_reports: LoadReporter,
+    random: RandomStream,
+    /// What it has counted.
+    pub counters: Counters,
 }
 
 impl ServerModel {
-    /// A machine of a kind; `speed` as drawn for it, `fall` the multiple and span of the fourth rule.
-    pub fn new(
-        kind: MachineType,
+    /// A server of a machine type, at the speed that was drawn for it; up from now on.
+    fn new(
+        machine_type: MachineType,
         speed: f64,
-        fall: (f64, Micros),
-        chance: RandomStream,
+        rule: OverloadRule,
+        random: RandomStream,
         now: Micros,
         cold: bool,
     ) -> Self {
-        let (error_rate, probe_tokens) = (kind.error_rate, kind.health_checks_per_s);
         Self {
-            kind,
             speed,
             state: State::Up,
-            at: now,
-            progress: 0.0,
-            running: BTreeMap::new(),
-            ends: HashMap::new(),
+            now,
+            running: RunningJobs::default(),
             queue: VecDeque::new(),
-            debt: 0.0,
-            slower: 1.0,
-            error_rate,
-            cold_since: cold.then_some(now),
-            served_cold: 0,
-            crowded: None,
-            choking: None,
+            side_work: 0.0,
+            slowdown: 1.0,
+            error_rate: machine_type.error_rate,
+            slow_start: SlowStart::new(rule, cold.then_some(now)),
+            contention: Contention::default(),
             connections: 0,
-            probe_tokens,
-            probe_at: now,
-            errors: VecDeque::new(),
-            report: (0, Report::default()),
-            tells: Reports::default(),
-            taken: VecDeque::new(),
-            pressure: VecDeque::new(),
-            fall,
-            chance,
-            done: Done::default(),
+            health_checks: HealthCheckLimit::new(machine_type.health_checks_per_s, now),
+            load_reports: LoadReporter::default(),
+            random,
+            counters: Counters::default(),
+            machine_type,
         }
     }
 
-    /// The day's machine of that number, its speed drawn: the same in both engines.
+    /// The scenario's server of that number, its speed drawn: the same in both engines.
     pub fn drawn(
-        day: &Scenario,
-        kind: &MachineType,
+        scenario: &Scenario,
+        machine_type: &MachineType,
         number: usize,
         now: Micros,
         cold: bool,
     ) -> Self {
-        let mut chance = RandomStream::new(day.seed, StreamId::Machines, number + 1);
-        let speed = kind.speed * chance.between(1.0 - kind.speed_spread, 1.0 + kind.speed_spread);
-        let fall = (
-            day.rules.cold_overload_factor,
-            from_ms(day.rules.cold_overload_window_ms),
-        );
-        let new = Self::new(kind.clone(), speed, fall, chance, now, cold);
-        Self {
-            tells: day.load_reports.clone(),
-            ..new
-        }
+        let mut random = RandomStream::new(scenario.seed, StreamId::Machines, number + 1);
+        let spread = machine_type.speed_spread;
+        let speed = machine_type.speed * random.between(1.0 - spread, 1.0 + spread);
+        let rule = OverloadRule {
+            factor: scenario.rules.cold_overload_factor,
+            window: from_ms(scenario.rules.cold_overload_window_ms),
+        };
+        let mut server = Self::new(machine_type.clone(), speed, rule, random, now, cold);
+        server.load_reports = LoadReporter::new(scenario.load_reports.clone());
+        server
     }
 
+    /// Its machine type.
     pub fn kind(&self) -> &MachineType {
-        &self.kind
+        &self.machine_type
     }
 
+    /// Whether it works.
     pub fn state(&self) -> State {
         self.state
     }
 
+    /// Jobs that wait and run.
     pub fn held(&self) -> usize {
         self.running.len() + self.queue.len()
     }
 
-    /// Work it can do in a microsecond as it stands, trouble left aside: what the fourth rule is held against.
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.connections
+    }
+
+    /// Work that it can do in a microsecond while it warms up, in microseconds of a standard core; faults and
+    /// contention are left aside.
     pub fn capacity(&self, now: Micros) -> f64 {
-        f64::from(self.kind.cores) * self.speed * self.warmth(now)
+        f64::from(self.machine_type.cores) * self.speed * self.slow_start_factor(now)
     }
 
-    /// Takes in a request; false if it is turned away unseen. `now` must have been advanced to.
+    /// Takes in a job, or rejects it. False for what is rejected, or brings a cold server down.
     pub fn offer(&mut self, now: Micros, job: Job, events: &mut Vec<Event>) -> bool {
         self.advance(now, events);
-        self.done.offered += 1;
-        if self.presses(now, job.work) {
+        if self.is_overloaded_by(now, job.work) {
             self.state = State::Down;
             events.push(Event::Fell);
-            self.done.turned_away += 1;
             return false;
         }
         // A paused process reads nothing: what comes waits, as it would in its socket.
-        let full = self.queue.len() >= self.kind.queue && self.running.len() >= self.slots();
+        let queue_full = self.queue.len() >= self.machine_type.queue;
+        let full = queue_full && self.running.len() >= self.slots();
         if self.state == State::Down || full {
-            self.done.turned_away += 1;
             return false;
         }
         self.queue.push_back(job);
-        self.fill(events);
-        self.watch_crowd();
-        self.done.held_most = self.done.held_most.max(self.held());
+        self.start_waiting(events);
+        self.update_contention();
+        self.counters.held_most = self.counters.held_most.max(self.held());
         true
     }
 }
--- a/crates/testbed/src/server_model/service.rs
+++ b/crates/testbed/src/server_model/service.rs
@@ -1,131 +1,102 @@
-//! How requests progress on a machine.
+//! How a server works through its jobs as time passes.
 
-use super::*;
+use super::{Event, ServerModel, State};
+use crate::scenario::Micros;
 
-/// How finely a speed that changes by itself is followed.
+/// How finely a pace that changes by itself is followed, in microseconds.
 const STEP: Micros = 50_000;
+/// Progress by which a job may end early, as progress is rounded: in microseconds of a standard core.
+const END_TOLERANCE: f64 = 1e-6;
+/// Least pace to divide by.
+const MIN_PACE: f64 = 1e-9;
+/// Least work of a job, in microseconds of a standard core.
+const MIN_WORK: f64 = 1.0;
 
 impl ServerModel {
-    /// Requests that run at a time.
-    pub(super) fn slots(&self) -> usize {
-        self.kind.slots.max(if self.kind.slots == 0 {
-            self.kind.cores
-        } else {
-            1
-        }) as usize
-    }
-
-    /// Growth of `progress` in a microsecond: requests beyond the cores share them.
-    pub(super) fn pace(&self, now: Micros) -> f64 {
-        let sharing = f64::from(self.kind.cores) / (self.running.len().max(1) as f64);
-        self.core_pace(now) * sharing.min(1.0)
-    }
-
-    /// What a core does in a microsecond.
-    pub(super) fn core_pace(&self, now: Micros) -> f64 {
-        if self.state != State::Up {
-            return 0.0;
-        }
-        let full = self.connections as f64 / self.kind.connections.max(1) as f64;
-        let tax = 1.0 - self.kind.full_tax * full.min(1.0);
-        let choke = self
-            .kind
-            .choke
-            .as_ref()
-            .filter(|_| self.choking.is_some())
-            .map_or(1.0, |c| c.slower);
-        let beyond =
-            (self.held() as f64 / f64::from(self.kind.cores) - self.kind.thrash_at).max(0.0);
-        let thrash = 1.0 + self.kind.thrash * beyond;
-        self.speed * self.warmth(now) * tax / choke / self.slower / thrash
-    }
-
-    pub(super) fn changes_by_itself(&self, now: Micros) -> bool {
-        self.is_cold(now) || self.crowded.is_some() || self.choking.is_some()
-    }
-
     /// When something will happen here by itself; nothing while it idles or stands still.
     pub fn next(&self) -> Option<Micros> {
         if self.state != State::Up {
             return None;
         }
-        let pace = self.pace(self.at);
-        let end = self.running.first_key_value().map(|(&(bits, _), _)| {
-            let rest = (f64::from_bits(bits) - self.progress).max(0.0);
-            let debt = self.debt / f64::from(self.kind.cores) / self.core_pace(self.at).max(1e-9);
-            self.at + ((rest / pace.max(1e-9) + debt).ceil() as Micros).max(1)
-        });
-        let step = (self.changes_by_itself(self.at) && self.held() > 0 || self.choking.is_some())
-            .then_some(self.at + STEP);
-        match (end, step) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        let changes = self.changes_by_itself(self.now) && self.held() > 0;
+        let step = (changes || self.contention.is_slowed()).then_some(self.now + STEP);
+        [self.next_end(), step].into_iter().flatten().min()
     }
 
-    /// Lets time pass up to `now` and tells what happened.
+    /// When the first job ends, at the pace of now.
+    fn next_end(&self) -> Option<Micros> {
+        let end = self.running.first_end()?;
+        let work = (end - self.running.progress()).max(0.0);
+        let cores = f64::from(self.machine_type.cores);
+        let side_work = self.side_work / cores / self.core_pace(self.now).max(MIN_PACE);
+        let span = work / self.pace(self.now).max(MIN_PACE) + side_work;
+        Some(self.now + (span.ceil() as Micros).max(1))
+    }
+
+    /// Lets time pass up to `now`, and adds what happened.
     pub fn advance(&mut self, now: Micros, events: &mut Vec<Event>) {
-        while self.at < now {
-            let pace = self.pace(self.at);
-            let step = if self.changes_by_itself(self.at) {
-                (self.at + STEP).min(now)
+        while self.now < now {
+            let step_end = if self.changes_by_itself(self.now) {
+                (self.now + STEP).min(now)
             } else {
                 now
             };
-            let mut span = (step - self.at) as f64;
-            if pace <= 0.0 {
-                self.at = step;
-                continue;
+            if self.pace(self.now) > 0.0 {
+                self.work_until(step_end, events);
+                self.update_contention();
+            } else {
+                self.now = step_end;
+            }
+        }
+    }
+
+    /// Works until a moment, or until the first job ends.
+    fn work_until(&mut self, step_end: Micros, events: &mut Vec<Event>) {
+        let pace = self.pace(self.now);
+        let span = self.do_side_work((step_end - self.now) as f64);
+        let progress = self.running.progress();
+        let reach = progress + span * pace;
+        let first_end = self.running.first_end();
+        match first_end.filter(|&end| end <= reach + END_TOLERANCE) {
+            Some(end) => {
+                let used = ((end - progress) / pace).max(0.0);
+                let idle = (span - used).max(0.0) as Micros;
+                let ended_at = step_end - idle.min(step_end - self.now);
+                self.now = ended_at.max(self.now);
+                self.running.on_progress(end);
+                self.finish_first(events);
             }
-            // Debt is paid by all cores together before requests go on.
-            let cores = f64::from(self.kind.cores);
-            let core = self.core_pace(self.at);
-            let paid = self.debt.min(span * core * cores);
-            self.debt -= paid;
-            span -= paid / core / cores;
-            let first = self
-                .running
-                .first_key_value()
-                .map(|(&(bits, _), _)| f64::from_bits(bits));
-            let reach = self.progress + span * pace;
-            match first.filter(|&end| end <= reach + 1e-6) {
-                Some(end) => {
-                    let used = ((end - self.progress) / pace).max(0.0);
-                    let idle = span - used;
-                    let at = (step - (idle.max(0.0) as Micros).min(step - self.at)).max(self.at);
-                    self.done.work += (end - self.progress).max(0.0) * self.running.len() as f64;
-                    self.progress = end;
-                    self.at = at;
-                    self.end_first(events);
-                }
-                None => {
-                    self.done.work += (reach - self.progress) * self.running.len() as f64;
-                    self.progress = reach;
-                    self.at = step;
-                }
+            None => {
+                self.running.on_progress(reach);
+                self.now = step_end;
             }
-            self.watch_crowd();
         }
     }
 
-    pub(super) fn end_first(&mut self, events: &mut Vec<Event>) {
-        let Some(((_, id), _)) = self.running.pop_first() else {
+    /// Does work beside the jobs on all cores, before jobs go on; gives the rest of the span in microseconds.
+    fn do_side_work(&mut self, span: f64) -> f64 {
+        let cores = f64::from(self.machine_type.cores);
+        let core_pace = self.core_pace(self.now);
+        let done = self.side_work.min(span * core_pace * cores);
+        self.side_work -= done;
+        span - done / core_pace / cores
+    }
+
+    fn finish_first(&mut self, events: &mut Vec<Event>) {
+        let Some(id) = self.running.pop_first() else {
             return;
         };
-        self.ends.remove(&id);
-        let error = self.chance.chance(self.error_rate);
+        let error = self.random.chance(self.error_rate);
         if error {
-            self.done.errors += 1;
-            self.errors.push_back(self.at);
-        } else {
-            self.done.served += 1;
+            self.load_reports.on_error(self.now);
         }
-        self.served_cold += 1;
+        self.slow_start.on_served();
         events.push(Event::Ended { id, error });
-        self.fill(events);
+        self.start_waiting(events);
     }
 
-    pub(super) fn fill(&mut self, events: &mut Vec<Event>) {
+    /// Starts jobs that wait, as far as there are slots.
+    pub(super) fn start_waiting(&mut self, events: &mut Vec<Event>) {
         if self.state != State::Up {
             return;
         }
@@ -133,14 +104,12 @@
             let Some(job) = self.queue.pop_front() else {
                 return;
             };
-            if self.kind.drops_expired && job.until <= self.at {
-                self.done.dropped += 1;
+            if self.machine_type.drops_expired && job.until <= self.now {
+                self.counters.dropped += 1;
                 events.push(Event::Dropped(job.id));
                 continue;
             }
-            let end = (self.progress + job.work.max(1.0)).to_bits();
-            self.running.insert((end, job.id), self.at);
-            self.ends.insert(job.id, end);
+            self.running.on_started(job.id, job.work.max(MIN_WORK));
             events.push(Event::Began(job.id));
         }
     }
--- a/crates/testbed/src/server_model/slow_start.rs
+++ b/crates/testbed/src/server_model/slow_start.rs
@@ -1,49 +1,102 @@
-//! A machine that has just started: what it can do, and what pushes it over.
+//! A server that has just started: what it can do, and how much work brings it down.
 
-use super::*;
+use std::collections::VecDeque;
 
-impl ServerModel {
-    pub(super) fn warmth(&self, now: Micros) -> f64 {
+use super::ServerModel;
+use crate::scenario::{MachineType, Micros, from_s};
+
+/// How much work a cold server bears.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OverloadRule {
+    /// Multiple of its capacity.
+    pub(super) factor: f64,
+    /// Over which work is summed up, in microseconds.
+    pub(super) window: Micros,
+}
+
+/// Slow start: since when a server is cold, and what it was sent meanwhile.
+#[derive(Debug)]
+pub(super) struct SlowStart {
+    rule: OverloadRule,
+    /// Absent for a server that has never been cold.
+    cold_since: Option<Micros>,
+    /// Jobs served since then.
+    served: u64,
+    /// What it was sent within the rule's window while cold: time and work.
+    sent: VecDeque<(Micros, f64)>,
+}
+
+impl SlowStart {
+    pub(super) fn new(rule: OverloadRule, cold_since: Option<Micros>) -> Self {
+        Self {
+            rule,
+            cold_since,
+            served: 0,
+            sent: VecDeque::new(),
+        }
+    }
+
+    /// Share of its warm capacity that a server has: grows with time or with served jobs, whichever is faster.
+    fn factor(&self, machine_type: &MachineType, now: Micros) -> f64 {
         let Some(since) = self.cold_since else {
             return 1.0;
         };
-        let by_time =
-            now.saturating_sub(since) as f64 / from_s(self.kind.slow_start_s).max(1) as f64;
-        let by_work = match self.kind.warm_requests {
+        let slow_start = from_s(machine_type.slow_start_s).max(1);
+        let by_time = now.saturating_sub(since) as f64 / slow_start as f64;
+        let by_work = match machine_type.warm_requests {
             0 => 0.0,
-            most => self.served_cold as f64 / most as f64,
+            most => self.served as f64 / most as f64,
         };
-        (self.kind.cold_capacity_share
-            + (1.0 - self.kind.cold_capacity_share) * by_time.max(by_work))
-        .min(1.0)
+        let cold = machine_type.cold_capacity_share;
+        (cold + (1.0 - cold) * by_time.max(by_work)).min(1.0)
+    }
+
+    pub(super) fn on_served(&mut self) {
+        self.served += 1;
     }
 
+    pub(super) fn on_restarted(&mut self, now: Micros) {
+        self.cold_since = Some(now);
+        self.served = 0;
+        self.sent.clear();
+    }
+
+    /// A cold server of some capacity is sent work; true where that is more than it bears.
+    fn on_sent_while_cold(&mut self, now: Micros, work: f64, capacity: f64) -> bool {
+        let OverloadRule { factor, window } = self.rule;
+        self.sent.push_back((now, work));
+        while self.sent.front().is_some_and(|(at, _)| *at + window <= now) {
+            self.sent.pop_front();
+        }
+        let sent: f64 = self.sent.iter().map(|(_, work)| work).sum();
+        sent > budget(factor, capacity, window, work)
+    }
+}
+
+impl ServerModel {
+    pub(super) fn slow_start_factor(&self, now: Micros) -> f64 {
+        self.slow_start.factor(&self.machine_type, now)
+    }
+
+    /// Whether it is still warming up.
     pub fn is_cold(&self, now: Micros) -> bool {
-        self.warmth(now) < 1.0
+        self.slow_start_factor(now) < 1.0
     }
 
-    /// True where a cold machine has been sent more within the span than the rule allows.
-    pub(super) fn presses(&mut self, now: Micros, work: f64) -> bool {
+    /// Whether work that comes now brings it down.
+    pub(super) fn is_overloaded_by(&mut self, now: Micros, work: f64) -> bool {
         if !self.is_cold(now) {
-            self.pressure.clear();
+            self.slow_start.sent.clear();
             return false;
         }
-        let (multiple, span) = self.fall;
-        self.pressure.push_back((now, work));
-        while self
-            .pressure
-            .front()
-            .is_some_and(|(at, _)| *at + span <= now)
-        {
-            self.pressure.pop_front();
-        }
-        let sent: f64 = self.pressure.iter().map(|(_, work)| work).sum();
-        sent > budget(multiple, self.capacity(now), span, work)
+        let capacity = self.capacity(now);
+        self.slow_start.on_sent_while_cold(now, work, capacity)
     }
 }
 
-/// Work that a cold server may be sent within the span of the fourth rule. The slack stands for chance: two
-/// requests as large as the largest, as the rule is about load and not about one request's luck.
-pub fn budget(multiple: f64, capacity: f64, span: Micros, largest: f64) -> f64 {
-    multiple * capacity * span as f64 + 2.0 * largest
+/// Work that a cold server may be sent within the window of the overload rule, in microseconds of a standard core.
+/// The slack stands for chance: two requests as large as the largest, as the rule is about load and not about one
+/// request's luck.
+pub fn budget(factor: f64, capacity: f64, window: Micros, largest: f64) -> f64 {
+    factor * capacity * window as f64 + 2.0 * largest
 }
--- a/crates/testbed/src/server_model/state_change.rs
+++ b/crates/testbed/src/server_model/state_change.rs
@@ -1,82 +1,81 @@
-//! What is done to a machine beside the requests that it is offered.
+//! What is done to a server beside the jobs that it is offered.
 
-use super::*;
+use super::{Event, ServerModel, State};
+use crate::scenario::{Cancel, Micros};
+
+/// Least slowdown, so that a pace stays finite.
+const MIN_SLOWDOWN: f64 = 1e-3;
 
 impl ServerModel {
-    /// Nobody waits for a request any more. True if it had not begun and never will.
+    /// Nobody waits for a job any more. True if it had not begun and never will.
     pub fn cancel(&mut self, now: Micros, id: u64, events: &mut Vec<Event>) -> bool {
         self.advance(now, events);
-        if self.kind.cancel == Cancel::None {
+        if self.machine_type.cancel == Cancel::None {
             return false;
         }
-        if let Some(at) = self.queue.iter().position(|j| j.id == id) {
-            self.queue.remove(at);
-            self.done.stopped += 1;
-            self.watch_crowd();
+        if let Some(position) = self.queue.iter().position(|job| job.id == id) {
+            self.queue.remove(position);
+            self.counters.cancelled += 1;
+            self.update_contention();
             return true;
         }
-        if self.kind.cancel == Cancel::All
-            && let Some(end) = self.ends.remove(&id)
-        {
-            self.running.remove(&(end, id));
-            self.done.stopped += 1;
-            self.fill(events);
-            self.watch_crowd();
+        if self.machine_type.cancel == Cancel::All && self.running.cancel(id) {
+            self.counters.cancelled += 1;
+            self.start_waiting(events);
+            self.update_contention();
         }
         false
     }
 
-    /// Work beside the requests: a handshake.
+    /// A new connection costs work beside the jobs.
     pub fn handshake(&mut self, now: Micros, events: &mut Vec<Event>) {
         self.advance(now, events);
-        self.debt += self.kind.handshake_ms * 1_000.0;
+        self.side_work += self.machine_type.handshake_ms * 1_000.0;
     }
 
-    /// A connection came or went; false if there is no room for one more.
+    /// A connection is opened; false where the connection table is full.
     pub fn connect(&mut self) -> bool {
-        let room = self.connections < self.kind.connections;
-        self.connections += usize::from(room);
-        room
+        let accepted = self.connections < self.machine_type.connections;
+        self.connections += usize::from(accepted);
+        accepted
     }
 
+    /// A connection is closed.
     pub fn disconnect(&mut self) {
         self.connections = self.connections.saturating_sub(1);
     }
 
-    pub fn connections(&self) -> usize {
-        self.connections
-    }
-
-    /// Changes how it stands. Going down forgets all that is held; coming up is a cold start.
+    /// Changes whether it works. Going down forgets all jobs; coming up is a cold start.
     pub fn set_state(&mut self, now: Micros, state: State, events: &mut Vec<Event>) {
         self.advance(now, events);
-        let was = std::mem::replace(&mut self.state, state);
-        match (was, state) {
-            (State::Down, State::Up) => {
-                self.cold_since = Some(now);
-                (self.served_cold, self.debt, self.connections) = (0, 0.0, 0);
-                (self.crowded, self.choking) = (None, None);
-                self.pressure.clear();
-                self.taken.clear();
-            }
+        let earlier = std::mem::replace(&mut self.state, state);
+        match (earlier, state) {
+            (State::Down, State::Up) => self.on_restarted(now),
             (_, State::Down) => {
                 self.running.clear();
-                self.ends.clear();
                 self.queue.clear();
             }
             _ => {}
         }
-        self.fill(events);
+        self.start_waiting(events);
+    }
+
+    fn on_restarted(&mut self, now: Micros) {
+        self.slow_start.on_restarted(now);
+        self.contention.reset();
+        self.load_reports.on_restarted();
+        self.side_work = 0.0;
+        self.connections = 0;
     }
 
-    /// Makes it so many times slower than usual.
+    /// Makes it so many times slower than usual; 1 for its usual pace.
     pub fn set_slower(&mut self, now: Micros, times: f64, events: &mut Vec<Event>) {
         self.advance(now, events);
-        self.slower = times.max(1e-3);
+        self.slowdown = times.max(MIN_SLOWDOWN);
     }
 
-    /// Makes it fail this share of its requests; the kind's own share where nothing is said.
+    /// Makes it fail this share of its jobs; the machine type's own share where none is given.
     pub fn set_errors(&mut self, share: Option<f64>) {
-        self.error_rate = share.unwrap_or(self.kind.error_rate);
+        self.error_rate = share.unwrap_or(self.machine_type.error_rate);
     }
 }
--- a/crates/testbed/src/server_model/tests.rs
+++ b/crates/testbed/src/server_model/tests.rs
@@ -1,14 +1,19 @@
-//! The machine by itself.
+use super::load_report::LoadReporter;
+use super::slow_start::OverloadRule;
+use super::{Event, Job, ServerModel, State};
+use crate::random::{RandomStream, StreamId};
+use crate::scenario::{Choke, MachineType, Micros, ReportSource, Reports};
 
-use super::*;
-use crate::scenario::{Choke, ReportSource};
-
-fn machine(kind: MachineType) -> ServerModel {
-    let chance = RandomStream::new(1, StreamId::Machines, 0);
-    ServerModel::new(kind, 1.0, (2.5, 1_500_000), chance, 0, false)
+fn server_of(machine_type: MachineType) -> ServerModel {
+    let random = RandomStream::new(1, StreamId::Machines, 0);
+    let rule = OverloadRule {
+        factor: 2.5,
+        window: 1_500_000,
+    };
+    ServerModel::new(machine_type, 1.0, rule, random, 0, false)
 }
 
-fn plain() -> MachineType {
+fn two_cores() -> MachineType {
     MachineType {
         cores: 2,
         queue: 3,
@@ -25,10 +30,10 @@
     }
 }
 
-fn ends(machine: &mut ServerModel, until: Micros) -> Vec<(u64, Micros)> {
+fn ends(server: &mut ServerModel, until: Micros) -> Vec<(u64, Micros)> {
     let (mut all, mut events) = (Vec::new(), Vec::new());
-    while let Some(at) = machine.next().filter(|&at| at <= until) {
-        machine.advance(at, &mut events);
+    while let Some(at) = server.next().filter(|&at| at <= until) {
+        server.advance(at, &mut events);
         for event in events.drain(..) {
             if let Event::Ended { id, .. } = event {
                 all.push((id, at));
@@ -39,13 +44,13 @@
 }
 
 #[test]
-fn cores_share_nothing_and_the_queue_is_in_order_and_bounded() {
-    let (mut machine, mut events) = (machine(plain()), Vec::new());
+fn jobs_wait_in_order_for_a_free_core_and_are_rejected_beyond_the_queue() {
+    let (mut server, mut events) = (server_of(two_cores()), Vec::new());
     let taken: Vec<bool> = (0..6)
-        .map(|id| machine.offer(0, job(id, 10_000.0), &mut events))
+        .map(|id| server.offer(0, job(id, 10_000.0), &mut events))
         .collect();
     assert_eq!(taken, [true, true, true, true, true, false]);
-    let ends = ends(&mut machine, 1_000_000);
+    let ends = ends(&mut server, 1_000_000);
     assert_eq!(
         ends.iter().map(|e| e.0).collect::<Vec<_>>(),
         [0, 1, 2, 3, 4]
@@ -57,20 +62,20 @@
 }
 
 #[test]
-fn slowness_and_pauses_stretch_what_runs() {
-    let (mut machine, mut events) = (machine(plain()), Vec::new());
-    machine.offer(0, job(1, 10_000.0), &mut events);
-    machine.set_slower(5_000, 2.0, &mut events);
-    machine.set_state(10_000, State::Paused, &mut events);
-    assert_eq!(machine.next(), None);
-    machine.set_state(40_000, State::Up, &mut events);
-    let ends = ends(&mut machine, 1_000_000);
+fn a_slowed_and_paused_server_ends_its_job_later_by_what_it_lost() {
+    let (mut server, mut events) = (server_of(two_cores()), Vec::new());
+    server.offer(0, job(1, 10_000.0), &mut events);
+    server.set_slower(5_000, 2.0, &mut events);
+    server.set_state(10_000, State::Paused, &mut events);
+    assert_eq!(server.next(), None);
+    server.set_state(40_000, State::Up, &mut events);
+    let ends = ends(&mut server, 1_000_000);
     // 5 ms at full speed, 5 ms at half, 30 ms of pause, and 2.5 ms of work left at half speed.
     assert_eq!(ends.iter().map(|e| e.1 / 1_000).collect::<Vec<_>>(), [45]);
 }
 
 #[test]
-fn a_crowd_chokes_it_until_it_has_rested() {
+fn a_server_that_stays_overloaded_is_slowed_until_it_has_rested() {
     let choke = Choke {
         at: 2.0,
         over_s: 0.1,
@@ -79,43 +84,43 @@
         rest_s: 0.2,
         most_s: 60.0,
     };
-    let kind = MachineType {
+    let machine_type = MachineType {
         cores: 1,
         queue: 100,
         choke: Some(choke),
-        ..plain()
+        ..two_cores()
     };
-    let (mut machine, mut events) = (machine(kind), Vec::new());
-    assert!((0..20).all(|id| machine.offer(0, job(id, 20_000.0), &mut events)));
-    let crowd = ends(&mut machine, 60_000_000);
+    let (mut server, mut events) = (server_of(machine_type), Vec::new());
+    assert!((0..20).all(|id| server.offer(0, job(id, 20_000.0), &mut events)));
+    let crowd = ends(&mut server, 60_000_000);
     let last = crowd.last().map_or(0, |e| e.1);
     assert!(
         last > 1_200_000,
         "20 x 20 ms take 0.4 s unchoked, and took {last} us"
     );
-    assert!(machine.choked() > 0);
-    machine.advance(last + 2_000_000, &mut events);
-    machine.offer(last + 2_000_000, job(99, 20_000.0), &mut events);
+    assert!(server.choked() > 0);
+    server.advance(last + 2_000_000, &mut events);
+    server.offer(last + 2_000_000, job(99, 20_000.0), &mut events);
     assert_eq!(
-        ends(&mut machine, 60_000_000).last().map(|e| e.1 - last),
+        ends(&mut server, 60_000_000).last().map(|e| e.1 - last),
         Some(2_020_000)
     );
 }
 
 #[test]
-fn requests_beyond_the_cores_share_them_and_a_crowd_slows_all() {
+fn jobs_beyond_the_cores_share_them_and_slow_each_other_where_they_thrash() {
     let shared = MachineType {
         slots: 8,
         queue: 9,
-        ..plain()
+        ..two_cores()
     };
-    let ends = |kind: MachineType, count: u64| {
-        let (mut machine, mut events) = (machine(kind), Vec::new());
-        (0..count).for_each(|id| assert!(machine.offer(0, job(id, 10_000.0), &mut events)));
+    let ends = |machine_type: MachineType, count: u64| {
+        let (mut server, mut events) = (server_of(machine_type), Vec::new());
+        (0..count).for_each(|id| assert!(server.offer(0, job(id, 10_000.0), &mut events)));
         let mut at = 0;
-        while machine.held() > 0 {
-            at = machine.next().expect("goes on");
-            machine.advance(at, &mut events);
+        while server.held() > 0 {
+            at = server.next().expect("goes on");
+            server.advance(at, &mut events);
         }
         at
     };
@@ -133,61 +138,60 @@
 }
 
 #[test]
-fn answers_tell_what_was_held_a_while_ago() {
-    let mut machine = machine(plain());
-    machine.tells = Reports {
+fn a_response_reports_the_jobs_held_as_of_the_last_sample_that_is_old_enough() {
+    let mut server = server_of(two_cores());
+    server.load_reports = LoadReporter::new(Reports {
         source: ReportSource::Answers,
         every_ms: 100.0,
         delay_ms: 50.0,
-    };
+    });
     let mut events = Vec::new();
-    assert_eq!(machine.answer_report(0), None, "nothing is old enough");
-    machine.offer(1_000, job(1, 1e6), &mut events);
-    assert_eq!(machine.answer_report(60_000), Some(0), "as of the start");
+    assert_eq!(server.answer_report(0), None, "nothing is old enough");
+    server.offer(1_000, job(1, 1e6), &mut events);
+    assert_eq!(server.answer_report(60_000), Some(0), "as of the start");
     assert_eq!(
-        machine.answer_report(110_000),
+        server.answer_report(110_000),
         Some(0),
         "taken anew, not told yet"
     );
-    assert_eq!(machine.answer_report(170_000), Some(1));
+    assert_eq!(server.answer_report(170_000), Some(1));
 }
 
 #[test]
-fn a_cold_one_is_slow_warms_up_and_falls_over_when_pressed() {
-    let kind = MachineType {
+fn a_cold_server_is_slow_and_goes_down_when_it_is_sent_more_than_the_rule_allows() {
+    let machine_type = MachineType {
         cold_capacity_share: 0.25,
         slow_start_s: 10.0,
         queue: 10_000,
-        ..plain()
+        ..two_cores()
     };
-    let (mut machine, mut events) = (machine(kind), Vec::new());
-    machine.set_state(0, State::Down, &mut events);
-    machine.set_state(0, State::Up, &mut events);
-    machine.offer(0, job(1, 10_000.0), &mut events);
+    let (mut server, mut events) = (server_of(machine_type), Vec::new());
+    server.set_state(0, State::Down, &mut events);
+    server.set_state(0, State::Up, &mut events);
+    server.offer(0, job(1, 10_000.0), &mut events);
     assert_eq!(
-        ends(&mut machine, 1_000_000).first().map(|e| e.1 / 1_000),
+        ends(&mut server, 1_000_000).first().map(|e| e.1 / 1_000),
         Some(40)
     );
     // 2.5 x (2 cores x 0.25) x 1.5 s are 1.875 s of work, and some for chance.
-    let taken =
-        (0..400).take_while(|id| machine.offer(50_000, job(10 + id, 10_000.0), &mut events));
+    let taken = (0..400).take_while(|id| server.offer(50_000, job(10 + id, 10_000.0), &mut events));
     let taken = taken.count() as f64 * 0.01;
     assert!((1.8..2.0).contains(&taken), "{taken} s of work");
     assert!(events.contains(&Event::Fell));
-    assert_eq!(machine.state(), State::Down);
+    assert_eq!(server.state(), State::Down);
 }
 
 #[test]
-fn calling_off_stops_what_waits_and_expired_work_is_not_begun() {
-    let kind = MachineType {
+fn a_cancelled_job_that_waits_never_runs_and_an_expired_one_is_dropped() {
+    let machine_type = MachineType {
         cores: 1,
         queue: 10,
-        ..plain()
+        ..two_cores()
     };
-    let (mut machine, mut events) = (machine(kind), Vec::new());
-    machine.offer(0, job(1, 10_000.0), &mut events);
-    machine.offer(0, job(2, 10_000.0), &mut events);
-    machine.offer(
+    let (mut server, mut events) = (server_of(machine_type), Vec::new());
+    server.offer(0, job(1, 10_000.0), &mut events);
+    server.offer(0, job(2, 10_000.0), &mut events);
+    server.offer(
         0,
         Job {
             until: 5_000,
@@ -195,14 +199,14 @@
         },
         &mut events,
     );
-    assert!(machine.cancel(1_000, 2, &mut events));
-    assert!(!machine.cancel(1_000, 1, &mut events));
+    assert!(server.cancel(1_000, 2, &mut events));
+    assert!(!server.cancel(1_000, 1, &mut events));
     assert_eq!(
-        ends(&mut machine, 1_000_000)
+        ends(&mut server, 1_000_000)
             .iter()
             .map(|e| e.0)
             .collect::<Vec<_>>(),
         [1]
     );
-    assert_eq!((machine.done.dropped, machine.done.stopped), (1, 1));
+    assert_eq!((server.counters.dropped, server.counters.cancelled), (1, 1));
 }
--- a/crates/testbed/src/simulator/run.rs
+++ b/crates/testbed/src/simulator/run.rs
@@ -50,7 +50,7 @@
     let models = || simulator.servers.iter().map(|server| &server.machine);
     let choked = models().filter(|model| model.choked() > 0).count();
     let held = models()
-        .map(|model| model.done.held_most)
+        .map(|model| model.counters.held_most)
         .max()
         .unwrap_or(0);
     format!("{choked} job servers were choked for a time; one held {held} at most")
