--- a/crates/testbed/src/random.rs
+++ b/crates/testbed/src/random.rs
@@ -1,36 +1,50 @@
-//! Chance, one stream for each cause, so that a further job server does not reshuffle arrivals.
+//! Random streams, one for each cause, so that a further server does not reshuffle arrivals.
+//!
+//! Draws numbers only; what they decide is their users'.
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, Exp1, LogNormal, StandardNormal};
 
-use crate::scenario::{Class, WorkDistribution};
-
-/// What draws.
+/// What a stream is drawn for. The numbers are part of what a seed means: they stay.
 #[derive(Clone, Copy, Debug)]
 pub enum StreamId {
+    /// Times of arrivals, by sidecar.
     Arrivals = 1,
+    /// Class, tenant and work of arrivals, by sidecar.
     Work = 2,
+    /// What clients do, by sidecar or by arrival.
     Clients = 3,
+    /// Delays, and the noise of attempts, by sidecar.
     Network = 4,
+    /// Speed and errors of servers, by server; resets and malformed responses.
     Machines = 5,
-    Fleet = 6,
-    Troubles = 7,
+    /// Parts of the traffic that sidecars get.
+    TrafficParts = 6,
+    /// Whom faults hit, by fault.
+    Faults = 7,
+    /// How long changes of the endpoint list take.
     Discovery = 8,
+    /// Seeds of balancers, by sidecar.
     Seeds = 9,
-    Load = 10,
-    Hints = 11,
+    /// How the load wanders.
+    LoadLevel = 10,
+    /// Errors of work hints, by sidecar.
+    WorkHints = 11,
 }
 
-/// One stream of chance.
+/// Bits of a stream's number: the cause stands above them.
+const NUMBER_BITS: u32 = 40;
+
+/// One random stream.
 #[derive(Clone, Debug)]
 pub struct RandomStream(ChaCha8Rng);
 
 impl RandomStream {
-    /// The stream of a cause and a number within it, such as a sidecar's; the seed is the day's.
+    /// The stream of a cause and a number within it, such as a sidecar's; the seed is the scenario's.
     pub fn new(seed: u64, cause: StreamId, number: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        rng.set_stream((cause as u64) << 40 | number as u64);
+        rng.set_stream((cause as u64) << NUMBER_BITS | number as u64);
         Self(rng)
     }
 
@@ -39,24 +53,28 @@
         self.0.random()
     }
 
+    /// From `least` up to but not `most`.
     pub fn between(&mut self, least: f64, most: f64) -> f64 {
         least + (most - least) * self.unit()
     }
 
+    /// A whole number below `count`; 0 where that is 0.
     pub fn below(&mut self, count: usize) -> usize {
         self.0.random_range(0..count.max(1))
     }
 
+    /// Any whole number.
     pub fn number(&mut self) -> u64 {
         self.0.random()
     }
 
-    pub fn chance(&mut self, share: f64) -> bool {
-        share > 0.0 && self.unit() < share
+    /// True with this probability. Draws nothing where it is 0.
+    pub fn chance(&mut self, probability: f64) -> bool {
+        probability > 0.0 && self.unit() < probability
     }
 
     /// Exponential with mean 1.
-    pub fn exp(&mut self) -> f64 {
+    pub fn exponential(&mut self) -> f64 {
         Exp1.sample(&mut self.0)
     }
 
@@ -65,28 +83,19 @@
         StandardNormal.sample(&mut self.0)
     }
 
-    /// Lognormal with mean 1 and that coefficient of variation.
-    pub fn lognormal(&mut self, cv: f64) -> f64 {
-        let var = (1.0 + cv * cv).ln();
-        LogNormal::new(-var / 2.0, var.sqrt()).map_or(1.0, |d| d.sample(&mut self.0))
-    }
-
-    /// Work of one request of a class, in microseconds of a standard core.
-    pub fn work(&mut self, class: &Class) -> f64 {
-        let mean = class.work_ms * 1_000.0;
-        match class.dist {
-            WorkDistribution::Fixed => mean,
-            WorkDistribution::Exp => mean * self.exp(),
-            WorkDistribution::Lognormal => mean * self.lognormal(class.cv),
-        }
+    /// Lognormal with mean 1 and this coefficient of variation; 1 where there is no such distribution.
+    pub fn lognormal(&mut self, coefficient_of_variation: f64) -> f64 {
+        let variance = (1.0 + coefficient_of_variation * coefficient_of_variation).ln();
+        let distribution = LogNormal::new(-variance / 2.0, variance.sqrt());
+        distribution.map_or(1.0, |lognormal| lognormal.sample(&mut self.0))
     }
 
-    /// Index drawn by weights; the last where rounding leaves a rest.
-    pub fn pick(&mut self, weights: &[f64]) -> usize {
-        let mut at = self.unit() * weights.iter().sum::<f64>();
-        let found = weights.iter().position(|w| {
-            at -= w;
-            at < 0.0
+    /// An index drawn by weights; the last where rounding leaves a rest.
+    pub fn weighted_index(&mut self, weights: &[f64]) -> usize {
+        let mut rest = self.unit() * weights.iter().sum::<f64>();
+        let found = weights.iter().position(|weight| {
+            rest -= weight;
+            rest < 0.0
         });
         found.unwrap_or(weights.len().saturating_sub(1))
     }
--- a/crates/testbed/src/simulator/faults/mod.rs
+++ b/crates/testbed/src/simulator/faults/mod.rs
@@ -54,7 +54,7 @@
 
 /// So many of the candidates, drawn by the fault's own stream, in order.
 fn draw(scenario: &Scenario, index: usize, candidates: &mut Vec<u32>, count: usize) -> Vec<u32> {
-    let mut random = RandomStream::new(scenario.seed, StreamId::Troubles, index);
+    let mut random = RandomStream::new(scenario.seed, StreamId::Faults, index);
     let mut drawn = Vec::with_capacity(count);
     while drawn.len() < count && !candidates.is_empty() {
         drawn.push(candidates.swap_remove(random.below(candidates.len())));
--- a/crates/testbed/src/workload.rs
+++ b/crates/testbed/src/workload.rs
@@ -1,164 +1,223 @@
-//! What terminals want, and when: drawn alike for both engines, one sidecar's terminals at a time.
+//! What clients ask for, and when: drawn alike for both engines, one sidecar's clients at a time.
+//!
+//! What clients do about slow and failed requests is the engines'.
 
 use crate::random::{RandomStream, StreamId};
-use crate::scenario::{Fault, FaultKind, Micros, Scenario, from_s};
+use crate::scenario::{Class, FaultKind, Micros, Scenario, WorkDistribution, from_s};
 
-/// One wish, drawn.
+/// Microseconds of a second.
+const SECOND: f64 = 1e6;
+/// Largest step of the load's wandering in a second, as a share of its range.
+const WANDER_STEP: f64 = 0.12;
+/// Middle of the load's wandering, from which it starts.
+const WANDER_MIDDLE: f64 = 0.5;
+/// Part of its distance to the middle that it goes back in a second.
+const WANDER_RETURN: f64 = 0.05;
+/// Number of the stream for the sidecars' parts of the traffic.
+const PARTS_STREAM: usize = 1 << 20;
+/// Longest time between two arrivals, in microseconds: beyond any scenario's length.
+const MAX_INTERVAL: f64 = 1e13;
+
+/// What a client wants, drawn.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
+    /// When, in microseconds from the start of the run.
     pub at: Micros,
+    /// Index of its class.
     pub class: u16,
+    /// Index of its tenant.
     pub shop: u16,
     /// Work in microseconds of a standard core.
     pub work: f64,
-    /// What its terminal says of the work.
+    /// What its client hints of the work, in microseconds of a standard core.
     pub hint: Option<Micros>,
-    /// Its terminal keeps to the pause of a refusal.
+    /// Whether its client keeps to a Retry-After.
     pub honours: bool,
 }
 
-/// The wishes at one sidecar, in the order of their times.
+/// The arrivals at one sidecar, in the order of their times.
 #[derive(Clone, Debug)]
 pub struct ArrivalStream {
-    day: Scenario,
+    scenario: Scenario,
+    /// The sidecar's part of the traffic.
     part: f64,
-    arrivals: RandomStream,
-    work: RandomStream,
-    terminals: RandomStream,
-    hints: RandomStream,
+    arrival_random: RandomStream,
+    work_random: RandomStream,
+    client_random: RandomStream,
+    hint_random: RandomStream,
+    /// How the load wanders, second by second.
     wander: Vec<f64>,
-    at: Micros,
-    classes: Vec<f64>,
-    shops: Vec<f64>,
+    /// The last arrival drawn.
+    now: Micros,
+    class_weights: Vec<f64>,
+    tenant_weights: Vec<f64>,
 }
 
 /// How the load wanders between 0 and 1, second by second: alike at all sidecars.
-fn wander(day: &Scenario) -> Vec<f64> {
-    let mut stream = RandomStream::new(day.seed, StreamId::Load, 0);
-    let mut at: f64 = 0.5;
-    let step = |_| {
-        at = (at + stream.between(-0.12, 0.12) + 0.05 * (0.5 - at)).clamp(0.0, 1.0);
-        at
-    };
-    (0..day.seconds.ceil() as usize + 1).map(step).collect()
+fn wander(scenario: &Scenario) -> Vec<f64> {
+    let mut random = RandomStream::new(scenario.seed, StreamId::LoadLevel, 0);
+    let mut level: f64 = WANDER_MIDDLE;
+    let seconds = scenario.seconds.ceil() as usize + 1;
+    let levels = (0..seconds).map(|_| {
+        let step = random.between(-WANDER_STEP, WANDER_STEP);
+        level = (level + step + WANDER_RETURN * (WANDER_MIDDLE - level)).clamp(0.0, 1.0);
+        level
+    });
+    levels.collect()
 }
 
 /// Parts of the traffic that the sidecars get, adding up to 1.
-pub fn parts(day: &Scenario) -> Vec<f64> {
-    let mut stream = RandomStream::new(day.seed, StreamId::Fleet, 1 << 20);
-    let parts: Vec<f64> = (0..day.sidecars.count)
-        .map(|_| stream.lognormal(day.sidecars.skew))
+pub fn parts(scenario: &Scenario) -> Vec<f64> {
+    let mut random = RandomStream::new(scenario.seed, StreamId::TrafficParts, PARTS_STREAM);
+    let sidecars = &scenario.sidecars;
+    let weights: Vec<f64> = (0..sidecars.count)
+        .map(|_| random.lognormal(sidecars.skew))
         .collect();
-    let sum: f64 = parts.iter().sum();
-    parts.into_iter().map(|p| p / sum).collect()
+    let sum: f64 = weights.iter().sum();
+    weights.into_iter().map(|weight| weight / sum).collect()
+}
+
+/// Work of a request of a class, in microseconds of a standard core.
+fn draw_work(random: &mut RandomStream, class: &Class) -> f64 {
+    let mean = class.work_ms * 1_000.0;
+    match class.dist {
+        WorkDistribution::Fixed => mean,
+        WorkDistribution::Exp => mean * random.exponential(),
+        WorkDistribution::Lognormal => mean * random.lognormal(class.cv),
+    }
 }
 
 impl ArrivalStream {
-    /// The wishes at the sidecar of that number, which gets that part of the traffic.
-    pub fn new(day: &Scenario, number: usize, part: f64) -> Self {
-        let stream = |cause| RandomStream::new(day.seed, cause, number);
+    /// The arrivals at the sidecar of a number, which gets a part of the traffic.
+    pub fn new(scenario: &Scenario, number: usize, part: f64) -> Self {
+        let stream = |cause| RandomStream::new(scenario.seed, cause, number);
+        let tenants = scenario.tenant.iter();
         Self {
             part,
-            arrivals: stream(StreamId::Arrivals),
-            work: stream(StreamId::Work),
-            terminals: stream(StreamId::Clients),
-            hints: stream(StreamId::Hints),
-            wander: wander(day),
-            at: 0,
-            classes: day.class.iter().map(|c| c.share).collect(),
-            shops: day.tenant.iter().map(|s| s.share * s.usage).collect(),
-            day: day.clone(),
+            arrival_random: stream(StreamId::Arrivals),
+            work_random: stream(StreamId::Work),
+            client_random: stream(StreamId::Clients),
+            hint_random: stream(StreamId::WorkHints),
+            wander: wander(scenario),
+            now: 0,
+            class_weights: scenario.class.iter().map(|class| class.share).collect(),
+            tenant_weights: tenants.map(|tenant| tenant.share * tenant.usage).collect(),
+            scenario: scenario.clone(),
         }
     }
 
-    fn draw(&mut self) -> Arrival {
-        let (class, shop) = (self.work.pick(&self.classes), self.work.pick(&self.shops));
-        let mut work = self.work.work(&self.day.class[class]);
-        let name = &self.day.class[class].name;
-        let dear =
-            |t: &&Fault| t.kind == FaultKind::Costly && t.class.as_ref().is_none_or(|c| c == name);
-        for trouble in self.day.fault.iter().filter(dear) {
-            // Drawn whether or not it is on, so that a trouble moves no other draw.
-            let hit = self.work.unit() < trouble.share;
-            if hit && trouble.is_on(self.at) {
-                work *= trouble.factor;
-            }
-        }
-        let honours = self.terminals.chance(self.day.clients.honour_retry_after);
-        let off = |spread: f64| (spread * self.hints.normal()).exp();
-        let hint = self
-            .day
-            .load
-            .work_hints
-            .map(off)
-            .map(|off| (work * off).max(1.0) as Micros);
+    fn draw_arrival(&mut self) -> Arrival {
+        let class = self.work_random.weighted_index(&self.class_weights);
+        let tenant = self.work_random.weighted_index(&self.tenant_weights);
+        let work = self.draw_work_of(class);
+        let clients = &self.scenario.clients;
+        let honours = self.client_random.chance(clients.honour_retry_after);
         Arrival {
-            at: self.at,
+            at: self.now,
             class: class as u16,
-            shop: shop as u16,
+            shop: tenant as u16,
             work,
-            hint,
+            hint: self.draw_hint(work),
             honours,
         }
     }
+
+    /// Work of a request of a class now, in microseconds of a standard core, faults included.
+    fn draw_work_of(&mut self, class: usize) -> f64 {
+        let class = &self.scenario.class[class];
+        let mut work = draw_work(&mut self.work_random, class);
+        for fault in &self.scenario.fault {
+            let of_class = fault.class.as_ref().is_none_or(|name| *name == class.name);
+            if fault.kind != FaultKind::Costly || !of_class {
+                continue;
+            }
+            // Drawn whether or not it is on, so that a fault moves no other draw.
+            let hit = self.work_random.unit() < fault.share;
+            if hit && fault.is_on(self.now) {
+                work *= fault.factor;
+            }
+        }
+        work
+    }
+
+    /// A hint of some work, off by a random factor, where clients give hints.
+    fn draw_hint(&mut self, work: f64) -> Option<Micros> {
+        let spread = self.scenario.load.work_hints?;
+        let factor = (spread * self.hint_random.normal()).exp();
+        Some((work * factor).max(1.0) as Micros)
+    }
+
+    /// Arrivals a second now.
+    fn rate(&self) -> f64 {
+        let second = (self.now / SECOND as Micros) as usize;
+        let wander = self.wander.get(second).copied();
+        let all = self
+            .scenario
+            .rate_at(self.now, wander.unwrap_or(WANDER_MIDDLE));
+        all * self.part
+    }
 }
 
 impl Iterator for ArrivalStream {
     type Item = Arrival;
 
     fn next(&mut self) -> Option<Arrival> {
-        let end = from_s(self.day.seconds);
+        let end = from_s(self.scenario.seconds);
         loop {
-            let wander = self
-                .wander
-                .get((self.at / 1_000_000) as usize)
-                .copied()
-                .unwrap_or(0.5);
-            let rate = self.day.rate_at(self.at, wander) * self.part;
-            // A load that is nothing now may rise: it is looked at again in a while.
-            let wait = if rate > 0.0 {
-                self.arrivals.exp() / rate * 1e6
+            let rate = self.rate();
+            // A load that is nothing now may rise: it is looked at again in a second.
+            let interval = if rate > 0.0 {
+                self.arrival_random.exponential() / rate * SECOND
             } else {
-                1e6
+                SECOND
             };
-            self.at = self.at.saturating_add(wait.min(1e13) as Micros);
-            if self.at >= end {
+            let interval = interval.min(MAX_INTERVAL) as Micros;
+            self.now = self.now.saturating_add(interval);
+            if self.now >= end {
                 return None;
             }
             if rate > 0.0 {
-                return Some(self.draw());
+                return Some(self.draw_arrival());
             }
         }
     }
 }
 
-/// What a shop may ask for within its share: tokens that come at its share of the quota.
+/// What a tenant may ask for within its share: a bucket of tokens that come at its share of the quota.
 #[derive(Clone, Copy, Debug)]
 pub struct TenantQuota {
+    /// Tokens a second.
     rate: f64,
     tokens: f64,
-    at: Micros,
+    refilled_at: Micros,
 }
 
 impl TenantQuota {
+    /// A full bucket; `rate` in requests a second.
+    fn new(rate: f64) -> Self {
+        Self {
+            rate,
+            tokens: rate.max(1.0),
+            refilled_at: 0,
+        }
+    }
+
     /// Takes a token; false for what lies beyond the share.
     pub fn take(&mut self, now: Micros) -> bool {
-        let passed = now.saturating_sub(self.at) as f64 / 1e6;
-        self.tokens = (self.tokens + passed * self.rate).min(self.rate.max(1.0));
-        self.at = now;
-        let within = self.tokens >= 1.0;
-        self.tokens -= if within { 1.0 } else { 0.0 };
-        within
+        let passed_s = now.saturating_sub(self.refilled_at) as f64 / SECOND;
+        self.tokens = (self.tokens + passed_s * self.rate).min(self.rate.max(1.0));
+        self.refilled_at = now;
+        let within_share = self.tokens >= 1.0;
+        self.tokens -= if within_share { 1.0 } else { 0.0 };
+        within_share
     }
 }
 
-/// One quota for each shop, full at the start.
-pub fn quotas(day: &Scenario) -> Vec<TenantQuota> {
-    let all = day.full_rate() * day.rules.quota_of_capacity;
-    let quota = |share: f64| TenantQuota {
-        rate: share * all,
-        tokens: (share * all).max(1.0),
-        at: 0,
-    };
-    day.tenant.iter().map(|s| quota(s.share)).collect()
+/// One quota for each tenant, full at the start.
+pub fn quotas(scenario: &Scenario) -> Vec<TenantQuota> {
+    let all = scenario.full_rate() * scenario.rules.quota_of_capacity;
+    let tenants = scenario.tenant.iter();
+    tenants
+        .map(|tenant| TenantQuota::new(tenant.share * all))
+        .collect()
 }
