--- a/crates/testbed/src/audit/mod.rs
+++ b/crates/testbed/src/audit/mod.rs
@@ -179,6 +179,20 @@
                 due,
                 ..
             } => self.on_request_accepted(request, AcceptedRequest::new(at, sidecar, class, due)),
+            LogEvent::ResponseReceived { request, outcome } => {
+                self.on_response(at, request, outcome);
+            }
+            LogEvent::ClientDisconnected { request } => {
+                self.requests.on_client_disconnected(request);
+            }
+            other => self.on_attempt_event(at, other),
+        }
+    }
+}
+
+impl Auditor {
+    fn on_attempt_event(&mut self, at: Micros, event: LogEvent) {
+        match event {
             LogEvent::AttemptStarted {
                 request,
                 sidecar,
@@ -204,18 +218,10 @@
             LogEvent::AttemptRejected { request, server } => {
                 self.requests.on_attempt_rejected(request, server);
             }
-            LogEvent::ResponseReceived { request, outcome } => {
-                self.on_response(at, request, outcome);
-            }
-            LogEvent::ClientDisconnected { request } => {
-                self.requests.on_client_disconnected(request);
-            }
             other => self.on_state_change(at, other),
         }
     }
-}
 
-impl Auditor {
     fn on_state_change(&mut self, at: Micros, event: LogEvent) {
         match event {
             LogEvent::EndpointListed {
--- a/crates/testbed/src/emulator/emulated_server/attempt.rs
+++ b/crates/testbed/src/emulator/emulated_server/attempt.rs
@@ -6,7 +6,7 @@
 
 use super::EmulatedServer;
 use super::connection::{Incoming, Reply};
-use super::process::{Accepted, Offer, Offered, ResponseDraw};
+use super::offer::{Accepted, Offer, Offered, ResponseDraw};
 use crate::emulator::clock::sleep_for;
 use crate::emulator::http::{HttpConnection, Message, response};
 use crate::emulator::shared::lock;
--- a/crates/testbed/src/emulator/emulated_server/mod.rs
+++ b/crates/testbed/src/emulator/emulated_server/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod health_check;
 mod listeners;
+mod offer;
 mod process;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/testbed/src/emulator/emulated_server/offer.rs
@@ -0,0 +1,45 @@
+//! What an emulated server's process is offered, and what it makes of it.
+
+use tokio::sync::oneshot;
+
+use crate::scenario::Micros;
+
+/// An attempt as it is offered to the process.
+pub(super) struct Offer {
+    pub(super) request: u64,
+    /// Expected work.
+    pub(super) work: f64,
+    /// Spread of the actual work around it, as the standard deviation of its logarithm.
+    pub(super) noise: f64,
+    /// Whether it came on a new connection, which costs a handshake.
+    pub(super) new_connection: bool,
+    /// When it is given up if it has not begun.
+    pub(super) deadline: Micros,
+}
+
+/// An attempt that was accepted: its number in the model, and its end.
+pub(super) struct Accepted {
+    pub(super) job: u64,
+    pub(super) end: oneshot::Receiver<bool>,
+}
+
+/// What came of an offer.
+pub(super) struct Offered {
+    /// The actual work.
+    pub(super) work: f64,
+    /// Work that the server could do per microsecond.
+    pub(super) capacity: f64,
+    pub(super) cold: bool,
+    /// Nothing where the attempt was rejected.
+    pub(super) accepted: Option<Accepted>,
+}
+
+/// What is drawn for a response as its attempt ends.
+pub(super) struct ResponseDraw {
+    /// Whether the response cannot be parsed.
+    pub(super) malformed: bool,
+    /// Whether the connection is reset instead.
+    pub(super) reset: bool,
+    /// Attempts in flight that the response reports, if it does.
+    pub(super) reported_in_flight: Option<usize>,
+}
--- a/crates/testbed/src/event_log/mod.rs
+++ b/crates/testbed/src/event_log/mod.rs
@@ -5,11 +5,13 @@
 
 mod event;
 mod reader;
+mod state;
 mod writer;
 
 #[cfg(test)]
 mod tests;
 
-pub use event::{ListedStatus, LogEvent, LogRecord, ProcessState, RequestOutcome, ServerState};
+pub use event::{LogEvent, LogRecord};
 pub use reader::{EventLogError, read};
+pub use state::{ListedStatus, ProcessState, RequestOutcome, ServerState};
 pub use writer::{EventLog, Tee, Writer};
--- a/crates/testbed/src/event_log/tests.rs
+++ b/crates/testbed/src/event_log/tests.rs
@@ -196,3 +196,19 @@
         assert_eq!(read(&new).expect("read"), records);
     }
 }
+
+#[test]
+fn a_written_log_reads_back_and_a_bad_line_is_named_by_its_number() {
+    let records = [LogRecord {
+        at: 7,
+        event: LogEvent::ArrivalEnded {
+            arrival: 3,
+            outcome: RequestOutcome::NotPlayed,
+            requests: 2,
+        },
+    }];
+    let text = written(&records);
+    assert_eq!(read(&text).expect("read"), records);
+    let error = read(&format!("{text}{{\"at\":1}}\n")).expect_err("no record");
+    assert!(error.to_string().starts_with("line 2:"), "{error}");
+}
--- a/crates/testbed/src/statistics/mod.rs
+++ b/crates/testbed/src/statistics/mod.rs
@@ -3,6 +3,7 @@
 //! Each file gathers one part: the value that was served, the outcomes of arrivals and requests, and the traffic
 //! that the sidecars caused. What the figures must be is judged elsewhere.
 
+mod arrival;
 mod outcomes;
 mod service;
 mod traffic;
@@ -11,8 +12,9 @@
 
 use crate::event_log::{EventLog, LogEvent, LogRecord, ProcessState, RequestOutcome};
 use crate::report::{ClassFigures, Report, TenantFigures, engine_name};
-use crate::scenario::{Class, Micros, Scenario, from_ms};
+use crate::scenario::{Micros, Scenario};
 
+use arrival::{Gain, OpenArrival};
 use outcomes::Outcomes;
 use service::Service;
 use traffic::Traffic;
@@ -23,47 +25,6 @@
     (at / MICROS_PER_SECOND) as usize
 }
 
-/// An arrival that has not ended.
-struct OpenArrival {
-    at: Micros,
-    class: u16,
-    tenant: u16,
-    value: f64,
-    within_quota: bool,
-}
-
-/// How much of an arrival's value was gained, and when.
-struct Gain {
-    /// Time from the arrival to its end.
-    latency: Micros,
-    /// Whether it was served within its class's latency objective.
-    in_time: bool,
-    /// Whether the objective had passed at its end.
-    past_objective: bool,
-    /// Gained share of the value.
-    share: f64,
-}
-
-impl Gain {
-    fn new(class: &Class, arrived_at: Micros, ended_at: Micros, outcome: RequestOutcome) -> Self {
-        let latency = ended_at.saturating_sub(arrived_at);
-        let objective = from_ms(class.latency_objective_ms);
-        let served = outcome == RequestOutcome::Served;
-        let in_time = served && latency <= objective;
-        let share = match (in_time, served) {
-            (true, _) => 1.0,
-            (false, true) => class.late_value,
-            (false, false) => 0.0,
-        };
-        Self {
-            latency,
-            in_time,
-            past_objective: latency > objective,
-            share,
-        }
-    }
-}
-
 /// Reads the event log; [`Statistics::report`] sums it up.
 pub struct Statistics {
     scenario: Scenario,
--- a/crates/testbed/src/statistics/outcomes.rs
+++ b/crates/testbed/src/statistics/outcomes.rs
@@ -3,7 +3,7 @@
 use hdrhistogram::Histogram;
 use rustc_hash::FxHashMap;
 
-use super::Gain;
+use super::arrival::Gain;
 use crate::event_log::RequestOutcome;
 use crate::report::Second;
 
--- a/crates/testbed/src/statistics/service.rs
+++ b/crates/testbed/src/statistics/service.rs
@@ -1,6 +1,7 @@
 //! The value that was served in time, as a share of the value that arrived.
 
-use super::{Gain, MICROS_PER_SECOND, OpenArrival, second_of};
+use super::arrival::{Gain, OpenArrival};
+use super::{MICROS_PER_SECOND, second_of};
 use crate::scenario::Micros;
 
 /// Weights of the whole run, the worst window, the worst class and the worst tenant, as the operators set them.
--- /dev/null
+++ b/crates/testbed/tests/auditor/cold_server.rs
@@ -0,0 +1,64 @@
+//! No cold server is overloaded by sidecars that know of its start.
+
+use arrowstand_testbed::audit::Rule;
+use arrowstand_testbed::event_log::{ListedStatus, LogEvent, RequestOutcome, ServerState};
+
+use super::{Finding, S, audit, listed};
+
+/// Work of 100 ms each, so many times within a span, at a cold server that can do 0.4 s of work a second.
+fn pressed(count: u64, informed: bool, cold: bool) -> Vec<Finding> {
+    let mut events = vec![(
+        S,
+        LogEvent::ServerStateChanged {
+            server: 0,
+            zone: 0,
+            state: ServerState::Cold,
+        },
+    )];
+    if informed {
+        events.push(listed(S, ListedStatus::Ready, S));
+    }
+    for n in 0..count {
+        let at = S + 10 + n;
+        events.push((
+            at,
+            LogEvent::RequestAccepted {
+                request: n,
+                arrival: n,
+                sidecar: 0,
+                class: 0,
+                due: 2 * S,
+            },
+        ));
+        events.push((
+            at,
+            LogEvent::AttemptReceived {
+                request: n,
+                server: 0,
+                work: 100_000.0,
+                capacity: 0.4,
+                cold,
+            },
+        ));
+        events.push((
+            at,
+            LogEvent::ResponseReceived {
+                request: n,
+                outcome: RequestOutcome::Failed,
+            },
+        ));
+    }
+    audit(&events)
+}
+
+#[test]
+fn informed_sidecars_do_not_send_a_cold_server_more_than_its_multiple() {
+    // 2.5 x 0.4 x 1.5 s are 1.5 s of work, and two requests for chance: 17 pass, 18 do not.
+    assert_eq!(pressed(17, true, true), []);
+    assert_eq!(
+        pressed(18, true, true),
+        [(Rule::ColdServerNotOverloaded, Some(17), Some(0), S + 27)]
+    );
+    assert_eq!(pressed(18, false, true), []);
+    assert_eq!(pressed(18, true, false), []);
+}
--- /dev/null
+++ b/crates/testbed/tests/auditor/main.rs
@@ -0,0 +1,150 @@
+//! The auditor itself: for each rule an event log that violates it is caught, and one that only just keeps it
+//! passes.
+
+mod cold_server;
+mod drain;
+mod execution;
+mod rejection;
+mod response;
+
+use arrowstand_testbed::audit::{Auditor, Rule};
+use arrowstand_testbed::event_log::{
+    EventLog, ListedStatus, LogEvent, LogRecord, RequestOutcome, ServerState,
+};
+use arrowstand_testbed::scenario::{Class, DeduplicationGroup, Effect, Micros, Scenario};
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+
+fn scenario() -> Scenario {
+    let class = |effect, group| Class {
+        idempotency: effect,
+        deduplication_scope: group,
+        deduplication_window_ms: 10_000.0,
+        ..Class::default()
+    };
+    let classes = [
+        class(Effect::Safe, DeduplicationGroup::All),
+        class(Effect::Unsafe, DeduplicationGroup::All),
+        class(Effect::Keyed, DeduplicationGroup::Zone),
+        class(Effect::Keyed, DeduplicationGroup::All),
+    ];
+    Scenario {
+        class: classes.to_vec(),
+        ..Scenario::default()
+    }
+}
+
+/// A violation: its rule, request, server and time.
+type Finding = (Rule, Option<u64>, Option<u32>, Micros);
+
+/// What the auditor finds in a log.
+fn audit(events: &[(Micros, LogEvent)]) -> Vec<Finding> {
+    let mut auditor = Auditor::new(&scenario(), 0);
+    // Two servers in zone 0, one in zone 1.
+    for (server, zone) in [(0, 0), (1, 0), (2, 1)] {
+        auditor.note(&LogRecord {
+            at: 0,
+            event: LogEvent::ServerStateChanged {
+                server,
+                zone,
+                state: ServerState::Up,
+            },
+        });
+    }
+    for &(at, event) in events {
+        auditor.note(&LogRecord { at, event });
+    }
+    auditor.finish();
+    assert_eq!(auditor.violation_count(), auditor.violations().len() as u64);
+    auditor
+        .violations()
+        .map(|v| (v.rule, v.request, v.server, v.at))
+        .collect()
+}
+
+fn accepted(request: u64, class: u16) -> (Micros, LogEvent) {
+    (
+        S,
+        LogEvent::RequestAccepted {
+            request,
+            arrival: request,
+            sidecar: 0,
+            class,
+            due: 2 * S,
+        },
+    )
+}
+
+fn received(at: Micros, request: u64, server: u32) -> (Micros, LogEvent) {
+    (
+        at,
+        LogEvent::AttemptReceived {
+            request,
+            server,
+            work: 10_000.0,
+            capacity: 2.0,
+            cold: false,
+        },
+    )
+}
+
+fn responded(at: Micros, request: u64, outcome: RequestOutcome) -> (Micros, LogEvent) {
+    (at, LogEvent::ResponseReceived { request, outcome })
+}
+
+fn rejected(at: Micros, request: u64, server: u32) -> (Micros, LogEvent) {
+    (at, LogEvent::AttemptRejected { request, server })
+}
+
+fn started(at: Micros, sidecar: u32) -> (Micros, LogEvent) {
+    (
+        at,
+        LogEvent::AttemptStarted {
+            request: 1,
+            sidecar,
+            server: 0,
+            cross_zone: false,
+        },
+    )
+}
+
+fn listed(at: Micros, status: ListedStatus, incarnation: Micros) -> (Micros, LogEvent) {
+    (
+        at,
+        LogEvent::EndpointListed {
+            sidecar: 0,
+            server: 0,
+            status,
+            incarnation,
+        },
+    )
+}
+
+#[test]
+fn a_violation_names_time_request_server_and_rule_and_the_listed_ones_are_bounded() {
+    let mut auditor = Auditor::new(&scenario(), 0);
+    for request in 0..60 {
+        for (at, event) in [
+            accepted(request, 1),
+            received(S + 1_000, request, 0),
+            received(S + 2_000, request, 1),
+            responded(S + 3_000, request, RequestOutcome::Served),
+        ] {
+            auditor.note(&LogRecord { at, event });
+        }
+    }
+    auditor.finish();
+    assert_eq!(auditor.requests_read(), 60);
+    assert_eq!(
+        (auditor.violation_count(), auditor.violations().len()),
+        (60, 50)
+    );
+    let first = auditor.violations().next().expect("found");
+    assert_eq!(
+        first.to_string(),
+        "at 1.002 s, request 0000000000000000, server s1, \
+         rule 'no duplicate execution outside the class's idempotency': \
+         s0 had received it and may have executed it"
+    );
+}
--- a/crates/testbed/tests/cli.rs
+++ b/crates/testbed/tests/cli.rs
@@ -1,75 +1,51 @@
-//! The command line: exit codes, messages, and what is written.
+//! The command line: exit codes, messages, and the files that are written.
 
-use std::path::PathBuf;
-use std::process::{Command, Output};
+mod common;
 
-fn lab(words: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_arrowstand-testbed"))
-        .args(words)
-        .output()
-        .expect("runs")
-}
+use common::{TemporaryPath, testbed};
+
+use arrowstand_testbed::event_log::read;
 
 fn scenario(name: &str) -> String {
     format!("{}/scenarios/{name}", env!("CARGO_MANIFEST_DIR"))
 }
 
-fn temporary(name: &str, text: &str) -> PathBuf {
-    let path =
-        std::env::temp_dir().join(format!("arrowstand-testbed-{}-{name}", std::process::id()));
-    std::fs::write(&path, text).expect("written");
-    path
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
 }
 
 #[test]
-fn a_day_that_holds_ends_with_0_and_writes_what_is_asked_for() {
-    let (json, svg, ledger) = (
-        temporary("r.json", ""),
-        temporary("r.svg", ""),
-        temporary("r.ledger", ""),
-    );
-    let [j, s, l] = [&json, &svg, &ledger].map(|p| p.to_str().expect("text"));
-    let run = lab(&[
+fn a_run_that_passes_exits_with_0_and_writes_what_is_asked_for() {
+    let json = TemporaryPath::new("report.json");
+    let svg = TemporaryPath::new("report.svg");
+    let event_log = TemporaryPath::new("events");
+    let run = testbed(&[
         "simulate",
         &scenario("try.toml"),
         "--seed",
         "3",
         "--json",
-        j,
+        json.as_str(),
         "--svg",
-        s,
+        svg.as_str(),
         "--event-log",
-        l,
+        event_log.as_str(),
     ]);
-    assert_eq!(
-        run.status.code(),
-        Some(0),
-        "{}",
-        String::from_utf8_lossy(&run.stdout)
-    );
+    assert_eq!(run.status.code(), Some(0), "{}", text(&run.stdout));
+    assert!(svg.read().contains("<svg"));
+    let records = read(&event_log.read()).expect("read");
+    assert!(records.len() > 1_000 && records.windows(2).all(|w| w[0].at <= w[1].at));
+    let compared = testbed(&["compare", json.as_str(), json.as_str()]);
+    let table = text(&compared.stdout);
     assert!(
-        std::fs::read_to_string(&svg)
-            .expect("drawn")
-            .contains("<svg")
+        table.contains("service") && table.contains("+0.0000"),
+        "{table}"
     );
-    let record =
-        arrowstand_testbed::event_log::read(&std::fs::read_to_string(&ledger).expect("there"))
-            .expect("read");
-    assert!(record.len() > 1_000 && record.windows(2).all(|w| w[0].at <= w[1].at));
-    let compared = lab(&["compare", j, j]);
-    let text = String::from_utf8_lossy(&compared.stdout).into_owned();
-    assert!(
-        text.contains("service") && text.contains("+0.0000"),
-        "{text}"
-    );
-    [json, svg, ledger]
-        .iter()
-        .for_each(|p| std::fs::remove_file(p).expect("removed"));
 }
 
 #[test]
-fn an_expectation_that_is_missed_ends_with_1() {
-    let run = lab(&[
+fn a_missed_expectation_exits_with_1() {
+    let run = testbed(&[
         "simulate",
         &scenario("try.toml"),
         "--set",
@@ -78,110 +54,119 @@
         "load.of_capacity=3.0",
     ]);
     assert_eq!(run.status.code(), Some(1));
-    assert!(String::from_utf8_lossy(&run.stdout).contains("MISSED: service"));
+    assert!(text(&run.stdout).contains("MISSED: service"));
 }
 
 #[test]
-fn bad_input_ends_with_2_and_names_the_key() {
-    let bad = temporary("bad.toml", "seconds = 1.0\n[load]\nspeed = 3\n");
-    let path = bad.to_str().expect("text");
-    for words in [
-        vec!["simulate", path],
-        vec!["emulate", path],
-        vec!["check", path],
-    ] {
-        let run = lab(&words);
-        let said = String::from_utf8_lossy(&run.stderr).into_owned();
-        assert_eq!(run.status.code(), Some(2), "{said}");
+fn bad_input_exits_with_2_and_names_file_line_and_key() {
+    let bad = TemporaryPath::with_text("bad.toml", "seconds = 1.0\n[load]\nspeed = 3\n");
+    for verb in ["simulate", "emulate", "check"] {
+        let run = testbed(&[verb, bad.as_str()]);
+        let message = text(&run.stderr);
+        assert_eq!(run.status.code(), Some(2), "{message}");
         assert!(
-            said.contains("bad.toml:3: load.speed: unknown field"),
-            "{said}"
+            message.contains("bad.toml:3: load.speed: unknown field"),
+            "{message}"
         );
     }
-    let run = lab(&[
+    let run = testbed(&[
         "simulate",
         &scenario("try.toml"),
         "--set",
         "sidecars.count=-1",
     ]);
     assert_eq!(run.status.code(), Some(2));
-    assert!(String::from_utf8_lossy(&run.stderr).contains("sidecars.count"));
-    std::fs::remove_file(bad).expect("removed");
+    assert!(text(&run.stderr).contains("sidecars.count"));
 }
 
 #[test]
-fn an_experiment_gives_a_row_a_place_with_an_interval_and_a_plot() {
-    let text = format!(
+fn bad_arguments_exit_with_2_and_one_line() {
+    let try_scenario = scenario("try.toml");
+    for (arguments, message) in [
+        (
+            vec!["simulate", &try_scenario, "--set", "seconds"],
+            "--set seconds: is not KEY=VALUE\n",
+        ),
+        (
+            vec!["simulate", &try_scenario, "--seed", "18446744073709551615"],
+            "--seed: is too large\n",
+        ),
+        (
+            vec!["try", "--arrowstand", "/nowhere"],
+            "--arrowstand: there is no program /nowhere: build the workspace first\n",
+        ),
+        (
+            vec!["compare", "/nowhere", "/nowhere"],
+            "/nowhere: No such file or directory (os error 2)\n",
+        ),
+        (
+            vec!["simulate", &try_scenario, "--event-log", "/nowhere/events"],
+            "/nowhere/events: No such file or directory (os error 2)\n",
+        ),
+    ] {
+        let run = testbed(&arguments);
+        assert_eq!(run.status.code(), Some(2), "{arguments:?}");
+        assert_eq!(text(&run.stderr), message, "{arguments:?}");
+    }
+}
+
+#[test]
+fn an_experiment_prints_a_row_a_cell_with_intervals_and_draws_a_plot() {
+    let plan_text = format!(
         "name = \"load\"\nscenario = {:?}\nfigures = [\"service\", \"p99_ms\"]\nseeds = 3\n\
          [[axis]]\nkey = \"load.of_capacity\"\nvalues = [0.3, 1.2]\n\
          [[axis]]\nkey = \"sidecars.count\"\nvalues = [1, 2]\n[set]\nseconds = 5.0\n",
         scenario("try.toml")
     );
-    let (plan, svg) = (temporary("plan.toml", &text), temporary("plan.svg", ""));
-    let run = lab(&[
+    let plan = TemporaryPath::with_text("plan.toml", &plan_text);
+    let svg = TemporaryPath::new("plan.svg");
+    let run = testbed(&[
         "experiment",
-        plan.to_str().expect("text"),
+        plan.as_str(),
         "--quiet",
         "--svg",
-        svg.to_str().expect("text"),
+        svg.as_str(),
     ]);
-    let said = String::from_utf8_lossy(&run.stdout).into_owned();
-    assert_eq!(
-        run.status.code(),
-        Some(0),
-        "{said}{}",
-        String::from_utf8_lossy(&run.stderr)
-    );
-    let rows: Vec<Vec<f64>> = said
+    let table = text(&run.stdout);
+    assert_eq!(run.status.code(), Some(0), "{table}{}", text(&run.stderr));
+    let rows: Vec<Vec<f64>> = table
         .lines()
         .skip(1)
-        .map(|l| l.split(',').map(|c| c.parse().expect("number")).collect())
+        .map(|line| {
+            let cells = line.split(',');
+            cells.map(|cell| cell.parse().expect("number")).collect()
+        })
         .collect();
     assert_eq!(rows.len(), 4);
     assert!(
-        rows[0][2] > rows[2][2] && rows.iter().all(|r| r[3] >= 0.0),
-        "{said}"
-    );
-    assert!(
-        std::fs::read_to_string(&svg)
-            .expect("drawn")
-            .contains("<svg")
+        rows[0][2] > rows[2][2] && rows.iter().all(|row| row[3] >= 0.0),
+        "{table}"
     );
-    let bad = temporary("bad-plan.toml", &text.replace("\"service\"", "\"bliss\""));
-    let run = lab(&["experiment", bad.to_str().expect("text")]);
+    assert!(svg.read().contains("<svg"));
+    let bad_text = plan_text.replace("\"service\"", "\"bliss\"");
+    let bad = TemporaryPath::with_text("bad-plan.toml", &bad_text);
+    let run = testbed(&["experiment", bad.as_str()]);
     assert_eq!(run.status.code(), Some(2));
-    assert!(String::from_utf8_lossy(&run.stderr).contains("figures[0]"));
-    [plan, svg, bad]
-        .iter()
-        .for_each(|p| std::fs::remove_file(p).expect("removed"));
+    assert!(text(&run.stderr).contains("figures[0]"));
 }
 
 #[test]
 fn verbs_and_flags_of_earlier_versions_do_the_same_and_are_not_shown() {
     let scenario = scenario("try.toml");
-    let (old, new) = (temporary("old.events", ""), temporary("new.events", ""));
-    let play = |verb: &str, flag: &str, file: &PathBuf| {
-        let run = lab(&[
-            verb,
-            &scenario,
-            "--set",
-            "seconds=2.0",
-            flag,
-            file.to_str().expect("text"),
-        ]);
+    let old = TemporaryPath::new("old.events");
+    let new = TemporaryPath::new("new.events");
+    let play = |verb: &str, flag: &str, file: &TemporaryPath| {
+        let seconds = ["--set", "seconds=2.0"];
+        let run = testbed(&[verb, &scenario, seconds[0], seconds[1], flag, file.as_str()]);
         assert_eq!(run.status.code(), Some(0));
         run.stdout
     };
-    let said = play("run", "--ledger", &old);
-    assert_eq!(said, play("simulate", "--event-log", &new));
-    let events = |file: &PathBuf| std::fs::read_to_string(file).expect("there");
-    assert!(events(&new).lines().count() > 100);
-    assert_eq!(events(&old), events(&new));
-    [old, new]
-        .iter()
-        .for_each(|p| std::fs::remove_file(p).expect("removed"));
+    let printed = play("run", "--ledger", &old);
+    assert_eq!(printed, play("simulate", "--event-log", &new));
+    assert!(new.read().lines().count() > 100);
+    assert_eq!(old.read(), new.read());
 
-    let help = |words: &[&str]| String::from_utf8(lab(words).stdout).expect("text");
+    let help = |arguments: &[&str]| text(&testbed(arguments).stdout);
     let (verbs, flags) = (help(&["--help"]), help(&["simulate", "--help"]));
     assert!(
         verbs.contains("simulate") && verbs.contains("emulate"),
--- a/crates/testbed/tests/emulator.rs
+++ b/crates/testbed/tests/emulator.rs
@@ -1,23 +1,15 @@
-//! The stage: real sidecars among stand-ins, on free loopback ports.
+//! The emulator: real sidecars among emulated clients, servers and discovery, on free loopback ports.
 
-use std::path::{Path, PathBuf};
+mod common;
 
-use arrowstand_testbed::emulator::{Options, run};
+use common::{TESTBED, TemporaryPath, sidecar_program};
+
+use arrowstand_testbed::emulator::{EmulatorError, Options, run};
 use arrowstand_testbed::event_log::RequestOutcome;
 use arrowstand_testbed::report::Report;
 use arrowstand_testbed::scenario::ScenarioFile;
 
-/// The sidecar's program, which a test of the whole workspace builds beside the lab's.
-fn program() -> PathBuf {
-    let path = Path::new(env!("CARGO_BIN_EXE_arrowstand-testbed")).with_file_name("arrowstand");
-    assert!(
-        path.is_file(),
-        "{} is missing: test the whole workspace",
-        path.display()
-    );
-    path
-}
-
+/// Three servers, two sidecars, and a load that they bear easily.
 const SMALL: &str = r#"
 seconds = 4.0
 [[machine_type]]
@@ -50,35 +42,41 @@
 idempotency = "unsafe"
 "#;
 
-fn stage(name: &str, more: &str) -> Report {
-    let scenario = ScenarioFile::read(name, &format!("name = \"{name}\"\n{SMALL}{more}"))
-        .unwrap_or_else(|f| panic!("{f}"));
-    let folder =
-        std::env::temp_dir().join(format!("arrowstand-testbed-{name}-{}", std::process::id()));
+fn scenario(name: &str, text: &str) -> ScenarioFile {
+    ScenarioFile::read(name, &format!("name = \"{name}\"\n{text}"))
+        .unwrap_or_else(|errors| panic!("{errors}"))
+}
+
+fn play(name: &str, text: &str, program: std::path::PathBuf) -> Result<Report, EmulatorError> {
+    let folder = TemporaryPath::new(name);
     let options = Options {
-        program: program(),
-        folder: Some(folder.clone()),
+        program,
+        folder: Some(folder.path().to_owned()),
     };
-    let report = run(&scenario.day, &options, None).expect("played");
-    let _ = std::fs::remove_dir_all(folder);
+    run(&scenario(name, text).day, &options, None)
+}
+
+/// Plays the small scenario with some more text, and checks what every run must keep.
+fn emulate(name: &str, more: &str) -> Report {
+    let report = play(name, &format!("{SMALL}{more}"), sidecar_program()).expect("played");
     assert_eq!(report.violations, Vec::<String>::new(), "{report}");
     assert_eq!(report.counter_differences, Vec::<String>::new(), "{report}");
     let ended: u64 = report
         .classes
         .iter()
-        .flat_map(|c| &c.ended)
-        .map(|e| e.1)
+        .flat_map(|class| &class.ended)
+        .map(|(_, count)| count)
         .sum();
     assert_eq!(
         ended, report.arrivals,
-        "every wish comes to an end: {report}"
+        "every arrival comes to an end: {report}"
     );
     report
 }
 
 #[test]
-fn a_quiet_day_is_served_and_counted_alike_twice() {
-    let (first, second) = (stage("quiet", ""), stage("quiet-again", ""));
+fn without_faults_every_request_is_served_and_two_runs_count_alike() {
+    let (first, second) = (emulate("quiet", ""), emulate("quiet-again", ""));
     assert_eq!(first.arrivals, second.arrivals);
     assert_eq!(first.count(RequestOutcome::Served), first.accepted);
     assert_eq!(first.responses, second.responses);
@@ -92,9 +90,9 @@
 }
 
 #[test]
-fn silence_mid_request_and_a_vanished_machine_lose_no_answer() {
-    let trouble = "[[fault]]\nkind = \"silence\"\nat_s = 1.0\nfor_s = 1.5\nservers = [\"s0\"]\n";
-    let report = stage("silence", trouble);
+fn a_server_that_falls_silent_mid_request_leaves_no_request_without_a_response() {
+    let fault = "[[fault]]\nkind = \"silence\"\nat_s = 1.0\nfor_s = 1.5\nservers = [\"s0\"]\n";
+    let report = emulate("silence", fault);
     assert!(
         report.count(RequestOutcome::Served) > report.accepted / 2,
         "{report}"
@@ -102,8 +100,8 @@
 }
 
 #[test]
-fn resets_spoilt_answers_and_a_crash_keep_the_rules() {
-    let trouble = r#"
+fn resets_malformed_responses_and_a_crash_violate_no_rule() {
+    let fault = r#"
 [[fault]]
 kind = "resets"
 at_s = 0.5
@@ -122,14 +120,14 @@
 for_s = 1.0
 servers = ["s2"]
 "#;
-    let report = stage("faults", trouble);
+    let report = emulate("faults", fault);
     // Half of what ran at s0 and s1 for a second was lost with its connection: unsafe work among it must fail.
     assert!(report.count(RequestOutcome::Failed) > 0, "{report}");
 }
 
 #[test]
-fn sidecars_that_are_told_to_end_while_job_servers_are_slow_answer_what_they_owe() {
-    let trouble = r#"
+fn sidecars_that_shut_down_while_servers_are_slow_respond_to_all_they_accepted() {
+    let fault = r#"
 [[fault]]
 kind = "slow"
 at_s = 0.5
@@ -142,7 +140,7 @@
 down_s = 1.0
 kill = false
 "#;
-    let report = stage("ending", trouble);
+    let report = emulate("ending", fault);
     assert!(
         report
             .remarks
@@ -153,8 +151,8 @@
 }
 
 #[test]
-fn killed_sidecars_come_back_and_a_drained_server_gets_nothing_new() {
-    let trouble = r#"
+fn killed_sidecars_restart_and_a_draining_server_gets_no_new_attempt() {
+    let fault = r#"
 [[fault]]
 kind = "roll"
 at_s = 1.0
@@ -170,7 +168,7 @@
 [discovery]
 notice_ms = 100.0
 "#;
-    let report = stage("killed", trouble);
+    let report = emulate("killed", fault);
     assert!(
         report.remarks.iter().any(|r| r.contains("were killed")),
         "{report}"
@@ -179,74 +177,72 @@
 
 /// Guards against a file that one sidecar reads at its start while it is written for the next.
 #[test]
-fn many_sidecars_start_at_once() {
-    let day = SMALL
+fn sixty_sidecars_that_start_at_once_become_ready() {
+    let text = SMALL
         .replace("seconds = 4.0", "seconds = 1.0")
         .replace("count = 2", "count = 60");
-    let scenario = ScenarioFile::read("many", &format!("name = \"many\"\n{day}"))
-        .unwrap_or_else(|f| panic!("{f}"));
-    let folder =
-        std::env::temp_dir().join(format!("arrowstand-testbed-many-{}", std::process::id()));
-    let played = run(
-        &scenario.day,
-        &Options {
-            program: program(),
-            folder: Some(folder.clone()),
-        },
-        None,
-    );
-    let report = played.expect("all start");
-    let _ = std::fs::remove_dir_all(folder);
+    let report = play("many", &text, sidecar_program()).expect("all start");
+    assert_eq!(report.sidecars, 60);
     assert_eq!(report.violations, Vec::<String>::new(), "{report}");
 }
 
 #[test]
-fn a_sidecar_that_ends_at_its_start_is_told_at_once() {
-    let scenario = ScenarioFile::read("ends", &format!("name = \"ends\"\n{SMALL}"))
-        .unwrap_or_else(|f| panic!("{f}"));
-    let folder =
-        std::env::temp_dir().join(format!("arrowstand-testbed-ends-{}", std::process::id()));
-    let options = Options {
-        program: "/bin/false".into(),
-        folder: Some(folder.clone()),
-    };
-    let fault = run(&scenario.day, &options, None).err();
-    let _ = std::fs::remove_dir_all(folder);
+fn a_sidecar_that_ends_at_its_start_is_reported_with_its_status() {
+    let error = play("ends", SMALL, "/bin/false".into()).err();
     assert_eq!(
-        fault.map(|e| e.to_string()).as_deref(),
+        error.map(|error| error.to_string()).as_deref(),
         Some("n0 ended at its start (exit status: 1): nothing in its log"),
     );
 }
 
 #[test]
-fn a_stage_that_stood_still_says_that_its_figures_are_not_to_be_relied_on() {
+fn a_program_that_cannot_be_started_is_named() {
+    let error = play("nowhere", SMALL, "/nowhere".into()).err();
+    assert_eq!(
+        error.map(|error| error.to_string()).as_deref(),
+        Some("/nowhere: No such file or directory (os error 2)"),
+    );
+}
+
+#[test]
+fn a_scenario_with_too_many_pairs_is_rejected() {
+    let text = SMALL
+        .replace("count = 3", "count = 201")
+        .replace("count = 2\n[load]", "count = 100\n[load]");
+    let error = play("pairs", &text, "/bin/false".into()).err();
+    assert_eq!(
+        error.map(|error| error.to_string()).as_deref(),
+        Some("20100 pairs of server and sidecar are more than 20000"),
+    );
+}
+
+#[test]
+fn an_emulator_that_stood_still_calls_its_figures_unreliable() {
     use nix::sys::signal::{Signal, kill};
     use std::process::{Command, Stdio};
     use std::time::Duration;
-    let folder =
-        std::env::temp_dir().join(format!("arrowstand-testbed-late-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let path = folder.join("late.toml");
-    std::fs::write(&path, SMALL).expect("written");
-    let child = Command::new(env!("CARGO_BIN_EXE_arrowstand-testbed"))
+    let folder = TemporaryPath::new("late");
+    std::fs::create_dir_all(folder.path()).expect("a folder");
+    let scenario = folder.path().join("late.toml");
+    std::fs::write(&scenario, SMALL).expect("written");
+    let child = Command::new(TESTBED)
         .args([
-            "stage".as_ref(),
-            path.as_os_str(),
+            "emulate".as_ref(),
+            scenario.as_os_str(),
             "--folder".as_ref(),
-            folder.as_os_str(),
+            folder.path().as_os_str(),
         ])
         .stdout(Stdio::piped())
         .spawn()
         .expect("starts");
     let pid = nix::unistd::Pid::from_raw(child.id() as i32);
-    // The day begins within two seconds and lasts four.
+    // The run begins within two seconds and lasts four.
     std::thread::sleep(Duration::from_millis(3_000));
     kill(pid, Signal::SIGSTOP).expect("stopped");
     std::thread::sleep(Duration::from_millis(1_000));
     kill(pid, Signal::SIGCONT).expect("goes on");
-    let said = child.wait_with_output().expect("ends");
-    let text = String::from_utf8_lossy(&said.stdout).into_owned();
-    let _ = std::fs::remove_dir_all(folder);
-    assert_eq!(said.status.code(), Some(1), "{text}");
+    let output = child.wait_with_output().expect("ends");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{text}");
     assert!(text.contains("UNRELIABLE: the machine ran late"), "{text}");
 }
