--- a/crates/testbed/src/emulator/client/request.rs
+++ b/crates/testbed/src/emulator/client/request.rs
@@ -1,5 +1,8 @@
 //! A request and its response: their form on the wire, and what they mean.
 
+#[cfg(test)]
+mod tests;
+
 use crate::emulator::http::Message;
 use crate::event_log::RequestOutcome;
 use crate::scenario::{Effect, Micros, Scenario};
@@ -19,7 +22,7 @@
 }
 
 impl OutgoingRequest {
-    /// The outcome, with that of a client that disconnects told apart from a timeout.
+    /// The outcome, where that of a client that disconnects differs from a timeout.
     pub(super) fn outcome(&self, outcome: RequestOutcome) -> RequestOutcome {
         if self.disconnects_at.is_some() && outcome == RequestOutcome::Unanswered {
             RequestOutcome::Disconnected
--- a/crates/testbed/src/emulator/counter_check.rs
+++ b/crates/testbed/src/emulator/counter_check.rs
@@ -3,6 +3,9 @@
 //! An attempt that was cancelled may or may not have reached its server; how many were is counted, so what the
 //! servers received must lie within that many. Everything else must be equal.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 
 use super::shared::Shared;
--- /dev/null
+++ b/crates/testbed/src/emulator/counter_check/tests.rs
@@ -0,0 +1,156 @@
+//! Counters that agree pass, each one that is off is named, and lost counters are not compared.
+
+use std::time::Duration;
+
+use super::{Comparison, compare};
+use crate::emulator::clock::Clock;
+use crate::emulator::shared::Shared;
+use crate::emulator::sidecars::{Counters, FleetCounters};
+use crate::event_log::{LogEvent, LogRecord, RequestOutcome};
+use crate::scenario::Scenario;
+
+/// What agrees with [`records`]: one request of each end, one of them over capacity, and four attempts.
+const COUNTERS: &str = "stopped\nrequests_accepted 4\nrequests_over_capacity 1\nresponses_served 1\n\
+    responses_rejected 1\nresponses_failed 1\nclients_disconnected 1\nattempts_started 4\n\
+    attempts_served 1\nattempts_error 1\nattempts_rejected 1\nattempts_cancelled 1\n\
+    health_checks_sent 3\nhealth_checks_failed 0\n";
+
+fn records() -> Vec<LogRecord> {
+    let accepted = (1..=5).map(|request| LogEvent::RequestAccepted {
+        request,
+        arrival: request,
+        sidecar: 0,
+        class: 0,
+        due: 1_000,
+    });
+    let responses = [
+        RequestOutcome::Served,
+        RequestOutcome::Rejected,
+        RequestOutcome::Rejected,
+        RequestOutcome::Failed,
+    ];
+    let responses = (1..).zip(responses);
+    let responses =
+        responses.map(|(request, outcome)| LogEvent::ResponseReceived { request, outcome });
+    let attempts = (1..=4).map(|request| LogEvent::AttemptStarted {
+        request,
+        sidecar: 0,
+        server: 0,
+        cross_zone: false,
+    });
+    let health_check = LogEvent::HealthChecked {
+        sidecar: 0,
+        server: 0,
+    };
+    accepted
+        .chain(responses)
+        .chain(attempts)
+        .chain([
+            LogEvent::ClientDisconnected { request: 5 },
+            LogEvent::AttemptRejected {
+                request: 2,
+                server: 0,
+            },
+        ])
+        .chain([health_check; 3])
+        .map(|event| LogRecord { at: 1, event })
+        .collect()
+}
+
+fn compared(counters: &FleetCounters) -> Comparison {
+    let clock = Clock::starting_in(Duration::ZERO);
+    compare(
+        &Shared::new(&Scenario::default(), clock),
+        &records(),
+        counters,
+    )
+}
+
+fn fleet(text: &str) -> FleetCounters {
+    FleetCounters {
+        sum: Counters::at_end_of(text).expect("printed"),
+        ..FleetCounters::default()
+    }
+}
+
+#[test]
+fn counters_that_agree_give_one_remark_and_no_difference() {
+    let found = compared(&fleet(COUNTERS));
+    assert_eq!(found.differences, Vec::<String>::new());
+    let remark = "counters compared: 5 requests, 4 of 4 attempts received (0 in silence), \
+                  3 health checks (0 in silence)";
+    assert_eq!(found.remarks, [remark]);
+}
+
+#[test]
+fn each_counter_that_is_off_is_named_with_both_counts() {
+    for (counter, off, difference) in [
+        (
+            "requests_accepted 4",
+            "requests_accepted 5",
+            "requests accepted: sidecars 6, clients and servers 5",
+        ),
+        (
+            "responses_served 1",
+            "responses_served 0",
+            "responses served: sidecars 0, clients and servers 1",
+        ),
+        (
+            "responses_rejected 1",
+            "responses_rejected 2",
+            "responses rejected: sidecars 3, clients and servers 2",
+        ),
+        (
+            "responses_failed 1",
+            "responses_failed 1\nresponses_overdue 1",
+            "responses failed: sidecars 2, clients and servers 1",
+        ),
+        (
+            "clients_disconnected 1",
+            "clients_disconnected 0",
+            "clients disconnected: sidecars 0, clients and servers 1",
+        ),
+        (
+            "attempts_served 1",
+            "attempts_served 3",
+            "attempts received: sidecars 5 to 6, servers 4",
+        ),
+        (
+            "attempts_error 1\nattempts_rejected 1",
+            "attempts_error 0\nattempts_rejected 2",
+            "attempts rejected: sidecars 2 to 3, servers 1",
+        ),
+        (
+            "health_checks_sent 3",
+            "health_checks_sent 2",
+            "health checks: sidecars 0 to 2, servers 3",
+        ),
+    ] {
+        assert!(COUNTERS.contains(counter), "{counter}");
+        let found = compared(&fleet(&COUNTERS.replace(counter, off)));
+        assert!(
+            found.differences.iter().any(|line| line == difference),
+            "{difference}: {:?}",
+            found.differences
+        );
+    }
+}
+
+#[test]
+fn counters_of_killed_sidecars_are_not_compared_and_missing_ones_are_a_difference() {
+    let mut counters = fleet("stopped\n");
+    counters.killed = 2;
+    let found = compared(&counters);
+    assert!(found.differences.is_empty());
+    assert_eq!(
+        found.remarks,
+        ["counters not compared: 2 sidecars were killed, and their counters lost"]
+    );
+    counters.missing = 1;
+    let found = compared(&counters);
+    assert_eq!(
+        found.differences,
+        ["1 sidecars printed no counters at their end"]
+    );
+    assert!(found.remarks.is_empty());
+}
--- a/crates/testbed/src/emulator/discovery/endpoint_list.rs
+++ b/crates/testbed/src/emulator/discovery/endpoint_list.rs
@@ -1,5 +1,8 @@
 //! What discovery lists, by version, and its form on the wire.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use serde_json::{Value, json};
--- a/crates/testbed/src/emulator/discovery/mod.rs
+++ b/crates/testbed/src/emulator/discovery/mod.rs
@@ -42,7 +42,7 @@
     rejected: bool,
 }
 
-/// The service; each sidecar has an address of its own at it, which tells the sidecars apart.
+/// The service; each sidecar has an address of its own at it, which identifies the sidecar.
 pub(super) struct Discovery {
     shared: Arc<Shared>,
     servers: Vec<Arc<EmulatedServer>>,
--- a/crates/testbed/src/emulator/emulated_server/mod.rs
+++ b/crates/testbed/src/emulator/emulated_server/mod.rs
@@ -52,7 +52,7 @@
     epoch: u32,
 }
 
-/// One server. Each sidecar has an address of its own at it, which tells the sidecars apart.
+/// One server. Each sidecar has an address of its own at it, which identifies the sidecar.
 pub(super) struct EmulatedServer {
     shared: Arc<Shared>,
     /// Its number in the event log; a replacement at the same addresses has another.
--- a/crates/testbed/src/emulator/error.rs
+++ b/crates/testbed/src/emulator/error.rs
@@ -62,7 +62,7 @@
         /// The last line of its log.
         last_line: String,
     },
-    /// A sidecar runs and does not become ready: its log may tell why.
+    /// A sidecar runs and does not become ready: its log may say why.
     #[error("{sidecar} was not ready in {limit:?}: {}", .log.display())]
     NotReady {
         /// The sidecar's name.
--- a/crates/testbed/src/emulator/http.rs
+++ b/crates/testbed/src/emulator/http.rs
@@ -1,6 +1,12 @@
 //! The part of HTTP/1.1 that emulated clients, servers and discovery need, byte by byte, since they also have to
 //! misbehave.
 
+#[cfg(test)]
+mod tests;
+
+#[cfg(test)]
+pub(super) use tests::parsed_response;
+
 use std::io;
 
 use bytes::{Buf as _, BytesMut};
--- a/crates/testbed/src/emulator/sidecars/counters.rs
+++ b/crates/testbed/src/emulator/sidecars/counters.rs
@@ -1,5 +1,8 @@
 //! The counters that sidecars print as they end.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 /// The line after which a sidecar prints its counters.
@@ -11,7 +14,7 @@
 
 impl Counters {
     /// The counters at the end of a sidecar's log; nothing if it printed none.
-    pub(super) fn at_end_of(log: &str) -> Option<Self> {
+    pub(in crate::emulator) fn at_end_of(log: &str) -> Option<Self> {
         let (_, text) = log.rsplit_once(COUNTERS_FOLLOW)?;
         let counter = |line: &str| {
             let (name, value) = line.trim().split_once(' ')?;
--- a/crates/testbed/src/emulator/sidecars/mod.rs
+++ b/crates/testbed/src/emulator/sidecars/mod.rs
@@ -25,6 +25,8 @@
 
 use process::Sidecar;
 
+#[cfg(test)]
+pub(super) use counters::Counters;
 pub(super) use counters::FleetCounters;
 
 /// How long a sidecar may take to end with the run.
--- a/crates/testbed/src/emulator/timeliness.rs
+++ b/crates/testbed/src/emulator/timeliness.rs
@@ -14,7 +14,7 @@
 const LATE: Micros = 25_000;
 /// Share of them that makes the figures unreliable.
 const LATE_SHARE: f64 = 0.01;
-/// Longest delay that is told apart: ten minutes, beyond the length of any run.
+/// Longest delay that is measured: ten minutes, beyond the length of any run.
 const LONGEST_DELAY: Micros = 600_000_000;
 /// Significant digits of a delay.
 const DELAY_DIGITS: u8 = 3;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,4 +1,4 @@
-//! arrowstand-testbed: plays scenarios in the model and on the stage.
+//! arrowstand-testbed: plays scenarios in the simulator and in the emulator.
 #![forbid(unsafe_code)]
 
 use std::process::ExitCode;
--- a/crates/testbed/src/plot/mod.rs
+++ b/crates/testbed/src/plot/mod.rs
@@ -22,7 +22,7 @@
 const MARGIN: i32 = 8;
 /// Length of a line in a legend, in pixels.
 const LEGEND_LINE: i32 = 16;
-/// Width of the lines that are told apart by class or value, in pixels.
+/// Width of the lines that stand for a class or a value, in pixels.
 const THICK_LINE: u32 = 2;
 const COLOURS: [RGBColor; 6] = [
     RGBColor(31, 119, 180),
--- a/crates/testbed/src/statistics/outcomes.rs
+++ b/crates/testbed/src/statistics/outcomes.rs
@@ -9,7 +9,7 @@
 
 /// Quantiles of the latencies in a report.
 const QUANTILES: [f64; 5] = [0.5, 0.9, 0.99, 0.999, 1.0];
-/// Longest latency that is told apart, in microseconds: ten minutes, beyond every deadline.
+/// Longest latency that is measured, in microseconds: ten minutes, beyond every deadline.
 const LONGEST_LATENCY: u64 = 600_000_000;
 /// Significant digits of a latency.
 const LATENCY_DIGITS: u8 = 3;
--- a/crates/testbed/tests/auditor/cold_server.rs
+++ b/crates/testbed/tests/auditor/cold_server.rs
@@ -53,7 +53,7 @@
 
 #[test]
 fn informed_sidecars_do_not_send_a_cold_server_more_than_its_multiple() {
-    // 2.5 x 0.4 x 1.5 s are 1.5 s of work, and two requests for chance: 17 pass, 18 do not.
+    // 2.5 x 0.4 x 1.5 s are 1.5 s of work, and two requests of tolerance: 17 pass, 18 do not.
     assert_eq!(pressed(17, true, true), []);
     assert_eq!(
         pressed(18, true, true),
