--- a/crates/testbed/src/random.rs
+++ b/crates/testbed/src/random.rs
@@ -41,7 +41,8 @@
 pub struct RandomStream(ChaCha8Rng);
 
 impl RandomStream {
-    /// The stream of a cause and a number within it, such as a sidecar's; the seed is the scenario's.
+    /// The stream of a cause and a number within it, such as a sidecar's; the seed is the
+    /// scenario's.
     pub fn new(seed: u64, cause: StreamId, number: usize) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         rng.set_stream((cause as u64) << NUMBER_BITS | number as u64);
@@ -83,7 +84,8 @@
         StandardNormal.sample(&mut self.0)
     }
 
-    /// Lognormal with mean 1 and this coefficient of variation; 1 where there is no such distribution.
+    /// Lognormal with mean 1 and this coefficient of variation; 1 where there is no such
+    /// distribution.
     pub fn lognormal(&mut self, coefficient_of_variation: f64) -> f64 {
         let variance = (1.0 + coefficient_of_variation * coefficient_of_variation).ln();
         let distribution = LogNormal::new(-variance / 2.0, variance.sqrt());
--- a/crates/testbed/src/scenario/capacity.rs
+++ b/crates/testbed/src/scenario/capacity.rs
@@ -3,8 +3,8 @@
 use super::{MachineType, Scenario, Servers};
 
 impl Scenario {
-    /// Machine type and group of each server, in the order of the servers' names. Groups of unknown machine
-    /// types are left out.
+    /// Machine type and group of each server, in the order of the servers' names. Groups of unknown
+    /// machine types are left out.
     pub fn fleet(&self) -> Vec<(&MachineType, &Servers)> {
         let with_type = |group| Some((self.machine_type_of(group)?, group));
         let groups = self.servers.iter().filter_map(with_type);
@@ -21,8 +21,8 @@
             .find(|machine_type| machine_type.name == group.machine_type)
     }
 
-    /// A machine type as balancers see it: its number, cores and speed where sidecars know machine types, and
-    /// nothing where they do not.
+    /// A machine type as balancers see it: its number, cores and speed where sidecars know machine
+    /// types, and nothing where they do not.
     pub fn advertised_machine_type(
         &self,
         machine_type: &MachineType,
--- a/crates/testbed/src/scenario/check/mod.rs
+++ b/crates/testbed/src/scenario/check/mod.rs
@@ -1,6 +1,8 @@
-//! What one key alone cannot show: ranges, names that must exist, and a schedule that contradicts itself.
+//! What one key alone cannot show: ranges, names that must exist, and a schedule that contradicts
+//! itself.
 //!
-//! One file for each part of a scenario; this one has the collector of errors, and the order of the checks.
+//! One file for each part of a scenario; this one has the collector of errors, and the order of the
+//! checks.
 
 mod faults;
 mod fleet;
--- a/crates/testbed/src/scenario/expectations.rs
+++ b/crates/testbed/src/scenario/expectations.rs
@@ -9,7 +9,8 @@
         service: Option<f64> = None,
         /// Served share of requests, at least.
         served: Option<f64> = None,
-        /// Longest time from the last restart of sidecars to 0.95 of the service before, in seconds.
+        /// Longest time from the last restart of sidecars to 0.95 of the service before, in
+        /// seconds.
         recovered_s: Option<f64> = None,
     }
 }
--- a/crates/testbed/src/scenario/fleet.rs
+++ b/crates/testbed/src/scenario/fleet.rs
@@ -79,8 +79,8 @@
 }
 
 section! {
-    /// Overload that lasts: once a server holds more than `at` requests a core for `over_s`, it is slowed until
-    /// it holds less than `below` a core for `rest_s`, or until `most_s` have passed.
+    /// Overload that lasts: once a server holds more than `at` requests a core for `over_s`, it is
+    /// slowed until it holds less than `below` a core for `rest_s`, or until `most_s` have passed.
     Choke {
         /// Requests a core beyond which it is overloaded.
         at: f64 = 5.5,
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -1,7 +1,8 @@
 //! What a scenario file says: the fleet, the traffic, the schedule of faults, and what must hold.
 //!
-//! Owns the sections with their keys and defaults, their reading (`read`) and the checks that one key alone
-//! cannot show (`check`). Plays nothing. Every key is described, with unit and default, in `docs/scenario.md`.
+//! Owns the sections with their keys and defaults, their reading (`read`) and the checks that one
+//! key alone cannot show (`check`). Plays nothing. Every key is described, with unit and default,
+//! in `docs/scenario.md`.
 
 mod capacity;
 mod check;
--- a/crates/testbed/src/scenario/rates.rs
+++ b/crates/testbed/src/scenario/rates.rs
@@ -29,7 +29,8 @@
         self.capacity() / self.mean_work().max(f64::MIN_POSITIVE)
     }
 
-    /// Requests a second at a moment; `wander` lies between 0 and 1 and counts for [`LoadShape::Brim`].
+    /// Requests a second at a moment; `wander` lies between 0 and 1 and counts for
+    /// [`LoadShape::Brim`].
     pub fn rate_at(&self, at: Micros, wander: f64) -> f64 {
         let seconds = at as f64 / 1e6;
         let burst = self.burst_factor(at);
--- a/crates/testbed/src/scenario/read.rs
+++ b/crates/testbed/src/scenario/read.rs
@@ -1,4 +1,5 @@
-//! Reads a scenario: from text to a checked [`Scenario`]. What is wrong with it is named by file, line and key.
+//! Reads a scenario: from text to a checked [`Scenario`]. What is wrong with it is named by file,
+//! line and key.
 
 use std::path::Path;
 
@@ -53,8 +54,8 @@
         .checked()
     }
 
-    /// The same scenario with keys set to other values, such as `sidecars.count` or `fault[0].factor`. Former
-    /// names of keys do as well.
+    /// The same scenario with keys set to other values, such as `sidecars.count` or
+    /// `fault[0].factor`. Former names of keys do as well.
     ///
     /// # Errors
     /// A key that cannot be set, or everything that is wrong with what comes of it.
--- a/crates/testbed/src/scenario/renamed_keys.rs
+++ b/crates/testbed/src/scenario/renamed_keys.rs
@@ -1,7 +1,8 @@
 //! Keys of scenario files that were renamed, and their former names.
 //!
-//! Scenarios written before the renaming stay readable: a table is brought to the present names when it is
-//! loaded, a path when a key is set. Messages go the other way, and name a key as the file has it.
+//! Scenarios written before the renaming stay readable: a table is brought to the present names
+//! when it is loaded, a path when a key is set. Messages go the other way, and name a key as the
+//! file has it.
 
 use toml::{Table, Value};
 
@@ -9,7 +10,8 @@
 
 /// A key that has another name today.
 struct RenamedKey {
-    /// The section that has the key, by its present path without indexes; empty for the top of the file.
+    /// The section that has the key, by its present path without indexes; empty for the top of the
+    /// file.
     section: &'static str,
     former: &'static str,
     present: &'static str,
--- a/crates/testbed/src/scenario/section.rs
+++ b/crates/testbed/src/scenario/section.rs
@@ -1,6 +1,8 @@
-//! The shapes that sections and choices of a scenario file share: how serde reads them, and their defaults.
+//! The shapes that sections and choices of a scenario file share: how serde reads them, and their
+//! defaults.
 
-/// Declares a section: a struct whose keys all have defaults, and which refuses keys that it does not know.
+/// Declares a section: a struct whose keys all have defaults, and which refuses keys that it does
+/// not know.
 macro_rules! section {
     ($(#[$doc:meta])* $name:ident { $($(#[$field_doc:meta])* $field:ident: $kind:ty = $default:expr,)* }) => {
         $(#[$doc])*
--- a/crates/testbed/src/scenario/set_key.rs
+++ b/crates/testbed/src/scenario/set_key.rs
@@ -17,12 +17,14 @@
     /// The list's item holds no keys.
     #[error("{list}[{index}] is no table")]
     ItemIsNoTable { list: String, index: usize },
-    /// A key on the way holds no keys, or is a list where no index is given, or an index is given for no list.
+    /// A key on the way holds no keys, or is a list where no index is given, or an index is given
+    /// for no list.
     #[error("{key} is no table")]
     NoTable { key: String },
 }
 
-/// Sets a key, given by its path under present or former names; tables on the way that are not there are added.
+/// Sets a key, given by its path under present or former names; tables on the way that are not
+/// there are added.
 ///
 /// # Errors
 /// Where something on the way to the key is no table. The table may have grown by then.
--- a/crates/testbed/src/scenario/source_lines.rs
+++ b/crates/testbed/src/scenario/source_lines.rs
@@ -12,8 +12,8 @@
     before.filter(|&&b| b == b'\n').count() + 1
 }
 
-/// The line of a key, or of the nearest thing around it that the text has; nothing where the text is no TOML
-/// or has nothing of the path.
+/// The line of a key, or of the nearest thing around it that the text has; nothing where the text
+/// is no TOML or has nothing of the path.
 pub(super) fn line_of(text: &str, path: &KeyPath) -> Option<usize> {
     let document = Document::parse(text).ok()?;
     let line = |span: Range<usize>| line_at(text, span.start);
--- a/crates/testbed/src/scenario/traffic.rs
+++ b/crates/testbed/src/scenario/traffic.rs
@@ -49,7 +49,8 @@
         dist: WorkDistribution = WorkDistribution::Lognormal,
         /// Coefficient of variation, for `lognormal`.
         cv: f64 = 1.0,
-        /// How far the work of two attempts of a request differs: standard deviation of its logarithm.
+        /// How far the work of two attempts of a request differs: standard deviation of its
+        /// logarithm.
         noise: f64 = 0.0,
         /// Latency objective, in milliseconds.
         latency_objective_ms: f64 = 400.0,
@@ -111,8 +112,8 @@
         low: f64 = 0.9,
         /// Highest load as a share of capacity, for `brim`.
         high: f64 = 1.05,
-        /// Where present, clients hint at the work of a request, off by a factor whose logarithm has this
-        /// standard deviation.
+        /// Where present, clients hint at the work of a request, off by a factor whose logarithm
+        /// has this standard deviation.
         work_hints: Option<f64> = None,
         /// Whether a class's weight is that of its mean work, and counts for each unit of work.
         weight_by_work: bool = false,
--- a/crates/testbed/src/server_model/contention.rs
+++ b/crates/testbed/src/server_model/contention.rs
@@ -76,7 +76,7 @@
     }
 
     /// Time for which contention has slowed it so far, in microseconds, including one that goes on.
-    pub fn choked(&self) -> Micros {
+    pub fn time_slowed(&self) -> Micros {
         let slowed = self.contention.slowed.as_ref();
         let present = slowed.map_or(0, |slowed| self.now.saturating_sub(slowed.since));
         self.contention.slowed_before + present
--- a/crates/testbed/src/server_model/load_report.rs
+++ b/crates/testbed/src/server_model/load_report.rs
@@ -107,7 +107,8 @@
         Some(self.load_reports.health_check_report(now, held, queued))
     }
 
-    /// The requests in flight that a response reports which goes out now; nothing where responses report none.
+    /// The requests in flight that a response reports which goes out now; nothing where responses
+    /// report none.
     pub fn answer_report(&mut self, now: Micros) -> Option<usize> {
         let held = self.held();
         self.load_reports.response_report(now, held)
--- a/crates/testbed/src/server_model/mod.rs
+++ b/crates/testbed/src/server_model/mod.rs
@@ -1,8 +1,10 @@
-//! A server as a machine: cores, a queue, slow start, slowdown, contention, failures. No I/O and no clock: both
-//! engines hand the time in, so that simulated and emulated servers are the same machine.
+//! A server as a machine: cores, a queue, slow start, slowdown, contention, failures. No I/O and no
+//! clock: both engines hand the time in, so that simulated and emulated servers are the same
+//! machine.
 //!
-//! All running requests progress alike: [`running_jobs`] has their progress, [`service`] lets it grow with time at
-//! the [`pace`] of the moment. Slow start, contention and load reports each own their state.
+//! All running requests progress alike: `running_jobs` has their progress, `service` lets it grow
+//! with time at the `pace` of the moment. Slow start, contention and load reports each own their
+//! state.
 
 mod contention;
 mod health_check_limit;
@@ -63,8 +65,8 @@
     pub dropped: u64,
     /// Jobs that were cancelled, waiting or running.
     pub cancelled: u64,
-    /// Most jobs held at once, waiting and running.
-    pub held_most: usize,
+    /// Most jobs in flight at once, waiting and running.
+    pub max_in_flight: usize,
 }
 
 /// Whether a server works.
@@ -174,8 +176,8 @@
         self.connections
     }
 
-    /// Work that it can do in a microsecond while it warms up, in microseconds of a standard core; faults and
-    /// contention are left aside.
+    /// Work that it can do in a microsecond while it warms up, in microseconds of a standard core;
+    /// faults and contention are left aside.
     pub fn capacity(&self, now: Micros) -> f64 {
         f64::from(self.machine_type.cores) * self.speed * self.slow_start_factor(now)
     }
@@ -197,7 +199,7 @@
         self.queue.push_back(job);
         self.start_waiting(events);
         self.update_contention();
-        self.counters.held_most = self.counters.held_most.max(self.held());
+        self.counters.max_in_flight = self.counters.max_in_flight.max(self.held());
         true
     }
 }
--- a/crates/testbed/src/server_model/running_jobs.rs
+++ b/crates/testbed/src/server_model/running_jobs.rs
@@ -1,7 +1,8 @@
 //! The jobs that run on a server, and how far they have come.
 //!
-//! `progress` is the work that one core has done for a job that has run all along: a job ends once it has grown by
-//! the job's work. Pauses, slow start and contention change only the speed at which it grows.
+//! `progress` is the work that one core has done for a job that has run all along: a job ends once
+//! it has grown by the job's work. Pauses, slow start and contention change only the speed at which
+//! it grows.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -10,7 +11,8 @@
 pub(super) struct RunningJobs {
     /// In microseconds of a standard core.
     progress: f64,
-    /// Bits of the progress at which a job ends, which sort as the positive numbers do, and the job.
+    /// Bits of the progress at which a job ends, which sort as the positive numbers do, and the
+    /// job.
     ends: BTreeSet<(u64, u64)>,
     end_by_job: HashMap<u64, u64>,
 }
--- a/crates/testbed/src/server_model/service.rs
+++ b/crates/testbed/src/server_model/service.rs
@@ -5,7 +5,8 @@
 
 /// How finely a pace that changes by itself is followed, in microseconds.
 const STEP: Micros = 50_000;
-/// Progress by which a job may end early, as progress is rounded: in microseconds of a standard core.
+/// Progress by which a job may end early, as progress is rounded: in microseconds of a standard
+/// core.
 const END_TOLERANCE: f64 = 1e-6;
 /// Least pace to divide by.
 const MIN_PACE: f64 = 1e-9;
@@ -73,7 +74,8 @@
         }
     }
 
-    /// Does work beside the jobs on all cores, before jobs go on; gives the rest of the span in microseconds.
+    /// Does work beside the jobs on all cores, before jobs go on; gives the rest of the span in
+    /// microseconds.
     fn do_side_work(&mut self, span: f64) -> f64 {
         let cores = f64::from(self.machine_type.cores);
         let core_pace = self.core_pace(self.now);
--- a/crates/testbed/src/server_model/slow_start.rs
+++ b/crates/testbed/src/server_model/slow_start.rs
@@ -36,7 +36,8 @@
         }
     }
 
-    /// Share of its warm capacity that a server has: grows with time or with served jobs, whichever is faster.
+    /// Share of its warm capacity that a server has: grows with time or with served jobs, whichever
+    /// is faster.
     fn factor(&self, machine_type: &MachineType, now: Micros) -> f64 {
         let Some(since) = self.cold_since else {
             return 1.0;
@@ -94,9 +95,9 @@
     }
 }
 
-/// Work that a cold server may be sent within the window of the overload rule, in microseconds of a standard core.
-/// The slack stands for chance: two requests as large as the largest, as the rule is about load and not about one
-/// request's luck.
+/// Work that a cold server may be sent within the window of the overload rule, in microseconds of a
+/// standard core. The slack stands for chance: two requests as large as the largest, as the rule is
+/// about load and not about one request's luck.
 pub fn budget(factor: f64, capacity: f64, window: Micros, largest: f64) -> f64 {
     factor * capacity * window as f64 + 2.0 * largest
 }
--- a/crates/testbed/src/server_model/tests.rs
+++ b/crates/testbed/src/server_model/tests.rs
@@ -98,7 +98,7 @@
         last > 1_200_000,
         "20 x 20 ms take 0.4 s unchoked, and took {last} us"
     );
-    assert!(server.choked() > 0);
+    assert!(server.time_slowed() > 0);
     server.advance(last + 2_000_000, &mut events);
     server.offer(last + 2_000_000, job(99, 20_000.0), &mut events);
     assert_eq!(
@@ -152,7 +152,7 @@
     assert_eq!(
         server.answer_report(110_000),
         Some(0),
-        "taken anew, not told yet"
+        "sampled anew, not reported yet"
     );
     assert_eq!(server.answer_report(170_000), Some(1));
 }
--- a/crates/testbed/src/simulator/client.rs
+++ b/crates/testbed/src/simulator/client.rs
@@ -40,7 +40,7 @@
             honours_retry_after: arrival.honours,
         });
         if self.requests.len() >= self.scenario.load.max_open_requests {
-            self.effort.choked_off += 1;
+            self.effort.not_played += 1;
             self.close_arrival(key, RequestOutcome::NotPlayed);
         } else {
             self.send_request(key);
@@ -179,7 +179,8 @@
     }
 }
 
-/// Whether a client may repeat a request: where it has certainly not run, or where running twice does no harm.
+/// Whether a client may repeat a request: where it has certainly not run, or where running twice
+/// does no harm.
 fn may_retry(outcome: RequestOutcome, idempotency: Effect) -> bool {
     match outcome {
         RequestOutcome::Rejected | RequestOutcome::Unreachable => true,
--- a/crates/testbed/src/simulator/discovery/endpoint_list.rs
+++ b/crates/testbed/src/simulator/discovery/endpoint_list.rs
@@ -106,8 +106,9 @@
         self.changes.len() - 1
     }
 
-    /// A change is noticed, of a server that started last at `launched`; false where it says nothing new: a death
-    /// that is noticed after the return is none, and what came back is not listed as it was before.
+    /// A change is noticed, of a server that started last at `launched`; false where it says
+    /// nothing new: a death that is noticed after the return is none, and what came back is not
+    /// listed as it was before.
     pub(super) fn on_noticed(&mut self, server: u32, change: usize, launched: Micros) -> bool {
         let change = self.changes.get(change);
         let Some(&change) = change.filter(|change| launched <= change.incarnation) else {
@@ -137,7 +138,8 @@
         self.availability == Availability::Up
     }
 
-    /// When the answer to a poll that comes now is at its sidecar, or its loss is noticed; true where it is lost.
+    /// When the answer to a poll that comes now is at its sidecar, or its loss is noticed; true
+    /// where it is lost.
     pub(super) fn on_poll(
         &mut self,
         now: Micros,
--- a/crates/testbed/src/simulator/discovery/mod.rs
+++ b/crates/testbed/src/simulator/discovery/mod.rs
@@ -1,4 +1,5 @@
-//! The simulator's discovery: it learns late of what happens to servers, and sidecars poll and watch its list.
+//! The simulator's discovery: it learns late of what happens to servers, and sidecars poll and
+//! watch its list.
 //!
 //! `endpoint_list` owns the list; what a sidecar makes of it is `endpoints`.
 
--- a/crates/testbed/src/simulator/event.rs
+++ b/crates/testbed/src/simulator/event.rs
@@ -1,4 +1,5 @@
-//! What happens in the simulator at a moment: arrivals, messages that reach their end, timeouts, faults.
+//! What happens in the simulator at a moment: arrivals, messages that reach their end, timeouts,
+//! faults.
 //!
 //! Only the types; each is handled in the file of whom it reaches.
 
--- a/crates/testbed/src/simulator/event_queue.rs
+++ b/crates/testbed/src/simulator/event_queue.rs
@@ -1,7 +1,8 @@
-//! The queue of events: a wheel of short slices of time, of which only the present one is kept sorted.
+//! The queue of events: a wheel of short slices of time, of which only the present one is kept
+//! sorted.
 //!
-//! A run of a thousand sidecars has hundreds of thousands of timeouts ahead, most of which never matter; one
-//! heap of them all took a quarter of the simulator's time in cache misses.
+//! A run of a thousand sidecars has hundreds of thousands of timeouts ahead, most of which never
+//! matter; one heap of them all took a quarter of the simulator's time in cache misses.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
--- a/crates/testbed/src/simulator/faults/mod.rs
+++ b/crates/testbed/src/simulator/faults/mod.rs
@@ -8,8 +8,8 @@
 use crate::random::{RandomStream, StreamId};
 use crate::scenario::{Fault, Micros, Scenario, from_s};
 
-/// The servers that the fault of this index hits: those named, or a part of them, drawn. `zones` has each
-/// server's zone.
+/// The servers that the fault of this index hits: those named, or a part of them, drawn. `zones`
+/// has each server's zone.
 pub fn targets(scenario: &Scenario, index: usize, zones: &[u32]) -> Vec<u32> {
     let fault = &scenario.fault[index];
     if !fault.aims_at_servers() {
@@ -31,7 +31,8 @@
     draw(scenario, index, &mut servers, count)
 }
 
-/// When each sidecar goes down in a roll, in microseconds from its start: batch after batch over its length.
+/// When each sidecar goes down in a roll, in microseconds from its start: batch after batch over
+/// its length.
 pub fn roll(scenario: &Scenario, index: usize) -> Vec<(u32, Micros)> {
     let fault = &scenario.fault[index];
     let all = scenario.sidecars.count;
--- a/crates/testbed/src/simulator/mod.rs
+++ b/crates/testbed/src/simulator/mod.rs
@@ -1,9 +1,10 @@
-//! The simulator: virtual time, one thread, no sockets. Real `arrowstand_balancer` balancers, one for each sidecar,
-//! against servers, network, discovery and clients as the scenario describes them.
+//! The simulator: virtual time, one thread, no sockets. Real `arrowstand_balancer` balancers, one
+//! for each sidecar, against servers, network, discovery and clients as the scenario describes
+//! them.
 //!
-//! Everything happens in the order of the queue, and each cause draws from a random stream of its own, so the
-//! same scenario and seed give the same event log to the last entry. Servers' behaviour is `server_model`'s, and
-//! what is asked for is `workload`'s.
+//! Everything happens in the order of the queue, and each cause draws from a random stream of its
+//! own, so the same scenario and seed give the same event log to the last entry. Servers' behaviour
+//! is `server_model`'s, and what is asked for is `workload`'s.
 
 mod client;
 mod discovery;
@@ -43,7 +44,8 @@
 /// Between two gauges, in microseconds.
 const GAUGE_INTERVAL: Micros = 1_000_000;
 
-/// A scenario being simulated. Owns all that is open; sidecars, servers and discovery own their state.
+/// A scenario being simulated. Owns all that is open; sidecars, servers and discovery own their
+/// state.
 struct Simulator<'a> {
     scenario: &'a Scenario,
     timeline: Timeline,
@@ -107,38 +109,38 @@
             if self.timeline.now() > last_arrival && self.arrivals.is_empty() {
                 return;
             }
-            self.effort.happenings += 1;
+            self.effort.events_played += 1;
             self.handle(event);
         }
     }
 
     fn handle(&mut self, event: SimulatorEvent) {
-        use SimulatorEvent as E;
+        use SimulatorEvent as Event;
         match event {
-            E::Arrival(sidecar, arrival) => self.on_arrival(sidecar, arrival),
-            E::RetryDue(arrival) => self.send_request(arrival),
-            E::RequestAtSidecar(request) => self.on_request_at_sidecar(request),
-            E::BalancerTimer(timer) => self.on_balancer_timer(&timer),
-            E::ResponseDue(request) => self.on_response_due(request),
-            E::ClientTimeout(request) => self.on_client_timeout(request),
-            E::ClientDisconnect(request) => self.on_client_disconnect(request),
-            E::ResponseAtClient(response) => self.on_response_at_client(&response),
-            E::ConnectAtServer(attempt) => self.on_connect_at_server(attempt),
-            E::ConnectionOpen(attempt) => self.on_connection_open(attempt),
-            E::AttemptAtServer(attempt) => self.on_attempt_at_server(attempt),
-            E::ResultAtSidecar(attempt, outcome) => self.on_result_at_sidecar(attempt, outcome),
-            E::AttemptTimeout(attempt) => self.on_attempt_timeout(attempt),
-            E::CancellationAtServer(cancellation) => self.on_cancellation(&cancellation),
-            E::ServerDue(server, turn) => self.on_server_due(server, turn),
-            E::HealthCheckAtServer(check) => self.on_health_check_at_server(&check),
-            E::HealthCheckResult(result) => self.on_health_check_result(&result),
-            E::PollResult(result) => self.on_poll_result(&result),
-            E::WatchNotification(process) => self.on_watch_notification(process),
-            E::ListChange { server, change } => self.on_list_change(server, change),
-            E::Fault { index, starts } => self.on_fault(index, starts),
-            E::SidecarRestart(restart) => self.on_sidecar_restart(&restart),
-            E::SidecarUp(sidecar) => self.start_sidecar(sidecar),
-            E::GaugeTick => self.on_gauge_tick(),
+            Event::Arrival(sidecar, arrival) => self.on_arrival(sidecar, arrival),
+            Event::RetryDue(arrival) => self.send_request(arrival),
+            Event::RequestAtSidecar(request) => self.on_request_at_sidecar(request),
+            Event::BalancerTimer(timer) => self.on_balancer_timer(&timer),
+            Event::ResponseDue(request) => self.on_response_due(request),
+            Event::ClientTimeout(request) => self.on_client_timeout(request),
+            Event::ClientDisconnect(request) => self.on_client_disconnect(request),
+            Event::ResponseAtClient(response) => self.on_response_at_client(&response),
+            Event::ConnectAtServer(attempt) => self.on_connect_at_server(attempt),
+            Event::ConnectionOpen(attempt) => self.on_connection_open(attempt),
+            Event::AttemptAtServer(attempt) => self.on_attempt_at_server(attempt),
+            Event::ResultAtSidecar(attempt, outcome) => self.on_result_at_sidecar(attempt, outcome),
+            Event::AttemptTimeout(attempt) => self.on_attempt_timeout(attempt),
+            Event::CancellationAtServer(cancellation) => self.on_cancellation(&cancellation),
+            Event::ServerDue(server, turn) => self.on_server_due(server, turn),
+            Event::HealthCheckAtServer(check) => self.on_health_check_at_server(&check),
+            Event::HealthCheckResult(result) => self.on_health_check_result(&result),
+            Event::PollResult(result) => self.on_poll_result(&result),
+            Event::WatchNotification(process) => self.on_watch_notification(process),
+            Event::ListChange { server, change } => self.on_list_change(server, change),
+            Event::Fault { index, starts } => self.on_fault(index, starts),
+            Event::SidecarRestart(restart) => self.on_sidecar_restart(&restart),
+            Event::SidecarUp(sidecar) => self.start_sidecar(sidecar),
+            Event::GaugeTick => self.on_gauge_tick(),
         }
     }
 
--- a/crates/testbed/src/simulator/run.rs
+++ b/crates/testbed/src/simulator/run.rs
@@ -11,9 +11,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Effort {
     /// Events played.
-    pub happenings: u64,
+    pub events_played: u64,
     /// Arrivals that were not played, as too many requests were open.
-    pub choked_off: u64,
+    pub not_played: u64,
 }
 
 /// Simulates a scenario and sums it up; `further` readers see the event log too.
@@ -40,24 +40,24 @@
     report.audited(&auditor);
     report.expect(&scenario.expect);
     report.remarks.push(overload);
-    if effort.choked_off > 0 {
-        report.remarks.push(choked_off_remark(scenario, effort));
+    if effort.not_played > 0 {
+        report.remarks.push(not_played_remark(scenario, effort));
     }
     Ok((report, effort))
 }
 
 fn overload_remark(simulator: &Simulator<'_>) -> String {
     let models = || simulator.servers.iter().map(|server| &server.machine);
-    let choked = models().filter(|model| model.choked() > 0).count();
+    let choked = models().filter(|model| model.time_slowed() > 0).count();
     let held = models()
-        .map(|model| model.counters.held_most)
+        .map(|model| model.counters.max_in_flight)
         .max()
         .unwrap_or(0);
     format!("{choked} job servers were choked for a time; one held {held} at most")
 }
 
-fn choked_off_remark(scenario: &Scenario, effort: Effort) -> String {
+fn not_played_remark(scenario: &Scenario, effort: Effort) -> String {
     let most = scenario.load.max_open_requests;
-    let n = effort.choked_off;
+    let n = effort.not_played;
     format!("{n} wishes were choked off: load.open_most is {most}")
 }
--- a/crates/testbed/src/simulator/server/attempts.rs
+++ b/crates/testbed/src/simulator/server/attempts.rs
@@ -1,4 +1,5 @@
-//! An attempt's way to its server: sent, offered, taken or rejected. Its connection is `connecting`'s.
+//! An attempt's way to its server: sent, offered, taken or rejected. Its connection is
+//! `connecting`'s.
 
 use std::collections::VecDeque;
 
--- a/crates/testbed/src/simulator/server/mod.rs
+++ b/crates/testbed/src/simulator/server/mod.rs
@@ -1,7 +1,8 @@
 //! The simulator's servers, and everything on the way to them and back.
 //!
-//! This file owns a server's state. `attempts` is an attempt's way to the server, `connecting` its connection, `results` its way back,
-//! `machine` what the server model does by itself, `health_checks` the way of a health check.
+//! This file owns a server's state. `attempts` is an attempt's way to the server, `connecting` its
+//! connection, `results` its way back, `machine` what the server model does by itself,
+//! `health_checks` the way of a health check.
 
 mod attempts;
 mod connecting;
--- a/crates/testbed/src/simulator/sidecar/connections.rs
+++ b/crates/testbed/src/simulator/sidecar/connections.rs
@@ -29,15 +29,17 @@
         self.pools.entry(server).or_default().push_back(connection);
     }
 
-    /// The connection that was used last, of those to the server's present start; all others are forgotten, as
-    /// the server's process that they belonged to has reset them. `open_start` is absent where it refuses.
+    /// The connection that was used last, of those to the server's present start; all others are
+    /// forgotten, as the server's process that they belonged to has reset them. `open_start` is
+    /// absent where it refuses.
     fn take(&mut self, server: u32, open_start: Option<u32>) -> Option<IdleConnection> {
         let pool = self.pools.get_mut(&server)?;
         pool.retain(|connection| Some(connection.server_start) == open_start);
         pool.pop_back()
     }
 
-    /// Removes the connections that have been idle since before a moment, and calls `close` for each.
+    /// Removes the connections that have been idle since before a moment, and calls `close` for
+    /// each.
     fn remove_idle_since(&mut self, before: Micros, mut close: impl FnMut(u32, u32)) {
         for (&server, pool) in &mut self.pools {
             pool.retain(|connection| {
--- a/crates/testbed/src/simulator/sidecar/mod.rs
+++ b/crates/testbed/src/simulator/sidecar/mod.rs
@@ -1,7 +1,8 @@
 //! The simulator's sidecars: each hosts one balancer as the real program does.
 //!
-//! This file owns a sidecar's state, its start and its restarts. `host` carries out what the balancer asks for,
-//! `requests` is a request's life at the sidecar, `connections` the pool of idle connections.
+//! This file owns a sidecar's state, its start and its restarts. `host` carries out what the
+//! balancer asks for, `requests` is a request's life at the sidecar, `connections` the pool of idle
+//! connections.
 
 mod connections;
 mod host;
@@ -24,10 +25,11 @@
 use connections::IdleConnections;
 use settings::balancer_settings;
 
-/// How long a sidecar goes on responding once it is told to end, in microseconds: the real program accepts for
-/// that long, and drains.
+/// How long a sidecar goes on responding once it is asked to shut down, in microseconds: the real
+/// program accepts for that long, and drains.
 const SHUTDOWN_GRACE: Micros = 700_000;
-/// Number of the first sidecar's stream for its clients' requests, apart from those for their arrivals.
+/// Number of the first sidecar's stream for its clients' requests, apart from those for their
+/// arrivals.
 const REQUEST_STREAMS: usize = 1 << 30;
 
 /// A sidecar, and all that is its own.
@@ -146,7 +148,8 @@
         self.process(process.sidecar) == process
     }
 
-    /// Ends a sidecar: what it holds is lost where it is killed, and responded to first where it is told to end.
+    /// Ends a sidecar: what it holds is lost where it is killed, and responded to first where it is
+    /// asked to shut down.
     pub(super) fn on_sidecar_restart(&mut self, restart: &SidecarRestart) {
         if !self.is_up(restart.sidecar) {
             return;
--- a/crates/testbed/src/simulator/sidecar/settings.rs
+++ b/crates/testbed/src/simulator/sidecar/settings.rs
@@ -6,7 +6,8 @@
     Class, DeduplicationGroup, Effect, MachineType, Micros, ReportSource, Scenario, from_ms, from_s,
 };
 
-/// A sidecar responds this long before the client gives up, in microseconds: the real program's `step-ms`.
+/// A sidecar responds this long before the client gives up, in microseconds: the real program's
+/// `step-ms`.
 pub(super) const RESPONSE_MARGIN: Micros = 5_000;
 
 fn request_class(class: &Class) -> RequestClass {
--- a/crates/testbed/src/workload.rs
+++ b/crates/testbed/src/workload.rs
@@ -183,7 +183,8 @@
     }
 }
 
-/// What a tenant may ask for within its share: a bucket of tokens that come at its share of the quota.
+/// What a tenant may ask for within its share: a bucket of tokens that come at its share of the
+/// quota.
 #[derive(Clone, Copy, Debug)]
 pub struct TenantQuota {
     /// Tokens a second.
