--- a/crates/testbed/tests/scenario/former_keys.rs
+++ b/crates/testbed/tests/scenario/former_keys.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use arrowstand_testbed::experiment::Plan;
 use arrowstand_testbed::scenario::ScenarioFile;
 
 use super::{GOOD, errors, line};
@@ -132,3 +133,33 @@
         assert_eq!(errors(&text), [(key.to_owned(), wanted)], "{to}");
     }
 }
+
+#[test]
+fn a_stored_experiment_with_former_keys_as_axes_can_be_read() {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/data");
+    let opened = Plan::open(&path.join("experiment-former-keys.toml"));
+    let (plan, scenario) = opened.unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(plan.axis.len(), 2);
+    let changes = plan.axis.iter().map(|axis| {
+        let value = axis.values.last().expect("values");
+        (axis.key.clone(), value.clone())
+    });
+    let variant = scenario.with(&changes.collect::<Vec<_>>());
+    let scenario = variant.unwrap_or_else(|e| panic!("{e}")).day;
+    assert_eq!(scenario.fault[1].factor, 5.0);
+    assert_eq!(scenario.clients.disconnect_share, 0.1);
+}
+
+#[test]
+fn a_wrong_value_set_under_a_former_key_is_named_as_the_file_names_the_key() {
+    let cases = [
+        (FORMER, "trouble[0].times: must be above zero"),
+        (GOOD, "fault[0].factor: must be above zero"),
+    ];
+    for (text, wanted) in cases {
+        let scenario = ScenarioFile::read("small.toml", text).expect("good");
+        let error = scenario.with(&[("trouble[0].times".to_owned(), 0.0.into())]);
+        let message = error.expect_err("no factor").to_string();
+        assert!(message.ends_with(wanted), "{message}");
+    }
+}
