--- a/crates/testbed/src/simulator/server/attempts.rs
+++ b/crates/testbed/src/simulator/server/attempts.rs
@@ -5,10 +5,10 @@
 
 use arrowstand_balancer::{Event as BalancerEvent, Outcome};
 
-use super::Reachability;
+use super::{Reachability, Server};
 use crate::event_log::LogEvent;
 use crate::scenario::{Micros, from_ms};
-use crate::server_model::Job;
+use crate::server_model::{Event as ServerModelEvent, Job};
 use crate::simulator::Simulator;
 use crate::simulator::event::SimulatorEvent;
 use crate::simulator::request::{Attempt, AttemptKey, Request, RequestKey};
@@ -124,38 +124,53 @@
         if attempt.fresh {
             server.machine.handshake(now, &mut self.server_events);
         }
-        let job = Job {
-            id: attempt.job,
+        let taken = server.take(now, key, attempt, &mut self.server_events);
+        let (request, delay) = (attempt.request_number, attempt.delay);
+        let received = LogEvent::AttemptReceived {
+            request,
+            server: number,
             work: attempt.work,
-            until: attempt.due,
+            capacity,
+            cold,
         };
-        let taken = !server.draining && server.machine.offer(now, job, &mut self.server_events);
-        if taken {
-            server.jobs.insert(job.id, key);
-        }
-        let (request, delay, work) = (attempt.request_number, attempt.delay, attempt.work);
         if attempt.fresh {
             self.record(LogEvent::ConnectionOpened { server: number });
         }
-        self.record(LogEvent::AttemptReceived {
-            request,
-            server: number,
-            work,
-            capacity,
-            cold,
-        });
+        self.record(received);
         if !taken {
             self.record(LogEvent::AttemptRejected {
                 request,
                 server: number,
             });
-            let rejected = SimulatorEvent::ResultAtSidecar(key, Outcome::Rejected);
-            self.timeline.after(delay, rejected);
+            let result = SimulatorEvent::ResultAtSidecar(key, Outcome::Rejected);
+            self.timeline.after(delay, result);
         }
         self.settle_server(number);
     }
 }
 
+impl Server {
+    /// Takes an attempt's job; false where it drains, or the job is rejected.
+    fn take(
+        &mut self,
+        now: Micros,
+        key: AttemptKey,
+        attempt: &Attempt,
+        events: &mut Vec<ServerModelEvent>,
+    ) -> bool {
+        let job = Job {
+            id: attempt.job,
+            work: attempt.work,
+            until: attempt.due,
+        };
+        let taken = !self.draining && self.machine.offer(now, job, events);
+        if taken {
+            self.jobs.insert(job.id, key);
+        }
+        taken
+    }
+}
+
 /// An attempt before its delay, its work and its connection are known.
 fn new_attempt(
     key: RequestKey,
