--- a/crates/testbed/src/audit/cold_server.rs
+++ b/crates/testbed/src/audit/cold_server.rs
@@ -8,8 +8,8 @@
 use crate::scenario::Micros;
 use crate::server_model::budget;
 
-/// Share of the work in the window that must come from sidecars that know of the server's start: less is
-/// nothing that they could have avoided.
+/// Share of the work in the window that must come from sidecars that know of the server's start:
+/// less is nothing that they could have avoided.
 const INFORMED_SHARE: f64 = 2.0 / 3.0;
 
 /// Work that a server received, with its state at that time.
@@ -90,8 +90,8 @@
         }
     }
 
-    /// What the work violates; nothing if the server is warm or can take it. `notified_start` is the latest
-    /// start of the server that the sending sidecar knows of.
+    /// What the work violates; nothing if the server is warm or can take it. `notified_start` is
+    /// the latest start of the server that the sending sidecar knows of.
     pub(super) fn on_work_received(
         &mut self,
         server: u32,
--- a/crates/testbed/src/audit/endpoint_view.rs
+++ b/crates/testbed/src/audit/endpoint_view.rs
@@ -30,7 +30,8 @@
         self.get(sidecar, server)?.unavailable_since
     }
 
-    /// The latest start of the server that the sidecar was notified of; nothing if it does not know the server.
+    /// The latest start of the server that the sidecar was notified of; nothing if it does not know
+    /// the server.
     pub(super) fn notified_start(&self, sidecar: u32, server: u32) -> Option<Micros> {
         Some(self.get(sidecar, server)?.started_at)
     }
@@ -53,7 +54,8 @@
         };
     }
 
-    /// A sidecar that starts or has ended knows nothing; one that is shutting down keeps what it knows.
+    /// A sidecar that starts or has ended knows nothing; one that is shutting down keeps what it
+    /// knows.
     pub(super) fn on_sidecar_state(&mut self, sidecar: u32, state: ProcessState) {
         if state != ProcessState::Ending {
             self.by_sidecar.remove(&sidecar);
--- a/crates/testbed/src/audit/execution.rs
+++ b/crates/testbed/src/audit/execution.rs
@@ -1,10 +1,11 @@
-//! The rule that nothing that may have executed is executed again, unless its class is idempotent there.
+//! The rule that nothing that may have executed is executed again, unless its class is idempotent
+//! there.
 
 use super::requests::ReceivedAttempt;
 use crate::scenario::{Class, DeduplicationGroup, Effect, Micros, from_ms};
 
-/// What an attempt that is received at `now` violates, after a `first` one that may have executed; nothing if
-/// its class allows it. `same_zone` says whether both reached servers of one zone.
+/// What an attempt that is received at `now` violates, after a `first` one that may have executed;
+/// nothing if its class allows it. `same_zone` says whether both reached servers of one zone.
 pub(super) fn violation(
     class: &Class,
     first: &ReceivedAttempt,
--- a/crates/testbed/src/audit/mod.rs
+++ b/crates/testbed/src/audit/mod.rs
@@ -1,9 +1,10 @@
 //! The auditor: checks the event log of either engine against the rules that every run must keep.
 //!
-//! It judges by what servers and clients saw, never by what a sidecar believes. Each rule has a file of its own;
-//! this one passes the events to them and keeps what they find.
+//! It judges by what servers and clients saw, never by what a sidecar believes. Each rule has a
+//! file of its own; this one asks them and keeps what they find, `dispatch` reads the events.
 
 mod cold_server;
+mod dispatch;
 mod drain;
 mod endpoint_view;
 mod execution;
@@ -12,7 +13,7 @@
 mod response;
 mod violation;
 
-use crate::event_log::{EventLog, ListedStatus, LogEvent, LogRecord, RequestOutcome};
+use crate::event_log::RequestOutcome;
 use crate::scenario::{Class, Micros, Scenario, from_ms};
 
 use cold_server::{ColdServers, ReceivedWork};
@@ -76,7 +77,8 @@
         self.advance(Micros::MAX);
     }
 
-    /// Reports the requests whose time has passed, and forgets those that nothing can follow any more.
+    /// Reports the requests whose time has passed, and forgets those that nothing can follow any
+    /// more.
     fn advance(&mut self, now: Micros) {
         while let Some((due, request)) = self.requests.next_overdue(now) {
             if self.requests.lacks_response(request) {
@@ -166,84 +168,3 @@
         }
     }
 }
-
-impl EventLog for Auditor {
-    fn note(&mut self, record: &LogRecord) {
-        let at = record.at;
-        self.advance(at);
-        match record.event {
-            LogEvent::RequestAccepted {
-                request,
-                sidecar,
-                class,
-                due,
-                ..
-            } => self.on_request_accepted(request, AcceptedRequest::new(at, sidecar, class, due)),
-            LogEvent::ResponseReceived { request, outcome } => {
-                self.on_response(at, request, outcome);
-            }
-            LogEvent::ClientDisconnected { request } => {
-                self.requests.on_client_disconnected(request);
-            }
-            other => self.on_attempt_event(at, other),
-        }
-    }
-}
-
-impl Auditor {
-    fn on_attempt_event(&mut self, at: Micros, event: LogEvent) {
-        match event {
-            LogEvent::AttemptStarted {
-                request,
-                sidecar,
-                server,
-                ..
-            } => self.on_attempt_started(at, request, sidecar, server),
-            LogEvent::AttemptReceived {
-                request,
-                server,
-                work,
-                capacity,
-                cold,
-            } => {
-                self.on_attempt_received(at, request, server);
-                let received = ReceivedWork {
-                    at,
-                    work,
-                    capacity,
-                    cold,
-                };
-                self.on_work_received(request, server, received);
-            }
-            LogEvent::AttemptRejected { request, server } => {
-                self.requests.on_attempt_rejected(request, server);
-            }
-            other => self.on_state_change(at, other),
-        }
-    }
-
-    fn on_state_change(&mut self, at: Micros, event: LogEvent) {
-        match event {
-            LogEvent::EndpointListed {
-                sidecar,
-                server,
-                status,
-                incarnation,
-            } => {
-                let ready = status == ListedStatus::Ready;
-                self.endpoint_views
-                    .on_notified(at, sidecar, server, ready, incarnation);
-            }
-            LogEvent::SidecarStateChanged { sidecar, state } => {
-                self.endpoint_views.on_sidecar_state(sidecar, state);
-                self.requests.on_sidecar_state(at, sidecar, state);
-            }
-            LogEvent::ServerStateChanged {
-                server,
-                zone,
-                state,
-            } => self.cold_servers.on_server_state(at, server, zone, state),
-            _ => {}
-        }
-    }
-}
--- a/crates/testbed/src/audit/requests.rs
+++ b/crates/testbed/src/audit/requests.rs
@@ -128,7 +128,8 @@
         }
     }
 
-    /// True where no response is required: the client disconnected, or the sidecar was killed with the request.
+    /// True where no response is required: the client disconnected, or the sidecar was killed with
+    /// the request.
     pub(super) fn is_excused(&self, number: u64) -> bool {
         self.accepted
             .get(&number)
--- a/crates/testbed/src/audit/response.rs
+++ b/crates/testbed/src/audit/response.rs
@@ -2,8 +2,8 @@
 
 use crate::event_log::RequestOutcome;
 
-/// What a request's end violates; nothing if it is as it should be. `excused` where no response is required,
-/// `late` where its time had passed.
+/// What a request's end violates; nothing if it is as it should be. `excused` where no response is
+/// required, `late` where its time had passed.
 pub(super) fn violation(
     outcome: RequestOutcome,
     excused: bool,
--- a/crates/testbed/src/cli/arguments.rs
+++ b/crates/testbed/src/cli/arguments.rs
@@ -55,7 +55,8 @@
         #[arg(required = true)]
         scenarios: Vec<PathBuf>,
     },
-    /// Runs a scenario's emulated servers until Ctrl-C, and prints how to start a sidecar among them.
+    /// Runs a scenario's emulated servers until Ctrl-C, and prints how to start a sidecar among
+    /// them.
     Serve {
         /// The scenario's file.
         scenario: PathBuf,
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -1,5 +1,5 @@
-//! The command line. Exit codes: 0 for a run that passes; 1 for a violation, a missed expectation, unreliable
-//! figures or a fault of the environment; 2 for bad input.
+//! The command line. Exit codes: 0 for a run that passes; 1 for a violation, a missed expectation,
+//! unreliable figures or a fault of the environment; 2 for bad input.
 
 mod arguments;
 mod error;
--- a/crates/testbed/src/emulator/client/arrival.rs
+++ b/crates/testbed/src/emulator/client/arrival.rs
@@ -1,4 +1,5 @@
-//! The life of an arrival: its requests, one after the other, until a response ends it or its time is up.
+//! The life of an arrival: its requests, one after the other, until a response ends it or its time
+//! is up.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/testbed/src/emulator/client/exchange.rs
+++ b/crates/testbed/src/emulator/client/exchange.rs
@@ -15,7 +15,8 @@
 use crate::scenario::{Micros, from_ms};
 use crate::workload::Arrival;
 
-/// An idle connection is used again within this: less than the time after which a sidecar may close it.
+/// An idle connection is used again within this: less than the time after which a sidecar may close
+/// it.
 const IDLE_LIMIT: Duration = Duration::from_millis(1_400);
 
 /// The connections that wait for a next request, with the time since which they do.
@@ -54,8 +55,8 @@
             .unwrap_or(Response::none(RequestOutcome::Unanswered))
     }
 
-    /// When the client gives up. A response on its way at the timeout is still read: whether it came in time is
-    /// for the auditor to judge.
+    /// When the client gives up. A response on its way at the timeout is still read: whether it
+    /// came in time is for the auditor to judge.
     fn waits_until(&self, request: &OutgoingRequest) -> Micros {
         let rules = &self.shared.scenario.rules;
         let grace = from_ms(rules.response_grace_ms + rules.emulator_extra_ms);
@@ -65,8 +66,8 @@
             .unwrap_or(request.due + 2 * grace)
     }
 
-    /// A request whose connection was closed as it crossed is sent once more on a new one, unless its sidecar was
-    /// ended in between: then what it did is not known.
+    /// A request whose connection was closed as it crossed is sent once more on a new one, unless
+    /// its sidecar was ended in between: then what it did is not known.
     async fn exchange_without_limit(
         &self,
         arrival: &Arrival,
--- a/crates/testbed/src/emulator/client/mod.rs
+++ b/crates/testbed/src/emulator/client/mod.rs
@@ -1,8 +1,9 @@
-//! The load: emulated clients that send on time whatever comes back. An arrival's time runs from when it was due,
-//! not from when it could be sent, so that a stall counts against all that would have arrived in it.
+//! The load: emulated clients that send on time whatever comes back. An arrival's time runs from
+//! when it was due, not from when it could be sent, so that a stall counts against all that would
+//! have arrived in it.
 //!
-//! This file starts the arrivals; `arrival` plays one with its retries, `exchange` sends one request and reads
-//! its response, `request` is their form on the wire.
+//! This file starts the arrivals; `arrival` plays one with its retries, `exchange` sends one
+//! request and reads its response, `request` is their form on the wire.
 
 mod arrival;
 mod exchange;
--- a/crates/testbed/src/emulator/counter_check.rs
+++ b/crates/testbed/src/emulator/counter_check.rs
@@ -1,7 +1,7 @@
 //! Compares the sidecars' counters with what clients and servers saw, to the last one.
 //!
-//! An attempt that was cancelled may or may not have reached its server; how many were is counted, so what the
-//! servers received must lie within that many. Everything else must be equal.
+//! An attempt that was cancelled may or may not have reached its server; how many were is counted,
+//! so what the servers received must lie within that many. Everything else must be equal.
 
 #[cfg(test)]
 mod tests;
@@ -80,7 +80,8 @@
     }
 }
 
-/// Compares the two. The counters of a process that was killed are lost, and then there is nothing to compare.
+/// Compares the two. The counters of a process that was killed are lost, and then there is nothing
+/// to compare.
 pub(super) fn compare(
     shared: &Shared,
     records: &[LogRecord],
@@ -149,7 +150,8 @@
     );
 }
 
-/// What was cancelled or timed out may not have been written, or may have been rejected all the same.
+/// What was cancelled or timed out may not have been written, or may have been rejected all the
+/// same.
 fn compare_attempts(found: &mut Comparison, counters: &FleetCounters, observed: &Observed) {
     let count = |name: &str| counters.sum.get(name);
     let rejected = count("attempts_rejected");
--- a/crates/testbed/src/emulator/counter_check/tests.rs
+++ b/crates/testbed/src/emulator/counter_check/tests.rs
@@ -9,7 +9,8 @@
 use crate::event_log::{LogEvent, LogRecord, RequestOutcome};
 use crate::scenario::Scenario;
 
-/// What agrees with [`records`]: one request of each end, one of them over capacity, and four attempts.
+/// What agrees with [`records`]: one request of each end, one of them over capacity, and four
+/// attempts.
 const COUNTERS: &str = "stopped\nrequests_accepted 4\nrequests_over_capacity 1\nresponses_served 1\n\
     responses_rejected 1\nresponses_failed 1\nclients_disconnected 1\nattempts_started 4\n\
     attempts_served 1\nattempts_error 1\nattempts_rejected 1\nattempts_cancelled 1\n\
--- a/crates/testbed/src/emulator/discovery/mod.rs
+++ b/crates/testbed/src/emulator/discovery/mod.rs
@@ -1,4 +1,5 @@
-//! The emulated discovery service: a list that is updated late, polls handled in turn, and watches on changes.
+//! The emulated discovery service: a list that is updated late, polls handled in turn, and watches
+//! on changes.
 //!
 //! This file owns the service's state; `endpoint_list` what is listed, `connection` how it is sent.
 
@@ -109,8 +110,8 @@
         self.mode.send_replace(mode);
     }
 
-    /// Lists a server's new status, unless a later start of it is listed already. `index` is that of the emulated
-    /// server, `server` its number in the event log.
+    /// Lists a server's new status, unless a later start of it is listed already. `index` is that
+    /// of the emulated server, `server` its number in the event log.
     pub(super) fn set(&self, server: u32, index: usize, status: ListedStatus, started_at: Micros) {
         let mut list = lock(&self.list);
         if list.set(server, index, status, started_at) {
--- a/crates/testbed/src/emulator/emulated_server/attempt.rs
+++ b/crates/testbed/src/emulator/emulated_server/attempt.rs
@@ -1,4 +1,5 @@
-//! The life of an attempt at an emulated server: received, executed or rejected, responded to or lost.
+//! The life of an attempt at an emulated server: received, executed or rejected, responded to or
+//! lost.
 
 use std::io;
 
--- a/crates/testbed/src/emulator/emulated_server/faults.rs
+++ b/crates/testbed/src/emulator/emulated_server/faults.rs
@@ -8,8 +8,8 @@
 use crate::emulator::shared::lock;
 use crate::event_log::ServerState;
 
-/// How often a start tries to listen on the server's addresses, and the pause between: a closed listener's
-/// socket may linger in a process that was being started.
+/// How often a start tries to listen on the server's addresses, and the pause between: a closed
+/// listener's socket may linger in a process that was being started.
 const LISTEN_ATTEMPTS: usize = 50;
 const LISTEN_PAUSE: Duration = Duration::from_millis(20);
 
--- a/crates/testbed/src/emulator/emulated_server/listeners.rs
+++ b/crates/testbed/src/emulator/emulated_server/listeners.rs
@@ -67,7 +67,8 @@
         Ok(())
     }
 
-    /// Listens with a full backlog: further connections never open, as with a machine that has vanished.
+    /// Listens with a full backlog: further connections never open, as with a machine that has
+    /// vanished.
     pub(super) fn listen_in_silence(&self) {
         let tasks = self.addresses.iter().filter_map(|&a| occupy(a));
         self.listeners.replace(tasks.collect());
--- a/crates/testbed/src/emulator/emulated_server/mod.rs
+++ b/crates/testbed/src/emulator/emulated_server/mod.rs
@@ -1,7 +1,7 @@
 //! Emulated servers: a server model behind HTTP/1.1, with everything that can go wrong on the wire.
 //!
-//! This file owns a server's identity and how its process is changed; the other files its listeners, its
-//! connections, what it responds, and the faults that it suffers.
+//! This file owns a server's identity and how its process is changed; the other files its
+//! listeners, its connections, what it responds, and the faults that it suffers.
 
 mod attempt;
 mod connection;
@@ -128,8 +128,8 @@
         lock(&self.process).started_at()
     }
 
-    /// The machine type that the endpoint list names; empty where sidecars do not know machine types, as in the
-    /// simulator.
+    /// The machine type that the endpoint list names; empty where sidecars do not know machine
+    /// types, as in the simulator.
     pub(super) fn listed_machine_type(&self) -> String {
         if self.shared.scenario.sidecars.knows_machine_types {
             lock(&self.process).machine_type().name.clone()
--- a/crates/testbed/src/emulator/error.rs
+++ b/crates/testbed/src/emulator/error.rs
@@ -9,7 +9,8 @@
 /// What could not be set up, started or written.
 #[derive(Debug, thiserror::Error)]
 pub enum EmulatorError {
-    /// The scenario needs more sockets than one machine bears: use fewer servers or sidecars, or the simulator.
+    /// The scenario needs more sockets than one machine bears: use fewer servers or sidecars, or
+    /// the simulator.
     #[error("{pairs} pairs of server and sidecar are more than {max}")]
     TooManyPairs {
         /// Servers times sidecars.
--- a/crates/testbed/src/emulator/fault_schedule.rs
+++ b/crates/testbed/src/emulator/fault_schedule.rs
@@ -1,5 +1,5 @@
-//! The faults of a scenario, played on time: does to emulated servers, discovery and sidecars what the simulator
-//! does to its own.
+//! The faults of a scenario, played on time: does to emulated servers, discovery and sidecars what
+//! the simulator does to its own.
 
 use std::future::pending;
 use std::sync::Arc;
--- a/crates/testbed/src/emulator/http.rs
+++ b/crates/testbed/src/emulator/http.rs
@@ -1,5 +1,5 @@
-//! The part of HTTP/1.1 that emulated clients, servers and discovery need, byte by byte, since they also have to
-//! misbehave.
+//! The part of HTTP/1.1 that emulated clients, servers and discovery need, byte by byte, since they
+//! also have to misbehave.
 
 #[cfg(test)]
 mod tests;
--- a/crates/testbed/src/emulator/mod.rs
+++ b/crates/testbed/src/emulator/mod.rs
@@ -1,8 +1,9 @@
-//! The emulator: plays a scenario on loopback sockets, with real `arrowstand` processes between emulated clients,
-//! servers and discovery.
+//! The emulator: plays a scenario on loopback sockets, with real `arrowstand` processes between
+//! emulated clients, servers and discovery.
 //!
-//! The emulated servers are the simulator's server models behind HTTP/1.1; arrivals are drawn as in the simulator.
-//! What was seen goes into one event log, which is sorted by time and then read as the simulator's is.
+//! The emulated servers are the simulator's server models behind HTTP/1.1; arrivals are drawn as in
+//! the simulator. What was seen goes into one event log, which is sorted by time and then read as
+//! the simulator's is.
 
 mod client;
 mod clock;
@@ -39,7 +40,8 @@
 
 /// Servers times sidecars that one emulation may have: sockets and descriptors are the bound.
 const PAIRS_MAX: usize = 20_000;
-/// Time to set everything up before the run begins: in all, and for each sidecar's process and each pair's sockets.
+/// Time to set everything up before the run begins: in all, and for each sidecar's process and each
+/// pair's sockets.
 const SETUP_TIME_MS: u64 = 1_500;
 const SETUP_TIME_PER_SIDECAR_MS: u64 = 30;
 const SETUP_TIME_PER_PAIR_MS: u64 = 1;
@@ -161,8 +163,8 @@
     report
 }
 
-/// Runs the emulated servers, for a person to try a sidecar by hand, until the program is interrupted. `say` gets
-/// the commands that start the sidecars.
+/// Runs the emulated servers, for a person to try a sidecar by hand, until the program is
+/// interrupted. `say` gets the commands that start the sidecars.
 ///
 /// # Errors
 /// What could not be set up.
--- a/crates/testbed/src/emulator/ports.rs
+++ b/crates/testbed/src/emulator/ports.rs
@@ -11,8 +11,8 @@
 use super::error::EmulatorError;
 use super::shared::lock;
 
-/// The first port, below the range from which the system takes its own: a port that is given up for a while must
-/// not be taken by an outgoing connection.
+/// The first port, below the range from which the system takes its own: a port that is given up for
+/// a while must not be taken by an outgoing connection.
 const FIRST_PORT: u16 = 12_000;
 /// Ports of a block; the first one marks it.
 const BLOCK_SIZE: u16 = 1_000;
@@ -56,8 +56,9 @@
         .next()
 }
 
-/// Tries an address without listening there. Guards against a sidecar that is started in that very moment: up to
-/// its exec it holds a copy of every socket, and a copy that listens would keep the address from its user.
+/// Tries an address without listening there. Guards against a sidecar that is started in that very
+/// moment: up to its exec it holds a copy of every socket, and a copy that listens would keep the
+/// address from its user.
 fn is_free(address: SocketAddr) -> bool {
     let bound = TcpSocket::new_v4().and_then(|socket| {
         socket
@@ -68,8 +69,8 @@
 }
 
 impl Ports {
-    /// The next address in turn, from a new block once the present ones are used up, and from the first block
-    /// again once there are no more; nothing if there is no block at all.
+    /// The next address in turn, from a new block once the present ones are used up, and from the
+    /// first block again once there are no more; nothing if there is no block at all.
     fn next_address(&mut self) -> Option<SocketAddr> {
         if self.next / PORTS_PER_BLOCK >= self.blocks.len() {
             match take_block() {
@@ -84,8 +85,8 @@
     }
 }
 
-/// A free loopback address. Guards against another emulator on this machine that is given the same one before
-/// somebody listens there: it is of a block that no other process takes from.
+/// A free loopback address. Guards against another emulator on this machine that is given the same
+/// one before somebody listens there: it is of a block that no other process takes from.
 ///
 /// # Errors
 /// Where all ports are used.
--- a/crates/testbed/src/emulator/recorder.rs
+++ b/crates/testbed/src/emulator/recorder.rs
@@ -20,12 +20,14 @@
         lock(&self.records).push(LogRecord { at, event });
     }
 
-    /// A request that was recorded as accepted turns out not to be, unless a server has received it.
+    /// A request that was recorded as accepted turns out not to be, unless a server has received
+    /// it.
     pub(super) fn on_request_not_accepted(&self, request: u64) {
         lock(&self.not_accepted).insert(request);
     }
 
-    /// The events so far in the order of their times, without those of requests that were not accepted.
+    /// The events so far in the order of their times, without those of requests that were not
+    /// accepted.
     pub(super) fn sorted(&self) -> Vec<LogRecord> {
         let mut records = lock(&self.records).clone();
         records.sort_by_key(|record| record.at);
--- a/crates/testbed/src/emulator/shared.rs
+++ b/crates/testbed/src/emulator/shared.rs
@@ -1,5 +1,5 @@
-//! What all parts of an emulation share: the scenario, the clock, the event record and the counts of what was
-//! swallowed in silence.
+//! What all parts of an emulation share: the scenario, the clock, the event record and the counts
+//! of what was swallowed in silence.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -10,7 +10,8 @@
 use crate::event_log::LogEvent;
 use crate::scenario::{Micros, Scenario, from_ms};
 
-/// Locks a mutex, also a poisoned one: what a task that panicked has recorded is still what happened.
+/// Locks a mutex, also a poisoned one: what a task that panicked has recorded is still what
+/// happened.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex
         .lock()
--- a/crates/testbed/src/emulator/sidecars/mod.rs
+++ b/crates/testbed/src/emulator/sidecars/mod.rs
@@ -1,6 +1,8 @@
-//! The sidecars: real processes that are configured, started, restarted, ended and asked for their counters.
+//! The sidecars: real processes that are configured, started, restarted, ended and asked for their
+//! counters.
 //!
-//! This file owns the fleet; `process` one sidecar, `settings` its configuration, `counters` what it printed.
+//! This file owns the fleet; `process` one sidecar, `settings` its configuration, `counters` what
+//! it printed.
 
 mod counters;
 mod process;
@@ -86,7 +88,8 @@
         let sidecars = (0..scenario.sidecars.count)
             .map(sidecar)
             .collect::<Result<_, EmulatorError>>()?;
-        // Written once: guards against a sidecar that reads it, as it starts, while it is written for the next.
+        // Written once: guards against a sidecar that reads it, as it starts, while it is written
+        // for the next.
         let machine_types = settings::machine_types(scenario).to_string();
         let machine_types = write(folder.join("machines.json"), &machine_types)?;
         Ok(Arc::new(Self {
@@ -109,7 +112,8 @@
         self.sidecars[number as usize].incarnation()
     }
 
-    /// Waits until a sidecar that is being killed is recorded as gone: what it closed was lost by the kill.
+    /// Waits until a sidecar that is being killed is recorded as gone: what it closed was lost by
+    /// the kill.
     pub(super) async fn kill_settled(&self, number: u32) {
         self.sidecars[number as usize].kill_settled().await;
     }
--- a/crates/testbed/src/emulator/sidecars/process.rs
+++ b/crates/testbed/src/emulator/sidecars/process.rs
@@ -1,4 +1,5 @@
-//! One sidecar's process: its address, its starts and ends, and the counters of the processes that ended.
+//! One sidecar's process: its address, its starts and ends, and the counters of the processes that
+//! ended.
 
 use std::net::SocketAddr;
 use std::process::ExitStatus;
--- a/crates/testbed/src/emulator/sidecars/start.rs
+++ b/crates/testbed/src/emulator/sidecars/start.rs
@@ -97,7 +97,8 @@
         Ok(())
     }
 
-    /// Writes a sidecar's configuration with the present endpoint list, and records what it says of the servers.
+    /// Writes a sidecar's configuration with the present endpoint list, and records what it says of
+    /// the servers.
     fn write_configuration(&self, number: usize) -> Result<PathBuf, EmulatorError> {
         let sidecar = &self.sidecars[number];
         let (known, notifications) = self.discovery.whole_list(number as u32);
--- a/crates/testbed/src/event_log/event.rs
+++ b/crates/testbed/src/event_log/event.rs
@@ -7,9 +7,9 @@
 use super::state::{ListedStatus, ProcessState, RequestOutcome, ServerState};
 use crate::scenario::Micros;
 
-/// One event. An `arrival` is what a client wants, a `request` one try of it at the sidecar, an attempt one
-/// forwarding of the request to a server. `server` and `sidecar` count from 0; work is in microseconds of a
-/// standard core.
+/// One event. An `arrival` is what a client wants, a `request` one try of it at the sidecar, an
+/// attempt one forwarding of the request to a server. `server` and `sidecar` count from 0; work is
+/// in microseconds of a standard core.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
 pub enum LogEvent {
--- a/crates/testbed/src/event_log/mod.rs
+++ b/crates/testbed/src/event_log/mod.rs
@@ -1,7 +1,7 @@
 //! The event log that both engines write, and that the auditor and the statistics read.
 //!
-//! Owns the form of the log: its events, how they are written and how they are read back, also from logs
-//! with the keys of earlier versions. What the events add up to is not decided here.
+//! Owns the form of the log: its events, how they are written and how they are read back, also from
+//! logs with the keys of earlier versions. What the events add up to is not decided here.
 
 mod event;
 mod reader;
--- a/crates/testbed/src/experiment/results.rs
+++ b/crates/testbed/src/experiment/results.rs
@@ -56,7 +56,8 @@
     pub cells: Vec<Cell>,
 }
 
-/// Mean and half the width of its 95 % confidence interval, which is 0 for a single value; nothing without values.
+/// Mean and half the width of its 95 % confidence interval, which is 0 for a single value; nothing
+/// without values.
 pub fn mean(values: &[f64]) -> Option<(f64, f64)> {
     let n = values.len() as f64;
     let mean = values.iter().sum::<f64>() / n;
@@ -76,7 +77,8 @@
 }
 
 impl Results {
-    /// One row a cell: its values, then mean and half the interval of each figure, then its violations.
+    /// One row a cell: its values, then mean and half the interval of each figure, then its
+    /// violations.
     pub fn csv(&self) -> String {
         let axes = self.plan.axis.iter().map(|axis| axis.key.clone());
         let figures = self.plan.figures.iter();
--- a/crates/testbed/src/report/figures.rs
+++ b/crates/testbed/src/report/figures.rs
@@ -106,13 +106,15 @@
         .find(|figure| figure.name == name || figure.old_name == Some(name))
 }
 
-/// The present name of a figure, given by it or by the name of an earlier version; nothing if there is none.
+/// The present name of a figure, given by it or by the name of an earlier version; nothing if there
+/// is none.
 pub fn figure_name(name: &str) -> Option<&'static str> {
     find(name).map(|figure| figure.name)
 }
 
 impl Report {
-    /// A figure by its name, or by the name of an earlier version; nothing if there is none or it has no value.
+    /// A figure by its name, or by the name of an earlier version; nothing if there is none or it
+    /// has no value.
     pub fn figure(&self, name: &str) -> Option<f64> {
         (find(name)?.value)(self)
     }
--- a/crates/testbed/src/report/mod.rs
+++ b/crates/testbed/src/report/mod.rs
@@ -1,7 +1,8 @@
 //! The summary of a run: its figures as data, as text, and beside another run's.
 //!
-//! Owns the form of the report and what counts as a pass. The figures are gathered by `statistics`, the
-//! violations by `audit`. Keys of earlier versions are accepted as aliases, so that stored reports stay readable.
+//! Owns the form of the report and what counts as a pass. The figures are gathered by `statistics`,
+//! the violations by `audit`. Keys of earlier versions are accepted as aliases, so that stored
+//! reports stay readable.
 
 mod compare;
 mod figures;
@@ -56,7 +57,8 @@
     pub sidecars: usize,
     /// Number of servers, replacements among them.
     pub servers: usize,
-    /// Value served in time as a share of the value that arrived: the weighted mean of the four figures below.
+    /// Value served in time as a share of the value that arrived: the weighted mean of the four
+    /// figures below.
     pub service: f64,
     /// `service` less the prices of what the sidecars cost others.
     pub service_after_prices: f64,
@@ -183,7 +185,8 @@
         self.missed_expectations = missed;
     }
 
-    /// True for a run that passes: no violations, no missed expectations, equal counters, reliable figures.
+    /// True for a run that passes: no violations, no missed expectations, equal counters, reliable
+    /// figures.
     pub fn holds(&self) -> bool {
         self.violation_count == 0
             && self.missed_expectations.is_empty()
--- a/crates/testbed/src/report/tests.rs
+++ b/crates/testbed/src/report/tests.rs
@@ -1,4 +1,5 @@
-//! Stored reports of earlier versions are read, what is written reads back, and figures keep their old names.
+//! Stored reports of earlier versions are read, what is written reads back, and figures keep their
+//! old names.
 
 use std::collections::HashSet;
 
--- a/crates/testbed/src/statistics/mod.rs
+++ b/crates/testbed/src/statistics/mod.rs
@@ -1,7 +1,7 @@
 //! The statistics of a run: reads the event log of either engine and sums it up in a report.
 //!
-//! Each file gathers one part: the value that was served, the outcomes of arrivals and requests, and the traffic
-//! that the sidecars caused. What the figures must be is judged elsewhere.
+//! Each file gathers one part: the value that was served, the outcomes of arrivals and requests,
+//! and the traffic that the sidecars caused. What the figures must be is judged elsewhere.
 
 mod arrival;
 mod outcomes;
@@ -56,8 +56,8 @@
         self.open_arrivals.insert(number, arrival);
     }
 
-    /// What an arrival is worth: its class's priority weight, by work where the scenario says so, and less for
-    /// a tenant beyond its quota.
+    /// What an arrival is worth: its class's priority weight, by work where the scenario says so,
+    /// and less for a tenant beyond its quota.
     fn value(&self, class: u16, work: f64, within_quota: bool) -> f64 {
         let relative_work = |mean_ms: f64| {
             if self.scenario.load.weight_by_work {
--- a/crates/testbed/src/statistics/service.rs
+++ b/crates/testbed/src/statistics/service.rs
@@ -4,7 +4,8 @@
 use super::{MICROS_PER_SECOND, second_of};
 use crate::scenario::Micros;
 
-/// Weights of the whole run, the worst window, the worst class and the worst tenant, as the operators set them.
+/// Weights of the whole run, the worst window, the worst class and the worst tenant, as the
+/// operators set them.
 const WEIGHTS: [f64; 4] = [0.25, 0.45, 0.20, 0.10];
 /// Seconds of the worst window.
 const WINDOW_S: usize = 10;
--- a/crates/testbed/src/statistics/traffic.rs
+++ b/crates/testbed/src/statistics/traffic.rs
@@ -1,4 +1,5 @@
-//! What clients sent, and what the sidecars caused by it: attempts, work, health checks, connections, polls.
+//! What clients sent, and what the sidecars caused by it: attempts, work, health checks,
+//! connections, polls.
 
 use rustc_hash::FxHashMap;
 
--- a/crates/testbed/tests/auditor/cold_server.rs
+++ b/crates/testbed/tests/auditor/cold_server.rs
@@ -5,7 +5,8 @@
 
 use super::{Finding, S, audit, listed};
 
-/// Work of 100 ms each, so many times within a span, at a cold server that can do 0.4 s of work a second.
+/// Work of 100 ms each, so many times within a span, at a cold server that can do 0.4 s of work a
+/// second.
 fn pressed(count: u64, informed: bool, cold: bool) -> Vec<Finding> {
     let mut events = vec![(
         S,
--- a/crates/testbed/tests/auditor/drain.rs
+++ b/crates/testbed/tests/auditor/drain.rs
@@ -15,7 +15,8 @@
             [(Rule::NoAttemptAfterDrain, Some(1), Some(0), 3 * S + 1)]
         );
     }
-    // A second notification does not start the time anew; a new start ends the drain; other sidecars were not notified.
+    // A second notification does not start the time anew; a new start ends the drain; other
+    // sidecars were not notified.
     let again = [
         listed(S, ListedStatus::Draining, 0),
         listed(2 * S, ListedStatus::Gone, 0),
--- a/crates/testbed/tests/auditor/main.rs
+++ b/crates/testbed/tests/auditor/main.rs
@@ -1,5 +1,5 @@
-//! The auditor itself: for each rule an event log that violates it is caught, and one that only just keeps it
-//! passes.
+//! The auditor itself: for each rule an event log that violates it is caught, and one that only
+//! just keeps it passes.
 
 mod cold_server;
 mod drain;
--- a/crates/testbed/tests/emulator.rs
+++ b/crates/testbed/tests/emulator.rs
@@ -1,4 +1,5 @@
-//! The emulator: real sidecars among emulated clients, servers and discovery, on free loopback ports.
+//! The emulator: real sidecars among emulated clients, servers and discovery, on free loopback
+//! ports.
 
 mod common;
 
@@ -121,7 +122,8 @@
 servers = ["s2"]
 "#;
     let report = emulate("faults", fault);
-    // Half of what ran at s0 and s1 for a second was lost with its connection: unsafe work among it must fail.
+    // Half of what ran at s0 and s1 for a second was lost with its connection: unsafe work among it
+    // must fail.
     assert!(report.count(RequestOutcome::Failed) > 0, "{report}");
 }
 
