--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -14,9 +14,9 @@
 use arrowstand_platform::json::{self, Node};
 use arrowstand_platform::{KeyError, KeyProblem, PlatformSettings, TransportSettings};
 
-use crate::discovery::EndpointList;
 use crate::limits::{LimitInputs, Limits};
 use crate::machine_table;
+use arrowstand_platform::EndpointList;
 
 pub(crate) use error::ConfigError;
 pub(crate) use names::Names;
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -6,7 +6,7 @@
 
 use arrowstand_balancer::Outcome;
 
-use crate::upstream::send_guard::SendBlocked;
+use crate::message::SendBlocked;
 
 macro_rules! counters {
     ($($name:ident: $text:literal,)*) => {
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -3,14 +3,11 @@
 //! Owns the connection to discovery and the position in its numbering of changes. What an endpoint
 //! list means for the servers is the host's and the balancer's business.
 
-mod endpoint;
 mod line_decoder;
 mod watch;
 mod watch_cursor;
 mod watch_error;
 mod watcher;
 
-#[cfg(test)]
-pub use endpoint::Endpoint;
-pub use endpoint::EndpointList;
+use arrowstand_platform::EndpointList;
 pub use watcher::follow;
--- a/crates/sidecar/src/downstream/connection.rs
+++ b/crates/sidecar/src/downstream/connection.rs
@@ -17,7 +17,7 @@
 use super::lifecycle::Lifecycle;
 use super::socket_slot::SocketSlot;
 use crate::limits::Limits;
-use crate::proxy::ClientPresence;
+use crate::message::ClientPresence;
 
 /// While a request is in flight there is no deadline, and it is looked for again so often in an
 /// idle timeout.
--- a/crates/sidecar/src/downstream/request.rs
+++ b/crates/sidecar/src/downstream/request.rs
@@ -9,7 +9,7 @@
 use super::malformed_request::MalformedRequest;
 use super::request_headers::{RequestHeaders, content_length, forwarded_headers};
 use crate::host::BalancerHost;
-use crate::proxy::{Payload, ProxyRequest};
+use crate::message::{Payload, ProxyRequest};
 
 const METHODS: [&str; 2] = ["GET", "POST"];
 
--- a/crates/sidecar/src/downstream/request_headers.rs
+++ b/crates/sidecar/src/downstream/request_headers.rs
@@ -8,7 +8,7 @@
 
 use super::malformed_request::MalformedRequest;
 use crate::host::BalancerHost;
-use crate::proxy::FORWARDED_HEADERS;
+use crate::message::FORWARDED_HEADERS;
 
 const REQUEST_ID: &str = "x-request-id";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
--- a/crates/sidecar/src/downstream/response.rs
+++ b/crates/sidecar/src/downstream/response.rs
@@ -7,7 +7,8 @@
 use actix_http::{ConnectionType, Response, StatusCode};
 
 use super::malformed_request::MalformedRequest;
-use crate::proxy::{Payload, ProxyResponse};
+use crate::message::Payload;
+use crate::proxy::ProxyResponse;
 
 /// A response with a body of any size.
 pub type ClientResponse = Response<BoxBody>;
--- a/crates/sidecar/src/host/balancer_host.rs
+++ b/crates/sidecar/src/host/balancer_host.rs
@@ -23,8 +23,8 @@
 use super::timers::TimerQueue;
 use crate::config::Names;
 use crate::counters::Counters;
-use crate::discovery::EndpointList;
 use crate::limits::Limits;
+use arrowstand_platform::EndpointList;
 
 /// The balancer and the parts that run it. There is one, and it stays on one thread.
 pub struct BalancerHost {
--- a/crates/sidecar/src/host/server_registry.rs
+++ b/crates/sidecar/src/host/server_registry.rs
@@ -10,7 +10,7 @@
 use arrowstand_control::{MachineCatalogue, stable_hash};
 
 use super::server::Server;
-use crate::discovery::EndpointList;
+use arrowstand_platform::EndpointList;
 
 const MICROS_PER_MS: f64 = 1_000.0;
 /// What a list has for the start time of a server that started long ago.
--- a/crates/sidecar/src/host/server_registry/tests.rs
+++ b/crates/sidecar/src/host/server_registry/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
-use crate::discovery::Endpoint;
+use arrowstand_platform::ListedEndpoint;
 
-fn entry(n: u32, condition: EndpointStatus) -> Endpoint {
-    Endpoint {
+fn entry(n: u32, condition: EndpointStatus) -> ListedEndpoint {
+    ListedEndpoint {
         uid: format!("s{n}"),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: "z".to_owned(),
@@ -13,7 +13,7 @@
     }
 }
 
-fn list(endpoints: Vec<Endpoint>) -> EndpointList {
+fn list(endpoints: Vec<ListedEndpoint>) -> EndpointList {
     EndpointList {
         endpoints,
         ..EndpointList::default()
--- a/crates/sidecar/src/proxy/message.rs
+++ b/crates/sidecar/src/message/request.rs
@@ -1,4 +1,4 @@
-//! A request as it comes from any client and its final response, free of the client's protocol.
+//! A request as it comes from any client, free of the client's protocol.
 
 use std::time::Duration;
 
@@ -45,25 +45,7 @@
 
 impl ProxyRequest {
     /// When the client gives up.
-    pub(super) fn deadline(&self) -> Instant {
+    pub fn deadline(&self) -> Instant {
         self.arrived + self.client_timeout
     }
 }
-
-/// The one final response to a request.
-pub enum ProxyResponse {
-    /// A server's body, complete and unchanged.
-    Served(Payload),
-    /// Nothing was executed.
-    Rejected {
-        /// The pause advised before the client tries again.
-        retry_after: Duration,
-    },
-    /// The request may have been executed.
-    Failed {
-        /// The pause advised before the client tries again.
-        retry_after: Duration,
-    },
-    /// Another request of that id is in flight; nothing was done.
-    DuplicateId,
-}
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -2,11 +2,9 @@
 //! Knows neither the client's protocol nor how an attempt is written to a server.
 
 mod attempts;
-mod client_presence;
 mod exchange;
-mod message;
+mod response;
 mod retry_window;
 
-pub use client_presence::ClientPresence;
 pub use exchange::run;
-pub use message::{FORWARDED_HEADERS, Payload, ProxyRequest, ProxyResponse};
+pub use response::ProxyResponse;
--- a/crates/sidecar/src/proxy/attempts.rs
+++ b/crates/sidecar/src/proxy/attempts.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt as _, StreamExt as _};
 
-use crate::upstream::AttemptResult;
+use crate::message::AttemptResult;
 
 /// An attempt that has ended.
 pub struct EndedAttempt {
--- a/crates/sidecar/src/proxy/exchange.rs
+++ b/crates/sidecar/src/proxy/exchange.rs
@@ -8,9 +8,10 @@
 use tokio::time::Instant;
 
 use super::attempts::{Attempts, EndedAttempt};
-use super::message::{ProxyRequest, ProxyResponse};
+use super::response::ProxyResponse;
 use super::retry_window::RetryWindow;
 use crate::host::{BalancerHost, InFlightRequest, RequestAction};
+use crate::message::ProxyRequest;
 use crate::upstream::Upstream;
 
 /// Runs a request to its final response. Dropped early, when its client has disconnected, it
--- a/crates/sidecar/src/upstream/attempt.rs
+++ b/crates/sidecar/src/upstream/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arrowstand_balancer::{LoadReport, Outcome};
+use arrowstand_platform::load_report::read_report;
 use awc::ClientRequest;
 use awc::http::StatusCode;
 use awc::http::header::{HeaderName, HeaderValue};
@@ -11,10 +12,9 @@
 
 use super::connection_pool::ConnectionPools;
 use super::exchange::{CompleteResponse, ExchangeFailed, exchange, outcome_without_response};
-use super::load_report::read_report;
 use super::write_progress::{SendGuard, WriteProgress};
 use crate::host::{BalancerHost, Server};
-use crate::proxy::{FORWARDED_HEADERS, Payload, ProxyRequest};
+use crate::message::{AttemptResult, FORWARDED_HEADERS, Payload, ProxyRequest};
 
 /// The client's id of the request.
 const REQUEST_ID: &str = "x-request-id";
@@ -28,31 +28,6 @@
 const NOT_PROCESSED: &str = "x-not-processed";
 const NOT_PROCESSED_TRUE: &str = "1";
 
-/// How an attempt ended.
-pub struct AttemptResult {
-    /// What the balancer is to know of the attempt's end.
-    pub outcome: Outcome,
-    /// The load report that came with the response.
-    pub load_report: Option<LoadReport>,
-    /// The response's body and forwarded headers, where the request was served.
-    pub payload: Option<Payload>,
-}
-
-impl AttemptResult {
-    /// An attempt of which no response came.
-    pub fn without_response(outcome: Outcome) -> Self {
-        Self::without_payload(outcome, None)
-    }
-
-    fn without_payload(outcome: Outcome, load_report: Option<LoadReport>) -> Self {
-        Self {
-            outcome,
-            load_report,
-            payload: None,
-        }
-    }
-}
-
 /// An attempt that is about to be made.
 pub struct Attempt<'a> {
     /// Knows the clock, the limits and how fresh the endpoint list is.
--- a/crates/sidecar/src/upstream/health_check.rs
+++ b/crates/sidecar/src/upstream/health_check.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use arrowstand_balancer::{Event, LoadReport, Outcome, ServerId};
+use arrowstand_platform::load_report::read_report;
 use awc::http::StatusCode;
 use bytes::Bytes;
 use tokio::sync::mpsc;
@@ -10,7 +11,6 @@
 
 use super::connection_pool::ConnectionPools;
 use super::exchange::{CompleteResponse, ExchangeFailed, exchange, outcome_without_response};
-use super::load_report::read_report;
 use super::write_progress::WriteProgress;
 use crate::host::{BalancerHost, Server};
 
--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -18,11 +18,10 @@
 mod connector;
 mod exchange;
 mod health_check;
-mod load_report;
 mod response_framing;
 mod response_head;
 mod reuse_delay;
-pub mod send_guard;
+mod send_guard;
 mod tracked_stream;
 mod write_progress;
 
@@ -34,9 +33,9 @@
 use tokio::time::Instant;
 
 use crate::host::BalancerHost;
-use crate::proxy::ProxyRequest;
+use crate::message::{AttemptResult, ProxyRequest};
 use attempt::Attempt;
-pub use attempt::AttemptResult;
+
 use connection_pool::ConnectionPools;
 use health_check::HealthChecker;
 
--- a/crates/sidecar/src/upstream/send_guard.rs
+++ b/crates/sidecar/src/upstream/send_guard.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::message::SendBlocked;
+
 /// What is known at the moment in which the first byte would be written.
 #[derive(Clone, Copy, Debug)]
 pub struct SendConditions {
@@ -25,37 +27,6 @@
     pub list_stale: bool,
 }
 
-/// Why an attempt may not begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendBlocked {
-    /// Its client has closed the connection.
-    ClientLeft,
-    /// It has timed out before its first byte.
-    NoTime,
-    /// It is a retry, and servers may no longer recognise it as one.
-    WindowOver,
-    /// The server has been draining for too long.
-    ServerDraining,
-    /// The server has another address by now.
-    ServerMoved,
-    /// The endpoint list is too old to show a drain.
-    ListStale,
-}
-
-impl SendBlocked {
-    /// The text of the I/O error with which the write fails.
-    pub fn reason(self) -> &'static str {
-        match self {
-            Self::ClientLeft => "the client has left",
-            Self::NoTime => "no time is left",
-            Self::WindowOver => "the window for repeats is over",
-            Self::ServerDraining => "the server drains",
-            Self::ServerMoved => "the server has moved",
-            Self::ListStale => "the list is too old to show a drain",
-        }
-    }
-}
-
 /// Checks every rule that may be broken by the time that passes between a decision and the first
 /// byte. A server takes nothing new once its drain is `max_drain_age` old.
 ///
--- a/crates/sidecar/src/upstream/write_progress.rs
+++ b/crates/sidecar/src/upstream/write_progress.rs
@@ -11,10 +11,10 @@
 
 use tokio::time::Instant;
 
-use super::send_guard::{SendBlocked, SendConditions, check};
+use super::send_guard::{SendConditions, check};
 use crate::host::{BalancerHost, Server};
 use crate::limits::Limits;
-use crate::proxy::ClientPresence;
+use crate::message::{ClientPresence, SendBlocked};
 
 tokio::task_local! {
     /// The request that the current task is sending, whichever connection it got from the pool.
