--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -57,8 +57,8 @@
     ///
     /// # Errors
     /// One line that names the variable or the key; see [`ConfigError`].
-    pub(crate) fn from_environment() -> Result<Self, String> {
-        Ok(Self::load(environment_variable)?)
+    pub(crate) fn from_environment() -> Result<Self, ConfigError> {
+        Self::load(environment_variable)
     }
 
     /// Reads the file again. The environment of a running process cannot be changed by its
@@ -66,11 +66,11 @@
     ///
     /// # Errors
     /// As for [`from_environment`](Self::from_environment).
-    pub(crate) fn reload() -> Result<Self, String> {
-        Ok(Self::load(|name| match name {
+    pub(crate) fn reload() -> Result<Self, ConfigError> {
+        Self::load(|name| match name {
             "NODE_DISCOVERY" => None,
             _ => environment_variable(name),
-        })?)
+        })
     }
 
     fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
--- a/crates/sidecar/src/config/error.rs
+++ b/crates/sidecar/src/config/error.rs
@@ -44,9 +44,3 @@
         text: String,
     },
 }
-
-impl From<ConfigError> for String {
-    fn from(error: ConfigError) -> Self {
-        error.to_string()
-    }
-}
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -46,8 +46,7 @@
 /// the sidecar serves.
 async fn serve() -> Result<(), StartupError> {
     let mut signals = Signals::listen()?;
-    let config =
-        Config::from_environment().map_err(|error| StartupError::Configuration(error.into()))?;
+    let config = Config::from_environment()?;
     let sidecar = Sidecar::start(config).await?;
     loop {
         match signals.next().await {
--- a/crates/sidecar/src/startup_error.rs
+++ b/crates/sidecar/src/startup_error.rs
@@ -1,12 +1,13 @@
 //! Why the sidecar does not start, as one line for the operator and an exit code.
 
-use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use arrowstand_balancer::SettingsError;
 
+use crate::config::ConfigError;
+
 /// What the exit code says of a configuration that cannot be used; any other failure is 1.
 const INVALID_CONFIGURATION: u8 = 2;
 
@@ -27,7 +28,7 @@
     /// The environment or the configuration file cannot be used; the message names the variable or
     /// the key.
     #[error(transparent)]
-    Configuration(Box<dyn Error>),
+    Configuration(#[from] ConfigError),
     /// The balancer does not take its settings.
     #[error(transparent)]
     Settings(#[from] SettingsError),
--- a/crates/sidecar/src/startup_error/tests.rs
+++ b/crates/sidecar/src/startup_error/tests.rs
@@ -14,10 +14,13 @@
 
 #[test]
 fn a_bad_configuration_is_reported_as_it_is_and_exits_with_2() {
-    let error = StartupError::Configuration("seed: must be hex digits".into());
+    let error = StartupError::from(ConfigError::NoFile);
     assert_eq!(
         outcome(&error),
-        expected("seed: must be hex digits", ExitCode::from(2))
+        expected(
+            "NODE_CONFIG: is not set; it names the JSON file",
+            ExitCode::from(2)
+        )
     );
 }
 
--- a/crates/sidecar/src/upstream/response_framing/tests.rs
+++ b/crates/sidecar/src/upstream/response_framing/tests.rs
@@ -1,10 +1,10 @@
 use super::*;
-use crate::limits::Basis;
+use crate::limits::LimitInputs;
 
 fn limits() -> Limits {
-    Limits::derive(&Basis {
+    Limits::derive(&LimitInputs {
         sockets: 64,
-        ..Basis::default()
+        ..LimitInputs::default()
     })
 }
 
--- a/crates/sidecar/src/upstream/write_progress/tests.rs
+++ b/crates/sidecar/src/upstream/write_progress/tests.rs
@@ -5,12 +5,12 @@
 use crate::config::Names;
 
 fn host(drain_grace: std::time::Duration) -> Rc<BalancerHost> {
-    let basis = crate::limits::Basis {
+    let inputs = crate::limits::LimitInputs {
         sockets: 64,
         drain_grace,
         ..Default::default()
     };
-    let limits = Rc::new(Limits::derive(&basis));
+    let limits = Rc::new(Limits::derive(&inputs));
     let settings = arrowstand_balancer::Settings {
         classes: vec![arrowstand_balancer::RequestClass::new(
             arrowstand_balancer::Idempotency::Idempotent,
