--- a/crates/sidecar/tests/support/steps.rs
+++ b/crates/sidecar/tests/support/steps.rs
@@ -37,7 +37,7 @@
             "refill" => self.slow_servers.iter_mut().for_each(SlowServer::refill),
             "deny" => self.reject_polls(),
             "stop" => self.stop(),
-            "halt" => self.signal("-STOP"),
+            "halt" => self.halt(),
             "resume" => self.signal("-CONT"),
             "pause" => thread::sleep(parse_milliseconds(text)),
             "reload" => self.reload(text),
--- a/crates/sidecar/tests/support/steps/process.rs
+++ b/crates/sidecar/tests/support/steps/process.rs
@@ -41,6 +41,17 @@
         assert!(kill.expect("kill runs").success());
     }
 
+    /// Sends SIGSTOP and waits until the process has stopped: the signal takes effect some time after
+    /// it was sent, and on a busy machine the sidecar would go on reading meanwhile.
+    pub(super) fn halt(&self) {
+        self.signal("-STOP");
+        until("the halt", || {
+            let stat = fs::read_to_string(self.process_file("stat")).ok()?;
+            let (_, state) = stat.rsplit_once(") ")?;
+            state.starts_with('T').then_some(())
+        });
+    }
+
     /// Sends SIGTERM.
     pub(super) fn stop(&mut self) {
         self.signal("-TERM");
