--- a/crates/testbed/src/simulator/client.rs
+++ b/crates/testbed/src/simulator/client.rs
@@ -18,7 +18,7 @@
     }
 
     pub(super) fn on_arrival(&mut self, sidecar: u32, arrival: Arrival) {
-        let number = self.take_number();
+        let number = self.open.take_number();
         let within_share = self.takes_quota(arrival.shop);
         self.record(LogEvent::ArrivalStarted {
             arrival: number,
@@ -29,7 +29,7 @@
             work: arrival.work,
         });
         let class = &self.scenario.class[usize::from(arrival.class)];
-        let key = self.arrivals.insert(OpenArrival {
+        let key = self.open.arrivals.insert(OpenArrival {
             number,
             sidecar,
             class: arrival.class,
@@ -39,7 +39,7 @@
             requests: 0,
             honours_retry_after: arrival.honours,
         });
-        if self.requests.len() >= self.scenario.load.max_open_requests {
+        if self.open.requests.len() >= self.scenario.load.max_open_requests {
             self.effort.not_played += 1;
             self.close_arrival(key, RequestOutcome::NotPlayed);
         } else {
@@ -58,10 +58,10 @@
 
     /// Sends the first request of an arrival, or a retry.
     pub(super) fn send_request(&mut self, key: ArrivalKey) {
-        let number = self.take_number();
+        let number = self.open.take_number();
         let now = self.timeline.now();
         let clients = &self.scenario.clients;
-        let Some(arrival) = self.arrivals.get_mut(key) else {
+        let Some(arrival) = self.open.arrivals.get_mut(key) else {
             return;
         };
         arrival.requests += 1;
@@ -75,7 +75,7 @@
         // The moment is drawn whether or not it counts, so that the share moves no other draw.
         let disconnects = random.chance(clients.disconnect_share);
         let disconnects_at = now + (random.unit() * timeout as f64) as Micros;
-        let request = self.requests.insert(Request {
+        let request = self.open.requests.insert(Request {
             number,
             arrival: key,
             process: SidecarProcess {
@@ -104,7 +104,7 @@
 
     pub(super) fn on_response_at_client(&mut self, response: &ClientResponse) {
         let outcome = response.outcome;
-        let Some(request) = self.requests.remove(response.request) else {
+        let Some(request) = self.open.requests.remove(response.request) else {
             return;
         };
         if outcome != RequestOutcome::Unreachable {
@@ -119,7 +119,7 @@
     pub(super) fn on_client_timeout(&mut self, key: RequestKey) {
         if self.awaits_response(key) {
             self.abandon_request(key);
-            if let Some(request) = self.requests.remove(key) {
+            if let Some(request) = self.open.requests.remove(key) {
                 self.on_request_ended(request.arrival, RequestOutcome::Unanswered, 0);
             }
         }
@@ -127,10 +127,14 @@
 
     pub(super) fn on_client_disconnect(&mut self, key: RequestKey) {
         if self.awaits_response(key) {
-            let number = self.requests.get(key).map_or(0, |request| request.number);
+            let number = self
+                .open
+                .requests
+                .get(key)
+                .map_or(0, |request| request.number);
             self.record(LogEvent::ClientDisconnected { request: number });
             self.abandon_request(key);
-            if let Some(request) = self.requests.remove(key) {
+            if let Some(request) = self.open.requests.remove(key) {
                 self.close_arrival(request.arrival, RequestOutcome::Disconnected);
             }
         }
@@ -138,7 +142,8 @@
 
     /// False once the sidecar has responded: its response is on its way and comes within the grace.
     fn awaits_response(&self, key: RequestKey) -> bool {
-        self.requests
+        self.open
+            .requests
             .get(key)
             .is_some_and(|request| !request.answered)
     }
@@ -146,7 +151,7 @@
     /// Retries an arrival whose request has ended, or closes it.
     fn on_request_ended(&mut self, key: ArrivalKey, outcome: RequestOutcome, retry_after: Micros) {
         let scenario = self.scenario;
-        let Some(arrival) = self.arrivals.get(key) else {
+        let Some(arrival) = self.open.arrivals.get(key) else {
             return;
         };
         let class = &scenario.class[usize::from(arrival.class)];
@@ -169,7 +174,7 @@
     }
 
     fn close_arrival(&mut self, key: ArrivalKey, outcome: RequestOutcome) {
-        if let Some(arrival) = self.arrivals.remove(key) {
+        if let Some(arrival) = self.open.arrivals.remove(key) {
             self.record(LogEvent::ArrivalEnded {
                 arrival: arrival.number,
                 outcome,
--- a/crates/testbed/src/simulator/mod.rs
+++ b/crates/testbed/src/simulator/mod.rs
@@ -19,7 +19,6 @@
 mod timeline;
 
 use arrowstand_balancer::Action;
-use slotmap::SlotMap;
 
 use crate::event_log::{EventLog, LogEvent, LogRecord};
 use crate::random::{RandomStream, StreamId};
@@ -29,7 +28,7 @@
 
 use discovery::Discovery;
 use event::SimulatorEvent;
-use request::{ArrivalKey, Attempt, AttemptKey, OpenArrival, Request, RequestKey};
+use request::OpenWork;
 use server::Server;
 use sidecar::Sidecar;
 use timeline::Timeline;
@@ -53,12 +52,7 @@
     sidecars: Vec<Sidecar>,
     servers: Vec<Server>,
     discovery: Discovery,
-    arrivals: SlotMap<ArrivalKey, OpenArrival>,
-    requests: SlotMap<RequestKey, Request>,
-    attempts: SlotMap<AttemptKey, Attempt>,
-    /// The next number of an arrival or a request.
-    next_number: u64,
-    next_job: u64,
+    open: OpenWork,
     /// Draws resets and malformed responses.
     server_random: RandomStream,
     quotas: Vec<TenantQuota>,
@@ -81,11 +75,7 @@
             sidecars: Vec::new(),
             servers: Vec::new(),
             discovery: Discovery::new(scenario),
-            arrivals: SlotMap::with_key(),
-            requests: SlotMap::with_key(),
-            attempts: SlotMap::with_key(),
-            next_number: 1,
-            next_job: 1,
+            open: OpenWork::new(),
             server_random: RandomStream::new(scenario.seed, StreamId::Machines, 0),
             quotas: quotas(scenario),
             fault_targets: Vec::new(),
@@ -106,7 +96,7 @@
     fn play(&mut self) {
         let last_arrival = from_s(self.scenario.seconds);
         while let Some(event) = self.timeline.next(last_arrival + MAX_RUN_OUT) {
-            if self.timeline.now() > last_arrival && self.arrivals.is_empty() {
+            if self.timeline.now() > last_arrival && self.open.arrivals.is_empty() {
                 return;
             }
             self.effort.events_played += 1;
@@ -149,13 +139,6 @@
         self.log.note(&LogRecord { at, event });
     }
 
-    /// A number for an arrival or a request.
-    fn take_number(&mut self) -> u64 {
-        let number = self.next_number;
-        self.next_number += 1;
-        number
-    }
-
     /// One way between a sidecar and a server in microseconds, drawn by the sidecar's stream.
     fn draw_delay(&mut self, sidecar: u32, server: u32) -> Micros {
         let network = &self.scenario.network;
--- a/crates/testbed/src/simulator/request.rs
+++ b/crates/testbed/src/simulator/request.rs
@@ -1,6 +1,6 @@
 //! What is open in the simulator: arrivals, their requests, and the requests' attempts.
 
-use slotmap::new_key_type;
+use slotmap::{SlotMap, new_key_type};
 
 use super::event::SidecarProcess;
 use crate::scenario::Micros;
@@ -11,6 +11,44 @@
     pub(super) struct AttemptKey;
 }
 
+/// All that is open, by keys that outlive it: what is removed is no longer found.
+pub(super) struct OpenWork {
+    pub(super) arrivals: SlotMap<ArrivalKey, OpenArrival>,
+    pub(super) requests: SlotMap<RequestKey, Request>,
+    pub(super) attempts: SlotMap<AttemptKey, Attempt>,
+    /// The next number of an arrival or a request.
+    next_number: u64,
+    /// The next number of an attempt at a server's model.
+    next_job: u64,
+}
+
+impl OpenWork {
+    /// Nothing is open yet.
+    pub(super) fn new() -> Self {
+        Self {
+            arrivals: SlotMap::with_key(),
+            requests: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            next_number: 1,
+            next_job: 1,
+        }
+    }
+
+    /// A number for an arrival or a request.
+    pub(super) fn take_number(&mut self) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        number
+    }
+
+    /// A number for an attempt at a server's model.
+    pub(super) fn take_job(&mut self) -> u64 {
+        let job = self.next_job;
+        self.next_job += 1;
+        job
+    }
+}
+
 /// What a client wants, with all its requests.
 pub(super) struct OpenArrival {
     pub(super) number: u64,
--- a/crates/testbed/src/simulator/server/attempts.rs
+++ b/crates/testbed/src/simulator/server/attempts.rs
@@ -22,7 +22,7 @@
         timeout: Option<Micros>,
         events: &mut VecDeque<BalancerEvent>,
     ) {
-        let request = self.requests.get(request_key);
+        let request = self.open.requests.get(request_key);
         let Some(request) = request.filter(|request| !request.answered) else {
             return;
         };
@@ -30,7 +30,7 @@
         let now = self.timeline.now();
         let mut attempt = new_attempt(request_key, request, server, timeout, now);
         let sidecar = attempt.sidecar;
-        attempt.job = self.take_job();
+        attempt.job = self.open.take_job();
         let is_known = self.servers.get(server as usize).is_some();
         if is_known {
             attempt.delay = self.draw_delay(sidecar, server);
@@ -41,8 +41,8 @@
         }
         attempt.fresh = attempt.connection.is_none();
         attempt.written = !attempt.fresh;
-        let key = self.attempts.insert(attempt);
-        if let Some(request) = self.requests.get_mut(request_key) {
+        let key = self.open.attempts.insert(attempt);
+        if let Some(request) = self.open.requests.get_mut(request_key) {
             request.attempts.push(key);
         }
         if is_known {
@@ -52,12 +52,6 @@
         }
     }
 
-    fn take_job(&mut self) -> u64 {
-        let job = self.next_job;
-        self.next_job += 1;
-        job
-    }
-
     /// Work of one attempt, which differs from the request's by its class's noise.
     fn draw_attempt_work(&mut self, sidecar: u32, class: u16, work: f64) -> f64 {
         let class = self.scenario.class.get(usize::from(class));
@@ -71,7 +65,7 @@
     }
 
     fn schedule_attempt(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else {
+        let Some(attempt) = self.open.attempts.get(key) else {
             return;
         };
         let (delay, due) = (attempt.delay, attempt.due);
@@ -91,12 +85,12 @@
 
     /// An attempt's last byte is at the server.
     pub(in crate::simulator) fn on_attempt_at_server(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else {
+        let Some(attempt) = self.open.attempts.get(key) else {
             return;
         };
         // Its connection was closed before all of it had arrived.
         if attempt.ended && attempt.fresh {
-            self.attempts.remove(key);
+            self.open.attempts.remove(key);
             return;
         }
         let server = &mut self.servers[attempt.server as usize];
@@ -114,7 +108,7 @@
     /// Offers an attempt to the server, which takes it or rejects it.
     fn offer_attempt(&mut self, key: AttemptKey) {
         let now = self.timeline.now();
-        let Some(attempt) = self.attempts.get_mut(key) else {
+        let Some(attempt) = self.open.attempts.get_mut(key) else {
             return;
         };
         let number = attempt.server;
--- a/crates/testbed/src/simulator/server/connecting.rs
+++ b/crates/testbed/src/simulator/server/connecting.rs
@@ -11,7 +11,7 @@
 
 impl Simulator<'_> {
     pub(super) fn on_attempt_written(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
+        let Some(attempt) = self.open.attempts.get_mut(key) else {
             return;
         };
         attempt.written = true;
@@ -28,7 +28,7 @@
 
     /// A new connection's first packet is at the server.
     pub(in crate::simulator) fn on_connect_at_server(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
+        let Some(attempt) = self.open.attempts.get_mut(key) else {
             return;
         };
         let server = &mut self.servers[attempt.server as usize];
@@ -36,7 +36,7 @@
             return;
         }
         if attempt.ended {
-            self.attempts.remove(key);
+            self.open.attempts.remove(key);
             return;
         }
         let accepted = server.reachability == Reachability::Open && server.machine.connect();
@@ -51,11 +51,11 @@
 
     /// The sidecar knows that its connection is open, and writes the request.
     pub(in crate::simulator) fn on_connection_open(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else {
+        let Some(attempt) = self.open.attempts.get(key) else {
             return;
         };
         if attempt.ended {
-            self.attempts.remove(key);
+            self.open.attempts.remove(key);
             return;
         }
         let (due, delay) = (attempt.due, attempt.delay);
@@ -70,7 +70,7 @@
 
     /// Closes an attempt's connection; the server notices what it has of it after the way there.
     pub(in crate::simulator) fn close_attempt_connection(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
+        let Some(attempt) = self.open.attempts.get_mut(key) else {
             return;
         };
         let Some(server_start) = attempt.connection.take() else {
--- a/crates/testbed/src/simulator/server/results.rs
+++ b/crates/testbed/src/simulator/server/results.rs
@@ -17,7 +17,7 @@
         let Some(key) = server.jobs.remove(&job) else {
             return;
         };
-        let Some(attempt) = self.attempts.get_mut(key) else {
+        let Some(attempt) = self.open.attempts.get_mut(key) else {
             return;
         };
         attempt.reported_in_flight = server.machine.answer_report(now);
@@ -38,7 +38,7 @@
         };
         self.record(done);
         if ended {
-            self.attempts.remove(key);
+            self.open.attempts.remove(key);
         } else {
             let result = SimulatorEvent::ResultAtSidecar(key, outcome);
             self.timeline.after(delay, result);
@@ -48,7 +48,7 @@
     /// The connections of attempts are reset by their server.
     pub(in crate::simulator) fn reset_attempts(&mut self, attempts: Vec<AttemptKey>) {
         for key in attempts {
-            if let Some(attempt) = self.attempts.get(key) {
+            if let Some(attempt) = self.open.attempts.get(key) {
                 let reset = SimulatorEvent::ResultAtSidecar(key, Outcome::Reset);
                 self.timeline.after(attempt.delay, reset);
             }
@@ -57,14 +57,19 @@
 
     /// Removes an attempt that has ended; one that has not waits for its timeout.
     pub(super) fn remove_if_ended(&mut self, key: AttemptKey) {
-        if self.attempts.get(key).is_some_and(|attempt| attempt.ended) {
-            self.attempts.remove(key);
+        if self
+            .open
+            .attempts
+            .get(key)
+            .is_some_and(|attempt| attempt.ended)
+        {
+            self.open.attempts.remove(key);
         }
     }
 
     /// The end of an attempt is at its sidecar.
     pub(in crate::simulator) fn on_result_at_sidecar(&mut self, key: AttemptKey, outcome: Outcome) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
+        let Some(attempt) = self.open.attempts.get_mut(key) else {
             return;
         };
         if !attempt.ended {
@@ -81,12 +86,12 @@
             self.end_attempt(key, outcome, &mut events);
             self.handle_balancer_events(sidecar, events);
         }
-        self.attempts.remove(key);
+        self.open.attempts.remove(key);
     }
 
     /// An attempt's time is over, or its connection did not open in time.
     pub(in crate::simulator) fn on_attempt_timeout(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else {
+        let Some(attempt) = self.open.attempts.get(key) else {
             return;
         };
         // The timeout of the connection, which has opened since.
@@ -106,7 +111,7 @@
         self.handle_balancer_events(sidecar, events);
         let works_on_it = self.servers[server as usize].jobs.contains_key(&job);
         if !works_on_it && outcome == Outcome::ConnectFailed {
-            self.attempts.remove(key);
+            self.open.attempts.remove(key);
         }
     }
 }
--- a/crates/testbed/src/simulator/sidecar/host.rs
+++ b/crates/testbed/src/simulator/sidecar/host.rs
@@ -92,7 +92,7 @@
     }
 
     fn open_request(&self, sidecar: u32, request: RequestId) -> Option<RequestKey> {
-        let open = &self.sidecars[sidecar as usize].open;
+        let open = &self.sidecars[sidecar as usize].open_requests;
         open.get(&request.0).copied()
     }
 
--- a/crates/testbed/src/simulator/sidecar/mod.rs
+++ b/crates/testbed/src/simulator/sidecar/mod.rs
@@ -47,7 +47,7 @@
     pub(super) polls: u32,
     connections: IdleConnections,
     /// Open requests by their numbers.
-    open: BTreeMap<u64, RequestKey>,
+    open_requests: BTreeMap<u64, RequestKey>,
     /// What its clients want.
     pub(super) arrivals: ArrivalStream,
     /// Draws its clients' timeouts and backoffs.
@@ -70,7 +70,7 @@
             watches: false,
             polls: 0,
             connections: IdleConnections::default(),
-            open: BTreeMap::new(),
+            open_requests: BTreeMap::new(),
             arrivals: ArrivalStream::new(scenario, number, part),
             // Requests draw from a stream of their own, so that arrivals stay as they are.
             client_random: stream(StreamId::Clients, number + REQUEST_STREAMS),
@@ -97,7 +97,7 @@
         self.watches = false;
         self.incarnation += 1;
         let connections = std::mem::take(&mut self.connections);
-        (connections, std::mem::take(&mut self.open))
+        (connections, std::mem::take(&mut self.open_requests))
     }
 }
 
@@ -188,7 +188,7 @@
 
     /// Closes the connections of a request whose sidecar is gone.
     fn lose_request(&mut self, key: RequestKey) {
-        let Some(request) = self.requests.get_mut(key) else {
+        let Some(request) = self.open.requests.get_mut(key) else {
             return;
         };
         let was_answered = std::mem::replace(&mut request.answered, true);
--- a/crates/testbed/src/simulator/sidecar/requests.rs
+++ b/crates/testbed/src/simulator/sidecar/requests.rs
@@ -17,7 +17,7 @@
 impl Simulator<'_> {
     /// A request's last byte is at its sidecar.
     pub(in crate::simulator) fn on_request_at_sidecar(&mut self, key: RequestKey) {
-        let Some(request) = self.requests.get(key) else {
+        let Some(request) = self.open.requests.get(key) else {
             return;
         };
         let process = request.process;
@@ -36,7 +36,7 @@
             time_left: due.saturating_sub(self.timeline.now()),
             work_hint: request.work_hint,
         };
-        let arrival = self.arrivals.get(request.arrival);
+        let arrival = self.open.arrivals.get(request.arrival);
         let accepted = LogEvent::RequestAccepted {
             request: number,
             arrival: arrival.map_or(0, |arrival| arrival.number),
@@ -46,7 +46,7 @@
         };
         self.record(accepted);
         let sidecar = &mut self.sidecars[process.sidecar as usize];
-        sidecar.open.insert(number, key);
+        sidecar.open_requests.insert(number, key);
         let respond_by = due.saturating_sub(RESPONSE_MARGIN);
         self.timeline
             .at(respond_by, SimulatorEvent::ResponseDue(key));
@@ -56,7 +56,11 @@
 
     /// The sidecar's last moment for a request that its balancer has not decided.
     pub(in crate::simulator) fn on_response_due(&mut self, key: RequestKey) {
-        let unanswered = self.requests.get(key).filter(|request| !request.answered);
+        let unanswered = self
+            .open
+            .requests
+            .get(key)
+            .filter(|request| !request.answered);
         let Some(request) = unanswered else {
             return;
         };
@@ -72,7 +76,7 @@
 
     /// The client no longer waits: what is still out is cancelled.
     pub(in crate::simulator) fn abandon_request(&mut self, key: RequestKey) {
-        let Some(request) = self.requests.get_mut(key) else {
+        let Some(request) = self.open.requests.get_mut(key) else {
             return;
         };
         if std::mem::replace(&mut request.answered, true) {
@@ -92,7 +96,7 @@
         retry_after: Micros,
         events: &mut VecDeque<BalancerEvent>,
     ) {
-        let Some(request) = self.requests.get_mut(key) else {
+        let Some(request) = self.open.requests.get_mut(key) else {
             return;
         };
         if std::mem::replace(&mut request.answered, true) {
@@ -109,25 +113,32 @@
     }
 
     fn close_request(&mut self, key: RequestKey, events: &mut VecDeque<BalancerEvent>) {
-        let Some(request) = self.requests.get(key) else {
+        let Some(request) = self.open.requests.get(key) else {
             return;
         };
         let (sidecar, number) = (request.process.sidecar, request.number);
         for attempt in request.attempts.clone() {
             self.cancel_attempt(attempt, events);
         }
-        self.sidecars[sidecar as usize].open.remove(&number);
+        self.sidecars[sidecar as usize]
+            .open_requests
+            .remove(&number);
     }
 
     /// The attempt of a request by its index.
     pub(super) fn attempt_of(&self, key: RequestKey, index: u32) -> Option<AttemptKey> {
-        let request = self.requests.get(key)?;
+        let request = self.open.requests.get(key)?;
         request.attempts.get(index as usize).copied()
     }
 
     /// Closes an attempt's connection, and lets the balancer know that it is cancelled.
     pub(super) fn cancel_attempt(&mut self, key: AttemptKey, events: &mut VecDeque<BalancerEvent>) {
-        if self.attempts.get(key).is_some_and(|attempt| !attempt.ended) {
+        if self
+            .open
+            .attempts
+            .get(key)
+            .is_some_and(|attempt| !attempt.ended)
+        {
             self.close_attempt_connection(key);
             self.end_attempt(key, Outcome::Cancelled, events);
         }
@@ -140,14 +151,14 @@
         outcome: Outcome,
         events: &mut VecDeque<BalancerEvent>,
     ) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
+        let Some(attempt) = self.open.attempts.get_mut(key) else {
             return;
         };
         if std::mem::replace(&mut attempt.ended, true) {
             return;
         }
         let request = attempt.request;
-        let answered = self.requests.get(request).is_none_or(|r| r.answered);
+        let answered = self.open.requests.get(request).is_none_or(|r| r.answered);
         let finished = answered || outcome == Outcome::Served;
         let end = attempt_end(attempt, outcome, finished, self.timeline.now());
         events.push_back(BalancerEvent::AttemptEnded(end));
