--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -28,7 +28,7 @@
 pub use faults::{Fault, FaultKind};
 pub use fleet::{Cancel, Choke, MachineType, Network, Servers, Sidecars};
 pub use read::ScenarioFile;
-pub use rules::{Permissions, Prices, ReportSource, Reports, Rules};
+pub use rules::{LoadReports, Permissions, Prices, ReportSource, Rules};
 pub use time::{Micros, from_ms, from_s};
 pub use traffic::{
     Class, Clients, DeduplicationGroup, Effect, Load, LoadShape, Tenant, WorkDistribution,
@@ -66,7 +66,7 @@
         /// What sidecars may do.
         permissions: Permissions = Permissions::default(),
         /// How servers report their load.
-        load_reports: Reports = Reports::default(),
+        load_reports: LoadReports = LoadReports::default(),
         /// Figures of the rules.
         rules: Rules = Rules::default(),
         /// What is paid for waste and its like.
--- a/crates/testbed/src/scenario/rules.rs
+++ b/crates/testbed/src/scenario/rules.rs
@@ -38,7 +38,7 @@
 
 section! {
     /// How servers report their load in responses.
-    Reports {
+    LoadReports {
         /// Where they report it.
         source: ReportSource = ReportSource::Probe,
         /// Milliseconds between two measurements of the load.
--- a/crates/testbed/src/server_model/load_report.rs
+++ b/crates/testbed/src/server_model/load_report.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use super::{Event, ServerModel};
-use crate::scenario::{Micros, ReportSource, Reports, from_ms};
+use crate::scenario::{LoadReports, Micros, ReportSource, from_ms};
 
 /// The load report for health checks is refreshed this often, as the site's are, in microseconds.
 const REFRESH_INTERVAL: Micros = 3_000;
@@ -31,7 +31,7 @@
 /// What a server has measured of its load, and reports later.
 #[derive(Debug, Default)]
 pub(super) struct LoadReporter {
-    settings: Reports,
+    settings: LoadReports,
     /// When jobs ended in errors, within the window.
     errors: VecDeque<Micros>,
     report: Report,
@@ -42,7 +42,7 @@
 }
 
 impl LoadReporter {
-    pub(super) fn new(settings: Reports) -> Self {
+    pub(super) fn new(settings: LoadReports) -> Self {
         Self {
             settings,
             ..Self::default()
