--- a/crates/platform/src/endpoint_list.rs
+++ b/crates/platform/src/endpoint_list.rs
@@ -46,10 +46,6 @@
     pub skipped: Vec<KeyError>,
 }
 
-/// Bound on the nesting of a list's JSON.
-#[derive(Clone, Copy, Debug)]
-pub struct MaxDepth(pub usize);
-
 impl EndpointList {
     /// Reads a list. Guards against one bad entry hiding the good ones: only that entry is skipped.
     ///
@@ -74,8 +70,7 @@
     ///
     /// # Errors
     /// The text is not JSON or nested deeper than `max_depth`, or as for [`read`](Self::read).
-    pub fn parse(text: &str, max_depth: impl Into<MaxDepth>) -> Result<Self, ReadError> {
-        let MaxDepth(max_depth) = max_depth.into();
+    pub fn parse(text: &str, max_depth: usize) -> Result<Self, ReadError> {
         let value = json::parse(text, max_depth)?;
         Ok(Self::read(&Node::root(&value))?)
     }
--- a/crates/platform/src/endpoint_list/tests.rs
+++ b/crates/platform/src/endpoint_list/tests.rs
@@ -1,6 +1,6 @@
 use arrowstand_balancer::EndpointStatus;
 
-use super::{EndpointList, ListedEndpoint, MaxDepth};
+use super::{EndpointList, ListedEndpoint};
 
 #[test]
 fn a_bad_entry_is_skipped_with_a_message_and_the_others_are_read() {
@@ -11,7 +11,7 @@
         {"uid": "s2", "endpoint": "127.0.0.1:80", "state": "tidy"},
         {"uid": "s3", "endpoint": "127.0.0.1:80", "state": "ready", "boot_ms": 1e15},
         {"uid": "s4", "endpoint": "127.0.0.1:81", "state": "gone"}]}"#;
-    let list = EndpointList::parse(text, MaxDepth(8)).expect("a list");
+    let list = EndpointList::parse(text, 8).expect("a list");
     assert_eq!((list.rev, list.all), (9, true));
     let first = ListedEndpoint {
         uid: "s0".to_owned(),
@@ -45,6 +45,6 @@
 
 #[test]
 fn a_list_without_a_revision_is_an_error() {
-    let error = EndpointList::parse("{}", MaxDepth(8)).expect_err("no revision");
+    let error = EndpointList::parse("{}", 8).expect_err("no revision");
     assert_eq!(error.to_string(), "rev: is missing");
 }
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -12,7 +12,7 @@
     ($($name:ident: $text:literal,)*) => {
         /// One count of each kind since the start; printed on request and at exit.
         #[derive(Default)]
-        pub struct Counters { $(#[doc = $text] pub $name: Count,)* }
+        pub(crate) struct Counters { $(#[doc = $text] pub(crate) $name: Count,)* }
 
         impl fmt::Display for Counters {
             fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -25,16 +25,16 @@
 
 /// A count that only rises.
 #[derive(Default)]
-pub struct Count(Cell<u64>);
+pub(crate) struct Count(Cell<u64>);
 
 impl Count {
     /// Counts one more.
-    pub fn add(&self) {
+    pub(crate) fn add(&self) {
         self.0.set(self.0.get() + 1);
     }
 
     /// How many there were since the start.
-    pub fn get(&self) -> u64 {
+    pub(crate) fn get(&self) -> u64 {
         self.0.get()
     }
 }
@@ -74,7 +74,7 @@
 
 impl Counters {
     /// An attempt is not sent, for this reason.
-    pub fn on_attempt_blocked(&self, blocked: SendBlocked) {
+    pub(crate) fn on_attempt_blocked(&self, blocked: SendBlocked) {
         let counter = match blocked {
             SendBlocked::ClientLeft => &self.attempts_blocked_client_left,
             SendBlocked::NoTime => &self.attempts_blocked_no_time,
@@ -88,7 +88,7 @@
     }
 
     /// An attempt has ended like this.
-    pub fn on_attempt_ended(&self, outcome: Outcome) {
+    pub(crate) fn on_attempt_ended(&self, outcome: Outcome) {
         let counter = match outcome {
             Outcome::Served => &self.attempts_served,
             Outcome::ServerError => &self.attempts_error,
--- a/crates/sidecar/src/discovery/line_decoder.rs
+++ b/crates/sidecar/src/discovery/line_decoder.rs
@@ -7,7 +7,7 @@
 use arrowstand_platform::json::nesting_depth;
 
 /// Cuts a watch's bytes into objects and empty lines, however they were split over chunks.
-pub struct LineDecoder {
+pub(super) struct LineDecoder {
     /// Bytes that are not decoded yet.
     undecoded: BytesMut,
     /// The lines of an object that is not closed yet.
@@ -19,13 +19,13 @@
 /// An object exceeds the decoder's bound.
 #[derive(Debug, PartialEq, thiserror::Error)]
 #[error("an object is longer than {max_object_bytes} bytes")]
-pub struct ObjectTooLong {
+pub(super) struct ObjectTooLong {
     max_object_bytes: usize,
 }
 
 impl LineDecoder {
     /// A decoder of objects of so many bytes and so many levels of JSON at most.
-    pub fn new(max_object_bytes: usize, max_json_depth: usize) -> Self {
+    pub(super) fn new(max_object_bytes: usize, max_json_depth: usize) -> Self {
         Self {
             undecoded: BytesMut::new(),
             open_object: Vec::new(),
@@ -35,7 +35,7 @@
     }
 
     /// The next object, readable or not, or an empty line; nothing until more bytes are pushed.
-    pub fn next_object(&mut self) -> Option<Vec<u8>> {
+    pub(super) fn next_object(&mut self) -> Option<Vec<u8>> {
         loop {
             let line_end = self.undecoded.iter().position(|&byte| byte == b'\n')?;
             if self.is_object_cut_off_at(line_end) {
@@ -55,7 +55,7 @@
     ///
     /// # Errors
     /// If what is not returned yet would exceed the bound on an object.
-    pub fn push(&mut self, chunk: &[u8]) -> Result<(), ObjectTooLong> {
+    pub(super) fn push(&mut self, chunk: &[u8]) -> Result<(), ObjectTooLong> {
         if self.undecoded.len() + self.open_object.len() + chunk.len() > self.max_object_bytes {
             return Err(ObjectTooLong {
                 max_object_bytes: self.max_object_bytes,
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -9,5 +9,4 @@
 mod watch_error;
 mod watcher;
 
-use arrowstand_platform::EndpointList;
-pub use watcher::follow;
+pub(crate) use watcher::follow;
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -7,13 +7,13 @@
 
 use arrowstand_balancer::UpdateKind;
 use arrowstand_control::list_freshness::ListFreshness;
+use arrowstand_platform::EndpointList;
 use awc::ClientResponse;
 use awc::error::PayloadError;
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt as _};
 use tokio::time::{Instant, timeout};
 
-use super::EndpointList;
 use super::line_decoder::LineDecoder;
 use super::watch_cursor::WatchCursor;
 use super::watch_error::WatchError;
@@ -21,7 +21,7 @@
 use crate::limits::{DiscoveryLimits, Limits};
 
 /// Polls discovery and delivers what the watch brings until it ends; returns why it did.
-pub async fn watch(
+pub(super) async fn watch(
     host: &BalancerHost,
     client: &awc::Client,
     discovery: SocketAddr,
@@ -100,7 +100,7 @@
         host.update_list_freshness(|freshness, _| freshness.on_watch_event());
         return Ok(());
     }
-    match EndpointList::parse(&text, limits) {
+    match EndpointList::parse(&text, limits.discovery.max_json_depth) {
         Ok(list) => {
             on_list_received(host, cursor, &list);
             Ok(())
@@ -108,9 +108,7 @@
         Err(error) => {
             host.counters.endpoint_lines_skipped.add();
             cursor.on_object_unreadable();
-            Err(WatchError::ObjectUnreadable {
-                reason: error.to_string(),
-            })
+            Err(WatchError::ObjectUnreadable(error))
         }
     }
 }
--- a/crates/sidecar/src/discovery/watch_cursor.rs
+++ b/crates/sidecar/src/discovery/watch_cursor.rs
@@ -2,10 +2,10 @@
 
 use std::cell::Cell;
 
-use super::EndpointList;
+use arrowstand_platform::EndpointList;
 
 /// The last revision that came, and how it maps to the versions that the balancer gets.
-pub struct WatchCursor {
+pub(super) struct WatchCursor {
     /// Discovery's number of the last list; 0 asks for the whole list.
     revision: Cell<u64>,
     /// The balancer's versions are this much higher than revisions, so that they only rise.
@@ -16,7 +16,7 @@
 
 impl WatchCursor {
     /// A cursor behind the list of that revision; 0 where there is none.
-    pub fn new(revision: u64) -> Self {
+    pub(super) fn new(revision: u64) -> Self {
         Self {
             revision: Cell::new(revision),
             version_offset: Cell::new(0),
@@ -25,17 +25,17 @@
     }
 
     /// The revision after which a poll asks for changes.
-    pub fn revision(&self) -> u64 {
+    pub(super) fn revision(&self) -> u64 {
         self.revision.get()
     }
 
     /// A new watch begins: its first list may be of a discovery that counts from lower down.
-    pub fn on_poll_started(&self) {
+    pub(super) fn on_poll_started(&self) {
         self.awaiting_first_list.set(true);
     }
 
     /// A list came; returns its version for the balancer.
-    pub fn on_list_received(&self, list: &EndpointList) -> u64 {
+    pub(super) fn on_list_received(&self, list: &EndpointList) -> u64 {
         // Guards against a discovery that counts from lower down, a new one or one that was
         // restarted: it was polled for changes after the cursor and sent the whole list instead, so
         // that list is no old one.
@@ -50,7 +50,7 @@
 
     /// An object was unreadable. Guards against changes that are lost with it: the next list would
     /// move the cursor past them, so the next poll asks for the whole list.
-    pub fn on_object_unreadable(&self) {
+    pub(super) fn on_object_unreadable(&self) {
         self.revision.set(0);
     }
 }
--- a/crates/sidecar/src/discovery/watch_error.rs
+++ b/crates/sidecar/src/discovery/watch_error.rs
@@ -1,5 +1,6 @@
 //! Why a poll or a watch ended.
 
+use arrowstand_platform::ReadError;
 use awc::error::{PayloadError, SendRequestError};
 use awc::http::StatusCode;
 use tokio::time::Instant;
@@ -8,7 +9,7 @@
 
 /// Why a poll or a watch ended. Each variant's message is a line of the log.
 #[derive(Debug, thiserror::Error)]
-pub enum WatchError {
+pub(super) enum WatchError {
     /// The poll could not be sent or its response not be read; nobody may be listening there.
     #[error("the call failed: {0}")]
     PollFailed(#[source] SendRequestError),
@@ -34,11 +35,8 @@
     #[error(transparent)]
     ObjectTooLong(#[from] ObjectTooLong),
     /// An object is no endpoint list.
-    #[error("a line cannot be read, the whole list is asked for: {reason}")]
-    ObjectUnreadable {
-        /// What is wrong with it, with the key at fault.
-        reason: String,
-    },
+    #[error("a line cannot be read, the whole list is asked for: {0}")]
+    ObjectUnreadable(#[source] ReadError),
 }
 
 #[cfg(test)]
--- a/crates/sidecar/src/discovery/watch_error/tests.rs
+++ b/crates/sidecar/src/discovery/watch_error/tests.rs
@@ -1,3 +1,5 @@
+use arrowstand_platform::EndpointList;
+
 use super::*;
 use crate::discovery::line_decoder::LineDecoder;
 
@@ -27,10 +29,10 @@
         ),
         (too_long.into(), "an object is longer than 3 bytes"),
         (
-            WatchError::ObjectUnreadable {
-                reason: "rev is missing".to_owned(),
-            },
-            "a line cannot be read, the whole list is asked for: rev is missing",
+            EndpointList::parse("{}", 8)
+                .map_err(WatchError::ObjectUnreadable)
+                .expect_err("no revision"),
+            "a line cannot be read, the whole list is asked for: rev: is missing",
         ),
     ];
     for (error, message) in cases {
--- a/crates/sidecar/src/discovery/watcher.rs
+++ b/crates/sidecar/src/discovery/watcher.rs
@@ -21,7 +21,7 @@
 
 /// Follows discovery for as long as the program runs. `discovery` is where it is, `revision` that
 /// of the cached endpoint list, 0 if there is none; `seed` is of the delays of early polls.
-pub async fn follow(
+pub(crate) async fn follow(
     host: Rc<BalancerHost>,
     discovery: Receiver<SocketAddr>,
     revision: u64,
--- a/crates/sidecar/src/downstream/bounded_stream.rs
+++ b/crates/sidecar/src/downstream/bounded_stream.rs
@@ -21,7 +21,7 @@
 const DISCARD_READS_PER_POLL: usize = 8;
 
 /// A client's socket, in use by the protocol.
-pub struct BoundedStream {
+pub(super) struct BoundedStream {
     socket: Option<TcpStream>,
     client: Rc<ClientConnection>,
     limits: Rc<Limits>,
@@ -34,7 +34,7 @@
 
 impl BoundedStream {
     /// Takes the client's socket for the protocol; none where the connection is at its end.
-    pub fn take(client: &Rc<ClientConnection>, limits: &Rc<Limits>) -> Option<Self> {
+    pub(super) fn take(client: &Rc<ClientConnection>, limits: &Rc<Limits>) -> Option<Self> {
         Some(Self {
             socket: Some(client.take_socket()?),
             client: Rc::clone(client),
@@ -45,13 +45,13 @@
     }
 
     /// The connection that the socket is of.
-    pub fn client(&self) -> &Rc<ClientConnection> {
+    pub(super) fn client(&self) -> &Rc<ClientConnection> {
         &self.client
     }
 
     /// Waits for the first byte, or the end. Guards against memory that the protocol takes for
     /// clients that send nothing.
-    pub async fn first_byte(&self) {
+    pub(super) async fn first_byte(&self) {
         if let Some(socket) = &self.socket {
             let _ = socket.readable().await;
             let _ = socket.set_nodelay(true);
--- a/crates/sidecar/src/downstream/client_permits.rs
+++ b/crates/sidecar/src/downstream/client_permits.rs
@@ -11,7 +11,7 @@
 
 /// Counts client connections and lends permits to those that are served.
 #[derive(Default)]
-pub struct ClientPermits {
+pub(super) struct ClientPermits {
     /// Connections that hold a descriptor, with a permit or without.
     open_connections: Cell<usize>,
     /// Those with a permit, by the order in which they came.
@@ -22,13 +22,13 @@
 
 impl ClientPermits {
     /// True where no further connection is to be accepted until one closes.
-    pub fn is_accept_bound_reached(&self, limits: &ClientLimits) -> bool {
+    pub(super) fn is_accept_bound_reached(&self, limits: &ClientLimits) -> bool {
         self.open_connections.get() >= limits.max_accepted_connections
     }
 
     /// True where a new client gets a permit. Guards against silent clients that fill all permits:
     /// the new one gets that of the idlest, which is closed.
-    pub fn make_room(&self, limits: &ClientLimits) -> bool {
+    pub(super) fn make_room(&self, limits: &ClientLimits) -> bool {
         let mut permitted = self.permitted.borrow_mut();
         if permitted.len() < limits.max_connections {
             return true;
@@ -45,7 +45,7 @@
     }
 
     /// Counts a connection, which is served if it is permitted and rejected otherwise.
-    pub fn admit(
+    pub(super) fn admit(
         self: &Rc<Self>,
         client: &Rc<ClientConnection>,
         is_permitted: bool,
@@ -65,7 +65,7 @@
     }
 
     /// Closes the connections on which no request is begun and no response unwritten.
-    pub fn close_idle(&self) {
+    pub(super) fn close_idle(&self) {
         self.permitted
             .borrow()
             .values()
@@ -74,12 +74,12 @@
     }
 
     /// Waits for the next connection that closes.
-    pub async fn connection_closed(&self) {
+    pub(super) async fn connection_closed(&self) {
         self.connection_closed.notified().await;
     }
 
     /// Waits until no connection is open.
-    pub async fn all_closed(&self) {
+    pub(super) async fn all_closed(&self) {
         while self.open_connections.get() > 0 {
             self.connection_closed().await;
         }
@@ -87,14 +87,14 @@
 }
 
 /// One client connection within the bounds; its descriptor counts until this is dropped.
-pub struct ClientPermit {
+pub(super) struct ClientPermit {
     permits: Rc<ClientPermits>,
     number: u64,
 }
 
 impl ClientPermit {
     /// The connection takes no more requests: another client may get its permit.
-    pub fn on_served(&self) {
+    pub(super) fn on_served(&self) {
         self.permits.permitted.borrow_mut().remove(&self.number);
     }
 }
--- a/crates/sidecar/src/downstream/close_state.rs
+++ b/crates/sidecar/src/downstream/close_state.rs
@@ -9,7 +9,7 @@
 
 /// A connection's way to its end.
 #[derive(Default)]
-pub struct CloseState {
+pub(super) struct CloseState {
     /// Bytes of a response are still to be written.
     response_unwritten: Cell<bool>,
     /// The next response is the last, and the connection closes once nothing is unwritten.
@@ -21,14 +21,14 @@
 
 impl CloseState {
     /// The connection is to close as soon as no request is in flight and nothing is unwritten.
-    pub fn begin(&self) {
+    pub(super) fn begin(&self) {
         self.is_closing.set(true);
         self.close_requested.notify_one();
     }
 
     /// A response was made; the last where it says so. Closes behind it where no further request
     /// can be read.
-    pub fn on_response_made(&self, last: bool, input_unreadable: bool) {
+    pub(super) fn on_response_made(&self, last: bool, input_unreadable: bool) {
         self.response_unwritten.set(true);
         self.sent_last_response
             .set(self.sent_last_response.get() || last);
@@ -38,29 +38,29 @@
     }
 
     /// All that was to be written is with the operating system.
-    pub fn on_response_written(&self) {
+    pub(super) fn on_response_written(&self) {
         if self.response_unwritten.replace(false) && self.is_closing.get() {
             self.close_requested.notify_one();
         }
     }
 
     /// Waits until the connection may be able to close.
-    pub async fn requested(&self) {
+    pub(super) async fn requested(&self) {
         self.close_requested.notified().await;
     }
 
     /// True while bytes of a response are still to be written.
-    pub fn is_response_unwritten(&self) -> bool {
+    pub(super) fn is_response_unwritten(&self) -> bool {
         self.response_unwritten.get()
     }
 
     /// True where the next response is the last.
-    pub fn is_closing(&self) -> bool {
+    pub(super) fn is_closing(&self) -> bool {
         self.is_closing.get()
     }
 
     /// True once the last response was made.
-    pub fn sent_last_response(&self) -> bool {
+    pub(super) fn sent_last_response(&self) -> bool {
         self.sent_last_response.get()
     }
 }
--- a/crates/sidecar/src/downstream/connection.rs
+++ b/crates/sidecar/src/downstream/connection.rs
@@ -24,7 +24,7 @@
 const DEADLINE_CHECKS_PER_IDLE_TIMEOUT: u32 = 4;
 
 /// What is known of a client, shared by its connection and by the requests on it.
-pub struct ClientConnection {
+pub(super) struct ClientConnection {
     lifecycle: Cell<Lifecycle>,
     /// A response was made on this connection before.
     has_had_response: Cell<bool>,
@@ -37,7 +37,7 @@
 
 impl ClientConnection {
     /// A client that has just connected by that socket.
-    pub fn new(socket: Option<TcpStream>) -> Rc<Self> {
+    pub(super) fn new(socket: Option<TcpStream>) -> Rc<Self> {
         Rc::new(Self {
             lifecycle: Cell::new(Lifecycle::idle_now()),
             has_had_response: Cell::new(false),
@@ -50,18 +50,18 @@
 
     /// Takes the socket, for the protocol or for the connection's end; none while the protocol uses
     /// it.
-    pub fn take_socket(&self) -> Option<TcpStream> {
+    pub(super) fn take_socket(&self) -> Option<TcpStream> {
         self.socket.take()
     }
 
     /// The protocol uses the socket no more.
-    pub fn on_socket_returned(&self, socket: Option<TcpStream>) {
+    pub(super) fn on_socket_returned(&self, socket: Option<TcpStream>) {
         self.socket.put_back(socket);
     }
 
     /// True where bytes lie unread in a socket on which no request was begun: they came as it was
     /// chosen for closing.
-    pub fn has_unread_request(&self) -> bool {
+    pub(super) fn has_unread_request(&self) -> bool {
         self.idle_rank().is_some()
             && !self.close.sent_last_response()
             && !self.presence.is_disconnected()
@@ -69,58 +69,58 @@
     }
 
     /// Whether the client is still connected, for the requests on this connection.
-    pub fn presence(&self) -> ClientPresence {
+    pub(super) fn presence(&self) -> ClientPresence {
         self.presence.clone()
     }
 
     /// Bytes came.
-    pub fn on_received(&self, bytes: usize) {
+    pub(super) fn on_received(&self, bytes: usize) {
         let lifecycle = self.lifecycle.get();
         self.input.on_received(bytes, lifecycle.is_in_flight());
         self.lifecycle.set(lifecycle.after_input());
     }
 
     /// There is nothing more to read for now.
-    pub fn on_input_drained(&self) {
+    pub(super) fn on_input_drained(&self) {
         self.input.on_drained();
     }
 
     /// The client ended its side, or its connection failed.
-    pub fn on_disconnected(&self) {
+    pub(super) fn on_disconnected(&self) {
         self.presence.mark_disconnected();
     }
 
     /// A request's head announced a body of so many bytes.
-    pub fn on_body_announced(&self, bytes: usize) {
+    pub(super) fn on_body_announced(&self, bytes: usize) {
         self.input.on_body_announced(bytes);
     }
 
     /// Bytes of a body that are announced and have not come.
-    pub fn announced_body_bytes(&self) -> usize {
+    pub(super) fn announced_body_bytes(&self) -> usize {
         self.input.announced_body_bytes()
     }
 
     /// False for a request of which no byte came since the last response: a client sends one at a
     /// time.
-    pub fn has_received_since_response(&self) -> bool {
+    pub(super) fn has_received_since_response(&self) -> bool {
         self.lifecycle.get().has_input()
     }
 
     /// True where the protocol is to get no more until the request in flight has its response.
-    pub fn is_pipeline_full(&self, limits: &Limits) -> bool {
+    pub(super) fn is_pipeline_full(&self, limits: &Limits) -> bool {
         self.lifecycle.get().is_in_flight()
             && self.input.pipelined_bytes() >= limits.client.max_pipelined_bytes
     }
 
     /// Input is thrown away: the connection closes behind the next response.
-    pub fn on_input_discarded(&self) {
+    pub(super) fn on_input_discarded(&self) {
         self.input.on_discarded();
     }
 
     /// A request was read to its end; waits until nothing more is to be read, and returns whether
     /// that came to be. Guards against a start for a client that has left: its end of file lies
     /// behind all that it sent.
-    pub async fn on_request_read(&self, limits: &Limits) -> bool {
+    pub(super) async fn on_request_read(&self, limits: &Limits) -> bool {
         self.lifecycle.set(Lifecycle::InFlight);
         self.input.on_request_read();
         // The task that reads is woken as long as there is more, and this with it.
@@ -134,29 +134,29 @@
     }
 
     /// A response was made; the last one where it says so.
-    pub fn on_response_made(&self, last: bool) {
+    pub(super) fn on_response_made(&self, last: bool) {
         self.lifecycle.set(Lifecycle::idle_now());
         self.has_had_response.set(true);
         self.close.on_response_made(last, self.input.is_discarded());
     }
 
     /// All that was to be written is with the operating system.
-    pub fn on_response_written(&self) {
+    pub(super) fn on_response_written(&self) {
         self.close.on_response_written();
     }
 
     /// True once the last response was made.
-    pub fn sent_last_response(&self) -> bool {
+    pub(super) fn sent_last_response(&self) -> bool {
         self.close.sent_last_response()
     }
 
     /// Closes the connection once no request is in flight and nothing is unwritten.
-    pub fn begin_close(&self) {
+    pub(super) fn begin_close(&self) {
         self.close.begin();
     }
 
     /// True where the next response is the last.
-    pub fn is_closing(&self) -> bool {
+    pub(super) fn is_closing(&self) -> bool {
         self.close.is_closing()
     }
 
@@ -164,7 +164,7 @@
     /// it is in use. Those with a response go first, since they send further requests on a new
     /// connection, then those idle for longest. Guards first requests against a crowd that sends
     /// nothing: a client that has connected ahead of its request would lose that with its permit.
-    pub fn idle_rank(&self) -> Option<(bool, Instant)> {
+    pub(super) fn idle_rank(&self) -> Option<(bool, Instant)> {
         match self.lifecycle.get() {
             Lifecycle::Idle { since } if !self.close.is_response_unwritten() => {
                 Some((!self.has_had_response.get(), since))
@@ -175,7 +175,7 @@
 
     /// Waits until the connection is to end: its deadline has passed, or it is closing and idle.
     /// Guards against permits of clients that send nothing, or never end what they send.
-    pub async fn timed_out(&self, limits: &Limits) {
+    pub(super) async fn timed_out(&self, limits: &Limits) {
         let recheck = limits.client.idle_timeout / DEADLINE_CHECKS_PER_IDLE_TIMEOUT;
         loop {
             let wake_at = self
--- a/crates/sidecar/src/downstream/connection/tests.rs
+++ b/crates/sidecar/src/downstream/connection/tests.rs
@@ -11,13 +11,13 @@
 use model::{BODY_BYTES, Combination, Effect, Model, RECEIVED_BYTES, STEPS, Step};
 
 use super::*;
-use crate::limits::Basis;
+use crate::limits::LimitInputs;
 
 /// Steps of an order: enough to reach each combination, and few enough to play all orders.
 const ORDER_LENGTH: usize = 6;
 
 fn limits() -> Limits {
-    let mut limits = Limits::derive(&Basis {
+    let mut limits = Limits::derive(&LimitInputs {
         sockets: 64,
         ..Default::default()
     });
@@ -176,7 +176,7 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn closing_connection_stays_until_its_response_is_written() {
-    let limits = Limits::derive(&Basis {
+    let limits = Limits::derive(&LimitInputs {
         sockets: 64,
         ..Default::default()
     });
--- a/crates/sidecar/src/downstream/connection/tests/model.rs
+++ b/crates/sidecar/src/downstream/connection/tests/model.rs
@@ -4,13 +4,13 @@
 use crate::limits::Limits;
 
 /// Bytes that come by one step.
-pub const RECEIVED_BYTES: usize = 10;
+pub(super) const RECEIVED_BYTES: usize = 10;
 /// Bytes of the body that is announced ahead of all steps.
-pub const BODY_BYTES: usize = 25;
+pub(super) const BODY_BYTES: usize = 25;
 
 /// What can happen to a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Step {
+pub(super) enum Step {
     Received,
     InputDrained,
     RequestRead,
@@ -21,7 +21,7 @@
 }
 
 /// All of them.
-pub const STEPS: [Step; 8] = [
+pub(super) const STEPS: [Step; 8] = [
     Step::Received,
     Step::InputDrained,
     Step::RequestRead,
@@ -34,7 +34,7 @@
 
 /// The fields of a connection, each on its own; a time is the number of the step that set it.
 #[derive(Clone, Copy)]
-pub struct Model {
+pub(super) struct Model {
     pub idle_since: Option<usize>,
     pub request_started: Option<usize>,
     pub received_since_response: bool,
@@ -51,7 +51,7 @@
 
 /// The fields that might exclude each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Combination {
+pub(super) struct Combination {
     pub idle: bool,
     pub started: bool,
     pub received: bool,
@@ -59,7 +59,7 @@
 
 /// What a step does beside the state.
 #[derive(Debug, PartialEq)]
-pub struct Effect {
+pub(super) struct Effect {
     /// Whether all input of a request was read; nothing while that is open.
     pub request_complete: Option<bool>,
     pub close_requested: bool,
@@ -67,7 +67,7 @@
 
 impl Model {
     /// A client that has just connected.
-    pub const NEW: Self = Self {
+    pub(super) const NEW: Self = Self {
         idle_since: Some(0),
         request_started: None,
         received_since_response: false,
@@ -84,7 +84,7 @@
 
     /// True for steps that the protocol can take: input is not read behind the last response, and a
     /// request is begun only where bytes came since the last response and no other is in flight.
-    pub fn allows(&self, step: Step) -> bool {
+    pub(super) fn allows(&self, step: Step) -> bool {
         match step {
             Step::Received => !self.sent_last_response,
             Step::RequestRead => self.received_since_response && self.idle_since.is_some(),
@@ -93,7 +93,7 @@
     }
 
     /// Takes a step, the one of that number, and returns what it does beside.
-    pub fn take(&mut self, step: Step, number: usize, limits: &Limits) -> Effect {
+    pub(super) fn take(&mut self, step: Step, number: usize, limits: &Limits) -> Effect {
         let mut effect = Effect {
             request_complete: None,
             close_requested: false,
@@ -148,7 +148,7 @@
     }
 
     /// Whether the protocol is to get no more; if so, input is discarded.
-    pub fn is_pipeline_full(&mut self, limits: &Limits) -> bool {
+    pub(super) fn is_pipeline_full(&mut self, limits: &Limits) -> bool {
         let full =
             self.idle_since.is_none() && self.pipelined_bytes >= limits.client.max_pipelined_bytes;
         self.discarded_input |= full;
@@ -156,7 +156,7 @@
     }
 
     /// The fields that might exclude each other.
-    pub fn combination(&self) -> Combination {
+    pub(super) fn combination(&self) -> Combination {
         Combination {
             idle: self.idle_since.is_some(),
             started: self.request_started.is_some(),
--- a/crates/sidecar/src/downstream/http.rs
+++ b/crates/sidecar/src/downstream/http.rs
@@ -13,7 +13,7 @@
 use super::request_handler::RequestHandler;
 
 /// Serves one connection to its end.
-pub trait ConnectionService:
+pub(super) trait ConnectionService:
     Service<(BoundedStream, Option<SocketAddr>), Response = (), Error = DispatchError>
 {
 }
@@ -24,7 +24,7 @@
 }
 
 /// Serves clients that hold a permit. None if the protocol cannot be started.
-pub async fn permitted_service(
+pub(super) async fn permitted_service(
     handler: Rc<RequestHandler>,
 ) -> Option<impl ConnectionService + 'static> {
     let respond = move |request: Request| {
@@ -46,7 +46,7 @@
 }
 
 /// Serves clients past the bound on connections. None if the protocol cannot be started.
-pub async fn over_capacity_service(
+pub(super) async fn over_capacity_service(
     handler: Rc<RequestHandler>,
 ) -> Option<impl ConnectionService + 'static> {
     let reject = move |request: Request| {
--- a/crates/sidecar/src/downstream/input_accounting.rs
+++ b/crates/sidecar/src/downstream/input_accounting.rs
@@ -4,7 +4,7 @@
 
 /// The bytes that came from a client, by what bounds them.
 #[derive(Default)]
-pub struct InputAccounting {
+pub(super) struct InputAccounting {
     /// Bytes since there was last nothing to read.
     burst_bytes: Cell<usize>,
     /// Bytes that came behind the request in flight.
@@ -17,7 +17,7 @@
 
 impl InputAccounting {
     /// Bytes came, behind a request in flight or not.
-    pub fn on_received(&self, bytes: usize, behind_request: bool) {
+    pub(super) fn on_received(&self, bytes: usize, behind_request: bool) {
         self.burst_bytes.set(self.burst_bytes.get() + bytes);
         self.announced_body_bytes
             .set(self.announced_body_bytes.get().saturating_sub(bytes));
@@ -27,43 +27,43 @@
     }
 
     /// There is nothing more to read for now.
-    pub fn on_drained(&self) {
+    pub(super) fn on_drained(&self) {
         self.burst_bytes.set(0);
     }
 
     /// A request's head announced a body of so many bytes.
-    pub fn on_body_announced(&self, bytes: usize) {
+    pub(super) fn on_body_announced(&self, bytes: usize) {
         self.announced_body_bytes.set(bytes);
     }
 
     /// A request was read to its end: what comes now is pipelined behind it.
-    pub fn on_request_read(&self) {
+    pub(super) fn on_request_read(&self) {
         self.pipelined_bytes.set(0);
         self.announced_body_bytes.set(0);
     }
 
     /// Input is thrown away.
-    pub fn on_discarded(&self) {
+    pub(super) fn on_discarded(&self) {
         self.is_discarded.set(true);
     }
 
     /// Bytes since there was last nothing to read.
-    pub fn burst_bytes(&self) -> usize {
+    pub(super) fn burst_bytes(&self) -> usize {
         self.burst_bytes.get()
     }
 
     /// Bytes that came behind the request in flight.
-    pub fn pipelined_bytes(&self) -> usize {
+    pub(super) fn pipelined_bytes(&self) -> usize {
         self.pipelined_bytes.get()
     }
 
     /// Bytes of a body that are announced and have not come.
-    pub fn announced_body_bytes(&self) -> usize {
+    pub(super) fn announced_body_bytes(&self) -> usize {
         self.announced_body_bytes.get()
     }
 
     /// True once input was thrown away.
-    pub fn is_discarded(&self) -> bool {
+    pub(super) fn is_discarded(&self) -> bool {
         self.is_discarded.get()
     }
 }
--- a/crates/sidecar/src/downstream/lifecycle.rs
+++ b/crates/sidecar/src/downstream/lifecycle.rs
@@ -6,7 +6,7 @@
 
 /// What a client is doing.
 #[derive(Clone, Copy)]
-pub enum Lifecycle {
+pub(super) enum Lifecycle {
     /// No byte of a request came since it connected, or since its last response was made.
     Idle {
         /// When it connected or its last response was made.
@@ -25,14 +25,14 @@
 
 impl Lifecycle {
     /// A client that has just connected, or whose response was just made.
-    pub fn idle_now() -> Self {
+    pub(super) fn idle_now() -> Self {
         Self::Idle {
             since: Instant::now(),
         }
     }
 
     /// What it is doing after some bytes came.
-    pub fn after_input(self) -> Self {
+    pub(super) fn after_input(self) -> Self {
         match self {
             Self::Idle { since } => Self::Reading {
                 idle_since: since,
@@ -43,17 +43,17 @@
     }
 
     /// True while the response to a complete request is not made.
-    pub fn is_in_flight(self) -> bool {
+    pub(super) fn is_in_flight(self) -> bool {
         matches!(self, Self::InFlight)
     }
 
     /// True unless no byte came since the last response.
-    pub fn has_input(self) -> bool {
+    pub(super) fn has_input(self) -> bool {
         !matches!(self, Self::Idle { .. })
     }
 
     /// When the connection times out; never while a request is in flight.
-    pub fn deadline(self, has_had_response: bool, limits: &ClientLimits) -> Option<Instant> {
+    pub(super) fn deadline(self, has_had_response: bool, limits: &ClientLimits) -> Option<Instant> {
         match self {
             Self::Idle { since } => Some(since + limits.idle_timeout),
             Self::Reading {
--- a/crates/sidecar/src/downstream/lingering_close.rs
+++ b/crates/sidecar/src/downstream/lingering_close.rs
@@ -16,7 +16,11 @@
 /// Closes a socket. Guards against a close over unread bytes: that is a reset, which takes the end
 /// of the last response with it. `descriptor_wanted` ends it early, where a new client needs the
 /// descriptor.
-pub async fn lingering_close(mut socket: TcpStream, limits: &Limits, descriptor_wanted: &Notify) {
+pub(super) async fn lingering_close(
+    mut socket: TcpStream,
+    limits: &Limits,
+    descriptor_wanted: &Notify,
+) {
     if socket.shutdown().await.is_err() {
         return;
     }
--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -27,7 +27,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// The listening side of the sidecar.
-pub struct Listener {
+pub(crate) struct Listener {
     limits: Rc<Limits>,
     handler: Rc<RequestHandler>,
     permits: Rc<ClientPermits>,
@@ -53,7 +53,7 @@
 
 impl Listener {
     /// A listener whose clients are served by that host and upstream.
-    pub fn new(host: Rc<BalancerHost>, upstream: Rc<Upstream>) -> Rc<Self> {
+    pub(crate) fn new(host: Rc<BalancerHost>, upstream: Rc<Upstream>) -> Rc<Self> {
         Rc::new(Self {
             limits: Rc::clone(&host.limits),
             handler: RequestHandler::new(host, upstream),
@@ -65,7 +65,7 @@
 
     /// Accepts clients until [`Listener::close`], and then those that the operating system has
     /// accepted by then.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
         let Some(permitted) = permitted_service(Rc::clone(&self.handler)).await else {
             return;
         };
@@ -180,7 +180,7 @@
 
     /// Ends the accepting, closes idle connections, and waits until all requests in flight have
     /// their responses.
-    pub async fn close(&self, accept: JoinHandle<()>) {
+    pub(crate) async fn close(&self, accept: JoinHandle<()>) {
         self.handler.on_shutdown();
         self.shutdown_begun.notify_one();
         let _ = accept.await;
@@ -189,7 +189,7 @@
     }
 
     /// Waits until no connection is open.
-    pub async fn closed(&self) {
+    pub(crate) async fn closed(&self) {
         self.permits.all_closed().await;
     }
 }
--- a/crates/sidecar/src/downstream/malformed_request.rs
+++ b/crates/sidecar/src/downstream/malformed_request.rs
@@ -6,7 +6,7 @@
 /// Why a request gets a 4xx response and is not forwarded. Each message is the text of the
 /// response.
 #[derive(Debug, thiserror::Error)]
-pub enum MalformedRequest {
+pub(super) enum MalformedRequest {
     /// The client sent it, or more behind it, before the previous response.
     #[error("one request at a time")]
     Pipelined,
@@ -44,7 +44,7 @@
 
 impl MalformedRequest {
     /// The status of the response.
-    pub fn status(&self) -> StatusCode {
+    pub(super) fn status(&self) -> StatusCode {
         match self {
             Self::Pipelined
             | Self::HeaderUnreadable
--- a/crates/sidecar/src/downstream/mod.rs
+++ b/crates/sidecar/src/downstream/mod.rs
@@ -23,7 +23,7 @@
 mod input_accounting;
 mod lifecycle;
 mod lingering_close;
-pub mod listener;
+pub(crate) mod listener;
 mod malformed_request;
 mod request;
 mod request_handler;
--- a/crates/sidecar/src/downstream/request.rs
+++ b/crates/sidecar/src/downstream/request.rs
@@ -17,7 +17,7 @@
 ///
 /// # Errors
 /// The first fault that is found; the rest of the request is not read then.
-pub async fn read_request(
+pub(super) async fn read_request(
     host: &BalancerHost,
     mut request: Request,
     client: &ClientConnection,
--- a/crates/sidecar/src/downstream/request_handler.rs
+++ b/crates/sidecar/src/downstream/request_handler.rs
@@ -15,7 +15,7 @@
 use crate::upstream::Upstream;
 
 /// Responds to requests; shared by all connections of a listener.
-pub struct RequestHandler {
+pub(super) struct RequestHandler {
     host: Rc<BalancerHost>,
     upstream: Rc<Upstream>,
     is_shutting_down: Cell<bool>,
@@ -23,7 +23,7 @@
 
 impl RequestHandler {
     /// A handler that forwards by the upstream.
-    pub fn new(host: Rc<BalancerHost>, upstream: Rc<Upstream>) -> Rc<Self> {
+    pub(super) fn new(host: Rc<BalancerHost>, upstream: Rc<Upstream>) -> Rc<Self> {
         Rc::new(Self {
             host,
             upstream,
@@ -32,22 +32,22 @@
     }
 
     /// What decides where requests go, and counts them.
-    pub fn host(&self) -> &BalancerHost {
+    pub(super) fn host(&self) -> &BalancerHost {
         &self.host
     }
 
     /// From now on no response leaves its connection open.
-    pub fn on_shutdown(&self) {
+    pub(super) fn on_shutdown(&self) {
         self.is_shutting_down.set(true);
     }
 
     /// True once no response leaves its connection open.
-    pub fn is_shutting_down(&self) -> bool {
+    pub(super) fn is_shutting_down(&self) -> bool {
         self.is_shutting_down.get()
     }
 
     /// Responds to a request of a client that holds a permit.
-    pub async fn handle(&self, request: Request) -> ClientResponse {
+    pub(super) async fn handle(&self, request: Request) -> ClientResponse {
         let client = connection(&request).unwrap_or_else(|| ClientConnection::new(None));
         let mut response = self.respond(request, &client).await;
         if self.is_shutting_down() || client.is_closing() {
@@ -60,7 +60,7 @@
 
     /// Rejects a request of a client past the bound on connections. Guards against a full
     /// descriptor table: such a client gets its response at once.
-    pub fn reject_over_capacity(&self, request: &Request) -> ClientResponse {
+    pub(super) fn reject_over_capacity(&self, request: &Request) -> ClientResponse {
         self.host.counters.requests_over_capacity.add();
         let response = response::over_capacity(self.host.limits.default_retry_after);
         if let Some(client) = connection(request) {
--- a/crates/sidecar/src/downstream/request_headers.rs
+++ b/crates/sidecar/src/downstream/request_headers.rs
@@ -22,7 +22,7 @@
 const WORK_HINT_MICROS: RangeInclusive<f64> = 1.0..=6e7;
 
 /// A request's headers, beside those that are forwarded.
-pub struct RequestHeaders {
+pub(super) struct RequestHeaders {
     /// The client's name of the request.
     pub id: String,
     /// By which servers drop repeated requests.
@@ -40,7 +40,10 @@
     ///
     /// # Errors
     /// The first header at fault that the proxy needs.
-    pub fn parse(host: &BalancerHost, headers: &HeaderMap) -> Result<Self, MalformedRequest> {
+    pub(super) fn parse(
+        host: &BalancerHost,
+        headers: &HeaderMap,
+    ) -> Result<Self, MalformedRequest> {
         let max_chars = host.limits.client.max_token_chars;
         let id =
             token(headers, REQUEST_ID, max_chars)?.ok_or(MalformedRequest::RequestIdMissing)?;
@@ -65,12 +68,12 @@
 }
 
 /// The body's length as announced.
-pub fn content_length(headers: &HeaderMap) -> Option<u64> {
+pub(super) fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
 /// The headers that go with the body, as far as they are text.
-pub fn forwarded_headers(headers: &HeaderMap) -> Vec<(&'static str, String)> {
+pub(super) fn forwarded_headers(headers: &HeaderMap) -> Vec<(&'static str, String)> {
     FORWARDED_HEADERS
         .into_iter()
         .filter_map(|name| Some((name, text(headers, name)?.to_owned())))
--- a/crates/sidecar/src/downstream/response.rs
+++ b/crates/sidecar/src/downstream/response.rs
@@ -11,13 +11,13 @@
 use crate::proxy::ProxyResponse;
 
 /// A response with a body of any size.
-pub type ClientResponse = Response<BoxBody>;
+pub(super) type ClientResponse = Response<BoxBody>;
 
 /// The proxy's response.
 ///
 /// # Errors
 /// If the proxy did nothing, since a request of the same id is in flight.
-pub fn from_proxy(response: ProxyResponse) -> Result<ClientResponse, MalformedRequest> {
+pub(super) fn from_proxy(response: ProxyResponse) -> Result<ClientResponse, MalformedRequest> {
     match response {
         ProxyResponse::Served(payload) => Ok(served(payload)),
         ProxyResponse::Rejected { retry_after } => {
@@ -31,7 +31,7 @@
 }
 
 /// A response of plain text.
-pub fn plain_text(status: StatusCode, text: impl Into<String>) -> ClientResponse {
+pub(super) fn plain_text(status: StatusCode, text: impl Into<String>) -> ClientResponse {
     Response::build(status)
         .insert_header((CONTENT_TYPE, "text/plain"))
         .body(text.into())
@@ -39,18 +39,18 @@
 }
 
 /// The rejection of a client past the bound on connections; the last response on its connection.
-pub fn over_capacity(retry_after: Duration) -> ClientResponse {
+pub(super) fn over_capacity(retry_after: Duration) -> ClientResponse {
     last_on_connection(retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after))
 }
 
 /// The rejection of a malformed request; the last response on its connection, since what is left of
 /// the request's body is not read.
-pub fn malformed(error: &MalformedRequest) -> ClientResponse {
+pub(super) fn malformed(error: &MalformedRequest) -> ClientResponse {
     last_on_connection(plain_text(error.status(), format!("{error}\n")))
 }
 
 /// The response, with the connection closed behind it.
-pub fn last_on_connection(mut response: ClientResponse) -> ClientResponse {
+pub(super) fn last_on_connection(mut response: ClientResponse) -> ClientResponse {
     response
         .head_mut()
         .set_connection_type(ConnectionType::Close);
--- a/crates/sidecar/src/downstream/socket_slot.rs
+++ b/crates/sidecar/src/downstream/socket_slot.rs
@@ -7,26 +7,26 @@
 use tokio::net::TcpStream;
 
 /// A client's socket, or none while the protocol has it and after its end.
-pub struct SocketSlot(RefCell<Option<TcpStream>>);
+pub(super) struct SocketSlot(RefCell<Option<TcpStream>>);
 
 impl SocketSlot {
     /// A slot with that socket in it.
-    pub fn new(socket: Option<TcpStream>) -> Self {
+    pub(super) fn new(socket: Option<TcpStream>) -> Self {
         Self(RefCell::new(socket))
     }
 
     /// Takes the socket out.
-    pub fn take(&self) -> Option<TcpStream> {
+    pub(super) fn take(&self) -> Option<TcpStream> {
         self.0.borrow_mut().take()
     }
 
     /// Puts the socket back.
-    pub fn put_back(&self, socket: Option<TcpStream>) {
+    pub(super) fn put_back(&self, socket: Option<TcpStream>) {
         *self.0.borrow_mut() = socket;
     }
 
     /// True where the socket is here and bytes lie unread in it; an end of file is none.
-    pub fn has_unread_bytes(&self) -> bool {
+    pub(super) fn has_unread_bytes(&self) -> bool {
         self.0
             .borrow()
             .as_ref()
--- a/crates/sidecar/src/host/action_dispatch.rs
+++ b/crates/sidecar/src/host/action_dispatch.rs
@@ -10,7 +10,7 @@
 use super::request_action::RequestAction;
 
 /// The receivers of the balancer's actions.
-pub struct ActionDispatcher {
+pub(super) struct ActionDispatcher {
     requests: RefCell<BTreeMap<RequestId, mpsc::Sender<RequestAction>>>,
     next_request: Cell<u64>,
     health_checks: mpsc::Sender<ServerId>,
@@ -19,7 +19,7 @@
 
 impl ActionDispatcher {
     /// A dispatcher without requests, and the servers whose health is to be checked.
-    pub fn new(max_queued_health_checks: usize) -> (Self, mpsc::Receiver<ServerId>) {
+    pub(super) fn new(max_queued_health_checks: usize) -> (Self, mpsc::Receiver<ServerId>) {
         let (health_checks, servers_to_check) = mpsc::channel(max_queued_health_checks);
         let dispatcher = Self {
             requests: RefCell::default(),
@@ -32,7 +32,7 @@
 
     /// Gives a request a number and a queue of its actions. The balancer needs numbers that are
     /// never used twice, which the ids that clients choose are not.
-    pub fn register_request(
+    pub(super) fn register_request(
         &self,
         max_queued_actions: usize,
     ) -> (RequestId, mpsc::Receiver<RequestAction>) {
@@ -44,13 +44,13 @@
     }
 
     /// Drops the actions that still come for a request that has ended.
-    pub fn unregister_request(&self, id: RequestId) {
+    pub(super) fn unregister_request(&self, id: RequestId) {
         self.requests.borrow_mut().remove(&id);
     }
 
     /// Queues an action for its request. A request that has ended has no use for it: what was in
     /// flight of it is reported when it is dropped.
-    pub fn dispatch_to_request(&self, id: RequestId, action: RequestAction) {
+    pub(super) fn dispatch_to_request(&self, id: RequestId, action: RequestAction) {
         let requests = self.requests.borrow();
         let Some(sender) = requests.get(&id) else {
             return;
@@ -61,17 +61,17 @@
     }
 
     /// Queues a health check; false where too many are waiting.
-    pub fn enqueue_health_check(&self, server: ServerId) -> bool {
+    pub(super) fn enqueue_health_check(&self, server: ServerId) -> bool {
         self.health_checks.try_send(server).is_ok()
     }
 
     /// Has discovery polled.
-    pub fn request_poll(&self) {
+    pub(super) fn request_poll(&self) {
         self.poll_wanted.notify_one();
     }
 
     /// Waits until discovery is to be polled.
-    pub async fn poll_requested(&self) {
+    pub(super) async fn poll_requested(&self) {
         self.poll_wanted.notified().await;
     }
 }
--- a/crates/sidecar/src/host/balancer_host.rs
+++ b/crates/sidecar/src/host/balancer_host.rs
@@ -27,7 +27,7 @@
 use arrowstand_platform::EndpointList;
 
 /// The balancer and the parts that run it. There is one, and it stays on one thread.
-pub struct BalancerHost {
+pub(crate) struct BalancerHost {
     balancer: RefCell<WorkAwareBalancer>,
     servers: RefCell<ServerRegistry>,
     classes: ClassTable,
@@ -46,7 +46,7 @@
 
 impl BalancerHost {
     /// Hosts this balancer; the receiver yields the servers whose health is to be checked.
-    pub fn new(
+    pub(crate) fn new(
         balancer: WorkAwareBalancer,
         names: Names,
         limits: Rc<Limits>,
@@ -74,82 +74,82 @@
     }
 
     /// The balancer's clock now, in Unix microseconds; no step of the wall clock moves it.
-    pub fn now(&self) -> Micros {
+    pub(crate) fn now(&self) -> Micros {
         self.clock.now()
     }
 
     /// What the balancer's clock showed at an instant that is past.
-    pub fn micros_at(&self, instant: Instant) -> Micros {
+    pub(crate) fn micros_at(&self, instant: Instant) -> Micros {
         self.clock.micros_at(instant)
     }
 
     /// The class of that name; `None` where the configuration has none.
-    pub fn class(&self, name: &str) -> Option<ClassId> {
+    pub(crate) fn class(&self, name: &str) -> Option<ClassId> {
         self.classes.id(name)
     }
 
     /// True for a class whose requests carry an idempotency key.
-    pub fn requires_idempotency_key(&self, class: ClassId) -> bool {
+    pub(crate) fn requires_idempotency_key(&self, class: ClassId) -> bool {
         self.classes.requires_idempotency_key(class)
     }
 
     /// How long a client of the class waits that does not say so.
-    pub fn default_client_timeout(&self, class: ClassId) -> Duration {
+    pub(crate) fn default_client_timeout(&self, class: ClassId) -> Duration {
         self.classes.default_client_timeout(class)
     }
 
     /// For how long servers drop retries of a request by its idempotency key; `None` for a class
     /// without keys.
-    pub fn deduplication_window(&self, class: ClassId) -> Option<Duration> {
+    pub(crate) fn deduplication_window(&self, class: ClassId) -> Option<Duration> {
         self.classes.deduplication_window(class)
     }
 
     /// Becomes true where the process is about to end: every request in flight gets its response at
     /// once.
-    pub fn forced_shutdown(&self) -> watch::Receiver<bool> {
+    pub(crate) fn forced_shutdown(&self) -> watch::Receiver<bool> {
         self.forced_shutdown.subscribe()
     }
 
     /// Has every request in flight get its response at once.
-    pub fn force_shutdown(&self) {
+    pub(crate) fn force_shutdown(&self) {
         self.forced_shutdown.send_replace(true);
     }
 
     /// Records what the age of the endpoint list follows from; `update` also gets the balancer's
     /// clock.
-    pub fn update_list_freshness(&self, update: impl FnOnce(&mut ListFreshness, Micros)) {
+    pub(crate) fn update_list_freshness(&self, update: impl FnOnce(&mut ListFreshness, Micros)) {
         let mut freshness = self.freshness.get();
         update(&mut freshness, self.now());
         self.freshness.set(freshness);
     }
 
     /// For how long the endpoint list may be trusted.
-    pub fn list_freshness(&self) -> ListFreshness {
+    pub(crate) fn list_freshness(&self) -> ListFreshness {
         self.freshness.get()
     }
 
     /// True once requests can be served: a list has named a server that is ready.
-    pub fn is_ready(&self) -> bool {
+    pub(crate) fn is_ready(&self) -> bool {
         self.servers.borrow().has_listed_ready()
     }
 
     /// The server of that number; `None` once it is forgotten.
-    pub fn server(&self, id: ServerId) -> Option<Rc<Server>> {
+    pub(crate) fn server(&self, id: ServerId) -> Option<Rc<Server>> {
         self.servers.borrow().get(id)
     }
 
     /// Reserves a client's request id until the guard is dropped; `None` where it is in use.
-    pub fn reserve_request_id(&self, id: &str) -> Option<RequestIdGuard> {
+    pub(crate) fn reserve_request_id(&self, id: &str) -> Option<RequestIdGuard> {
         self.request_ids.reserve(id)
     }
 
     /// Waits until the balancer wants the endpoint list polled.
-    pub async fn poll_requested(&self) {
+    pub(crate) async fn poll_requested(&self) {
         self.actions.poll_requested().await;
     }
 
     /// Fires the balancer's timers as they come due, for as long as the process runs.
-    pub async fn run_timers(&self) {
+    pub(crate) async fn run_timers(&self) {
         loop {
             let token = self.timers.next_due(&self.clock).await;
             self.handle_event(Event::TimerFired { token });
@@ -158,7 +158,7 @@
 
     /// Hands an endpoint list, or a change to it, to the balancer, under a version that never
     /// falls.
-    pub fn update_endpoints(&self, kind: UpdateKind, version: u64, list: &EndpointList) {
+    pub(crate) fn update_endpoints(&self, kind: UpdateKind, version: u64, list: &EndpointList) {
         self.counters.endpoint_updates.add();
         for message in &list.skipped {
             self.counters.endpoint_lines_skipped.add();
@@ -174,7 +174,7 @@
     }
 
     /// Hands an event to the balancer and executes the actions that result.
-    pub fn handle_event(&self, event: Event) {
+    pub(crate) fn handle_event(&self, event: Event) {
         let mut actions = Vec::new();
         self.balancer
             .borrow_mut()
--- a/crates/sidecar/src/host/clock.rs
+++ b/crates/sidecar/src/host/clock.rs
@@ -7,14 +7,14 @@
 
 /// Gives the time in Unix microseconds. Guards against steps of the wall clock, which must not move
 /// a timer, while the start times of servers in the endpoint list can still be compared with it.
-pub struct BalancerClock {
+pub(super) struct BalancerClock {
     started_at: Instant,
     unix_time_at_start: Micros,
 }
 
 impl BalancerClock {
     /// Takes the wall clock's time now as the start; a wall clock before 1970 counts as 1970.
-    pub fn start() -> Self {
+    pub(super) fn start() -> Self {
         let unix_time = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -25,22 +25,22 @@
     }
 
     /// What the clock showed at its start.
-    pub fn unix_time_at_start(&self) -> Micros {
+    pub(super) fn unix_time_at_start(&self) -> Micros {
         self.unix_time_at_start
     }
 
     /// What the clock shows now.
-    pub fn now(&self) -> Micros {
+    pub(super) fn now(&self) -> Micros {
         self.unix_time_at_start + micros(self.started_at.elapsed())
     }
 
     /// What the clock showed at an instant that is past.
-    pub fn micros_at(&self, instant: Instant) -> Micros {
+    pub(super) fn micros_at(&self, instant: Instant) -> Micros {
         self.now().saturating_sub(micros(instant.elapsed()))
     }
 }
 
 /// A duration in the balancer's unit.
-pub fn micros(duration: Duration) -> Micros {
+pub(super) fn micros(duration: Duration) -> Micros {
     duration.as_micros() as Micros
 }
--- a/crates/sidecar/src/host/in_flight_request.rs
+++ b/crates/sidecar/src/host/in_flight_request.rs
@@ -20,7 +20,7 @@
 }
 
 /// A request that the balancer knows of and that gets one final response.
-pub struct InFlightRequest {
+pub(crate) struct InFlightRequest {
     host: Rc<BalancerHost>,
     id: RequestId,
     actions: mpsc::Receiver<RequestAction>,
@@ -32,7 +32,7 @@
 impl InFlightRequest {
     /// Hands a request to the balancer. `time_left` is until its client gives up, `work_hint` its
     /// work on a usual server where the client gave an estimate.
-    pub fn admit(
+    pub(crate) fn admit(
         host: &Rc<BalancerHost>,
         class: ClassId,
         time_left: Duration,
@@ -58,7 +58,7 @@
     }
 
     /// Waits for the balancer's next action; after a final one the request has ended.
-    pub async fn next_action(&mut self) -> RequestAction {
+    pub(crate) async fn next_action(&mut self) -> RequestAction {
         // The dispatcher keeps the sending end until this request is dropped.
         let action = self.actions.recv().await.unwrap_or(RequestAction::Fail);
         self.has_final_response |= action.is_final();
@@ -66,7 +66,7 @@
     }
 
     /// Records an attempt that starts now and gives its number.
-    pub fn on_attempt_started(&mut self, server: ServerId) -> u32 {
+    pub(crate) fn on_attempt_started(&mut self, server: ServerId) -> u32 {
         let open = self.new_attempt(server);
         let attempt = open.attempt;
         self.open_attempts.push(open);
@@ -74,7 +74,12 @@
     }
 
     /// Reports how an attempt ended. One that was served ends the request.
-    pub fn on_attempt_ended(&mut self, attempt: u32, outcome: Outcome, report: Option<LoadReport>) {
+    pub(crate) fn on_attempt_ended(
+        &mut self,
+        attempt: u32,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) {
         let is_it = |open: &OpenAttempt| open.attempt == attempt;
         let Some(index) = self.open_attempts.iter().position(is_it) else {
             return;
@@ -85,7 +90,7 @@
     }
 
     /// Ends a request that the balancer has not decided by the last moment for a response.
-    pub fn on_overdue(&mut self) {
+    pub(crate) fn on_overdue(&mut self) {
         self.host.counters.responses_overdue.add();
         self.on_client_gone();
     }
--- a/crates/sidecar/src/host/mod.rs
+++ b/crates/sidecar/src/host/mod.rs
@@ -12,7 +12,7 @@
 mod server_registry;
 mod timers;
 
-pub use balancer_host::BalancerHost;
-pub use in_flight_request::InFlightRequest;
-pub use request_action::RequestAction;
-pub use server::Server;
+pub(crate) use balancer_host::BalancerHost;
+pub(crate) use in_flight_request::InFlightRequest;
+pub(crate) use request_action::RequestAction;
+pub(crate) use server::Server;
--- a/crates/sidecar/src/host/request_action.rs
+++ b/crates/sidecar/src/host/request_action.rs
@@ -4,7 +4,7 @@
 
 /// What the balancer wants done next for a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum RequestAction {
+pub(crate) enum RequestAction {
     /// Start an attempt.
     Send {
         /// The server that gets it.
@@ -29,7 +29,7 @@
 
 impl RequestAction {
     /// True for an action that ends the request.
-    pub fn is_final(self) -> bool {
+    pub(crate) fn is_final(self) -> bool {
         matches!(self, Self::Reject { .. } | Self::Fail)
     }
 }
--- a/crates/sidecar/src/host/request_ids.rs
+++ b/crates/sidecar/src/host/request_ids.rs
@@ -7,12 +7,12 @@
 
 /// The request ids that are in use.
 #[derive(Default)]
-pub struct OpenRequestIds(RefCell<HashSet<Rc<str>>>);
+pub(super) struct OpenRequestIds(RefCell<HashSet<Rc<str>>>);
 
 impl OpenRequestIds {
     /// Reserves an id until the guard is dropped; `None` where it is in use. Guards against two
     /// requests that servers cannot tell apart: one would pass for a retry of the other.
-    pub fn reserve(self: &Rc<Self>, id: &str) -> Option<RequestIdGuard> {
+    pub(super) fn reserve(self: &Rc<Self>, id: &str) -> Option<RequestIdGuard> {
         let id: Rc<str> = id.into();
         let is_new = self.0.borrow_mut().insert(Rc::clone(&id));
         is_new.then(|| RequestIdGuard {
@@ -23,7 +23,7 @@
 }
 
 /// A request id that is in use until this is dropped.
-pub struct RequestIdGuard {
+pub(crate) struct RequestIdGuard {
     open: Rc<OpenRequestIds>,
     id: Rc<str>,
 }
--- a/crates/sidecar/src/host/server.rs
+++ b/crates/sidecar/src/host/server.rs
@@ -46,7 +46,7 @@
 
 /// A server as the endpoint list names it. Shared by the registry and by the attempts that are in
 /// flight.
-pub struct Server {
+pub(crate) struct Server {
     /// Its number towards the balancer, never used for another server.
     pub id: ServerId,
     address: Cell<SocketAddr>,
@@ -59,7 +59,7 @@
 
 impl Server {
     /// A server that is ready, at this address.
-    pub fn new(id: ServerId, address: SocketAddr) -> Self {
+    pub(crate) fn new(id: ServerId, address: SocketAddr) -> Self {
         Self {
             id,
             address: Cell::new(address),
@@ -70,7 +70,7 @@
     }
 
     /// Where the latest list has it.
-    pub fn address(&self) -> SocketAddr {
+    pub(crate) fn address(&self) -> SocketAddr {
         self.address.get()
     }
 
@@ -80,20 +80,20 @@
     }
 
     /// For how long its drain or its removal has been known; `None` while it is ready.
-    pub fn drain_age(&self) -> Option<Duration> {
+    pub(crate) fn drain_age(&self) -> Option<Duration> {
         let notified_at = self.availability.get().drain_notified_at();
         notified_at.map(|at| at.elapsed())
     }
 
     /// It has served a request that was sent then (on the balancer's clock), so it accepted work
     /// then.
-    pub fn on_request_served(&self, started: Micros) {
+    pub(crate) fn on_request_served(&self, started: Micros) {
         let latest = self.last_served_start.get().max(Some(started));
         self.last_served_start.set(latest);
     }
 
     /// When the latest request that it served was sent, on the balancer's clock.
-    pub fn last_served_start(&self) -> Option<Micros> {
+    pub(crate) fn last_served_start(&self) -> Option<Micros> {
         self.last_served_start.get()
     }
 
@@ -104,7 +104,7 @@
 
     /// A list names it with this status and this start, in Unix milliseconds; 0 where the list has
     /// no start.
-    pub fn on_listed(&self, status: EndpointStatus, incarnation_ms: f64) {
+    pub(crate) fn on_listed(&self, status: EndpointStatus, incarnation_ms: f64) {
         let known_incarnation_ms = self.incarnation_ms.get();
         let is_newer_incarnation = incarnation_ms > known_incarnation_ms;
         self.incarnation_ms
--- a/crates/sidecar/src/host/server_registry.rs
+++ b/crates/sidecar/src/host/server_registry.rs
@@ -18,7 +18,7 @@
 
 /// Every server that is not forgotten, by the name that lists have for it and by its number.
 #[derive(Default)]
-pub struct ServerRegistry {
+pub(super) struct ServerRegistry {
     by_name: HashMap<String, Rc<Server>>,
     by_id: BTreeMap<ServerId, Rc<Server>>,
     /// Numbers are never used twice: a new server must not pass for one that has been removed.
@@ -31,7 +31,7 @@
 
 impl ServerRegistry {
     /// A registry without servers, with the zones and the machine types of the configuration.
-    pub fn new(zones: Vec<String>, machines: MachineCatalogue) -> Self {
+    pub(super) fn new(zones: Vec<String>, machines: MachineCatalogue) -> Self {
         Self {
             zones,
             machines,
@@ -40,12 +40,12 @@
     }
 
     /// True once a list has named a server that is ready.
-    pub fn has_listed_ready(&self) -> bool {
+    pub(super) fn has_listed_ready(&self) -> bool {
         self.has_listed_ready
     }
 
     /// The server of that number; `None` once it is forgotten.
-    pub fn get(&self, id: ServerId) -> Option<Rc<Server>> {
+    pub(super) fn get(&self, id: ServerId) -> Option<Rc<Server>> {
         self.by_id.get(&id).cloned()
     }
 
--- a/crates/sidecar/src/host/timers.rs
+++ b/crates/sidecar/src/host/timers.rs
@@ -12,20 +12,20 @@
 
 /// Timers by the time at which they are due and the token by which the balancer knows them.
 #[derive(Default)]
-pub struct TimerQueue {
+pub(super) struct TimerQueue {
     timers: RefCell<BinaryHeap<Reverse<(Micros, u64)>>>,
     timer_added: Notify,
 }
 
 impl TimerQueue {
     /// Adds a timer that is due at a time of the balancer's clock.
-    pub fn schedule(&self, due: Micros, token: u64) {
+    pub(super) fn schedule(&self, due: Micros, token: u64) {
         self.timers.borrow_mut().push(Reverse((due, token)));
         self.timer_added.notify_one();
     }
 
     /// Waits for the next timer that is due, removes it and gives its token.
-    pub async fn next_due(&self, clock: &BalancerClock) -> u64 {
+    pub(super) async fn next_due(&self, clock: &BalancerClock) -> u64 {
         loop {
             let first = self.first();
             let now = clock.now();
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -12,16 +12,11 @@
 
 use std::time::Duration;
 
-use arrowstand_platform::endpoint_list::MaxDepth;
-
 use client::MAX_BODY_BYTES;
 
 pub(crate) use client::ClientLimits;
 pub(crate) use discovery::DiscoveryLimits;
 pub(crate) use inputs::LimitInputs;
-/// The former name of [`LimitInputs`], for tests of other modules.
-#[cfg(test)]
-pub(crate) use inputs::LimitInputs as Basis;
 pub(crate) use shutdown::ShutdownLimits;
 pub(crate) use upstream::UpstreamLimits;
 
@@ -65,12 +60,5 @@
     }
 }
 
-/// The bound on the nesting of an endpoint list.
-impl From<&Limits> for MaxDepth {
-    fn from(limits: &Limits) -> Self {
-        Self(limits.discovery.max_json_depth)
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/sidecar/src/logging.rs
+++ b/crates/sidecar/src/logging.rs
@@ -9,7 +9,7 @@
 ///
 /// # Panics
 /// Where a logger is set already: it is called once, at the start.
-pub fn init() {
+pub(crate) fn init() {
     // Guards against bad clients that fill the log: actix-http reports each of them as an error.
     let filter = Targets::new()
         .with_default(LevelFilter::INFO)
--- a/crates/sidecar/src/message/attempt_result.rs
+++ b/crates/sidecar/src/message/attempt_result.rs
@@ -5,7 +5,7 @@
 use super::request::Payload;
 
 /// How an attempt ended.
-pub struct AttemptResult {
+pub(crate) struct AttemptResult {
     /// What the balancer is to know of the attempt's end.
     pub outcome: Outcome,
     /// The load report that came with the response.
@@ -16,12 +16,12 @@
 
 impl AttemptResult {
     /// An attempt of which no response came.
-    pub fn without_response(outcome: Outcome) -> Self {
+    pub(crate) fn without_response(outcome: Outcome) -> Self {
         Self::without_payload(outcome, None)
     }
 
     /// An attempt whose response does not go to the client.
-    pub fn without_payload(outcome: Outcome, load_report: Option<LoadReport>) -> Self {
+    pub(crate) fn without_payload(outcome: Outcome, load_report: Option<LoadReport>) -> Self {
         Self {
             outcome,
             load_report,
--- a/crates/sidecar/src/message/client_presence.rs
+++ b/crates/sidecar/src/message/client_presence.rs
@@ -6,16 +6,16 @@
 /// Whether a client is still connected: its connection records that it left, and each attempt
 /// checks it before it is sent.
 #[derive(Clone, Default)]
-pub struct ClientPresence(Rc<Cell<bool>>);
+pub(crate) struct ClientPresence(Rc<Cell<bool>>);
 
 impl ClientPresence {
     /// The client has left.
-    pub fn mark_disconnected(&self) {
+    pub(crate) fn mark_disconnected(&self) {
         self.0.set(true);
     }
 
     /// True once the client has left.
-    pub fn is_disconnected(&self) -> bool {
+    pub(crate) fn is_disconnected(&self) -> bool {
         self.0.get()
     }
 }
--- a/crates/sidecar/src/message/mod.rs
+++ b/crates/sidecar/src/message/mod.rs
@@ -8,7 +8,7 @@
 mod request;
 mod send_blocked;
 
-pub use attempt_result::AttemptResult;
-pub use client_presence::ClientPresence;
-pub use request::{FORWARDED_HEADERS, Payload, ProxyRequest};
-pub use send_blocked::SendBlocked;
+pub(crate) use attempt_result::AttemptResult;
+pub(crate) use client_presence::ClientPresence;
+pub(crate) use request::{FORWARDED_HEADERS, Payload, ProxyRequest};
+pub(crate) use send_blocked::SendBlocked;
--- a/crates/sidecar/src/message/request.rs
+++ b/crates/sidecar/src/message/request.rs
@@ -9,10 +9,11 @@
 use super::client_presence::ClientPresence;
 
 /// The headers that go with a body unchanged, in both directions.
-pub const FORWARDED_HEADERS: [&str; 3] = ["content-type", "content-encoding", "content-language"];
+pub(crate) const FORWARDED_HEADERS: [&str; 3] =
+    ["content-type", "content-encoding", "content-language"];
 
 /// A body and the forwarded headers that came with it.
-pub struct Payload {
+pub(crate) struct Payload {
     /// The complete body.
     pub body: Bytes,
     /// Name and value of each of [`FORWARDED_HEADERS`] that is there.
@@ -20,7 +21,7 @@
 }
 
 /// A client's request, read to its last byte and checked.
-pub struct ProxyRequest {
+pub(crate) struct ProxyRequest {
     /// `GET` or `POST`.
     pub method: String,
     /// Path and query.
@@ -45,7 +46,7 @@
 
 impl ProxyRequest {
     /// When the client gives up.
-    pub fn deadline(&self) -> Instant {
+    pub(crate) fn deadline(&self) -> Instant {
         self.arrived + self.client_timeout
     }
 }
--- a/crates/sidecar/src/message/send_blocked.rs
+++ b/crates/sidecar/src/message/send_blocked.rs
@@ -2,7 +2,7 @@
 
 /// Why an attempt may not begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendBlocked {
+pub(crate) enum SendBlocked {
     /// Its client has closed the connection.
     ClientLeft,
     /// It has timed out before its first byte.
@@ -19,7 +19,7 @@
 
 impl SendBlocked {
     /// The text of the I/O error with which the write fails.
-    pub fn reason(self) -> &'static str {
+    pub(crate) fn reason(self) -> &'static str {
         match self {
             Self::ClientLeft => "the client has left",
             Self::NoTime => "no time is left",
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -6,5 +6,5 @@
 mod response;
 mod retry_window;
 
-pub use exchange::run;
-pub use response::ProxyResponse;
+pub(crate) use exchange::run;
+pub(crate) use response::ProxyResponse;
--- a/crates/sidecar/src/proxy/attempts.rs
+++ b/crates/sidecar/src/proxy/attempts.rs
@@ -10,7 +10,7 @@
 use crate::message::AttemptResult;
 
 /// An attempt that has ended.
-pub struct EndedAttempt {
+pub(super) struct EndedAttempt {
     /// Its number, from 0 in the order of the starts.
     pub attempt: u32,
     /// How it ended; `None` where it was aborted.
@@ -19,7 +19,7 @@
 
 /// The attempts in flight.
 #[derive(Default)]
-pub struct Attempts {
+pub(super) struct Attempts {
     in_flight: FuturesUnordered<LocalBoxFuture<'static, EndedAttempt>>,
     /// By the number of the attempt.
     abort_handles: Vec<AbortHandle>,
@@ -27,7 +27,11 @@
 
 impl Attempts {
     /// Adds an attempt; numbers come in order, from 0.
-    pub fn start(&mut self, attempt: u32, forward: impl Future<Output = AttemptResult> + 'static) {
+    pub(super) fn start(
+        &mut self,
+        attempt: u32,
+        forward: impl Future<Output = AttemptResult> + 'static,
+    ) {
         let (abort_handle, registration) = AbortHandle::new_pair();
         self.abort_handles.push(abort_handle);
         let forward = Abortable::new(forward, registration);
@@ -39,14 +43,14 @@
     }
 
     /// Aborts an attempt; one that has ended, or is unknown, is left alone.
-    pub fn abort(&self, attempt: u32) {
+    pub(super) fn abort(&self, attempt: u32) {
         if let Some(abort_handle) = self.abort_handles.get(attempt as usize) {
             abort_handle.abort();
         }
     }
 
     /// Waits until an attempt has ended; `None` where none is in flight.
-    pub async fn next_ended(&mut self) -> Option<EndedAttempt> {
+    pub(super) async fn next_ended(&mut self) -> Option<EndedAttempt> {
         self.in_flight.next().await
     }
 }
--- a/crates/sidecar/src/proxy/exchange.rs
+++ b/crates/sidecar/src/proxy/exchange.rs
@@ -16,7 +16,7 @@
 
 /// Runs a request to its final response. Dropped early, when its client has disconnected, it
 /// cancels the attempts that are in flight.
-pub async fn run(
+pub(crate) async fn run(
     host: Rc<BalancerHost>,
     upstream: Rc<Upstream>,
     request: ProxyRequest,
--- a/crates/sidecar/src/proxy/response.rs
+++ b/crates/sidecar/src/proxy/response.rs
@@ -5,7 +5,7 @@
 use crate::message::Payload;
 
 /// The one final response to a request.
-pub enum ProxyResponse {
+pub(crate) enum ProxyResponse {
     /// A server's body, complete and unchanged.
     Served(Payload),
     /// Nothing was executed.
--- a/crates/sidecar/src/proxy/retry_window.rs
+++ b/crates/sidecar/src/proxy/retry_window.rs
@@ -7,7 +7,7 @@
 
 /// The deduplication window of a request with an idempotency key: it opens with the first attempt
 /// that may have been executed.
-pub struct RetryWindow {
+pub(super) struct RetryWindow {
     /// How long servers drop duplicates; `None` for a request without an idempotency key.
     window: Option<Duration>,
     margin: Duration,
@@ -18,7 +18,7 @@
 impl RetryWindow {
     /// A window of this length for a request without attempts; retries start by the margin before
     /// its end.
-    pub fn new(window: Option<Duration>, margin: Duration) -> Self {
+    pub(super) fn new(window: Option<Duration>, margin: Duration) -> Self {
         Self {
             window,
             margin,
@@ -28,14 +28,14 @@
 
     /// Records an attempt that starts now; returns until when its first byte may be sent, where
     /// that is bounded.
-    pub fn on_attempt_started(&mut self, now: Instant) -> Option<Instant> {
+    pub(super) fn on_attempt_started(&mut self, now: Instant) -> Option<Instant> {
         let window_start = self.started_at.iter().flatten().next().copied();
         self.started_at.push(Some(now));
         Some(window_start? + self.window?.saturating_sub(self.margin))
     }
 
     /// Records how an attempt ended, by its number in the order of the starts.
-    pub fn on_attempt_ended(&mut self, attempt: u32, outcome: Outcome) {
+    pub(super) fn on_attempt_ended(&mut self, attempt: u32, outcome: Outcome) {
         let Some(started_at) = self.started_at.get_mut(attempt as usize) else {
             return;
         };
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -9,7 +9,7 @@
 /// Ends in order; `accept` is the task that accepts clients. Guards against requests lost at a
 /// planned restart: clients still connect for a while, and what has been accepted gets its response
 /// before the end.
-pub async fn shut_down(host: &BalancerHost, listener: &Listener, accept: JoinHandle<()>) {
+pub(crate) async fn shut_down(host: &BalancerHost, listener: &Listener, accept: JoinHandle<()>) {
     let signalled_at = Instant::now();
     let limits = &host.limits.shutdown;
     sleep(limits.accept_for).await;
--- a/crates/sidecar/src/signals.rs
+++ b/crates/sidecar/src/signals.rs
@@ -5,7 +5,7 @@
 use crate::startup_error::StartupError;
 
 /// What a signal requests.
-pub enum SignalEvent {
+pub(crate) enum SignalEvent {
     /// SIGTERM or SIGINT: end, once what is in flight has its response.
     Stop,
     /// SIGHUP: read the configuration again.
@@ -14,7 +14,7 @@
 
 /// The signals that are listened for. One that comes before [`Signals::next`] is called is kept for
 /// it.
-pub struct Signals {
+pub(crate) struct Signals {
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
@@ -25,7 +25,7 @@
     ///
     /// # Errors
     /// [`StartupError::Signal`] where a handler cannot be installed.
-    pub fn listen() -> Result<Self, StartupError> {
+    pub(crate) fn listen() -> Result<Self, StartupError> {
         Ok(Self {
             terminate: listen_for(SignalKind::terminate(), "SIGTERM")?,
             interrupt: listen_for(SignalKind::interrupt(), "SIGINT")?,
@@ -34,7 +34,7 @@
     }
 
     /// Waits for the next signal.
-    pub async fn next(&mut self) -> SignalEvent {
+    pub(crate) async fn next(&mut self) -> SignalEvent {
         tokio::select! {
             _ = self.terminate.recv() => SignalEvent::Stop,
             _ = self.interrupt.recv() => SignalEvent::Stop,
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -20,7 +20,7 @@
 use crate::upstream::Upstream;
 
 /// The sidecar in service. Its tasks run until the runtime ends.
-pub struct Sidecar {
+pub(crate) struct Sidecar {
     host: Rc<BalancerHost>,
     listener: Rc<Listener>,
     /// The task that accepts clients.
@@ -35,7 +35,7 @@
     /// # Errors
     /// [`StartupError::Settings`] where the balancer does not take its settings,
     /// [`StartupError::Listen`] where the address for clients cannot be listened on.
-    pub async fn start(config: Config) -> Result<Self, StartupError> {
+    pub(crate) async fn start(config: Config) -> Result<Self, StartupError> {
         let balancer = WorkAwareBalancer::new(config.settings, config.seed)?;
         let limits = Rc::new(config.limits);
         let counters = Rc::new(Counters::default());
@@ -65,7 +65,7 @@
 
     /// Reads the configuration again and follows discovery to its new address. The rest of a new
     /// file is for the next start: what is in flight rests on the old settings.
-    pub fn reload(&self) {
+    pub(crate) fn reload(&self) {
         match Config::reload() {
             Ok(config) => self.on_reloaded(config.discovery),
             // Guards against a bad file that ends a process in service: the old settings stay.
@@ -74,7 +74,7 @@
     }
 
     /// Ends in order; what has been accepted gets its response before.
-    pub async fn shut_down(self) {
+    pub(crate) async fn shut_down(self) {
         shut_down(&self.host, &self.listener, self.accept).await;
     }
 
--- a/crates/sidecar/src/startup_error.rs
+++ b/crates/sidecar/src/startup_error.rs
@@ -13,7 +13,7 @@
 
 /// Why the sidecar does not start.
 #[derive(Debug, thiserror::Error)]
-pub enum StartupError {
+pub(crate) enum StartupError {
     /// The asynchronous runtime cannot be made.
     #[error("the runtime did not start: {0}")]
     Runtime(#[source] io::Error),
@@ -44,7 +44,7 @@
 
 impl StartupError {
     /// What the process exits with.
-    pub fn exit_code(&self) -> ExitCode {
+    pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
             Self::Configuration(_) => ExitCode::from(INVALID_CONFIGURATION),
             Self::Runtime(_) | Self::Signal { .. } | Self::Settings(_) | Self::Listen { .. } => {
--- a/crates/sidecar/src/upstream/attempt.rs
+++ b/crates/sidecar/src/upstream/attempt.rs
@@ -29,7 +29,7 @@
 const NOT_PROCESSED_TRUE: &str = "1";
 
 /// An attempt that is about to be made.
-pub struct Attempt<'a> {
+pub(super) struct Attempt<'a> {
     /// Knows the clock, the limits and how fresh the endpoint list is.
     pub host: &'a Rc<BalancerHost>,
     /// Where the connection comes from.
@@ -46,7 +46,7 @@
 
 impl Attempt<'_> {
     /// Sends the request and waits for the response.
-    pub async fn run(self) -> AttemptResult {
+    pub(super) async fn run(self) -> AttemptResult {
         let Some(http_request) = self.http_request() else {
             return AttemptResult::without_response(Outcome::NotSent);
         };
--- a/crates/sidecar/src/upstream/connection_limiter.rs
+++ b/crates/sidecar/src/upstream/connection_limiter.rs
@@ -6,14 +6,14 @@
 use std::rc::Rc;
 
 /// Counts the open connections and allows no more than a fixed number.
-pub struct ConnectionLimiter {
+pub(super) struct ConnectionLimiter {
     open: Cell<usize>,
     max_open: usize,
 }
 
 impl ConnectionLimiter {
     /// Allows `max_open` connections at a time.
-    pub fn new(max_open: usize) -> Rc<Self> {
+    pub(super) fn new(max_open: usize) -> Rc<Self> {
         Rc::new(Self {
             open: Cell::new(0),
             max_open,
@@ -21,7 +21,7 @@
     }
 
     /// A permit for one more connection; `None` where as many as allowed are open.
-    pub fn try_acquire(self: &Rc<Self>) -> Option<ConnectionPermit> {
+    pub(super) fn try_acquire(self: &Rc<Self>) -> Option<ConnectionPermit> {
         if self.open.get() >= self.max_open {
             return None;
         }
@@ -31,7 +31,7 @@
 }
 
 /// One of the connections that may be open, until it is dropped.
-pub struct ConnectionPermit(Rc<ConnectionLimiter>);
+pub(super) struct ConnectionPermit(Rc<ConnectionLimiter>);
 
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
--- a/crates/sidecar/src/upstream/connection_pool.rs
+++ b/crates/sidecar/src/upstream/connection_pool.rs
@@ -17,7 +17,7 @@
 use crate::limits::Limits;
 
 /// The pools of all servers, and the connections that wait to return to them.
-pub struct ConnectionPools {
+pub(super) struct ConnectionPools {
     pools: RefCell<BTreeMap<ServerId, Pool>>,
     connector: Rc<BoundedConnector>,
     reuse_delay: ReuseDelay,
@@ -34,7 +34,7 @@
 
 impl ConnectionPools {
     /// No pools; connections will keep to these limits.
-    pub fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Self {
+    pub(super) fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Self {
         Self {
             pools: RefCell::default(),
             reuse_delay: ReuseDelay::new(limits.upstream.reuse_delay),
@@ -44,7 +44,7 @@
     }
 
     /// A client whose connections go to the server's present address.
-    pub fn client_for(&self, server: &Server) -> Client {
+    pub(super) fn client_for(&self, server: &Server) -> Client {
         let now = Instant::now();
         self.reuse_delay.release_due(now);
         let mut pools = self.pools.borrow_mut();
@@ -70,7 +70,7 @@
 
     /// A response has been read but for its end: its connection returns to its pool after the reuse
     /// delay.
-    pub fn on_response_finished(&self, response: FinishedResponse) {
+    pub(super) fn on_response_finished(&self, response: FinishedResponse) {
         self.reuse_delay.on_response_finished(response);
     }
 
@@ -79,7 +79,7 @@
     ///
     /// Guards against descriptors held for them: awc looks at an idle connection only when it wants
     /// one, so they are closed with their pool.
-    pub async fn run_sweeps(&self) {
+    pub(super) async fn run_sweeps(&self) {
         loop {
             tokio::time::sleep(self.idle_timeout).await;
             self.reuse_delay.release_due(Instant::now());
--- a/crates/sidecar/src/upstream/connector.rs
+++ b/crates/sidecar/src/upstream/connector.rs
@@ -18,7 +18,7 @@
 use crate::limits::Limits;
 
 /// Opens connections and keeps their number within bounds, over all clients that it has made.
-pub struct BoundedConnector {
+pub(super) struct BoundedConnector {
     limiter: Rc<ConnectionLimiter>,
     limits: Rc<Limits>,
     counters: Rc<Counters>,
@@ -26,7 +26,7 @@
 
 impl BoundedConnector {
     /// A connector without a connection.
-    pub fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Rc<Self> {
+    pub(super) fn new(limits: Rc<Limits>, counters: Rc<Counters>) -> Rc<Self> {
         Rc::new(Self {
             limiter: ConnectionLimiter::new(limits.upstream.max_connections),
             limits,
@@ -35,7 +35,7 @@
     }
 
     /// A client with a pool of its own and none of awc's own timeouts, redirects or headers.
-    pub fn client(self: &Rc<Self>) -> Client {
+    pub(super) fn client(self: &Rc<Self>) -> Client {
         let this = Rc::clone(self);
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let this = Rc::clone(&this);
--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -15,7 +15,7 @@
 use super::write_progress::{CURRENT_WRITE, WriteProgress};
 
 /// A response that was read to its end.
-pub struct CompleteResponse {
+pub(super) struct CompleteResponse {
     /// The status of the final response.
     pub status: StatusCode,
     headers: HeaderMap,
@@ -25,21 +25,21 @@
 
 impl CompleteResponse {
     /// A header's value, where it is text.
-    pub fn header(&self, name: &str) -> Option<&str> {
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
 }
 
 /// There is no complete response: the connection failed, or the response broke the protocol or a
 /// limit. How far the request went is known to its [`WriteProgress`] alone.
-pub struct ExchangeFailed;
+pub(super) struct ExchangeFailed;
 
 /// Sends a request and reads its response to the end. What is written of it is recorded in
 /// `progress`.
 ///
 /// # Errors
 /// There is no complete response, or its body is longer than `max_body_bytes`.
-pub async fn exchange(
+pub(super) async fn exchange(
     pools: &ConnectionPools,
     request: ClientRequest,
     body: Bytes,
@@ -114,7 +114,7 @@
 
 /// The outcome of a request without a response. That it was never executed is claimed only where it
 /// is proven; a request that was written to its last byte ends as `if_complete`.
-pub fn outcome_without_response(progress: &WriteProgress, if_complete: Outcome) -> Outcome {
+pub(super) fn outcome_without_response(progress: &WriteProgress, if_complete: Outcome) -> Outcome {
     if progress.is_not_sent() {
         Outcome::NotSent
     } else if progress.is_complete() {
--- a/crates/sidecar/src/upstream/health_check.rs
+++ b/crates/sidecar/src/upstream/health_check.rs
@@ -34,20 +34,20 @@
 
 /// Executes health checks and reports how they ended: exactly once for each that the balancer
 /// requests, since it waits for that before it checks the server again.
-pub struct HealthChecker {
+pub(super) struct HealthChecker {
     host: Rc<BalancerHost>,
     pools: Rc<ConnectionPools>,
 }
 
 impl HealthChecker {
     /// Reports to `host`; takes connections from `pools`.
-    pub fn new(host: Rc<BalancerHost>, pools: Rc<ConnectionPools>) -> Rc<Self> {
+    pub(super) fn new(host: Rc<BalancerHost>, pools: Rc<ConnectionPools>) -> Rc<Self> {
         Rc::new(Self { host, pools })
     }
 
     /// Starts each health check as it is requested, without waiting for the ones before, until the
     /// channel is closed.
-    pub async fn run(self: Rc<Self>, mut requested: mpsc::Receiver<ServerId>) {
+    pub(super) async fn run(self: Rc<Self>, mut requested: mpsc::Receiver<ServerId>) {
         while let Some(id) = requested.recv().await {
             match self.host.server(id) {
                 Some(server) => Rc::clone(&self).start(server),
--- a/crates/sidecar/src/upstream/mod.rs
+++ b/crates/sidecar/src/upstream/mod.rs
@@ -40,14 +40,14 @@
 use health_check::HealthChecker;
 
 /// Sends requests to servers.
-pub struct Upstream {
+pub(crate) struct Upstream {
     host: Rc<BalancerHost>,
     pools: Rc<ConnectionPools>,
 }
 
 impl Upstream {
     /// An upstream without a connection, with the limits and counters of its host.
-    pub fn new(host: &Rc<BalancerHost>) -> Rc<Self> {
+    pub(crate) fn new(host: &Rc<BalancerHost>) -> Rc<Self> {
         let (limits, counters) = (Rc::clone(&host.limits), Rc::clone(&host.counters));
         Rc::new(Self {
             host: Rc::clone(host),
@@ -58,7 +58,7 @@
     /// Makes one attempt: sends the request to the server and waits up to `timeout` for its
     /// response. A retry whose first byte is not written before `start_before` is not sent.
     /// Dropping the future cancels the attempt.
-    pub async fn forward(
+    pub(crate) async fn forward(
         &self,
         server: ServerId,
         request: &ProxyRequest,
@@ -81,14 +81,14 @@
     }
 
     /// Executes the health checks that the balancer requests, until the channel is closed.
-    pub async fn run_health_checks(self: Rc<Self>, requested: mpsc::Receiver<ServerId>) {
+    pub(crate) async fn run_health_checks(self: Rc<Self>, requested: mpsc::Receiver<ServerId>) {
         let checker = HealthChecker::new(Rc::clone(&self.host), Rc::clone(&self.pools));
         checker.run(requested).await;
     }
 
     /// Closes the connections of servers that get no requests any more, for as long as the program
     /// runs.
-    pub async fn run_pool_sweeps(self: Rc<Self>) {
+    pub(crate) async fn run_pool_sweeps(self: Rc<Self>) {
         self.pools.run_sweeps().await;
     }
 }
--- a/crates/sidecar/src/upstream/response_framing.rs
+++ b/crates/sidecar/src/upstream/response_framing.rs
@@ -30,7 +30,7 @@
 
 /// Whether bytes of a connection belong to the response that is awaited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReceivedBytes {
+pub(super) enum ReceivedBytes {
     /// All of them do.
     WithinResponse,
     /// Some come behind its end: the connection must not be used again.
@@ -39,7 +39,7 @@
 
 /// The framing of the response that is awaited on one connection.
 #[derive(Default)]
-pub struct ResponseFraming {
+pub(super) struct ResponseFraming {
     state: FramingState,
     /// Interim responses that have come ahead of the final one.
     interim_responses: usize,
@@ -49,7 +49,7 @@
 
 impl ResponseFraming {
     /// For a connection on which a request is about to be written.
-    pub fn awaiting_head() -> Self {
+    pub(super) fn awaiting_head() -> Self {
         Self {
             state: FramingState::Head,
             ..Self::default()
@@ -57,22 +57,22 @@
     }
 
     /// True while the head of the final response is awaited.
-    pub fn is_in_head(&self) -> bool {
+    pub(super) fn is_in_head(&self) -> bool {
         matches!(self.state, FramingState::Head)
     }
 
     /// True where no response is awaited.
-    pub fn is_idle(&self) -> bool {
+    pub(super) fn is_idle(&self) -> bool {
         matches!(self.state, FramingState::Idle)
     }
 
     /// True where the body has no announced length, so that awc finds its end.
-    pub fn is_in_unsized_body(&self) -> bool {
+    pub(super) fn is_in_unsized_body(&self) -> bool {
         matches!(self.state, FramingState::UnsizedBody(_))
     }
 
     /// How many bytes of the body may still come; `None` where no body is awaited.
-    pub fn body_bytes_left(&self) -> Option<usize> {
+    pub(super) fn body_bytes_left(&self) -> Option<usize> {
         match self.state {
             FramingState::Idle | FramingState::Head => None,
             FramingState::SizedBody(left) | FramingState::UnsizedBody(left) => Some(left),
@@ -80,7 +80,7 @@
     }
 
     /// Moves buffered bytes of the final response to `output`; false where there are none.
-    pub fn pass_on_buffered(&mut self, output: &mut ReadBuf<'_>) -> bool {
+    pub(super) fn pass_on_buffered(&mut self, output: &mut ReadBuf<'_>) -> bool {
         if self.is_in_head() || self.buffered.is_empty() {
             return false;
         }
@@ -94,7 +94,7 @@
     /// # Errors
     /// The head cannot be read, is too long, comes behind too many interim responses, or leaves the
     /// body's end in doubt.
-    pub fn on_head_bytes(
+    pub(super) fn on_head_bytes(
         &mut self,
         bytes: &[u8],
         limits: &Limits,
@@ -174,7 +174,7 @@
     ///
     /// # Errors
     /// A body without an announced length is longer than allowed.
-    pub fn on_body_bytes(&mut self, count: usize) -> Result<(), MalformedResponse> {
+    pub(super) fn on_body_bytes(&mut self, count: usize) -> Result<(), MalformedResponse> {
         self.state = match self.state {
             FramingState::SizedBody(left) if left > count => FramingState::SizedBody(left - count),
             FramingState::UnsizedBody(left) if left > count => {
--- a/crates/sidecar/src/upstream/response_framing/tests.rs
+++ b/crates/sidecar/src/upstream/response_framing/tests.rs
@@ -99,6 +99,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one table of cases")]
 fn a_malformed_head_fails_with_the_reason() {
     let unreadable = "the head of an answer cannot be read";
     let length = "an answer's length is none, or too long";
--- a/crates/sidecar/src/upstream/response_head.rs
+++ b/crates/sidecar/src/upstream/response_head.rs
@@ -10,7 +10,7 @@
 
 /// How the body of a final response ends.
 #[derive(Clone, Copy)]
-pub enum BodyEnd {
+pub(super) enum BodyEnd {
     /// After so many bytes.
     Length(usize),
     /// By its last chunk.
@@ -20,7 +20,7 @@
 }
 
 /// What the bytes received so far amount to.
-pub enum ParsedHead {
+pub(super) enum ParsedHead {
     /// The head's end has not come yet.
     Incomplete,
     /// The head of an interim (1xx) response, `length` bytes long.
@@ -72,7 +72,10 @@
 ///
 /// # Errors
 /// The head cannot be read, is too long, or leaves the body's end in doubt.
-pub fn parse_head(received: &[u8], limits: &Limits) -> Result<ParsedHead, MalformedResponse> {
+pub(super) fn parse_head(
+    received: &[u8],
+    limits: &Limits,
+) -> Result<ParsedHead, MalformedResponse> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_RESPONSE_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     let length = match response.parse(received) {
--- a/crates/sidecar/src/upstream/reuse_delay.rs
+++ b/crates/sidecar/src/upstream/reuse_delay.rs
@@ -16,13 +16,13 @@
 
 /// A response whose end alone has not been polled for yet: awc returns its connection to the pool
 /// at that poll.
-pub type FinishedResponse = ClientResponse<BoxedPayloadStream>;
+pub(super) type FinishedResponse = ClientResponse<BoxedPayloadStream>;
 
 /// The finished responses whose connections wait for the reuse delay to pass.
 ///
 /// Each holds one of the connections that the limits allow, so there are no more of them. They are
 /// released when the next request looks for a connection: an idle sidecar is not woken for it.
-pub struct ReuseDelay {
+pub(super) struct ReuseDelay {
     delay: Duration,
     /// Oldest first, with the time at which each was finished.
     waiting: RefCell<VecDeque<(Instant, FinishedResponse)>>,
@@ -30,7 +30,7 @@
 
 impl ReuseDelay {
     /// Holds each connection back for `delay` after its response.
-    pub fn new(delay: Duration) -> Self {
+    pub(super) fn new(delay: Duration) -> Self {
         Self {
             delay,
             waiting: RefCell::default(),
@@ -38,14 +38,14 @@
     }
 
     /// Starts the delay of a response's connection.
-    pub fn on_response_finished(&self, response: FinishedResponse) {
+    pub(super) fn on_response_finished(&self, response: FinishedResponse) {
         self.waiting
             .borrow_mut()
             .push_back((Instant::now(), response));
     }
 
     /// Returns those connections to the pool whose delay has passed.
-    pub fn release_due(&self, now: Instant) {
+    pub(super) fn release_due(&self, now: Instant) {
         while let Some(mut response) = self.take_due(now) {
             // The end is there without a read from the socket; otherwise the connection is closed.
             let _ = response.next().now_or_never();
--- a/crates/sidecar/src/upstream/send_guard.rs
+++ b/crates/sidecar/src/upstream/send_guard.rs
@@ -10,7 +10,7 @@
 
 /// What is known at the moment in which the first byte would be written.
 #[derive(Clone, Copy, Debug)]
-pub struct SendConditions {
+pub(super) struct SendConditions {
     /// The client has closed its connection.
     pub client_left: bool,
     /// Time until the attempt times out.
@@ -32,7 +32,10 @@
 ///
 /// # Errors
 /// The first rule that the attempt would break.
-pub fn check(conditions: &SendConditions, max_drain_age: Duration) -> Result<(), SendBlocked> {
+pub(super) fn check(
+    conditions: &SendConditions,
+    max_drain_age: Duration,
+) -> Result<(), SendBlocked> {
     if conditions.client_left {
         Err(SendBlocked::ClientLeft)
     } else if conditions.time_left.is_zero() {
--- a/crates/sidecar/src/upstream/tracked_stream.rs
+++ b/crates/sidecar/src/upstream/tracked_stream.rs
@@ -25,7 +25,7 @@
 
 /// A connection that reports to the current task's request what was written of it, and passes on
 /// its response alone.
-pub struct TrackedStream {
+pub(super) struct TrackedStream {
     /// `None` once the connection must not be used any more; reads then find its end.
     stream: Option<TcpStream>,
     framing: ResponseFraming,
@@ -44,7 +44,7 @@
 
 impl TrackedStream {
     /// For a connection that has just come up; it counts as open until it is dropped.
-    pub fn new(
+    pub(super) fn new(
         stream: TcpStream,
         permit: ConnectionPermit,
         limits: Rc<Limits>,
--- a/crates/sidecar/src/upstream/write_progress.rs
+++ b/crates/sidecar/src/upstream/write_progress.rs
@@ -25,7 +25,7 @@
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 
 /// How much of one request the socket has accepted, and what is checked before its first byte.
-pub struct WriteProgress {
+pub(super) struct WriteProgress {
     guard: Option<SendGuard>,
     /// Bytes of the request's body.
     body_length: usize,
@@ -58,7 +58,7 @@
 
 /// What [`check`] looks at before an attempt's first byte. Health checks have none: they are no
 /// work, and may go to a draining server.
-pub struct SendGuard {
+pub(super) struct SendGuard {
     /// Knows the clock and how fresh the endpoint list is.
     pub host: Rc<BalancerHost>,
     /// The server that the attempt goes to.
@@ -98,7 +98,7 @@
 
 impl WriteProgress {
     /// For a request with a body of `body_length` bytes; a guard may block its first byte.
-    pub fn new(guard: Option<SendGuard>, body_length: usize) -> Rc<Self> {
+    pub(super) fn new(guard: Option<SendGuard>, body_length: usize) -> Rc<Self> {
         Rc::new(Self {
             guard,
             body_length,
@@ -107,7 +107,7 @@
     }
 
     /// When the socket accepted the first byte.
-    pub fn started_at(&self) -> Option<Instant> {
+    pub(super) fn started_at(&self) -> Option<Instant> {
         match self.phase.get() {
             WritePhase::NotStarted | WritePhase::NotSent => None,
             WritePhase::WritingHead { started_at, .. }
@@ -118,13 +118,13 @@
     }
 
     /// True where the sidecar itself has not let the request out: no fault of the server's.
-    pub fn is_not_sent(&self) -> bool {
+    pub(super) fn is_not_sent(&self) -> bool {
         matches!(self.phase.get(), WritePhase::NotSent)
     }
 
     /// True once the socket has accepted the last byte: from then on the server may execute the
     /// request.
-    pub fn is_complete(&self) -> bool {
+    pub(super) fn is_complete(&self) -> bool {
         matches!(
             self.phase.get(),
             WritePhase::Complete { .. } | WritePhase::ConnectionEnded { .. }
@@ -132,18 +132,18 @@
     }
 
     /// True where the connection ended while the response was read.
-    pub fn connection_ended(&self) -> bool {
+    pub(super) fn connection_ended(&self) -> bool {
         matches!(self.phase.get(), WritePhase::ConnectionEnded { .. })
     }
 
     /// No connection was opened for the request: as many as allowed are open.
-    pub fn on_connection_limit_reached(&self) {
+    pub(super) fn on_connection_limit_reached(&self) {
         self.phase.set(WritePhase::NotSent);
     }
 
     /// A read from the request's connection found its end, or failed. Without effect on a request
     /// that is not complete.
-    pub fn on_connection_ended(&self) {
+    pub(super) fn on_connection_ended(&self) {
         if let WritePhase::Complete { started_at } = self.phase.get() {
             self.phase.set(WritePhase::ConnectionEnded { started_at });
         }
@@ -153,7 +153,7 @@
     ///
     /// # Errors
     /// Why the request is not sent.
-    pub fn check_first_byte(&self, limits: &Limits) -> Result<(), SendBlocked> {
+    pub(super) fn check_first_byte(&self, limits: &Limits) -> Result<(), SendBlocked> {
         if self.started_at().is_some() {
             return Ok(());
         }
@@ -168,7 +168,7 @@
     }
 
     /// The socket has accepted these bytes of the request.
-    pub fn on_written(&self, bytes: &[u8]) {
+    pub(super) fn on_written(&self, bytes: &[u8]) {
         if bytes.is_empty() {
             return;
         }
--- a/crates/sidecar/tests/support/message.rs
+++ b/crates/sidecar/tests/support/message.rs
@@ -11,7 +11,7 @@
 ///
 /// # Panics
 /// If the message is cut off or unreadable.
-pub fn read_message(connection: &mut TcpStream) -> String {
+pub(super) fn read_message(connection: &mut TcpStream) -> String {
     let head = read_head(connection);
     let (first_line, rest) = head.split_once("\r\n").expect("a first line");
     let mut headers: Vec<String> = rest
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -27,7 +27,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// A running sidecar and its peers; what the sidecar sends to them goes into the transcript.
-pub struct Harness {
+pub(crate) struct Harness {
     sidecar: Child,
     listen_address: String,
     servers: Vec<TcpListener>,
@@ -56,7 +56,7 @@
 ///
 /// # Panics
 /// If it does not within the timeout.
-pub fn until<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+pub(crate) fn until<T>(what: &str, mut check: impl FnMut() -> Option<T>) -> T {
     let start = Instant::now();
     loop {
         if let Some(found) = check() {
@@ -70,7 +70,7 @@
 impl Harness {
     /// Starts a sidecar with the peers that a recording's first line asks for; `name` keeps
     /// configurations apart.
-    pub fn start(name: &str, first_line: &str) -> Self {
+    pub(crate) fn start(name: &str, first_line: &str) -> Self {
         let options = Options::parse(first_line);
         let bind = |count| (0..count).map(|_| bind_free_port()).collect::<Vec<_>>();
         let mut servers = bind(options.servers);
@@ -112,17 +112,17 @@
     }
 
     /// Where the sidecar listens.
-    pub fn listen_address(&self) -> &str {
+    pub(crate) fn listen_address(&self) -> &str {
         &self.listen_address
     }
 
     /// A file of the operating system on the sidecar's process.
-    pub fn process_file(&self, file: &str) -> PathBuf {
+    pub(crate) fn process_file(&self, file: &str) -> PathBuf {
         PathBuf::from(format!("/proc/{}/{file}", self.sidecar.id()))
     }
 
     /// The listening sockets of the servers.
-    pub fn servers(&self) -> Vec<TcpListener> {
+    pub(crate) fn servers(&self) -> Vec<TcpListener> {
         self.servers
             .iter()
             .map(|server| server.try_clone().expect("a second handle"))
@@ -130,7 +130,7 @@
     }
 
     /// What the sidecar sent to its peers since the last call.
-    pub fn take_transcript(&mut self) -> String {
+    pub(crate) fn take_transcript(&mut self) -> String {
         std::mem::take(&mut self.transcript)
     }
 
--- a/crates/sidecar/tests/support/network.rs
+++ b/crates/sidecar/tests/support/network.rs
@@ -5,28 +5,28 @@
 use tokio::net::TcpSocket;
 
 /// A listener on a free port, which does not block.
-pub fn bind_free_port() -> TcpListener {
+pub(super) fn bind_free_port() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.set_nonblocking(true).expect("not blocking");
     listener
 }
 
 /// The address that a listener is bound to.
-pub fn address_of(listener: &TcpListener) -> String {
+pub(super) fn address_of(listener: &TcpListener) -> String {
     listener.local_addr().expect("bound").to_string()
 }
 
 /// A free address on which the sidecar may listen, but which nobody else gets until this is dropped.
 /// Guards against a test that runs against another one's sidecar, or against none, since its port
 /// was taken before the sidecar listened.
-pub struct ReservedAddress {
+pub(super) struct ReservedAddress {
     _socket: TcpSocket,
     address: String,
 }
 
 impl ReservedAddress {
     /// Reserves an address; connections to it are refused until somebody listens.
-    pub fn new() -> Self {
+    pub(super) fn new() -> Self {
         let socket = TcpSocket::new_v4().expect("a socket");
         socket
             .bind("127.0.0.1:0".parse().expect("an address"))
@@ -40,7 +40,7 @@
     }
 
     /// The address.
-    pub fn address(&self) -> &str {
+    pub(super) fn address(&self) -> &str {
         &self.address
     }
 }
--- a/crates/sidecar/tests/support/options.rs
+++ b/crates/sidecar/tests/support/options.rs
@@ -1,7 +1,7 @@
 //! What a recording's first line asks for, and the sidecar's configuration that follows from it.
 
 /// The peers of a sidecar and the settings that differ from the usual ones.
-pub struct Options {
+pub(super) struct Options {
     /// Servers that are in the cached endpoint list.
     pub servers: usize,
     /// Servers that are in no list yet.
@@ -23,7 +23,7 @@
 
 impl Options {
     /// Reads the words `name=number` of a line; other words are its description.
-    pub fn parse(line: &str) -> Self {
+    pub(super) fn parse(line: &str) -> Self {
         let number = |name: &str, default: usize| number_of(line, name).unwrap_or(default);
         Self {
             servers: number("servers", 1),
@@ -42,7 +42,7 @@
     }
 
     /// The configuration, with the servers at those addresses in the cached endpoint list.
-    pub fn config(&self, addresses: &[String]) -> String {
+    pub(super) fn config(&self, addresses: &[String]) -> String {
         let endpoints: Vec<String> = addresses
             .iter()
             .enumerate()
--- a/crates/sidecar/tests/support/slow_server.rs
+++ b/crates/sidecar/tests/support/slow_server.rs
@@ -7,7 +7,7 @@
 use socket2::{Domain, Socket, Type};
 
 /// A server with a queue for one connection, which is full until it is admitted.
-pub struct SlowServer {
+pub(super) struct SlowServer {
     listener: TcpListener,
     /// Fills the queue.
     filler: Option<TcpStream>,
@@ -15,7 +15,7 @@
 
 impl SlowServer {
     /// A server that lets no connection come up yet.
-    pub fn new() -> Self {
+    pub(super) fn new() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         socket
             .bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())
@@ -31,32 +31,32 @@
     }
 
     /// Where it listens.
-    pub fn address(&self) -> String {
+    pub(super) fn address(&self) -> String {
         self.listener.local_addr().expect("bound").to_string()
     }
 
     /// True while the sidecar waits for a connection that does not come up.
-    pub fn is_dialled(&self) -> bool {
+    pub(super) fn is_dialled(&self) -> bool {
         let port = self.listener.local_addr().expect("bound").port();
         let syn_sent = format!(":{port:04X} 02 ");
         fs::read_to_string("/proc/net/tcp").is_ok_and(|table| table.contains(&syn_sent))
     }
 
     /// Empties the queue: the next packet of a connection attempt gets through.
-    pub fn admit(&mut self) {
+    pub(super) fn admit(&mut self) {
         if self.filler.take().is_some() {
             drop(self.listener.accept());
         }
     }
 
     /// Fills the queue again: the next connection does not come up.
-    pub fn refill(&mut self) {
+    pub(super) fn refill(&mut self) {
         let filler = fill_queue(&self.listener);
         self.filler.get_or_insert(filler);
     }
 
     /// The next connection that came up.
-    pub fn accept(&self) -> Option<TcpStream> {
+    pub(super) fn accept(&self) -> Option<TcpStream> {
         if self.filler.is_some() {
             return None;
         }
--- a/crates/sidecar/tests/support/steps.rs
+++ b/crates/sidecar/tests/support/steps.rs
@@ -15,7 +15,7 @@
     ///
     /// # Panics
     /// If what it waits for does not come, or the verb is unknown.
-    pub fn step(&mut self, party: &str, verb: &str, text: &str) {
+    pub(crate) fn step(&mut self, party: &str, verb: &str, text: &str) {
         match verb {
             "send" => self.send_message(party, text),
             "connect" => drop(self.connection(party)),
--- a/crates/testbed/benches/simulator.rs
+++ b/crates/testbed/benches/simulator.rs
@@ -1,4 +1,8 @@
 //! How fast the simulator plays: ten seconds of the site's load, and a second of a thousand sidecars.
+#![expect(
+    missing_docs,
+    reason = "criterion's macro makes a public function without one"
+)]
 
 use arrowstand_testbed::scenario::ScenarioFile;
 use arrowstand_testbed::simulator;
@@ -17,15 +21,15 @@
 }
 
 fn bench(criterion: &mut Criterion) {
-    let mut group = criterion.benchmark_group("model");
+    let mut group = criterion.benchmark_group("simulator");
     group.sample_size(10);
     let site = scenario("calm", &[("seconds", 10.0), ("load.rate", 300.0)]);
     group.bench_function("site, 10 s, 300 requests a second", |bencher| {
-        bencher.iter(|| simulator::run(&site.day, None))
+        bencher.iter(|| simulator::run(&site.scenario, None))
     });
     let thousand = scenario("thousand", &[("seconds", 1.0)]);
     group.bench_function("1,000 sidecars, 1 s, 30,000 requests a second", |bencher| {
-        bencher.iter(|| simulator::run(&thousand.day, None));
+        bencher.iter(|| simulator::run(&thousand.scenario, None));
     });
     group.finish();
 }
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -58,7 +58,7 @@
         } => {
             let options = program.options()?;
             play(&arguments, |scenario, event_log| {
-                Ok(emulator::run(&scenario.day, &options, event_log)?)
+                Ok(emulator::run(&scenario.scenario, &options, event_log)?)
             })
         }
         Command::Experiment(arguments) => experiment(&arguments),
@@ -78,7 +78,7 @@
     event_log: Option<&mut dyn EventLog>,
 ) -> Result<Report, CliError> {
     let (report, _) =
-        simulator::run(&scenario.day, event_log).map_err(|e| CliError::Simulator {
+        simulator::run(&scenario.scenario, event_log).map_err(|e| CliError::Simulator {
             reason: e.to_string(),
         })?;
     Ok(report)
@@ -128,7 +128,7 @@
 
 fn serve(scenario: &Path, options: &emulator::Options) -> Result<bool, CliError> {
     let scenario = ScenarioFile::open(scenario)?;
-    emulator::serve(&scenario.day, options, |commands| {
+    emulator::serve(&scenario.scenario, options, |commands| {
         println!("The emulated servers are up until Ctrl-C. To start a sidecar:\n{commands}");
     })?;
     Ok(true)
@@ -136,9 +136,9 @@
 
 fn try_out(options: &emulator::Options) -> Result<bool, CliError> {
     let scenario = ScenarioFile::read("try", TRY_SCENARIO)?;
-    let seconds = scenario.day.seconds;
+    let seconds = scenario.scenario.seconds;
     println!("Two emulated servers, one sidecar, {seconds} s of load ...");
-    let report = emulator::run(&scenario.day, options, None)?;
+    let report = emulator::run(&scenario.scenario, options, None)?;
     print!("{report}");
     Ok(report.holds())
 }
--- a/crates/testbed/src/emulator/client/arrival.rs
+++ b/crates/testbed/src/emulator/client/arrival.rs
@@ -20,14 +20,14 @@
     /// Plays an arrival with all its requests; `index` is its number at this sidecar.
     pub(super) async fn play_arrival(self: Arc<Self>, arrival: Arrival, index: usize) {
         let number = self.shared.next_id();
-        let within_share = self.within_quota(arrival.shop);
+        let within_share = self.within_quota(arrival.tenant);
         self.shared.note_at(
             arrival.at,
             LogEvent::ArrivalStarted {
                 arrival: number,
                 sidecar: self.sidecar,
                 class: arrival.class,
-                tenant: arrival.shop,
+                tenant: arrival.tenant,
                 within_share,
                 work: arrival.work,
             },
@@ -140,7 +140,7 @@
         let backoff = from_ms(random.between(least, most));
         let advised = response
             .retry_after
-            .filter(|_| arrival.honours && outcome == RequestOutcome::Rejected);
+            .filter(|_| arrival.honours_retry_after && outcome == RequestOutcome::Rejected);
         advised.map_or(backoff, |pause| pause.max(1))
     }
 }
--- a/crates/testbed/src/emulator/client/exchange.rs
+++ b/crates/testbed/src/emulator/client/exchange.rs
@@ -10,7 +10,7 @@
 use super::Clients;
 use super::request::{OutgoingRequest, Response};
 use crate::emulator::http::{HttpConnection, Message};
-use crate::emulator::shared::lock;
+use crate::emulator::lock::lock;
 use crate::event_log::{LogEvent, RequestOutcome};
 use crate::scenario::{Micros, from_ms};
 use crate::workload::Arrival;
--- a/crates/testbed/src/emulator/client/mod.rs
+++ b/crates/testbed/src/emulator/client/mod.rs
@@ -16,7 +16,8 @@
 use tokio::task::JoinSet;
 
 use super::Emulation;
-use super::shared::{Shared, lock};
+use super::lock::lock;
+use super::shared::Shared;
 use super::sidecars::Sidecars;
 use crate::workload::{ArrivalStream, TenantQuota, parts, quotas};
 
--- a/crates/testbed/src/emulator/client/request.rs
+++ b/crates/testbed/src/emulator/client/request.rs
@@ -44,7 +44,7 @@
             }
             Effect::Unsafe => ("POST", String::new(), "{\"slot\":3}"),
         };
-        let tenant = scenario.tenant.get(usize::from(arrival.shop));
+        let tenant = scenario.tenant.get(usize::from(arrival.tenant));
         let tenant = tenant.map_or("none", |tenant| tenant.name.as_str());
         let length = if body.is_empty() {
             String::new()
@@ -52,7 +52,7 @@
             format!("Content-Length: {}\r\n", body.len())
         };
         let cost = arrival
-            .hint
+            .work_hint
             .map_or(String::new(), |hint| format!("X-Cost: {hint}\r\n"));
         format!(
             "{method} /api?w={:.1}&c={} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id:016x}\r\n\
--- a/crates/testbed/src/emulator/client/request/tests.rs
+++ b/crates/testbed/src/emulator/client/request/tests.rs
@@ -30,10 +30,10 @@
     Arrival {
         at: 0,
         class,
-        shop: tenant,
+        tenant,
         work: 1_234.56,
-        hint,
-        honours: false,
+        work_hint: hint,
+        honours_retry_after: false,
     }
 }
 
--- a/crates/testbed/src/emulator/counter_check/tests.rs
+++ b/crates/testbed/src/emulator/counter_check/tests.rs
@@ -84,6 +84,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one table of cases")]
 fn each_counter_that_is_off_is_named_with_both_counts() {
     for (counter, off, difference) in [
         (
--- a/crates/testbed/src/emulator/discovery/mod.rs
+++ b/crates/testbed/src/emulator/discovery/mod.rs
@@ -15,8 +15,9 @@
 
 use super::emulated_server::EmulatedServer;
 use super::error::EmulatorError;
+use super::lock::lock;
 use super::ports::free_address;
-use super::shared::{Shared, lock};
+use super::shared::Shared;
 use crate::event_log::{ListedStatus, LogEvent};
 use crate::random::{RandomStream, StreamId};
 use crate::scenario::{Micros, from_ms};
--- a/crates/testbed/src/emulator/emulated_server/attempt.rs
+++ b/crates/testbed/src/emulator/emulated_server/attempt.rs
@@ -10,7 +10,7 @@
 use super::offer::{Accepted, Offer, Offered, ResponseDraw};
 use crate::emulator::clock::sleep_for;
 use crate::emulator::http::{HttpConnection, Message, response};
-use crate::emulator::shared::lock;
+use crate::emulator::lock::lock;
 use crate::event_log::LogEvent;
 use crate::scenario::Micros;
 
--- a/crates/testbed/src/emulator/emulated_server/connection.rs
+++ b/crates/testbed/src/emulator/emulated_server/connection.rs
@@ -8,7 +8,7 @@
 
 use super::EmulatedServer;
 use crate::emulator::http::HttpConnection;
-use crate::emulator::shared::lock;
+use crate::emulator::lock::lock;
 use crate::event_log::LogEvent;
 use crate::scenario::Micros;
 
--- a/crates/testbed/src/emulator/emulated_server/faults.rs
+++ b/crates/testbed/src/emulator/emulated_server/faults.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::{EmulatedServer, NetworkMode};
-use crate::emulator::shared::lock;
+use crate::emulator::lock::lock;
 use crate::event_log::ServerState;
 
 /// How often a start tries to listen on the server's addresses, and the pause between: a closed
--- a/crates/testbed/src/emulator/emulated_server/health_check.rs
+++ b/crates/testbed/src/emulator/emulated_server/health_check.rs
@@ -6,7 +6,7 @@
 use super::connection::{Incoming, Reply};
 use crate::emulator::clock::sleep_for;
 use crate::emulator::http::response;
-use crate::emulator::shared::lock;
+use crate::emulator::lock::lock;
 use crate::event_log::LogEvent;
 
 /// How often a health check looks whether a process that stands still goes on.
--- a/crates/testbed/src/emulator/emulated_server/listeners.rs
+++ b/crates/testbed/src/emulator/emulated_server/listeners.rs
@@ -9,7 +9,7 @@
 
 use super::EmulatedServer;
 use crate::emulator::error::EmulatorError;
-use crate::emulator::shared::lock;
+use crate::emulator::lock::lock;
 
 /// How often, and how long at most, the end of the listeners' tasks is waited for.
 const CLOSE_POLL: Duration = Duration::from_millis(1);
--- a/crates/testbed/src/emulator/emulated_server/mod.rs
+++ b/crates/testbed/src/emulator/emulated_server/mod.rs
@@ -19,8 +19,9 @@
 
 use super::Emulation;
 use super::error::EmulatorError;
+use super::lock::lock;
 use super::ports::free_address;
-use super::shared::{Shared, lock};
+use super::shared::Shared;
 use crate::event_log::{LogEvent, ServerState};
 use crate::random::{RandomStream, StreamId};
 use crate::scenario::{MachineType, Micros, Servers};
--- a/crates/testbed/src/emulator/mod.rs
+++ b/crates/testbed/src/emulator/mod.rs
@@ -13,6 +13,7 @@
 mod error;
 mod fault_schedule;
 mod http;
+mod lock;
 mod ports;
 mod recorder;
 mod shared;
--- a/crates/testbed/src/emulator/ports.rs
+++ b/crates/testbed/src/emulator/ports.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpSocket;
 
 use super::error::EmulatorError;
-use super::shared::lock;
+use super::lock::lock;
 
 /// The first port, below the range from which the system takes its own: a port that is given up for
 /// a while must not be taken by an outgoing connection.
--- a/crates/testbed/src/emulator/recorder.rs
+++ b/crates/testbed/src/emulator/recorder.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::sync::Mutex;
 
-use super::shared::lock;
+use super::lock::lock;
 use crate::event_log::{LogEvent, LogRecord};
 use crate::scenario::Micros;
 
--- a/crates/testbed/src/emulator/shared.rs
+++ b/crates/testbed/src/emulator/shared.rs
@@ -1,8 +1,8 @@
 //! What all parts of an emulation share: the scenario, the clock, the event record and the counts
 //! of what was swallowed in silence.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
 
 use super::clock::Clock;
 use super::recorder::Recorder;
@@ -10,14 +10,6 @@
 use crate::event_log::LogEvent;
 use crate::scenario::{Micros, Scenario, from_ms};
 
-/// Locks a mutex, also a poisoned one: what a task that panicked has recorded is still what
-/// happened.
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 /// Shared by all tasks of an emulation.
 pub(super) struct Shared {
     pub(super) scenario: Arc<Scenario>,
--- a/crates/testbed/src/emulator/sidecars/process.rs
+++ b/crates/testbed/src/emulator/sidecars/process.rs
@@ -12,7 +12,7 @@
 use tokio::process::Child;
 
 use super::counters::Counters;
-use crate::emulator::shared::lock;
+use crate::emulator::lock::lock;
 use crate::random::RandomStream;
 
 /// How often the end of a kill is waited for.
--- a/crates/testbed/src/emulator/sidecars/settings/tests.rs
+++ b/crates/testbed/src/emulator/sidecars/settings/tests.rs
@@ -8,7 +8,7 @@
 fn scenario(name: &str) -> Scenario {
     let path = format!("{}/scenarios/{name}.toml", env!("CARGO_MANIFEST_DIR"));
     let file = ScenarioFile::open(path.as_ref()).unwrap_or_else(|errors| panic!("{errors}"));
-    file.day
+    file.scenario
 }
 
 #[test]
--- a/crates/testbed/src/emulator/timeliness.rs
+++ b/crates/testbed/src/emulator/timeliness.rs
@@ -7,7 +7,7 @@
 
 use hdrhistogram::Histogram;
 
-use super::shared::lock;
+use super::lock::lock;
 use crate::scenario::Micros;
 
 /// An arrival that began this long after its time, or a timer that fired so late, was played late.
--- a/crates/testbed/src/event_log/tests.rs
+++ b/crates/testbed/src/event_log/tests.rs
@@ -52,6 +52,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one table of cases")]
 fn an_old_line_of_each_kind_says_what_it_said() {
     let records = read(OLD_EVERY_KIND).expect("read");
     assert_eq!(records.len(), 33);
--- a/crates/testbed/src/experiment/runner.rs
+++ b/crates/testbed/src/experiment/runner.rs
@@ -62,7 +62,7 @@
     ) -> Result<Report, ExperimentError> {
         let variant = self.variant(scenario, values, seed)?;
         let (report, _) =
-            simulator::run(&variant.day, None).map_err(|e| ExperimentError::Simulator {
+            simulator::run(&variant.scenario, None).map_err(|e| ExperimentError::Simulator {
                 reason: e.to_string(),
             })?;
         Ok(report)
--- a/crates/testbed/src/report/tests.rs
+++ b/crates/testbed/src/report/tests.rs
@@ -57,6 +57,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one table of cases")]
 fn an_old_report_says_what_it_said() {
     let report = old_report();
     assert_eq!((report.name.as_str(), report.seed), ("calm", 1));
--- a/crates/testbed/src/scenario/read.rs
+++ b/crates/testbed/src/scenario/read.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Debug)]
 pub struct ScenarioFile {
     /// The checked scenario.
-    pub day: Scenario,
+    pub scenario: Scenario,
     file: String,
     text: String,
     /// The text's table, with the keys that were set since.
@@ -46,7 +46,7 @@
             ScenarioErrors::single(file, ScenarioError::of_text(e.message(), line))
         })?;
         Self {
-            day: Scenario::default(),
+            scenario: Scenario::default(),
             file: file.to_owned(),
             text: text.to_owned(),
             table,
@@ -78,12 +78,12 @@
             self.located(vec![named])
         })?;
         let read = serde_path_to_error::deserialize(Value::Table(self.table.clone()));
-        self.day = read.map_err(|error: serde_path_to_error::Error<toml::de::Error>| {
+        self.scenario = read.map_err(|error: serde_path_to_error::Error<toml::de::Error>| {
             let key = error.path().to_string().replace(".[", "[");
             let why = error.inner().message().trim().to_owned();
             self.located(vec![ScenarioError::at_key(key, why)])
         })?;
-        let faults = self.day.check();
+        let faults = self.scenario.check();
         if faults.is_empty() {
             Ok(self)
         } else {
--- a/crates/testbed/src/simulator/client.rs
+++ b/crates/testbed/src/simulator/client.rs
@@ -3,7 +3,8 @@
 //! What a sidecar makes of a request is `sidecar`'s.
 
 use super::Simulator;
-use super::event::{ClientResponse, SidecarProcess, SimulatorEvent};
+use super::event::{ClientResponse, SimulatorEvent};
+use super::process::SidecarProcess;
 use super::request::{ArrivalKey, OpenArrival, Request, RequestKey};
 use crate::event_log::{LogEvent, RequestOutcome};
 use crate::scenario::{Effect, Micros, from_ms};
@@ -19,12 +20,12 @@
 
     pub(super) fn on_arrival(&mut self, sidecar: u32, arrival: Arrival) {
         let number = self.open.take_number();
-        let within_share = self.takes_quota(arrival.shop);
+        let within_share = self.takes_quota(arrival.tenant);
         self.record(LogEvent::ArrivalStarted {
             arrival: number,
             sidecar,
             class: arrival.class,
-            tenant: arrival.shop,
+            tenant: arrival.tenant,
             within_share,
             work: arrival.work,
         });
@@ -34,10 +35,10 @@
             sidecar,
             class: arrival.class,
             work: arrival.work,
-            work_hint: arrival.hint,
+            work_hint: arrival.work_hint,
             deadline: self.timeline.now() + from_ms(class.deadline_ms),
             requests: 0,
-            honours_retry_after: arrival.honours,
+            honours_retry_after: arrival.honours_retry_after,
         });
         if self.open.requests.len() >= self.scenario.load.max_open_requests {
             self.effort.not_played += 1;
--- a/crates/testbed/src/simulator/discovery/mod.rs
+++ b/crates/testbed/src/simulator/discovery/mod.rs
@@ -7,7 +7,8 @@
 mod endpoints;
 
 use super::Simulator;
-use super::event::{PollResult, SidecarProcess, SimulatorEvent};
+use super::event::{PollResult, SimulatorEvent};
+use super::process::SidecarProcess;
 use crate::event_log::{ListedStatus, LogEvent};
 use crate::scenario::{Micros, from_ms};
 
--- a/crates/testbed/src/simulator/event.rs
+++ b/crates/testbed/src/simulator/event.rs
@@ -5,6 +5,7 @@
 
 use arrowstand_balancer::Outcome;
 
+use super::process::SidecarProcess;
 use super::request::{ArrivalKey, AttemptKey, RequestKey};
 use crate::event_log::RequestOutcome;
 use crate::scenario::Micros;
@@ -62,14 +63,6 @@
     GaugeTick,
 }
 
-/// One process of a sidecar: events for an earlier one are void.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) struct SidecarProcess {
-    pub(super) sidecar: u32,
-    /// Counts the sidecar's processes.
-    pub(super) incarnation: u32,
-}
-
 /// A timer of a balancer.
 pub(super) struct BalancerTimer {
     pub(super) process: SidecarProcess,
--- a/crates/testbed/src/simulator/mod.rs
+++ b/crates/testbed/src/simulator/mod.rs
@@ -12,6 +12,7 @@
 mod event;
 mod event_queue;
 pub mod faults;
+mod process;
 mod request;
 mod run;
 mod server;
--- /dev/null
+++ b/crates/testbed/src/simulator/process.rs
@@ -0,0 +1,9 @@
+//! Which life of a sidecar an event is about.
+
+/// One process of a sidecar: events for an earlier one are void.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) struct SidecarProcess {
+    pub(super) sidecar: u32,
+    /// Counts the sidecar's processes.
+    pub(super) incarnation: u32,
+}
--- a/crates/testbed/src/simulator/request.rs
+++ b/crates/testbed/src/simulator/request.rs
@@ -2,7 +2,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::event::SidecarProcess;
+use super::process::SidecarProcess;
 use crate::scenario::Micros;
 
 new_key_type! {
--- a/crates/testbed/src/simulator/sidecar/mod.rs
+++ b/crates/testbed/src/simulator/sidecar/mod.rs
@@ -14,7 +14,8 @@
 use arrowstand_control::WorkAwareBalancer;
 
 use super::discovery::KnownEndpoints;
-use super::event::{ClientResponse, SidecarProcess, SidecarRestart, SimulatorEvent};
+use super::event::{ClientResponse, SidecarRestart, SimulatorEvent};
+use super::process::SidecarProcess;
 use super::request::RequestKey;
 use super::{Simulator, SimulatorError};
 use crate::event_log::{LogEvent, ProcessState, RequestOutcome};
--- a/crates/testbed/src/workload.rs
+++ b/crates/testbed/src/workload.rs
@@ -26,13 +26,13 @@
     /// Index of its class.
     pub class: u16,
     /// Index of its tenant.
-    pub shop: u16,
+    pub tenant: u16,
     /// Work in microseconds of a standard core.
     pub work: f64,
     /// What its client hints of the work, in microseconds of a standard core.
-    pub hint: Option<Micros>,
+    pub work_hint: Option<Micros>,
     /// Whether its client keeps to a Retry-After.
-    pub honours: bool,
+    pub honours_retry_after: bool,
 }
 
 /// The arrivals at one sidecar, in the order of their times.
@@ -115,10 +115,10 @@
         Arrival {
             at: self.now,
             class: class as u16,
-            shop: tenant as u16,
+            tenant: tenant as u16,
             work,
-            hint: self.draw_hint(work),
-            honours,
+            work_hint: self.draw_hint(work),
+            honours_retry_after: honours,
         }
     }
 
--- a/crates/testbed/tests/auditor/cold_server.rs
+++ b/crates/testbed/tests/auditor/cold_server.rs
@@ -7,6 +7,7 @@
 
 /// Work of 100 ms each, so many times within a span, at a cold server that can do 0.4 s of work a
 /// second.
+#[expect(clippy::too_many_lines, reason = "one table of log records")]
 fn pressed(count: u64, informed: bool, cold: bool) -> Vec<Finding> {
     let mut events = vec![(
         S,
--- a/crates/testbed/tests/auditor/execution.rs
+++ b/crates/testbed/tests/auditor/execution.rs
@@ -50,6 +50,7 @@
 }
 
 #[test]
+#[expect(clippy::too_many_lines, reason = "one table of log records")]
 fn an_idempotency_key_holds_in_its_zone_and_window() {
     let end = responded(S + 90, 1, RequestOutcome::Served);
     assert_eq!(
--- a/crates/testbed/tests/emulator.rs
+++ b/crates/testbed/tests/emulator.rs
@@ -54,7 +54,7 @@
         program,
         folder: Some(folder.path().to_owned()),
     };
-    run(&scenario(name, text).day, &options, None)
+    run(&scenario(name, text).scenario, &options, None)
 }
 
 /// Plays the small scenario with some more text, and checks what every run must keep.
--- a/crates/testbed/tests/scenario/former_keys.rs
+++ b/crates/testbed/tests/scenario/former_keys.rs
@@ -42,7 +42,7 @@
     for name in ["troubled", "consulta-roll"] {
         let open = |path: String| {
             let scenario = ScenarioFile::open(&root.join(path)).unwrap_or_else(|f| panic!("{f}"));
-            format!("{:#?}", scenario.day)
+            format!("{:#?}", scenario.scenario)
         };
         let former = open(format!("tests/data/{name}-former-keys.toml"));
         let present = open(format!("scenarios/{name}.toml"));
@@ -85,7 +85,7 @@
         let scenario = ScenarioFile::read("small.toml", text).expect("good");
         let set = |key: &str, value: toml::Value| {
             let variant = scenario.with(&[(key.to_owned(), value)]);
-            variant.unwrap_or_else(|f| panic!("{f}")).day
+            variant.unwrap_or_else(|f| panic!("{f}")).scenario
         };
         assert_eq!(set("trouble[0].times", 2.5.into()).fault[0].factor, 2.5);
         assert_eq!(set("fault[0].factor", 2.5.into()).fault[0].factor, 2.5);
@@ -145,7 +145,7 @@
         (axis.key.clone(), value.clone())
     });
     let variant = scenario.with(&changes.collect::<Vec<_>>());
-    let scenario = variant.unwrap_or_else(|e| panic!("{e}")).day;
+    let scenario = variant.unwrap_or_else(|e| panic!("{e}")).scenario;
     assert_eq!(scenario.fault[1].factor, 5.0);
     assert_eq!(scenario.clients.disconnect_share, 0.1);
 }
--- a/crates/testbed/tests/scenario/main.rs
+++ b/crates/testbed/tests/scenario/main.rs
@@ -137,11 +137,18 @@
     let set = |key: &str, value: toml::Value| scenario.with(&[(key.to_owned(), value)]);
     let more = set("sidecars.count", 7.into()).expect("set");
     assert_eq!(
-        (more.day.sidecars.count, scenario.day.sidecars.count),
+        (
+            more.scenario.sidecars.count,
+            scenario.scenario.sidecars.count
+        ),
         (7, 3)
     );
     assert_eq!(
-        set("fault[0].factor", 2.5.into()).expect("set").day.fault[0].factor,
+        set("fault[0].factor", 2.5.into())
+            .expect("set")
+            .scenario
+            .fault[0]
+            .factor,
         2.5
     );
     for (key, value) in [
--- a/crates/testbed/tests/simulator/fleet.rs
+++ b/crates/testbed/tests/simulator/fleet.rs
@@ -17,7 +17,7 @@
     for name in ["fleet-herd", "fleet-zone", "fleet-join"] {
         for seed in [1, 2] {
             let scenario = scenario(name, &[("seed", seed.into())]);
-            let (report, _) = simulator::run(&scenario.day, None).expect("played");
+            let (report, _) = simulator::run(&scenario.scenario, None).expect("played");
             let case = format!("{name}, seed {seed}");
             assert_keeps_rules(&report, &case);
             let servers = report.servers_by_number.iter();
@@ -37,7 +37,7 @@
     ];
     let changes = [&[("seed", seed.into())], changes].concat();
     let scenario = scenario(name, &changes);
-    let (report, _) = simulator::run(&scenario.day, None).expect("played");
+    let (report, _) = simulator::run(&scenario.scenario, None).expect("played");
     let case = format!("{name}, seed {seed}");
     assert_keeps_rules(&report, &case);
     assert_ends_every_arrival(&report, &case);
--- a/crates/testbed/tests/simulator/support.rs
+++ b/crates/testbed/tests/simulator/support.rs
@@ -31,13 +31,13 @@
 /// Report and event log of a scenario.
 pub(crate) fn play(scenario: &ScenarioFile) -> (Report, Vec<LogRecord>) {
     let mut log = Vec::new();
-    let (report, _) = simulator::run(&scenario.day, Some(&mut log)).expect("played");
+    let (report, _) = simulator::run(&scenario.scenario, Some(&mut log)).expect("played");
     (report, log)
 }
 
 /// Report of a scenario, as it is written.
 pub(crate) fn report_json(scenario: &ScenarioFile) -> String {
-    let (report, _) = simulator::run(&scenario.day, None).expect("played");
+    let (report, _) = simulator::run(&scenario.scenario, None).expect("played");
     serde_json::to_string(&report).expect("written")
 }
 
