--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,7 +1,7 @@
 //! The testbed: plays a scenario in a simulator or on loopback sockets, writes one event log,
 //! audits it and sums it up in a report.
 //!
-//! Nothing of the product is decided here. `docs/lab.md` describes how the parts fit,
+//! Nothing of the product is decided here. `docs/testbed.md` describes how the parts fit,
 //! `docs/scenario.md` what a scenario may say.
 #![forbid(unsafe_code)]
 
--- a/crates/testbed/src/scenario/check/faults.rs
+++ b/crates/testbed/src/scenario/check/faults.rs
@@ -40,13 +40,13 @@
             let number = name.strip_prefix('s').and_then(|n| n.parse::<usize>().ok());
             let known = number.is_some_and(|number| number < count);
             let key = format!("{path}.servers[{i}]");
-            checker.require(known, key, format!("there is no job server {name:?}"));
+            checker.require(known, key, format!("there is no server {name:?}"));
         }
         if fault.aims_at_servers() {
             checker.require(
                 !fault.servers.is_empty() || fault.part > 0.0 || fault.zone.is_some(),
                 path,
-                "names no job servers: servers, part or zone is needed",
+                "names no servers: servers, part or zone is needed",
             );
         }
     }
@@ -67,7 +67,7 @@
                 if let Some(name) = common_server(later, earlier).filter(|_| overlap) {
                     let at = later.at_s;
                     let why =
-                        format!("{name} is not there at {at} s: trouble[{j}] has taken it away");
+                        format!("{name} is not there at {at} s: fault[{j}] has taken it away");
                     checker.require(false, format!("fault[{i}].servers"), why);
                 }
             }
--- a/crates/testbed/src/scenario/check/fleet.rs
+++ b/crates/testbed/src/scenario/check/fleet.rs
@@ -40,7 +40,7 @@
             let name = &group.machine_type;
             let known = self.machine_type.iter().any(|t| t.name == *name);
             let key = format!("servers[{i}].machine_type");
-            checker.require(known, key, format!("there is no kind {name:?}"));
+            checker.require(known, key, format!("there is no machine type {name:?}"));
             self.check_zone(
                 checker,
                 group.zone.as_deref(),
@@ -49,8 +49,8 @@
         }
         let count: usize = self.servers.iter().map(|group| group.count).sum();
         let key = "servers";
-        checker.require(count > 0, key, "at least one job server is needed");
-        let why = format!("more than {MAX_SERVERS} job servers");
+        checker.require(count > 0, key, "at least one server is needed");
+        let why = format!("more than {MAX_SERVERS} servers");
         checker.require(count <= MAX_SERVERS, key, why);
     }
 
--- a/crates/testbed/src/scenario/traffic.rs
+++ b/crates/testbed/src/scenario/traffic.rs
@@ -117,7 +117,7 @@
         work_hints: Option<f64> = None,
         /// Whether a class's weight is that of its mean work, and counts for each unit of work.
         weight_by_work: bool = false,
-        /// Open requests at which further arrivals are not played but counted as choked off.
+        /// Open requests at which further arrivals are not played but counted as not played.
         max_open_requests: usize = 200_000,
     }
 }
--- a/crates/testbed/src/simulator/run.rs
+++ b/crates/testbed/src/simulator/run.rs
@@ -53,11 +53,11 @@
         .map(|model| model.counters.max_in_flight)
         .max()
         .unwrap_or(0);
-    format!("{choked} job servers were choked for a time; one held {held} at most")
+    format!("{choked} servers were slowed by overload for a time; one held {held} at most")
 }
 
 fn not_played_remark(scenario: &Scenario, effort: Effort) -> String {
     let most = scenario.load.max_open_requests;
     let n = effort.not_played;
-    format!("{n} wishes were choked off: load.open_most is {most}")
+    format!("{n} arrivals were cut off: load.max_open_requests is {most}")
 }
--- a/crates/testbed/tests/simulator/main.rs
+++ b/crates/testbed/tests/simulator/main.rs
@@ -120,7 +120,7 @@
         report
             .remarks
             .iter()
-            .any(|remark| remark.contains("choked off")),
+            .any(|remark| remark.contains("arrivals were cut off")),
         "{:?}",
         report.remarks
     );
