--- a/crates/balancer/src/policy/load_shedding.rs
+++ b/crates/balancer/src/policy/load_shedding.rs
@@ -80,7 +80,7 @@
         self.rng.f64() < 2.0 * excess / SHEDDING_SPAN - rank
     }
 
-    /// True where the client can be told that trying again is harmless. Nothing else decides that.
+    /// True where a retry by the client is known to be harmless. Nothing else decides that.
     fn may_reject(&self, request: &RequestState) -> bool {
         let class = self.settings.class(request.class());
         match class.idempotency {
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -45,7 +45,7 @@
     duplicate_request_id_in_flight_is_rejected
     endless_request_head_is_cut_off
     idle_connection_near_its_end_is_not_reused
-    indented_list_is_read
+    indented_endpoint_list_is_decoded
     interim_responses_are_skipped
     late_second_response_reaches_no_client
     malformed_requests_are_rejected
@@ -97,7 +97,7 @@
     unreadable_timeout_and_cost_count_as_absent
     unsized_response_ends_with_its_connection
     watch_delivers_servers_and_skips_bad_entries
-    window_ends_while_a_dial_hangs
+    deduplication_window_that_ends_during_a_connect_blocks_the_retry
 }
 
 /// The sidecar's exit code and message for a configuration.
