Review case 2: an indented list of a large fleet stalls the sidecar for seconds

ObjectDecoder counts the nesting of the whole partial object for every line, so the work grows with the square of an indented list. Seen with 1,600 job servers after a SIGHUP that moves discovery: 137 of 1,222 requests had no answer 550 ms after their time, the longest wait was 5.5 s. Without the SIGHUP none was lost and the longest wait was 37 ms.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+CASE=list_stall
+FOLDER=$(cd "$(dirname "$0")" && pwd)
+. "$FOLDER/../tools/run-case.sh"
