--- a/review/tools/foreign_answer.rs
+++ b/review/tools/foreign_answer.rs
@@ -24,11 +24,15 @@
 const RUN_S: f64 = 90.0;
 /// Share of the answers that are followed by a second copy.
 const COPY_SHARE: f64 = 0.25;
+/// Share of the requests that a job server turns away, as its queue is full; with TROUBLE=0 too.
+const TURNED_AWAY_SHARE: f64 = 0.2;
 /// How late the second copy is sent: some milliseconds.
 const COPY_DELAY_MS: (f64, f64) = (2.0, 8.0);
 /// Time one way between zones, and within one.
 const CROSS_MS: (f64, f64) = (3.0, 5.5);
 const SAME_MS: (f64, f64) = (0.2, 0.35);
+/// The class that must not run twice.
+const UNSAFE_CLASS: &str = "book-slot";
 const WORK_MS: (f64, f64) = (1.0, 5.0);
 
 #[derive(Default)]
@@ -40,6 +44,10 @@
     failed: AtomicU64,
     foreign: AtomicU64,
     unanswered: AtomicU64,
+    /// Requests of the class that must not run twice that got 503.
+    refused_unsafe: Mutex<Vec<String>>,
+    /// All requests of that class.
+    unsafe_ids: Mutex<Vec<String>>,
 }
 
 /// Requests that are on their way to a job server or wait there, with the time of their arrival.
@@ -76,6 +84,9 @@
             let id = request.header("x-request-id").to_owned();
             let answer = if is_probe {
                 response("200 OK", "", "inflight=0,eps=0,queue=0")
+            } else if self.random.unit() < TURNED_AWAY_SHARE {
+                self.record.line(&format!("{} turns away {id}", self.name));
+                response("503 Service Unavailable", "X-Not-Processed: 1\r\n", "")
             } else {
                 *self
                     .counts
@@ -227,6 +238,9 @@
     counts: &Counts,
 ) {
     let id = format!("{number:016x}");
+    if class.name == UNSAFE_CLASS {
+        counts.unsafe_ids.lock().unwrap().push(id.clone());
+    }
     let wait = ms(timeout_ms + 550.0);
     let (sent_at, answer) = client.send(&client_request(class, &id, timeout_ms), wait);
     let took_ms = sent_at.elapsed().as_secs_f64() * 1e3;
@@ -243,6 +257,9 @@
             }
         }
         Answer::Response(m) if matches!(m.status(), 429 | 503) => {
+            if class.name == UNSAFE_CLASS {
+                counts.refused_unsafe.lock().unwrap().push(id.clone());
+            }
             (m.status().to_string(), &counts.refused)
         }
         Answer::Response(m) => (m.status().to_string(), &counts.failed),
@@ -309,13 +326,28 @@
         count(&counts.unanswered),
         count(&counts.copies),
     ));
+    let runs = counts.runs.lock().unwrap();
+    let refused_unsafe = counts.refused_unsafe.lock().unwrap();
+    let refused_though_run: Vec<&String> = refused_unsafe
+        .iter()
+        .filter(|id| runs.contains_key(*id))
+        .collect();
+    let unsafe_ids = counts.unsafe_ids.lock().unwrap();
+    let run_twice: Vec<&String> = unsafe_ids
+        .iter()
+        .filter(|id| runs.get(*id).is_some_and(|runs| *runs > 1))
+        .collect();
+    record.say(&format!(
+        "{UNSAFE_CLASS}: refused though they ran {refused_though_run:?}, run twice {run_twice:?}"
+    ));
     if count(&counts.served) == 0 {
         record.flush();
         cannot_run("nothing was served");
     }
-    let broken = count(&counts.foreign) > 0;
+    let broken =
+        count(&counts.foreign) > 0 || !refused_though_run.is_empty() || !run_twice.is_empty();
     record.say(if broken {
-        "BROKEN: a client got another request's answer"
+        "BROKEN: a client got what was made for another request"
     } else {
         "held"
     });
--- a/review/tools/run-case.sh
+++ b/review/tools/run-case.sh
@@ -5,7 +5,7 @@
 export ROOT RUN
 [ -x "$PROGRAM" ] || { echo "cannot run: review/build.sh has not been run" >&2; exit 2; }
 [ -n "$RUN" ] || { echo "cannot run: no run command in the deploy file" >&2; exit 2; }
-ulimit -n 8192 2>/dev/null || { echo "cannot run: 8,192 descriptors are needed" >&2; exit 2; }
+ulimit -n 4096 2>/dev/null || { echo "cannot run: 4,096 descriptors are needed" >&2; exit 2; }
 WORK=$(mktemp -d)
 end() {
     # Sidecars that the program could not end itself.
