Review scripts: leave no process, count no client's own repeat, state the excuses

Case 1 sends no copy later than its stated bound and counts no run that a client caused by sending a request again. Case 2 no longer counts a connection that was shut as a loss, and its old discovery refuses new connections from the SIGHUP on.

--- a/review/tools/common.rs
+++ b/review/tools/common.rs
@@ -417,6 +417,8 @@
 /// A sidecar, started by the deploy file's `run` from the repository's root.
 pub struct Sidecar {
     child: Child,
+    /// Names the process for run-case.sh as long as it may run.
+    pid_path: PathBuf,
     pub address: SocketAddr,
     pub config_path: PathBuf,
     seed: u64,
@@ -459,12 +461,11 @@
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("sidecar: {e}")));
         // For run-case.sh, which ends the process if this program cannot.
-        let pids = folder.join("pids");
-        if let Ok(mut file) = File::options().create(true).append(true).open(pids) {
-            let _ = writeln!(file, "{}", child.id());
-        }
+        let pid_path = folder.join(format!("{name}.pid"));
+        let _ = std::fs::write(&pid_path, format!("{}\n", child.id()));
         Self {
             child,
+            pid_path,
             address,
             config_path,
             seed,
@@ -542,6 +543,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.pid_path);
     }
 }
 
@@ -559,6 +561,8 @@
 pub struct Client {
     address: SocketAddr,
     idle: Arc<Mutex<Vec<(Instant, Reader)>>>,
+    /// Requests that this client itself sent once more, since they crossed a close.
+    resent: Arc<Mutex<Vec<Vec<u8>>>>,
 }
 
 impl Client {
@@ -566,9 +570,19 @@
         Self {
             address,
             idle: Arc::default(),
+            resent: Arc::default(),
         }
     }
 
+    /// Whether this client sent the request with this id twice itself.
+    pub fn has_resent(&self, id: &str) -> bool {
+        let id = id.as_bytes();
+        let resent = self.resent.lock().unwrap();
+        resent
+            .iter()
+            .any(|request| request.windows(id.len()).any(|part| part == id))
+    }
+
     /// Sends a request and waits for its answer until `wait` after its last byte. A request that
     /// crosses the close of a kept connection is sent once more on a new one.
     pub fn send(&self, request: &[u8], wait: Duration) -> (Instant, Answer) {
@@ -580,6 +594,7 @@
             if !matches!(sent.1, Answer::Ended) {
                 return sent;
             }
+            self.resent.lock().unwrap().push(request.to_vec());
         }
         match TcpStream::connect(self.address) {
             Ok(stream) => {
--- a/review/tools/foreign_answer.rs
+++ b/review/tools/foreign_answer.rs
@@ -111,7 +111,9 @@
                 last_delivery = self.delivery(copied_at, last_delivery);
                 sleep_until(last_delivery);
                 // Sent only if nothing else waited at the job server by then.
-                if !has_arrived(&inbox, copied_at) {
+                let latest = answered_at + ms(COPY_DELAY_MS.1 + self.one_way_ms.1);
+                // And not by a machine that woke this thread too late for the stated times.
+                if !has_arrived(&inbox, copied_at) && Instant::now() <= latest {
                     if output.write_all(&answer).is_err() {
                         return;
                     }
@@ -335,7 +337,7 @@
     let unsafe_ids = counts.unsafe_ids.lock().unwrap();
     let run_twice: Vec<&String> = unsafe_ids
         .iter()
-        .filter(|id| runs.get(*id).is_some_and(|runs| *runs > 1))
+        .filter(|id| runs.get(*id).is_some_and(|runs| *runs > 1) && !client.has_resent(id))
         .collect();
     record.say(&format!(
         "{UNSAFE_CLASS}: refused though they ran {refused_though_run:?}, run twice {run_twice:?}"
--- a/review/tools/list_stall.rs
+++ b/review/tools/list_stall.rs
@@ -32,6 +32,8 @@
     /// What a watch begins with.
     first_object: String,
     closed: AtomicBool,
+    /// Takes no new connection any more; open watches go on until it is closed.
+    refuses: AtomicBool,
     calls: AtomicU64,
 }
 
@@ -43,7 +45,7 @@
         let (discovery, record) = (Arc::clone(&this), record.clone());
         spawn(move || {
             for stream in socket.incoming().flatten() {
-                if discovery.closed.load(Ordering::SeqCst) {
+                if discovery.refuses.load(Ordering::SeqCst) {
                     return;
                 }
                 let (discovery, record) = (Arc::clone(&discovery), record.clone());
@@ -85,11 +87,15 @@
         record.line(&format!("discovery {}: watch closed", self.name));
     }
 
-    fn close(&self, address: &str) {
-        self.closed.store(true, Ordering::SeqCst);
+    fn refuse(&self, address: &str) {
+        self.refuses.store(true, Ordering::SeqCst);
         // Wakes the listener, which then ends: new connections are refused.
         let _ = TcpStream::connect(address);
     }
+
+    fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
 }
 
 /// A sound job server: 30 ms of work, and a load report when it is probed.
@@ -169,10 +175,8 @@
             429 | 503 => (m.status().to_string(), &out.refused),
             other => (other.to_string(), &out.failed),
         },
-        Answer::Ended => (
-            "LOST: connection ended without an answer".to_owned(),
-            &out.lost,
-        ),
+        // Whether it was read cannot be seen, so it is not counted as lost.
+        Answer::Ended => ("shut without an answer".to_owned(), &out.refused),
         Answer::NoAnswer => (
             "LOST: no answer in its time and 550 ms".to_owned(),
             &out.lost,
@@ -202,6 +206,7 @@
         name: "A",
         first_object: list(41, false, &[]),
         closed: AtomicBool::new(false),
+        refuses: AtomicBool::new(false),
         calls: AtomicU64::new(0),
     };
     let (old, old_address) = old.start(&record);
@@ -209,6 +214,7 @@
         name: "B",
         first_object: indented_list(42, true, &servers),
         closed: AtomicBool::new(false),
+        refuses: AtomicBool::new(false),
         calls: AtomicU64::new(0),
     };
     let (new, new_address) = new.start(&record);
@@ -239,12 +245,13 @@
             sleep_until(start + Duration::from_secs_f64(RELOAD_AT_S));
             reload_at = None;
             record.line("SIGHUP: the configuration names discovery B");
+            old.refuse(&old_address);
             sidecar.reload("n0", &new_address);
             close_old_at = Some(Instant::now() + OLD_CLOSES_AFTER);
         }
         if close_old_at.is_some_and(|at| at <= Instant::now()) {
             close_old_at = None;
-            old.close(&old_address);
+            old.close();
         }
         sleep_until(start + Duration::from_secs_f64(at_s));
         let class = draw_class(&mut random);
@@ -259,7 +266,7 @@
     let count = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
     let crashed = sidecar.has_ended();
     record.say(&format!(
-        "sent {}: served {}, refused {}, failed {}, lost {}; longest wait {} ms; run at job servers {}; \
+        "sent {}: served {}, refused or shut {}, failed {}, lost {}; longest wait {} ms; run at job servers {}; \
          calls at discovery A {}, B {}; sidecar ended by itself: {crashed}",
         number - 1, count(&out.served), count(&out.refused), count(&out.failed), count(&out.lost),
         count(&out.longest_ms), count(&ran), count(&old.calls), count(&new.calls),
