Log what a full endpoint list costs by phase, and when the event loop was blocked

No log or counter told whether the time goes into finding the end of the list, into reading it, into applying it, or into none of them.

Change: `full endpoint list applied` has the thread's time for framing, parsing and applying; `event loop was blocked` is logged when a balancer timer fires 200 ms late or more (the platform holds a process up for 0.15 s at most).

--- /dev/null
+++ b/crates/sidecar/src/discovery/list_timing.rs
@@ -0,0 +1,59 @@
+//! Measures what each endpoint list costs the thread, by phase, for the log.
+
+use std::time::Duration;
+
+use arrowstand_platform::{EndpointList, ListKind};
+use tokio::time::Instant;
+
+/// Time that the thread has spent on the list that is being received.
+#[derive(Debug, Default)]
+pub(super) struct ListTiming {
+    /// Splitting the received bytes into objects.
+    framing: Duration,
+    /// Parsing the object and reading its entries.
+    parsing: Duration,
+    /// Updating the servers and the balancer.
+    applying: Duration,
+}
+
+impl ListTiming {
+    /// Runs `work` and counts its time as framing.
+    pub(super) fn time_framing<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        time(&mut self.framing, work)
+    }
+
+    /// Runs `work` and counts its time as parsing.
+    pub(super) fn time_parsing<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        time(&mut self.parsing, work)
+    }
+
+    /// Runs `work` and counts its time as applying.
+    pub(super) fn time_applying<T>(&mut self, work: impl FnOnce() -> T) -> T {
+        time(&mut self.applying, work)
+    }
+
+    /// Ends the measurement of an object of `bytes` bytes. Full lists are logged; deltas and
+    /// heartbeats are not, because there may be many.
+    pub(super) fn finish(&mut self, list: Option<&EndpointList>, bytes: usize) {
+        let timing = std::mem::take(self);
+        let Some(list) = list.filter(|list| list.kind == ListKind::Full) else {
+            return;
+        };
+        tracing::info!(
+            revision = list.revision,
+            servers = list.endpoints.len(),
+            bytes,
+            framing_us = timing.framing.as_micros(),
+            parsing_us = timing.parsing.as_micros(),
+            applying_us = timing.applying.as_micros(),
+            "full endpoint list applied"
+        );
+    }
+}
+
+fn time<T>(total: &mut Duration, work: impl FnOnce() -> T) -> T {
+    let started_at = Instant::now();
+    let result = work();
+    *total += started_at.elapsed();
+    result
+}
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 //! balancer apply the endpoint lists.
 
 mod endpoint_sink;
+mod list_timing;
 mod object_decoder;
 mod watch;
 mod watch_cursor;
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::endpoint_sink::EndpointSink;
+use super::list_timing::ListTiming;
 use super::object_decoder::ObjectDecoder;
 use super::watch_cursor::WatchCursor;
 use super::watch_error::WatchError;
@@ -72,6 +73,7 @@
         limits.discovery.max_object_bytes,
         limits.discovery.max_json_depth,
     );
+    let mut timing = ListTiming::default();
     loop {
         // If discovery fails without closing the connection, missing heartbeats are the only sign.
         let chunk = timeout(silence_timeout, body.next())
@@ -81,29 +83,32 @@
             .map_err(WatchError::WatchFailed)?;
         last_received_at = Instant::now();
         decoder.push(&chunk)?;
-        while let Some(object) = decoder.next_object() {
-            on_object_received(sink, cursor, &object, limits)?;
+        while let Some(object) = timing.time_framing(|| decoder.next_object()) {
+            let list = read_object(sink, cursor, &object, limits, &mut timing)?;
+            if let Some(list) = &list {
+                timing.time_applying(|| on_list_received(sink, cursor, list));
+            }
+            timing.finish(list.as_ref(), object.len());
         }
     }
 }
 
-/// Delivers one object, or a heartbeat, which is an empty line.
-fn on_object_received(
+/// Reads the list in one object; `None` for a heartbeat, which is an empty line.
+fn read_object(
     sink: &EndpointSink,
     cursor: &WatchCursor,
     object: &[u8],
     limits: &Limits,
-) -> Result<(), WatchError> {
+    timing: &mut ListTiming,
+) -> Result<Option<EndpointList>, WatchError> {
     let text = String::from_utf8_lossy(object);
     if text.trim().is_empty() {
         sink.list_freshness().on_watch_event();
-        return Ok(());
+        return Ok(None);
     }
-    match EndpointList::parse(&text, limits.discovery.max_json_depth) {
-        Ok(list) => {
-            on_list_received(sink, cursor, &list);
-            Ok(())
-        }
+    let max_depth = limits.discovery.max_json_depth;
+    match timing.time_parsing(|| EndpointList::parse(&text, max_depth)) {
+        Ok(list) => Ok(Some(list)),
         Err(error) => {
             sink.on_invalid_object();
             cursor.on_invalid_object();
--- a/crates/sidecar/src/host/timers.rs
+++ b/crates/sidecar/src/host/timers.rs
@@ -10,6 +10,10 @@
 
 use super::clock::BalancerClock;
 
+/// A timer that fires this late shows that a task has occupied the thread. It is longer than the
+/// platform holds up a process.
+const EVENT_LOOP_DELAY_WARNING: Duration = Duration::from_millis(200);
+
 /// Pending timers, ordered by due time and then by the balancer's token. What a token stands for is
 /// known only to the balancer.
 #[derive(Default)]
@@ -33,6 +37,7 @@
             match first {
                 Some((due, token)) if due <= now => {
                     self.timers.borrow_mut().pop();
+                    warn_if_late(Duration::from_micros(now - due));
                     return token;
                 }
                 Some((due, _)) => {
@@ -49,5 +54,13 @@
     }
 }
 
+/// Logs that requests, timers and signals have waited for the thread.
+fn warn_if_late(delay: Duration) {
+    if delay >= EVENT_LOOP_DELAY_WARNING {
+        let delay_ms = delay.as_millis();
+        tracing::warn!(delay_ms, "event loop was blocked");
+    }
+}
+
 #[cfg(test)]
 mod tests;
