Apply a full endpoint list to the registry in time linear in the list

Cause: a full list was searched from its start for each known server, to mark the missing ones as removed, and each entry's zone was searched among all zones that any list had named. Both grow with the square of the list and hold the only thread.

Change: the listed names and the zones are looked up by hash. Indices of zones stay as they were, also where the configuration names a zone twice.

Test: `full_list_of_many_servers_and_zones_is_applied_within_the_limit_for_a_busy_thread`, twenty times the platform's bound on servers, against its 20 s for a thread that neither waits nor ends.

--- a/crates/sidecar/src/host/server_registry.rs
+++ b/crates/sidecar/src/host/server_registry.rs
@@ -1,6 +1,6 @@
 //! The servers of the endpoint lists, by name and by the id that the balancer uses for them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,8 +19,9 @@
     by_id: BTreeMap<ServerId, Rc<Server>>,
     /// Ids are never reused, so that a new server is not taken for one that was removed.
     next_id: u32,
-    /// Zone names by index: the configured ones, then others in the order in which lists name them.
-    zones: Vec<String>,
+    /// Indices of the zones: the configured ones, then others in the order in which lists name them.
+    zones: HashMap<String, u32>,
+    next_zone: u32,
     machine_types: MachineCatalogue,
     has_seen_ready_server: bool,
 }
@@ -28,11 +29,16 @@
 impl ServerRegistry {
     /// Creates a registry without servers, with the configured zones and machine types.
     pub(crate) fn new(zones: Vec<String>, machine_types: MachineCatalogue) -> Self {
-        Self {
-            zones,
+        let mut registry = Self {
             machine_types,
             ..Self::default()
+        };
+        for (index, zone) in (0..).zip(zones) {
+            // The first of several equal names counts.
+            registry.zones.entry(zone).or_insert(index);
+            registry.next_zone = index + 1;
         }
+        registry
     }
 
     /// True once a list has contained a ready server.
@@ -90,9 +96,11 @@
 
     /// Marks the servers that are missing from a full list as removed.
     fn mark_unlisted_removed(&self, list: &EndpointList) {
-        let is_listed = |name: &str| list.endpoints.iter().any(|entry| entry.id == name);
-        for (_, server) in self.by_name.iter().filter(|(name, _)| !is_listed(name)) {
-            server.apply_status(EndpointStatus::Removed, None);
+        let listed: HashSet<&str> = list.endpoints.iter().map(|entry| &*entry.id).collect();
+        for (name, server) in &self.by_name {
+            if !listed.contains(name.as_str()) {
+                server.apply_status(EndpointStatus::Removed, None);
+            }
         }
     }
 
@@ -111,12 +119,13 @@
 
     /// The index of a zone; a new zone gets the next one.
     fn zone_index(&mut self, name: &str) -> u32 {
-        let known = self.zones.iter().position(|zone| zone == name);
-        let index = known.unwrap_or_else(|| {
-            self.zones.push(name.to_owned());
-            self.zones.len() - 1
-        });
-        u32::try_from(index).unwrap_or(u32::MAX)
+        if let Some(&known) = self.zones.get(name) {
+            return known;
+        }
+        let index = self.next_zone;
+        self.next_zone += 1;
+        self.zones.insert(name.to_owned(), index);
+        index
     }
 }
 
--- a/crates/sidecar/src/host/server_registry/tests.rs
+++ b/crates/sidecar/src/host/server_registry/tests.rs
@@ -87,3 +87,27 @@
     assert!(apply(EndpointStatus::Ready));
     assert!(apply(EndpointStatus::Removed), "seen before");
 }
+
+/// Guards against comparing each known server with each entry of a full list, and each zone with
+/// each zone: work that grows with the square of the list holds the thread for too long.
+#[test]
+fn full_list_of_many_servers_and_zones_is_applied_within_the_limit_for_a_busy_thread() {
+    /// Twenty times the largest fleet, so that the square of the list dominates.
+    const SERVERS: u32 = 64_000;
+    /// From the platform: a thread that neither waits nor ends for this long counts as crashed.
+    const BUSY_THREAD_LIMIT: Duration = Duration::from_secs(20);
+    const RETENTION: Duration = Duration::from_secs(60);
+    let in_own_zone = |n| ListedEndpoint {
+        zone: format!("z{n}"),
+        ..entry(n, EndpointStatus::Ready)
+    };
+    let list = list((0..SERVERS).map(in_own_zone).collect());
+    let mut registry = ServerRegistry::default();
+    let started_at = tokio::time::Instant::now();
+
+    registry.apply_update(UpdateKind::Full, &list, RETENTION);
+    let listed = registry.apply_update(UpdateKind::Full, &list, RETENTION);
+
+    assert!(started_at.elapsed() < BUSY_THREAD_LIMIT);
+    assert!(listed.iter().map(|server| server.zone).eq(0..SERVERS));
+}
