Parse and read endpoint lists and configurations in steps of 8 KiB

Cause: a whole list was parsed and read in one step, and at SIGHUP the whole file with its cached list was; a chunk of many small objects was handled in one step as well.

Change: `StepwiseParser` parses each element of an outermost array by itself, and what is left of the text at the end; the value is that of tinyjson's parse of the whole, and `json::parse` is the same parser run to its end. Errors keep their text, and their line and column refer to the document; the reason is cut at 200 characters. `EndpointListReader` reads 64 entries a step. The sidecar yields to its other tasks after each step, and after 8 KiB of small work (`steps.rs`). Applying a list stays one step, so that the balancer never sees a part of it.

Tests, each seen to fail without the fix: with steps that don't yield the watch, the configuration and the deltas are polled once instead of once for each 16 KiB; with the whole text in one step the parser's test fails.

--- a/crates/platform/src/endpoint_list.rs
+++ b/crates/platform/src/endpoint_list.rs
@@ -4,6 +4,7 @@
 //! Contains the format, its reader and its writer. The sidecar implements the calls to discovery,
 //! and its server registry merges the lists.
 
+mod reader;
 mod writer;
 
 use std::net::SocketAddr;
@@ -11,11 +12,13 @@
 use arrowstand_balancer::{EndpointStatus, Micros};
 
 use crate::error::{KeyError, KeyProblem, ReadError};
-use crate::json::{self, Node};
-use crate::keys::{endpoint, endpoint_list};
+use crate::json::Node;
+use crate::keys::endpoint;
 use crate::number::{truncate_to_u32, truncate_to_u64};
 use crate::units::MICROS_PER_MS;
 
+pub use reader::{EndpointListParser, EndpointListReader};
+
 /// The latest start time that is accepted, in Unix milliseconds: the year 5138. An entry with a
 /// later one is skipped, because adding a duration to it in microseconds could overflow.
 const MAX_START_TIME_MS: f64 = 1e14;
@@ -73,32 +76,19 @@
 }
 
 impl EndpointList {
-    /// Reads a list. Entries that cannot be read are skipped; the others are kept.
+    /// Parses and reads the text of a list at once. Entries that cannot be read are skipped; the
+    /// others are kept. A thread that serves others uses [`EndpointListParser`].
     ///
     /// # Errors
-    /// The revision is missing, or a value outside the entries has the wrong type.
-    pub fn read(node: &Node) -> Result<Self, KeyError> {
-        let mut list = Self {
-            revision: truncate_to_u64(node.at(endpoint_list::REVISION).number()?),
-            kind: read_list_kind(&node.at(endpoint_list::IS_FULL))?,
-            ..Self::default()
-        };
-        for entry in node.at(endpoint_list::ENDPOINTS).items()? {
-            match ListedEndpoint::read(&entry) {
-                Ok(endpoint) => list.endpoints.push(endpoint),
-                Err(error) => list.skipped.push(error),
+    /// The text is not JSON, or is nested deeper than `max_depth`; the revision is missing, or a
+    /// value outside the entries has the wrong type.
+    pub fn parse(text: &str, max_depth: usize) -> Result<Self, ReadError> {
+        let mut parser = EndpointListParser::new(text, max_depth);
+        loop {
+            if let Some(list) = parser.step()? {
+                return Ok(list);
             }
         }
-        Ok(list)
-    }
-
-    /// Parses and reads the text of a list.
-    ///
-    /// # Errors
-    /// The text is not JSON, or is nested deeper than `max_depth`, or [`read`](Self::read) fails.
-    pub fn parse(text: &str, max_depth: usize) -> Result<Self, ReadError> {
-        let value = json::parse(text, max_depth)?;
-        Ok(Self::read(&Node::root(&value))?)
     }
 }
 
@@ -130,13 +120,6 @@
     }
 }
 
-fn read_list_kind(is_full: &Node) -> Result<ListKind, KeyError> {
-    Ok(match is_full.optional_boolean()? {
-        Some(true) => ListKind::Full,
-        Some(false) | None => ListKind::Delta,
-    })
-}
-
 fn read_start_time(node: &Node) -> Result<Option<Micros>, KeyError> {
     let start_time_ms = node.optional_number()?.unwrap_or(UNKNOWN_START_TIME_MS);
     if start_time_ms > MAX_START_TIME_MS {
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -13,8 +13,15 @@
         max_depth: usize,
     },
     /// The text violates JSON's syntax.
-    #[error(transparent)]
-    Syntax(#[from] tinyjson::JsonParseError),
+    #[error("Parse error at line:{line}, col:{column}: {reason}")]
+    Syntax {
+        /// Line of the text, counted from 1.
+        line: usize,
+        /// Number of characters of the line up to the error.
+        column: usize,
+        /// What was expected and what was found.
+        reason: String,
+    },
 }
 
 /// The value of a key is missing or invalid.
--- a/crates/platform/src/json.rs
+++ b/crates/platform/src/json.rs
@@ -5,33 +5,28 @@
 //! document knows its keys and what their values mean.
 
 mod nesting;
+mod stepwise;
 
 use std::collections::HashMap;
 
-use tinyjson::JsonValue;
-
 use crate::error::{JsonError, KeyError, KeyProblem};
 
 pub use nesting::NestingTracker;
+pub use stepwise::StepwiseParser;
+pub use tinyjson::JsonValue;
 
-/// Parses a text whose nesting depth is at most `max_depth`. tinyjson recurses once for each level,
-/// so a deeper text from the network could overflow the stack.
+/// Parses a text whose nesting depth is at most `max_depth`, at once. A thread that serves others
+/// uses [`StepwiseParser`] for long texts.
 ///
 /// # Errors
 /// The text is nested deeper than `max_depth`, or is not JSON.
 pub fn parse(text: &str, max_depth: usize) -> Result<JsonValue, JsonError> {
-    if is_nested_deeper_than(max_depth, text) {
-        return Err(JsonError::TooDeep { max_depth });
+    let mut parser = StepwiseParser::new(text, max_depth);
+    loop {
+        if let Some(value) = parser.step()? {
+            return Ok(value);
+        }
     }
-    Ok(text.parse::<JsonValue>()?)
-}
-
-fn is_nested_deeper_than(max_depth: usize, text: &str) -> bool {
-    let mut nesting = NestingTracker::default();
-    text.bytes().any(|byte| {
-        nesting.on_byte(byte);
-        nesting.depth() > max_depth
-    })
 }
 
 /// A location in a JSON document: its path, and the value there, if any. A `null` member counts as
@@ -51,6 +46,14 @@
         }
     }
 
+    /// A value at this path of the document.
+    pub fn with_path(path: String, value: &'a JsonValue) -> Self {
+        Self {
+            path,
+            value: Some(value),
+        }
+    }
+
     /// The member with this key, present or absent.
     pub fn at(&self, key: &str) -> Self {
         let object = self
--- a/crates/platform/src/json/nesting.rs
+++ b/crates/platform/src/json/nesting.rs
@@ -29,4 +29,9 @@
     pub fn depth(&self) -> usize {
         self.depth
     }
+
+    /// Whether the position is within a string.
+    pub(super) fn is_in_string(&self) -> bool {
+        self.in_string
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,7 +16,9 @@
 pub mod settings;
 mod units;
 
-pub use endpoint_list::{EndpointList, ListKind, ListedEndpoint};
+pub use endpoint_list::{
+    EndpointList, EndpointListParser, EndpointListReader, ListKind, ListedEndpoint,
+};
 pub use error::{JsonError, KeyError, KeyProblem, ReadError};
 pub use load_report::{LoadReportLayout, ServerLoad};
 pub use settings::{
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -11,13 +11,14 @@
 
 use arrowstand_balancer::{RetrySettings, Settings};
 use arrowstand_control::MachineCatalogue;
-use arrowstand_platform::json::{self, Node};
+use arrowstand_platform::json::{JsonValue, Node, StepwiseParser};
 use arrowstand_platform::{
-    EndpointList, KeyError, KeyProblem, PlatformSettings, TransportSettings,
+    EndpointList, EndpointListReader, KeyError, KeyProblem, PlatformSettings, TransportSettings,
 };
 
 use crate::limits::{LimitInputs, Limits};
 use crate::machine_table;
+use crate::steps::run_in_steps;
 
 pub(crate) use deployment_metadata::DeploymentMetadata;
 pub(crate) use error::ConfigError;
@@ -31,6 +32,8 @@
 /// Minimum number of file descriptors; fewer are not enough for clients, servers, discovery and
 /// the log.
 const MIN_SOCKETS: usize = 64;
+/// Key of the cached endpoint list.
+const CACHED_ENDPOINTS: &str = "known";
 /// The seed is written in hexadecimal.
 const SEED_RADIX: u32 = 16;
 
@@ -59,34 +62,50 @@
     ///
     /// # Errors
     /// If a variable or a key is missing or invalid; see [`ConfigError`].
-    pub(crate) fn from_environment() -> Result<Self, ConfigError> {
-        Self::load(environment_variable)
+    pub(crate) async fn from_environment() -> Result<Self, ConfigError> {
+        Self::load(environment_variable).await
     }
 
-    /// Reads the file again. The address of discovery comes only from the file, because an operator
+    /// Reads the file again, in steps between which requests are served. The address of discovery comes only from the file, because an operator
     /// cannot change the environment of a running process.
     ///
     /// # Errors
     /// As for [`from_environment`](Self::from_environment).
-    pub(crate) fn reload() -> Result<Self, ConfigError> {
+    pub(crate) async fn reload() -> Result<Self, ConfigError> {
         Self::load(|name| match name {
             "NODE_DISCOVERY" => None,
             _ => environment_variable(name),
         })
+        .await
     }
 
-    fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+    async fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = variable("NODE_CONFIG").ok_or(ConfigError::PathNotSet)?;
         let text = std::fs::read_to_string(&path)
             .map_err(|source| ConfigError::Unreadable { path, source })?;
-        Self::parse(&text, variable)
+        Self::parse(&text, variable).await
     }
 
-    /// Parses the content of the file; `variable` looks up an environment variable. If several keys
-    /// are invalid, the order of the reads decides which error is reported.
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
-        let value = json::parse(text, MAX_JSON_DEPTH).map_err(ConfigError::InvalidJson)?;
-        let root = Node::root(&value);
+    /// Parses the content of the file; `variable` looks up an environment variable.
+    async fn parse(
+        text: &str,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
+        let mut parser = StepwiseParser::new(text, MAX_JSON_DEPTH);
+        let mut value = run_in_steps(|| parser.step())
+            .await
+            .map_err(ConfigError::InvalidJson)?;
+        let cached_endpoints = read_cached_endpoints(&mut value).await;
+        Self::read(&Node::root(&value), cached_endpoints, variable)
+    }
+
+    /// Reads all keys but `known`, which gives `cached_endpoints`. If several keys are invalid, the
+    /// order of the reads decides which error is reported.
+    fn read(
+        root: &Node,
+        cached_endpoints: Result<Option<EndpointList>, KeyError>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
         let name = match variable("NODE_NAME") {
             Some(name) => name,
             None => root.at("name").string()?,
@@ -101,7 +120,7 @@
         let deployment = DeploymentMetadata::new(&platform, machines);
         let settings = platform.balancer;
         let limits = read_limits(&root.at("limits"), &settings_node, &settings)?;
-        let cached_endpoints = read_cached_endpoints(&root.at("known"))?;
+        let cached_endpoints = cached_endpoints?;
         Ok(Self {
             name,
             listen_address: read_address(&root.at("listen"), "NODE_LISTEN", &variable)?,
@@ -171,11 +190,20 @@
     Ok(node.optional_number()?.unwrap_or(default) as usize)
 }
 
-fn read_cached_endpoints(node: &Node) -> Result<Option<EndpointList>, KeyError> {
-    if !node.is_present() {
+/// Takes the cached endpoint list out of the file's content and reads it in steps.
+async fn read_cached_endpoints(file: &mut JsonValue) -> Result<Option<EndpointList>, KeyError> {
+    let Some(list) = take_member(file, CACHED_ENDPOINTS).filter(|list| !list.is_null()) else {
         return Ok(None);
+    };
+    let mut reader = EndpointListReader::new(list, CACHED_ENDPOINTS)?;
+    run_in_steps(|| Ok(reader.step())).await.map(Some)
+}
+
+fn take_member(value: &mut JsonValue, key: &str) -> Option<JsonValue> {
+    match value {
+        JsonValue::Object(members) => members.remove(key),
+        _ => None,
     }
-    Ok(Some(EndpointList::read(node)?))
 }
 
 /// Reads an address from the environment variable if it is set, otherwise from the file.
--- a/crates/sidecar/src/config/tests.rs
+++ b/crates/sidecar/src/config/tests.rs
@@ -1,4 +1,7 @@
-use super::Config;
+use std::future::{Future as _, poll_fn};
+use std::pin::pin;
+
+use super::{Config, ConfigError};
 
 /// A configuration with every key that the sidecar reads.
 const CONFIGURATION: &str = r#"{"name": "n0", "seed": "8c",
@@ -84,8 +87,17 @@
     (r#""rev": 7"#, r#""rev": "x""#),
 ];
 
+fn parse_with(
+    text: &str,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<Config, ConfigError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let runtime = runtime.expect("runtime is created");
+    runtime.block_on(Config::parse(text, variable))
+}
+
 fn parse(text: &str) -> Result<Config, String> {
-    Config::parse(text, |_| None).map_err(|error| error.to_string())
+    parse_with(text, |_| None).map_err(|error| error.to_string())
 }
 
 /// Returns the configuration with these faults. Two faults may replace the same key: the first one
@@ -162,7 +174,7 @@
         "NODE_DISCOVERY" => Some("127.0.0.1:4".to_owned()),
         _ => None,
     };
-    let Ok(config) = Config::parse(CONFIGURATION, variable) else {
+    let Ok(config) = parse_with(CONFIGURATION, variable) else {
         panic!("configuration rejected");
     };
     assert_eq!(config.name, "other");
@@ -173,13 +185,13 @@
         ),
         (3, 4)
     );
-    let invalid = Config::parse(CONFIGURATION, |name| {
+    let invalid = parse_with(CONFIGURATION, |name| {
         (name == "NODE_LISTEN").then(|| "here".to_owned())
     });
     let message = invalid.map(|_| ()).map_err(|error| error.to_string());
     let expected = "NODE_LISTEN: \"here\" is not an address and port";
     assert_eq!(message, Err(expected.to_owned()));
-    let unreadable = Config::parse(CONFIGURATION, |name| {
+    let unreadable = parse_with(CONFIGURATION, |name| {
         (name == "ARROWSTAND_MACHINES").then(|| "/nonexistent".to_owned())
     });
     let message = unreadable.map(|_| ()).map_err(|error| error.to_string());
@@ -187,3 +199,21 @@
         "ARROWSTAND_MACHINES: cannot read /nonexistent: No such file or directory (os error 2)";
     assert_eq!(message, Err(expected.to_owned()));
 }
+
+/// Guards against a reload that holds the thread until a large cached list has been read.
+#[tokio::test(flavor = "current_thread")]
+async fn other_tasks_run_while_a_large_configuration_is_read() {
+    const MAX_BYTES_PER_POLL: usize = 16 * 1024;
+    let entry = r#"{"uid": "s", "endpoint": "127.0.0.1:9", "state": "ready"}"#;
+    let entries = vec![entry; 3_200].join(", ");
+    let text = CONFIGURATION.replace("[]", &format!("[{entries}]"));
+    let mut parsing = pin!(Config::parse(&text, |_| None));
+    let mut polls = 0;
+    let config = poll_fn(|context| {
+        polls += 1;
+        parsing.as_mut().poll(context)
+    });
+    let cached = config.await.ok().and_then(|config| config.cached_endpoints);
+    assert_eq!(cached.map(|list| list.endpoints.len()), Some(3_200));
+    assert!(polls > text.len() / MAX_BYTES_PER_POLL, "{polls} polls");
+}
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use arrowstand_balancer::UpdateKind;
-use arrowstand_platform::{EndpointList, ListKind};
+use arrowstand_platform::{EndpointList, EndpointListParser, ListKind};
 use awc::ClientResponse;
 use awc::error::PayloadError;
 use bytes::Bytes;
@@ -19,6 +19,11 @@
 use super::watch_cursor::WatchCursor;
 use super::watch_error::WatchError;
 use crate::limits::{DiscoveryLimits, Limits};
+use crate::steps::{WorkBudget, run_in_steps};
+
+/// Work for an object besides that for its bytes, as bytes of a [`WorkBudget`]. Without it, a chunk
+/// of heartbeats would be handled in one step.
+const OBJECT_COST_BYTES: usize = 128;
 
 /// Polls discovery and delivers the endpoint lists of the watch until it ends; returns the reason.
 pub(super) async fn poll_and_watch(
@@ -74,6 +79,7 @@
         limits.discovery.max_json_depth,
     );
     let mut timing = ListTiming::default();
+    let mut budget = WorkBudget::default();
     loop {
         // If discovery fails without closing the connection, missing heartbeats are the only sign.
         let chunk = timeout(silence_timeout, body.next())
@@ -84,17 +90,20 @@
         last_received_at = Instant::now();
         decoder.push(&chunk)?;
         while let Some(object) = timing.time_framing(|| decoder.next_object()) {
-            let list = read_object(sink, cursor, &object, limits, &mut timing)?;
+            let list = read_object(sink, cursor, &object, limits, &mut timing).await?;
             if let Some(list) = &list {
                 timing.time_applying(|| on_list_received(sink, cursor, list));
             }
             timing.finish(list.as_ref(), object.len(), decoder.take_examined_bytes());
+            budget.spend(OBJECT_COST_BYTES).await;
         }
+        budget.spend(chunk.len()).await;
     }
 }
 
-/// Reads the list in one object; `None` for a heartbeat, which is an empty line.
-fn read_object(
+/// Reads the list in one object, in steps between which requests are served; `None` for a heartbeat,
+/// which is an empty line.
+async fn read_object(
     sink: &EndpointSink,
     cursor: &WatchCursor,
     object: &[u8],
@@ -106,8 +115,8 @@
         sink.list_freshness().on_watch_event();
         return Ok(None);
     }
-    let max_depth = limits.discovery.max_json_depth;
-    match timing.time_parsing(|| EndpointList::parse(&text, max_depth)) {
+    let mut parser = EndpointListParser::new(&text, limits.discovery.max_json_depth);
+    match run_in_steps(|| timing.time_parsing(|| parser.step())).await {
         Ok(list) => Ok(Some(list)),
         Err(error) => {
             sink.on_invalid_object();
@@ -125,3 +134,6 @@
     };
     sink.on_list_received(kind, version, list);
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -15,6 +15,7 @@
 mod signals;
 mod startup;
 mod startup_error;
+mod steps;
 mod units;
 mod upstream;
 
@@ -47,12 +48,12 @@
 /// during startup is to terminate the process. Such signals are handled once the sidecar serves.
 async fn serve() -> Result<(), StartupError> {
     let mut signals = Signals::install()?;
-    let config = Config::from_environment()?;
+    let config = Config::from_environment().await?;
     let sidecar = Sidecar::start(config).await?;
     loop {
         match signals.next().await {
             SignalEvent::Stop => break,
-            SignalEvent::Reload => sidecar.reload(),
+            SignalEvent::Reload => sidecar.reload().await,
         }
     }
     sidecar.shut_down().await;
--- a/crates/sidecar/src/startup.rs
+++ b/crates/sidecar/src/startup.rs
@@ -85,8 +85,8 @@
 
     /// Reloads the configuration and switches to its discovery address. All other changes take
     /// effect at the next start, because requests in flight depend on the old settings.
-    pub(crate) fn reload(&self) {
-        match Config::reload() {
+    pub(crate) async fn reload(&self) {
+        match Config::reload().await {
             Ok(config) => self.on_reloaded(config.discovery_address),
             // An invalid file must not stop a running sidecar.
             Err(error) => {
