Log the first 16 skipped entries of an endpoint list, and count the rest

Cause: a list keeps one error for each entry that cannot be read, and one log line is written for each on the only thread. An entry may have two bytes, its error and its line have over a hundred.

Change: the first 16 errors of a list are kept and logged, then one line with the number of the rest; `endpoint_lines_skipped` counts all as before.

Test: `all_invalid_entries_are_counted_and_the_errors_of_the_first_are_kept`; with all errors kept it fails (100,000 of them).

--- a/crates/platform/src/endpoint_list.rs
+++ b/crates/platform/src/endpoint_list.rs
@@ -71,8 +71,39 @@
     pub kind: ListKind,
     /// The entries that could be read.
     pub endpoints: Vec<ListedEndpoint>,
-    /// One error for each entry that was skipped because it could not be read.
-    pub skipped: Vec<KeyError>,
+    /// The entries that were skipped because they could not be read.
+    pub skipped: SkippedEntries,
+}
+
+/// The entries of a list that could not be read. Only the first errors are kept: a list from the
+/// network may consist of invalid entries, and each error is longer than such an entry.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SkippedEntries {
+    count: usize,
+    first_errors: Vec<KeyError>,
+}
+
+impl SkippedEntries {
+    /// Number of errors that are kept.
+    const MAX_ERRORS: usize = 16;
+
+    /// Counts an entry, and keeps its error if it is one of the first.
+    fn push(&mut self, error: KeyError) {
+        self.count += 1;
+        if self.first_errors.len() < Self::MAX_ERRORS {
+            self.first_errors.push(error);
+        }
+    }
+
+    /// Number of skipped entries.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// The errors of the first skipped entries, at most 16.
+    pub fn first_errors(&self) -> &[KeyError] {
+        &self.first_errors
+    }
 }
 
 impl EndpointList {
--- a/crates/platform/src/endpoint_list/tests.rs
+++ b/crates/platform/src/endpoint_list/tests.rs
@@ -41,7 +41,8 @@
 fn invalid_entry_is_skipped_with_a_message_and_the_others_are_read() {
     let list = EndpointList::parse(LIST_WITH_INVALID_ENTRIES, 8).expect("a list");
 
-    let messages: Vec<String> = list.skipped.iter().map(ToString::to_string).collect();
+    let errors = list.skipped.first_errors();
+    let messages: Vec<String> = errors.iter().map(ToString::to_string).collect();
     let expected_messages = [
         "targets[1].endpoint: is not an address and port",
         "targets[2].state: unknown value \"tidy\"",
@@ -51,6 +52,20 @@
     assert_eq!(list.kind, ListKind::Full);
     assert_eq!(list.endpoints, readable_entries());
     assert_eq!(messages, expected_messages);
+    assert_eq!(list.skipped.count(), 3);
+}
+
+/// Guards against a list of invalid entries whose errors are kept and logged one by one: they need
+/// many times the memory and the time of the list.
+#[test]
+fn all_invalid_entries_are_counted_and_the_errors_of_the_first_are_kept() {
+    let entries = vec!["0"; 100_000].join(",");
+    let text = format!(r#"{{"rev": 9, "targets": [{entries}]}}"#);
+
+    let list = EndpointList::parse(&text, 8).expect("a list");
+
+    assert_eq!(list.skipped.count(), 100_000);
+    assert_eq!(list.skipped.first_errors().len(), 16);
 }
 
 #[test]
--- a/crates/platform/src/endpoint_list/writer/tests.rs
+++ b/crates/platform/src/endpoint_list/writer/tests.rs
@@ -5,7 +5,7 @@
 use arrowstand_balancer::{EndpointStatus, Micros};
 use proptest::prelude::*;
 
-use super::super::{EndpointList, ListKind, ListedEndpoint};
+use super::super::{EndpointList, ListKind, ListedEndpoint, SkippedEntries};
 
 /// Revisions up to this one are exact as floating-point numbers.
 const MAX_EXACT_REVISION: u64 = 1 << 53;
@@ -37,7 +37,7 @@
         revision: 41,
         kind: ListKind::Full,
         endpoints: vec![endpoint()],
-        skipped: Vec::new(),
+        skipped: SkippedEntries::default(),
     };
 
     let text = to_text(&list);
@@ -113,7 +113,7 @@
         kind in any_kind(),
         endpoints in prop::collection::vec(any_endpoint(), 0..6),
     ) -> EndpointList {
-        EndpointList { revision, kind, endpoints, skipped: Vec::new() }
+        EndpointList { revision, kind, endpoints, skipped: SkippedEntries::default() }
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,7 +17,7 @@
 mod units;
 
 pub use endpoint_list::{
-    EndpointList, EndpointListParser, EndpointListReader, ListKind, ListedEndpoint,
+    EndpointList, EndpointListParser, EndpointListReader, ListKind, ListedEndpoint, SkippedEntries,
 };
 pub use error::{JsonError, KeyError, KeyProblem, ReadError};
 pub use load_report::{LoadReportLayout, ServerLoad};
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -29,7 +29,11 @@
 
 impl Counter {
     pub(crate) fn inc(&self) {
-        self.0.set(self.0.get() + 1);
+        self.add(1);
+    }
+
+    pub(crate) fn add(&self, count: usize) {
+        self.0.set(self.0.get() + count as u64);
     }
 
     /// The count since the process started.
--- a/crates/sidecar/src/host/balancer_host.rs
+++ b/crates/sidecar/src/host/balancer_host.rs
@@ -20,7 +20,7 @@
 use super::timers::TimerQueue;
 use crate::counters::Counters;
 use crate::limits::Limits;
-use arrowstand_platform::EndpointList;
+use arrowstand_platform::{EndpointList, SkippedEntries};
 
 /// The balancer with its clock, timers, servers and action queues. There is one per process, used
 /// from a single thread.
@@ -88,10 +88,7 @@
     /// decrease.
     pub(crate) fn update_endpoints(&self, kind: UpdateKind, version: u64, list: &EndpointList) {
         self.counters.endpoint_updates.inc();
-        for error in &list.skipped {
-            self.counters.endpoint_lines_skipped.inc();
-            tracing::warn!(%error, "endpoint list entry skipped");
-        }
+        self.report_skipped(&list.skipped);
         let retention = self.limits.upstream.server_retention;
         let endpoints = self
             .servers
@@ -104,6 +101,18 @@
         });
     }
 
+    /// Counts the skipped entries of a list and logs the first of them.
+    fn report_skipped(&self, skipped: &SkippedEntries) {
+        self.counters.endpoint_lines_skipped.add(skipped.count());
+        for error in skipped.first_errors() {
+            tracing::warn!(%error, "endpoint list entry skipped");
+        }
+        let not_logged = skipped.count() - skipped.first_errors().len();
+        if not_logged > 0 {
+            tracing::warn!(count = not_logged, "further endpoint list entries skipped");
+        }
+    }
+
     /// Reports that the watch on discovery was lost; the balancer decides when to poll again.
     pub(crate) fn on_watch_lost(&self) {
         self.handle_event(Event::EndpointsUpdated {
--- a/crates/testbed/src/emulator/discovery/mod.rs
+++ b/crates/testbed/src/emulator/discovery/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex};
 
 use arrowstand_balancer::EndpointStatus;
-use arrowstand_platform::{self as platform, ListKind, ListedEndpoint};
+use arrowstand_platform::{self as platform, ListKind, ListedEndpoint, SkippedEntries};
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -167,7 +167,7 @@
                 ListKind::Delta
             },
             endpoints,
-            skipped: Vec::new(),
+            skipped: SkippedEntries::default(),
         };
         (message.to_json(), revision, notifications)
     }
