Read the operator's machine table in steps and look its models up by hash

Cause: each model of the table was compared with each one before it, at the start and at SIGHUP, and each server of a list was compared with the models until its own was found. Both hold the thread for work by the square of the table.

Change: duplicates and models are looked up by hash; the table is parsed and read in steps. The order of errors and the ids stay as they were.

Test: `table_of_many_models_is_read_within_the_limit_for_a_busy_thread`, 64,000 models against the platform's 20 s for a thread that neither waits nor ends.

--- a/crates/control/src/machine_catalogue.rs
+++ b/crates/control/src/machine_catalogue.rs
@@ -8,6 +8,8 @@
 //! This module assigns the ids. The sidecar parses the operator's table, and the balancer owns the
 //! estimates by machine type.
 
+use std::collections::HashMap;
+
 use arrowstand_balancer::MachineType;
 
 use crate::convert::f64_from_count;
@@ -22,7 +24,9 @@
 /// The known machine types, by the platform's model names.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MachineCatalogue {
-    types: Vec<(String, MachineType)>,
+    /// The types in the order of their ids.
+    types: Vec<MachineType>,
+    index_by_model: HashMap<String, usize>,
     /// Capacity of a type that is not in the operator's table.
     default_type: MachineType,
 }
@@ -54,11 +58,7 @@
 
     fn mean(&self, quantity: fn(&MachineType) -> f64) -> f64 {
         let count = f64_from_count(self.types.len());
-        self.types
-            .iter()
-            .map(|(_, machine)| quantity(machine))
-            .sum::<f64>()
-            / count
+        self.types.iter().map(quantity).sum::<f64>() / count
     }
 
     /// Adds a type under the next id. Ids start at 1; [`UNTYPED_ID`] is reserved.
@@ -68,16 +68,19 @@
             id: type_count.saturating_add(1),
             ..capacity
         };
-        self.types.push((model, machine));
+        // The first of several types with the same name counts.
+        let index = self.types.len();
+        self.index_by_model.entry(model).or_insert(index);
+        self.types.push(machine);
         machine
     }
 
     /// Returns the machine type of a model name. An unknown name is added as a new type, up to
     /// `MAX_MACHINE_TYPES`; an empty name is never added.
     pub fn lookup(&mut self, model: &str) -> MachineType {
-        let known = self.types.iter().find(|(name, _)| name == model);
-        match known {
-            Some((_, machine)) => *machine,
+        let known = self.index_by_model.get(model);
+        match known.and_then(|&index| self.types.get(index)) {
+            Some(machine) => *machine,
             None if model.is_empty() || self.types.len() >= MAX_MACHINE_TYPES => self.default_type,
             None => self.add(model.to_owned(), self.default_type),
         }
--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::limits::{LimitInputs, Limits};
-use crate::machine_table;
+use crate::machine_table::{self, MachineTableError};
 use crate::steps::run_in_steps;
 
 pub(crate) use deployment_metadata::DeploymentMetadata;
@@ -95,15 +95,18 @@
         let mut value = run_in_steps(|| parser.step())
             .await
             .map_err(ConfigError::InvalidJson)?;
-        let cached_endpoints = read_cached_endpoints(&mut value).await;
-        Self::read(&Node::root(&value), cached_endpoints, variable)
+        let long_parts = LongParts {
+            cached_endpoints: read_cached_endpoints(&mut value).await,
+            machines: load_machines(&variable).await,
+        };
+        Self::read(&Node::root(&value), long_parts, variable)
     }
 
-    /// Reads all keys but `known`, which gives `cached_endpoints`. If several keys are invalid, the
-    /// order of the reads decides which error is reported.
+    /// Reads all other keys. If several keys are invalid, the order of the reads decides which error
+    /// is reported.
     fn read(
         root: &Node,
-        cached_endpoints: Result<Option<EndpointList>, KeyError>,
+        long_parts: LongParts,
         variable: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, ConfigError> {
         let name = match variable("NODE_NAME") {
@@ -113,14 +116,10 @@
         let seed = read_seed(&root.at("seed"))?;
         let settings_node = root.at("settings");
         let platform = read_settings(&settings_node)?;
-        let machines = match variable("ARROWSTAND_MACHINES") {
-            Some(path) => machine_table::load(&path)?,
-            None => MachineCatalogue::default(),
-        };
-        let deployment = DeploymentMetadata::new(&platform, machines);
+        let deployment = DeploymentMetadata::new(&platform, long_parts.machines?);
         let settings = platform.balancer;
         let limits = read_limits(&root.at("limits"), &settings_node, &settings)?;
-        let cached_endpoints = cached_endpoints?;
+        let cached_endpoints = long_parts.cached_endpoints?;
         Ok(Self {
             name,
             listen_address: read_address(&root.at("listen"), "NODE_LISTEN", &variable)?,
@@ -134,6 +133,22 @@
     }
 }
 
+/// The parts of a configuration that may be long and are read in steps.
+struct LongParts {
+    cached_endpoints: Result<Option<EndpointList>, KeyError>,
+    machines: Result<MachineCatalogue, MachineTableError>,
+}
+
+/// Loads the operator's machine table; without one the catalogue is empty.
+async fn load_machines(
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<MachineCatalogue, MachineTableError> {
+    match variable("ARROWSTAND_MACHINES") {
+        Some(path) => machine_table::load(&path).await,
+        None => Ok(MachineCatalogue::default()),
+    }
+}
+
 /// Returns the value of an environment variable; an empty value counts as not set.
 fn environment_variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
--- a/crates/sidecar/src/machine_table.rs
+++ b/crates/sidecar/src/machine_table.rs
@@ -3,17 +3,22 @@
 //!
 //! This module defines the file format and its errors; [`MachineCatalogue`] stores the types.
 
+use std::collections::HashSet;
 use std::io;
 
 use arrowstand_control::MachineCatalogue;
-use arrowstand_platform::json::{self, Node};
+use arrowstand_platform::json::{Node, StepwiseParser};
 use arrowstand_platform::{KeyError, KeyProblem, ReadError};
 use thiserror::Error;
 
+use crate::steps::{WorkBudget, run_in_steps};
+
 /// Exclusive upper bound for cores and speed; a larger value is assumed to be a typing error.
 const CAPACITY_BOUND: f64 = 10_000.0;
 /// Maximum nesting depth of the JSON, which is parsed recursively.
 const MAX_JSON_DEPTH: usize = 8;
+/// Work for reading an entry, as bytes of a [`WorkBudget`].
+const ENTRY_COST_BYTES: usize = 128;
 
 /// Why the machine table is invalid. The message is one line that names the file, the entry and the
 /// key.
@@ -37,41 +42,47 @@
     },
 }
 
-/// Loads the machine table from a file.
+/// Loads the machine table from a file, in steps between which other tasks run.
 ///
 /// # Errors
 /// If the file cannot be read or does not contain a valid machine table.
-pub(crate) fn load(path: &str) -> Result<MachineCatalogue, MachineTableError> {
+pub(crate) async fn load(path: &str) -> Result<MachineCatalogue, MachineTableError> {
     let text = std::fs::read_to_string(path).map_err(|source| MachineTableError::Unreadable {
         path: path.to_owned(),
         source,
     })?;
-    parse(&text).map_err(|source| MachineTableError::Invalid {
+    let table = parse(&text).await;
+    table.map_err(|source| MachineTableError::Invalid {
         path: path.to_owned(),
         source,
     })
 }
 
 /// Parses `{"machines": [{"model": "fast-2", "cores": 2, "speed": 1.3}, ...]}`.
-fn parse(text: &str) -> Result<MachineCatalogue, ReadError> {
-    let value = json::parse(text, MAX_JSON_DEPTH)?;
+async fn parse(text: &str) -> Result<MachineCatalogue, ReadError> {
+    let mut parser = StepwiseParser::new(text, MAX_JSON_DEPTH);
+    let value = run_in_steps(|| parser.step()).await?;
     let machines = Node::root(&value).at("machines");
     // Without this check, a table with its only key misspelt would count as an empty table.
     if !machines.is_present() {
         return Err(machines.error(KeyProblem::Missing).into());
     }
     let mut entries: Vec<(String, f64, f64)> = Vec::new();
+    let mut models = HashSet::new();
+    let mut budget = WorkBudget::default();
     for entry in machines.items()? {
         let model_node = entry.at("model");
         let model = model_node.string()?;
         let cores = read_capacity(&entry.at("cores"))?;
         let speed = read_capacity(&entry.at("speed"))?;
-        if model.is_empty() || entries.iter().any(|(name, ..)| *name == model) {
+        if model.is_empty() || !models.insert(model.clone()) {
             return Err(model_node
                 .error(KeyProblem::EmptyOrDuplicateName(model))
                 .into());
         }
         entries.push((model, cores, speed));
+        budget.charge(ENTRY_COST_BYTES);
+        budget.yield_if_spent().await;
     }
     Ok(MachineCatalogue::from_table(entries))
 }
