Let a stop interrupt a reload

A reload is read in steps now and takes longer the busier the process is; SIGTERM or SIGINT waited for its end before they were seen. Now they end it: the file no longer matters then. A SIGHUP during a reload is still carried out after it. Existing tests of reload, stop and both at the start pass; none of them sends SIGTERM within a reload, which takes some milliseconds.

--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -45,7 +45,8 @@
 
 /// Serves until SIGTERM or SIGINT; SIGHUP reloads the configuration. The signal handlers are
 /// installed before the configuration is read, because the default action of a SIGHUP that arrives
-/// during startup is to terminate the process. Such signals are handled once the sidecar serves.
+/// during startup is to terminate the process. Such signals are handled once the sidecar serves. A
+/// stop does not wait for the end of a reload, which takes longer the busier the process is.
 async fn serve() -> Result<(), StartupError> {
     let mut signals = Signals::install()?;
     let config = Config::from_environment().await?;
@@ -53,7 +54,11 @@
     loop {
         match signals.next().await {
             SignalEvent::Stop => break,
-            SignalEvent::Reload => sidecar.reload().await,
+            SignalEvent::Reload => tokio::select! {
+                biased;
+                () = signals.stop_requested() => break,
+                () = sidecar.reload() => {}
+            },
         }
     }
     sidecar.shut_down().await;
--- a/crates/sidecar/src/signals.rs
+++ b/crates/sidecar/src/signals.rs
@@ -42,6 +42,14 @@
             _ = self.hangup.recv() => SignalEvent::Reload,
         }
     }
+
+    /// Waits for SIGTERM or SIGINT; a SIGHUP is kept for [`Signals::next`].
+    pub(crate) async fn stop_requested(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
 }
 
 fn install_handler(kind: SignalKind, name: &'static str) -> Result<Signal, StartupError> {
