--- a/crates/sidecar/src/discovery/watch/tests.rs
+++ b/crates/sidecar/src/discovery/watch/tests.rs
@@ -4,7 +4,7 @@
 
 use arrowstand_balancer::{Idempotency, RequestClass, ServerId, Settings};
 use arrowstand_control::{MachineCatalogue, WorkAwareBalancer};
-use futures_util::stream;
+use futures_util::{FutureExt as _, stream};
 use proptest::prelude::*;
 
 use super::*;
@@ -128,6 +128,26 @@
     assert!(polls >= 50, "{polls} polls");
 }
 
+/// Guards against lists that are lost when a watch is given up, for a new poll or address, before
+/// they are applied: the next poll must request them again.
+#[tokio::test(flavor = "current_thread")]
+async fn watch_that_is_dropped_has_not_moved_past_lists_that_are_not_applied() {
+    let fixture = Fixture::new();
+    let deltas: String = (1..=40).map(|n| list(false, n, 1)).collect();
+    let text = deltas + &list(true, 41, 3_200);
+    let body = stream::once(ready(Ok(Bytes::from(text))));
+    let mut delivery = Box::pin(fixture.deliver(body));
+    let mut revisions = Vec::new();
+    for _ in 0..4 {
+        assert!(delivery.as_mut().now_or_never().is_none());
+        revisions.push((fixture.cursor.revision(), fixture.state().1));
+    }
+    drop(delivery);
+    // Each list has one count and one revision.
+    assert!(revisions.iter().all(|(revision, lists)| revision == lists));
+    assert!(revisions.iter().all(|(revision, _)| *revision < 41));
+}
+
 /// A list of some servers with random addresses, statuses and start times.
 fn any_list() -> impl Strategy<Value = String> {
     let statuses = prop::sample::select(vec!["ready", "draining", "gone"]);
