--- a/crates/platform/src/endpoint_list/reader.rs
+++ b/crates/platform/src/endpoint_list/reader.rs
@@ -11,7 +11,7 @@
 use crate::number::truncate_to_u64;
 
 /// Number of entries that a step reads.
-const ENTRIES_PER_STEP: usize = 64;
+const ENTRIES_PER_STEP: usize = 128;
 
 /// Reads the entries of a parsed list.
 pub struct EndpointListReader {
--- a/crates/platform/src/json/stepwise.rs
+++ b/crates/platform/src/json/stepwise.rs
@@ -18,7 +18,7 @@
 use skeleton::Skeleton;
 
 /// Number of bytes that a step examines. An element that is longer is parsed in one step.
-const STEP_BYTES: usize = 8 * 1024;
+const STEP_BYTES: usize = 16 * 1024;
 
 /// A JSON text that is being parsed.
 pub struct StepwiseParser<'t> {
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Examines the next 8 KiB of the text. Returns the parsed text after the last step, and `None`
+    /// Examines the next 16 KiB of the text. Returns the parsed text after the last step, and `None`
     /// before; must not be called after the last step.
     ///
     /// # Errors
