--- a/crates/sidecar/tests/large_lists.rs
+++ b/crates/sidecar/tests/large_lists.rs
@@ -4,9 +4,12 @@
 mod support;
 
 use std::io::{Read as _, Write as _};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use arrowstand_balancer::EndpointStatus;
+use arrowstand_platform::{EndpointList, ListKind, ListedEndpoint, SkippedEntries};
+
 use support::recording::Step;
 use support::{Harness, wait_for};
 
@@ -17,46 +20,22 @@
 /// The platform counts a request as lost if its response comes later than this after its time, so
 /// the sidecar must not leave any client without an answer for longer.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
-/// Line breaks of an indented list.
-const INDENTED: Layout = Layout {
-    after_list: "\n    ",
-    after_entry: "\n      ",
-};
-const ONE_LINE: Layout = Layout {
-    after_list: "",
-    after_entry: "",
-};
-
-/// White space of a list.
-struct Layout {
-    after_list: &'static str,
-    after_entry: &'static str,
-}
-
-impl Layout {
-    fn entry(&self, number: usize) -> String {
-        let address = format!("127.7.{}.{}:9", number / 200, number % 200 + 1);
-        let members = [
-            format!(r#""uid": "s-{number:08x}""#),
-            format!(r#""endpoint": "{address}""#),
-            r#""az": "z0""#.to_owned(),
-            r#""model": "std-3""#.to_owned(),
-            format!(r#""pod_group": {number}"#),
-            r#""state": "ready""#.to_owned(),
-            r#""cap_hint": 1.0"#.to_owned(),
-            r#""boot_ms": 0"#.to_owned(),
-        ];
-        let between = format!(",{}", self.after_entry);
-        let members = members.join(&between);
-        format!("{{{}{members}{}}}", self.after_entry, self.after_list)
-    }
-
-    fn list(&self, servers: usize) -> String {
-        let entries: Vec<String> = (0..servers).map(|number| self.entry(number)).collect();
-        let between = format!(",{}", self.after_list);
-        let space = self.after_list;
-        let entries = entries.join(&between);
-        format!("{{{space}\"rev\":9,{space}\"all\":true,{space}\"targets\":[{space}{entries}]}}\n")
+/// A full list of this number of servers.
+fn list(servers: usize) -> EndpointList {
+    let server = |n: usize| ListedEndpoint {
+        id: format!("s-{n:08x}"),
+        address: SocketAddr::from(([127, 7, (n / 200) as u8, (n % 200) as u8], 9)),
+        zone: "z0".to_owned(),
+        cell: 0,
+        machine_type: "std-3".to_owned(),
+        status: EndpointStatus::Ready,
+        started_at: None,
+    };
+    EndpointList {
+        revision: 9,
+        kind: ListKind::Full,
+        endpoints: (0..servers).map(server).collect(),
+        skipped: SkippedEntries::default(),
     }
 }
 
@@ -116,13 +95,13 @@
 /// over 5 s, and clients got no final answer in time.
 #[test]
 fn clients_are_answered_while_a_large_indented_list_arrives() {
-    let list = INDENTED.list(LARGEST_INDENTED_FLEET);
+    let list = format!("{:#}\n", list(LARGEST_INDENTED_FLEET).to_json());
     assert_answers_while_receiving("large-indented-list", list, usize::MAX);
 }
 
 /// Guards against a search for the end of the line that begins anew with each piece of the line.
 #[test]
 fn clients_are_answered_while_a_large_list_arrives_on_one_line_in_small_pieces() {
-    let list = ONE_LINE.list(LARGEST_FLEET);
+    let list = format!("{}\n", list(LARGEST_FLEET).to_json());
     assert_answers_while_receiving("large-list-in-pieces", list, 100);
 }
