--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -66,8 +66,9 @@
         Self::load(environment_variable).await
     }
 
-    /// Reads the file again, in steps between which requests are served. The address of discovery comes only from the file, because an operator
-    /// cannot change the environment of a running process.
+    /// Reads the file again, in steps between which requests are served. The address of discovery
+    /// comes only from the file, because an operator cannot change the environment of a running
+    /// process.
     ///
     /// # Errors
     /// As for [`from_environment`](Self::from_environment).
