--- a/crates/platform/src/endpoint_list/writer.rs
+++ b/crates/platform/src/endpoint_list/writer.rs
@@ -15,7 +15,7 @@
 const CAPACITY_HINT: f64 = 1.0;
 
 impl EndpointList {
-    /// The list as JSON with sorted keys. [`read`](Self::read) returns the same list, except for
+    /// The list as JSON with sorted keys. [`parse`](Self::parse) returns the same list, except for
     /// [`skipped`](Self::skipped), which is not written.
     ///
     /// The round trip is exact for revisions up to 2^53, for start times before the year 2109, and
