--- a/crates/testbed/src/cli/arguments.rs
+++ b/crates/testbed/src/cli/arguments.rs
@@ -1,11 +1,13 @@
 //! Subcommands, arguments and flags, as clap types. Names of earlier versions are hidden aliases.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
 use super::error::CliError;
 use crate::emulator;
+use crate::soak::{CrowdKind, Plan};
 
 /// File name of the sidecar program, which is expected in the folder of this program by default.
 const SIDECAR_PROGRAM: &str = "arrowstand";
@@ -65,6 +67,14 @@
         #[command(flatten)]
         emulator: EmulatorArguments,
     },
+    /// Plays runs of one sidecar with the smallest limits: crowds of clients, signals in series,
+    /// restarts.
+    Soak {
+        #[command(flatten)]
+        soak: SoakArguments,
+        #[command(flatten)]
+        emulator: EmulatorArguments,
+    },
     /// Emulates two servers and one sidecar under a light load for ten seconds.
     Try {
         #[command(flatten)]
@@ -111,6 +121,63 @@
     pub(super) quiet: bool,
 }
 
+/// Without `--crowd` the seed draws everything; with it the run has this crowd and no signals but
+/// `--restart`.
+#[derive(Args)]
+pub(super) struct SoakArguments {
+    /// Seed of the first run.
+    #[arg(long, default_value_t = 1)]
+    pub(super) seed: u64,
+    /// Number of runs, each with the next seed.
+    #[arg(long, default_value_t = 1)]
+    pub(super) runs: u64,
+    /// Length of the load of each run, in seconds.
+    #[arg(long, default_value_t = 12.0)]
+    pub(super) seconds: f64,
+    /// Plays a crowd of this kind in place of what the seed draws.
+    #[arg(long, value_enum)]
+    pub(super) crowd: Option<CrowdKind>,
+    /// With `--crowd`: the endpoint list is that of the largest fleet.
+    #[arg(long, requires = "crowd")]
+    pub(super) largest_fleet: bool,
+    /// With `--crowd`: servers are slow, and their responses large.
+    #[arg(long, requires = "crowd")]
+    pub(super) slow_large_responses: bool,
+    /// With `--crowd`: the process is killed and started again in the middle of the crowd.
+    #[arg(long, requires = "crowd")]
+    pub(super) restart: bool,
+    /// File descriptors of the sidecar; by default those of the plan.
+    #[arg(long)]
+    pub(super) sockets: Option<u64>,
+}
+
+impl SoakArguments {
+    /// The run with this seed.
+    pub(super) fn plan(&self, seed: u64) -> Plan {
+        let duration = Duration::from_secs_f64(self.seconds.max(0.0));
+        let mut plan = match self.crowd {
+            None => Plan::draw(seed, duration),
+            Some(kind) => self.plan_with_crowd(seed, duration, kind),
+        };
+        plan.sockets = self.sockets.unwrap_or(plan.sockets);
+        plan
+    }
+
+    fn plan_with_crowd(&self, seed: u64, duration: Duration, kind: CrowdKind) -> Plan {
+        let mut plan = Plan::with_crowd(seed, duration, kind);
+        if self.largest_fleet {
+            plan = plan.with_largest_fleet();
+        }
+        if self.slow_large_responses {
+            plan = plan.with_slow_large_responses();
+        }
+        if self.restart {
+            plan = plan.with_restart();
+        }
+        plan
+    }
+}
+
 #[derive(Args)]
 pub(super) struct EmulatorArguments {
     /// Sidecar program; by default `arrowstand` in the folder of this program.
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -15,9 +15,9 @@
 use crate::experiment::{Plan, ProgressDisplay};
 use crate::report::{Report, compare};
 use crate::scenario::{ScenarioErrors, ScenarioFile};
-use crate::{emulator, simulator};
+use crate::{emulator, simulator, soak};
 
-use arguments::{Arguments, Command, ExperimentArguments, LogFormat, RunArguments};
+use arguments::{Arguments, Command, ExperimentArguments, LogFormat, RunArguments, SoakArguments};
 use error::CliError;
 
 /// The scenario of `try`: two servers and one sidecar under a light load.
@@ -82,6 +82,7 @@
         }
         Command::Check { scenarios } => check(&scenarios),
         Command::Serve { scenario, emulator } => serve(&scenario, &emulator.emulator_options()?),
+        Command::Soak { soak, emulator } => run_soak(&soak, &emulator.emulator_options()?),
         Command::Try { emulator } => run_try(&emulator.emulator_options()?),
     }
 }
@@ -154,6 +155,26 @@
     Ok(RunStatus::Passed)
 }
 
+/// Plays the runs one after the other; fails if any of them has a finding.
+fn run_soak(arguments: &SoakArguments, options: &emulator::Options) -> Result<RunStatus, CliError> {
+    let folder = match &options.folder {
+        Some(folder) => folder.clone(),
+        None => std::env::temp_dir().join(format!("arrowstand-soak-{}", std::process::id())),
+    };
+    let mut passed = true;
+    for run in 0..arguments.runs {
+        let plan = arguments.plan(arguments.seed.saturating_add(run));
+        let options = soak::SoakOptions {
+            program: options.program.clone(),
+            folder: folder.join(plan.seed.to_string()),
+        };
+        let report = soak::run(&plan, &options)?;
+        print!("{report}");
+        passed &= report.findings.is_empty();
+    }
+    Ok(RunStatus::from_passed(passed))
+}
+
 fn run_try(options: &emulator::Options) -> Result<RunStatus, CliError> {
     let scenario = ScenarioFile::read("try", TRY_SCENARIO)?;
     let seconds = scenario.scenario.seconds;
--- a/crates/testbed/src/emulator/http.rs
+++ b/crates/testbed/src/emulator/http.rs
@@ -24,18 +24,18 @@
 
 /// A complete request or response.
 #[derive(Debug, Default)]
-pub(super) struct Message {
+pub(crate) struct Message {
     /// Target of a request; empty for a response.
-    pub(super) target: String,
+    pub(crate) target: String,
     /// Status of a response; 0 for a request.
-    pub(super) status: u16,
+    pub(crate) status: u16,
     headers: Vec<(String, String)>,
-    pub(super) body: BytesMut,
+    pub(crate) body: BytesMut,
 }
 
 impl Message {
     /// The value of the first header field of this name, which is case-insensitive.
-    pub(super) fn header(&self, name: &str) -> Option<&str> {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.headers
             .iter()
             .find(|(field, _)| field.eq_ignore_ascii_case(name))
@@ -43,7 +43,7 @@
     }
 
     /// The value of a parameter in the query of the target.
-    pub(super) fn query_parameter(&self, name: &str) -> Option<&str> {
+    pub(crate) fn query_parameter(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
         query
             .split('&')
@@ -58,7 +58,7 @@
 }
 
 /// A connection, on which requests or responses are read one after the other.
-pub(super) struct HttpConnection {
+pub(crate) struct HttpConnection {
     stream: TcpStream,
     /// Bytes that were read and do not belong to a message read so far.
     buffer: BytesMut,
@@ -69,7 +69,7 @@
 }
 
 impl HttpConnection {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
         Self {
             stream,
@@ -77,22 +77,22 @@
         }
     }
 
-    pub(super) async fn write(&mut self, text: &str) -> io::Result<()> {
+    pub(crate) async fn write(&mut self, text: &str) -> io::Result<()> {
         self.stream.write_all(text.as_bytes()).await
     }
 
     /// Waits for the first byte of the next message; false if the peer has closed the connection.
-    pub(super) async fn has_next_message(&mut self) -> io::Result<bool> {
+    pub(crate) async fn has_next_message(&mut self) -> io::Result<bool> {
         Ok(!self.buffer.is_empty() || self.stream.read_buf(&mut self.buffer).await? > 0)
     }
 
     /// Waits until the peer closes the connection or sends data that is not expected yet.
-    pub(super) async fn closed(&mut self) {
+    pub(crate) async fn closed(&mut self) {
         let _ = self.stream.read_buf(&mut self.buffer).await;
     }
 
     /// Reads a request with its body.
-    pub(super) async fn read_request(&mut self) -> io::Result<Message> {
+    pub(crate) async fn read_request(&mut self) -> io::Result<Message> {
         loop {
             if let Some((head_length, message)) = parse_request_head(&self.buffer)? {
                 return self
@@ -104,7 +104,7 @@
     }
 
     /// Reads a response with its body.
-    pub(super) async fn read_response(&mut self) -> io::Result<Message> {
+    pub(crate) async fn read_response(&mut self) -> io::Result<Message> {
         loop {
             if let Some((head_length, message)) = parse_response_head(&self.buffer)? {
                 return self
@@ -188,7 +188,7 @@
 }
 
 /// Formats a response with a `Content-Length`; each line of `headers` ends in CRLF.
-pub(super) fn format_response(status: &str, headers: &str, body: &str) -> String {
+pub(crate) fn format_response(status: &str, headers: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}",
         body.len()
--- a/crates/testbed/src/emulator/mod.rs
+++ b/crates/testbed/src/emulator/mod.rs
@@ -12,9 +12,9 @@
 mod emulated_server;
 mod error;
 mod fault_schedule;
-mod http;
+pub(crate) mod http;
 mod lock;
-mod ports;
+pub(crate) mod ports;
 mod recorder;
 mod schedule_lag;
 mod shared;
@@ -40,6 +40,8 @@
 use sidecars::Sidecars;
 
 pub use error::EmulatorError;
+pub(crate) use lock::lock;
+pub(crate) use sidecars::settings as sidecar_settings;
 
 /// Maximum of servers times sidecars in one emulation, bounded by sockets and file descriptors.
 const MAX_CONNECTION_PAIRS: usize = 20_000;
@@ -200,7 +202,7 @@
     })
 }
 
-fn runtime() -> Result<tokio::runtime::Runtime, EmulatorError> {
+pub(crate) fn runtime() -> Result<tokio::runtime::Runtime, EmulatorError> {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
--- a/crates/testbed/src/emulator/ports.rs
+++ b/crates/testbed/src/emulator/ports.rs
@@ -95,7 +95,7 @@
 ///
 /// # Errors
 /// If all ports are in use.
-pub(super) fn allocate_address() -> Result<SocketAddr, EmulatorError> {
+pub(crate) fn allocate_address() -> Result<SocketAddr, EmulatorError> {
     let mut allocator = lock(&ALLOCATOR);
     for _ in 0..usize::from(ALLOCATABLE_PER_BLOCK) * usize::from(BLOCK_COUNT) {
         match allocator.next_candidate() {
--- a/crates/testbed/src/emulator/sidecars/mod.rs
+++ b/crates/testbed/src/emulator/sidecars/mod.rs
@@ -7,7 +7,7 @@
 mod counters;
 mod process;
 mod restart;
-mod settings;
+pub(crate) mod settings;
 mod start;
 
 use std::net::SocketAddr;
--- a/crates/testbed/src/emulator/sidecars/settings.rs
+++ b/crates/testbed/src/emulator/sidecars/settings.rs
@@ -32,17 +32,17 @@
 };
 
 /// The values of one sidecar's configuration other than its settings.
-pub(super) struct SidecarIdentity<'a> {
-    pub(super) index: SidecarIndex,
-    pub(super) address: SocketAddr,
-    pub(super) discovery: SocketAddr,
-    pub(super) seed: u64,
+pub(crate) struct SidecarIdentity<'a> {
+    pub(crate) index: SidecarIndex,
+    pub(crate) address: SocketAddr,
+    pub(crate) discovery: SocketAddr,
+    pub(crate) seed: u64,
     /// The endpoint list with which the sidecar starts.
-    pub(super) cached_endpoints: &'a Value,
+    pub(crate) cached_endpoints: &'a Value,
 }
 
 /// A sidecar's whole configuration.
-pub(super) fn configuration(scenario: &Scenario, identity: &SidecarIdentity<'_>) -> Value {
+pub(crate) fn configuration(scenario: &Scenario, identity: &SidecarIdentity<'_>) -> Value {
     let sidecars = &scenario.sidecars;
     json!({
         "name": identity.index.to_string(),
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod scenario;
 pub mod server_model;
 pub mod simulator;
+pub mod soak;
 pub mod statistics;
 pub mod workload;
