Reserve memory for each request, and pass bodies on in slices

Cause: the number of permits was to bound memory, three bodies for each. It bounded nothing: a burst takes permits from clients whose request has arrived and is not read yet, and they are served all the same. A heap profile at the peak showed 208 bodies at 85 permits (13.6 of 36.6 MB), and 11.2 MB of copies: the HTTP libraries copy a whole body into the write buffer of each attempt and each response.

Change: `control::memory_budget` divides the limit by purpose. A body over 4 KiB is reserved before it is read, and incomplete requests get half of the share of requests at most; a complete request reserves its body, an attempt and the largest response, up to the last slice of its response. What finds no room is rejected before it is sent (`requests_over_memory`). Bodies go to the libraries in slices of 8 KiB.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,5 +1,5 @@
-//! Control logic outside the balancer: work estimates, machine types and the freshness of the
-//! endpoint list.
+//! Control logic outside the balancer: work estimates, machine types, the freshness of the endpoint
+//! list, and memory by purpose.
 //!
 //! The crate performs no I/O and reads no clock: callers pass events and times in and get results
 //! back. Nothing in it depends on a protocol.
@@ -7,6 +7,7 @@
 mod convert;
 pub mod list_freshness;
 mod machine_catalogue;
+pub mod memory_budget;
 mod work_aware_balancer;
 pub mod work_estimator;
 
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -46,6 +46,8 @@
     requests_accepted: "Requests admitted to the balancer.",
     requests_malformed: "Requests answered with a 4xx response.",
     requests_over_capacity: "Requests rejected because too many clients were connected.",
+    requests_over_memory: "Requests rejected because requests held as much memory as they may.",
+    clients_evicted: "Client connections ended for others while a request was incomplete.",
     clients_timed_out: "Client connections closed because no complete request arrived in time.",
     responses_served: "Server responses forwarded to clients.",
     responses_rejected: "Requests that the balancer rejected because of overload.",
--- a/crates/sidecar/src/downstream/http.rs
+++ b/crates/sidecar/src/downstream/http.rs
@@ -13,6 +13,9 @@
 use super::bounded_stream::BoundedStream;
 use super::request_handler::RequestHandler;
 
+/// How much of a response is in the write buffer of its connection at most, besides one slice.
+const WRITE_BUFFER_BYTES: usize = 8 * 1024;
+
 /// A service that runs HTTP/1.1 on one connection until the connection ends.
 pub(super) trait ConnectionService:
     Service<(BoundedStream, Option<SocketAddr>), Response = (), Error = DispatchError>
@@ -37,6 +40,7 @@
         // just the first.
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         // A client that shuts down its write side counts as disconnected: its requests are dropped,
         // and their attempts with them.
         .h1_allow_half_closed(false)
--- a/crates/sidecar/src/downstream/mod.rs
+++ b/crates/sidecar/src/downstream/mod.rs
@@ -7,6 +7,7 @@
 //! - `bounded_stream`: its socket as actix-http reads and writes it; `lingering_close`: closes
 //!   the socket;
 //! - `service_context`: gives the modules below access to the rest of the sidecar;
+//! - `request_memory`: reserves the memory of requests;
 //! - `malformed_request`, `request_headers`, `request`, `response`: convert between HTTP and the
 //!   proxy's types;
 //! - `request_handler`: handles one request, from its head to its response;
@@ -25,6 +26,7 @@
 mod request;
 mod request_handler;
 mod request_headers;
+mod request_memory;
 mod response;
 mod service_context;
 
--- a/crates/sidecar/src/downstream/request.rs
+++ b/crates/sidecar/src/downstream/request.rs
@@ -8,6 +8,7 @@
 use super::connection::ClientConnection;
 use super::malformed_request::MalformedRequest;
 use super::request_headers::{RequestHeaders, content_length, forwarded_headers};
+use super::request_memory::{MemoryReservation, OverMemory};
 use super::service_context::ServiceContext;
 use crate::message::{ClientPresence, Payload, ProxyRequest};
 
@@ -45,28 +46,63 @@
     }
 }
 
-/// Reads a request completely and validates it.
+/// Why a request is not passed to the proxy.
+#[derive(Debug)]
+pub(super) enum RefusedRequest {
+    /// It is malformed.
+    Malformed(MalformedRequest),
+    /// There is no memory for its body, which is not read.
+    BodyOverMemory,
+    /// It was read completely, and there is no memory for its attempts and its response.
+    OverMemory,
+}
+
+impl From<MalformedRequest> for RefusedRequest {
+    fn from(error: MalformedRequest) -> Self {
+        Self::Malformed(error)
+    }
+}
+
+/// Reads a request completely and validates it. Returns it with the memory that is reserved for it
+/// up to the end of its response.
 ///
 /// # Errors
-/// Returns the first error that is found; the rest of the request is not read then.
+/// Returns the first reason that is found; the rest of the request is not read then.
 pub(super) async fn read_request(
     context: &ServiceContext,
     mut request: Request,
     client: &ClientConnection,
-) -> Result<ProxyRequest, MalformedRequest> {
+) -> Result<(ProxyRequest, MemoryReservation), RefusedRequest> {
     let limits = context.limits();
     // If nothing was received since the last response, the request was sent before that response.
     if !client.has_received_since_response() {
-        return Err(MalformedRequest::Pipelined);
+        return Err(MalformedRequest::Pipelined.into());
     }
     let head = read_head(context, &request)?;
     let max_bytes = limits.max_body_bytes;
+    let reservation = context
+        .memory()
+        .reserve_body(max_body_bytes(&request, head.body_length, max_bytes))
+        .map_err(|OverMemory| RefusedRequest::BodyOverMemory)?;
     client.input().on_body_length(head.body_length);
     let body = read_body(request.take_payload(), head.body_length, max_bytes).await?;
     if !client.on_request_read(limits).await {
-        return Err(MalformedRequest::Pipelined);
+        return Err(MalformedRequest::Pipelined.into());
+    }
+    let reservation = reservation
+        .complete(body.len())
+        .map_err(|OverMemory| RefusedRequest::OverMemory)?;
+    let request = head.into_request(body, client.presence().clone());
+    Ok((request, reservation))
+}
+
+/// The largest body that may follow a head: a chunked body has no declared length.
+fn max_body_bytes(request: &Request, body_length: usize, max_bytes: usize) -> usize {
+    if request.chunked().unwrap_or(true) {
+        max_bytes
+    } else {
+        body_length
     }
-    Ok(head.into_request(body, client.presence().clone()))
 }
 
 /// Parses and validates the head of a request.
--- a/crates/sidecar/src/downstream/request_handler.rs
+++ b/crates/sidecar/src/downstream/request_handler.rs
@@ -7,8 +7,7 @@
 use actix_http::{ConnectionType, Request, StatusCode};
 
 use super::connection::{ClientConnection, Persistence};
-use super::malformed_request::MalformedRequest;
-use super::request::read_request;
+use super::request::{RefusedRequest, read_request};
 use super::response::{self, ClientResponse, plain_text};
 use super::service_context::ServiceContext;
 use crate::proxy::Proxy;
@@ -59,7 +58,8 @@
     /// the last file descriptors.
     pub(super) fn reject_over_capacity(&self, request: &Request) -> ClientResponse {
         self.context.counters().requests_over_capacity.inc();
-        let response = response::over_capacity(self.context.limits().default_retry_after);
+        let retry_after = self.context.limits().default_retry_after;
+        let response = response::last_on_connection(response::over_capacity(retry_after));
         if let Some(client) = client_connection(request) {
             client.on_response_ready(Persistence::Close);
         }
@@ -72,7 +72,7 @@
             "/counters" => plain_text(StatusCode::OK, self.context.counters().to_string()),
             _ => match self.forward(request, client).await {
                 Ok(response) => response,
-                Err(error) => self.reject(&error),
+                Err(refused) => self.refuse(&refused),
             },
         }
     }
@@ -92,14 +92,29 @@
         &self,
         request: Request,
         client: &ClientConnection,
-    ) -> Result<ClientResponse, MalformedRequest> {
-        let request = read_request(&self.context, request, client).await?;
-        response::from_proxy(self.proxy.handle(request).await)
+    ) -> Result<ClientResponse, RefusedRequest> {
+        let (request, memory) = read_request(&self.context, request, client).await?;
+        let response = self.proxy.handle(request).await;
+        Ok(response::from_proxy(response, memory)?)
     }
 
-    fn reject(&self, error: &MalformedRequest) -> ClientResponse {
-        self.context.counters().requests_malformed.inc();
-        response::malformed(error)
+    fn refuse(&self, refused: &RefusedRequest) -> ClientResponse {
+        let counters = self.context.counters();
+        let retry_after = self.context.limits().default_retry_after;
+        match refused {
+            RefusedRequest::Malformed(error) => {
+                counters.requests_malformed.inc();
+                response::malformed(error)
+            }
+            RefusedRequest::BodyOverMemory => {
+                counters.requests_over_memory.inc();
+                response::last_on_connection(response::over_capacity(retry_after))
+            }
+            RefusedRequest::OverMemory => {
+                counters.requests_over_memory.inc();
+                response::over_capacity(retry_after)
+            }
+        }
     }
 }
 
--- a/crates/sidecar/src/downstream/response.rs
+++ b/crates/sidecar/src/downstream/response.rs
@@ -7,19 +7,24 @@
 use actix_http::{ConnectionType, Response, StatusCode};
 
 use super::malformed_request::MalformedRequest;
-use crate::message::Payload;
+use super::request_memory::MemoryReservation;
+use crate::message::{Payload, SlicedBody};
 use crate::proxy::ProxyResponse;
 
 /// An HTTP response to a client.
 pub(super) type ClientResponse = Response<BoxBody>;
 
-/// Converts the proxy's response to an HTTP response.
+/// Converts the proxy's response to an HTTP response. The body of a served one keeps `memory` until
+/// it is written or its connection ends.
 ///
 /// # Errors
 /// Returns an error if the proxy did not run the request, since one with the same id is in flight.
-pub(super) fn from_proxy(response: ProxyResponse) -> Result<ClientResponse, MalformedRequest> {
+pub(super) fn from_proxy(
+    response: ProxyResponse,
+    memory: MemoryReservation,
+) -> Result<ClientResponse, MalformedRequest> {
     match response {
-        ProxyResponse::Served(payload) => Ok(payload_response(payload)),
+        ProxyResponse::Served(payload) => Ok(payload_response(payload, memory)),
         ProxyResponse::Rejected { retry_after } => {
             Ok(retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after))
         }
@@ -38,9 +43,9 @@
         .map_into_boxed_body()
 }
 
-/// The rejection of a client over the connection limit; the last response on its connection.
+/// The rejection of a request for which the sidecar has no connection or no memory.
 pub(super) fn over_capacity(retry_after: Duration) -> ClientResponse {
-    last_on_connection(retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after))
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after)
 }
 
 /// The rejection of a malformed request; the last response on its connection, since the rest of the
@@ -58,12 +63,14 @@
 }
 
 /// Responds with a server's payload, unchanged.
-fn payload_response(payload: Payload) -> ClientResponse {
+fn payload_response(payload: Payload, memory: MemoryReservation) -> ClientResponse {
     let mut response = Response::build(StatusCode::OK);
     for header in payload.headers {
         response.insert_header(header);
     }
-    response.body(payload.body).map_into_boxed_body()
+    response
+        .body(SlicedBody::new(payload.body, memory))
+        .map_into_boxed_body()
 }
 
 /// A response with a Retry-After header. Only the status indicates whether a retry is safe.
--- a/crates/sidecar/src/downstream/service_context.rs
+++ b/crates/sidecar/src/downstream/service_context.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use super::request_memory::RequestMemory;
 use crate::counters::Counters;
 use crate::host::{BalancerHost, ClassTable};
 use crate::limits::Limits;
@@ -13,6 +14,7 @@
     classes: Rc<ClassTable>,
     limits: Rc<Limits>,
     counters: Rc<Counters>,
+    memory: Rc<RequestMemory>,
 }
 
 impl ServiceContext {
@@ -23,6 +25,7 @@
         counters: Rc<Counters>,
     ) -> Self {
         Self {
+            memory: RequestMemory::new(limits.memory),
             host,
             classes,
             limits,
@@ -45,6 +48,11 @@
         &self.limits
     }
 
+    /// The memory of all requests.
+    pub(super) fn memory(&self) -> &Rc<RequestMemory> {
+        &self.memory
+    }
+
     /// The counters of the process.
     pub(super) fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -6,6 +6,7 @@
 mod client;
 mod discovery;
 mod inputs;
+mod memory;
 mod shutdown;
 mod upstream;
 
@@ -16,6 +17,7 @@
 pub(crate) use client::ClientLimits;
 pub(crate) use discovery::DiscoveryLimits;
 pub(crate) use inputs::LimitInputs;
+pub(crate) use memory::MemoryLimits;
 pub(crate) use shutdown::ShutdownLimits;
 pub(crate) use upstream::UpstreamLimits;
 
@@ -33,6 +35,8 @@
     pub(crate) upstream: UpstreamLimits,
     /// Limits on discovery.
     pub(crate) discovery: DiscoveryLimits,
+    /// Limits on memory, by purpose.
+    pub(crate) memory: MemoryLimits,
     /// Time limits of a shutdown.
     pub(crate) shutdown: ShutdownLimits,
     /// Maximum size of a request body or response body.
@@ -50,6 +54,7 @@
             client: ClientLimits::derive(inputs),
             upstream: UpstreamLimits::derive(inputs),
             discovery: DiscoveryLimits::derive(inputs),
+            memory: MemoryLimits::derive(inputs),
             shutdown: ShutdownLimits::derive(inputs),
             max_body_bytes: MAX_BODY_BYTES,
             max_queued_actions: ACTIONS_PER_ATTEMPT * inputs.max_attempts + ACTIONS_PER_REQUEST,
--- a/crates/sidecar/src/message/mod.rs
+++ b/crates/sidecar/src/message/mod.rs
@@ -8,8 +8,10 @@
 mod client_presence;
 mod request;
 mod send_blocked;
+mod sliced_body;
 
 pub(crate) use attempt_result::AttemptResult;
 pub(crate) use client_presence::ClientPresence;
 pub(crate) use request::{FORWARDED_HEADERS, Payload, ProxyRequest};
 pub(crate) use send_blocked::SendBlocked;
+pub(crate) use sliced_body::SlicedBody;
--- a/crates/sidecar/src/upstream/exchange.rs
+++ b/crates/sidecar/src/upstream/exchange.rs
@@ -14,6 +14,7 @@
 use super::connection_pool::ConnectionPools;
 use super::reuse_delay_queue::AwcResponse;
 use super::write_progress::{CURRENT_WRITE_PROGRESS, WriteProgress};
+use crate::message::SlicedBody;
 
 /// A response that was read to its end.
 pub(super) struct CompleteResponse {
@@ -77,7 +78,7 @@
     let response = if has_no_body {
         request.send().await
     } else {
-        request.send_body(body).await
+        request.send_body(SlicedBody::new(body, ())).await
     };
     response.map_err(|_| ExchangeFailed)
 }
@@ -88,7 +89,7 @@
     length: Option<usize>,
     max_body_bytes: usize,
 ) -> Result<Bytes, ExchangeFailed> {
-    let mut body = BytesMut::new();
+    let mut body = BytesMut::with_capacity(length.unwrap_or_default().min(max_body_bytes));
     while length.is_none_or(|length| body.len() < length) {
         let Some(chunk) = response.next().await else {
             break;
