Send nothing to a server that came up at the address of a removed one

Shown by a recording: of a request whose connection was pending while the list said that one server was gone and another ready there, 149 bytes were written to the new one.

Cause: for half of the drain grace a removed server may get attempts that were decided before. The check before the first byte compared the server's own address, which had not changed.

Change: the registry keeps which server was listed last as ready at each address. A server that is not ready and whose address another one has gets nothing: the attempt counts as not sent, and the balancer tries again, on a connection of its own. The pool of a server is also replaced when the list names a new start of it, as when its address changes: its idle connections lead to the process before.

The recording and `removed_server_is_replaced_once_another_is_ready_at_its_address` are new; the recording failed before ("S1 ended with Ok(149) bytes", now 0). The pool's change has no test of its own.

--- a/crates/sidecar/src/host/server.rs
+++ b/crates/sidecar/src/host/server.rs
@@ -57,6 +57,8 @@
     pub id: ServerId,
     address: Cell<SocketAddr>,
     availability: Cell<Availability>,
+    /// Another server was listed as ready at this server's address after this one.
+    is_address_taken: Cell<bool>,
     /// The latest start time in any list, in Unix microseconds; `None` if no list had one.
     latest_started_at: Cell<Option<Micros>>,
     /// The latest send time of the requests that the server has served, on the balancer's clock.
@@ -70,6 +72,7 @@
             id,
             address: Cell::new(address),
             availability: Cell::new(Availability::Ready),
+            is_address_taken: Cell::new(false),
             latest_started_at: Cell::new(None),
             last_served_sent_at: Cell::new(None),
         }
@@ -105,11 +108,28 @@
         self.last_served_sent_at.get()
     }
 
+    /// The latest start time in any list, in Unix microseconds; `None` if no list had one.
+    pub(crate) fn incarnation(&self) -> Option<Micros> {
+        self.latest_started_at.get()
+    }
+
+    /// True if the server has gone or is draining and another one has its address: what is sent there
+    /// reaches that one.
+    pub(crate) fn is_replaced(&self) -> bool {
+        let is_ready = self.availability.get().not_ready_since().is_none();
+        self.is_address_taken.get() && !is_ready
+    }
+
     /// Records the server's address in a new list.
     pub(super) fn on_address_listed(&self, address: SocketAddr) {
         self.address.set(address);
     }
 
+    /// Records whether another server was listed as ready at this server's address after this one.
+    pub(super) fn set_address_taken(&self, is_taken: bool) {
+        self.is_address_taken.set(is_taken);
+    }
+
     /// Applies the status and the start time that a new list gives the server. A full list without
     /// the server gives it the status `Removed`. `started_at` is in Unix microseconds; `None` if
     /// the list states no start time.
--- a/crates/sidecar/src/host/server_registry.rs
+++ b/crates/sidecar/src/host/server_registry.rs
@@ -17,6 +17,8 @@
 pub(crate) struct ServerRegistry {
     by_name: HashMap<String, Rc<Server>>,
     by_id: BTreeMap<ServerId, Rc<Server>>,
+    /// The server that was listed last as ready at each address.
+    by_address: HashMap<SocketAddr, ServerId>,
     /// Ids are never reused, so that a new server is not taken for one that was removed.
     next_id: u32,
     /// Indices of the zones: the configured ones, then others in the order in which lists name them.
@@ -68,6 +70,9 @@
             self.has_seen_ready_server |= entry.status == EndpointStatus::Ready;
             let server = self.find_or_add(&entry.id, entry.address);
             server.on_address_listed(entry.address);
+            if entry.status == EndpointStatus::Ready {
+                self.take_address(&server);
+            }
             server.apply_status(entry.status, entry.started_at);
             endpoints.push(Endpoint {
                 server: server.id,
@@ -92,6 +97,17 @@
         });
         // A server that is still referenced, by an attempt for example, keeps its entry.
         self.by_id.retain(|_, server| Rc::strong_count(server) > 1);
+        self.by_address.retain(|_, id| self.by_id.contains_key(id));
+    }
+
+    /// Records that a server that is ready has its address, and that the one before does not.
+    fn take_address(&mut self, server: &Server) {
+        server.set_address_taken(false);
+        let previous = self.by_address.insert(server.address(), server.id);
+        let previous = previous.filter(|&id| id != server.id);
+        if let Some(previous) = previous.and_then(|id| self.by_id.get(&id)) {
+            previous.set_address_taken(previous.address() == server.address());
+        }
     }
 
     /// Marks the servers that are missing from a full list as removed.
--- a/crates/sidecar/src/host/server_registry/tests.rs
+++ b/crates/sidecar/src/host/server_registry/tests.rs
@@ -62,6 +62,35 @@
     assert!(!is_removed(&registry, listed[0].server));
 }
 
+/// Guards against a new process that is taken for the one that had its address before.
+#[test]
+fn removed_server_is_replaced_once_another_is_ready_at_its_address() {
+    let mut registry = ServerRegistry::default();
+    let mut apply = |entries| {
+        let list = list(entries);
+        let ids = registry.apply_update(UpdateKind::Incremental, &list, Duration::from_secs(60));
+        let is_replaced = |id| registry.get(id).map(|server| server.is_replaced());
+        ids.iter()
+            .map(|entry| is_replaced(entry.server))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(apply(vec![entry(0, EndpointStatus::Ready)]), [Some(false)]);
+    assert_eq!(
+        apply(vec![entry(0, EndpointStatus::Removed)]),
+        [Some(false)]
+    );
+    let in_either_order = [
+        entry(1, EndpointStatus::Ready),
+        entry(0, EndpointStatus::Removed),
+    ];
+    assert_eq!(apply(in_either_order.to_vec()), [Some(false), Some(true)]);
+    let back_again = [
+        entry(1, EndpointStatus::Draining),
+        entry(0, EndpointStatus::Ready),
+    ];
+    assert_eq!(apply(back_again.to_vec()), [Some(true), Some(false)]);
+}
+
 #[test]
 fn configured_zones_keep_their_indices_and_new_zones_follow() {
     let zones = vec!["a".to_owned(), "z".to_owned()];
--- a/crates/sidecar/src/upstream/connection_pool.rs
+++ b/crates/sidecar/src/upstream/connection_pool.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use arrowstand_balancer::ServerId;
+use arrowstand_balancer::{Micros, ServerId};
 use awc::Client;
 use tokio::time::Instant;
 
@@ -28,6 +28,7 @@
 /// The connections to one server.
 struct Pool {
     address: SocketAddr,
+    incarnation: Option<Micros>,
     client: Client,
     last_used_at: Instant,
 }
@@ -48,21 +49,21 @@
         let now = Instant::now();
         self.reuse_delay_queue.release_due(now);
         let mut pools = self.pools.borrow_mut();
-        let address = server.address();
         let pool = pools
             .entry(server.id)
-            .or_insert_with(|| self.new_pool(address, now));
-        // Connections to the server's previous address must not be reused.
-        if pool.address != address {
-            *pool = self.new_pool(address, now);
+            .or_insert_with(|| self.new_pool(server, now));
+        // Connections to the server's previous address or process must not be reused.
+        if pool.address != server.address() || pool.incarnation != server.incarnation() {
+            *pool = self.new_pool(server, now);
         }
         pool.last_used_at = now;
         pool.client.clone()
     }
 
-    fn new_pool(&self, address: SocketAddr, now: Instant) -> Pool {
+    fn new_pool(&self, server: &Server, now: Instant) -> Pool {
         Pool {
-            address,
+            address: server.address(),
+            incarnation: server.incarnation(),
             client: self.connector.new_client(),
             last_used_at: now,
         }
--- a/crates/sidecar/src/upstream/send_conditions.rs
+++ b/crates/sidecar/src/upstream/send_conditions.rs
@@ -20,8 +20,8 @@
     /// Time since the server stopped being ready, because it is draining or removed; `None` while
     /// it is ready.
     pub time_not_ready: Option<Duration>,
-    /// The server's address has changed since the attempt was created: the old address may belong
-    /// to another server now.
+    /// The server's address has changed since the attempt was created, or belongs to another server
+    /// now: the old address may belong to another one as well.
     pub server_address_changed: bool,
     /// The endpoint list is too old to show whether the server is draining.
     pub endpoint_list_stale: bool,
--- a/crates/sidecar/src/upstream/send_guard.rs
+++ b/crates/sidecar/src/upstream/send_guard.rs
@@ -48,7 +48,8 @@
             attempt_time_left: time_until(self.attempt_deadline),
             retry_window_left: self.start_before.map(time_until),
             time_not_ready: self.server.time_not_ready(),
-            server_address_changed: self.server.address() != self.address,
+            server_address_changed: self.server.address() != self.address
+                || self.server.is_replaced(),
             endpoint_list_stale: self.list_freshness.is_stale_for(&self.server),
         }
     }
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -61,6 +61,7 @@
     late_second_response_reaches_no_client
     malformed_requests_are_rejected
     malformed_responses_fail
+    new_server_at_the_address_of_a_removed_one_gets_nothing_meant_for_that
     non_idempotent_error_is_not_retried
     non_idempotent_refused_connection_is_retried_elsewhere
     non_idempotent_reset_is_not_retried
