Refuse an id again whose client left while the request may have run

Shown by a recording: the second request with the id went to a server.

Cause: the id was released with the dropped request, although its attempt may have run.

The id of a request that got a final response, or of which nothing was sent, is free at once, as before.

The recording `id_of_a_disconnected_client_does_not_run_again` failed before ("no further connection: false"). Not shown on this code: requests sent on after their client had closed with much unread (`client_disconnect_behind_pipelined_input_forwards_nothing` holds).

--- a/crates/sidecar/src/config/deployment_metadata.rs
+++ b/crates/sidecar/src/config/deployment_metadata.rs
@@ -15,6 +15,8 @@
     pub(crate) class_names: Vec<String>,
     /// Whether a request of the class must carry an idempotency key.
     pub(crate) requires_idempotency_key: Vec<bool>,
+    /// Whether a request of the class may run any number of times.
+    pub(crate) is_idempotent: Vec<bool>,
     /// Deadline of the class, the timeout of a request that carries none.
     pub(crate) deadlines: Vec<Duration>,
     /// How long servers drop repeated requests with the same idempotency key.
@@ -35,6 +37,10 @@
                 .iter()
                 .map(|class| class.idempotency == Idempotency::IdempotencyKey)
                 .collect(),
+            is_idempotent: classes
+                .iter()
+                .map(|class| class.idempotency == Idempotency::Idempotent)
+                .collect(),
             deadlines: classes
                 .iter()
                 .map(|class| Duration::from_micros(class.deadline))
--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -165,7 +165,7 @@
             .reclaim
             .add(Instant::now() + limits.client.min_lingering_time);
         let timeout = if self.handler.is_shutting_down() {
-            limits.client.lingering_close_timeout
+            limits.shutdown.first_request_period
         } else {
             limits.client.idle_timeout
         };
--- a/crates/sidecar/src/host/class_table.rs
+++ b/crates/sidecar/src/host/class_table.rs
@@ -9,6 +9,7 @@
 struct ClassConfig {
     name: String,
     requires_idempotency_key: bool,
+    is_idempotent: bool,
     deadline: Duration,
     deduplication_window: Duration,
 }
@@ -18,7 +19,8 @@
 
 impl ClassTable {
     /// Creates the table from the configuration. A class for which a per-class list has no entry
-    /// gets the default of that list: no idempotency key is required, or the duration is zero.
+    /// gets the default of that list: no idempotency key is required, the class is not idempotent, or
+    /// the duration is zero.
     pub(crate) fn new(deployment: &DeploymentMetadata) -> Self {
         let classes = deployment.class_names.iter().enumerate();
         let class = |(index, name): (usize, &String)| ClassConfig {
@@ -28,6 +30,11 @@
                 .get(index)
                 .copied()
                 .unwrap_or_default(),
+            is_idempotent: deployment
+                .is_idempotent
+                .get(index)
+                .copied()
+                .unwrap_or_default(),
             deadline: deployment.deadlines.get(index).copied().unwrap_or_default(),
             deduplication_window: deployment
                 .deduplication_windows
@@ -50,6 +57,11 @@
             .is_some_and(|class| class.requires_idempotency_key)
     }
 
+    /// True if requests of the class may run any number of times; false for an unknown class.
+    pub(crate) fn is_idempotent(&self, class: ClassId) -> bool {
+        self.get(class).is_some_and(|class| class.is_idempotent)
+    }
+
     /// The client timeout of a request that states none; zero for an unknown class.
     pub(crate) fn default_client_timeout(&self, class: ClassId) -> Duration {
         self.get(class)
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -43,6 +43,8 @@
     pub(crate) max_body_bytes: usize,
     /// Maximum number of queued actions per request.
     pub(crate) max_queued_actions: usize,
+    /// How long the id of a request that must not run again is kept after its client left.
+    pub(crate) request_id_retention: Duration,
     /// Retry-After of a rejection for which the balancer gives none.
     pub(crate) default_retry_after: Duration,
 }
@@ -51,9 +53,11 @@
     /// Computes all limits.
     pub(crate) fn derive(inputs: &LimitInputs) -> Self {
         let memory = MemoryLimits::derive(inputs);
+        let upstream = UpstreamLimits::derive(inputs);
         Self {
             client: ClientLimits::derive(inputs, memory.shares.connections),
-            upstream: UpstreamLimits::derive(inputs),
+            request_id_retention: upstream.server_retention,
+            upstream,
             discovery: DiscoveryLimits::derive(inputs),
             memory,
             shutdown: ShutdownLimits::derive(inputs),
--- a/crates/sidecar/src/limits/shutdown.rs
+++ b/crates/sidecar/src/limits/shutdown.rs
@@ -9,6 +9,8 @@
 const MAX_SHUTDOWN_DEADLINE: Duration = Duration::from_secs(3);
 /// Clients may still connect for 0.4 s after SIGTERM, as the platform defines.
 const ACCEPT_PERIOD: Duration = Duration::from_millis(500);
+/// How long a client that has sent nothing may still send its first request, which is rejected.
+const FIRST_REQUEST_PERIOD: Duration = Duration::from_millis(400);
 /// Added to the longest deadline: the last request is accepted up to [`ACCEPT_PERIOD`] after the
 /// SIGTERM, and its deadline must have passed.
 const FORCED_RESPONSE_MARGIN: Duration = Duration::from_millis(550);
@@ -21,6 +23,8 @@
 pub(crate) struct ShutdownLimits {
     /// How long connections are still accepted.
     pub(crate) accept_period: Duration,
+    /// How long after that a client that has sent nothing may still send its first request.
+    pub(crate) first_request_period: Duration,
     /// When all requests still in flight get a response at once.
     pub(crate) forced_response_after: Duration,
     /// When the process exits at the latest.
@@ -32,6 +36,7 @@
         let longest_deadline = inputs.longest_deadline.min(MAX_SHUTDOWN_DEADLINE);
         Self {
             accept_period: ACCEPT_PERIOD,
+            first_request_period: FIRST_REQUEST_PERIOD,
             forced_response_after: longest_deadline + FORCED_RESPONSE_MARGIN,
             exit_after: longest_deadline + EXIT_MARGIN,
         }
--- a/crates/sidecar/src/proxy.rs
+++ b/crates/sidecar/src/proxy.rs
@@ -17,7 +17,7 @@
 use crate::message::ProxyRequest;
 use crate::upstream::Upstream;
 use exchange::Exchange;
-use request_ids::ActiveRequestIds;
+use request_ids::{Repeatability, RequestIds};
 
 pub(crate) use request_admission::RequestAdmission;
 pub(crate) use response::ProxyResponse;
@@ -26,7 +26,7 @@
 pub(crate) struct Proxy {
     admission: RequestAdmission,
     upstream: Rc<Upstream>,
-    request_ids: Rc<ActiveRequestIds>,
+    request_ids: Rc<RequestIds>,
     /// Set to true shortly before the process ends.
     forced_shutdown: watch::Sender<bool>,
     limits: Rc<Limits>,
@@ -44,7 +44,7 @@
         Rc::new(Self {
             admission,
             upstream,
-            request_ids: Rc::default(),
+            request_ids: RequestIds::new(limits.request_id_retention),
             forced_shutdown: watch::Sender::new(false),
             limits,
             counters,
@@ -59,7 +59,12 @@
     /// Handles a request and returns its final response. Dropping the future, as happens when the
     /// client disconnects, cancels the attempts in flight.
     pub(crate) async fn handle(&self, request: ProxyRequest) -> ProxyResponse {
-        let Some(_id_guard) = self.request_ids.reserve(&request.id) else {
+        let repeatability = if self.admission.is_idempotent(request.class) {
+            Repeatability::Repeatable
+        } else {
+            Repeatability::Once
+        };
+        let Some(id_guard) = self.request_ids.reserve(&request.id, repeatability) else {
             return ProxyResponse::DuplicateId;
         };
         let forced_shutdown = self.forced_shutdown.subscribe();
@@ -70,6 +75,9 @@
                 retry_after: self.limits.default_retry_after,
             };
         }
-        Exchange::admit(self, request).run(forced_shutdown).await
+        let exchange = Exchange::admit(self, request, &id_guard);
+        let response = exchange.run(forced_shutdown).await;
+        id_guard.on_responded();
+        response
     }
 }
--- a/crates/sidecar/src/proxy/exchange.rs
+++ b/crates/sidecar/src/proxy/exchange.rs
@@ -10,6 +10,7 @@
 
 use super::Proxy;
 use super::attempts::{Attempts, EndedAttempt};
+use super::request_ids::RequestIdGuard;
 use super::response::ProxyResponse;
 use super::retry_window::RetryWindow;
 use crate::host::{InFlightRequest, RequestAction};
@@ -23,11 +24,16 @@
     retry_window: RetryWindow,
     request: Rc<ProxyRequest>,
     proxy: &'a Proxy,
+    id_guard: &'a RequestIdGuard,
 }
 
 impl<'a> Exchange<'a> {
     /// Admits a request to the balancer and creates its exchange.
-    pub(super) fn admit(proxy: &'a Proxy, request: ProxyRequest) -> Self {
+    pub(super) fn admit(
+        proxy: &'a Proxy,
+        request: ProxyRequest,
+        id_guard: &'a RequestIdGuard,
+    ) -> Self {
         Self {
             attempts: Attempts::default(),
             in_flight: proxy.admission.admit(&request),
@@ -37,6 +43,7 @@
             ),
             request: Rc::new(request),
             proxy,
+            id_guard,
         }
     }
 
@@ -87,6 +94,7 @@
     /// Starts an attempt. It times out after `timeout` (in microseconds) or at the client's
     /// deadline, whichever comes first.
     fn start_attempt(&mut self, server: ServerId, timeout: Option<Micros>) {
+        self.id_guard.on_attempt_started();
         let attempt = self.in_flight.on_attempt_started(server);
         let now = Instant::now();
         let start_before = self.retry_window.on_attempt_started(now);
--- a/crates/sidecar/src/proxy/request_admission.rs
+++ b/crates/sidecar/src/proxy/request_admission.rs
@@ -28,6 +28,11 @@
         InFlightRequest::admit(&self.host, request.class, time_left, request.work_hint)
     }
 
+    /// True if requests of the class may run any number of times.
+    pub(super) fn is_idempotent(&self, class: ClassId) -> bool {
+        self.classes.is_idempotent(class)
+    }
+
     /// How long servers deduplicate a request by its idempotency key; `None` for a class without
     /// keys.
     pub(super) fn deduplication_window(&self, class: ClassId) -> Option<Duration> {
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -55,6 +55,7 @@
     draining_server_gets_no_new_request
     duplicate_request_id_in_flight_is_rejected
     endless_request_head_is_cut_off
+    id_of_a_disconnected_client_does_not_run_again
     idle_connection_near_its_end_is_not_reused
     indented_endpoint_list_is_decoded
     interim_responses_are_skipped
