End the soak's crowd connections with a reset

Cause: `rejected_polls_do_not_stop_service` failed, eight times of eight, while the soak ran beside it. A trace: the step before took 0.87 s, in which the test's discovery answered no poll, so the list became stale and the attempt was blocked, as it must be. That step reads the system's table of sockets, and the crowds had left 77,000 of them in TIME_WAIT.

Change: a crowd's client closes with a reset once the sidecar has ended its connection.

--- a/crates/testbed/src/emulator/http.rs
+++ b/crates/testbed/src/emulator/http.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Makes the close of the connection a reset, so that neither side keeps it for a minute after.
+    /// Tens of thousands of such remains slow down everything on the machine that lists sockets.
+    pub(crate) fn reset_on_close(&self) {
+        let _ = self.stream.set_zero_linger();
+    }
+
     pub(crate) async fn write(&mut self, text: &str) -> io::Result<()> {
         self.stream.write_all(text.as_bytes()).await
     }
--- a/crates/testbed/src/soak/crowd.rs
+++ b/crates/testbed/src/soak/crowd.rs
@@ -92,19 +92,25 @@
         while Instant::now() < end {
             self.sidecar.wait_until_connectable().await;
             match TcpStream::connect(self.sidecar.address).await {
-                // The client's side of a connection that has ended is dropped at once.
                 Ok(stream) => {
-                    let _ = self.use_connection(HttpConnection::new(stream), end).await;
+                    let mut connection = HttpConnection::new(stream);
+                    let _ = self.use_connection(&mut connection, end).await;
+                    connection.reset_on_close();
                 }
                 Err(_) => tokio::time::sleep(RECONNECT_PAUSE).await,
             }
         }
     }
 
-    async fn use_connection(&self, mut connection: HttpConnection, end: Instant) -> io::Result<()> {
+    /// Sends what clients of this kind send, and stays until the sidecar ends the connection.
+    async fn use_connection(
+        &self,
+        connection: &mut HttpConnection,
+        end: Instant,
+    ) -> io::Result<()> {
         match self.kind {
             CrowdKind::WholeBodies => {
-                self.send_whole_bodies(&mut connection, end).await;
+                self.send_whole_bodies(connection, end).await;
                 return Ok(());
             }
             CrowdKind::UnreadResponses => {
@@ -113,10 +119,9 @@
                 tokio::time::sleep(UNREAD_TIME).await;
                 return Ok(());
             }
-            CrowdKind::Flood => self.flood(&mut connection).await?,
-            kind => write_incomplete(&mut connection, kind, self.record.next_id()).await?,
+            CrowdKind::Flood => self.flood(connection).await?,
+            kind => write_incomplete(connection, kind, self.record.next_id()).await?,
         }
-        // Stays until the sidecar ends the connection.
         while connection.read_response().await.is_ok() {}
         Ok(())
     }
