Leave room for reloads: smaller shares of memory for connections and requests

A reload takes some 5.5 MiB more, which is in no budget.

Change: the shares of connections and requests are three sixteenths each instead of a quarter. The soak has a crowd with reloads, as a flag and as a test. Of the soak, signals and usage are files of their own, as is the end of connections that are not served.

--- a/crates/control/src/memory_budget/mod.rs
+++ b/crates/control/src/memory_budget/mod.rs
@@ -21,12 +21,12 @@
 }
 
 impl MemoryShares {
-    /// Divides a limit in bytes: a quarter for connections, a quarter for requests, and half of that
-    /// at most for incomplete ones.
+    /// Divides a limit in bytes: three sixteenths for connections, three sixteenths for requests, and
+    /// half of that at most for incomplete ones.
     pub fn of(limit_bytes: usize) -> Self {
-        let requests = limit_bytes / 4;
+        let requests = limit_bytes / 16 * 3;
         Self {
-            connections: limit_bytes / 4,
+            connections: requests,
             requests,
             incomplete_requests: requests / 2,
         }
--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -3,6 +3,8 @@
 //! `client_permits` tracks which connections are open, and `request_handler` produces the
 //! responses.
 
+mod ending;
+
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,16 +13,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use super::bounded_stream::BoundedStream;
 use super::client_permits::ClientPermits;
 use super::connection::ClientConnection;
-use super::connection_timeout::{ConnectionEnd, wait_for_timeout_or_close};
+use super::connection_timeout::wait_for_timeout_or_close;
 use super::descriptor_reclaim::{DescriptorReclaim, Reclaim};
 use super::http::{ConnectionService, permitted_service};
-use super::lingering_close::lingering_close;
-use super::refusal::Refusal;
 use super::request_handler::RequestHandler;
 use super::service_context::ServiceContext;
 use crate::limits::ClientLimits;
@@ -157,43 +157,6 @@
         });
     }
 
-    /// Waits for the first input of a client without a permit, which is then rejected. Its request
-    /// is not read: such clients occupy the last file descriptors, and must not occupy memory.
-    async fn reject(&self, client: &ClientConnection) {
-        let limits = self.context.limits();
-        let descriptor = self
-            .reclaim
-            .add(Instant::now() + limits.client.min_lingering_time);
-        let timeout = if self.handler.is_shutting_down() {
-            limits.shutdown.first_request_period
-        } else {
-            limits.client.idle_timeout
-        };
-        let has_input = tokio::select! {
-            biased;
-            () = client.socket_slot().wait_for_input() => client.socket_slot().has_unread_bytes(),
-            () = sleep(timeout) => false,
-            () = descriptor.wait_for_reclaim() => client.socket_slot().has_unread_bytes(),
-        };
-        if has_input {
-            self.context.counters().requests_over_capacity.inc();
-            client.refuse(Refusal::OverCapacity);
-        }
-    }
-
-    /// Writes the response to a request that was not read to its end, if there is one, and closes
-    /// the connection.
-    async fn close_connection(&self, client: &ClientConnection) {
-        let Some(mut socket) = client.socket_slot().take() else {
-            return;
-        };
-        let limits = self.context.limits();
-        if let Some(refusal) = client.refusal() {
-            refusal.write_to(&mut socket, limits).await;
-        }
-        lingering_close(socket, limits, &self.reclaim).await;
-    }
-
     /// Serves one client until its connection is to be closed, and leaves its socket open for the
     /// lingering close.
     async fn serve(&self, service: &impl ConnectionService, client: &Rc<ClientConnection>) {
@@ -234,27 +197,6 @@
         }
     }
 
-    /// Refuses a request that is incomplete as its connection ends, if it may have become complete
-    /// since: its client is then owed a response.
-    fn refuse_incomplete_request(&self, client: &ClientConnection, end: ConnectionEnd) {
-        if client.incomplete_since().is_none() {
-            return;
-        }
-        let counters = self.context.counters();
-        match end {
-            ConnectionEnd::Idle => {}
-            ConnectionEnd::TimedOut if client.socket_slot().has_unread_bytes() => {
-                counters.clients_timed_out.inc();
-                client.refuse(Refusal::OverCapacity);
-            }
-            ConnectionEnd::TimedOut => {}
-            ConnectionEnd::IncompleteRequest => {
-                counters.clients_evicted.inc();
-                client.refuse(Refusal::OverCapacity);
-            }
-        }
-    }
-
     /// Stops accepting, closes idle connections, and waits until all requests in flight have their
     /// responses and all connections are closed.
     pub(crate) async fn close(&self, accept: JoinHandle<()>) {
--- a/crates/testbed/src/cli/arguments.rs
+++ b/crates/testbed/src/cli/arguments.rs
@@ -146,6 +146,9 @@
     /// With `--crowd`: the process is killed and started again in the middle of the crowd.
     #[arg(long, requires = "crowd")]
     pub(super) restart: bool,
+    /// With `--crowd`: discovery is moved again and again.
+    #[arg(long, requires = "crowd")]
+    pub(super) reloads: bool,
     /// File descriptors of the sidecar; by default those of the plan.
     #[arg(long)]
     pub(super) sockets: Option<u64>,
@@ -174,6 +177,9 @@
         if self.restart {
             plan = plan.with_restart();
         }
+        if self.reloads {
+            plan = plan.with_reloads();
+        }
         plan
     }
 }
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -22,8 +22,6 @@
 const USUAL_RESPONSE_BYTES: usize = 16;
 /// Length of the body of a large response, close to the platform's limit.
 const LARGE_RESPONSE_BYTES: usize = 60_000;
-/// Time from SIGKILL to the start of the next process.
-const DOWNTIME: Duration = Duration::from_secs(1);
 
 /// How the clients of a crowd behave. Each connects again as soon as its connection ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -189,6 +187,18 @@
         self
     }
 
+    /// Moves discovery twice a second, with a SIGHUP each time.
+    pub fn with_reloads(mut self) -> Self {
+        let interval = Duration::from_millis(500);
+        let mut at = 3 * interval;
+        while at < self.duration {
+            let action = SignalAction::Reload { signals: 1 };
+            self.signals.push(PlannedSignal { at, action });
+            at += interval;
+        }
+        self
+    }
+
     /// Draws a run: signals in series always, a crowd in two runs of three.
     pub fn draw(seed: u64, duration: Duration) -> Self {
         let mut random = RandomStream::new(seed, StreamId::Faults, 0);
@@ -216,11 +226,6 @@
         plan.signals = draw_signals(&mut random, duration);
         plan
     }
-
-    /// Time from SIGKILL to the start of the next process.
-    pub(super) fn downtime() -> Duration {
-        DOWNTIME
-    }
 }
 
 /// Draws signals that leave room for each other: a shutdown takes up to four seconds.
--- a/crates/testbed/src/soak/process.rs
+++ b/crates/testbed/src/soak/process.rs
@@ -1,5 +1,8 @@
 //! The sidecar under soak: starts its processes, sends them signals and measures what they use.
 
+mod signals;
+mod usage;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -15,7 +18,7 @@
 
 use super::SoakOptions;
 use super::discovery::Discovery;
-use super::plan::{Plan, PlannedSignal, SignalAction};
+use super::plan::Plan;
 use super::record::Record;
 use crate::emulator::EmulatorError;
 use crate::emulator::http::HttpConnection;
@@ -25,34 +28,18 @@
 use crate::index::SidecarIndex;
 use crate::scenario::{Scenario, ScenarioFile};
 
+pub(super) use usage::Usage;
+
 /// The classes, limits and permissions of the sidecar; the plan sets memory and sockets.
 const SCENARIO: &str = include_str!("scenario.toml");
 /// Sets the limit on descriptors and becomes the program: `$0` is the limit, `$1` the program.
 const START_WITH_LIMIT: &str = r#"ulimit -n "$0" && exec "$1""#;
-/// Interval at which memory and descriptors are measured.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Time limit for a process to answer that it is ready.
 const READINESS_TIMEOUT: Duration = Duration::from_secs(30);
 /// Clients still open connections for this long after SIGTERM.
 const CONNECTS_AFTER_SIGTERM: Duration = Duration::from_millis(300);
-/// Time between two signals of a series.
-const SIGNAL_INTERVAL: Duration = Duration::from_millis(120);
-/// The longest deadline that a shutdown waits for, as the platform defines.
-const MAX_SHUTDOWN_DEADLINE_MS: f64 = 3_000.0;
-/// Time from SIGTERM to SIGKILL, in addition to the longest deadline.
-const SIGKILL_MARGIN: Duration = Duration::from_millis(700);
-
-/// What the processes used at most.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Usage {
-    /// Resident memory, with files that are mapped.
-    pub(super) peak_memory_kib: u64,
-    /// Resident memory at the last measurement.
-    pub(super) last_memory_kib: u64,
-    pub(super) peak_descriptors: u64,
-}
 
 /// The sidecar: its present process, and what is kept across restarts.
 pub(super) struct Sidecar {
@@ -117,122 +104,6 @@
         *lock(&self.usage)
     }
 
-    /// Measures the present process again and again.
-    pub(super) async fn sample(self: Arc<Self>) {
-        loop {
-            self.measure();
-            tokio::time::sleep(SAMPLE_INTERVAL).await;
-        }
-    }
-
-    fn measure(&self) {
-        let Some(pid) = self.pid() else { return };
-        let folder = PathBuf::from(format!("/proc/{pid}"));
-        let status = fs::read_to_string(folder.join("status")).unwrap_or_default();
-        let descriptors = fs::read_dir(folder.join("fd")).map_or(0, Iterator::count) as u64;
-        let mut usage = lock(&self.usage);
-        if let Some(kib) = status_kib(&status, "VmHWM:") {
-            usage.peak_memory_kib = usage.peak_memory_kib.max(kib);
-        }
-        if let Some(kib) = status_kib(&status, "VmRSS:") {
-            usage.last_memory_kib = kib;
-        }
-        usage.peak_descriptors = usage.peak_descriptors.max(descriptors);
-    }
-
-    /// Carries out the signals of the plan at their times, and returns at the end of the load.
-    pub(super) async fn play_signals(
-        &self,
-        signals: &[PlannedSignal],
-        duration: Duration,
-    ) -> Result<(), EmulatorError> {
-        let start = Instant::now();
-        for signal in signals {
-            self.watch_until(start + signal.at).await;
-            match signal.action {
-                SignalAction::Reload { signals } => self.reload(signals).await?,
-                SignalAction::Kill => self.kill_and_restart().await?,
-                SignalAction::Terminate { signals } => self.terminate_and_restart(signals).await?,
-            }
-        }
-        self.watch_until(start + duration).await;
-        Ok(())
-    }
-
-    /// Waits, and records a process that ends by itself.
-    async fn watch_until(&self, end: Instant) {
-        while Instant::now() < end {
-            if let Some(status) = self.exit_status() {
-                self.record.on_unexpected_exit(status.to_string());
-                lock(&self.process).child = None;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    async fn reload(&self, signals: u32) -> Result<(), EmulatorError> {
-        for _ in 0..signals {
-            self.discovery.relocate();
-            self.write_configuration()?;
-            self.signal(Signal::SIGHUP);
-            tokio::time::sleep(SIGNAL_INTERVAL).await;
-        }
-        Ok(())
-    }
-
-    async fn kill_and_restart(&self) -> Result<(), EmulatorError> {
-        self.kill_process().await;
-        tokio::time::sleep(Plan::downtime()).await;
-        self.start_process()?;
-        self.wait_until_ready().await
-    }
-
-    /// Sends a series of SIGTERM, and SIGKILL at the earliest time that the platform states.
-    async fn terminate_and_restart(&self, signals: u32) -> Result<(), EmulatorError> {
-        let kill_at = Instant::now() + self.shutdown_time();
-        lock(&self.process).terminated_at = Some(Instant::now());
-        self.record.on_terminated();
-        for _ in 0..signals {
-            self.signal(Signal::SIGTERM);
-            tokio::time::sleep(SIGNAL_INTERVAL).await;
-        }
-        while Instant::now() < kill_at && self.exit_status().is_none() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        match self.exit_status() {
-            Some(status) if !status.success() => {
-                self.record.on_unexpected_exit(status.to_string());
-            }
-            Some(_) => {}
-            None => self.kill_process().await,
-        }
-        self.start_process()?;
-        self.wait_until_ready().await
-    }
-
-    /// Time from SIGTERM to the earliest SIGKILL.
-    fn shutdown_time(&self) -> Duration {
-        let classes = self.scenario.class.iter();
-        let longest_ms = classes.map(|class| class.deadline_ms).fold(0.0, f64::max);
-        let deadline_ms = longest_ms.min(MAX_SHUTDOWN_DEADLINE_MS);
-        Duration::from_secs_f64(deadline_ms / 1e3) + SIGKILL_MARGIN
-    }
-
-    /// Kills the process at the end of the run, once all requests have ended.
-    pub(super) async fn finish(&self) {
-        self.measure();
-        self.kill_process().await;
-    }
-
-    async fn kill_process(&self) {
-        self.measure();
-        self.record.on_killed();
-        self.signal(Signal::SIGKILL);
-        while lock(&self.process).child.is_some() && self.exit_status().is_none() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    }
-
     fn exit_status(&self) -> Option<ExitStatus> {
         lock(&self.process).child.as_mut()?.try_wait().ok()?
     }
@@ -347,9 +218,3 @@
     // Beside a crowd a process that is up may reject this request.
     response.is_ok_and(|response| response.is_ok())
 }
-
-/// A value in KiB of the status that the system shows of a process.
-fn status_kib(status: &str, name: &str) -> Option<u64> {
-    let line = status.lines().find_map(|line| line.strip_prefix(name))?;
-    line.trim().trim_end_matches(" kB").parse().ok()
-}
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -122,6 +122,16 @@
     assert_rules("soak-mixed", &plan);
 }
 
+/// Guards against reloads beside a crowd: each reads the configuration and a whole list anew.
+#[test]
+fn soak_with_reloads_of_the_longest_list_beside_a_crowd_keeps_all_rules() {
+    let plan = crowd(CrowdKind::WholeBodies)
+        .with_largest_fleet()
+        .with_slow_large_responses()
+        .with_reloads();
+    assert_rules("soak-reloads", &plan);
+}
+
 /// Guards against signals in series while clients go on sending on open connections.
 #[test]
 fn soak_with_drawn_signals_keeps_all_rules() {
