--- /dev/null
+++ b/review/rig-2/src/main.rs
@@ -0,0 +1,73 @@
+//! The stand-ins of the review's cases: clients, job servers, discovery and the network. Started by
+//! each case's `run.sh` from the root of the repository as `review-rig-2 CASE FOLDER`.
+//!
+//! Exit codes: 0, the rule held; 1, it was broken; 2, the case could not run.
+
+mod cases;
+mod client;
+mod discovery;
+mod http;
+mod network;
+mod record;
+mod server;
+mod sidecar;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use record::Record;
+
+/// What a case found.
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+/// What every case gets.
+pub struct Setting {
+    pub record: Arc<Record>,
+    /// A temporary folder of this run.
+    pub directory: std::path::PathBuf,
+    /// False with `TROUBLE=0`: the same without the disruption.
+    pub trouble: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-rig-2 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    match run(case, Path::new(folder)) {
+        Ok(Verdict::Held) => ExitCode::SUCCESS,
+        Ok(Verdict::Broken) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(case: &str, folder: &Path) -> std::io::Result<Verdict> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let name = format!("review-2-{case}-{}-{}", std::process::id(), since.as_millis());
+    let directory = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&directory)?;
+    let setting = Setting {
+        record: Arc::new(Record::create(&folder.join("record.txt"))?),
+        directory: directory.clone(),
+        trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
+    };
+    let verdict = match case {
+        "late-copy" => cases::late_copy::run(&setting),
+        "slow-discovery" => cases::slow_discovery::run(&setting),
+        "large-list" => cases::large_list::run(&setting),
+        "short-length" => cases::short_length::run(&setting),
+        "slow-writer" => cases::slow_writer::run(&setting),
+        _ => Err(std::io::Error::other("unknown case")),
+    };
+    let _ = std::fs::remove_dir_all(directory);
+    verdict
+}
