--- /dev/null
+++ b/review/rig-2/src/cases/crowd.rs
@@ -0,0 +1,112 @@
+//! Some clients connect by the hundred and say nothing. The requests of the usual clients get their
+//! final answers all the same, at the latest half a second after their time.
+
+use std::io;
+use std::net::{Ipv4Addr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::client::{Client, End, Request};
+use crate::discovery::{Discovery, Entry, Form};
+use crate::server::{Fault, Server};
+use crate::sidecar::{Settings, Sidecar};
+use crate::{Setting, Verdict};
+
+const SERVERS: u8 = 4;
+/// Usual clients, each with one request at a time.
+const CLIENTS: usize = 30;
+/// Clients that connect and say nothing. They connect once and stay.
+const SILENT: usize = 600;
+/// When they connect.
+const SILENT_AFTER: Duration = Duration::from_secs(3);
+const LENGTH: Duration = Duration::from_secs(15);
+/// How long a client waits for its answer.
+const TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How much later an answer only earns nothing, and the slack of time limits on sockets.
+const EARNS_NOTHING: Duration = Duration::from_millis(500);
+const SLACK: Duration = Duration::from_millis(50);
+
+pub fn run(setting: &Setting) -> io::Result<Verdict> {
+    let record = &setting.record;
+    let mut entries = Vec::new();
+    for n in 1..=SERVERS {
+        let ip = Ipv4Addr::new(127, 0, 6, n);
+        let work = Duration::from_millis(40);
+        let server = Server::start(record, &format!("s-{n:08x}"), ip, work, Fault::None)?;
+        entries.push(Entry {
+            uid: server.uid.clone(),
+            endpoint: server.address,
+            zone: "fukuoka",
+            model: "std-3",
+            state: "ready",
+            boot_ms: 0,
+            rev: 1,
+        });
+    }
+    let discovery = Discovery::start(record, entries, false, Form::OneLine)?;
+    let settings = Settings {
+        sidecars: 1,
+        membership: "on_request",
+        drain_grace_ms: 2_000,
+    };
+    let known = discovery.known();
+    let mut sidecar =
+        Sidecar::start(&setting.directory, 0, &settings, discovery.address, &known)?;
+    let address = sidecar.listen;
+    let end = Instant::now() + LENGTH;
+    let counts = Arc::new([const { AtomicUsize::new(0) }; 3]);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (record, counts) = (Arc::clone(record), Arc::clone(&counts));
+            thread::spawn(move || {
+                let mut connection = Client::new(address);
+                for n in 0.. {
+                    if Instant::now() >= end {
+                        return;
+                    }
+                    let id = format!("{client:04x}{n:012x}");
+                    let request = Request {
+                        id: &id,
+                        class: "job-status",
+                        timeout: TIMEOUT,
+                        key: None,
+                        body: None,
+                    };
+                    record.line(format!("client sent {id}"));
+                    let ended = connection.send(&request, TIMEOUT + EARNS_NOTHING + SLACK);
+                    let (count, mark) = match ended {
+                        End::Answer { .. } => (0, ""),
+                        // A connection that was shut unread.
+                        End::Closed => (1, ""),
+                        End::NoAnswer => (2, "LOST: "),
+                    };
+                    counts[count].fetch_add(1, Ordering::SeqCst);
+                    record.line(format!("{mark}client of {id}: {}", ended.name()));
+                    // Uneven pauses of 30 to 130 ms.
+                    thread::sleep(Duration::from_millis(30 + (n * 77 + client as u64 * 13) % 100));
+                }
+            })
+        })
+        .collect();
+    if setting.trouble {
+        thread::sleep(SILENT_AFTER);
+        let connect = |_| TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok();
+        let silent: Vec<TcpStream> = (0..SILENT).filter_map(connect).collect();
+        record.line(format!("{} silent clients have connected", silent.len()));
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    if !sidecar.is_running() {
+        return Err(io::Error::other("the sidecar ended"));
+    }
+    let [answered, closed, lost] = [0, 1, 2].map(|n| counts[n].load(Ordering::SeqCst));
+    record.say(format!(
+        "{answered} requests answered in time or up to {:.2} s later, {closed} shut unread, {lost} neither",
+        (EARNS_NOTHING + SLACK).as_secs_f64()
+    ));
+    Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
+}
--- a/review/rig-2/src/cases/mod.rs
+++ b/review/rig-2/src/cases/mod.rs
@@ -1,3 +1,4 @@
+pub mod crowd;
 pub mod large_list;
 pub mod late_copy;
 pub mod short_length;
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -65,6 +65,7 @@
         "slow-discovery" => cases::slow_discovery::run(&setting),
         "large-list" => cases::large_list::run(&setting),
         "short-length" => cases::short_length::run(&setting),
+        "crowd" => cases::crowd::run(&setting),
         "slow-writer" => cases::slow_writer::run(&setting),
         _ => Err(std::io::Error::other("unknown case")),
     };
