--- a/review/rig-2/src/cases/large_list.rs
+++ b/review/rig-2/src/cases/large_list.rs
@@ -29,7 +29,7 @@
         let ip = Ipv4Addr::new(127, 5, 1 + (n / 200) as u8, 1 + (n % 200) as u8);
         let uid = format!("s-{n:08x}");
         let work = Duration::from_millis(40);
-        let server = Server::start(record, &uid, ip, work, Fault::None)?;
+        let server = Server::start(record, &uid, ip, work, Fault::None, 0)?;
         entries.push(Entry {
             uid,
             endpoint: server.address,
--- a/review/rig-2/src/cases/short_length.rs
+++ b/review/rig-2/src/cases/short_length.rs
@@ -31,7 +31,7 @@
     for n in 1..=SERVERS {
         let ip = Ipv4Addr::new(127, 0, 3, n);
         let work = Duration::from_millis(20);
-        let server = Server::start(record, &format!("s-{n:08x}"), ip, work, fault)?;
+        let server = Server::start(record, &format!("s-{n:08x}"), ip, work, fault, 0)?;
         entries.push(Entry {
             uid: server.uid.clone(),
             endpoint: server.address,
--- a/review/rig-2/src/cases/slow_writer.rs
+++ b/review/rig-2/src/cases/slow_writer.rs
@@ -37,7 +37,7 @@
     for n in 1..=SERVERS {
         let ip = Ipv4Addr::new(127, 0, 4, n);
         let work = Duration::from_millis(40);
-        let server = Server::start(record, &format!("s-{n:08x}"), ip, work, Fault::None)?;
+        let server = Server::start(record, &format!("s-{n:08x}"), ip, work, Fault::None, 0)?;
         entries.push(Entry {
             uid: server.uid.clone(),
             endpoint: server.address,
--- a/review/rig-2/src/server.rs
+++ b/review/rig-2/src/server.rs
@@ -33,7 +33,11 @@
     in_flight: AtomicUsize,
     work: Duration,
     fault: Fault,
-    served: AtomicUsize,
+    /// Of so many requests, one finds the queue full and is turned away.
+    full_every: usize,
+    answered: AtomicUsize,
+    /// The requests that ran here, by id.
+    pub ran: Mutex<Vec<String>>,
     /// When each request came that was turned away while the server drained.
     pub turned_away: Mutex<Vec<Duration>>,
     record: Arc<Record>,
@@ -46,6 +50,7 @@
         ip: Ipv4Addr,
         work: Duration,
         fault: Fault,
+        full_every: usize,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((ip, 0))?;
         let server = Arc::new(Self {
@@ -55,7 +60,9 @@
             in_flight: AtomicUsize::new(0),
             work,
             fault,
-            served: AtomicUsize::new(0),
+            full_every,
+            answered: AtomicUsize::new(0),
+            ran: Mutex::default(),
             turned_away: Mutex::default(),
             record: Arc::clone(record),
         });
@@ -98,31 +105,37 @@
             let header = "X-Not-Processed: 1\r\n";
             return respond(stream, "503 Service Unavailable", header, "");
         }
-        self.in_flight.fetch_add(1, Ordering::SeqCst);
-        thread::sleep(self.work);
-        self.in_flight.fetch_sub(1, Ordering::SeqCst);
-        self.record.line(format!("server {uid} ran {id}"));
-        let body = body_for(id);
-        let count = self.served.fetch_add(1, Ordering::SeqCst);
+        let count = self.answered.fetch_add(1, Ordering::SeqCst);
         let is_turn = |every: usize| count % every == every - 1;
+        let (status, header, body) = if self.full_every > 0 && is_turn(self.full_every) {
+            self.record.line(format!("server {uid} turned {id} away, queue full"));
+            ("503 Service Unavailable", "X-Not-Processed: 1\r\n", String::new())
+        } else {
+            self.in_flight.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(self.work);
+            self.in_flight.fetch_sub(1, Ordering::SeqCst);
+            self.record.line(format!("server {uid} ran {id}"));
+            self.ran.lock().unwrap().push(id.to_owned());
+            ("200 OK", "", body_for(id))
+        };
         match self.fault {
             Fault::ShortLength { every } if is_turn(every) => {
                 let length = body.len() - SHORT_BY;
                 self.record.line(format!("server {uid} answered {id} with too small a length"));
                 let message =
-                    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+                    format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
                 stream.write_all(message.as_bytes())
             }
             Fault::SecondCopy { after, every } if is_turn(every) => {
-                respond(stream, "200 OK", "", &body)?;
+                respond(stream, status, header, &body)?;
                 thread::sleep(after);
                 if is_quiet(stream)? {
-                    self.record.line(format!("server {uid} sent a second copy of {id}"));
-                    respond(stream, "200 OK", "", &body)?;
+                    self.record.line(format!("server {uid} sent a second copy for {id}"));
+                    respond(stream, status, header, &body)?;
                 }
                 Ok(())
             }
-            _ => respond(stream, "200 OK", "", &body),
+            _ => respond(stream, status, header, &body),
         }
     }
 }
--- a/review/rig-2/src/sidecar.rs
+++ b/review/rig-2/src/sidecar.rs
@@ -66,8 +66,8 @@
         fs::write(
             &config,
             format!(
-                r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be96{number}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{known},"settings":{}}}"#,
-                std::env::var("MEM").unwrap_or("192".into()), std::env::var("SOCK").unwrap_or("1024".into()), settings.json(number)
+                r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be96{number}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{}}}"#,
+                settings.json(number)
             ),
         )?;
         let child = Command::new("/bin/sh")
