--- a/review/rig-2/src/client.rs
+++ b/review/rig-2/src/client.rs
@@ -6,6 +6,8 @@
 
 use crate::http::{Message, Reader};
 
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A request of the client's.
 pub struct Request<'a> {
     pub id: &'a str,
@@ -40,8 +42,11 @@
 
 /// How a request ended for its client.
 pub enum End {
-    Answer { status: u16, body: String },
-    /// The connection ended without a whole answer.
+    Answer {
+        status: u16,
+        body: String,
+    },
+    /// The connection did not come up, or ended without a whole answer.
     Closed,
     /// The client gave up.
     NoAnswer,
@@ -95,7 +100,10 @@
 
     fn exchange(&mut self, bytes: &[u8], wait: Duration) -> io::Result<Option<Message>> {
         if self.connection.is_none() {
-            let stream = TcpStream::connect(self.address)?;
+            // What is sent on no connection is not taken.
+            let Ok(stream) = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT) else {
+                return Ok(None);
+            };
             stream.set_nodelay(true)?;
             self.connection = Some((stream, Reader::default()));
         }
--- a/review/rig-2/src/discovery.rs
+++ b/review/rig-2/src/discovery.rs
@@ -72,7 +72,8 @@
                 let this = Arc::clone(&this);
                 thread::spawn(move || {
                     let error = this.serve(stream).err();
-                    this.record.line(format!("discovery: call ended, {error:?}"));
+                    this.record
+                        .line(format!("discovery: call ended, {error:?}"));
                 });
             }
         });
@@ -99,7 +100,8 @@
             entry.state = to;
             entry.rev = rev;
         }
-        self.record.line(format!("discovery: {uid} is {to}, rev {rev}"));
+        self.record
+            .line(format!("discovery: {uid} is {to}, rev {rev}"));
         self.changed.notify_all();
     }
 
@@ -133,7 +135,11 @@
                     .collect();
                 list(state.rev, false, &changed, Form::OneLine)
             };
-            let line = if state.rev > told || whole { text } else { String::new() };
+            let line = if state.rev > told || whole {
+                text
+            } else {
+                String::new()
+            };
             told = state.rev;
             whole = false;
             drop(state);
@@ -142,7 +148,8 @@
             if !line.is_empty() {
                 let now = self.record.now();
                 self.first_told.lock().unwrap().get_or_insert(now);
-                self.record.line(format!("discovery: told rev {told}, {} bytes", line.len()));
+                self.record
+                    .line(format!("discovery: told rev {told}, {} bytes", line.len()));
             }
             state = self.state.lock().unwrap();
             if state.rev == told {
@@ -172,7 +179,10 @@
                 format!("\"capacity_hint\":{space}1.0"),
                 format!("\"boot_ms\":{space}{}", entry.boot_ms),
             ];
-            format!("{close}{{{between}{}{close}}}", fields.join(&format!(",{between}")))
+            format!(
+                "{close}{{{between}{}{close}}}",
+                fields.join(&format!(",{between}"))
+            )
         })
         .collect();
     let end = if form == Form::Indented { "\n" } else { "" };
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -51,8 +51,14 @@
 }
 
 fn run(case: &str, folder: &Path) -> std::io::Result<Verdict> {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let name = format!("review-2-{case}-{}-{}", std::process::id(), since.as_millis());
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let name = format!(
+        "review-2-{case}-{}-{}",
+        std::process::id(),
+        since.as_millis()
+    );
     let directory = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&directory)?;
     let setting = Setting {
--- a/review/rig-2/src/server.rs
+++ b/review/rig-2/src/server.rs
@@ -3,8 +3,8 @@
 
 use std::io::{self, Write as _};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -21,9 +21,14 @@
 pub enum Fault {
     None,
     /// A second copy follows after a time, if nothing else waits on the connection then.
-    SecondCopy { after: Duration, every: usize },
+    SecondCopy {
+        after: Duration,
+        every: usize,
+    },
     /// The length is smaller than that of the body.
-    ShortLength { every: usize },
+    ShortLength {
+        every: usize,
+    },
 }
 
 pub struct Server {
@@ -101,15 +106,21 @@
         };
         if self.draining.load(Ordering::SeqCst) {
             self.turned_away.lock().unwrap().push(self.record.now());
-            self.record.line(format!("server {uid} got {id} while draining, turned away"));
+            self.record
+                .line(format!("server {uid} got {id} while draining, turned away"));
             let header = "X-Not-Processed: 1\r\n";
             return respond(stream, "503 Service Unavailable", header, "");
         }
         let count = self.answered.fetch_add(1, Ordering::SeqCst);
         let is_turn = |every: usize| count % every == every - 1;
         let (status, header, body) = if self.full_every > 0 && is_turn(self.full_every) {
-            self.record.line(format!("server {uid} turned {id} away, queue full"));
-            ("503 Service Unavailable", "X-Not-Processed: 1\r\n", String::new())
+            self.record
+                .line(format!("server {uid} turned {id} away, queue full"));
+            (
+                "503 Service Unavailable",
+                "X-Not-Processed: 1\r\n",
+                String::new(),
+            )
         } else {
             self.in_flight.fetch_add(1, Ordering::SeqCst);
             thread::sleep(self.work);
@@ -121,7 +132,9 @@
         match self.fault {
             Fault::ShortLength { every } if is_turn(every) => {
                 let length = body.len() - SHORT_BY;
-                self.record.line(format!("server {uid} answered {id} with too small a length"));
+                self.record.line(format!(
+                    "server {uid} answered {id} with too small a length"
+                ));
                 let message =
                     format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
                 stream.write_all(message.as_bytes())
@@ -130,7 +143,8 @@
                 respond(stream, status, header, &body)?;
                 thread::sleep(after);
                 if is_quiet(stream)? {
-                    self.record.line(format!("server {uid} sent a second copy for {id}"));
+                    self.record
+                        .line(format!("server {uid} sent a second copy for {id}"));
                     respond(stream, status, header, &body)?;
                 }
                 Ok(())
@@ -153,7 +167,6 @@
 
 fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> io::Result<()> {
     let length = body.len();
-    let message =
-        format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
+    let message = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
     stream.write_all(message.as_bytes())
 }
--- a/review/rig-2/src/sidecar.rs
+++ b/review/rig-2/src/sidecar.rs
@@ -8,8 +8,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Client, End, Request};
-
 /// The settings of the deployment `kyushu-jobs`, as the operators' pages give them.
 pub struct Settings {
     pub sidecars: usize,
@@ -126,7 +124,9 @@
 /// The command `run` of the deploy file.
 fn run_command() -> io::Result<String> {
     let deploy = fs::read_to_string("deploy/balancer.toml")?;
-    let line = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
+    let line = deploy
+        .lines()
+        .find_map(|line| line.strip_prefix("run = \""));
     let command = line.and_then(|rest| rest.split('"').next());
     command
         .map(str::to_owned)
@@ -146,8 +146,3 @@
         String::from_utf8_lossy(&message.body).into_owned(),
     ))
 }
-
-/// One request by a client of its own.
-pub fn send_once(address: SocketAddr, request: &Request<'_>, wait: Duration) -> End {
-    Client::new(address).send(request, wait)
-}
