--- a/review/rig-2/src/cases/late_copy.rs
+++ b/review/rig-2/src/cases/late_copy.rs
@@ -17,7 +17,7 @@
 use crate::{Setting, Verdict, network};
 
 /// Time between an answer and its second copy: some milliseconds.
-const COPY_DELAY: Duration = Duration::from_millis(10);
+const COPY_DELAY: Duration = Duration::from_millis(9);
 /// Every so many answers of a job server, one gets a second copy.
 const COPY_EVERY: usize = 6;
 /// Of so many requests, a job server turns one away with the proof that it never ran.
--- a/review/rig-2/src/discovery.rs
+++ b/review/rig-2/src/discovery.rs
@@ -43,8 +43,6 @@
     /// The first answer to a call is the whole list.
     whole_first: bool,
     form: Form,
-    /// When a list was written first.
-    first_told: Mutex<Option<Duration>>,
     record: Arc<Record>,
 }
 
@@ -63,7 +61,6 @@
             call_ms: AtomicU64::new(0),
             whole_first,
             form,
-            first_told: Mutex::default(),
             record: Arc::clone(record),
         });
         let this = Arc::clone(&discovery);
@@ -86,11 +83,6 @@
         list(state.rev, true, &state.entries, Form::OneLine)
     }
 
-    /// When a list was written first.
-    pub fn first_told(&self) -> Option<Duration> {
-        *self.first_told.lock().unwrap()
-    }
-
     /// Gives a server another state.
     pub fn set_state(&self, uid: &str, to: &'static str) {
         let mut state = self.state.lock().unwrap();
@@ -146,8 +138,6 @@
             let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
             stream.write_all(chunk.as_bytes())?;
             if !line.is_empty() {
-                let now = self.record.now();
-                self.first_told.lock().unwrap().get_or_insert(now);
                 self.record
                     .line(format!("discovery: told rev {told}, {} bytes", line.len()));
             }
--- a/review/rig-2/src/sidecar.rs
+++ b/review/rig-2/src/sidecar.rs
@@ -55,6 +55,19 @@
         settings: &Settings,
         discovery: SocketAddr,
         known: &str,
+    ) -> io::Result<Self> {
+        let sidecar = Self::spawn(directory, number, settings, discovery, known)?;
+        sidecar.wait_until_ready()?;
+        Ok(sidecar)
+    }
+
+    /// Starts a sidecar.
+    pub fn spawn(
+        directory: &Path,
+        number: usize,
+        settings: &Settings,
+        discovery: SocketAddr,
+        known: &str,
     ) -> io::Result<Self> {
         let name = format!("n{number}");
         let listen = TcpListener::bind((Ipv4Addr::new(127, 0, 0, 1), 0))?.local_addr()?;
@@ -80,14 +93,12 @@
             .stdout(Stdio::null())
             .stderr(File::create(directory.join("log"))?)
             .spawn()?;
-        let sidecar = Self {
+        Ok(Self {
             name,
             listen,
             child,
             directory,
-        };
-        sidecar.wait_until_ready()?;
-        Ok(sidecar)
+        })
     }
 
     fn wait_until_ready(&self) -> io::Result<()> {
@@ -101,10 +112,6 @@
         Err(io::Error::other("the sidecar is not ready after 30 s"))
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
