--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -7,7 +7,6 @@
 mod client;
 mod discovery;
 mod http;
-mod network;
 mod record;
 mod server;
 mod sidecar;
@@ -67,11 +66,10 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case {
-        "late-copy" => cases::late_copy::run(&setting),
         "slow-discovery" => cases::slow_discovery::run(&setting),
-        "large-list" => cases::large_list::run(&setting),
         "short-length" => cases::short_length::run(&setting),
         "crowd" => cases::crowd::run(&setting),
+        "held-up-end" => cases::held_up_end::run(&setting),
         "slow-writer" => cases::slow_writer::run(&setting),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/rig-2/src/server.rs
+++ b/review/rig-2/src/server.rs
@@ -20,11 +20,6 @@
 #[derive(Clone, Copy, PartialEq)]
 pub enum Fault {
     None,
-    /// A second copy follows after a time, if nothing else waits on the connection then.
-    SecondCopy {
-        after: Duration,
-        every: usize,
-    },
     /// The length is smaller than that of the body.
     ShortLength {
         every: usize,
@@ -35,14 +30,12 @@
     pub uid: String,
     pub address: SocketAddr,
     pub draining: AtomicBool,
+    /// It takes requests and does not answer them; it still answers probes.
+    pub hangs: AtomicBool,
     in_flight: AtomicUsize,
     work: Duration,
     fault: Fault,
-    /// Of so many requests, one finds the queue full and is turned away.
-    full_every: usize,
     answered: AtomicUsize,
-    /// The requests that ran here, by id.
-    pub ran: Mutex<Vec<String>>,
     /// When each request came that was turned away while the server drained.
     pub turned_away: Mutex<Vec<Duration>>,
     record: Arc<Record>,
@@ -55,19 +48,17 @@
         ip: Ipv4Addr,
         work: Duration,
         fault: Fault,
-        full_every: usize,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((ip, 0))?;
         let server = Arc::new(Self {
             uid: uid.to_owned(),
             address: listener.local_addr()?,
             draining: AtomicBool::new(false),
+            hangs: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             work,
             fault,
-            full_every,
             answered: AtomicUsize::new(0),
-            ran: Mutex::default(),
             turned_away: Mutex::default(),
             record: Arc::clone(record),
         });
@@ -111,45 +102,32 @@
             let header = "X-Not-Processed: 1\r\n";
             return respond(stream, "503 Service Unavailable", header, "");
         }
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        while self.hangs.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        let answered = self.answer(stream, id);
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+        answered
+    }
+
+    fn answer(&self, stream: &mut TcpStream, id: &str) -> io::Result<()> {
+        let uid = &self.uid;
         let count = self.answered.fetch_add(1, Ordering::SeqCst);
         let is_turn = |every: usize| count % every == every - 1;
-        let (status, header, body) = if self.full_every > 0 && is_turn(self.full_every) {
-            self.record
-                .line(format!("server {uid} turned {id} away, queue full"));
-            (
-                "503 Service Unavailable",
-                "X-Not-Processed: 1\r\n",
-                String::new(),
-            )
-        } else {
-            self.in_flight.fetch_add(1, Ordering::SeqCst);
-            thread::sleep(self.work);
-            self.in_flight.fetch_sub(1, Ordering::SeqCst);
-            self.record.line(format!("server {uid} ran {id}"));
-            self.ran.lock().unwrap().push(id.to_owned());
-            ("200 OK", "", body_for(id))
-        };
+        thread::sleep(self.work);
+        self.record.line(format!("server {uid} ran {id}"));
+        let body = body_for(id);
         match self.fault {
             Fault::ShortLength { every } if is_turn(every) => {
                 let length = body.len() - SHORT_BY;
                 self.record.line(format!(
                     "server {uid} answered {id} with too small a length"
                 ));
-                let message =
-                    format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
+                let message = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
                 stream.write_all(message.as_bytes())
             }
-            Fault::SecondCopy { after, every } if is_turn(every) => {
-                respond(stream, status, header, &body)?;
-                thread::sleep(after);
-                if is_quiet(stream)? {
-                    self.record
-                        .line(format!("server {uid} sent a second copy for {id}"));
-                    respond(stream, status, header, &body)?;
-                }
-                Ok(())
-            }
-            _ => respond(stream, status, header, &body),
+            _ => respond(stream, "200 OK", "", &body),
         }
     }
 }
@@ -157,14 +135,6 @@
 /// By how much a length is too small.
 const SHORT_BY: usize = 9;
 
-/// True if nothing waits on the connection.
-fn is_quiet(stream: &TcpStream) -> io::Result<bool> {
-    stream.set_nonblocking(true)?;
-    let peeked = stream.peek(&mut [0]);
-    stream.set_nonblocking(false)?;
-    Ok(peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock))
-}
-
 fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> io::Result<()> {
     let length = body.len();
     let message = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
