Let the review's records show each break, and its checks follow the excuses

Case 10 allows 20 ms from first byte to reading. Scripts that are ended early end what they started.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,8 +1,5 @@
 #!/bin/sh
-# Exit codes: 0, the rule held; 1, it was broken; 2, the case could not run. TROUBLE=0 leaves the
-# disruption out. Needs the build of the deploy file and review/build-2.sh.
+CASE=slow-discovery
+FOLDER=review/10
 cd "$(dirname "$0")/../.." || exit 2
-target/review-2/release/review-rig-2 slow-discovery review/10
-code=$?
-[ "$code" -le 1 ] || exit 2
-exit "$code"
+. review/rig-2/run-case.sh
--- a/review/rig-2/src/cases/short_length.rs
+++ b/review/rig-2/src/cases/short_length.rs
@@ -70,7 +70,7 @@
                         key: None,
                         body: None,
                     };
-                    record.line(format!("client sent {id}"));
+                    record.line(format!("client sends {id}, job-status"));
                     match connection.send(&request, timeout + Duration::from_millis(550)) {
                         End::Answer { status: 200, body } if body == body_for(&id) => {
                             counts[0].fetch_add(1, Ordering::SeqCst);
--- a/review/rig-2/src/cases/slow_discovery.rs
+++ b/review/rig-2/src/cases/slow_discovery.rs
@@ -29,6 +29,8 @@
 const TOLD: Duration = Duration::from_secs(6);
 const GRACE: Duration = Duration::from_secs(2);
 const SLACK: Duration = Duration::from_millis(50);
+/// A send counts from its first byte; the job server notes it when it has read the last one.
+const READ_WITHIN: Duration = Duration::from_millis(20);
 /// Mean time between the requests of one sidecar: each carries little traffic.
 const BETWEEN: Duration = Duration::from_millis(900);
 
@@ -91,7 +93,7 @@
                         key: None,
                         body: None,
                     };
-                    record.line(format!("client sent {id}"));
+                    record.line(format!("client sends {id}, job-status"));
                     let ended = client.send(&request, timeout + Duration::from_millis(550));
                     record.line(format!("client of {id}: {}", ended.name()));
                     // Uneven, so that no sidecar keeps step with another.
@@ -101,6 +103,10 @@
             })
         })
         .collect();
+    record.line(format!(
+        "each call of discovery waits {} ms",
+        discovery.call_ms.load(Ordering::SeqCst)
+    ));
     thread::sleep(DRAIN_AFTER);
     let drained_at = record.now();
     for server in &servers[..DRAINING] {
@@ -119,7 +125,13 @@
     let mut late = 0;
     for server in &servers[..DRAINING] {
         for at in server.turned_away.lock().unwrap().iter() {
-            late += usize::from(*at > last);
+            if *at > last + READ_WITHIN {
+                let (uid, at) = (&server.uid, at.as_secs_f64());
+                record.line(format!(
+                    "BROKEN: {uid}, draining, got a request at {at:.3} s"
+                ));
+            }
+            late += usize::from(*at > last + READ_WITHIN);
         }
     }
     record.say(format!(
--- a/review/rig-2/src/client.rs
+++ b/review/rig-2/src/client.rs
@@ -65,6 +65,7 @@
 pub struct Client {
     address: SocketAddr,
     connection: Option<(TcpStream, Reader)>,
+    unanswered: Option<(TcpStream, Reader)>,
 }
 
 impl Client {
@@ -72,9 +73,15 @@
         Self {
             address,
             connection: None,
+            unanswered: None,
         }
     }
 
+    /// The connection of the last request if that got no answer; it is still open.
+    pub fn take_unanswered(&mut self) -> Option<(TcpStream, Reader)> {
+        self.unanswered.take()
+    }
+
     /// Sends a request and waits for its answer up to `wait`. What crosses the close of a kept
     /// connection is sent once more on a new one.
     pub fn send(&mut self, request: &Request<'_>, wait: Duration) -> End {
@@ -85,7 +92,7 @@
                 body: String::from_utf8_lossy(&message.body).into_owned(),
             },
             Err(error) if is_timeout(&error) => {
-                self.connection = None;
+                self.unanswered = self.connection.take();
                 End::NoAnswer
             }
             _ => {
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -1,5 +1,5 @@
 //! The stand-ins of the review's cases: clients, job servers, discovery and the network. Started by
-//! each case's `run.sh` from the root of the repository as `review-rig-2 CASE FOLDER`.
+//! each case's `run.sh` from the root of the repository as `review-rig-2 CASE FOLDER TEMPORARY-FOLDER`.
 //!
 //! Exit codes: 0, the rule held; 1, it was broken; 2, the case could not run.
 
@@ -14,7 +14,6 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use record::Record;
 
@@ -35,11 +34,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: review-rig-2 CASE FOLDER");
+    let [_, case, folder, directory] = arguments.as_slice() else {
+        eprintln!("usage: review-rig-2 CASE FOLDER TEMPORARY-FOLDER");
         return ExitCode::from(2);
     };
-    match run(case, Path::new(folder)) {
+    match run(case, Path::new(folder), Path::new(directory)) {
         Ok(Verdict::Held) => ExitCode::SUCCESS,
         Ok(Verdict::Broken) => ExitCode::from(1),
         Err(error) => {
@@ -49,22 +48,20 @@
     }
 }
 
-fn run(case: &str, folder: &Path) -> std::io::Result<Verdict> {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let name = format!(
-        "review-2-{case}-{}-{}",
-        std::process::id(),
-        since.as_millis()
-    );
-    let directory = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&directory)?;
+fn run(case: &str, folder: &Path, directory: &Path) -> std::io::Result<Verdict> {
     let setting = Setting {
         record: Arc::new(Record::create(&folder.join("record.txt"))?),
-        directory: directory.clone(),
+        directory: directory.to_owned(),
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
+    let name = if setting.trouble {
+        "with the disruption"
+    } else {
+        "TROUBLE=0"
+    };
+    setting
+        .record
+        .line(format!("case {case}, {name}; times are seconds from here"));
     let verdict = match case {
         "slow-discovery" => cases::slow_discovery::run(&setting),
         "short-length" => cases::short_length::run(&setting),
@@ -73,6 +70,12 @@
         "slow-writer" => cases::slow_writer::run(&setting),
         _ => Err(std::io::Error::other("unknown case")),
     };
-    let _ = std::fs::remove_dir_all(directory);
+    match &verdict {
+        Ok(Verdict::Broken) => setting.record.say("THE RULE WAS BROKEN"),
+        Ok(Verdict::Held) => setting.record.say("the rule held"),
+        Err(error) => setting
+            .record
+            .say(format!("the case could not run: {error}")),
+    }
     verdict
 }
--- a/review/rig-2/src/server.rs
+++ b/review/rig-2/src/server.rs
@@ -122,7 +122,7 @@
             Fault::ShortLength { every } if is_turn(every) => {
                 let length = body.len() - SHORT_BY;
                 self.record.line(format!(
-                    "server {uid} answered {id} with too small a length"
+                    "server {uid} answers {id} with the length {length} and the body {body}"
                 ));
                 let message = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
                 stream.write_all(message.as_bytes())
--- a/review/rig-2/src/sidecar.rs
+++ b/review/rig-2/src/sidecar.rs
@@ -1,7 +1,7 @@
 //! A sidecar: started with the command of the deploy file, ended by its process id.
 
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, Write as _};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -82,6 +82,7 @@
     ) -> io::Result<Self> {
         let name = format!("n{number}");
         let listen = TcpListener::bind((Ipv4Addr::new(127, 0, 0, 1), 0))?.local_addr()?;
+        let pids = directory.join("pids");
         let directory = directory.join(&name);
         fs::create_dir_all(&directory)?;
         let config = directory.join("config.json");
@@ -104,6 +105,9 @@
             .stdout(Stdio::null())
             .stderr(File::create(directory.join("log"))?)
             .spawn()?;
+        // For the script, in case that it has to end before the sidecar does.
+        let mut pids = File::options().create(true).append(true).open(pids)?;
+        writeln!(pids, "{}", child.id())?;
         Ok(Self {
             name,
             listen,
@@ -155,7 +159,6 @@
 
 /// The answer to a GET of one of the sidecar's own paths.
 pub fn get(address: SocketAddr, path: &str) -> Option<(u16, String)> {
-    use std::io::Write as _;
     let mut stream = std::net::TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
     let request = format!("GET {path} HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n");
