Count responses behind whose end more bytes had arrived

Two places could be at fault: bytes that arrive in the read that completes the head, which are dropped, and bytes that arrive behind a body read later, which nobody looks at. No counter told them apart.

Change: `responses_overlong` counts the first kind.

--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -61,6 +61,7 @@
     attempts_timed_out: "Attempts that timed out.",
     attempts_connect_failed: "Attempts whose request was never written completely.",
     attempts_reset: "Attempts without a complete response once the request was written.",
+    responses_overlong: "Responses behind whose end more bytes had already arrived.",
     attempts_cancelled: "Attempts that were cancelled or never sent.",
     attempts_blocked_client_left: "Attempts not sent because the client had disconnected.",
     attempts_blocked_no_time: "Attempts not sent because they had timed out.",
--- a/crates/sidecar/src/upstream/response_reader.rs
+++ b/crates/sidecar/src/upstream/response_reader.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::response_framing::{ReceivedBytes, ResponseFraming};
+use crate::counters::Counters;
 use crate::limits::Limits;
 
 /// Size of one read of a response head, in bytes. The buffer is on the stack.
@@ -26,16 +27,18 @@
     /// When the last response was read to its end.
     response_ended_at: Option<Instant>,
     limits: Rc<Limits>,
+    counters: Rc<Counters>,
 }
 
 impl ResponseReader {
     /// Creates a reader for a newly established connection.
-    pub(super) fn new(stream: TcpStream, limits: Rc<Limits>) -> Self {
+    pub(super) fn new(stream: TcpStream, limits: Rc<Limits>, counters: Rc<Counters>) -> Self {
         Self {
             stream: Some(stream),
             framing: ResponseFraming::default(),
             response_ended_at: None,
             limits,
+            counters,
         }
     }
 
@@ -118,10 +121,11 @@
         let mut bytes = [0; HEAD_READ_BYTES];
         let mut head = ReadBuf::new(&mut bytes);
         ready!(Pin::new(stream).poll_read(context, &mut head))?;
-        let usable = !head.filled().is_empty()
-            && self.framing.on_head_bytes(head.filled(), &self.limits)?
-                == ReceivedBytes::WithinResponse;
-        if !usable {
+        let received = self.framing.on_head_bytes(head.filled(), &self.limits)?;
+        if received == ReceivedBytes::PastResponseEnd {
+            self.counters.responses_overlong.inc();
+        }
+        if head.filled().is_empty() || received == ReceivedBytes::PastResponseEnd {
             self.stream = None;
         }
         self.record_response_end();
--- a/crates/sidecar/src/upstream/tracked_stream.rs
+++ b/crates/sidecar/src/upstream/tracked_stream.rs
@@ -73,7 +73,7 @@
         counters: Rc<Counters>,
     ) -> Self {
         Self {
-            reader: ResponseReader::new(stream, Rc::clone(&limits)),
+            reader: ResponseReader::new(stream, Rc::clone(&limits), Rc::clone(&counters)),
             limits,
             counters,
             _permit: permit,
