Count polls of discovery: started, failed, and without a response in time

Two faults may lie over each other: a list that never expires, and polls that are given up before a slow discovery responds. endpoint_updates tells neither a poll that was never made from one without a response, nor either from a discovery that is down.

Change: counters polls_started, polls_failed and polls_delayed. No behaviour changes.

--- a/crates/sidecar/src/discovery/endpoint_sink.rs
+++ b/crates/sidecar/src/discovery/endpoint_sink.rs
@@ -40,6 +40,23 @@
         &self.freshness
     }
 
+    /// Records the start of a poll: a call that opens a watch.
+    pub(super) fn on_poll_started(&self) {
+        self.counters.polls_started.inc();
+        self.freshness.on_poll_started();
+    }
+
+    /// Counts a poll that failed.
+    pub(super) fn on_poll_failed(&self) {
+        self.counters.polls_failed.inc();
+    }
+
+    /// Records that a poll was given up without a response.
+    pub(super) fn on_poll_abandoned(&self) {
+        self.counters.polls_delayed.inc();
+        self.freshness.on_poll_abandoned();
+    }
+
     /// Passes on a received list. `version` must not decrease.
     pub(super) fn on_list_received(&self, kind: UpdateKind, version: u64, list: &EndpointList) {
         self.freshness.on_watch_event();
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -32,7 +32,7 @@
         "http://{discovery}/v1/endpoints?stream=1&index={}",
         cursor.revision()
     );
-    sink.list_freshness().on_poll_started();
+    sink.on_poll_started();
     cursor.on_poll_started();
     match poll(client, &uri, &limits.discovery).await {
         Ok(response) => {
--- a/crates/sidecar/src/discovery/watcher.rs
+++ b/crates/sidecar/src/discovery/watcher.rs
@@ -85,7 +85,7 @@
                 self.next_poll().await
             }
             WatchExit::Superseded => {
-                self.sink.list_freshness().on_poll_abandoned();
+                self.sink.on_poll_abandoned();
                 PollReason::Requested
             }
             WatchExit::Relocated => {
@@ -138,6 +138,12 @@
     fn on_watch_ended(&self, error: &WatchError) {
         tracing::warn!(%error, "discovery watch ended");
         let freshness = self.sink.list_freshness();
+        if matches!(
+            error,
+            WatchError::PollFailed(_) | WatchError::PollRejected(_)
+        ) {
+            self.sink.on_poll_failed();
+        }
         match error {
             WatchError::WatchSilent { last_received_at } => {
                 freshness.on_watch_silent(*last_received_at);
@@ -145,7 +151,7 @@
             WatchError::PollFailed(error) if is_connection_refused(error) => {
                 freshness.on_poll_refused();
             }
-            WatchError::PollTimedOut => freshness.on_poll_abandoned(),
+            WatchError::PollTimedOut => self.sink.on_poll_abandoned(),
             _ => freshness.on_watch_ended(),
         }
         self.sink.on_watch_lost();
