Let a poll of discovery keep its place while it waits, and repeat it beside itself

Cause: a poll was given up after 4.5 s, or at the balancer's next request (after three quarters of the poll interval), and was made again, which put it at the end of the queue.

Change: discovery/poll.rs keeps the oldest call for 30 s and repeats the poll beside it, in case that its connection is lost; two calls wait at most, and no more are made than before. A request of the balancer finds a poll in progress. A connection has 2 s. Why this works: nothing but a response, a failure of all calls or 30 s ends the oldest call.

Test: poll_keeps_its_place_and_is_repeated_beside_it fails where the older call is given up for the newer (one call at most). The test of the limits keeps its bounds for the renamed time, and polls_have_a_connection_and_are_within_the_poll_interval_when_they_are_repeated is new. The error "poll timed out" fell away with its case in each_error_has_its_log_message.

--- a/crates/sidecar/src/discovery/endpoint_sink.rs
+++ b/crates/sidecar/src/discovery/endpoint_sink.rs
@@ -51,10 +51,9 @@
         self.counters.polls_failed.inc();
     }
 
-    /// Records that a poll was given up without a response.
-    pub(super) fn on_poll_abandoned(&self) {
+    /// Counts a poll that waits for a response and is repeated.
+    pub(super) fn on_poll_delayed(&self) {
         self.counters.polls_delayed.inc();
-        self.freshness.on_poll_abandoned();
     }
 
     /// Passes on a received list. `version` must not decrease.
--- a/crates/sidecar/src/discovery/mod.rs
+++ b/crates/sidecar/src/discovery/mod.rs
@@ -7,6 +7,9 @@
 mod endpoint_sink;
 mod list_timing;
 mod object_decoder;
+mod poll;
+#[cfg(test)]
+mod test_fixture;
 mod watch;
 mod watch_cursor;
 mod watch_error;
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -12,10 +12,11 @@
 use tokio::time::{Instant, timeout};
 
 use super::endpoint_sink::EndpointSink;
+use super::poll::poll;
 use super::watch_cursor::WatchCursor;
 use super::watch_error::WatchError;
 use super::watch_receiver::WatchReceiver;
-use crate::limits::{DiscoveryLimits, Limits};
+use crate::limits::Limits;
 
 /// Most chunks that are taken from the connection together.
 const MAX_READY_CHUNKS: usize = 32;
@@ -32,9 +33,9 @@
         "http://{discovery}/v1/endpoints?stream=1&index={}",
         cursor.revision()
     );
-    sink.on_poll_started();
     cursor.on_poll_started();
-    match poll(client, &uri, &limits.discovery).await {
+    let start_call = || call(client, &uri);
+    match poll(start_call, sink, &limits.discovery).await {
         Ok(response) => {
             let Err(error) = deliver_lists(sink, response, cursor, limits).await;
             error
@@ -43,17 +44,13 @@
     }
 }
 
-/// Sends a poll and waits for the head of the response.
-async fn poll(
+/// Sends a call that opens a watch and waits for the head of the response.
+async fn call(
     client: &awc::Client,
     uri: &str,
-    limits: &DiscoveryLimits,
 ) -> Result<ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + use<>>, WatchError> {
     let request = client.get(uri).force_close().no_decompress().send();
-    let response = timeout(limits.poll_timeout, request)
-        .await
-        .map_err(|_| WatchError::PollTimedOut)?
-        .map_err(WatchError::PollFailed)?;
+    let response = request.await.map_err(WatchError::PollFailed)?;
     if !response.status().is_success() {
         return Err(WatchError::PollRejected(response.status()));
     }
--- a/crates/sidecar/src/discovery/watch/tests.rs
+++ b/crates/sidecar/src/discovery/watch/tests.rs
@@ -1,15 +1,12 @@
 use std::future::{Future as _, poll_fn, ready};
 use std::pin::pin;
-use std::rc::Rc;
 
-use arrowstand_balancer::{Idempotency, RequestClass, ServerId, Settings};
-use arrowstand_control::{MachineCatalogue, WorkAwareBalancer};
+use arrowstand_balancer::ServerId;
 use futures_util::{FutureExt as _, stream};
 use proptest::prelude::*;
 
 use super::*;
-use crate::counters::Counters;
-use crate::host::{BalancerClock, BalancerHost, EndpointListFreshness, ServerRegistry};
+use crate::discovery::test_fixture::Fixture;
 use crate::limits::LimitInputs;
 
 /// Servers that random lists name.
@@ -17,41 +14,7 @@
 /// Most bytes that may be processed before other tasks run: two steps.
 const MAX_BYTES_PER_POLL: usize = 16 * 1024;
 
-/// A host without servers, and what delivers endpoint lists to it.
-struct Fixture {
-    sink: EndpointSink,
-    host: Rc<BalancerHost>,
-    counters: Rc<Counters>,
-    cursor: WatchCursor,
-    limits: Rc<Limits>,
-}
-
 impl Fixture {
-    fn new() -> Self {
-        let limits = Rc::new(Limits::derive(&LimitInputs::default()));
-        let class = RequestClass::new(Idempotency::Idempotent, 100_000, 1_000_000);
-        let settings = Settings {
-            classes: vec![class],
-            ..Settings::default()
-        };
-        let balancer = WorkAwareBalancer::new(settings, 1).expect("valid settings");
-        let registry = ServerRegistry::new(Vec::new(), MachineCatalogue::default());
-        let clock = Rc::new(BalancerClock::start());
-        let counters = Rc::new(Counters::default());
-        let staleness = limits.discovery.staleness;
-        let freshness = Rc::new(EndpointListFreshness::new(staleness, Rc::clone(&clock)));
-        let host_limits = Rc::clone(&limits);
-        let (host, _) =
-            BalancerHost::new(balancer, registry, clock, host_limits, Rc::clone(&counters));
-        Self {
-            sink: EndpointSink::new(Rc::clone(&host), freshness, Rc::clone(&counters)),
-            host,
-            counters,
-            cursor: WatchCursor::new(0),
-            limits,
-        }
-    }
-
     /// Delivers a watch's body until its end; returns how often the watch was polled: so often
     /// could other tasks run.
     async fn deliver(&self, body: impl Stream<Item = Result<Bytes, PayloadError>>) -> usize {
@@ -92,7 +55,7 @@
 
 /// Receives a text at once. Returns the revision after it, and how often other tasks could run.
 async fn receive(text: String) -> (u64, usize) {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(&LimitInputs::default());
     let body = stream::once(ready(Ok(Bytes::from(text))));
     let polls = fixture.deliver(body).await;
     (fixture.cursor.revision(), polls)
@@ -132,7 +95,7 @@
 /// they are applied: the next poll must request them again.
 #[tokio::test(flavor = "current_thread")]
 async fn watch_that_is_dropped_has_not_moved_past_lists_that_are_not_applied() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(&LimitInputs::default());
     let deltas: String = (1..=40).map(|n| list(false, n, 1)).collect();
     let text = deltas + &list(true, 41, 3_200);
     let body = stream::once(ready(Ok(Bytes::from(text))));
@@ -177,13 +140,13 @@
         lists in prop::collection::vec(any_list(), 1..20),
         chunk_bytes in 20..2_000_usize,
     ) {
-        let one_by_one = Fixture::new();
+        let one_by_one = Fixture::new(&LimitInputs::default());
         for list in &lists {
             // The watch ends after each list, so the next one cannot be merged with it.
             let body = stream::once(ready(Ok(Bytes::from(list.clone()))));
             run(one_by_one.deliver(body));
         }
-        let together = Fixture::new();
+        let together = Fixture::new(&LimitInputs::default());
         let text = lists.concat();
         let chunks = text.as_bytes().chunks(chunk_bytes);
         let chunks: Vec<Bytes> = chunks.map(Bytes::copy_from_slice).collect();
--- a/crates/sidecar/src/discovery/watch_error.rs
+++ b/crates/sidecar/src/discovery/watch_error.rs
@@ -17,9 +17,6 @@
     /// Discovery responded with a status other than 2xx.
     #[error("poll rejected: expected a 2xx status, got {0}")]
     PollRejected(StatusCode),
-    /// No response head arrived within the poll timeout.
-    #[error("poll timed out before a response arrived")]
-    PollTimedOut,
     /// The connection failed while the watch was open.
     #[error("watch connection failed: {0}")]
     WatchFailed(#[source] PayloadError),
--- a/crates/sidecar/src/discovery/watch_error/tests.rs
+++ b/crates/sidecar/src/discovery/watch_error/tests.rs
@@ -17,10 +17,6 @@
             WatchError::PollRejected(StatusCode::SERVICE_UNAVAILABLE),
             "poll rejected: expected a 2xx status, got 503 Service Unavailable",
         ),
-        (
-            WatchError::PollTimedOut,
-            "poll timed out before a response arrived",
-        ),
         (
             WatchError::WatchFailed(PayloadError::Overflow),
             "watch connection failed: payload reached size limit",
--- a/crates/sidecar/src/discovery/watcher.rs
+++ b/crates/sidecar/src/discovery/watcher.rs
@@ -18,21 +18,10 @@
 /// that many sidecars do not poll at the same time.
 const MIN_EARLY_POLL_DELAY_FACTOR: f64 = 0.25;
 
-/// Reason for a poll.
-#[derive(Clone, Copy, PartialEq)]
-enum PollReason {
-    /// The balancer requested the poll, or the poll replaces a watch on discovery's old address.
-    Requested,
-    /// The poll does not wait for the balancer, which has not requested it yet.
-    Early,
-}
-
 /// Why a watch is no longer followed.
 enum WatchExit {
     /// The watch could not be opened, ended or failed.
     Ended(WatchError),
-    /// The balancer requested another poll.
-    Superseded,
     /// The address of discovery has changed.
     Relocated,
 }
@@ -70,33 +59,19 @@
     /// Watches discovery from the balancer's first poll request until the process exits.
     pub(crate) async fn run(mut self) {
         self.sink.poll_requested().await;
-        let mut reason = PollReason::Requested;
         loop {
-            let exit = self.watch_until_interrupted(reason).await;
-            reason = self.on_watch_exit(exit).await;
-        }
-    }
-
-    /// Records how a watch ended and, unless a poll is due at once, waits for the next one.
-    async fn on_watch_exit(&mut self, exit: WatchExit) -> PollReason {
-        match exit {
-            WatchExit::Ended(error) => {
-                self.on_watch_ended(&error);
-                self.next_poll().await
-            }
-            WatchExit::Superseded => {
-                self.sink.on_poll_abandoned();
-                PollReason::Requested
-            }
-            WatchExit::Relocated => {
-                self.on_discovery_relocated();
-                PollReason::Requested
+            match self.watch_until_interrupted().await {
+                WatchExit::Ended(error) => {
+                    self.on_watch_ended(&error);
+                    self.wait_for_next_poll().await;
+                }
+                WatchExit::Relocated => self.on_discovery_relocated(),
             }
         }
     }
 
-    /// Polls and watches until the watch ends or must be replaced.
-    async fn watch_until_interrupted(&mut self, mut reason: PollReason) -> WatchExit {
+    /// Polls and watches until the watch ends or discovery is relocated.
+    async fn watch_until_interrupted(&mut self) -> WatchExit {
         let address = *self.discovery.borrow_and_update();
         let sink = &self.sink;
         let watch = poll_and_watch(sink, &self.client, address, &self.cursor, &self.limits);
@@ -104,14 +79,9 @@
         loop {
             tokio::select! {
                 error = &mut watch => return WatchExit::Ended(error),
-                // The requested poll is already in progress. A new one would be queued behind the
+                // The poll is in progress and repeats itself. A new one would be queued behind the
                 // polls of other sidecars.
-                () = sink.poll_requested(), if reason == PollReason::Early => {
-                    reason = PollReason::Requested;
-                }
-                () = sink.poll_requested(), if reason == PollReason::Requested => {
-                    return WatchExit::Superseded;
-                }
+                () = sink.poll_requested() => {}
                 // The old address may still respond, but without the changes known at the new one.
                 () = wait_for_relocation(&mut self.discovery) => return WatchExit::Relocated,
             }
@@ -119,19 +89,16 @@
     }
 
     /// Waits until discovery must be polled again after a watch has ended.
-    async fn next_poll(&mut self) -> PollReason {
+    async fn wait_for_next_poll(&mut self) {
         // The balancer's backoff may be longer than the time until the list becomes stale.
         let needs_early_poll = self.sink.list_freshness().needs_early_poll();
         let delay = self.limits.discovery.max_early_poll_delay.mul_f64(
             MIN_EARLY_POLL_DELAY_FACTOR + (1.0 - MIN_EARLY_POLL_DELAY_FACTOR) * self.random.f64(),
         );
         tokio::select! {
-            () = self.sink.poll_requested() => PollReason::Requested,
-            () = wait_for_relocation(&mut self.discovery) => {
-                self.on_discovery_relocated();
-                PollReason::Early
-            }
-            () = sleep(delay), if needs_early_poll => PollReason::Early,
+            () = self.sink.poll_requested() => {}
+            () = wait_for_relocation(&mut self.discovery) => self.on_discovery_relocated(),
+            () = sleep(delay), if needs_early_poll => {}
         }
     }
 
@@ -151,7 +118,6 @@
             WatchError::PollFailed(error) if is_connection_refused(error) => {
                 freshness.on_poll_refused();
             }
-            WatchError::PollTimedOut => self.sink.on_poll_abandoned(),
             _ => freshness.on_watch_ended(),
         }
         self.sink.on_watch_lost();
@@ -166,7 +132,7 @@
 
 fn http_client(limits: &Limits) -> awc::Client {
     let connector = awc::Connector::new()
-        .timeout(limits.discovery.poll_timeout)
+        .timeout(limits.discovery.connect_timeout)
         .conn_lifetime(limits.client.max_timeout);
     awc::Client::builder()
         .connector(connector)
--- a/crates/sidecar/src/host/endpoint_list_freshness.rs
+++ b/crates/sidecar/src/host/endpoint_list_freshness.rs
@@ -40,12 +40,6 @@
         self.update(ListFreshness::on_poll_refused);
     }
 
-    /// Records that a poll was abandoned without a response, because it timed out or because a new
-    /// poll was requested.
-    pub(crate) fn on_poll_abandoned(&self) {
-        self.update(|freshness, _| freshness.on_poll_abandoned());
-    }
-
     /// Records a list or a heartbeat.
     pub(crate) fn on_watch_event(&self) {
         self.update(|freshness, _| freshness.on_watch_event());
--- a/crates/sidecar/src/limits/discovery.rs
+++ b/crates/sidecar/src/limits/discovery.rs
@@ -14,6 +14,12 @@
 const RELOCATION_NOTICE_DELAY: Duration = Duration::from_secs(4);
 /// 1.5 times the heartbeat interval of 2 s. A watch that is silent for longer counts as lost.
 const WATCH_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Leaves time for one repetition of a lost SYN, which comes after 1 s.
+const MAX_CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Smallest delay after which a poll is repeated, however small the poll interval is.
+const MIN_POLL_REPEAT_DELAY: Duration = Duration::from_millis(500);
+/// A call that has waited for longer has probably lost its connection.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(30);
 /// Longest delay of the balancer's first new poll, 1.5 times its initial backoff of 0.2 s, plus the
 /// scheduling delay of a busy machine.
 pub(super) const MAX_POLL_BACKOFF: Duration = Duration::from_millis(500);
@@ -32,10 +38,16 @@
     pub(crate) max_object_bytes: usize,
     /// Maximum nesting depth of the JSON.
     pub(crate) max_json_depth: usize,
-    /// Timeout for the response head of a poll. The time between the last event of a watch that
-    /// fails and the end of the poll that replaces it must not exceed the change notice delay plus
-    /// the drain grace period: by then the grace period of a drain that was missed has ended.
-    pub(crate) poll_timeout: Duration,
+    /// Timeout for the connection of a poll, shorter than the delay of a repeated poll: a poll that
+    /// is repeated has been accepted.
+    pub(crate) connect_timeout: Duration,
+    /// How long a poll waits for a response head before it is repeated. The time between the last
+    /// event of a watch that fails and the repetition of the poll that replaces it must not exceed
+    /// the change notice delay plus the drain grace period: by then the grace period of a drain
+    /// that was missed has ended. Polls that wait are repeated within the maximum poll interval.
+    pub(crate) poll_repeat_delay: Duration,
+    /// How long a poll keeps its place in discovery's queue while it is repeated.
+    pub(crate) max_poll_wait: Duration,
     /// A watch that is silent for this long counts as lost.
     pub(crate) watch_silence_timeout: Duration,
     /// Upper bound of the random delay before an early poll, which does not wait for the balancer's
@@ -49,12 +61,13 @@
 impl DiscoveryLimits {
     pub(super) fn derive(inputs: &LimitInputs) -> Self {
         let (min_delay, max_delay) = MAX_EARLY_POLL_DELAYS;
+        let poll_repeat_delay = poll_repeat_delay(inputs);
         Self {
             max_object_bytes: MAX_OBJECT_BYTES,
             max_json_depth: MAX_JSON_DEPTH,
-            poll_timeout: (CHANGE_NOTICE_DELAY + inputs.drain_grace)
-                .saturating_sub(WATCH_SILENCE_TIMEOUT + MAX_POLL_BACKOFF)
-                .max(WATCH_SILENCE_TIMEOUT),
+            connect_timeout: MAX_CONNECT_TIMEOUT.min(poll_repeat_delay / 2),
+            poll_repeat_delay,
+            max_poll_wait: MAX_POLL_WAIT,
             watch_silence_timeout: WATCH_SILENCE_TIMEOUT,
             max_early_poll_delay: (inputs.drain_grace / 4).clamp(min_delay, max_delay),
             staleness: StalenessBounds {
@@ -67,3 +80,14 @@
         }
     }
 }
+
+fn poll_repeat_delay(inputs: &LimitInputs) -> Duration {
+    let until_grace_ends = (CHANGE_NOTICE_DELAY + inputs.drain_grace)
+        .saturating_sub(WATCH_SILENCE_TIMEOUT + MAX_POLL_BACKOFF)
+        .max(WATCH_SILENCE_TIMEOUT);
+    // The balancer repeats a poll after this part of the interval, too.
+    let within_interval = inputs.max_poll_interval * 3 / 4;
+    until_grace_ends
+        .min(within_interval)
+        .max(MIN_POLL_REPEAT_DELAY)
+}
--- a/crates/sidecar/src/limits/tests.rs
+++ b/crates/sidecar/src/limits/tests.rs
@@ -10,22 +10,42 @@
         let limits = Limits::derive(&LimitInputs {
             sockets: 256,
             drain_grace: grace,
+            max_poll_interval: Duration::from_secs(10),
             ..Default::default()
         });
         let longest = limits.discovery.watch_silence_timeout
             + MAX_POLL_BACKOFF
-            + limits.discovery.poll_timeout;
+            + limits.discovery.poll_repeat_delay;
         assert!(
             longest <= CHANGE_NOTICE_DELAY + grace,
             "{ms} ms: {longest:?}"
         );
         assert!(
-            limits.discovery.poll_timeout >= Duration::from_secs(3),
-            "{ms} ms: poll timeout too short for a poll that discovery queues"
+            limits.discovery.poll_repeat_delay >= Duration::from_secs(3),
+            "{ms} ms: repeated too soon for a poll that discovery queues"
         );
     }
 }
 
+/// Guards against a poll that counts as accepted, and so as delayed by discovery, before it has a
+/// connection, and against one that outlasts the time that the settings give for polling.
+#[test]
+fn polls_have_a_connection_and_are_within_the_poll_interval_when_they_are_repeated() {
+    for ms in (1_000..60_000).step_by(500) {
+        let max_poll_interval = Duration::from_millis(ms);
+        let limits = Limits::derive(&LimitInputs {
+            sockets: 256,
+            drain_grace: Duration::from_secs(2),
+            max_poll_interval,
+            ..Default::default()
+        });
+        let discovery = limits.discovery;
+        assert!(discovery.connect_timeout < discovery.poll_repeat_delay);
+        assert!(discovery.poll_repeat_delay < max_poll_interval);
+        assert!(discovery.max_poll_wait > discovery.poll_repeat_delay);
+    }
+}
+
 #[test]
 fn idle_connection_is_not_reused_once_its_server_may_have_closed_it() {
     for ms in 1..10_000 {
