Count the age of a polled list from its last event, not from the last poll

Cause: each poll that failed or was given up cleared the list's expiry, and the next one counted anew from its own start (on_poll_abandoned, on_watch_ended).

Change: in poll mode the list's age counts from the last event, and expires 6 s and half a grace later ("a change counts as told at the latest 6 s after discovery had it and could be reached"). Only a discovery that cannot be reached (refused, no handshake, failed within 0.2 s) moves that time, to the start of the poll that shows it, and not once it was reachable without telling its changes. So an outage stops no traffic: the next poll comes before the expiry. Where a poll interval is shorter than 6 s, that bounds the age too. Push mode is as it was. Why this works: no event of a poll but an unreachable discovery extends the list.

The property's model gained the 6 s and four kinds of failed polls; "abandoned" fell away with the code. a_refused_connection_after_a_relocation_clears_the_expiry is now ..._counts_its_expiry_anew: it wants 6 s from the refusal in place of no expiry.

--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -7,20 +7,32 @@
 //! the part of it called the slack. With the bounds of [`StalenessBounds`]:
 //!
 //! ```text
-//! trusted until  = max(min(silence expiry, poll expiry), start of last served attempt + slack)
+//! trusted until  = max(min(silence expiry, poll expiry, notice expiry),
+//!                      start of last served attempt + slack)
 //!
-//! silence expiry = last event    + silence notice delay    + slack   the watch was silent
-//!                = relocation    + relocation notice delay + slack   discovery was relocated
+//! silence expiry = last event     + change notice delay     + slack  the watch was silent
+//!                = relocation     + relocation notice delay + slack  discovery was relocated
 //!                                                                    (minimum if both apply)
-//! poll expiry    = complete until                          + slack   push mode, poll pending
-//!                = start of poll + max poll interval       + slack   poll mode, poll pending
+//! poll expiry    = complete until                           + slack  push mode, poll pending
+//!                = last poll      + max poll interval       + slack  poll mode, no watch
+//!                = last poll      + 4 * max poll interval   + slack  poll mode, the poll failed
+//! notice expiry  = complete until + change notice delay     + slack  poll mode, no watch
 //! ```
 //!
-//! A term whose condition does not apply is absent. If both the silence expiry and the poll expiry
-//! are absent, the list is current and is trusted without limit. A watch event clears both.
+//! A term whose condition does not apply is absent. If all are absent, the list is current and is
+//! trusted without limit. A watch event clears all of them.
+//!
+//! In poll mode the list is complete until the last event of a watch. An outage of discovery must
+//! not stop all traffic, so a poll that finds discovery unreachable moves that time to the start of
+//! the poll: nothing was notified in between. It no longer does once discovery could be reached
+//! without telling its changes, because a change may have been made then.
 
 use arrowstand_balancer::Micros;
 
+/// How much longer than the maximum poll interval a list is valid after a poll that failed
+/// (`safety.ask-every-ms`).
+const FAILED_POLL_FACTOR: Micros = 4;
+
 /// Limits on the age of the endpoint list, derived from the settings. Times are in microseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StalenessBounds {
@@ -28,9 +40,9 @@
     pub push_mode: bool,
     /// In poll mode, how long a list is valid after the last poll.
     pub max_poll_interval: Micros,
-    /// Time after the last event of a silent watch at which the changes that it missed count as
-    /// notified.
-    pub silence_notice_delay: Micros,
+    /// Time after a change, or after the last event of a silent watch that missed it, at which the
+    /// change counts as notified if discovery could be reached.
+    pub change_notice_delay: Micros,
     /// Time after a change of discovery's configured address at which changes at the new address
     /// count as notified.
     pub relocation_notice_delay: Micros,
@@ -39,17 +51,53 @@
     pub drain_slack: Micros,
 }
 
+/// What a failed poll shows about discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollFailure {
+    /// The connection was refused: no process listens at the address.
+    Refused,
+    /// Discovery is down or cannot be reached: it can notify no changes.
+    Unreachable,
+    /// Discovery could be reached while the poll waited, and did not tell its changes.
+    Unanswered,
+    /// The poll failed for a reason of this process, which shows nothing.
+    Local,
+}
+
+/// When discovery must be polled again, whether or not the balancer requests it by then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextPoll {
+    /// Within this time, so that an outage of discovery does not make the list expire.
+    Within(Micros),
+    /// As soon as the load on discovery allows: the list may be missing a notified drain soon.
+    Soon,
+}
+
+/// Whether a watch keeps the list current in poll mode.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WatchState {
+    /// The last poll has delivered an event, and its watch is open.
+    Open,
+    /// There is no watch that has delivered an event.
+    Lost {
+        /// Discovery could be reached since the list was last complete.
+        was_reachable: bool,
+    },
+}
+
 /// Tracks the watch on discovery and computes when its endpoint list expires. The times passed in
 /// must not decrease.
 #[derive(Clone, Copy, Debug)]
 pub struct ListFreshness {
     bounds: StalenessBounds,
-    /// In push mode, no drain that is missing from the list counts as notified before this time.
+    /// No drain that is missing from the list counts as notified before this time in push mode, or
+    /// was made before it in poll mode.
     complete_until: Micros,
+    watch: WatchState,
     /// Earliest time at which a drain missing from the list may forbid attempts, after a silent
     /// watch or a relocation of discovery. Cleared by the next watch event.
     silence_expiry: Option<Micros>,
-    /// The same for a pending poll.
+    /// The same for a pending poll in push mode, and for the time since the last poll in poll mode.
     poll_expiry: Option<Micros>,
     /// Discovery was relocated and the new address has not sent an event yet. Until it does, a
     /// refused connection means that no process listens there.
@@ -62,6 +110,9 @@
         Self {
             bounds,
             complete_until: now,
+            watch: WatchState::Lost {
+                was_reachable: false,
+            },
             silence_expiry: None,
             poll_expiry: None,
             relocated: false,
@@ -69,7 +120,9 @@
     }
 
     /// Records an event or a heartbeat on the watch, which makes the list current.
-    pub fn on_watch_event(&mut self) {
+    pub fn on_watch_event(&mut self, now: Micros) {
+        self.complete_until = self.complete_until.max(now);
+        self.watch = WatchState::Open;
         self.silence_expiry = None;
         self.poll_expiry = None;
         self.relocated = false;
@@ -77,77 +130,137 @@
 
     /// Records the start of a poll: a call that opens a watch.
     pub fn on_poll_started(&mut self, now: Micros) {
-        let valid_until = if self.bounds.push_mode {
-            self.complete_until
+        if self.bounds.push_mode {
+            self.poll_expiry
+                .get_or_insert(self.complete_until + self.bounds.drain_slack);
         } else {
-            now + self.bounds.max_poll_interval
-        };
-        self.poll_expiry
-            .get_or_insert(valid_until + self.bounds.drain_slack);
+            self.limit_age_from_poll(now, 1);
+        }
     }
 
-    /// Records that a watch or a poll ended for a reason other than silence.
-    pub fn on_watch_ended(&mut self, now: Micros) {
-        // A poll that fails before its expiry shows that discovery is down and cannot notify
-        // changes: an outage of discovery must not stop all traffic. A poll that fails after its
-        // expiry shows that discovery is up but overloaded. In poll mode, a failed poll keeps the
-        // old list valid for four times as long (`safety.ask-every-ms`).
-        if !self.bounds.push_mode || self.poll_expiry.is_some_and(|expiry| now < expiry) {
-            self.poll_expiry = None;
+    /// Records that a poll has waited for so long that discovery, which accepted it, must be busy.
+    pub fn on_poll_delayed(&mut self) {
+        self.mark_reachable();
+    }
+
+    /// Records that the poll that started at `started_at` failed.
+    pub fn on_poll_failed(&mut self, failure: PollFailure, started_at: Micros, now: Micros) {
+        if failure == PollFailure::Refused && self.relocated {
+            self.silence_expiry = None;
         }
-        self.complete_until = self.complete_until.max(now);
+        if self.bounds.push_mode {
+            self.on_push_lost(now);
+            return;
+        }
+        match failure {
+            PollFailure::Refused | PollFailure::Unreachable => self.on_unreachable_at(started_at),
+            PollFailure::Unanswered => self.mark_reachable(),
+            PollFailure::Local => {}
+        }
+        self.limit_age_from_poll(started_at, FAILED_POLL_FACTOR);
     }
 
-    /// Records that a poll was abandoned without a response. In push mode the poll expiry stays,
-    /// because discovery may be up.
-    pub fn on_poll_abandoned(&mut self) {
-        if !self.bounds.push_mode {
-            self.poll_expiry = None;
+    /// Records that an open watch ended for a reason other than silence.
+    pub fn on_watch_ended(&mut self, now: Micros) {
+        if self.bounds.push_mode {
+            self.on_push_lost(now);
+        } else {
+            self.lose_watch();
+            self.limit_age_from_poll(now, 1);
         }
     }
 
     /// Records that a watch was closed because no event came after `last_event_at`.
     pub fn on_watch_silent(&mut self, last_event_at: Micros, now: Micros) {
         let bounds = &self.bounds;
-        let expiry = last_event_at + bounds.silence_notice_delay + bounds.drain_slack;
+        let expiry = last_event_at + bounds.change_notice_delay + bounds.drain_slack;
         self.lower_silence_expiry(expiry);
         self.on_watch_ended(now);
     }
 
-    /// Records that a new configuration changed the address of discovery.
+    /// Records that a new configuration changed the address of discovery, and that the watch or
+    /// poll on the old address was given up.
     pub fn on_discovery_relocated(&mut self, now: Micros) {
+        let notified_at = now + self.bounds.relocation_notice_delay;
         self.relocated = true;
-        self.complete_until = now + self.bounds.relocation_notice_delay;
-        self.poll_expiry = None;
-        self.lower_silence_expiry(self.complete_until + self.bounds.drain_slack);
-    }
-
-    /// Records that discovery refused the connection. After a relocation this means that no process
-    /// is running at the new address, so the list cannot be missing a notified change.
-    pub fn on_poll_refused(&mut self, now: Micros) {
-        if self.relocated {
-            self.silence_expiry = None;
+        self.lower_silence_expiry(notified_at + self.bounds.drain_slack);
+        if self.bounds.push_mode {
+            self.complete_until = notified_at;
+            self.poll_expiry = None;
+        } else if self.watch == WatchState::Open {
+            self.lose_watch();
         }
-        self.on_watch_ended(now);
     }
 
-    /// True while the list may be missing a drain, now or later. Discovery is then polled before the
-    /// balancer's backoff ends.
-    pub fn needs_early_poll(&self) -> bool {
-        self.bounds.push_mode || self.silence_expiry.is_some()
+    /// When discovery must be polled again if there is no watch; `None` if that is left to the
+    /// balancer, whose backoff limits the load on discovery.
+    pub fn next_poll(&self, now: Micros) -> Option<NextPoll> {
+        if self.bounds.push_mode || self.silence_expiry.is_some() {
+            return Some(NextPoll::Soon);
+        }
+        let notified_at = self.complete_until + self.bounds.change_notice_delay;
+        (now < notified_at).then(|| NextPoll::Within(notified_at - now))
     }
 
     /// Time from which no attempt may be sent to a server, or `None` while the list is current.
     /// `last_served_sent_at` is the latest send time of the attempts that the server has served,
     /// which proves that the server was not draining at that time.
     pub fn trusted_until(&self, last_served_sent_at: Option<Micros>) -> Option<Micros> {
-        let expiry = [self.silence_expiry, self.poll_expiry]
+        let expiry = [self.silence_expiry, self.poll_expiry, self.notice_expiry()]
             .into_iter()
             .flatten()
             .min()?;
         Some(last_served_sent_at.map_or(expiry, |at| expiry.max(at + self.bounds.drain_slack)))
     }
 
+    /// Time from which a drain that discovery had and could tell may forbid attempts.
+    fn notice_expiry(&self) -> Option<Micros> {
+        let bounds = &self.bounds;
+        let is_missing_changes = !bounds.push_mode && self.watch != WatchState::Open;
+        is_missing_changes
+            .then_some(self.complete_until + bounds.change_notice_delay + bounds.drain_slack)
+    }
+
+    /// In push mode, records that a watch or a poll ended. A poll that fails before its expiry
+    /// shows that discovery is down and cannot notify changes. A poll that fails after its expiry
+    /// shows that discovery is up but overloaded.
+    fn on_push_lost(&mut self, now: Micros) {
+        if self.poll_expiry.is_some_and(|expiry| now < expiry) {
+            self.poll_expiry = None;
+        }
+        self.complete_until = self.complete_until.max(now);
+    }
+
+    /// Records that discovery could not be reached at this time.
+    fn on_unreachable_at(&mut self, at: Micros) {
+        let was_reachable = WatchState::Lost {
+            was_reachable: true,
+        };
+        if self.watch != was_reachable {
+            self.complete_until = self.complete_until.max(at);
+        }
+    }
+
+    fn mark_reachable(&mut self) {
+        self.watch = WatchState::Lost {
+            was_reachable: true,
+        };
+    }
+
+    /// Records that there is no watch any more. One that delivered no event has missed the changes
+    /// that discovery could have told.
+    fn lose_watch(&mut self) {
+        self.watch = WatchState::Lost {
+            was_reachable: self.watch != WatchState::Open,
+        };
+    }
+
+    /// In poll mode, limits the age of the list to a number of poll intervals after a poll.
+    fn limit_age_from_poll(&mut self, polled_at: Micros, intervals: Micros) {
+        let valid_until = polled_at + intervals * self.bounds.max_poll_interval;
+        self.poll_expiry = Some(valid_until + self.bounds.drain_slack);
+    }
+
     fn lower_silence_expiry(&mut self, expiry: Micros) {
         self.silence_expiry = Some(self.silence_expiry.map_or(expiry, |old| old.min(expiry)));
     }
--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -1,19 +1,25 @@
 use arrowstand_balancer::Micros;
 use proptest::prelude::*;
 
-use super::{ListFreshness, StalenessBounds};
+use super::{ListFreshness, NextPoll, PollFailure, StalenessBounds};
 
 /// Input of the property test: an event of a watch, applied some time after the previous one.
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// An event or a heartbeat arrives.
     Event,
-    /// The watch or the poll ends.
+    /// The watch ends, or a poll whose watch delivered no event.
     Ended,
+    /// The poll fails at once, because discovery cannot be reached.
+    Unreachable,
+    /// The poll fails after it has waited for discovery, which accepted it.
+    Unanswered,
+    /// The poll waits for so long that it is repeated.
+    Delayed,
+    /// The poll fails for a reason of the sidecar.
+    LocalFailure,
     /// The watch stops delivering events, which is detected [`SILENCE_TIMEOUT`] later.
     Silent,
-    /// A poll is abandoned without a response.
-    Abandoned,
     /// A new configuration changes the address of discovery.
     Relocated,
 }
@@ -28,6 +34,13 @@
     outage: Option<(Micros, OutageCause)>,
     /// Start times of the polls.
     poll_starts: Vec<Micros>,
+    /// The last poll failed.
+    last_poll_failed: bool,
+    /// Until when discovery had no change to notify that the list could be missing: the last event,
+    /// or the last failed connection before discovery could be reached again.
+    nothing_to_notify_until: Micros,
+    /// Discovery could be reached since then.
+    was_reachable: bool,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -43,12 +56,31 @@
     fn notified_at(&self, drained_at: Micros) -> Option<Micros> {
         let bounds = &self.bounds;
         let (since, cause) = self.outage?;
+        if bounds.push_mode {
+            return self.notified_after(drained_at, since, cause);
+        }
+        let by_cause = self.notified_after(drained_at, since, cause);
+        // "A change counts as told at the latest 6 s after discovery had it and could be reached."
+        let by_reach = drained_at.max(self.nothing_to_notify_until) + bounds.change_notice_delay;
+        Some(by_cause.unwrap_or(by_reach).min(by_reach))
+    }
+
+    fn notified_after(
+        &self,
+        drained_at: Micros,
+        since: Micros,
+        cause: OutageCause,
+    ) -> Option<Micros> {
+        let bounds = &self.bounds;
         let last_poll = self.poll_starts.last().copied().filter(|&at| at >= since);
+        let intervals = if self.last_poll_failed { 4 } else { 1 };
         Some(match (cause, bounds.push_mode) {
-            (OutageCause::Silent, _) => drained_at.max(since + bounds.silence_notice_delay),
+            (OutageCause::Silent, _) => drained_at.max(since + bounds.change_notice_delay),
             (OutageCause::Relocated, _) => drained_at.max(since + bounds.relocation_notice_delay),
             (OutageCause::Lost, true) => drained_at.max(since),
-            (OutageCause::Lost, false) => drained_at.max(last_poll?) + bounds.max_poll_interval,
+            (OutageCause::Lost, false) => {
+                drained_at.max(last_poll?) + intervals * bounds.max_poll_interval
+            }
         })
     }
 }
@@ -70,6 +102,9 @@
             bounds,
             outage: Some((now, OutageCause::Lost)),
             poll_starts: vec![now],
+            last_poll_failed: false,
+            nothing_to_notify_until: now,
+            was_reachable: false,
         };
         Self {
             now,
@@ -80,28 +115,64 @@
 
     /// Applies a step. A step that ends a watch or a poll is followed by the next poll.
     fn apply(&mut self, step: Step) {
+        let is_poll_pending = self.reference.outage.is_some();
         match step {
             Step::Event => {
-                self.freshness.on_watch_event();
+                self.freshness.on_watch_event(self.now);
                 self.reference.outage = None;
+                self.reference.nothing_to_notify_until = self.now;
+                self.reference.was_reachable = false;
                 return;
             }
             Step::Ended => self.end_watch(),
-            Step::Silent if self.reference.outage.is_none() => self.fall_silent(),
-            Step::Abandoned if self.reference.outage.is_some() => {
-                self.freshness.on_poll_abandoned();
+            Step::Silent if !is_poll_pending => self.fall_silent(),
+            Step::Unreachable if is_poll_pending => {
+                // The failed poll was sent at once after the last one.
+                self.poll();
+                self.fail_poll(PollFailure::Unreachable);
+                if !self.reference.was_reachable {
+                    self.reference.nothing_to_notify_until = self.now;
+                }
+            }
+            Step::Unanswered if is_poll_pending => {
+                self.fail_poll(PollFailure::Unanswered);
+                self.reference.was_reachable = true;
+            }
+            Step::LocalFailure if is_poll_pending => self.fail_poll(PollFailure::Local),
+            Step::Delayed if is_poll_pending => {
+                self.freshness.on_poll_delayed();
+                self.reference.was_reachable = true;
             }
-            Step::Silent | Step::Abandoned => return,
             Step::Relocated => self.relocate(),
+            _ => return,
         }
+        self.poll();
+    }
+
+    fn poll(&mut self) {
         self.freshness.on_poll_started(self.now);
         self.reference.poll_starts.push(self.now);
+        self.reference.last_poll_failed = false;
+    }
+
+    fn fail_poll(&mut self, failure: PollFailure) {
+        let started_at = self.reference.poll_starts.last().copied();
+        let started_at = started_at.expect("a poll is pending");
+        self.freshness.on_poll_failed(failure, started_at, self.now);
+        self.reference.last_poll_failed = true;
+        self.lose_list();
     }
 
     fn end_watch(&mut self) {
         self.freshness.on_watch_ended(self.now);
-        // A poll that fails while no watch delivers events shows that discovery is down, or
-        // replaces the last poll.
+        // A watch that was opened and delivered no event shows that discovery could be reached.
+        self.reference.was_reachable |= self.reference.outage.is_some();
+        self.lose_list();
+    }
+
+    /// A poll that fails while no watch delivers events shows that discovery is down, or replaces
+    /// the last poll.
+    fn lose_list(&mut self) {
         let outage = self.reference.outage;
         if outage.is_none_or(|(_, cause)| cause == OutageCause::Lost) {
             self.reference.outage = Some((self.now, OutageCause::Lost));
@@ -119,7 +190,7 @@
         self.freshness.on_discovery_relocated(self.now);
         // Of silence and relocation, the one that gives the earlier notification time applies.
         let bounds = &self.reference.bounds;
-        let delay_difference = bounds.silence_notice_delay - bounds.relocation_notice_delay;
+        let delay_difference = bounds.change_notice_delay - bounds.relocation_notice_delay;
         let outage = self.reference.outage;
         if outage.is_none_or(|(since, cause)| {
             cause == OutageCause::Lost || since + delay_difference > self.now
@@ -133,28 +204,31 @@
     StalenessBounds {
         push_mode,
         max_poll_interval,
-        silence_notice_delay: 6_000_000,
+        change_notice_delay: 6_000_000,
         relocation_notice_delay: 4_000_000,
         drain_slack,
     }
 }
 
 fn steps() -> impl Strategy<Value = Vec<(Step, Micros)>> {
-    use Step::{Abandoned, Ended, Event, Relocated, Silent};
+    use Step::{Delayed, Ended, Event, LocalFailure, Relocated, Silent, Unanswered, Unreachable};
     let step = prop_oneof![
         Just(Event),
         Just(Ended),
         Just(Silent),
-        Just(Abandoned),
+        Just(Unreachable),
+        Just(Unanswered),
+        Just(Delayed),
+        Just(LocalFailure),
         Just(Relocated)
     ];
     prop::collection::vec((step, 1..9_000_000_u64), 0..8)
 }
 
 proptest! {
-    /// After any sequence of watch events, with a poll pending that never gets a response: no
-    /// attempt starts later than the drain grace period after the drain counts as notified, in both
-    /// modes and for any grace period and poll interval.
+    /// After any sequence of events of watches and polls, with a poll pending that never gets a
+    /// response: no attempt starts later than the drain grace period after the drain counts as
+    /// notified, in both modes and for any grace period and poll interval.
     #[test]
     fn no_attempt_starts_after_the_grace_period_of_an_unobserved_drain(
         push_mode in any::<bool>(),
@@ -192,7 +266,7 @@
     let mut freshness = ListFreshness::new(bounds(true, 10_000_000, 250_000), 0);
     for poll in (0..8_000_000).step_by(200_000) {
         freshness.on_poll_started(poll);
-        freshness.on_watch_ended(poll + 1_000);
+        freshness.on_poll_failed(PollFailure::Unreachable, poll, poll + 1_000);
         assert_eq!(freshness.trusted_until(None), None, "down at {poll}");
     }
 
@@ -204,7 +278,7 @@
         "while the poll is pending: {expiry:?}"
     );
 
-    freshness.on_watch_ended(9_000_000);
+    freshness.on_poll_failed(PollFailure::Unanswered, 8_000_000, 9_000_000);
 
     assert_eq!(
         freshness.trusted_until(None),
@@ -212,7 +286,7 @@
         "the poll failed after its expiry: discovery is up"
     );
 
-    freshness.on_watch_event();
+    freshness.on_watch_event(9_100_000);
 
     assert_eq!(freshness.trusted_until(None), None);
 }
@@ -220,10 +294,11 @@
 #[test]
 fn only_a_recently_served_attempt_extends_the_trust_in_a_server() {
     let mut freshness = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
+    freshness.on_watch_event(1_000_000);
 
     freshness.on_watch_silent(1_000_000, 4_000_000);
 
-    assert!(freshness.needs_early_poll());
+    assert_eq!(freshness.next_poll(4_000_000), Some(NextPoll::Soon));
     assert_eq!(freshness.trusted_until(None), Some(7_500_000));
     assert_eq!(
         freshness.trusted_until(Some(4_500_000)),
@@ -234,16 +309,59 @@
 }
 
 #[test]
-fn a_refused_connection_after_a_relocation_clears_the_expiry() {
+fn a_refused_connection_after_a_relocation_counts_its_expiry_anew() {
     let mut freshness = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
+    freshness.on_watch_event(1_000_000);
     freshness.on_watch_silent(1_000_000, 4_000_000);
 
     freshness.on_discovery_relocated(4_100_000);
-    freshness.on_poll_refused(4_200_000);
+    freshness.on_poll_failed(PollFailure::Refused, 4_150_000, 4_200_000);
 
     assert_eq!(
         freshness.trusted_until(None),
-        None,
-        "no process listens at the new address"
+        Some(10_650_000),
+        "no process listens at the new address: a change counts as notified 6 s later"
     );
 }
+
+/// Guards against a list without an expiry: in poll mode each poll that was given up cleared it, so
+/// that a discovery which accepted polls and answered none of them hid a drain without end.
+#[test]
+fn polls_that_discovery_accepts_and_does_not_answer_do_not_renew_the_list() {
+    let mut freshness = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
+    freshness.on_watch_event(1_000_000);
+    freshness.on_watch_ended(1_100_000);
+
+    for poll in (2_000_000..40_000_000).step_by(4_000_000) {
+        freshness.on_poll_started(poll);
+        freshness.on_poll_delayed();
+        assert_eq!(freshness.trusted_until(None), Some(7_500_000), "at {poll}");
+        freshness.on_poll_failed(PollFailure::Unanswered, poll, poll + 3_900_000);
+        assert_eq!(freshness.trusted_until(None), Some(7_500_000), "at {poll}");
+    }
+
+    freshness.on_watch_event(41_000_000);
+
+    assert_eq!(freshness.trusted_until(None), None);
+}
+
+/// Guards against an outage of discovery that stops all traffic: while it cannot be reached it
+/// notifies nothing, and the next poll comes before the list would expire.
+#[test]
+fn the_list_of_a_sidecar_that_polls_stays_trusted_in_an_outage_of_discovery() {
+    let mut freshness = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
+    freshness.on_watch_event(1_000_000);
+    freshness.on_watch_ended(1_100_000);
+
+    let mut now = 1_200_000;
+    while now < 60_000_000 {
+        let until = freshness.trusted_until(None);
+        assert!(until.is_some_and(|until| now < until), "{until:?} at {now}");
+        freshness.on_poll_started(now);
+        freshness.on_poll_failed(PollFailure::Unreachable, now, now + 1_000);
+        let Some(NextPoll::Within(time_left)) = freshness.next_poll(now + 1_000) else {
+            panic!("no poll planned at {now}");
+        };
+        now += time_left;
+    }
+}
--- a/crates/sidecar/src/discovery/endpoint_sink.rs
+++ b/crates/sidecar/src/discovery/endpoint_sink.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 
 use arrowstand_balancer::UpdateKind;
+use arrowstand_control::list_freshness::PollFailure;
 use arrowstand_platform::EndpointList;
+use tokio::time::Instant;
 
 use crate::counters::Counters;
 use crate::host::{BalancerHost, EndpointListFreshness};
@@ -46,14 +48,16 @@
         self.freshness.on_poll_started();
     }
 
-    /// Counts a poll that failed.
-    pub(super) fn on_poll_failed(&self) {
+    /// Records that the poll that started at `started_at` failed.
+    pub(super) fn on_poll_failed(&self, failure: PollFailure, started_at: Instant) {
         self.counters.polls_failed.inc();
+        self.freshness.on_poll_failed(failure, started_at);
     }
 
-    /// Counts a poll that waits for a response and is repeated.
+    /// Records that discovery, which accepted a poll, makes it wait.
     pub(super) fn on_poll_delayed(&self) {
         self.counters.polls_delayed.inc();
+        self.freshness.on_poll_delayed();
     }
 
     /// Passes on a received list. `version` must not decrease.
--- a/crates/sidecar/src/discovery/poll.rs
+++ b/crates/sidecar/src/discovery/poll.rs
@@ -25,10 +25,17 @@
     response: Pin<Box<F>>,
 }
 
+/// A call that has ended.
+struct EndedCall<R> {
+    started_at: Instant,
+    result: Result<R, WatchError>,
+}
+
 /// The calls that wait for a response, oldest first.
 struct PendingCalls<F>(Vec<PendingCall<F>>);
 
-/// Calls discovery until a call is answered or all have failed.
+/// Calls discovery until a call is answered or all have failed, and records what that shows about
+/// the endpoint list.
 ///
 /// # Errors
 /// The failure of the last call that waited.
@@ -43,7 +50,11 @@
         calls.push(start_call());
         let repeat_at = Instant::now() + limits.poll_repeat_delay;
         if let Some(ended) = calls.response_until(repeat_at).await {
-            return ended;
+            if let Err(error) = &ended.result {
+                let failure = error.poll_failure(ended.started_at.elapsed());
+                sink.on_poll_failed(failure, ended.started_at);
+            }
+            return ended.result;
         }
         sink.on_poll_delayed();
         tracing::warn!("poll is waiting for a response, polling again beside it");
@@ -61,13 +72,16 @@
 
     /// Waits for a response, or until all calls have failed. `None` if calls still wait at the
     /// deadline.
-    async fn response_until(&mut self, deadline: Instant) -> Option<Result<R, WatchError>> {
+    async fn response_until(&mut self, deadline: Instant) -> Option<EndedCall<R>> {
         loop {
             let responses = self.0.iter_mut().map(|call| call.response.as_mut());
             let (result, index, _) = timeout_at(deadline, select_all(responses)).await.ok()?;
-            drop(self.0.remove(index));
+            let call = self.0.remove(index);
             if result.is_ok() || self.0.is_empty() {
-                return Some(result);
+                return Some(EndedCall {
+                    started_at: call.started_at,
+                    result,
+                });
             }
         }
     }
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -38,12 +38,24 @@
     match poll(start_call, sink, &limits.discovery).await {
         Ok(response) => {
             let Err(error) = deliver_lists(sink, response, cursor, limits).await;
+            on_watch_ended(sink, &error);
             error
         }
         Err(error) => error,
     }
 }
 
+/// Records how a watch ended that had been opened.
+fn on_watch_ended(sink: &EndpointSink, error: &WatchError) {
+    let freshness = sink.list_freshness();
+    match error {
+        WatchError::WatchSilent { last_received_at } => {
+            freshness.on_watch_silent(*last_received_at);
+        }
+        _ => freshness.on_watch_ended(),
+    }
+}
+
 /// Sends a call that opens a watch and waits for the head of the response.
 async fn call(
     client: &awc::Client,
--- a/crates/sidecar/src/discovery/watch_error.rs
+++ b/crates/sidecar/src/discovery/watch_error.rs
@@ -1,12 +1,21 @@
 //! Errors that end a poll or a watch.
 
 use arrowstand_platform::ReadError;
-use awc::error::{PayloadError, SendRequestError};
+use std::io;
+use std::time::Duration;
+
+use actix_http::error::ParseError;
+use arrowstand_control::list_freshness::PollFailure;
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::StatusCode;
 use tokio::time::Instant;
 
 use super::object_decoder::ObjectTooLong;
 
+/// Longest time in which a discovery that is down, or a proxy before it, fails a call. One that
+/// takes longer has made the call wait for its turn.
+const MAX_OUTAGE_RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// Why a poll or a watch ended. The message is the `error` field of the log line.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum WatchError {
@@ -37,5 +46,43 @@
     InvalidObject(#[source] ReadError),
 }
 
+impl WatchError {
+    /// What the failure of a poll after this time shows about discovery.
+    pub(super) fn poll_failure(&self, waited: Duration) -> PollFailure {
+        let is_connection_lost = match self {
+            Self::PollFailed(SendRequestError::Connect(ConnectError::Timeout)) => {
+                return PollFailure::Unreachable;
+            }
+            Self::PollFailed(SendRequestError::Connect(ConnectError::Io(error))) => {
+                return connect_failure(error.kind());
+            }
+            Self::PollFailed(
+                SendRequestError::Connect(ConnectError::Disconnected)
+                | SendRequestError::Send(_)
+                | SendRequestError::Response(ParseError::Io(_) | ParseError::Incomplete),
+            ) => true,
+            Self::PollRejected(status) => *status == StatusCode::SERVICE_UNAVAILABLE,
+            _ => false,
+        };
+        if is_connection_lost && waited <= MAX_OUTAGE_RESPONSE_TIME {
+            PollFailure::Unreachable
+        } else {
+            PollFailure::Unanswered
+        }
+    }
+}
+
+/// What it shows about discovery that no connection to it could be opened.
+fn connect_failure(kind: io::ErrorKind) -> PollFailure {
+    match kind {
+        io::ErrorKind::ConnectionRefused => PollFailure::Refused,
+        io::ErrorKind::ConnectionReset
+        | io::ErrorKind::HostUnreachable
+        | io::ErrorKind::NetworkUnreachable
+        | io::ErrorKind::TimedOut => PollFailure::Unreachable,
+        _ => PollFailure::Local,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sidecar/src/discovery/watcher.rs
+++ b/crates/sidecar/src/discovery/watcher.rs
@@ -3,8 +3,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use awc::error::{ConnectError, SendRequestError};
+use arrowstand_control::list_freshness::NextPoll;
 use tokio::sync::watch::Receiver;
 use tokio::time::sleep;
 
@@ -14,9 +15,12 @@
 use super::watch_error::WatchError;
 use crate::limits::Limits;
 
-/// Minimum delay of an early poll as a fraction of its maximum delay. The rest is random jitter, so
-/// that many sidecars do not poll at the same time.
-const MIN_EARLY_POLL_DELAY_FACTOR: f64 = 0.25;
+/// Smallest and largest delay of an early poll, as fractions of its maximum delay. The range is
+/// random jitter, so that many sidecars do not poll at the same time.
+const SOON_DELAY_FACTORS: (f64, f64) = (0.25, 1.0);
+/// The same as fractions of the time until the list could expire in an outage of discovery. The
+/// rest is for the poll to fail, which shows that the outage goes on.
+const OUTAGE_DELAY_FACTORS: (f64, f64) = (0.5, 0.8);
 
 /// Why a watch is no longer followed.
 enum WatchExit {
@@ -62,7 +66,8 @@
         loop {
             match self.watch_until_interrupted().await {
                 WatchExit::Ended(error) => {
-                    self.on_watch_ended(&error);
+                    tracing::warn!(%error, "discovery watch ended");
+                    self.sink.on_watch_lost();
                     self.wait_for_next_poll().await;
                 }
                 WatchExit::Relocated => self.on_discovery_relocated(),
@@ -90,37 +95,28 @@
 
     /// Waits until discovery must be polled again after a watch has ended.
     async fn wait_for_next_poll(&mut self) {
-        // The balancer's backoff may be longer than the time until the list becomes stale.
-        let needs_early_poll = self.sink.list_freshness().needs_early_poll();
-        let delay = self.limits.discovery.max_early_poll_delay.mul_f64(
-            MIN_EARLY_POLL_DELAY_FACTOR + (1.0 - MIN_EARLY_POLL_DELAY_FACTOR) * self.random.f64(),
-        );
+        let early_poll_delay = self.draw_early_poll_delay();
         tokio::select! {
             () = self.sink.poll_requested() => {}
             () = wait_for_relocation(&mut self.discovery) => self.on_discovery_relocated(),
-            () = sleep(delay), if needs_early_poll => {}
+            () = sleep(early_poll_delay.unwrap_or_default()), if early_poll_delay.is_some() => {}
         }
     }
 
-    fn on_watch_ended(&self, error: &WatchError) {
-        tracing::warn!(%error, "discovery watch ended");
-        let freshness = self.sink.list_freshness();
-        if matches!(
-            error,
-            WatchError::PollFailed(_) | WatchError::PollRejected(_)
-        ) {
-            self.sink.on_poll_failed();
-        }
-        match error {
-            WatchError::WatchSilent { last_received_at } => {
-                freshness.on_watch_silent(*last_received_at);
-            }
-            WatchError::PollFailed(error) if is_connection_refused(error) => {
-                freshness.on_poll_refused();
-            }
-            _ => freshness.on_watch_ended(),
-        }
-        self.sink.on_watch_lost();
+    /// The delay after which discovery is polled although the balancer's backoff may be longer;
+    /// `None` if only the balancer decides.
+    fn draw_early_poll_delay(&mut self) -> Option<Duration> {
+        let soon = self.limits.discovery.max_early_poll_delay;
+        let (longest, factors) = match self.sink.list_freshness().next_poll()? {
+            NextPoll::Soon => (soon, SOON_DELAY_FACTORS),
+            NextPoll::Within(time_left) => (
+                Duration::from_micros(time_left).max(soon),
+                OUTAGE_DELAY_FACTORS,
+            ),
+        };
+        let (smallest, largest) = factors;
+        let factor = smallest + (largest - smallest) * self.random.f64();
+        Some(longest.mul_f64(factor))
     }
 
     /// Limits the time for which the list still counts as fresh, whether or not a poll succeeds
@@ -142,15 +138,6 @@
         .finish()
 }
 
-/// True if no process listens at the address of discovery.
-fn is_connection_refused(error: &SendRequestError) -> bool {
-    matches!(
-        error,
-        SendRequestError::Connect(ConnectError::Io(error))
-            if error.kind() == std::io::ErrorKind::ConnectionRefused
-    )
-}
-
 /// Waits until the address of discovery changes; never returns once its sender has been dropped.
 async fn wait_for_relocation(discovery: &mut Receiver<SocketAddr>) {
     if discovery.changed().await.is_err() {
--- a/crates/sidecar/src/host/endpoint_list_freshness.rs
+++ b/crates/sidecar/src/host/endpoint_list_freshness.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use arrowstand_balancer::Micros;
-use arrowstand_control::list_freshness::{ListFreshness, StalenessBounds};
+use arrowstand_control::list_freshness::{ListFreshness, NextPoll, PollFailure, StalenessBounds};
 use tokio::time::Instant;
 
 use super::clock::BalancerClock;
@@ -35,14 +35,20 @@
         self.update(ListFreshness::on_poll_started);
     }
 
-    /// Records that the connection was refused: no process listens at discovery's address.
-    pub(crate) fn on_poll_refused(&self) {
-        self.update(ListFreshness::on_poll_refused);
+    /// Records that discovery, which accepted a poll, makes it wait.
+    pub(crate) fn on_poll_delayed(&self) {
+        self.update(|freshness, _| freshness.on_poll_delayed());
+    }
+
+    /// Records that the poll that started at `started_at` failed.
+    pub(crate) fn on_poll_failed(&self, failure: PollFailure, started_at: Instant) {
+        let started_at = self.clock.micros_at(started_at);
+        self.update(|freshness, now| freshness.on_poll_failed(failure, started_at, now));
     }
 
     /// Records a list or a heartbeat.
     pub(crate) fn on_watch_event(&self) {
-        self.update(|freshness, _| freshness.on_watch_event());
+        self.update(ListFreshness::on_watch_event);
     }
 
     /// Records that a watch was given up because nothing was received after `last_received_at`.
@@ -51,7 +57,7 @@
         self.update(|freshness, now| freshness.on_watch_silent(last_received_at, now));
     }
 
-    /// Records that a watch ended or failed for a reason other than silence.
+    /// Records that an open watch ended or failed for a reason other than silence.
     pub(crate) fn on_watch_ended(&self) {
         self.update(ListFreshness::on_watch_ended);
     }
@@ -61,10 +67,9 @@
         self.update(ListFreshness::on_discovery_relocated);
     }
 
-    /// True if discovery must be polled before the balancer's backoff ends, because the list may
-    /// become stale during the backoff.
-    pub(crate) fn needs_early_poll(&self) -> bool {
-        self.freshness.get().needs_early_poll()
+    /// When discovery must be polled again without a watch, whatever the balancer's backoff.
+    pub(crate) fn next_poll(&self) -> Option<NextPoll> {
+        self.freshness.get().next_poll(self.clock.now())
     }
 
     /// True if the list is so old that the server may be draining without the list showing it.
--- a/crates/sidecar/src/limits/discovery.rs
+++ b/crates/sidecar/src/limits/discovery.rs
@@ -73,7 +73,7 @@
             staleness: StalenessBounds {
                 push_mode: inputs.push_mode,
                 max_poll_interval: micros(inputs.max_poll_interval),
-                silence_notice_delay: micros(CHANGE_NOTICE_DELAY),
+                change_notice_delay: micros(CHANGE_NOTICE_DELAY),
                 relocation_notice_delay: micros(RELOCATION_NOTICE_DELAY),
                 drain_slack: micros(inputs.drain_grace / 2),
             },
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -68,6 +68,7 @@
     non_idempotent_reset_is_not_retried
     older_list_does_not_end_a_drain
     pipelined_request_ends_the_connection
+    polls_that_wait_block_attempts_until_the_first_one_brings_a_list
     pooled_connection_closed_as_it_is_reused_is_replaced
     queued_poll_blocks_attempts_until_a_list_comes
     redirect_is_not_followed
