Fail a chunked response with trailers, which may be the data of a chunk of size 0

A chunked response whose first chunk gives its size as 0 was served as a 200 with an empty body, also for a class that must not run twice.

Cause: after a chunk of size 0 the HTTP library takes lines up to an empty one for trailers, whatever they hold, and the sidecar's own framing left chunks to the library. Seen in a recording before the change: chunks "0", "hello", "0" gave the client of a book 200 and no body.

Change: the framing of chunked requests moves to chunked_body.rs and reads responses too; a response with trailers fails its attempt as one that may have run. Why this works: bytes go on to the library only after the framing has seen them, and the sidecar asks for no trailers. The two ways of reading a body, which were nearly the same, are one.

--- a/crates/sidecar/src/downstream/request_framing/chunked_body.rs
+++ b/crates/sidecar/src/chunked_body.rs
@@ -24,24 +24,30 @@
 
 /// The framing of one chunked body. A malformed body is left to the HTTP library, which rejects it.
 #[derive(Debug)]
-pub(super) struct ChunkedBody(Position);
+pub(crate) struct ChunkedBody {
+    position: Position,
+    has_trailers: bool,
+}
 
 impl Default for ChunkedBody {
     fn default() -> Self {
-        Self(SIZE_LINE_START)
+        Self {
+            position: SIZE_LINE_START,
+            has_trailers: false,
+        }
     }
 }
 
 impl ChunkedBody {
     /// Takes bytes that follow those taken before; returns how many of them belong to the body.
-    pub(super) fn take(&mut self, bytes: &[u8]) -> usize {
+    pub(crate) fn take(&mut self, bytes: &[u8]) -> usize {
         let mut taken = 0;
         while let Some(rest) = bytes.get(taken..).filter(|rest| !rest.is_empty()) {
-            taken += match self.0 {
+            taken += match self.position {
                 Position::Data { remaining_bytes } => self.take_data(remaining_bytes, rest.len()),
                 Position::Ended => return taken,
                 Position::SizeLine { .. } | Position::Trailers { .. } => {
-                    self.0 = self.0.after_byte(rest[0]);
+                    self.take_line_byte(rest[0]);
                     1
                 }
             };
@@ -50,13 +56,26 @@
     }
 
     /// True after the last byte.
-    pub(super) fn has_ended(&self) -> bool {
-        self.0 == Position::Ended
+    pub(crate) fn has_ended(&self) -> bool {
+        self.position == Position::Ended
+    }
+
+    /// True once a trailer has begun: something other than an empty line follows the last chunk.
+    pub(crate) fn has_trailers(&self) -> bool {
+        self.has_trailers
+    }
+
+    fn take_line_byte(&mut self, byte: u8) {
+        self.position = self.position.after_byte(byte);
+        self.has_trailers |= self.position
+            == Position::Trailers {
+                is_line_empty: false,
+            };
     }
 
     fn take_data(&mut self, remaining_bytes: usize, available: usize) -> usize {
         let taken = remaining_bytes.min(available);
-        self.0 = match remaining_bytes - taken {
+        self.position = match remaining_bytes - taken {
             0 => SIZE_LINE_START,
             remaining_bytes => Position::Data { remaining_bytes },
         };
--- a/crates/sidecar/src/downstream/request_framing.rs
+++ b/crates/sidecar/src/downstream/request_framing.rs
@@ -14,12 +14,10 @@
 //!
 //! The unit tests compare the framing with that of whole messages, in any pieces.
 
-mod chunked_body;
-
 #[cfg(test)]
 mod tests;
 
-use chunked_body::ChunkedBody;
+use crate::chunked_body::ChunkedBody;
 
 /// How the body of a request is delimited, according to its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,6 +1,7 @@
 //! The arrowstand sidecar: starts the components, handles signals and sets the exit code.
 #![forbid(unsafe_code)]
 
+mod chunked_body;
 mod config;
 mod counters;
 mod discovery;
--- a/crates/sidecar/src/upstream/response_framing.rs
+++ b/crates/sidecar/src/upstream/response_framing.rs
@@ -31,6 +31,7 @@
 
 use super::response_end::{BytesPastEnd, ResponseSummary, classify_bytes_past_end};
 use super::response_head::{BodyFraming, MalformedResponse, ParsedHead, parse_head};
+use crate::chunked_body::ChunkedBody;
 use crate::limits::Limits;
 
 /// The status that switches the connection to another protocol; the sidecar never requests that.
@@ -63,6 +64,8 @@
     sized_response: Option<ResponseSummary>,
     /// Bytes that were received behind the end of that response.
     past_end: BytesMut,
+    /// The framing of the body, if it is chunked.
+    chunked_body: Option<ChunkedBody>,
 }
 
 impl ResponseFraming {
@@ -142,8 +145,7 @@
                     status,
                     body,
                 } => {
-                    self.on_final_head(length, status, body, limits);
-                    return Ok(());
+                    return self.on_final_head(length, status, body, limits);
                 }
             }
         }
@@ -168,7 +170,8 @@
         status: u16,
         body: BodyFraming,
         limits: &Limits,
-    ) {
+    ) -> Result<(), MalformedResponse> {
+        self.state = FramingState::UnsizedBody(limits.upstream.max_unsized_response_bytes);
         match body {
             BodyFraming::ContentLength(body_length) => {
                 self.sized_response = Some(ResponseSummary {
@@ -176,12 +179,15 @@
                     body_length,
                 });
                 self.on_sized_body(head_length, body_length);
-                return;
             }
-            BodyFraming::Chunked => {}
+            BodyFraming::Chunked => {
+                let mut chunked_body = ChunkedBody::default();
+                take_chunks(&mut chunked_body, &self.buffered[head_length..])?;
+                self.chunked_body = Some(chunked_body);
+            }
             BodyFraming::ConnectionClose => self.rewrite_version_to_1_0(),
         }
-        self.state = FramingState::UnsizedBody(limits.upstream.max_unsized_response_bytes);
+        Ok(())
     }
 
     /// Moves buffered bytes after the end of the body out of the response.
@@ -207,11 +213,15 @@
         self.buffered[version..version + 4].copy_from_slice(b"/1.0");
     }
 
-    /// Counts bytes of the body that were passed on unbuffered.
+    /// Processes bytes of the body that are about to be passed on unbuffered.
     ///
     /// # Errors
-    /// A body without `Content-Length` exceeds the limit.
-    pub(super) fn on_body_bytes(&mut self, count: usize) -> Result<(), MalformedResponse> {
+    /// A body without `Content-Length` exceeds the limit, or has trailers.
+    pub(super) fn on_body_bytes(&mut self, bytes: &[u8]) -> Result<(), MalformedResponse> {
+        if let Some(chunked_body) = &mut self.chunked_body {
+            take_chunks(chunked_body, bytes)?;
+        }
+        let count = bytes.len();
         self.state = match self.state {
             FramingState::SizedBody(left) if left > count => FramingState::SizedBody(left - count),
             FramingState::UnsizedBody(left) if left > count => {
@@ -226,5 +236,16 @@
     }
 }
 
+/// Takes bytes of a chunked body. Trailers fail it: the sidecar asks for none, and the data of a
+/// chunk whose size is given as 0 looks like them.
+fn take_chunks(chunked_body: &mut ChunkedBody, bytes: &[u8]) -> Result<(), MalformedResponse> {
+    chunked_body.take(bytes);
+    if chunked_body.has_trailers() {
+        Err(MalformedResponse::Trailers)
+    } else {
+        Ok(())
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sidecar/src/upstream/response_framing/tests.rs
+++ b/crates/sidecar/src/upstream/response_framing/tests.rs
@@ -41,7 +41,7 @@
     assert_eq!(received, Ok(BytesPastEnd::None));
     assert_eq!(passed_on, response);
     assert_eq!(framing.body_bytes_left(), Some(2));
-    assert!(framing.on_body_bytes(2).is_ok() && framing.is_idle());
+    assert!(framing.on_body_bytes(b"dy").is_ok() && framing.is_idle());
 }
 
 #[test]
@@ -79,6 +79,22 @@
     assert!(framing.is_reading_unsized_body() && passed_on == response);
 }
 
+/// Guards against a chunk whose size is given as 0: its data looks like trailers, and the response
+/// would be passed on without it.
+#[test]
+fn chunked_body_with_trailers_fails_wherever_they_begin() {
+    let response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nok\r\n0\r\n\r\n";
+    let head_end = response.find("0\r\n").expect("first chunk");
+    let trailers = Err("trailers in response".to_owned());
+    for first_read in head_end..response.len() {
+        let (first, second) = response.split_at(first_read);
+        let (mut framing, received, _) = receive(first.as_bytes());
+        let later = framing.on_body_bytes(second.as_bytes());
+        let all = received.and_then(|_| later.map_err(|error| error.to_string()));
+        assert_eq!(all, trailers, "{first_read} bytes at once");
+    }
+}
+
 #[test]
 fn body_that_ends_with_its_connection_is_passed_on_as_http_1_0() {
     let (framing, received, passed_on) = receive(b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody");
@@ -91,8 +107,8 @@
 fn unsized_body_fails_if_it_exceeds_the_limit() {
     let (mut framing, ..) = receive(b"HTTP/1.1 200 OK\r\n\r\n");
     let allowed = limits().upstream.max_unsized_response_bytes;
-    assert!(framing.on_body_bytes(allowed - 1).is_ok());
-    let error = framing.on_body_bytes(1).expect_err("too long");
+    assert!(framing.on_body_bytes(&vec![b'b'; allowed - 1]).is_ok());
+    let error = framing.on_body_bytes(b"b").expect_err("too long");
     assert_eq!(
         error.to_string(),
         "response body without Content-Length is too long"
--- a/crates/sidecar/src/upstream/response_head.rs
+++ b/crates/sidecar/src/upstream/response_head.rs
@@ -51,6 +51,8 @@
     UnsupportedTransferCoding,
     /// A body without `Content-Length` exceeds the limit.
     BodyTooLong,
+    /// A chunked body with trailers.
+    Trailers,
     /// More bytes than `Content-Length` says, which do not begin a second response.
     BytesPastEnd,
 }
@@ -64,6 +66,7 @@
             Self::AmbiguousBodyLength => "ambiguous body length in response",
             Self::UnsupportedTransferCoding => "unsupported transfer coding in response",
             Self::BodyTooLong => "response body without Content-Length is too long",
+            Self::Trailers => "trailers in response",
             Self::BytesPastEnd => "response is longer than its Content-Length",
         })
     }
--- a/crates/sidecar/src/upstream/response_reader.rs
+++ b/crates/sidecar/src/upstream/response_reader.rs
@@ -108,11 +108,7 @@
                 // No response is pending: the pool drops the connection if bytes arrive anyway.
                 return Pin::new(stream).poll_read(context, output);
             };
-            return if self.framing.is_reading_unsized_body() {
-                self.poll_unsized_body(context, output, bytes_left)
-            } else {
-                self.poll_sized_body(context, output, bytes_left)
-            };
+            return self.poll_body(context, output, bytes_left);
         }
     }
 
@@ -135,9 +131,9 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Reads part of a body of known length directly into the output, with room for bytes past its
-    /// end.
-    fn poll_sized_body(
+    /// Reads part of the body directly into the output, with room for bytes past its end if that is
+    /// known.
+    fn poll_body(
         &mut self,
         context: &mut Context<'_>,
         output: &mut ReadBuf<'_>,
@@ -146,14 +142,19 @@
         let Some(stream) = &mut self.stream else {
             return Poll::Ready(Ok(()));
         };
-        let length = output.remaining().min(bytes_left + PAST_END_READ_BYTES);
+        let room_past_end = if self.framing.is_reading_unsized_body() {
+            0
+        } else {
+            PAST_END_READ_BYTES
+        };
+        let length = output.remaining().min(bytes_left + room_past_end);
         let mut received = ReadBuf::new(output.initialize_unfilled_to(length));
         ready!(Pin::new(stream).poll_read(context, &mut received))?;
         let is_read_full = received.remaining() == 0;
         let count = received.filled().len().min(bytes_left);
-        let (_, past_end) = received.filled().split_at(count);
+        let (body, past_end) = received.filled().split_at(count);
         self.framing.on_bytes_past_end(past_end);
-        self.framing.on_body_bytes(count)?;
+        self.framing.on_body_bytes(body)?;
         if self.framing.is_idle() {
             self.on_response_end(is_read_full)?;
         }
@@ -161,25 +162,6 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Reads part of a body whose end awc detects directly into the output.
-    fn poll_unsized_body(
-        &mut self,
-        context: &mut Context<'_>,
-        output: &mut ReadBuf<'_>,
-        bytes_left: usize,
-    ) -> Poll<io::Result<()>> {
-        let Some(stream) = &mut self.stream else {
-            return Poll::Ready(Ok(()));
-        };
-        let length = output.remaining().min(bytes_left);
-        let mut body = ReadBuf::new(output.initialize_unfilled_to(length));
-        ready!(Pin::new(stream).poll_read(context, &mut body))?;
-        let count = body.filled().len();
-        output.advance(count);
-        self.framing.on_body_bytes(count)?;
-        Poll::Ready(Ok(()))
-    }
-
     /// Checks a response of known length whose last byte has been read and not passed on. A read
     /// that did not fill its buffer has taken everything that had arrived; after a full one, more
     /// may lie behind it.
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -41,6 +41,7 @@
 }
 
 exchanges! {
+    chunked_response_with_trailers_is_not_served
     client_disconnect_as_the_connect_completes_forwards_nothing
     client_disconnect_before_its_connection_is_accepted_forwards_nothing
     client_disconnect_before_its_request_is_read_forwards_nothing
