--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -27,52 +27,20 @@
 //! the poll: nothing was notified in between. It no longer does once discovery could be reached
 //! without telling its changes, because a change may have been made then.
 
+mod bounds;
+mod polls;
+#[cfg(test)]
+mod tests;
+
 use arrowstand_balancer::Micros;
 
+pub use bounds::StalenessBounds;
+pub use polls::{NextPoll, PollFailure};
+
 /// How much longer than the maximum poll interval a list is valid after a poll that failed
 /// (`safety.ask-every-ms`).
 const FAILED_POLL_FACTOR: Micros = 4;
 
-/// Limits on the age of the endpoint list, derived from the settings. Times are in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StalenessBounds {
-    /// Discovery pushes changes: a change counts as notified whether or not a watch is open.
-    pub push_mode: bool,
-    /// In poll mode, how long a list is valid after the last poll.
-    pub max_poll_interval: Micros,
-    /// Time after a change, or after the last event of a silent watch that missed it, at which the
-    /// change counts as notified if discovery could be reached.
-    pub change_notice_delay: Micros,
-    /// Time after a change of discovery's configured address at which changes at the new address
-    /// count as notified.
-    pub relocation_notice_delay: Micros,
-    /// Part of the drain grace period that may pass before an attempt's first byte is sent. The
-    /// rest covers bytes in transit.
-    pub drain_slack: Micros,
-}
-
-/// What a failed poll shows about discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PollFailure {
-    /// The connection was refused: no process listens at the address.
-    Refused,
-    /// Discovery is down or cannot be reached: it can notify no changes.
-    Unreachable,
-    /// Discovery could be reached while the poll waited, and did not tell its changes.
-    Unanswered,
-    /// The poll failed for a reason of this process, which shows nothing.
-    Local,
-}
-
-/// When discovery must be polled again, whether or not the balancer requests it by then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NextPoll {
-    /// Within this time, so that an outage of discovery does not make the list expire.
-    Within(Micros),
-    /// As soon as the load on discovery allows: the list may be missing a notified drain soon.
-    Soon,
-}
-
 /// Whether a watch keeps the list current in poll mode.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WatchState {
@@ -265,6 +233,3 @@
         self.silence_expiry = Some(self.silence_expiry.map_or(expiry, |old| old.min(expiry)));
     }
 }
-
-#[cfg(test)]
-mod tests;
