Keep the 4 s of a relocation although the new discovery refuses a poll within them

Cause: a refused poll after a relocation cleared the expiry at once. It shows that nobody listened then, not that nobody will within the 4 s.

Change: only a poll that starts after the 4 s and is refused clears it. Until then discovery is polled within 0.3 s, as after a silence, so a refusal after the 4 s comes before the expiry half a grace later.

Tests: a_refused_connection_clears_the_expiry_of_a_relocation_once_its_notice_delay_is_over fails without; it takes the place of a_refused_connection_after_a_relocation_counts_its_expiry_anew, which wanted the later expiry. The recording reload_to_a_refusing_discovery_blocks_nothing_after_its_notice_ delay shows that such a discovery still stops no traffic.

--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -67,9 +67,9 @@
     silence_expiry: Option<Micros>,
     /// The same for a pending poll in push mode, and for the time since the last poll in poll mode.
     poll_expiry: Option<Micros>,
-    /// Discovery was relocated and the new address has not sent an event yet. Until it does, a
-    /// refused connection means that no process listens there.
-    relocated: bool,
+    /// When changes at the new address of a relocated discovery count as notified, until that has
+    /// sent an event.
+    relocation_notified_at: Option<Micros>,
 }
 
 impl ListFreshness {
@@ -83,7 +83,7 @@
             },
             silence_expiry: None,
             poll_expiry: None,
-            relocated: false,
+            relocation_notified_at: None,
         }
     }
 
@@ -93,7 +93,7 @@
         self.watch = WatchState::Open;
         self.silence_expiry = None;
         self.poll_expiry = None;
-        self.relocated = false;
+        self.relocation_notified_at = None;
     }
 
     /// Records the start of a poll: a call that opens a watch.
@@ -113,7 +113,11 @@
 
     /// Records that the poll that started at `started_at` failed.
     pub fn on_poll_failed(&mut self, failure: PollFailure, started_at: Micros, now: Micros) {
-        if failure == PollFailure::Refused && self.relocated {
+        // A process that comes up at the new address later than that has notified nothing by then.
+        let is_after_relocation_notice = self
+            .relocation_notified_at
+            .is_some_and(|notified_at| started_at >= notified_at);
+        if failure == PollFailure::Refused && is_after_relocation_notice {
             self.silence_expiry = None;
         }
         if self.bounds.push_mode {
@@ -150,7 +154,7 @@
     /// poll on the old address was given up.
     pub fn on_discovery_relocated(&mut self, now: Micros) {
         let notified_at = now + self.bounds.relocation_notice_delay;
-        self.relocated = true;
+        self.relocation_notified_at = Some(notified_at);
         self.lower_silence_expiry(notified_at + self.bounds.drain_slack);
         if self.bounds.push_mode {
             self.complete_until = notified_at;
--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -12,6 +12,8 @@
     Ended,
     /// The poll fails at once, because discovery cannot be reached.
     Unreachable,
+    /// The poll fails at once, because no process listens at the address of discovery.
+    Refused,
     /// The poll fails after it has waited for discovery, which accepted it.
     Unanswered,
     /// The poll waits for so long that it is repeated.
@@ -32,6 +34,8 @@
     bounds: StalenessBounds,
     /// Since when no events have arrived, and why; `None` while a watch is delivering them.
     outage: Option<(Micros, OutageCause)>,
+    /// When a new configuration last changed the address of discovery, until the next event.
+    relocated_at: Option<Micros>,
     /// Start times of the polls.
     poll_starts: Vec<Micros>,
     /// The last poll failed.
@@ -101,6 +105,7 @@
         let reference = ReferenceModel {
             bounds,
             outage: Some((now, OutageCause::Lost)),
+            relocated_at: None,
             poll_starts: vec![now],
             last_poll_failed: false,
             nothing_to_notify_until: now,
@@ -120,6 +125,7 @@
             Step::Event => {
                 self.freshness.on_watch_event(self.now);
                 self.reference.outage = None;
+                self.reference.relocated_at = None;
                 self.reference.nothing_to_notify_until = self.now;
                 self.reference.was_reachable = false;
                 return;
@@ -127,12 +133,11 @@
             Step::Ended => self.end_watch(),
             Step::Silent if !is_poll_pending => self.fall_silent(),
             Step::Unreachable if is_poll_pending => {
-                // The failed poll was sent at once after the last one.
-                self.poll();
-                self.fail_poll(PollFailure::Unreachable);
-                if !self.reference.was_reachable {
-                    self.reference.nothing_to_notify_until = self.now;
-                }
+                self.fail_poll_at_once(PollFailure::Unreachable);
+            }
+            Step::Refused if is_poll_pending => {
+                self.end_relocation_without_a_process();
+                self.fail_poll_at_once(PollFailure::Refused);
             }
             Step::Unanswered if is_poll_pending => {
                 self.fail_poll(PollFailure::Unanswered);
@@ -163,6 +168,25 @@
         self.lose_list();
     }
 
+    /// Sends a poll that fails in the same moment.
+    fn fail_poll_at_once(&mut self, failure: PollFailure) {
+        self.poll();
+        self.fail_poll(failure);
+        if !self.reference.was_reachable {
+            self.reference.nothing_to_notify_until = self.now;
+        }
+    }
+
+    /// No process listens at the new address: once the changes there count as notified, there are
+    /// none.
+    fn end_relocation_without_a_process(&mut self) {
+        let delay = self.reference.bounds.relocation_notice_delay;
+        let relocated_at = self.reference.relocated_at;
+        if relocated_at.is_some_and(|at| self.now >= at + delay) {
+            self.reference.outage = Some((self.now, OutageCause::Lost));
+        }
+    }
+
     fn end_watch(&mut self) {
         self.freshness.on_watch_ended(self.now);
         // A watch that was opened and delivered no event shows that discovery could be reached.
@@ -188,6 +212,7 @@
 
     fn relocate(&mut self) {
         self.freshness.on_discovery_relocated(self.now);
+        self.reference.relocated_at = Some(self.now);
         // Of silence and relocation, the one that gives the earlier notification time applies.
         let bounds = &self.reference.bounds;
         let delay_difference = bounds.change_notice_delay - bounds.relocation_notice_delay;
@@ -211,12 +236,15 @@
 }
 
 fn steps() -> impl Strategy<Value = Vec<(Step, Micros)>> {
-    use Step::{Delayed, Ended, Event, LocalFailure, Relocated, Silent, Unanswered, Unreachable};
+    use Step::{
+        Delayed, Ended, Event, LocalFailure, Refused, Relocated, Silent, Unanswered, Unreachable,
+    };
     let step = prop_oneof![
         Just(Event),
         Just(Ended),
         Just(Silent),
         Just(Unreachable),
+        Just(Refused),
         Just(Unanswered),
         Just(Delayed),
         Just(LocalFailure),
@@ -308,18 +336,24 @@
     assert_eq!(freshness.trusted_until(Some(9_000_000)), Some(9_500_000));
 }
 
+/// Guards against a drain that a discovery notifies which came up at its new address after it had
+/// refused a poll: what it has to tell counts as notified 4 s after the relocation.
 #[test]
-fn a_refused_connection_after_a_relocation_counts_its_expiry_anew() {
+fn a_refused_connection_clears_the_expiry_of_a_relocation_once_its_notice_delay_is_over() {
     let mut freshness = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
-    freshness.on_watch_event(1_000_000);
-    freshness.on_watch_silent(1_000_000, 4_000_000);
-
+    freshness.on_watch_event(4_000_000);
     freshness.on_discovery_relocated(4_100_000);
+
     freshness.on_poll_failed(PollFailure::Refused, 4_150_000, 4_200_000);
 
+    assert_eq!(freshness.trusted_until(None), Some(8_600_000));
+    assert_eq!(freshness.next_poll(4_200_000), Some(NextPoll::Soon));
+
+    freshness.on_poll_failed(PollFailure::Refused, 8_100_000, 8_150_000);
+
     assert_eq!(
         freshness.trusted_until(None),
-        Some(10_650_000),
+        Some(14_600_000),
         "no process listens at the new address: a change counts as notified 6 s later"
     );
 }
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -75,6 +75,7 @@
     redirect_is_not_followed
     rejected_attempt_is_retried_elsewhere
     rejected_polls_do_not_stop_service
+    reload_to_a_refusing_discovery_blocks_nothing_after_its_notice_delay
     reload_to_a_refusing_discovery_keeps_the_list
     reload_with_a_new_discovery_moves_the_watch_at_once
     relocated_server_has_its_old_connections_closed
