Do not take a poll that fails for a local reason for an outage of a pushed discovery

Where lists are pushed, a poll that fails at once clears the list's expiry, since a discovery that is down notifies nothing. A connect that fails for want of descriptors or memory fails at once, too, and says nothing about discovery: while it lasted, a drain was hidden without end.

Cause: push mode looked at the time of a failure alone, not at its kind.

Change: a local failure changes nothing in push mode; in poll mode that was so already.

--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -121,7 +121,9 @@
             self.silence_expiry = None;
         }
         if self.bounds.push_mode {
-            self.on_push_lost(now);
+            if failure != PollFailure::Local {
+                self.on_push_lost(now);
+            }
             return;
         }
         match failure {
--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -143,7 +143,8 @@
                 self.fail_poll(PollFailure::Unanswered);
                 self.reference.was_reachable = true;
             }
-            Step::LocalFailure if is_poll_pending => self.fail_poll(PollFailure::Local),
+            // It shows nothing, so what counts as notified is what did before.
+            Step::LocalFailure if is_poll_pending => self.record_failure(PollFailure::Local),
             Step::Delayed if is_poll_pending => {
                 self.freshness.on_poll_delayed();
                 self.reference.was_reachable = true;
@@ -161,11 +162,15 @@
     }
 
     fn fail_poll(&mut self, failure: PollFailure) {
+        self.record_failure(failure);
+        self.lose_list();
+    }
+
+    fn record_failure(&mut self, failure: PollFailure) {
         let started_at = self.reference.poll_starts.last().copied();
         let started_at = started_at.expect("a poll is pending");
         self.freshness.on_poll_failed(failure, started_at, self.now);
         self.reference.last_poll_failed = true;
-        self.lose_list();
     }
 
     /// Sends a poll that fails in the same moment.
@@ -399,3 +404,18 @@
         now += time_left;
     }
 }
+
+/// Guards against a failure of the sidecar itself, such as a lack of descriptors, that is taken for an
+/// outage of discovery.
+#[test]
+fn a_poll_that_fails_for_a_local_reason_does_not_renew_a_pushed_list() {
+    let mut freshness = ListFreshness::new(bounds(true, 10_000_000, 500_000), 0);
+    freshness.on_watch_event(1_000_000);
+    freshness.on_watch_ended(1_100_000);
+
+    for poll in (1_200_000..9_000_000).step_by(200_000) {
+        freshness.on_poll_started(poll);
+        freshness.on_poll_failed(PollFailure::Local, poll, poll + 1_000);
+        assert_eq!(freshness.trusted_until(None), Some(1_600_000), "at {poll}");
+    }
+}
