Let the endpoint list expire after an event that cannot be read

Cause: such an object ended the watch like a broken connection, after which nothing was missed.

Change: the list then expires half a grace after that object, and discovery is polled within 0.3 s, as after a silence. Where lists are pushed both were so already.

--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -11,8 +11,9 @@
 //!                      start of last served attempt + slack)
 //!
 //! silence expiry = last event     + change notice delay     + slack  the watch was silent
+//!                = event                                    + slack  it could not be read
 //!                = relocation     + relocation notice delay + slack  discovery was relocated
-//!                                                                    (minimum if both apply)
+//!                                                                    (minimum of those that apply)
 //! poll expiry    = complete until                           + slack  push mode, poll pending
 //!                = last poll      + max poll interval       + slack  poll mode, no watch
 //!                = last poll      + 4 * max poll interval   + slack  poll mode, the poll failed
@@ -63,7 +64,7 @@
     complete_until: Micros,
     watch: WatchState,
     /// Earliest time at which a drain missing from the list may forbid attempts, after a silent
-    /// watch or a relocation of discovery. Cleared by the next watch event.
+    /// watch, an unreadable event or a relocation of discovery. Cleared by the next watch event.
     silence_expiry: Option<Micros>,
     /// The same for a pending poll in push mode, and for the time since the last poll in poll mode.
     poll_expiry: Option<Micros>,
@@ -144,6 +145,13 @@
         }
     }
 
+    /// Records that an open watch ended because what it delivered could not be read: the changes in it
+    /// count as notified, and the list is missing them.
+    pub fn on_unreadable_event(&mut self, now: Micros) {
+        self.lower_silence_expiry(now + self.bounds.drain_slack);
+        self.on_watch_ended(now);
+    }
+
     /// Records that a watch was closed because no event came after `last_event_at`.
     pub fn on_watch_silent(&mut self, last_event_at: Micros, now: Micros) {
         let bounds = &self.bounds;
--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -419,3 +419,16 @@
         assert_eq!(freshness.trusted_until(None), Some(1_600_000), "at {poll}");
     }
 }
+
+/// Guards against a drain in an object that cannot be read, which counts as notified all the same.
+#[test]
+fn the_list_expires_half_a_grace_after_an_event_that_could_not_be_read() {
+    for push_mode in [false, true] {
+        let mut freshness = ListFreshness::new(bounds(push_mode, 10_000_000, 500_000), 0);
+        freshness.on_watch_event(1_000_000);
+        freshness.on_unreadable_event(2_000_000);
+        freshness.on_poll_started(2_100_000);
+        assert_eq!(freshness.trusted_until(None), Some(2_500_000));
+        assert_eq!(freshness.next_poll(2_100_000), Some(NextPoll::Soon));
+    }
+}
--- a/crates/sidecar/src/host/endpoint_list_freshness.rs
+++ b/crates/sidecar/src/host/endpoint_list_freshness.rs
@@ -57,6 +57,11 @@
         self.update(|freshness, now| freshness.on_watch_silent(last_received_at, now));
     }
 
+    /// Records that a watch was given up because what it delivered could not be read.
+    pub(crate) fn on_unreadable_event(&self) {
+        self.update(ListFreshness::on_unreadable_event);
+    }
+
     /// Records that an open watch ended or failed for a reason other than silence.
     pub(crate) fn on_watch_ended(&self) {
         self.update(ListFreshness::on_watch_ended);
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -110,6 +110,7 @@
     silent_watch_is_polled_again
     truncated_body_is_no_response
     truncated_chunks_are_no_response
+    unreadable_line_blocks_attempts_until_the_whole_list_comes
     unreadable_line_polls_for_the_whole_list
     unreadable_timeout_and_cost_count_as_absent
     unsized_response_ends_with_its_connection
