Record what each class gets when noise or a second copy follows a response

Change: a recording. Noise fails the attempt: a pay is repeated with its key; a book that the head of half a copy follows is failed with 504 and not repeated. Behind a whole copy all three are served by one attempt.

--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -64,6 +64,7 @@
     malformed_requests_are_rejected
     malformed_responses_fail
     new_server_at_the_address_of_a_removed_one_gets_nothing_meant_for_that
+    noise_behind_a_response_fails_it_and_a_second_copy_does_not
     non_idempotent_error_is_not_retried
     non_idempotent_refused_connection_is_retried_elsewhere
     non_idempotent_reset_is_not_retried
