Limit the number of JSON values of an object from discovery by the memory limit

What callers would have seen: a sidecar of 32 MiB killed with all that it held.

Cause: the limit counts bytes, and a value of two bytes takes far more memory once it is parsed.

Change: an object may have as many values as the memory limit has KiB, 32,768 at least; the decoder counts the bytes that begin a value while it examines them, and gives the object up at the limit, before it is parsed. The limits on an object stand together in ObjectLimits.

--- a/crates/sidecar/src/discovery/object_decoder.rs
+++ b/crates/sidecar/src/discovery/object_decoder.rs
@@ -8,6 +8,8 @@
 
 use arrowstand_platform::json::NestingTracker;
 
+use crate::limits::ObjectLimits;
+
 /// Once an object of this size has been returned, the memory that it occupied is not used again.
 const LARGE_OBJECT_BYTES: usize = 64 * 1024;
 
@@ -20,8 +22,9 @@
     line: Line,
     /// Nesting of the object at `position`.
     nesting: NestingTracker,
-    max_object_bytes: usize,
-    max_json_depth: usize,
+    /// Number of values of the object up to `position`, or a few more.
+    value_count: usize,
+    limits: ObjectLimits,
     examined_bytes: u64,
 }
 
@@ -42,23 +45,25 @@
     }
 }
 
-/// An object exceeds the size limit of the decoder.
+/// An object exceeds a limit of the decoder.
 #[derive(Debug, PartialEq, thiserror::Error)]
-#[error("object exceeds the limit of {max_object_bytes} bytes")]
-pub(super) struct ObjectTooLong {
-    max_object_bytes: usize,
+pub(super) enum ObjectTooLarge {
+    #[error("object exceeds the limit of {0} bytes")]
+    Bytes(usize),
+    #[error("object exceeds the limit of {0} values")]
+    Values(usize),
 }
 
 impl ObjectDecoder {
-    /// Creates a decoder with limits on the size and the nesting depth of an object.
-    pub(super) fn new(max_object_bytes: usize, max_json_depth: usize) -> Self {
+    /// Creates a decoder with limits on an object.
+    pub(super) fn new(limits: ObjectLimits) -> Self {
         Self {
             buffer: BytesMut::new(),
             position: 0,
             line: Line::starting_at(0),
             nesting: NestingTracker::default(),
-            max_object_bytes,
-            max_json_depth,
+            value_count: 0,
+            limits,
             examined_bytes: 0,
         }
     }
@@ -69,30 +74,34 @@
     }
 
     /// Returns the next object, valid or not, or an empty line; `None` if more bytes are needed.
-    pub(super) fn next_object(&mut self) -> Option<Bytes> {
+    ///
+    /// # Errors
+    /// If the object exceeds the limit on its values.
+    pub(super) fn next_object(&mut self) -> Result<Option<Bytes>, ObjectTooLarge> {
         while let Some(&byte) = self.buffer.get(self.position) {
             if self.starts_another_object(byte) {
-                return Some(self.take_object(self.line.start));
+                return Ok(Some(self.take_object(self.line.start)));
             }
             self.examine(byte);
+            if self.value_count > self.limits.max_values {
+                return Err(ObjectTooLarge::Values(self.limits.max_values));
+            }
             if byte == b'\n'
                 && let Some(object_end) = self.on_line_end()
             {
-                return Some(self.take_object(object_end));
+                return Ok(Some(self.take_object(object_end)));
             }
         }
-        None
+        Ok(None)
     }
 
     /// Appends a chunk to the input.
     ///
     /// # Errors
     /// If the bytes not yet returned as objects would exceed the limit on the size of an object.
-    pub(super) fn push(&mut self, chunk: &[u8]) -> Result<(), ObjectTooLong> {
-        if self.buffer.len() + chunk.len() > self.max_object_bytes {
-            return Err(ObjectTooLong {
-                max_object_bytes: self.max_object_bytes,
-            });
+    pub(super) fn push(&mut self, chunk: &[u8]) -> Result<(), ObjectTooLarge> {
+        if self.buffer.len() + chunk.len() > self.limits.max_bytes {
+            return Err(ObjectTooLarge::Bytes(self.limits.max_bytes));
         }
         self.buffer.extend_from_slice(chunk);
         Ok(())
@@ -109,6 +118,7 @@
         self.position += 1;
         self.examined_bytes += 1;
         self.nesting.on_byte(byte);
+        self.value_count += usize::from(starts_value(byte));
         self.line.is_blank &= byte.is_ascii_whitespace();
     }
 
@@ -120,7 +130,7 @@
         }
         let depth = self.nesting.depth();
         // An object that is nested too deeply is invalid, whatever follows.
-        if depth == 0 || depth > self.max_json_depth {
+        if depth == 0 || depth > self.limits.max_depth {
             return Some(self.position);
         }
         self.line = Line::starting_at(self.position);
@@ -133,11 +143,18 @@
             self.buffer = BytesMut::from(self.buffer.as_ref());
         }
         self.position = 0;
+        self.value_count = 0;
         self.line = Line::starting_at(0);
         self.nesting = NestingTracker::default();
         object
     }
 }
 
+/// True if a value begins with or behind this byte. Such a byte in a string counts too: a string has
+/// room for it.
+fn starts_value(byte: u8) -> bool {
+    matches!(byte, b',' | b'[' | b'{')
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sidecar/src/discovery/watch.rs
+++ b/crates/sidecar/src/discovery/watch.rs
@@ -52,7 +52,7 @@
         WatchError::WatchSilent { last_received_at } => {
             freshness.on_watch_silent(*last_received_at);
         }
-        WatchError::ObjectTooLong(_) | WatchError::InvalidObject(_) => {
+        WatchError::ObjectTooLarge(_) | WatchError::InvalidObject(_) => {
             freshness.on_unreadable_event();
         }
         _ => freshness.on_watch_ended(),
--- a/crates/sidecar/src/discovery/watch_error.rs
+++ b/crates/sidecar/src/discovery/watch_error.rs
@@ -10,7 +10,7 @@
 use awc::http::StatusCode;
 use tokio::time::Instant;
 
-use super::object_decoder::ObjectTooLong;
+use super::object_decoder::ObjectTooLarge;
 
 /// Longest time in which a discovery that is down, or a proxy before it, fails a call. One that
 /// takes longer has made the call wait for its turn.
@@ -38,9 +38,9 @@
         /// When the last bytes arrived, or the response head if none did.
         last_received_at: Instant,
     },
-    /// An object exceeds the size limit.
+    /// An object exceeds a limit.
     #[error(transparent)]
-    ObjectTooLong(#[from] ObjectTooLong),
+    ObjectTooLarge(#[from] ObjectTooLarge),
     /// An object is not a valid endpoint list.
     #[error("invalid endpoint list, requesting the full list: {0}")]
     InvalidObject(#[source] ReadError),
--- a/crates/sidecar/src/discovery/watch_error/tests.rs
+++ b/crates/sidecar/src/discovery/watch_error/tests.rs
@@ -1,13 +1,9 @@
 use arrowstand_platform::EndpointList;
 
 use super::*;
-use crate::discovery::object_decoder::ObjectDecoder;
 
 #[test]
 fn each_error_has_its_log_message() {
-    let too_long = ObjectDecoder::new(3, 8)
-        .push(b"long")
-        .expect_err("too long");
     let cases = [
         (
             WatchError::PollFailed(SendRequestError::Timeout),
@@ -28,7 +24,14 @@
             },
             "watch timed out: no endpoint list or heartbeat arrived",
         ),
-        (too_long.into(), "object exceeds the limit of 3 bytes"),
+        (
+            ObjectTooLarge::Bytes(3).into(),
+            "object exceeds the limit of 3 bytes",
+        ),
+        (
+            ObjectTooLarge::Values(2).into(),
+            "object exceeds the limit of 2 values",
+        ),
         (
             EndpointList::parse("{}", 8)
                 .map_err(WatchError::InvalidObject)
--- a/crates/sidecar/src/discovery/watch_receiver.rs
+++ b/crates/sidecar/src/discovery/watch_receiver.rs
@@ -46,8 +46,8 @@
         Self {
             sink,
             cursor,
-            max_json_depth: limits.max_json_depth,
-            decoder: ObjectDecoder::new(limits.max_object_bytes, limits.max_json_depth),
+            max_json_depth: limits.object.max_depth,
+            decoder: ObjectDecoder::new(limits.object),
             pending_deltas: DeltaBatch::default(),
             timing: ListTiming::default(),
             budget: WorkBudget::default(),
@@ -75,7 +75,7 @@
         for chunk in chunks {
             let chunk = chunk.map_err(WatchError::WatchFailed)?;
             self.decoder.push(&chunk)?;
-            while let Some(object) = self.timing.time_framing(|| self.decoder.next_object()) {
+            while let Some(object) = self.timing.time_framing(|| self.decoder.next_object())? {
                 self.on_object(&object).await?;
                 self.budget.charge(OBJECT_COST_BYTES);
                 self.budget.yield_if_spent().await;
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -15,7 +15,7 @@
 use client::MAX_BODY_BYTES;
 
 pub(crate) use client::ClientLimits;
-pub(crate) use discovery::DiscoveryLimits;
+pub(crate) use discovery::{DiscoveryLimits, ObjectLimits};
 pub(crate) use inputs::LimitInputs;
 pub(crate) use memory::MemoryLimits;
 pub(crate) use shutdown::ShutdownLimits;
--- a/crates/sidecar/src/limits/discovery.rs
+++ b/crates/sidecar/src/limits/discovery.rs
@@ -25,19 +25,43 @@
 pub(super) const MAX_POLL_BACKOFF: Duration = Duration::from_millis(500);
 /// Maximum size of an object. Without it, an object that never ends would exhaust the memory.
 const MAX_OBJECT_BYTES: usize = 1024 * 1024;
+/// Maximum number of JSON values of an object for each MiB of the memory limit.
+const OBJECT_VALUES_PER_MIB: usize = 1024;
+/// Enough for the largest fleet, 3,200 servers with 10 values each.
+const MIN_OBJECT_VALUES: usize = 32 * 1024;
 /// Deeper than any endpoint list. JSON is parsed recursively, so this bounds the use of the stack.
 const MAX_JSON_DEPTH: usize = 32;
 /// Smallest and largest value of [`DiscoveryLimits::max_early_poll_delay`].
 const MAX_EARLY_POLL_DELAYS: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(300));
 
+/// Limits on an object from discovery, which bound the memory that it takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ObjectLimits {
+    /// Maximum size in bytes.
+    pub(crate) max_bytes: usize,
+    /// Maximum number of JSON values: a value takes more memory than the few bytes that it may
+    /// have in the text.
+    pub(crate) max_values: usize,
+    /// Maximum nesting depth of the JSON.
+    pub(crate) max_depth: usize,
+}
+
+impl ObjectLimits {
+    fn derive(inputs: &LimitInputs) -> Self {
+        Self {
+            max_bytes: MAX_OBJECT_BYTES,
+            max_values: (inputs.memory_mib * OBJECT_VALUES_PER_MIB).max(MIN_OBJECT_VALUES),
+            max_depth: MAX_JSON_DEPTH,
+        }
+    }
+}
+
 /// Limits on polls of discovery, on its watches and on the endpoint list.
 #[derive(Clone, Debug)]
 pub(crate) struct DiscoveryLimits {
-    /// Maximum size of an object.
-    pub(crate) max_object_bytes: usize,
-    /// Maximum nesting depth of the JSON.
-    pub(crate) max_json_depth: usize,
+    /// Limits on a single object.
+    pub(crate) object: ObjectLimits,
     /// Timeout for the connection of a poll, shorter than the delay of a repeated poll: a poll that
     /// is repeated has been accepted.
     pub(crate) connect_timeout: Duration,
@@ -63,8 +87,7 @@
         let (min_delay, max_delay) = MAX_EARLY_POLL_DELAYS;
         let poll_repeat_delay = poll_repeat_delay(inputs);
         Self {
-            max_object_bytes: MAX_OBJECT_BYTES,
-            max_json_depth: MAX_JSON_DEPTH,
+            object: ObjectLimits::derive(inputs),
             connect_timeout: MAX_CONNECT_TIMEOUT.min(poll_repeat_delay / 2),
             poll_repeat_delay,
             max_poll_wait: MAX_POLL_WAIT,
