Log what clients are still owed when a shutdown forces responses and when it ends

Change: one message, `shutdown with open connections`, with the step, the time since the signal and the connections by what they owe.

--- a/crates/sidecar/src/downstream/client_permits.rs
+++ b/crates/sidecar/src/downstream/client_permits.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, Outstanding};
 use crate::limits::ClientLimits;
 
 /// Counts accepted client connections and issues permits to those that are served.
@@ -24,6 +24,19 @@
     connection_closed: Notify,
 }
 
+/// How many open connections there are, and what those with a permit owe their clients.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ConnectionCounts {
+    /// Connections that are not closed.
+    pub(crate) open: usize,
+    /// Connections with a complete request whose response is not ready.
+    pub(crate) in_flight: usize,
+    /// Connections with a response that the operating system has not taken to its end.
+    pub(crate) unwritten: usize,
+    /// Connections with a request that is not complete.
+    pub(crate) incomplete: usize,
+}
+
 impl ClientPermits {
     /// True if the limit on accepted connections is reached: the next may be accepted only after
     /// one has closed.
@@ -127,6 +140,23 @@
             .for_each(|client| client.close_state().request_close());
     }
 
+    /// Counts the open connections by what they owe their clients.
+    pub(super) fn counts(&self) -> ConnectionCounts {
+        let mut counts = ConnectionCounts {
+            open: self.open_connections.get(),
+            ..ConnectionCounts::default()
+        };
+        for client in self.permitted.borrow().values() {
+            match client.outstanding() {
+                Outstanding::Response => counts.in_flight += 1,
+                Outstanding::ResponseBytes => counts.unwritten += 1,
+                Outstanding::RequestBytes => counts.incomplete += 1,
+                Outstanding::Nothing => {}
+            }
+        }
+        counts
+    }
+
     /// Waits until the next connection closes.
     pub(super) async fn wait_for_close(&self) {
         self.connection_closed.notified().await;
--- a/crates/sidecar/src/downstream/connection.rs
+++ b/crates/sidecar/src/downstream/connection.rs
@@ -59,6 +59,19 @@
     pub idle_since: Instant,
 }
 
+/// What a connection waits for before it owes its client nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Outstanding {
+    /// The response to a complete request.
+    Response,
+    /// The operating system has not taken all bytes of a response.
+    ResponseBytes,
+    /// The rest of a request.
+    RequestBytes,
+    /// No request has begun and no response is left to write.
+    Nothing,
+}
+
 impl ClientConnection {
     /// Creates the state of a client that has just connected.
     pub(super) fn new(socket: Option<TcpStream>) -> Rc<Self> {
@@ -208,6 +221,19 @@
         has_arrived
     }
 
+    /// What the connection still owes its client.
+    pub(super) fn outstanding(&self) -> Outstanding {
+        if self.lifecycle.get().is_in_flight() {
+            Outstanding::Response
+        } else if self.close_state.is_response_unwritten() {
+            Outstanding::ResponseBytes
+        } else if self.incomplete_since().is_some() {
+            Outstanding::RequestBytes
+        } else {
+            Outstanding::Nothing
+        }
+    }
+
     /// When the first byte of a request was received that is not complete; `None` if there is none.
     pub(super) fn incomplete_since(&self) -> Option<Instant> {
         self.lifecycle.get().reading_since()
--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::bounded_stream::BoundedStream;
-use super::client_permits::ClientPermits;
+use super::client_permits::{ClientPermits, ConnectionCounts};
 use super::connection::ClientConnection;
 use super::connection_timeout::wait_for_timeout_or_close;
 use super::descriptor_reclaim::{DescriptorReclaim, Reclaim};
@@ -209,6 +209,11 @@
         self.wait_until_closed().await;
     }
 
+    /// The open connections, by what they owe their clients.
+    pub(crate) fn connection_counts(&self) -> ConnectionCounts {
+        self.permits.counts()
+    }
+
     /// Waits until no connection is open.
     pub(crate) async fn wait_until_closed(&self) {
         self.permits.wait_until_all_closed().await;
--- a/crates/sidecar/src/shutdown.rs
+++ b/crates/sidecar/src/shutdown.rs
@@ -1,7 +1,8 @@
 //! Graceful shutdown of the sidecar, within the time that the platform allows.
 
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::downstream::listener::Listener;
 use crate::limits::ShutdownLimits;
@@ -19,22 +20,47 @@
     let signalled_at = Instant::now();
     sleep(limits.accept_period).await;
     let respond_by = signalled_at + limits.forced_response_after;
-    let responses = finish_requests(proxy, listener, accept_task, respond_by);
+    let responses = async {
+        if finish_requests(listener, accept_task, respond_by)
+            .await
+            .is_err()
+        {
+            log_open_connections("responses forced", signalled_at, listener);
+            proxy.force_shutdown();
+            listener.wait_until_closed().await;
+        }
+    };
     // The process ends after the timeout even if responses are outstanding.
-    let _ = timeout_at(signalled_at + limits.exit_after, responses).await;
+    if timeout_at(signalled_at + limits.exit_after, responses)
+        .await
+        .is_err()
+    {
+        log_open_connections("exit time reached", signalled_at, listener);
+    }
+}
+
+/// Logs what clients are still owed at a step of the shutdown.
+fn log_open_connections(step: &str, signalled_at: Instant, listener: &Listener) {
+    let counts = listener.connection_counts();
+    tracing::warn!(
+        step,
+        after_ms = signalled_at.elapsed().as_millis(),
+        connections = counts.open,
+        in_flight = counts.in_flight,
+        unwritten = counts.unwritten,
+        incomplete = counts.incomplete,
+        "shutdown with open connections"
+    );
 }
 
-/// Waits until every request has its response and every client connection is closed. Requests still
-/// in flight at `respond_by` get their responses then, regardless of their attempts.
+/// Waits until every request has its response and every client connection is closed.
+///
+/// # Errors
+/// Some connections are still open at `respond_by`.
 async fn finish_requests(
-    proxy: &Proxy,
     listener: &Listener,
     accept_task: JoinHandle<()>,
     respond_by: Instant,
-) {
-    tokio::select! {
-        () = listener.close(accept_task) => return,
-        () = sleep_until(respond_by) => proxy.force_shutdown(),
-    }
-    listener.wait_until_closed().await;
+) -> Result<(), Elapsed> {
+    timeout_at(respond_by, listener.close(accept_task)).await
 }
