Let what is owed decide the end of a shutdown, and no time

Cause: shut_down bounded everything by a time, 3.65 s. After the hold-up that time and the one that forces the last responses had both passed; the main future forced them and ended the process in the same poll, before a task had made one.

Change: shut_down returns when the accept task has ended and no connection is open. The time after which responses are forced decides only when they are made; from then on connections that no request needs are closed as when descriptors are short, so a client that never closes its side does not keep the process.

Why it works: a connection counts as open until its response is written and its socket closed, and nothing else ends the process but SIGKILL.

Test: shutdown_held_up_at_its_forced_responses_writes_them_all stops the process before both times and lets it go on after them; failed without the fix ("head is incomplete" at the first client).

Tests of the sidecar's package pass.

--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -5,6 +5,7 @@
 
 mod ending;
 
+use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -94,11 +95,25 @@
     async fn wait_for_descriptor(&self) {
         let limits = &self.context.limits().client;
         while self.permits.is_accept_limit_reached(limits) {
-            let retry_at = self.reclaim_descriptor(limits);
-            tokio::select! {
-                () = self.permits.wait_for_close() => {}
-                () = sleep_until(retry_at) => {}
-            }
+            self.reclaim_next(limits).await;
+        }
+    }
+
+    /// Ends the connections that no request needs, one after another, for as long as it is polled.
+    pub(crate) async fn reclaim_all(&self) -> Infallible {
+        let limits = &self.context.limits().client;
+        loop {
+            self.reclaim_next(limits).await;
+        }
+    }
+
+    /// Tells a connection to close, if there is one that may, and waits until one has closed or the
+    /// next may be told.
+    async fn reclaim_next(&self, limits: &ClientLimits) {
+        let retry_at = self.reclaim_descriptor(limits);
+        tokio::select! {
+            () = self.permits.wait_for_close() => {}
+            () = sleep_until(retry_at) => {}
         }
     }
 
@@ -206,16 +221,11 @@
         self.permits.close_idle();
         let _ = accept.await;
         self.permits.close_idle();
-        self.wait_until_closed().await;
+        self.permits.wait_until_all_closed().await;
     }
 
     /// The open connections, by what they owe their clients.
     pub(crate) fn connection_counts(&self) -> ConnectionCounts {
         self.permits.counts()
     }
-
-    /// Waits until no connection is open.
-    pub(crate) async fn wait_until_closed(&self) {
-        self.permits.wait_until_all_closed().await;
-    }
 }
--- a/crates/sidecar/src/limits/shutdown.rs
+++ b/crates/sidecar/src/limits/shutdown.rs
@@ -14,10 +14,6 @@
 /// Added to the longest deadline: the last request is accepted up to [`ACCEPT_PERIOD`] after the
 /// SIGTERM, and its deadline must have passed.
 const FORCED_RESPONSE_MARGIN: Duration = Duration::from_millis(550);
-/// Added to the longest deadline: leaves 0.1 s to write the last responses, and 0.05 s before the
-/// SIGKILL.
-const EXIT_MARGIN: Duration = Duration::from_millis(650);
-
 /// Time limits of a shutdown, each measured from the SIGTERM.
 #[derive(Clone, Debug)]
 pub(crate) struct ShutdownLimits {
@@ -27,8 +23,6 @@
     pub(crate) first_request_period: Duration,
     /// When all requests still in flight get a response at once.
     pub(crate) forced_response_after: Duration,
-    /// When the process exits at the latest.
-    pub(crate) exit_after: Duration,
 }
 
 impl ShutdownLimits {
@@ -38,7 +32,6 @@
             accept_period: ACCEPT_PERIOD,
             first_request_period: FIRST_REQUEST_PERIOD,
             forced_response_after: longest_deadline + FORCED_RESPONSE_MARGIN,
-            exit_after: longest_deadline + EXIT_MARGIN,
         }
     }
 }
--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -98,6 +98,7 @@
     shutdown_does_not_wait_for_incomplete_requests
     shutdown_ends_though_a_client_sends_on
     shutdown_forwards_no_late_request
+    shutdown_held_up_at_its_forced_responses_writes_them_all
     shutdown_ignores_further_signals
     shutdown_serves_a_connection_not_accepted_yet
     shutdown_serves_a_half_read_request
