Force the last responses early enough to be written before SIGKILL after a hold-up

Cause: the last responses were due 0.15 s before the earliest SIGKILL, which is all of the longest hold-up, so no time was left to write them.

Change: they are due 0.51 s after the longest deadline in place of 0.55 s: still after the deadline of the last request that is accepted, and 0.19 s before SIGKILL.

Test: the property of the limits now asks for 0.15 s and 0.04 s for writing, and failed before the change.

--- a/crates/sidecar/src/limits/shutdown.rs
+++ b/crates/sidecar/src/limits/shutdown.rs
@@ -12,8 +12,9 @@
 /// How long a client that has sent nothing may still send its first request, which is rejected.
 const FIRST_REQUEST_PERIOD: Duration = Duration::from_millis(400);
 /// Added to the longest deadline: the last request is accepted up to [`ACCEPT_PERIOD`] after the
-/// SIGTERM, and its deadline must have passed.
-const FORCED_RESPONSE_MARGIN: Duration = Duration::from_millis(550);
+/// SIGTERM, and its deadline must have passed. The rest up to SIGKILL is for a process that is held
+/// up by 0.15 s, and for writing the responses.
+const FORCED_RESPONSE_MARGIN: Duration = Duration::from_millis(510);
 /// Time limits of a shutdown, each measured from the SIGTERM.
 #[derive(Clone, Debug)]
 pub(crate) struct ShutdownLimits {
--- a/crates/sidecar/src/limits/tests.rs
+++ b/crates/sidecar/src/limits/tests.rs
@@ -74,6 +74,7 @@
 #[test]
 fn shutdown_forces_responses_before_sigkill_and_after_the_last_request_deadline() {
     const LONGEST_HOLD_UP: Duration = Duration::from_millis(150);
+    const TIME_TO_WRITE: Duration = Duration::from_millis(40);
     for ms in (50..30_000).step_by(50) {
         let deadline = Duration::from_millis(ms);
         let limits = Limits::derive(&LimitInputs {
@@ -83,7 +84,7 @@
         });
         let sigkill_at = deadline.min(Duration::from_secs(3)) + Duration::from_millis(700);
         assert!(
-            limits.shutdown.forced_response_after + LONGEST_HOLD_UP <= sigkill_at,
+            limits.shutdown.forced_response_after + LONGEST_HOLD_UP + TIME_TO_WRITE <= sigkill_at,
             "{ms} ms: SIGKILL may interrupt the last responses"
         );
         let last_deadline = limits.shutdown.accept_period + deadline;
