Try a failed accept again at shutdown until the accept queue is empty

What callers saw: a reset in place of a response to requests on connections that the machine had accepted, at a shutdown without free descriptors.

Cause: after SIGTERM a failed accept counted as the end of the queue, and the listener was closed over what was left there.

Why it works: only an empty queue ends the listener, and each response frees descriptors.

The harness gets the option `descriptors`.

--- a/crates/sidecar/src/downstream/listener.rs
+++ b/crates/sidecar/src/downstream/listener.rs
@@ -67,7 +67,7 @@
     }
 
     /// Accepts clients until [`Listener::close`], and then those that are left in the accept queue
-    /// of the operating system.
+    /// of the operating system. A failed accept ends neither: the queue may hold requests.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
         let Some(service) = permitted_service(Rc::clone(&self.handler)).await else {
             return;
@@ -79,9 +79,6 @@
                 AcceptOutcome::Connection(stream) => self.spawn_connection(stream, &service),
                 AcceptOutcome::Failed(error) => {
                     tracing::warn!(%error, "failed to accept a client connection");
-                    if self.handler.is_shutting_down() {
-                        return;
-                    }
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
                 AcceptOutcome::ShutdownStarted => {}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -84,7 +84,13 @@
         let config = options.config(&peers.listed_addresses);
         let config_path = config_path(name);
         fs::write(&config_path, &config).expect("configuration is written");
-        let sidecar = spawn_sidecar(&config_path, &listen_address, &peers.discovery);
+        let mut command = sidecar_command(options.descriptors);
+        let sidecar = spawn_sidecar(
+            &mut command,
+            &config_path,
+            &listen_address,
+            &peers.discovery,
+        );
         wait_for("the sidecar to listen", || {
             TcpStream::connect(&listen_address).ok()
         });
@@ -165,8 +171,26 @@
     std::env::temp_dir().join(format!("arrowstand-{name}-{}.json", std::process::id()))
 }
 
-fn spawn_sidecar(config_path: &PathBuf, listen_address: &str, discovery: &TcpListener) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_arrowstand"))
+/// The command that starts the sidecar, with a limit on its file descriptors if there is one.
+fn sidecar_command(max_descriptors: Option<usize>) -> Command {
+    let program = env!("CARGO_BIN_EXE_arrowstand");
+    let Some(max_descriptors) = max_descriptors else {
+        return Command::new(program);
+    };
+    let mut shell = Command::new("/bin/sh");
+    shell
+        .arg("-c")
+        .arg(format!("ulimit -n {max_descriptors} && exec {program}"));
+    shell
+}
+
+fn spawn_sidecar(
+    command: &mut Command,
+    config_path: &PathBuf,
+    listen_address: &str,
+    discovery: &TcpListener,
+) -> Child {
+    command
         .env("NODE_CONFIG", config_path)
         .env("NODE_LISTEN", listen_address)
         .env("NODE_DISCOVERY", address_of(discovery))
--- a/crates/sidecar/tests/support/options.rs
+++ b/crates/sidecar/tests/support/options.rs
@@ -17,6 +17,8 @@
     objective_ms: usize,
     deduplication_window_ms: usize,
     drain_grace_ms: usize,
+    /// Limit of the operating system on the sidecar's file descriptors.
+    pub descriptors: Option<usize>,
     /// Endpoint lists are pushed instead of sent on request.
     push_mode: bool,
 }
@@ -37,6 +39,7 @@
             objective_ms: number_or("deadline", 15_000),
             deduplication_window_ms: number_or("window", 60_000),
             drain_grace_ms: number_or("grace", 2_000),
+            descriptors: find_number(line, "descriptors"),
             push_mode: line.contains("pushed"),
         }
     }
