Exit without listening when SIGTERM comes during the startup

Cause: the shutdown counted from the end of the startup. A sidecar that was told to stop while it read its configuration listened all the same for 0.5 s, and its last responses were due as much later as the startup had still taken, while SIGKILL counts from the signal.

Evidence: a startup that waits for its configuration gets SIGTERM and then the file; its log says "listening for clients" after the signal.

Change: the signal is looked for once more before the listening socket is opened. Nothing has been taken then, so nothing is owed.

Test: sigterm_during_startup_keeps_the_sidecar_from_listening, failed without the fix; three passes with it.

--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -46,11 +46,17 @@
 
 /// Serves until SIGTERM or SIGINT; SIGHUP reloads the configuration. The signal handlers are
 /// installed before the configuration is read, because the default action of a SIGHUP that arrives
-/// during startup is to terminate the process. Such signals are handled once the sidecar serves. A
-/// stop does not wait for the end of a reload, which takes longer the busier the process is.
+/// during startup is to terminate the process. Such a SIGHUP is handled once the sidecar serves. A
+/// stop during startup ends the process before it accepts a connection, because the shutdown would
+/// count from the end of the startup, and SIGKILL counts from the signal. A stop does not wait for
+/// the end of a reload, which takes longer the busier the process is.
 async fn serve() -> Result<(), StartupError> {
     let mut signals = Signals::install()?;
     let config = Config::from_environment().await?;
+    if signals.is_stop_requested().await {
+        tracing::info!("stopped during startup");
+        return Ok(());
+    }
     let sidecar = Sidecar::start(config)?;
     loop {
         match signals.next().await {
--- a/crates/sidecar/src/signals.rs
+++ b/crates/sidecar/src/signals.rs
@@ -1,6 +1,7 @@
 //! Handling of the signals by which the platform stops the process or makes it reload its
 //! configuration.
 
+use futures_util::FutureExt as _;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::startup_error::StartupError;
@@ -43,6 +44,13 @@
         }
     }
 
+    /// Whether SIGTERM or SIGINT has been received. Yields once, since signals are noticed between
+    /// the tasks of the runtime.
+    pub(crate) async fn is_stop_requested(&mut self) -> bool {
+        tokio::task::yield_now().await;
+        self.stop_requested().now_or_never().is_some()
+    }
+
     /// Waits for SIGTERM or SIGINT; a SIGHUP is kept for [`Signals::next`].
     pub(crate) async fn stop_requested(&mut self) {
         tokio::select! {
--- a/crates/sidecar/tests/start.rs
+++ b/crates/sidecar/tests/start.rs
@@ -27,7 +27,7 @@
         let process = Command::new(env!("CARGO_BIN_EXE_arrowstand"))
             .env("NODE_CONFIG", &pipe)
             .env("NODE_LISTEN", "127.0.0.1:0")
-            .stderr(Stdio::null())
+            .stderr(Stdio::piped())
             .spawn()
             .expect("sidecar starts");
         let starting = Self {
@@ -88,6 +88,12 @@
         });
     }
 
+    /// What the sidecar has logged; to be called once it has exited.
+    fn log(&mut self) -> String {
+        let stderr = self.process.stderr.take().expect("log is read once");
+        std::io::read_to_string(stderr).expect("log is text")
+    }
+
     fn exit_code(&mut self) -> Option<i32> {
         wait_for("the exit of the process", || {
             self.process.try_wait().expect("process is a child")
@@ -134,3 +140,17 @@
 
     assert_eq!(sidecar.exit_code(), Some(0));
 }
+
+/// Guards against a sidecar that was told to stop before it serves and accepts connections all the
+/// same: it would count its shutdown from the end of the startup, and respond after SIGKILL.
+#[test]
+fn sigterm_during_startup_keeps_the_sidecar_from_listening() {
+    let mut sidecar = StartingSidecar::new("term-listen", SIGTERM);
+
+    sidecar.send_signal("-TERM");
+    sidecar.deliver_config();
+
+    assert_eq!(sidecar.exit_code(), Some(0));
+    let log = sidecar.log();
+    assert!(!log.contains("listening for clients"), "{log}");
+}
