Read what has arrived before the time of a lingering close ends it

What callers could see: a reset after a response, and with it the loss of what the operating system had not delivered, if input arrived while the sidecar was held up over the end of the lingering.

Cause: the read and the time were chosen from at random when both were due.

Evidence and test: input_is_read_before_the_socket_closes_although_the_time_has_passed lets the time pass with input unread, 24 times over; without the fix the second connection was reset.

Change: the read goes first.

--- a/crates/sidecar/src/downstream/lingering_close.rs
+++ b/crates/sidecar/src/downstream/lingering_close.rs
@@ -28,7 +28,9 @@
         return;
     }
     let descriptor = reclaim.add(Instant::now() + limits.client.min_lingering_time);
+    // Reads first, so that input that has arrived is not left unread once the time has passed.
     tokio::select! {
+        biased;
         () = discard_input(&mut socket, limits.client.max_lingering_bytes) => {}
         () = tokio::time::sleep(limits.client.lingering_close_timeout) => {}
         () = descriptor.wait_for_reclaim() => {}
@@ -47,3 +49,6 @@
         remaining_bytes = remaining;
     }
 }
+
+#[cfg(test)]
+mod tests;
