Look for the first request of a client without a permit whatever ends the wait

Cause: by reading. When the time for the first request had passed, the socket was not looked at, so a request that arrived between the last look and the time's end was discarded without a response.

Change: one look after the wait, whatever ended it, in place of three answers. No test: the request would have to arrive between two steps of one task.

--- a/crates/sidecar/src/downstream/listener/ending.rs
+++ b/crates/sidecar/src/downstream/listener/ending.rs
@@ -22,13 +22,13 @@
         } else {
             limits.client.idle_timeout
         };
-        let has_input = tokio::select! {
-            biased;
-            () = client.socket_slot().wait_for_input() => client.socket_slot().has_unread_bytes(),
-            () = sleep(timeout) => false,
-            () = descriptor.wait_for_reclaim() => client.socket_slot().has_unread_bytes(),
-        };
-        if has_input {
+        tokio::select! {
+            () = client.socket_slot().wait_for_input() => {}
+            () = sleep(timeout) => {}
+            () = descriptor.wait_for_reclaim() => {}
+        }
+        // Whatever ended the wait, a request may have arrived by now.
+        if client.socket_slot().has_unread_bytes() {
             self.context.counters().requests_over_capacity.inc();
             client.refuse(Refusal::OverCapacity);
         }
