Record that a half-read request is rejected when the last responses are forced

Need: a request that completes after the forced responses would be answered only if it is read before SIGKILL; since the end of a shutdown is no time any more, it gets its 503 with the others.

Test: shutdown_answers_a_half_read_request_at_its_forced_responses.

--- a/crates/sidecar/tests/exchanges.rs
+++ b/crates/sidecar/tests/exchanges.rs
@@ -93,6 +93,7 @@
     second_response_behind_an_empty_one_reaches_no_client
     second_response_on_an_idle_connection_reaches_no_client
     server_relocated_during_a_pending_connect_gets_nothing_at_its_old_address
+    shutdown_answers_a_half_read_request_at_its_forced_responses
     shutdown_before_any_request_is_clean
     shutdown_closes_idle_connections
     shutdown_does_not_wait_for_incomplete_requests
