Let a response keep its server in use for as long as a later drain is not notified

Cause: such a failure looks like that of a crowded discovery, so the list expires 6 s and half a grace after its last event; and a response proved its server in use for half a grace only.

Change: a drain that the list may be missing came after the server's last response. With polled lists and no watch it counts as notified 6 s later, or a poll interval later if that is shorter, and until then and half a grace the server may be used. What a silent watch or a relocated discovery missed, and pushed lists, are as before.

--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -7,9 +7,11 @@
 //! the part of it called the slack. With the bounds of [`StalenessBounds`]:
 //!
 //! ```text
-//! trusted until  = max(min(silence expiry, poll expiry, notice expiry),
-//!                      start of last served attempt + slack)
+//! trusted until  = min(max(silence expiry, served + slack),
+//!                      max(poll expiry,    served + slack [+ max poll interval]),
+//!                      max(notice expiry,  served + slack + change notice delay))
 //!
+//! served         = start of the last attempt that the server has served
 //! silence expiry = last event     + change notice delay     + slack  the watch was silent
 //!                = event                                    + slack  it could not be read
 //!                = relocation     + relocation notice delay + slack  discovery was relocated
@@ -20,6 +22,12 @@
 //! notice expiry  = complete until + change notice delay     + slack  poll mode, no watch
 //! ```
 //!
+//! A server that has served an attempt was not draining when that began, so the drain that the list
+//! may be missing is later. In poll mode without a watch it counts as notified only some time after
+//! it was made: the maximum poll interval or the change notice delay, whichever is shorter. Thus
+//! servers that respond stay in use while discovery does not. In push mode, and what a silent watch
+//! or a relocated discovery has missed, it may count as notified at once.
+//!
 //! A term whose condition does not apply is absent. If all are absent, the list is current and is
 //! trusted without limit. A watch event clears all of them.
 //!
@@ -188,11 +196,26 @@
     /// `last_served_sent_at` is the latest send time of the attempts that the server has served,
     /// which proves that the server was not draining at that time.
     pub fn trusted_until(&self, last_served_sent_at: Option<Micros>) -> Option<Micros> {
-        let expiry = [self.silence_expiry, self.poll_expiry, self.notice_expiry()]
+        let bounds = &self.bounds;
+        let poll_notice_delay = if bounds.push_mode {
+            0
+        } else {
+            bounds.max_poll_interval
+        };
+        // Each expiry, and how long after a drain that is made later it counts as notified.
+        let expiries = [
+            (self.silence_expiry, 0),
+            (self.poll_expiry, poll_notice_delay),
+            (self.notice_expiry(), bounds.change_notice_delay),
+        ];
+        expiries
             .into_iter()
-            .flatten()
-            .min()?;
-        Some(last_served_sent_at.map_or(expiry, |at| expiry.max(at + self.bounds.drain_slack)))
+            .filter_map(|(expiry, notice_delay)| {
+                let proven_until =
+                    last_served_sent_at.map(|at| at + notice_delay + bounds.drain_slack);
+                expiry.map(|expiry| proven_until.map_or(expiry, |until| until.max(expiry)))
+            })
+            .min()
     }
 
     /// Time from which a drain that discovery had and could tell may forbid attempts.
--- a/crates/control/src/list_freshness/tests.rs
+++ b/crates/control/src/list_freshness/tests.rs
@@ -384,6 +384,57 @@
     assert_eq!(freshness.trusted_until(None), None);
 }
 
+/// Guards against an outage of discovery that stops all traffic: one that makes polls wait before it
+/// fails them looks like a crowded one, but a server that responds has not begun to drain, and a
+/// drain that begins later counts as notified later.
+#[test]
+fn servers_that_respond_stay_in_use_while_polls_fail_after_a_wait() {
+    let mut freshness = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
+    freshness.on_watch_event(1_000_000);
+    freshness.on_watch_ended(1_100_000);
+
+    for poll in (8_000_000..60_000_000).step_by(2_000_000) {
+        freshness.on_poll_started(poll);
+        freshness.on_poll_failed(PollFailure::Unanswered, poll, poll + 1_500_000);
+        let now = poll + 1_900_000;
+        let until = freshness.trusted_until(Some(now - 5_000_000));
+        assert!(until.is_some_and(|until| now < until), "{until:?} at {now}");
+    }
+
+    assert_eq!(freshness.trusted_until(None), Some(7_500_000));
+    assert_eq!(
+        freshness.trusted_until(Some(50_000_000)),
+        Some(56_500_000),
+        "a drain after the response counts as notified 6 s later"
+    );
+}
+
+/// Guards against a drain that counts as notified after the shorter poll interval.
+#[test]
+fn a_response_proves_no_more_than_a_poll_interval_where_that_is_short() {
+    let mut freshness = ListFreshness::new(bounds(false, 2_000_000, 500_000), 0);
+    freshness.on_watch_event(1_000_000);
+    freshness.on_watch_ended(1_100_000);
+
+    assert_eq!(freshness.trusted_until(Some(20_000_000)), Some(22_500_000));
+}
+
+/// Guards against a drain that a relocated discovery or one that pushes has told at once.
+#[test]
+fn a_response_proves_only_the_slack_after_a_relocation_and_where_lists_are_pushed() {
+    let mut relocated = ListFreshness::new(bounds(false, 10_000_000, 500_000), 0);
+    relocated.on_watch_event(1_000_000);
+    relocated.on_discovery_relocated(1_100_000);
+
+    assert_eq!(relocated.trusted_until(Some(20_000_000)), Some(20_500_000));
+
+    let mut pushed = ListFreshness::new(bounds(true, 10_000_000, 500_000), 0);
+    pushed.on_watch_event(1_000_000);
+    pushed.on_poll_started(2_000_000);
+
+    assert_eq!(pushed.trusted_until(Some(20_000_000)), Some(20_500_000));
+}
+
 /// Guards against an outage of discovery that stops all traffic: while it cannot be reached it
 /// notifies nothing, and the next poll comes before the list would expire.
 #[test]
