Split the trust in one server and the states of an idle connection into their modules

Change: list_freshness/expiry.rs computes the time for one server from typed terms; connection/outstanding.rs has the states of a connection that is idle or owes something.

--- a/crates/control/src/list_freshness/mod.rs
+++ b/crates/control/src/list_freshness/mod.rs
@@ -37,6 +37,7 @@
 //! without telling its changes, because a change may have been made then.
 
 mod bounds;
+mod expiry;
 mod polls;
 #[cfg(test)]
 mod tests;
@@ -192,40 +193,6 @@
         (now < notified_at).then(|| NextPoll::Within(notified_at - now))
     }
 
-    /// Time from which no attempt may be sent to a server, or `None` while the list is current.
-    /// `last_served_sent_at` is the latest send time of the attempts that the server has served,
-    /// which proves that the server was not draining at that time.
-    pub fn trusted_until(&self, last_served_sent_at: Option<Micros>) -> Option<Micros> {
-        let bounds = &self.bounds;
-        let poll_notice_delay = if bounds.push_mode {
-            0
-        } else {
-            bounds.max_poll_interval
-        };
-        // Each expiry, and how long after a drain that is made later it counts as notified.
-        let expiries = [
-            (self.silence_expiry, 0),
-            (self.poll_expiry, poll_notice_delay),
-            (self.notice_expiry(), bounds.change_notice_delay),
-        ];
-        expiries
-            .into_iter()
-            .filter_map(|(expiry, notice_delay)| {
-                let proven_until =
-                    last_served_sent_at.map(|at| at + notice_delay + bounds.drain_slack);
-                expiry.map(|expiry| proven_until.map_or(expiry, |until| until.max(expiry)))
-            })
-            .min()
-    }
-
-    /// Time from which a drain that discovery had and could tell may forbid attempts.
-    fn notice_expiry(&self) -> Option<Micros> {
-        let bounds = &self.bounds;
-        let is_missing_changes = !bounds.push_mode && self.watch != WatchState::Open;
-        is_missing_changes
-            .then_some(self.complete_until + bounds.change_notice_delay + bounds.drain_slack)
-    }
-
     /// In push mode, records that a watch or a poll ended. A poll that fails before its expiry
     /// shows that discovery is down and cannot notify changes. A poll that fails after its expiry
     /// shows that discovery is up but overloaded.
--- a/crates/sidecar/src/downstream/connection.rs
+++ b/crates/sidecar/src/downstream/connection.rs
@@ -8,6 +8,7 @@
 mod close_state;
 mod input_accounting;
 mod lifecycle;
+mod outstanding;
 mod request_input;
 mod socket_slot;
 
@@ -29,6 +30,7 @@
 use socket_slot::SocketSlot;
 
 pub(super) use close_state::Persistence;
+pub(super) use outstanding::{IdleState, Outstanding};
 pub(super) use socket_slot::peek;
 
 /// The state of a client connection, shared by the tasks that serve it and the requests on it.
@@ -44,34 +46,6 @@
     socket: SocketSlot,
 }
 
-/// The state of an idle connection. When all permits are taken, the idle connection with the lowest
-/// state is closed.
-///
-/// Connections that have had a response come first, since such a client sends its next request on a
-/// new connection. A client that has not sent its first request yet would lose that request if its
-/// connection were closed. Within each group the connection that has been idle for longest comes
-/// first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct IdleState {
-    /// No response was ready on the connection yet.
-    pub awaits_first_request: bool,
-    /// When the client connected or its last response was ready.
-    pub idle_since: Instant,
-}
-
-/// What a connection waits for before it owes its client nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Outstanding {
-    /// The response to a complete request.
-    Response,
-    /// The operating system has not taken all bytes of a response.
-    ResponseBytes,
-    /// The rest of a request.
-    RequestBytes,
-    /// No request has begun and no response is left to write.
-    Nothing,
-}
-
 impl ClientConnection {
     /// Creates the state of a client that has just connected.
     pub(super) fn new(socket: Option<TcpStream>) -> Rc<Self> {
