--- a/crates/sidecar/src/downstream/connection/outstanding.rs
+++ b/crates/sidecar/src/downstream/connection/outstanding.rs
@@ -1,4 +1,4 @@
-//! What a connection owes its client: nothing, and then how long it has been idle, or something.
+//! What a connection still owes its client, and the state of a connection that owes nothing.
 
 use tokio::time::Instant;
 
